--- /dev/null
+++ b/packages/adapters/http/http_backends.cpp
@@ -0,0 +1,228 @@
+/** @file http_backends.cpp Back ends and platform over HTTP. */
+
+#include "http/http_backends.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace jacinthpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds ConnectTimeout{1000};
+/** Longest silence of a back end in the middle of an answer. */
+constexpr std::chrono::seconds StreamTimeout{30};
+/** Longest wait for a short answer, such as a state. */
+constexpr std::chrono::milliseconds ShortTimeout{2000};
+/** Longest wait for a load order or a chunk. */
+constexpr std::chrono::seconds LongTimeout{120};
+
+template <typename Length>
+httplib::Client makeClient(const std::string &Url, Length ReadTimeout) {
+  httplib::Client Client(Url);
+  Client.set_connection_timeout(ConnectTimeout);
+  Client.set_read_timeout(ReadTimeout);
+  Client.set_write_timeout(ReadTimeout);
+  Client.set_tcp_nodelay(true);
+  return Client;
+}
+
+/** A request counts as never sent only when no connection came about. */
+bool neverSent(httplib::Error Why) {
+  return Why == httplib::Error::Connection ||
+         Why == httplib::Error::ConnectionTimeout;
+}
+
+boost::leaf::error_id callFailed(httplib::Error Why) {
+  return fail(neverSent(Why) ? ErrorKind::Unreachable
+                             : ErrorKind::OutcomeUnknown,
+              httplib::to_string(Why));
+}
+
+std::string textOf(const Json &Value, const char *Key) {
+  const auto it = Value.find(Key);
+  return it != Value.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+uint64_t numberOf(const Json &Value, const char *Key) {
+  const auto it = Value.find(Key);
+  return it != Value.end() && it->is_number_unsigned() ? it->get<uint64_t>()
+                                                       : 0;
+}
+
+/** Reads an engine's event stream line by line. */
+struct EventParser {
+  const std::function<bool(Digest)> &OnBegin;      ///< Takes the weights.
+  const std::function<bool(std::string)> &OnToken; ///< Takes a token.
+  std::string Buffer;                              ///< Unfinished line.
+  std::optional<EngineEnd> End;                    ///< Set by the last event.
+  bool Cancelled = false;                          ///< A taker said stop.
+
+  bool takeLine(const std::string &Line) {
+    static const std::string Prefix = "data: ";
+    if (Line.compare(0, Prefix.size(), Prefix) != 0)
+      return true;
+    const Json Event = Json::parse(Line.substr(Prefix.size()), nullptr, false);
+    if (!Event.is_object())
+      return false;
+    if (Event.contains("begin"))
+      return OnBegin(Digest{textOf(Event, "begin")});
+    if (Event.contains("token"))
+      return OnToken(textOf(Event, "token"));
+    if (Event.contains("end"))
+      End = EngineEnd{numberOf(Event, "end"), Digest{textOf(Event, "weights")}};
+    return true;
+  }
+
+  bool take(const char *Data, size_t n) {
+    Buffer.append(Data, n);
+    size_t Start = 0;
+    for (size_t Stop = Buffer.find('\n'); Stop != std::string::npos;
+         Stop = Buffer.find('\n', Start)) {
+      const bool Wanted = takeLine(Buffer.substr(Start, Stop - Start));
+      Start = Stop + 1;
+      if (!Wanted) {
+        Cancelled = true;
+        return false;
+      }
+    }
+    Buffer.erase(0, Start);
+    return true;
+  }
+};
+
+Result<std::string> getText(const std::string &Url, const std::string &Path,
+                            std::chrono::milliseconds Timeout) {
+  httplib::Client Client = makeClient(Url, Timeout);
+  const httplib::Result Answer = Client.Get(Path);
+  if (!Answer)
+    return fail(ErrorKind::Unreachable, httplib::to_string(Answer.error()));
+  if (Answer->status == 204)
+    return std::string();
+  if (Answer->status != 200)
+    return fail(ErrorKind::Unreachable,
+                "status " + std::to_string(Answer->status));
+  return Answer->body;
+}
+
+} // namespace
+
+Result<EngineEnd>
+HttpEngine::generate(const EngineRequest &Request,
+                     const std::function<bool(Digest)> &OnBegin,
+                     const std::function<bool(std::string)> &OnToken) {
+  httplib::Client Client = makeClient(Url, StreamTimeout);
+  EventParser Parser{OnBegin, OnToken, {}, {}, false};
+  const Json Body = {{"attempt", Request.Attempt.Value},
+                     {"body", Request.Body},
+                     {"priority", Request.Priority},
+                     {"resume_from", Request.ResumeFrom}};
+  httplib::Request Sent;
+  Sent.method = "POST";
+  Sent.path = "/v1/generate";
+  Sent.body = Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  Sent.set_header("Content-Type", "application/json");
+  Sent.content_receiver = [&](const char *Data, size_t n, uint64_t, uint64_t) {
+    return Parser.take(Data, n);
+  };
+  const httplib::Result Answer = Client.send(Sent);
+  if (Parser.Cancelled)
+    return fail(ErrorKind::PartialAnswer, "cancelled");
+  if (!Answer)
+    return callFailed(Answer.error());
+  if (Answer->status == 503)
+    return fail(ErrorKind::Unreachable, "engine refused");
+  if (Answer->status != 200)
+    return fail(ErrorKind::BackEndFailed,
+                "status " + std::to_string(Answer->status));
+  if (!Parser.End)
+    return fail(ErrorKind::PartialAnswer, "stream ended early");
+  return *Parser.End;
+}
+
+Result<EngineState> HttpEngine::state() {
+  BOOST_LEAF_AUTO(Text, getText(Url, "/v1/state", ShortTimeout));
+  const Json Value = Json::parse(Text, nullptr, false);
+  if (!Value.is_object())
+    return fail(ErrorKind::Unreachable, "state is no JSON");
+  EngineState Read;
+  Read.Run = textOf(Value, "run");
+  Read.Weights.Value = textOf(Value, "weights");
+  Read.Running = static_cast<uint32_t>(numberOf(Value, "running"));
+  Read.Cold = Value.value("cold", false);
+  return Read;
+}
+
+Result<void> HttpEngine::stage(const Digest &Chunk, const std::string &Bytes) {
+  httplib::Client Client = makeClient(Url, LongTimeout);
+  const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Value, Bytes,
+                                            "application/octet-stream");
+  if (!Answer)
+    return callFailed(Answer.error());
+  if (Answer->status != 200)
+    return fail(ErrorKind::BackEndFailed,
+                "status " + std::to_string(Answer->status));
+  return {};
+}
+
+Result<void> HttpEngine::load(const LoadOrder &Order) {
+  httplib::Client Client = makeClient(Url, LongTimeout);
+  Json Body = {{"fence", Order.Fence.Value},
+               {"set", Order.Set.Value},
+               {"chunks", Json::array()}};
+  for (const Digest &Chunk : Order.Chunks)
+    Body["chunks"].push_back(Chunk.Value);
+  const httplib::Result Answer =
+      Client.Post("/v1/load", Body.dump(), "application/json");
+  if (!Answer)
+    return callFailed(Answer.error());
+  if (Answer->status != 200)
+    return fail(ErrorKind::BackEndFailed,
+                "status " + std::to_string(Answer->status));
+  return {};
+}
+
+Result<ServiceAnswer> HttpService::call(const ServiceCall &Call) {
+  const auto Timeout = std::max(Call.Timeout, Millis{1});
+  httplib::Client Client = makeClient(Url, Timeout);
+  const httplib::Headers Headers = {{"X-Attempt", Call.Attempt.Value},
+                                    {"Idempotency-Key", Call.Key.Value}};
+  const httplib::Result Answer = Client.Post(
+      "/v1/calls/" + Call.Class.Value, Headers, Call.Body, "application/json");
+  if (!Answer)
+    return callFailed(Answer.error());
+  return ServiceAnswer{Answer->status, Answer->body};
+}
+
+Result<std::string> HttpService::ping() {
+  return getText(Url, "/v1/run", ShortTimeout);
+}
+
+Result<std::string> HttpConfig::watch(ConfigVersion After, Millis Wait) {
+  const std::string Path = "/v1/config?after=" + std::to_string(After.Value) +
+                           "&wait_ms=" + std::to_string(Wait.count());
+  return getText(Url, Path, Wait + ShortTimeout);
+}
+
+Result<HostStates> HttpHosts::hosts() {
+  BOOST_LEAF_AUTO(Text, getText(Url, "/v1/hosts", ShortTimeout));
+  const Json Value = Json::parse(Text, nullptr, false);
+  if (!Value.is_object())
+    return fail(ErrorKind::Unreachable, "host list is no JSON");
+  HostStates States;
+  for (const auto &Row : Value.items())
+    States[HostName{Row.key()}] =
+        Row.value() == "leaving" ? HostState::Leaving : HostState::Live;
+  return States;
+}
+
+Result<std::string> HttpOrigin::fetch(const Digest &Chunk) {
+  return getText(Url, "/v1/chunks/" + Chunk.Value, LongTimeout);
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/adapters/http/http_server.cpp
@@ -0,0 +1,107 @@
+/** @file http_server.cpp Set-up that all HTTP listeners share. */
+
+#include "http/http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sys/socket.h>
+
+namespace jacinthpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** How long an idle kept connection may hold a thread, in seconds. */
+constexpr time_t KeepAliveSeconds = 2;
+/** Connections that the kernel keeps until they are accepted. */
+constexpr int ListenBacklog = 1024;
+/** Requests on one connection before it is closed. */
+constexpr size_t KeepAliveRequests = 1000;
+
+ErrorKind kindOfStatus(int Status) {
+  switch (Status) {
+  case 404:
+    return ErrorKind::NotFound;
+  case 408:
+    return ErrorKind::SlowCaller;
+  case 413:
+  case 414:
+  case 431:
+    return ErrorKind::TooLarge;
+  default:
+    return Status >= 500 ? ErrorKind::Internal : ErrorKind::BadRequest;
+  }
+}
+
+} // namespace
+
+void setupServer(httplib::Server &Server, const ListenerLimits &Limits) {
+  Server.new_task_queue = [n = Limits.Threads] {
+    return new httplib::ThreadPool(n);
+  };
+  Server.set_payload_max_length(Limits.MaxBodyBytes);
+  Server.set_read_timeout(Limits.ReadTimeout);
+  Server.set_keep_alive_timeout(KeepAliveSeconds);
+  Server.set_keep_alive_max_count(KeepAliveRequests);
+  Server.set_tcp_nodelay(true);
+  Server.set_error_handler([](const httplib::Request &,
+                              httplib::Response &Answer) {
+    // Only answers that the library made itself are empty.
+    if (Answer.body.empty())
+      writeError(Answer, {kindOfStatus(Answer.status), "", {}}, Ran::No, {});
+  });
+}
+
+std::string startServer(httplib::Server &Server, const std::string &At,
+                        std::thread &Accepting) {
+  const size_t Colon = At.rfind(':');
+  if (Colon == std::string::npos)
+    return "";
+  const std::string Ip = At.substr(0, Colon);
+  // The library listens with a backlog of 5; a burst of callers above it loses
+  // its first packets and waits for a retry of 1 s. Listening again on the
+  // same socket widens the backlog.
+  int Listening = -1;
+  Server.set_socket_options([&Listening](int Socket) {
+    const int One = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
+    Listening = Socket;
+  });
+  int Port = std::atoi(At.c_str() + Colon + 1);
+  if (Port == 0)
+    Port = Server.bind_to_any_port(Ip);
+  else if (!Server.bind_to_port(Ip, Port))
+    return "";
+  if (Port <= 0 || listen(Listening, ListenBacklog) != 0)
+    return "";
+  Accepting = std::thread([&Server] { Server.listen_after_bind(); });
+  return Ip + ":" + std::to_string(Port);
+}
+
+std::string errorBody(const Failure &Why, Ran Executed,
+                      const RequestId &Request) {
+  const ErrorAnswer &Row = answerFor(Why.Kind);
+  Json Error = {{"kind", Row.Name},
+                {"message", Row.Text},
+                {"ran", ranName(Executed)},
+                {"retry_after_ms", retryAfter(Why).count()}};
+  if (!Why.Detail.empty())
+    Error["detail"] = Why.Detail;
+  Json Body = {{"error", Error}};
+  if (!Request.Value.empty())
+    Body["request_id"] = Request.Value;
+  return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void writeError(httplib::Response &Answer, const Failure &Why, Ran Executed,
+                const RequestId &Request) {
+  Answer.status = answerFor(Why.Kind).HttpStatus;
+  const Millis After = retryAfter(Why);
+  if (After.count() > 0) // The header counts in whole seconds.
+    Answer.set_header("Retry-After",
+                      std::to_string((After.count() + 999) / 1000));
+  Answer.set_content(errorBody(Why, Executed, Request), "application/json");
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/adapters/threads/process.h
@@ -0,0 +1,62 @@
+/** @file process.h What both programs do around their control loop. */
+
+#ifndef JACINTHPOND_ADAPTERS_THREADS_PROCESS_H
+#define JACINTHPOND_ADAPTERS_THREADS_PROCESS_H
+
+#include "error_func.h"
+#include "settings_func.h"
+
+#include <functional>
+#include <string>
+
+namespace jacinthpond {
+
+/** Exit codes of both programs; documented in docs/OPERATING.md. */
+enum ExitCode : int {
+  ExitDone = 0,    ///< All went well; a graceful shutdown too.
+  ExitFailed = 1,  ///< The request could not be carried out.
+  ExitUsage = 2,   ///< Unknown option or command.
+  ExitInvalid = 3, ///< A file is invalid; all faults were printed.
+  ExitCutOff = 4   ///< Shutdown took too long and cut off work.
+};
+
+/**
+ * Reads a whole file.
+ * @param Path Its path.
+ * @return Its content, or NotFound.
+ */
+Result<std::string> readFile(const std::string &Path);
+
+/**
+ * Reads and checks a settings file; prints faults to standard error.
+ * @param Path Its path.
+ * @param Program Whose settings.
+ * @return The settings, or nothing.
+ */
+std::optional<Settings> loadSettings(const std::string &Path,
+                                     SettingOwner Program);
+
+/** Blocks the stop signals; call before any thread starts. */
+void blockStopSignals();
+
+/**
+ * Waits for SIGTERM or SIGINT.
+ */
+void waitForStopSignal();
+
+/**
+ * Makes a random incarnation.
+ * @return Never 0.
+ */
+uint64_t randomIncarnation();
+
+/**
+ * Prints the line that tells which addresses are in use, as JSON.
+ * @param Addresses Pairs of name and address.
+ */
+void announceReady(
+    const std::vector<std::pair<std::string, std::string>> &Addresses);
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/agent/src/agent_shell.cpp
@@ -0,0 +1,237 @@
+/** @file agent_shell.cpp The agent program: threads around its decisions. */
+
+#include "agent_shell.h"
+
+#include "log/log.h"
+#include "overloaded.h"
+#include "threads/process.h"
+
+#include <httplib.h>
+
+#include <utility>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Time between two looks at the clock. */
+constexpr Millis TickPeriod{50};
+/** Time between two readings of the back end's state. */
+constexpr Millis WatchPeriod{200};
+/** Threads that fetch and load weights. */
+constexpr size_t FetchThreads = 5;
+/** Time between two looks at the work in progress while draining. */
+constexpr Millis DrainPoll{20};
+
+} // namespace
+
+AgentShell::AgentShell(const Settings &Config, const BackEnds &Beside)
+    : Loop(Clock),
+      State(makeAgent(Config, Incarnation{randomIncarnation()}, Clock.now())),
+      Beside(Beside), Runners(std::make_unique<httplib::ThreadPool>(
+                          static_cast<size_t>(Config.WarmLimit))),
+      Fetchers(std::make_unique<httplib::ThreadPool>(FetchThreads)),
+      Links({[this](LinkId Link) {
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 agentLinkOpened(State, Link, Now, Out);
+               });
+             },
+             [this](LinkId Link) {
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 agentLinkClosed(State, Link, Now, Out);
+               });
+             },
+             [this](LinkId Link, Message m) {
+               post([this, Link, Kept = std::move(m)](TimePoint Now,
+                                                      Effects &Out) {
+                 agentMessage(State, Link, Kept, Now, Out);
+               });
+             },
+             [](LinkId, const Failure &Why) {
+               logLine(LogPart::Links, LogLevel::Warn,
+                       "Unreadable message dropped: " + Why.Detail);
+             }}) {}
+
+AgentShell::~AgentShell() {
+  Ending = true;
+  if (Watcher.joinable())
+    Watcher.join();
+  Runners->shutdown();
+  Fetchers->shutdown();
+  Loop.stop();
+  if (Control.joinable())
+    Control.join();
+}
+
+std::string AgentShell::start() {
+  const std::string At = Links.listen(State.Config.PeerListen);
+  if (At.empty())
+    return At;
+  Control = std::thread([this] {
+    Loop.run(TickPeriod, [this](TimePoint Now) {
+      Effects Out;
+      agentTick(State, Now, Out);
+      perform(std::move(Out));
+    });
+  });
+  Watcher = std::thread([this] { watchBackEnd(); });
+  return At;
+}
+
+void AgentShell::post(std::function<void(TimePoint, Effects &)> Work) {
+  Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
+    Effects Out;
+    Kept(Now, Out);
+    perform(std::move(Out));
+  });
+}
+
+void AgentShell::perform(Effects Todo) {
+  for (Effect &One : Todo)
+    std::visit(
+        Overloaded{
+            [this](const OpenLink &e) { Links.open(e.Link, e.To); },
+            [this](const CloseLink &e) { Links.close(e.Link); },
+            [this](const SendMessage &e) { Links.send(e.Link, e.Content); },
+            [this](const RunModel &e) {
+              Runners->enqueue(
+                  [this, Request = e.Request] { runModel(Request); });
+            },
+            [this](const RunService &e) {
+              Runners->enqueue([this, Call = e.Call] { runService(Call); });
+            },
+            [this](const CancelRun &e) {
+              const std::lock_guard Lock(CancelGuard);
+              Cancelled.insert(e.Attempt);
+            },
+            [this](const FetchFromOrigin &e) {
+              Fetchers->enqueue([this, Chunk = e.Chunk] { fetchChunk(Chunk); });
+            },
+            [this](const LoadWeights &e) {
+              Fetchers->enqueue([this, Load = e] { loadWeights(Load); });
+            },
+            [](const LogNote &e) { logLine(e.Part, e.Level, e.Text); },
+            [](const auto &) {
+              // Effects of entries; an agent has none of them.
+            }},
+        One);
+}
+
+bool AgentShell::cancelled(const AttemptId &Which) {
+  const std::lock_guard Lock(CancelGuard);
+  return Cancelled.contains(Which);
+}
+
+void AgentShell::runModel(const EngineRequest &Request) {
+  const AttemptId Which = Request.Attempt;
+  const auto End = outcomeOf([&] {
+    return Beside.Engine->generate(
+        Request,
+        [&](const Digest &Weights) {
+          post([this, Which, Weights](TimePoint, Effects &Out) {
+            engineBegan(State, Which, Weights, Out);
+          });
+          return !cancelled(Which);
+        },
+        [&](std::string Token) {
+          post(
+              [this, Which, Token = std::move(Token)](TimePoint, Effects &Out) {
+                engineToken(State, Which, Token, Out);
+              });
+          return !cancelled(Which);
+        });
+  });
+  {
+    const std::lock_guard Lock(CancelGuard);
+    Cancelled.erase(Which);
+  }
+  post([this, Which, End](TimePoint Now, Effects &Out) {
+    engineEnded(State, Which, End, Now, Out);
+  });
+}
+
+void AgentShell::runService(const ServiceCall &Call) {
+  const auto Answer = outcomeOf([&] { return Beside.Service->call(Call); });
+  post([this, Which = Call.Attempt, Answer](TimePoint Now, Effects &Out) {
+    serviceAnswered(State, Which, Answer, Now, Out);
+  });
+}
+
+void AgentShell::fetchChunk(const Digest &Chunk) {
+  ChunkBytes Bytes;
+  if (Beside.Origin != nullptr) {
+    auto Read = outcomeOf([&] { return Beside.Origin->fetch(Chunk); });
+    if (Read.Value)
+      Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
+  }
+  post([this, Chunk, Bytes](TimePoint Now, Effects &Out) {
+    originAnswered(State, Chunk, Bytes, Now, Out);
+  });
+}
+
+void AgentShell::loadWeights(const LoadWeights &Load) {
+  const auto Done = outcomeOf([&]() -> Result<bool> {
+    for (size_t n = 0; n < Load.Chunks.size(); ++n)
+      BOOST_LEAF_CHECK(
+          Beside.Engine->stage(Load.Order.Chunks[n], *Load.Chunks[n]));
+    BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order));
+    return true;
+  });
+  std::optional<Failure> Why;
+  if (!Done.Value)
+    Why = Done.Why;
+  post([this, Why](TimePoint, Effects &Out) { loadEnded(State, Why, Out); });
+  {
+    const std::lock_guard Lock(WatchGuard);
+    ++OrdersEnded;
+  }
+  WatchNow.notify_all();
+}
+
+void AgentShell::watchBackEnd() {
+  while (!Ending) {
+    uint64_t Orders = 0;
+    {
+      const std::lock_guard Lock(WatchGuard);
+      Orders = OrdersEnded;
+    }
+    if (Beside.Engine != nullptr) {
+      const auto Read = outcomeOf([&] { return Beside.Engine->state(); });
+      post([this, Read, Orders](TimePoint Now, Effects &Out) {
+        engineStateRead(State, Read, Orders, Now, Out);
+      });
+    }
+    if (Beside.Service != nullptr) {
+      const auto Read = outcomeOf([&] { return Beside.Service->ping(); });
+      post([this, Read](TimePoint Now, Effects &Out) {
+        servicePinged(State, Read, Now, Out);
+      });
+    }
+    std::unique_lock Lock(WatchGuard);
+    WatchNow.wait_for(Lock, WatchPeriod, [&] { return OrdersEnded != Orders; });
+  }
+}
+
+void AgentShell::inspect(
+    const std::function<void(const AgentState &, TimePoint)> &Look) {
+  Loop.postAndWait([&](TimePoint Now) { Look(State, Now); });
+}
+
+bool AgentShell::drain() {
+  post([this](TimePoint Now, Effects &Out) { agentStop(State, Now, Out); });
+  const TimePoint Limit = Clock.now() + Millis(State.Config.ShutdownMillis);
+  size_t Open = 1;
+  while (Open > 0 && Clock.now() < Limit) {
+    inspect([&](const AgentState &Agent, TimePoint) {
+      Open = Agent.Attempts.size();
+    });
+    if (Open > 0)
+      std::this_thread::sleep_for(DrainPoll);
+  }
+  if (Open > 0)
+    logLine(LogPart::Main, LogLevel::Error,
+            "Shutdown cut off " + std::to_string(Open) + " attempts.");
+  return Open == 0;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/agent/src/agent_shell.h
@@ -0,0 +1,96 @@
+/** @file agent_shell.h The agent program: threads around its decisions. */
+
+#ifndef JACINTHPOND_AGENT_AGENT_SHELL_H
+#define JACINTHPOND_AGENT_AGENT_SHELL_H
+
+#include "agent_func.h"
+#include "clock/runtime_clock.h"
+#include "engine_port.h"
+#include "platform_port.h"
+#include "service_port.h"
+#include "threads/control_loop.h"
+#include "websocket/peer_links.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class ThreadPool;
+} // namespace httplib
+
+namespace jacinthpond {
+
+/** What an agent stands beside; null where the host has none. */
+struct BackEnds {
+  EnginePort *Engine = nullptr;   ///< Model engine.
+  ServicePort *Service = nullptr; ///< Plain service.
+  OriginPort *Origin = nullptr;   ///< Origin of weights.
+};
+
+/** State, control thread, links and back end threads of one agent. */
+class AgentShell {
+public:
+  /**
+   * Sets up; nothing runs yet.
+   * @param Config Settings of the process.
+   * @param Beside The back ends; they outlive the shell.
+   */
+  AgentShell(const Settings &Config, const BackEnds &Beside);
+  /** Ends all threads. */
+  ~AgentShell();
+  AgentShell(const AgentShell &) = delete;
+  AgentShell &operator=(const AgentShell &) = delete;
+
+  /**
+   * Listens for peers and starts the threads.
+   * @return The peer address in use; empty when it cannot be had.
+   */
+  std::string start();
+
+  /**
+   * Reads the state on the control thread.
+   * @param Look Gets the state and the time.
+   */
+  void inspect(const std::function<void(const AgentState &, TimePoint)> &Look);
+
+  /**
+   * Ends gracefully: refuses new work, waits for that in progress.
+   * @return False when the time limit cut off work.
+   */
+  bool drain();
+
+private:
+  void post(std::function<void(TimePoint, Effects &)> Work);
+  void perform(Effects Todo);
+  void runModel(const EngineRequest &Request);
+  void runService(const ServiceCall &Call);
+  void fetchChunk(const Digest &Chunk);
+  void loadWeights(const LoadWeights &Load);
+  void watchBackEnd();
+  bool cancelled(const AttemptId &Which);
+
+  RuntimeClock Clock;
+  ControlLoop Loop;
+  AgentState State; ///< Belongs to the control thread.
+  BackEnds Beside;
+  std::atomic<bool> Ending{false};
+  std::mutex WatchGuard;                        ///< Guards OrdersEnded.
+  std::condition_variable WatchNow;             ///< A load order ended.
+  uint64_t OrdersEnded = 0;                     ///< Load orders that ended.
+  std::mutex CancelGuard;                       ///< Guards Cancelled.
+  std::set<AttemptId> Cancelled;                ///< Runs that are to end early.
+  std::unique_ptr<httplib::ThreadPool> Runners; ///< Back end calls.
+  std::unique_ptr<httplib::ThreadPool> Fetchers; ///< Weights.
+  PeerLinks Links;
+  std::thread Control;
+  std::thread Watcher;
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/entry/src/admin_api.cpp
@@ -0,0 +1,56 @@
+/** @file admin_api.cpp Administration API of an entry. */
+
+#include "admin_api.h"
+
+#include "config_view_func.h"
+#include "http/http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+bool takesWork(const PeerLink &Link) {
+  return Link.State == LinkState::Ready && Link.Peer.Sender == Role::Agent &&
+         (Link.Load.State == WorkerState::Serving ||
+          Link.Load.State == WorkerState::Warming);
+}
+
+/** What a health check may know without a token. */
+Json healthOf(const EntryState &Entry) {
+  const auto Ready = std::ranges::count_if(
+      Entry.Fleet.Links, [](const auto &Row) { return takesWork(Row.second); });
+  return {{"version", versionInForce(Entry.View).Value},
+          {"ready_workers", Ready},
+          {"leaving", Entry.Stopping},
+          {"open_calls", Entry.Calls.size()}};
+}
+
+} // namespace
+
+AdminApi::AdminApi(const Settings &Config, EntryShell &Host)
+    : At(Config.AdminListen), Host(Host),
+      Server(std::make_unique<httplib::Server>()) {
+  setupServer(*Server, ListenerLimits{});
+  Server->Get("/v1/health", [this](const auto &, auto &Answer) {
+    Json Body;
+    this->Host.inspect(
+        [&](const EntryState &Entry, TimePoint) { Body = healthOf(Entry); });
+    Answer.set_content(Body.dump(), "application/json");
+  });
+}
+
+AdminApi::~AdminApi() {
+  Server->stop();
+  if (Accepting.joinable())
+    Accepting.join();
+}
+
+std::string AdminApi::start() { return startServer(*Server, At, Accepting); }
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/caller_api.cpp
@@ -0,0 +1,246 @@
+/** @file caller_api.cpp What callers see of an entry, over HTTP. */
+
+#include "caller_api.h"
+
+#include "hash_func.h"
+#include "http/http_server.h"
+#include "overloaded.h"
+#include "threads/process.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace jacinthpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** Silence after which a stream gets a comment line that keeps it alive. */
+constexpr Millis KeepAlive{1000};
+/** Longest text of a header that names something, in bytes. */
+constexpr size_t MaxNameBytes = 128;
+/** Addresses given to a caller. */
+constexpr size_t MaxAddresses = 4;
+
+std::string dumpJson(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+RequestId makeRequestId() {
+  static std::atomic<uint64_t> Next{1};
+  static const uint64_t Run = randomIncarnation();
+  return RequestId{"r" + std::to_string(Run % 1000000007) + "-" +
+                   std::to_string(Next++)};
+}
+
+/** Reads what a caller asks for out of path, headers and body. */
+Result<CallRequest> readCall(const httplib::Request &Asked) {
+  CallRequest Call;
+  Call.Request = makeRequestId();
+  Call.Class.Value = Asked.matches[1];
+  Call.Tenant.Value = Asked.get_header_value("X-Tenant");
+  Call.Key.Value = Asked.get_header_value("Idempotency-Key");
+  Call.Token = Asked.get_header_value("X-Home-Token");
+  Call.Body = Asked.body;
+  if (Call.Tenant.Value.empty())
+    return fail(ErrorKind::BadRequest, "header X-Tenant is missing");
+  if (Call.Tenant.Value.size() > MaxNameBytes ||
+      Call.Key.Value.size() > MaxNameBytes)
+    return fail(ErrorKind::TooLarge, "a header is too long");
+  const std::string Deadline = Asked.get_header_value("X-Deadline-Ms");
+  if (!Deadline.empty()) {
+    int64_t n = 0;
+    const auto Read =
+        std::from_chars(Deadline.data(), Deadline.data() + Deadline.size(), n);
+    if (Read.ec != std::errc{} ||
+        Read.ptr != Deadline.data() + Deadline.size() || n <= 0)
+      return fail(ErrorKind::BadRequest,
+                  "X-Deadline-Ms: found " + Deadline +
+                      ", allowed: a whole number above 0");
+    Call.Deadline = Millis(n);
+  }
+  if (!Json::accept(Call.Body))
+    return fail(ErrorKind::BadRequest, "the body is no JSON");
+  return Call;
+}
+
+std::string sseEvent(const char *Name, const std::string &Data) {
+  return std::string("event: ") + Name + "\ndata: " + Data + "\n\n";
+}
+
+/** Turns one event into the text of a stream; sets Final on the last one. */
+std::string streamText(const CallEvent &Event, const RequestId &Request,
+                       bool &Final) {
+  return std::visit(
+      Overloaded{
+          [&](const CallPart &e) {
+            return sseEvent("token", dumpJson({{"text", e.Data}}));
+          },
+          [&](const CallEnd &e) {
+            Final = true;
+            return sseEvent("end", dumpJson({{"count", e.Count},
+                                             {"sha256", e.Content.Value},
+                                             {"weights", e.Weights.Value},
+                                             {"request_id", Request.Value}}));
+          },
+          [&](const CallError &e) {
+            Final = true;
+            return sseEvent("error", errorBody(e.Why, e.Executed, Request));
+          }},
+      Event);
+}
+
+/** Waits for the whole answer and writes it. */
+void answerWhole(CallChannel &Channel, const CallRequest &Call,
+                 httplib::Response &Answer) {
+  std::string Text;
+  for (;;) {
+    const auto Event = Channel.pop(KeepAlive);
+    if (!Event)
+      continue;
+    if (const auto *Part = std::get_if<CallPart>(&*Event)) {
+      Text += Part->Data;
+      continue;
+    }
+    if (const auto *Error = std::get_if<CallError>(&*Event)) {
+      writeError(Answer, Error->Why, Error->Executed, Call.Request);
+      return;
+    }
+    const auto &End = std::get<CallEnd>(*Event);
+    Answer.set_header("X-Request-Id", Call.Request.Value);
+    if (End.Weights.Value.empty()) {
+      Answer.status = End.Status;
+      Answer.set_content(Text, "application/json");
+      return;
+    }
+    Answer.set_content(dumpJson({{"text", Text},
+                                 {"count", End.Count},
+                                 {"sha256", End.Content.Value},
+                                 {"weights", End.Weights.Value},
+                                 {"request_id", Call.Request.Value}}),
+                       "application/json");
+    return;
+  }
+}
+
+/** One caller's stream; forgets the call when the library drops it. */
+struct OpenStream {
+  EntryShell &Host;                     ///< The entry.
+  std::shared_ptr<CallChannel> Channel; ///< Where events come from.
+  CallRequest Call;                     ///< Whose stream.
+  std::optional<CallEvent> First;       ///< Event read before the stream began.
+  bool Final = false;                   ///< The last event was written.
+
+  OpenStream(EntryShell &Entry, std::shared_ptr<CallChannel> From,
+             CallRequest Asked, CallEvent Begin)
+      : Host(Entry), Channel(std::move(From)), Call(std::move(Asked)),
+        First(std::move(Begin)) {}
+  ~OpenStream() { Host.done(Call.Call, Final); }
+  OpenStream(const OpenStream &) = delete;
+  OpenStream &operator=(const OpenStream &) = delete;
+
+  bool writeNext(httplib::DataSink &Sink) {
+    const auto Event =
+        First ? std::exchange(First, std::nullopt) : Channel->pop(KeepAlive);
+    const std::string Text =
+        Event ? streamText(*Event, Call.Request, Final) : ": keep-alive\n\n";
+    if (!Sink.write(Text.data(), Text.size()))
+      return false;
+    if (Final)
+      Sink.done();
+    return true;
+  }
+};
+
+/** Answers as a stream; an error before the first token is a plain answer. */
+void answerStream(EntryShell &Host, std::shared_ptr<CallChannel> Channel,
+                  const CallRequest &Call, httplib::Response &Answer) {
+  std::optional<CallEvent> Begin;
+  while (!Begin)
+    Begin = Channel->pop(KeepAlive);
+  if (const auto *Error = std::get_if<CallError>(&*Begin)) {
+    writeError(Answer, Error->Why, Error->Executed, Call.Request);
+    Host.done(Call.Call, true);
+    return;
+  }
+  const auto Stream = std::make_shared<OpenStream>(Host, std::move(Channel),
+                                                   Call, std::move(*Begin));
+  Answer.set_header("X-Request-Id", Call.Request.Value);
+  Answer.set_chunked_content_provider(
+      "text/event-stream", [Stream](size_t, httplib::DataSink &Sink) {
+        return Stream->writeNext(Sink);
+      });
+}
+
+void handleCall(EntryShell &Host, const httplib::Request &Asked,
+                httplib::Response &Answer) {
+  Outcome<CallRequest> Read = outcomeOf([&] { return readCall(Asked); });
+  if (!Read.Value) {
+    writeError(Answer, Read.Why, Ran::No, {});
+    return;
+  }
+  CallRequest &Call = *Read.Value;
+  auto Channel = Host.call(Call);
+  if (Asked.get_header_value("Accept") == "text/event-stream") {
+    answerStream(Host, std::move(Channel), Call, Answer);
+    return;
+  }
+  answerWhole(*Channel, Call, Answer);
+  Host.done(Call.Call, true);
+}
+
+/** Tells which entries to use, in an order spread by a hash of the caller. */
+void handleEntries(EntryShell &Host, const Settings &Config,
+                   const httplib::Request &Asked, httplib::Response &Answer) {
+  Json Body = {{"entries", Json::array()},
+               {"keep_ms", Config.AddressKeepMillis}};
+  Host.inspect([&](const EntryState &Entry, TimePoint) {
+    if (!Entry.View.InForce)
+      return;
+    std::vector<const EntryHost *> Hosts;
+    for (const EntryHost &One : Entry.View.InForce->Entries)
+      if (!Entry.View.InForce->DomainsOut.contains(One.Domain))
+        Hosts.push_back(&One);
+    std::ranges::sort(Hosts, std::greater<>{}, [&](const EntryHost *One) {
+      return rendezvousScore(Asked.remote_addr, One->Name.Value);
+    });
+    Hosts.resize(std::min(Hosts.size(), MaxAddresses));
+    for (const EntryHost *One : Hosts)
+      Body["entries"].push_back(One->Callers.Value);
+  });
+  Answer.set_content(Body.dump(), "application/json");
+}
+
+} // namespace
+
+CallerApi::CallerApi(const Settings &Config, EntryShell &Host)
+    : Config(Config), Host(Host), Server(std::make_unique<httplib::Server>()) {
+  ListenerLimits Limits;
+  Limits.Threads = static_cast<size_t>(Config.CallerThreads);
+  Limits.MaxBodyBytes = static_cast<size_t>(Config.MaxBodyBytes);
+  Limits.ReadTimeout = Millis(Config.CallerReadMillis);
+  setupServer(*Server, Limits);
+  Server->Get("/v1/entries", [this](const auto &Asked, auto &Answer) {
+    handleEntries(this->Host, this->Config, Asked, Answer);
+  });
+  Server->Post(R"(/v1/classes/([^/]+)/requests)",
+               [this](const auto &Asked, auto &Answer) {
+                 handleCall(this->Host, Asked, Answer);
+               });
+}
+
+CallerApi::~CallerApi() {
+  Server->stop();
+  if (Accepting.joinable())
+    Accepting.join();
+}
+
+std::string CallerApi::start() {
+  return startServer(*Server, Config.CallerListen, Accepting);
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/entry_shell.cpp
@@ -0,0 +1,160 @@
+/** @file entry_shell.cpp The entry program: threads around its decisions. */
+
+#include "entry_shell.h"
+
+#include "config_view_func.h"
+#include "log/log.h"
+#include "overloaded.h"
+#include "threads/process.h"
+
+#include <future>
+#include <utility>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Time between two looks at the clock. */
+constexpr Millis TickPeriod{50};
+/** Longest wait of one watch at the configuration service. */
+constexpr Millis WatchWait{2000};
+/** Wait after a failed read of the configuration service. */
+constexpr Millis ReadRetry{500};
+/** Time between two looks at the requests in progress while draining. */
+constexpr Millis DrainPoll{20};
+
+} // namespace
+
+EntryShell::EntryShell(const Settings &Config, ConfigPort &Service)
+    : Loop(Clock),
+      State(makeEntry(Config, Incarnation{randomIncarnation()}, Clock.now())),
+      Service(Service),
+      Links({[this](LinkId Link) {
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 entryLinkOpened(State, Link, Now, Out);
+               });
+             },
+             [this](LinkId Link) {
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 entryLinkClosed(State, Link, Now, Out);
+               });
+             },
+             [this](LinkId Link, Message m) {
+               post([this, Link, Kept = std::move(m)](TimePoint Now,
+                                                      Effects &Out) {
+                 entryMessage(State, Link, Kept, Now, Out);
+               });
+             },
+             [](LinkId, const Failure &Why) {
+               logLine(LogPart::Links, LogLevel::Warn,
+                       "Unreadable message dropped: " + Why.Detail);
+             }}) {}
+
+EntryShell::~EntryShell() {
+  Ending = true;
+  Loop.stop();
+  if (Control.joinable())
+    Control.join();
+  if (Reader.joinable())
+    Reader.join();
+}
+
+std::string EntryShell::start() {
+  const std::string At = Links.listen(State.Config.PeerListen);
+  if (At.empty())
+    return At;
+  Control = std::thread([this] {
+    Loop.run(TickPeriod, [this](TimePoint Now) {
+      Effects Out;
+      entryTick(State, Now, Out);
+      perform(std::move(Out));
+    });
+  });
+  Reader = std::thread([this] { readConfig(); });
+  return At;
+}
+
+void EntryShell::post(std::function<void(TimePoint, Effects &)> Work) {
+  Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
+    Effects Out;
+    Kept(Now, Out);
+    perform(std::move(Out));
+  });
+}
+
+void EntryShell::perform(Effects Todo) {
+  for (Effect &One : Todo)
+    std::visit(
+        Overloaded{
+            [this](const OpenLink &e) { Links.open(e.Link, e.To); },
+            [this](const CloseLink &e) { Links.close(e.Link); },
+            [this](const SendMessage &e) { Links.send(e.Link, e.Content); },
+            [this](CallPart &e) { Callers.push(std::move(e)); },
+            [this](CallEnd &e) { Callers.push(std::move(e)); },
+            [this](CallError &e) { Callers.push(std::move(e)); },
+            [](const LogNote &e) { logLine(e.Part, e.Level, e.Text); },
+            [](const auto &) {
+              // Effects of agents; an entry has none of them.
+            }},
+        One);
+}
+
+void EntryShell::readConfig() {
+  while (!Ending) {
+    std::promise<ConfigVersion> Have;
+    Loop.post([&](TimePoint) { Have.set_value(versionInForce(State.View)); });
+    auto Version = Have.get_future();
+    while (Version.wait_for(ReadRetry) != std::future_status::ready)
+      if (Ending)
+        return;
+    const ConfigVersion After = Version.get();
+    const Outcome<std::string> Read =
+        outcomeOf([&] { return Service.watch(After, WatchWait); });
+    if (!Read.Value) {
+      std::this_thread::sleep_for(ReadRetry);
+      continue;
+    }
+    if (!Read.Value->empty())
+      post([this, Text = *Read.Value](TimePoint Now, Effects &Out) {
+        entryConfigRead(State, Text, Now, Out);
+      });
+  }
+}
+
+std::shared_ptr<CallChannel> EntryShell::call(CallRequest &Asked) {
+  auto Channel = Callers.open(Asked.Call);
+  post([this, Asked](TimePoint Now, Effects &Out) {
+    entryCall(State, Asked, Now, Out);
+  });
+  return Channel;
+}
+
+void EntryShell::done(CallId Id, bool Finished) {
+  Callers.close(Id);
+  if (!Finished)
+    post(
+        [this, Id](TimePoint, Effects &Out) { entryCallGone(State, Id, Out); });
+}
+
+void EntryShell::inspect(
+    const std::function<void(const EntryState &, TimePoint)> &Look) {
+  Loop.postAndWait([&](TimePoint Now) { Look(State, Now); });
+}
+
+bool EntryShell::drain() {
+  post([this](TimePoint Now, Effects &Out) { entryStop(State, Now, Out); });
+  const TimePoint Limit = Clock.now() + Millis(State.Config.ShutdownMillis);
+  size_t Open = 1;
+  while (Open > 0 && Clock.now() < Limit) {
+    inspect(
+        [&](const EntryState &Entry, TimePoint) { Open = Entry.Calls.size(); });
+    if (Open > 0)
+      std::this_thread::sleep_for(DrainPoll);
+  }
+  if (Open > 0)
+    logLine(LogPart::Main, LogLevel::Error,
+            "Shutdown cut off " + std::to_string(Open) + " requests.");
+  return Open == 0;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/entry_shell.h
@@ -0,0 +1,83 @@
+/** @file entry_shell.h The entry program: threads around its decisions. */
+
+#ifndef JACINTHPOND_ENTRY_ENTRY_SHELL_H
+#define JACINTHPOND_ENTRY_ENTRY_SHELL_H
+
+#include "call_channel.h"
+#include "clock/runtime_clock.h"
+#include "entry_func.h"
+#include "platform_port.h"
+#include "threads/control_loop.h"
+#include "websocket/peer_links.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace jacinthpond {
+
+/** State, control thread and links of one entry host. */
+class EntryShell {
+public:
+  /**
+   * Sets up; nothing runs yet.
+   * @param Config Settings of the process.
+   * @param Service The configuration service; outlives the shell.
+   */
+  EntryShell(const Settings &Config, ConfigPort &Service);
+  /** Ends all threads. */
+  ~EntryShell();
+  EntryShell(const EntryShell &) = delete;
+  EntryShell &operator=(const EntryShell &) = delete;
+
+  /**
+   * Listens for peers and starts the threads.
+   * @return The peer address in use; empty when it cannot be had.
+   */
+  std::string start();
+
+  /**
+   * Takes a caller's request.
+   * @param Asked The request; its number is set.
+   * @return Where the answer comes.
+   */
+  std::shared_ptr<CallChannel> call(CallRequest &Asked);
+
+  /**
+   * Forgets a caller.
+   * @param Id Its number.
+   * @param Finished False when the caller left before its final answer.
+   */
+  void done(CallId Id, bool Finished);
+
+  /**
+   * Reads the state on the control thread.
+   * @param Look Gets the state and the time.
+   */
+  void inspect(const std::function<void(const EntryState &, TimePoint)> &Look);
+
+  /**
+   * Ends gracefully: refuses new requests, waits for those in progress.
+   * @return False when the time limit cut off requests.
+   */
+  bool drain();
+
+private:
+  void perform(Effects Todo);
+  void readConfig();
+  void post(std::function<void(TimePoint, Effects &)> Work);
+
+  RuntimeClock Clock;
+  ControlLoop Loop;
+  EntryState State; ///< Belongs to the control thread.
+  ConfigPort &Service;
+  CallTable Callers;
+  std::atomic<bool> Ending{false};
+  PeerLinks Links;
+  std::thread Control;
+  std::thread Reader;
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/ports/src/engine_port.h
@@ -0,0 +1,56 @@
+/** @file engine_port.h A model engine as its agent uses it. */
+
+#ifndef JACINTHPOND_PORTS_ENGINE_PORT_H
+#define JACINTHPOND_PORTS_ENGINE_PORT_H
+
+#include "backend_type.h"
+#include "error_func.h"
+
+#include <functional>
+#include <string>
+
+namespace jacinthpond {
+
+/** A model engine. All calls block and may be made from several threads. */
+class EnginePort {
+public:
+  virtual ~EnginePort() = default;
+
+  /**
+   * Runs a request and gives its tokens as they come.
+   * @param Request What to run.
+   * @param OnBegin Takes the weights that the engine says it uses, before any
+   *        token; returns false to cancel.
+   * @param OnToken Takes one token; returns false to cancel the stream.
+   * @return How it ended; Unreachable only when it was never sent.
+   */
+  virtual Result<EngineEnd>
+  generate(const EngineRequest &Request,
+           const std::function<bool(Digest)> &OnBegin,
+           const std::function<bool(std::string)> &OnToken) = 0;
+
+  /**
+   * Reads the engine's own state.
+   * @return The state, or Unreachable.
+   */
+  virtual Result<EngineState> state() = 0;
+
+  /**
+   * Stages one chunk of weights in the engine's memory.
+   * @param Chunk Digest of the chunk.
+   * @param Bytes Its content.
+   * @return Nothing, or Unreachable.
+   */
+  virtual Result<void> stage(const Digest &Chunk, const std::string &Bytes) = 0;
+
+  /**
+   * Loads a staged set.
+   * @param Order What to load.
+   * @return Nothing, or why the engine refused.
+   */
+  virtual Result<void> load(const LoadOrder &Order) = 0;
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/ports/src/platform_port.h
@@ -0,0 +1,62 @@
+/** @file platform_port.h What the platform publishes; it can only be read. */
+
+#ifndef JACINTHPOND_PORTS_PLATFORM_PORT_H
+#define JACINTHPOND_PORTS_PLATFORM_PORT_H
+
+#include "error_func.h"
+#include "ids_type.h"
+#include "time_type.h"
+
+#include <map>
+#include <string>
+
+namespace jacinthpond {
+
+/** State of a host in the platform's list. */
+enum class HostState : uint8_t { Live, Leaving };
+
+/** The platform's lagging list of hosts. */
+using HostStates = std::map<HostName, HostState>;
+
+/** The configuration service. Each call counts against its rate. */
+class ConfigPort {
+public:
+  virtual ~ConfigPort() = default;
+
+  /**
+   * Reads the document, waiting for a newer one.
+   * @param After Answer at once when the published version is another.
+   * @param Wait Longest wait; a wait counts as one call.
+   * @return The text, empty when nothing changed, or Unreachable.
+   */
+  virtual Result<std::string> watch(ConfigVersion After, Millis Wait) = 0;
+};
+
+/** The list of live and leaving hosts. */
+class HostsPort {
+public:
+  virtual ~HostsPort() = default;
+
+  /**
+   * Reads the list.
+   * @return The list, or Unreachable.
+   */
+  virtual Result<HostStates> hosts() = 0;
+};
+
+/** Origin of weights, behind a rate-limited link. */
+class OriginPort {
+public:
+  virtual ~OriginPort() = default;
+
+  /**
+   * Fetches a chunk. The content is not trusted.
+   * @param Chunk Digest of the chunk.
+   * @return Its bytes, or Unreachable.
+   */
+  virtual Result<std::string> fetch(const Digest &Chunk) = 0;
+};
+
+} // namespace jacinthpond
+
+#endif
