--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,54 @@
+/** @file bench.h Measurements on fleets of real processes.
+ *
+ * Each measurement prints one JSON line with what was run and what came out.
+ */
+
+#ifndef JACINTHPOND_BENCH_BENCH_H
+#define JACINTHPOND_BENCH_BENCH_H
+
+#include "fleet/fleet.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jacinthpond::bench {
+
+using fleet::Json;
+
+/** What the command line asks for; each measurement reads what it needs. */
+struct BenchOptions {
+  size_t Hosts = 16;     ///< Backend server hosts.
+  size_t Seconds = 10;   ///< Length of a steady phase.
+  uint64_t Seed = 1;     ///< Of all random choices of the bench.
+  bool Baseline = false; ///< Measure the naive way instead.
+  bool Faults = false;   ///< With the faults of the measurement.
+};
+
+/**
+ * Prints the line of a run.
+ * @param Name Name of the measurement.
+ * @param Options What was asked for.
+ * @param Figures What came out.
+ */
+void printRun(const std::string &Name, const BenchOptions &Options,
+              const Json &Figures);
+
+/**
+ * Gives a quantile of samples.
+ * @param Samples Any samples; a copy is sorted.
+ * @param Share 0 to 1.
+ * @return The sample at that share; 0 without samples.
+ */
+double quantile(std::vector<double> Samples, double Share);
+
+/**
+ * Measures the latency that entry and agent add to the first token.
+ * @param Options What to run.
+ * @return Exit code.
+ */
+int benchPath(const BenchOptions &Options);
+
+} // namespace jacinthpond::bench
+
+#endif
--- /dev/null
+++ b/bench/fleet/fleet.cpp
@@ -0,0 +1,254 @@
+/** @file fleet.cpp A small fleet of real processes with its stand-ins. */
+
+#include "fleet/fleet.h"
+
+#include "document_func.h"
+#include "hash_func.h"
+
+#include <httplib.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <stdexcept>
+
+namespace jacinthpond::fleet {
+
+namespace {
+
+const std::string EntryProgram = JACINTHPOND_ENTRY_PROGRAM;
+const std::string AgentProgram = JACINTHPOND_AGENT_PROGRAM;
+const std::string StandInProgram = JACINTHPOND_STANDIN_PROGRAM;
+
+/** Longest wait of a caller for an answer. */
+constexpr std::chrono::seconds CallerTimeout{60};
+
+std::string makeFolder() {
+  std::string Name =
+      (std::filesystem::temp_directory_path() / "jacinthpond-XXXXXX").string();
+  if (mkdtemp(Name.data()) == nullptr)
+    throw std::runtime_error("no folder for settings and logs");
+  return Name;
+}
+
+std::string chunkContent(const std::string &Version, size_t n, size_t Bytes) {
+  std::mt19937_64 Random(std::hash<std::string>{}(Version) + n);
+  std::string Content(Bytes, '\0');
+  for (char &c : Content)
+    c = static_cast<char>(Random());
+  return Content;
+}
+
+} // namespace
+
+Json Answer::json() const {
+  Json Value = Json::parse(Body, nullptr, false);
+  return Value.is_discarded() ? Json::object() : Value;
+}
+
+Fleet::Fleet(FleetPlan Wanted) : Plan(std::move(Wanted)), Folder(makeFolder()) {
+  startStandIn("platform", "platform", Json::object());
+  startStandIn("origin", "origin", Plan.OriginOptions);
+  Document = {{"version", 0},
+              {"classes",
+               {{{"name", "reports"}, {"model", "trail"}, {"priority", 2}},
+                {{"name", "bookings"},
+                 {"service", "slots"},
+                 {"repeatable", false},
+                 {"deadline_ms", 5000}},
+                {{"name", "status"}, {"service", "slots"}}}},
+              {"tenants", {{{"name", "huts"}}, {{"name", "clubs"}}}},
+              {"models", Json::array()},
+              {"workers", Json::array()},
+              {"entries", Json::array()},
+              {"domains_out", Json::array()}};
+  newModel("v1");
+  for (size_t n = 0; n < Plan.ModelWorkers; ++n)
+    startWorker("m" + std::to_string(n), "engine-" + std::to_string(n), n,
+                true);
+  for (size_t n = 0; n < Plan.ServiceWorkers; ++n)
+    startWorker("s" + std::to_string(n), "service-" + std::to_string(n), n,
+                false);
+  for (size_t n = 0; n < Plan.Entries; ++n)
+    startEntry(n);
+  publish();
+}
+
+Fleet::~Fleet() {
+  Processes.clear();
+  std::error_code ec;
+  if (std::getenv("JACINTHPOND_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(Folder, ec);
+}
+
+void Fleet::startStandIn(const std::string &Name, const std::string &Kind,
+                         const Json &Options) {
+  Processes[Name] = std::make_unique<ChildProcess>(
+      StandInProgram, std::vector<std::string>{Kind, "0", Options.dump()},
+      Folder + "/" + Name + ".log");
+}
+
+void Fleet::startProgram(const std::string &Name, const std::string &Program,
+                         Json Settings) {
+  const std::string Path = Folder + "/" + Name + ".json";
+  std::ofstream(Path) << Settings.dump(2);
+  std::vector<std::string> Arguments{"--settings", Path};
+  if (Program == EntryProgram)
+    Arguments.emplace_back("serve");
+  Processes[Name] = std::make_unique<ChildProcess>(
+      Program, Arguments, Folder + "/" + Name + ".log");
+  const Json &Ready = Processes[Name]->ready();
+  for (const auto &[Key, Setting] : {std::pair{"peers", "peer_listen"},
+                                     {"callers", "caller_listen"},
+                                     {"admin", "admin_listen"}})
+    if (Ready.contains(Key))
+      Settings[Setting] = Ready[Key];
+  Programs[Name] = {Program, Settings};
+}
+
+void Fleet::restart(const std::string &Name) {
+  const auto [Program, Settings] = Programs.at(Name);
+  Processes.erase(Name);
+  startProgram(Name, Program, Settings);
+}
+
+void Fleet::startWorker(const std::string &Name, const std::string &BackEnd,
+                        size_t n, bool Model) {
+  startStandIn(BackEnd, Model ? "engine" : "service",
+               Model ? Plan.EngineOptions : Plan.ServiceOptions);
+  Json Settings = {{"name", Name}, {"domain", domainOf(n)}};
+  Settings[Model ? "engine_url" : "service_url"] =
+      "http://" + address(BackEnd, "at");
+  if (Model)
+    Settings["origin_url"] = "http://" + address("origin", "at");
+  Settings.update(Plan.AgentSettings);
+  startProgram("agent-" + Name, AgentProgram, Settings);
+  std::string At = address("agent-" + Name, "peers");
+  if (Plan.ProxyAgents) {
+    startStandIn("proxy-" + Name, "proxy", {{"target", At}});
+    At = address("proxy-" + Name, "proxy");
+  }
+  Document["workers"].push_back(
+      {{"name", Name},
+       {"domain", domainOf(n)},
+       {"agent", At},
+       {Model ? "model" : "service", Model ? "trail" : "slots"}});
+}
+
+void Fleet::startEntry(size_t n) {
+  const std::string Name = "entry-" + std::to_string(n);
+  Json Settings = {{"name", Name},
+                   {"domain", domainOf(n)},
+                   {"config_url", "http://" + address("platform", "at")},
+                   {"hosts_url", "http://" + address("platform", "at")}};
+  Settings.update(Plan.EntrySettings);
+  startProgram(Name, EntryProgram, Settings);
+  Document["entries"].push_back({{"name", Name},
+                                 {"domain", domainOf(n)},
+                                 {"callers", address(Name, "callers")},
+                                 {"peers", address(Name, "peers")}});
+}
+
+std::string Fleet::newModel(const std::string &Version) {
+  httplib::Client Origin("http://" + address("origin", "at"));
+  Json Chunks = Json::array();
+  std::vector<Digest> Digests;
+  for (size_t n = 0; n < Plan.Chunks; ++n) {
+    const std::string Content = chunkContent(Version, n, Plan.ChunkBytes);
+    Digests.push_back(sha256(Content));
+    Chunks.push_back(Digests.back().Value);
+    Origin.Put("/control/chunks/" + Digests.back().Value, Content,
+               "application/octet-stream");
+  }
+  Document["models"] = {{{"name", "trail"},
+                         {"version", Version},
+                         {"chunk_bytes", Plan.ChunkBytes},
+                         {"total_bytes", Plan.ChunkBytes * Plan.Chunks},
+                         {"chunks", Chunks}}};
+  return weightsSetDigest(Digests).Value;
+}
+
+void Fleet::publish() {
+  Document["version"] = Document["version"].get<uint64_t>() + 1;
+  control("platform", {{"document", Document.dump()}});
+}
+
+std::string Fleet::address(const std::string &Name,
+                           const std::string &Which) const {
+  return Processes.at(Name)->ready().at(Which).get<std::string>();
+}
+
+Json Fleet::look(const std::string &Name) const {
+  httplib::Client Client("http://" + address(Name, "at"));
+  const httplib::Result Got = Client.Get("/control");
+  if (!Got)
+    return Json::object();
+  return Json::parse(Got->body, nullptr, false);
+}
+
+void Fleet::control(const std::string &Name, const Json &Change) const {
+  httplib::Client Client("http://" + address(Name, "at"));
+  const httplib::Result Got =
+      Client.Post("/control", Change.dump(), "application/json");
+  if (!Got || Got->status != 200)
+    throw std::runtime_error("control of " + Name + " failed");
+}
+
+Json Fleet::health(size_t Entry) const {
+  httplib::Client Client("http://" +
+                         address("entry-" + std::to_string(Entry), "admin"));
+  const httplib::Result Got = Client.Get("/v1/health");
+  if (!Got)
+    return Json::object();
+  return Json::parse(Got->body, nullptr, false);
+}
+
+Answer Fleet::ask(size_t Entry, const Ask &What) const {
+  httplib::Client Client("http://" +
+                         address("entry-" + std::to_string(Entry), "callers"));
+  Client.set_read_timeout(CallerTimeout);
+  Client.set_tcp_nodelay(true);
+  httplib::Headers Headers = {{"X-Tenant", What.Tenant}};
+  if (!What.Key.empty())
+    Headers.emplace("Idempotency-Key", What.Key);
+  if (What.DeadlineMillis > 0)
+    Headers.emplace("X-Deadline-Ms", std::to_string(What.DeadlineMillis));
+  if (What.Stream)
+    Headers.emplace("Accept", "text/event-stream");
+  const httplib::Result Got =
+      Client.Post("/v1/classes/" + What.Class + "/requests", Headers,
+                  What.Body.dump(), "application/json");
+  if (!Got)
+    return {};
+  return {Got->status, Got->body};
+}
+
+bool Fleet::waitServing(std::chrono::milliseconds Limit) {
+  std::vector<Digest> Digests;
+  for (const Json &Chunk : Document["models"][0]["chunks"])
+    Digests.push_back(Digest{Chunk.get<std::string>()});
+  const std::string Set = weightsSetDigest(Digests).Value;
+  const auto Loaded = [&](size_t n) {
+    return look("engine-" + std::to_string(n)).value("weights", "") == Set;
+  };
+  const auto AllLoaded = [&] {
+    for (size_t n = 0; n < Plan.ModelWorkers; ++n)
+      if (!Loaded(n))
+        return false;
+    return true;
+  };
+  const size_t Workers = Plan.ModelWorkers + Plan.ServiceWorkers;
+  const auto AllKnow = [&] {
+    for (size_t n = 0; n < Plan.Entries; ++n) {
+      const Json State = health(n);
+      if (State.value("version", 0) != Document["version"] ||
+          State.value("ready_workers", size_t{0}) != Workers)
+        return false;
+    }
+    return true;
+  };
+  return waitFor(Limit, AllLoaded) && waitFor(Limit, AllKnow);
+}
+
+} // namespace jacinthpond::fleet
--- /dev/null
+++ b/bench/fleet/fleet.h
@@ -0,0 +1,160 @@
+/** @file fleet.h A small fleet of real processes with its stand-ins. */
+
+#ifndef JACINTHPOND_BENCH_FLEET_FLEET_H
+#define JACINTHPOND_BENCH_FLEET_FLEET_H
+
+#include "fleet/process_runner.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jacinthpond::fleet {
+
+/** What to start. */
+struct FleetPlan {
+  size_t Entries = 3;        ///< Entry hosts, spread over the domains.
+  size_t ModelWorkers = 6;   ///< Engines with agents, spread likewise.
+  size_t ServiceWorkers = 3; ///< Plain services with agents.
+  std::vector<std::string> Domains = {"drakensberg", "cederberg", "hogsback"};
+  size_t Chunks = 8;                    ///< Chunks of a model version.
+  size_t ChunkBytes = 16384;            ///< Size of each.
+  Json EngineOptions = Json::object();  ///< For every engine.
+  Json ServiceOptions = Json::object(); ///< For every plain service.
+  Json OriginOptions = Json::object();  ///< For the origin.
+  Json EntrySettings = Json::object();  ///< Added to every entry's settings.
+  Json AgentSettings = Json::object();  ///< Added to every agent's settings.
+  bool ProxyAgents = false; ///< Entries reach agents through a proxy each.
+};
+
+/** An answer to a caller. */
+struct Answer {
+  int Status = 0;   ///< HTTP status; 0: no answer.
+  std::string Body; ///< Content.
+
+  /**
+   * Reads the content.
+   * @return JSON; an empty object where it is none.
+   */
+  Json json() const;
+};
+
+/** A request of a caller. */
+struct Ask {
+  std::string Class = "reports";                       ///< Class of work.
+  std::string Tenant = "huts";                         ///< Whose.
+  Json Body = {{"prompt", "snow"}, {"max_tokens", 4}}; ///< What.
+  std::string Key;                                     ///< Idempotency key.
+  int DeadlineMillis = 0;                              ///< 0: the class's.
+  bool Stream = false; ///< As server-sent events.
+};
+
+/** Running processes; all end with this object. */
+class Fleet {
+public:
+  /**
+   * Starts everything and publishes the first document.
+   * @param Wanted What to start.
+   */
+  explicit Fleet(FleetPlan Wanted);
+  ~Fleet();
+  Fleet(const Fleet &) = delete;
+  Fleet &operator=(const Fleet &) = delete;
+
+  /**
+   * Waits until every worker would admit a request on the published weights.
+   * @param Limit Longest wait.
+   * @return Whether that came true.
+   */
+  bool waitServing(std::chrono::milliseconds Limit);
+
+  /**
+   * Asks an entry how it is.
+   * @param Entry Number of the entry.
+   * @return Its health JSON; empty when it does not answer.
+   */
+  Json health(size_t Entry) const;
+
+  /** Publishes Document under the next version. */
+  void publish();
+
+  /**
+   * Puts chunks of a new version at the origin and into Document.
+   * @param Version Name of the version; seeds its content.
+   * @return Digest of the set.
+   */
+  std::string newModel(const std::string &Version);
+
+  /**
+   * Sends a request.
+   * @param Entry Number of the entry.
+   * @param What The request.
+   * @return Its answer.
+   */
+  Answer ask(size_t Entry, const Ask &What) const;
+
+  /**
+   * Gives a stand-in's control state.
+   * @param Name "platform", "origin", "engine-0", "service-0", "proxy-m0".
+   * @return Its JSON.
+   */
+  Json look(const std::string &Name) const;
+
+  /**
+   * Brings about a failure of a stand-in.
+   * @param Name As for look().
+   * @param Change JSON for its /control.
+   */
+  void control(const std::string &Name, const Json &Change) const;
+
+  /**
+   * Gives a process.
+   * @param Name "entry-0", "agent-m0", "agent-s0", or a stand-in.
+   * @return The process.
+   */
+  ChildProcess &process(const std::string &Name) { return *Processes.at(Name); }
+
+  /**
+   * Starts an ended entry or agent again, on its old addresses.
+   * @param Name Its name.
+   */
+  void restart(const std::string &Name);
+
+  /**
+   * Gives an address that a process told.
+   * @param Name The process.
+   * @param Which "at", "peers", "callers", "admin", "proxy".
+   * @return "IP:port".
+   */
+  std::string address(const std::string &Name, const std::string &Which) const;
+
+  /**
+   * Gives the domain of the n-th host of a kind.
+   * @param n Number of the host.
+   * @return Its domain.
+   */
+  const std::string &domainOf(size_t n) const {
+    return Plan.Domains[n % Plan.Domains.size()];
+  }
+
+  Json Document = Json::object(); ///< What publish() publishes.
+  const FleetPlan Plan;           ///< What was started.
+
+private:
+  void startStandIn(const std::string &Name, const std::string &Kind,
+                    const Json &Options);
+  void startProgram(const std::string &Name, const std::string &Program,
+                    Json Settings);
+  void startWorker(const std::string &Name, const std::string &BackEnd,
+                   size_t n, bool Model);
+  void startEntry(size_t n);
+
+  std::string Folder; ///< Settings and logs; removed at the end.
+  std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
+  std::map<std::string, std::pair<std::string, Json>> Programs; ///< Restarts.
+};
+
+} // namespace jacinthpond::fleet
+
+#endif
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,30 @@
+/** @file codec_test.cpp Messages survive the codec; garbage is refused. */
+
+#include "codec/message_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthpond;
+
+BOOST_AUTO_TEST_CASE(AMessageComesBackAsItWas) {
+  AttemptStart Start;
+  Start.Attempt.Value = "7-1";
+  Start.Body = std::string("\0\xff body", 7);
+  Start.RemainingMillis = 1234;
+  const auto Read =
+      outcomeOf([&] { return decodeMessage(encodeMessage(Start)); });
+  BOOST_REQUIRE(Read.Value);
+  const auto &Back = std::get<AttemptStart>(*Read.Value);
+  BOOST_TEST(Back.Attempt.Value == Start.Attempt.Value);
+  BOOST_TEST(Back.Body == Start.Body);
+  BOOST_TEST(Back.RemainingMillis == 1234U);
+}
+
+BOOST_AUTO_TEST_CASE(EveryPrefixOfAMessageIsRefused) {
+  const std::string Whole = encodeMessage(Heartbeat{});
+  for (size_t n = 0; n < Whole.size(); ++n) {
+    const auto Read =
+        outcomeOf([&] { return decodeMessage(Whole.substr(0, n)); });
+    BOOST_TEST(!Read.Value);
+  }
+}
