codec: frames carry a checksum

Change: 64-bit XXH3 behind each CBOR map; an unreadable frame drops the link, so that both ends start anew. Every single flipped bit of a message is refused (codec_test).

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/message_codec.h"
 
+#include "hash_func.h"
 #include "message_fields.h"
 #include "table/error_table.h"
 #include "table/message_table.h"
@@ -117,6 +118,29 @@
   }
 };
 
+/**
+ * Ends a frame with its checksum, lowest byte first. A bit that flips behind
+ * TCP's own weak sum would otherwise give one caller another one's key or
+ * text, with nothing to show it.
+ */
+void appendChecksum(std::string &Frame) {
+  uint64_t Sum = checksum64(Frame);
+  for (size_t n = 0; n < sizeof(Sum); ++n, Sum >>= 8U)
+    Frame += static_cast<char>(Sum & 0xffU);
+}
+
+/** Takes the checksum off a frame; false when it does not fit. */
+bool dropChecksum(std::string_view &Frame) {
+  if (Frame.size() < sizeof(uint64_t))
+    return false;
+  const std::string_view Tail = Frame.substr(Frame.size() - sizeof(uint64_t));
+  Frame.remove_suffix(sizeof(uint64_t));
+  uint64_t Sum = 0;
+  for (size_t n = sizeof(Sum); n-- > 0;)
+    Sum = (Sum << 8U) | static_cast<unsigned char>(Tail[n]);
+  return Sum == checksum64(Frame);
+}
+
 template <size_t Index = 0>
 Result<Message> decodeAlternative(size_t Which, const Json &Map) {
   if constexpr (Index < std::variant_size_v<Message>) {
@@ -147,10 +171,13 @@
       m);
   std::string buf;
   Json::to_cbor(Writer.Map, buf);
+  appendChecksum(buf);
   return buf;
 }
 
 Result<Message> decodeMessage(std::string_view Bytes) {
+  if (!dropChecksum(Bytes))
+    return fail(ErrorKind::Malformed, "checksum differs");
   const Json Map = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
   if (!Map.is_object())
     return fail(ErrorKind::Malformed, "not a CBOR map");
--- a/packages/adapters/codec/message_codec.h
+++ b/packages/adapters/codec/message_codec.h
@@ -12,14 +12,14 @@
 namespace jacinthpond {
 
 /**
- * Writes a message as one CBOR map.
+ * Writes a message as one CBOR map, with a checksum behind it.
  * @param m The message.
  * @return The bytes for one websocket frame.
  */
 std::string encodeMessage(const Message &m);
 
 /**
- * Reads one CBOR map.
+ * Checks and reads one frame.
  * @param Bytes Content of one websocket frame; not trusted.
  * @return The message, or ErrorKind::Malformed.
  */
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -47,9 +47,14 @@
                  agentMessage(State, Link, Kept, Now, Out);
                });
              },
-             [](LinkId, const Failure &Why) {
+             [this](LinkId Link, const Failure &Why) {
+               // What the frame said is lost, so both ends start anew.
                logLine(LogPart::Links, LogLevel::Warn,
-                       "Unreadable message dropped: " + Why.Detail);
+                       "Unreadable frame; link dropped: " + Why.Detail);
+               Links.close(Link);
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 agentLinkClosed(State, Link, Now, Out);
+               });
              }}) {}
 
 AgentShell::~AgentShell() {
--- a/packages/core/src/hash.cpp
+++ b/packages/core/src/hash.cpp
@@ -27,6 +27,10 @@
   return Hex;
 }
 
+uint64_t checksum64(std::string_view Bytes) {
+  return XXH3_64bits(Bytes.data(), Bytes.size());
+}
+
 uint64_t rendezvousScore(std::string_view Key, std::string_view Candidate) {
   const uint64_t Seed = XXH3_64bits(Key.data(), Key.size());
   return XXH3_64bits_withSeed(Candidate.data(), Candidate.size(), Seed);
--- a/packages/core/src/hash_func.h
+++ b/packages/core/src/hash_func.h
@@ -17,6 +17,14 @@
  */
 Digest sha256(std::string_view Bytes);
 
+/**
+ * Sums up bytes, to notice that they changed on their way. No protection
+ * against an attacker.
+ * @param Bytes Any bytes.
+ * @return 64-bit XXH3.
+ */
+uint64_t checksum64(std::string_view Bytes);
+
 /**
  * Scores a candidate for a key; the highest score is the first rank. Every
  * process works out the same order alone.
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -45,9 +45,14 @@
                  entryMessage(State, Link, Kept, Now, Out);
                });
              },
-             [](LinkId, const Failure &Why) {
+             [this](LinkId Link, const Failure &Why) {
+               // What the frame said is lost, so both ends start anew.
                logLine(LogPart::Links, LogLevel::Warn,
-                       "Unreadable message dropped: " + Why.Detail);
+                       "Unreadable frame; link dropped: " + Why.Detail);
+               Links.close(Link);
+               post([this, Link](TimePoint Now, Effects &Out) {
+                 entryLinkClosed(State, Link, Now, Out);
+               });
              }}) {}
 
 EntryShell::~EntryShell() {
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -20,6 +20,19 @@
   BOOST_TEST(Back.RemainingMillis == 1234U);
 }
 
+// A bit flips between two hosts. Without a checksum the key of a booking
+// changes, and the booking runs under a key that its caller never gave.
+BOOST_AUTO_TEST_CASE(EveryFlippedBitIsNoticed) {
+  AttemptStart Start;
+  Start.Key.Value = "slot-17";
+  const std::string Whole = encodeMessage(Start);
+  for (size_t n = 0; n < Whole.size() * 8; ++n) {
+    std::string Flipped = Whole;
+    Flipped[n / 8] = static_cast<char>(Flipped[n / 8] ^ (1 << (n % 8)));
+    BOOST_TEST(!outcomeOf([&] { return decodeMessage(Flipped); }).Value);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EveryPrefixOfAMessageIsRefused) {
   const std::string Whole = encodeMessage(Heartbeat{});
   for (size_t n = 0; n < Whole.size(); ++n) {
