--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -205,8 +205,11 @@
 }
 
 Answer Fleet::ask(size_t Entry, const Ask &What) const {
-  httplib::Client Client("http://" +
-                         address("entry-" + std::to_string(Entry), "callers"));
+  return askAt(address("entry-" + std::to_string(Entry), "callers"), What);
+}
+
+Answer askAt(const std::string &At, const Ask &What) {
+  httplib::Client Client("http://" + At);
   Client.set_read_timeout(CallerTimeout);
   Client.set_tcp_nodelay(true);
   httplib::Headers Headers = {{"X-Tenant", What.Tenant}};
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -50,6 +50,15 @@
   bool Stream = false; ///< As server-sent events.
 };
 
+/**
+ * Sends a request to an address. Callers' threads use this one while the main
+ * thread restarts processes, which keep their addresses.
+ * @param At "IP:port" of an entry.
+ * @param What The request.
+ * @return Its answer.
+ */
+Answer askAt(const std::string &At, const Ask &What);
+
 /** Running processes; all end with this object. */
 class Fleet {
 public:
@@ -115,6 +124,13 @@
    */
   ChildProcess &process(const std::string &Name) { return *Processes.at(Name); }
 
+  /**
+   * Gives the id of a process.
+   * @param Name Its name.
+   * @return The id; 0 once it has ended.
+   */
+  int pidOf(const std::string &Name) const { return Processes.at(Name)->pid(); }
+
   /**
    * Starts an ended entry or agent again, on its old addresses.
    * @param Name Its name.
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -28,6 +28,7 @@
   std::string Weights;                       ///< Digest of the loaded set.
   std::map<std::string, std::string> Staged; ///< Chunk digest to content.
   uint64_t Fence = 0;                        ///< Highest fencing number.
+  uint64_t Epoch = 0;                        ///< Rises with each restart.
   int Running = 0;                           ///< Requests in the batch.
   int MaxRunning = 0;                        ///< Highest ever.
   int MaxRunningCold = 0;                    ///< Highest while cold.
@@ -71,6 +72,7 @@
   std::string Weights; ///< Weights at its start.
   uint64_t Next = 0;   ///< Position of the next token.
   uint64_t Stop = 0;   ///< Position after the last one.
+  uint64_t Epoch = 0;  ///< Epoch of its start.
   size_t Record = 0;   ///< Index into Records.
   bool Begun = false;  ///< The first event was sent.
 
@@ -78,6 +80,8 @@
       : Host(At), Body(std::move(Asked)) {}
   ~Generation() {
     const std::lock_guard Lock(Host.Guard);
+    if (Epoch != Host.Epoch)
+      return;
     --Host.Running;
     if (Next == Stop)
       ++Host.Completed;
@@ -96,6 +100,8 @@
       int Millis = 0;
       {
         const std::lock_guard Lock(Host.Guard);
+        if (Epoch != Host.Epoch)
+          return false; // The restart broke off this stream.
         Millis = Host.tokenMillis();
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(Millis));
@@ -133,6 +139,7 @@
     std::_Exit(70);
   auto Run = std::make_shared<Generation>(Host, Body);
   Run->Weights = Host.Weights;
+  Run->Epoch = Host.Epoch;
   Run->Next = Value.value("resume_from", uint64_t{0});
   Run->Stop = std::max(Run->Next, tokensWanted(Body));
   Run->Record = Host.Records.size();
@@ -197,8 +204,14 @@
   const std::lock_guard Lock(Host.Guard);
   if (Value.value("cold", false))
     Host.Completed = 0;
-  if (Value.value("forget", false)) // As after a restart of the engine alone.
+  if (Value.value("restart", false)) {
+    ++Host.Epoch;
+    Host.Run = "run-" + std::to_string(std::random_device{}());
     Host.Weights.clear();
+    Host.Staged.clear();
+    Host.Running = 0;
+    Host.Completed = 0;
+  }
   if (Value.contains("weights"))
     Host.Weights = Value["weights"];
   if (Value.contains("run"))
