--- a/bench/chaos/faults.cpp
+++ b/bench/chaos/faults.cpp
@@ -58,10 +58,11 @@
 void Faults::step() {
   watchDomain();
   std::vector<Heal> Due;
-  const auto Later = std::ranges::partition(
-      Heals, [](const Heal &One) { return One.Due > Clock::now(); });
-  std::ranges::move(Later, std::back_inserter(Due));
-  Heals.erase(Later.begin(), Heals.end());
+  const auto Later =
+      std::partition(Heals.begin(), Heals.end(),
+                     [](const Heal &One) { return One.Due > Clock::now(); });
+  std::move(Later, Heals.end(), std::back_inserter(Due));
+  Heals.erase(Later, Heals.end());
   for (const Heal &One : Due)
     One.Action();
   switch (Random() % 12) {
