core: one way of joining and spreading documents for entries and agents

Cause: every entry watched the configuration service, so its calls grew with the fleet; a new entry served whatever a stale service gave it; the same logic stood in entry.cpp and agent.cpp; every peer's offer of a version was pulled. Ruled out: electing readers (needs a store); trusting a service's answer by its age (it carries none). Change: config_spread (pull from one peer at a time, alarm on another digest), join (no new work before peers were asked; cut off without service, reader and most of the known fleet), reader_rank (two readers a domain by rendezvous, back-off with jitter also for answers that bring nothing). Agents count as in contact only through an entry that is. Health tells fresh, links_behind, reader.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -68,7 +68,8 @@
     startWorker("m" + std::to_string(n), "engine-" + std::to_string(n), n,
                 true);
   for (size_t n = 0; n < Plan.ServiceWorkers; ++n)
-    startWorker("s" + std::to_string(n), "service-" + std::to_string(n), n,
+    startWorker("s" + std::to_string(n),
+                "service-" + std::to_string(Plan.SharedService ? 0 : n), n,
                 false);
   for (size_t n = 0; n < Plan.Entries; ++n)
     startEntry(n);
@@ -115,8 +116,9 @@
 
 void Fleet::startWorker(const std::string &Name, const std::string &BackEnd,
                         size_t n, bool Model) {
-  startStandIn(BackEnd, Model ? "engine" : "service",
-               Model ? Plan.EngineOptions : Plan.ServiceOptions);
+  if (!Processes.contains(BackEnd))
+    startStandIn(BackEnd, Model ? "engine" : "service",
+                 Model ? Plan.EngineOptions : Plan.ServiceOptions);
   Json Settings = {{"name", Name}, {"domain", domainOf(n)}};
   Settings[Model ? "engine_url" : "service_url"] =
       "http://" + address(BackEnd, "at");
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -25,7 +25,8 @@
   Json OriginOptions = Json::object();  ///< For the origin.
   Json EntrySettings = Json::object();  ///< Added to every entry's settings.
   Json AgentSettings = Json::object();  ///< Added to every agent's settings.
-  bool ProxyAgents = false; ///< Entries reach agents through a proxy each.
+  bool SharedService = false; ///< One plain service stands behind all agents.
+  bool ProxyAgents = false;   ///< Entries reach agents through a proxy each.
 };
 
 /** An answer to a caller. */
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -4,8 +4,10 @@
 
 #include "admission_func.h"
 #include "attempt_func.h"
+#include "config_spread_func.h"
 #include "config_view_func.h"
 #include "document_func.h"
+#include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
 #include "weights_func.h"
@@ -76,28 +78,6 @@
   fetchMissing(Agent.Weights, Now, Out);
 }
 
-void takeDocument(AgentState &Agent, std::string_view Text, TimePoint Now,
-                  Effects &Out) {
-  const OfferResult Outcome = offerDocument(Agent.View, Text, Now);
-  if (Outcome != OfferResult::Accepted)
-    return;
-  Agent.Fleet.Self.Version = versionInForce(Agent.View);
-  Agent.Fleet.Self.ConfigDigest = digestInForce(Agent.View);
-  Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
-                        "Version " +
-                            std::to_string(Agent.Fleet.Self.Version.Value) +
-                            " in force."});
-  followDocument(Agent, Now, Out);
-  refreshLoad(Agent);
-  sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
-}
-
-void pullWhenBehind(AgentState &Agent, LinkId Link, ConfigVersion Theirs,
-                    Effects &Out) {
-  if (Theirs > versionInForce(Agent.View))
-    Out.push_back(SendMessage{Link, ConfigPull{versionInForce(Agent.View)}});
-}
-
 /** Workers of this model that may be without a loaded set at a time. */
 size_t loadsAtATime(const AgentState &Agent, const Worker &Self) {
   const Document &Doc = *Agent.View.InForce;
@@ -163,8 +143,9 @@
   Agent.Fleet.Times = {
       Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
       Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
-      Millis(Config.CutOffMillis)};
+      Millis(Config.CutOffMillis),    Millis(Config.JoinWaitMillis)};
   Agent.Fleet.LastTick = Now;
+  restartJoin(Agent.Fleet, Now);
   Agent.Gate.Limits = {static_cast<uint32_t>(Config.WarmLimit),
                        static_cast<uint32_t>(Config.ColdLimit),
                        static_cast<uint32_t>(Config.QueueLimit)};
@@ -192,23 +173,15 @@
                   TimePoint Now, Effects &Out) {
   if (!linkHeard(Agent.Fleet, Link, Now))
     return;
-  std::visit(Overloaded{[&](const Hello &Peer) {
-                          helloHeard(Agent.Fleet, Link, Peer);
-                          pullWhenBehind(Agent, Link, Peer.Version, Out);
-                        },
-                        [&](const Heartbeat &Beat) {
-                          heartbeatHeard(Agent.Fleet, Link, Beat, Now);
-                          pullWhenBehind(Agent, Link, Beat.Version, Out);
-                        },
-                        [&](const ConfigPull &) {
-                          if (Agent.View.InForce)
-                            Out.push_back(SendMessage{
-                                Link, ConfigPush{Agent.View.InForce->Text}});
-                        },
-                        [&](const ConfigPush &Push) {
-                          takeDocument(Agent, Push.Text, Now, Out);
-                        },
-                        [&](const AttemptStart &Start) {
+  const FleetNews News =
+      fleetMessage(Agent.View, Agent.Fleet, Link, m, Now, Out);
+  if (News == FleetNews::NewDocument) {
+    followDocument(Agent, Now, Out);
+    announceChange(Agent, Now, Out);
+  }
+  if (News != FleetNews::NotMine)
+    return;
+  std::visit(Overloaded{[&](const AttemptStart &Start) {
                           takeAttempt(Agent, Link, Start, Now, Out);
                         },
                         [&](const AttemptCancel &Cancel) {
@@ -365,7 +338,7 @@
 }
 
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
-  for (const LinkId Link : membershipTick(Agent.Fleet, Agent.View, Now, Out))
+  for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
   fetchMissing(Agent.Weights, Now, Out);
   loadInTurn(Agent, Out);
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -6,6 +6,7 @@
 #include "document_func.h"
 #include "error_func.h"
 #include "hash_func.h"
+#include "join_func.h"
 #include "weights_func.h"
 
 #include <algorithm>
@@ -31,7 +32,7 @@
                                          const AttemptStart &m) {
   if (Agent.Stopping)
     return ErrorKind::Leaving;
-  if (!Agent.View.InForce)
+  if (!Agent.View.InForce || !viewIsFresh(Agent.Fleet))
     return ErrorKind::StaleView;
   const Document &Doc = *Agent.View.InForce;
   if (Doc.DomainsOut.contains(Agent.Fleet.Self.Domain))
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -4,6 +4,7 @@
 
 #include "document_func.h"
 #include "hash_func.h"
+#include "join_func.h"
 #include "membership_func.h"
 #include "routing_func.h"
 
@@ -21,6 +22,8 @@
 
 /** True when a worker may get new work of this entry. */
 bool mayTake(const EntryState &Entry, const Worker &Host, const Call &One) {
+  if (!viewIsFresh(Entry.Fleet))
+    return false;
   if (Entry.View.InForce->DomainsOut.contains(Host.Domain))
     return false;
   if (std::ranges::find(One.Tried, Host.Name) != One.Tried.end())
--- /dev/null
+++ b/packages/core/src/config_spread.cpp
@@ -0,0 +1,158 @@
+/** @file config_spread.cpp How documents reach all processes. */
+
+#include "config_spread_func.h"
+
+#include "config_view_func.h"
+#include "hash_func.h"
+#include "join_func.h"
+#include "membership_func.h"
+#include "overloaded.h"
+
+#include <string>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Time after which a pull counts as lost and another peer is asked. */
+constexpr Millis PullTimeout{1000};
+
+/** Gives the peer to pull from: any of those with the highest version. */
+const PeerLink *newestPeer(const ConfigView &View, const Membership &Fleet) {
+  const PeerLink *Best = nullptr;
+  uint64_t BestScore = 0;
+  const std::string Key =
+      Fleet.Self.Name.Value + "/" + std::to_string(Fleet.Pull.Sent);
+  for (const auto &[Link, Peer] : Fleet.Links) {
+    if (Peer.State != LinkState::Ready || Peer.PushRefused ||
+        Peer.Version <= versionInForce(View))
+      continue;
+    const uint64_t Score = rendezvousScore(Key, Peer.Peer.Name.Value);
+    const bool Better = Best == nullptr || Peer.Version > Best->Version ||
+                        (Peer.Version == Best->Version && Score > BestScore);
+    if (!Better)
+      continue;
+    Best = &Peer;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+/** Raises an alarm when a peer has another document of the same version. */
+void compareDigests(const ConfigView &View, Membership &Fleet,
+                    ConfigVersion Theirs, const Digest &TheirDigest,
+                    Effects &Out) {
+  if (!View.InForce || Theirs != versionInForce(View) ||
+      TheirDigest == digestInForce(View) || TheirDigest == Fleet.AlarmedDigest)
+    return;
+  Fleet.AlarmedDigest = TheirDigest;
+  Out.push_back(LogNote{LogPart::Config, LogLevel::Error,
+                        "A peer has another document with version " +
+                            std::to_string(Theirs.Value) +
+                            "; the first one seen is kept."});
+}
+
+void answerPull(const ConfigView &View, const Membership &Fleet, LinkId Link,
+                const ConfigPull &Pull, Effects &Out) {
+  ConfigPush Push;
+  Push.Fresh = viewIsFresh(Fleet);
+  if (!Pull.Probe && versionInForce(View) > Pull.Have)
+    Push.Text = View.InForce->Text;
+  Out.push_back(SendMessage{Link, Push});
+}
+
+FleetNews takePush(ConfigView &View, Membership &Fleet, LinkId Link,
+                   const ConfigPush &Push, TimePoint Now, Effects &Out) {
+  PeerLink &Peer = Fleet.Links.at(Link);
+  Peer.Answered = true;
+  Peer.AnsweredFresh = Peer.AnsweredFresh || Push.Fresh;
+  if (Push.Text.empty())
+    return FleetNews::Handled;
+  if (Fleet.Pull.Link == Link)
+    Fleet.Pull.Link.reset();
+  const OfferResult Became = takeDocument(View, Fleet, Push.Text, Now, Out);
+  // Validation is the same everywhere, so only another program version sends
+  // an invalid document; it must not be pulled again and again.
+  if (Became == OfferResult::Invalid)
+    Peer.PushRefused = true;
+  return Became == OfferResult::Accepted ? FleetNews::NewDocument
+                                         : FleetNews::Handled;
+}
+
+} // namespace
+
+OfferResult takeDocument(ConfigView &View, Membership &Fleet,
+                         std::string_view Text, TimePoint Now, Effects &Out) {
+  const OfferResult Became = offerDocument(View, Text, Now);
+  if (Became == OfferResult::Invalid)
+    Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
+                          "Document refused: " + View.LastRefusal});
+  if (Became == OfferResult::Conflict)
+    Out.push_back(LogNote{LogPart::Config, LogLevel::Error,
+                          "Two documents with one version; first one kept."});
+  if (Became != OfferResult::Accepted)
+    return Became;
+  Fleet.Self.Version = versionInForce(View);
+  Fleet.Self.ConfigDigest = digestInForce(View);
+  Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
+                        "Version " + std::to_string(Fleet.Self.Version.Value) +
+                            " in force."});
+  sendHeartbeats(Fleet, View, Now, Out);
+  return Became;
+}
+
+void pullWhenBehind(const ConfigView &View, Membership &Fleet, TimePoint Now,
+                    Effects &Out) {
+  // A document has up to 1 MB and every peer may offer it at the same moment:
+  // one pull at a time, given up when its link is gone or stays silent.
+  const bool UnderWay = Fleet.Pull.Link &&
+                        Fleet.Links.contains(*Fleet.Pull.Link) &&
+                        Now - Fleet.Pull.At < PullTimeout;
+  if (UnderWay)
+    return;
+  const PeerLink *Peer = newestPeer(View, Fleet);
+  if (Peer == nullptr)
+    return;
+  Fleet.Pull.Link = Peer->Link;
+  Fleet.Pull.At = Now;
+  ++Fleet.Pull.Sent;
+  Out.push_back(SendMessage{Peer->Link, ConfigPull{versionInForce(View)}});
+}
+
+FleetNews fleetMessage(ConfigView &View, Membership &Fleet, LinkId Link,
+                       const Message &m, TimePoint Now, Effects &Out) {
+  return std::visit(Overloaded{[&](const Hello &Peer) {
+                                 helloHeard(Fleet, Link, Peer);
+                                 compareDigests(View, Fleet, Peer.Version,
+                                                Peer.ConfigDigest, Out);
+                                 pullWhenBehind(View, Fleet, Now, Out);
+                                 return FleetNews::Handled;
+                               },
+                               [&](const Heartbeat &Beat) {
+                                 heartbeatHeard(Fleet, Link, Beat, Now);
+                                 compareDigests(View, Fleet, Beat.Version,
+                                                Beat.ConfigDigest, Out);
+                                 pullWhenBehind(View, Fleet, Now, Out);
+                                 return FleetNews::Handled;
+                               },
+                               [&](const ConfigPull &Pull) {
+                                 answerPull(View, Fleet, Link, Pull, Out);
+                                 return FleetNews::Handled;
+                               },
+                               [&](const ConfigPush &Push) {
+                                 return takePush(View, Fleet, Link, Push, Now,
+                                                 Out);
+                               },
+                               [](const auto &) { return FleetNews::NotMine; }},
+                    m);
+}
+
+std::vector<LinkId> fleetTick(const ConfigView &View, Membership &Fleet,
+                              TimePoint Now, Effects &Out) {
+  const std::vector<LinkId> Silent = membershipTick(Fleet, View, Now, Out);
+  joinTick(View, Fleet, Now, Out);
+  pullWhenBehind(View, Fleet, Now, Out);
+  return Silent;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -3,10 +3,12 @@
 #include "entry_func.h"
 
 #include "call_func.h"
-#include "config_view_func.h"
+#include "config_spread_func.h"
 #include "document_func.h"
+#include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "reader_rank_func.h"
 
 #include <algorithm>
 
@@ -14,9 +16,19 @@
 
 namespace {
 
+/** Peers that the settings name, for as long as no document is trusted. */
+std::vector<PeerAddress> seedPeers(const Settings &Config) {
+  std::vector<PeerAddress> Seeds;
+  for (const std::string &At : Config.SeedPeers)
+    Seeds.push_back({HostName{"seed " + At}, Address{At}});
+  return Seeds;
+}
+
 /** Keeps links to every agent and to every other entry. */
 void followDocument(EntryState &Entry, TimePoint Now, Effects &Out) {
   std::vector<PeerAddress> Peers;
+  if (!viewIsFresh(Entry.Fleet))
+    Peers = seedPeers(Entry.Config);
   for (const Worker &Host : Entry.View.InForce->Workers)
     Peers.push_back({Host.Name, Host.Agent});
   for (const EntryHost &Host : Entry.View.InForce->Entries)
@@ -26,35 +38,6 @@
     attemptsLost(Entry, Link, Now, Out);
 }
 
-/** Takes a document and spreads it at once when it came into force. */
-void takeDocument(EntryState &Entry, std::string_view Text, TimePoint Now,
-                  Effects &Out) {
-  const OfferResult Outcome = offerDocument(Entry.View, Text, Now);
-  if (Outcome == OfferResult::Invalid)
-    Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
-                          "Document refused: " + Entry.View.LastRefusal});
-  if (Outcome == OfferResult::Conflict)
-    Out.push_back(LogNote{LogPart::Config, LogLevel::Error,
-                          "Two documents with one version; first one kept."});
-  if (Outcome != OfferResult::Accepted)
-    return;
-  Entry.Fleet.Self.Version = versionInForce(Entry.View);
-  Entry.Fleet.Self.ConfigDigest = digestInForce(Entry.View);
-  Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
-                        "Version " +
-                            std::to_string(Entry.Fleet.Self.Version.Value) +
-                            " in force."});
-  followDocument(Entry, Now, Out);
-  sendHeartbeats(Entry.Fleet, Entry.View, Now, Out);
-}
-
-/** Asks a peer for its document when it has a newer one. */
-void pullWhenBehind(EntryState &Entry, LinkId Link, ConfigVersion Theirs,
-                    Effects &Out) {
-  if (Theirs > versionInForce(Entry.View))
-    Out.push_back(SendMessage{Link, ConfigPull{versionInForce(Entry.View)}});
-}
-
 } // namespace
 
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -67,8 +50,11 @@
   Entry.Fleet.Times = {
       Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
       Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
-      Millis(Config.CutOffMillis)};
+      Millis(Config.CutOffMillis),    Millis(Config.JoinWaitMillis)};
   Entry.Fleet.LastTick = Now;
+  restartJoin(Entry.Fleet, Now);
+  Effects None;
+  wantPeers(Entry.Fleet, seedPeers(Config), None);
   return Entry;
 }
 
@@ -84,10 +70,9 @@
                      Out);
     return;
   }
-  if (!Entry.View.InForce) {
-    endCallWithError(Entry, Asked.Call,
-                     {ErrorKind::StaleView, "no configuration yet", {}},
-                     Ran::No, Out);
+  if (!Entry.View.InForce || !viewIsFresh(Entry.Fleet)) {
+    endCallWithError(Entry, Asked.Call, {ErrorKind::StaleView, "", {}}, Ran::No,
+                     Out);
     return;
   }
   const WorkClass *Class = findClass(*Entry.View.InForce, Asked.Class);
@@ -138,24 +123,14 @@
                   TimePoint Now, Effects &Out) {
   if (!linkHeard(Entry.Fleet, Link, Now))
     return;
+  const FleetNews News =
+      fleetMessage(Entry.View, Entry.Fleet, Link, m, Now, Out);
+  if (News == FleetNews::NewDocument)
+    followDocument(Entry, Now, Out);
+  if (News != FleetNews::NotMine)
+    return;
   std::visit(
       Overloaded{
-          [&](const Hello &Peer) {
-            helloHeard(Entry.Fleet, Link, Peer);
-            pullWhenBehind(Entry, Link, Peer.Version, Out);
-          },
-          [&](const Heartbeat &Beat) {
-            heartbeatHeard(Entry.Fleet, Link, Beat, Now);
-            pullWhenBehind(Entry, Link, Beat.Version, Out);
-          },
-          [&](const ConfigPull &) {
-            if (Entry.View.InForce)
-              Out.push_back(
-                  SendMessage{Link, ConfigPush{Entry.View.InForce->Text}});
-          },
-          [&](const ConfigPush &Push) {
-            takeDocument(Entry, Push.Text, Now, Out);
-          },
           [&](const AttemptBegun &Begun) { attemptBegun(Entry, Begun, Out); },
           [&](const AnswerFrame &Frame) { frameArrived(Entry, Frame, Out); },
           [&](const AnswerEnd &End) { answerEnded(Entry, End, Now, Out); },
@@ -168,18 +143,31 @@
       m);
 }
 
-void entryConfigRead(EntryState &Entry, const std::string &Text, TimePoint Now,
-                     Effects &Out) {
-  takeDocument(Entry, Text, Now, Out);
+void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
+                     TimePoint Began, TimePoint Now, Effects &Out) {
+  if (!Read.Value || Read.Value->empty()) {
+    readEnded(Entry.Fleet, Read.Value.has_value(), true, Began, Now);
+    return;
+  }
+  const OfferResult Became =
+      takeDocument(Entry.View, Entry.Fleet, *Read.Value, Now, Out);
+  readEnded(Entry.Fleet, true,
+            Became == OfferResult::Accepted || Became == OfferResult::Same,
+            Began, Now);
+  if (Became == OfferResult::Accepted)
+    followDocument(Entry, Now, Out);
 }
 
 void entryTick(EntryState &Entry, TimePoint Now, Effects &Out) {
-  for (const LinkId Link : membershipTick(Entry.Fleet, Entry.View, Now, Out)) {
+  const bool WasFresh = viewIsFresh(Entry.Fleet);
+  for (const LinkId Link : fleetTick(Entry.View, Entry.Fleet, Now, Out)) {
     Out.push_back(
         LogNote{LogPart::Links, LogLevel::Warn,
                 "Link " + std::to_string(Link.Value) + " is silent."});
     attemptsLost(Entry, Link, Now, Out);
   }
+  if (!WasFresh && viewIsFresh(Entry.Fleet)) // Seeds have done their work.
+    followDocument(Entry, Now, Out);
   endLateCalls(Entry, Now, Out);
 }
 
--- a/packages/core/src/entry_func.h
+++ b/packages/core/src/entry_func.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_ENTRY_FUNC_H
 
 #include "entry_type.h"
+#include "error_func.h"
 
 namespace jacinthpond {
 
@@ -66,14 +67,15 @@
                   TimePoint Now, Effects &Out);
 
 /**
- * The configuration service answered.
+ * A read of the configuration service ended.
  * @param Entry State to change.
- * @param Text The document it holds.
+ * @param Read The document, empty text for no news, or why none came.
+ * @param Began When the read began.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void entryConfigRead(EntryState &Entry, const std::string &Text, TimePoint Now,
-                     Effects &Out);
+void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
+                     TimePoint Began, TimePoint Now, Effects &Out);
 
 /**
  * Time passed.
--- /dev/null
+++ b/packages/core/src/join.cpp
@@ -0,0 +1,137 @@
+/** @file join.cpp Making the view of the fleet fresh, and losing it. */
+
+#include "join_func.h"
+
+#include "config_view_func.h"
+#include "membership_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Time between two questions to a peer that has not answered. */
+constexpr Millis ProbePeriod{300};
+
+bool isReady(const PeerLink &Link) { return Link.State == LinkState::Ready; }
+
+/** True when a reachable peer has a version that is not in force here. */
+bool peerIsAhead(const ConfigView &View, const Membership &Fleet) {
+  return std::ranges::any_of(Fleet.Links, [&](const auto &Row) {
+    const PeerLink &Peer = Row.second;
+    return isReady(Peer) && !Peer.PushRefused &&
+           Peer.Version > versionInForce(View);
+  });
+}
+
+bool freshPeerAnswered(const Membership &Fleet) {
+  return std::ranges::any_of(Fleet.Links, [](const auto &Row) {
+    return isReady(Row.second) && Row.second.AnsweredFresh;
+  });
+}
+
+/** True when every wanted peer has answered or could not be reached. */
+bool peersAreAsked(const Membership &Fleet) {
+  return std::ranges::all_of(Fleet.Wanted, [&](const auto &Row) {
+    const WantedPeer &Peer = Row.second;
+    if (!Peer.Link)
+      return Peer.Failures > 0;
+    const auto it = Fleet.Links.find(*Peer.Link);
+    return it != Fleet.Links.end() && it->second.Answered;
+  });
+}
+
+/**
+ * Decides whether the view became fresh. A new process may have read a stale
+ * service: it would bring back a domain that was taken out. So every peer is
+ * asked first, and no reachable one may be ahead.
+ */
+bool mayFinish(const ConfigView &View, const Membership &Fleet, TimePoint Now) {
+  if (!View.InForce || peerIsAhead(View, Fleet) || !inContact(Fleet, Now))
+    return false;
+  if (Fleet.Self.Sender == Role::Agent)
+    return freshPeerAnswered(Fleet);
+  const bool Waited = Now - Fleet.Joining.Since >= Fleet.Times.JoinWait;
+  if (!Waited && !peersAreAsked(Fleet))
+    return false;
+  return freshPeerAnswered(Fleet) || Fleet.Joining.ServiceAnswered;
+}
+
+void probePeers(const ConfigView &View, Membership &Fleet, TimePoint Now,
+                Effects &Out) {
+  for (auto &[Link, Peer] : Fleet.Links) {
+    const bool Due = !Peer.ProbedAt || Now - *Peer.ProbedAt >= ProbePeriod;
+    if (!isReady(Peer) || Peer.AnsweredFresh || !Due)
+      continue;
+    Peer.ProbedAt = Now;
+    Out.push_back(SendMessage{Link, ConfigPull{versionInForce(View), true}});
+  }
+}
+
+} // namespace
+
+bool viewIsFresh(const Membership &Fleet) { return Fleet.Joining.Fresh; }
+
+void restartJoin(Membership &Fleet, TimePoint Now) {
+  Fleet.Joining.Fresh = false;
+  Fleet.Self.Fresh = false;
+  Fleet.Joining.Since = Now;
+  Fleet.Joining.ServiceAnswered = false;
+  Fleet.Pull.Link.reset();
+  for (auto &[Link, Peer] : Fleet.Links) {
+    Peer.Answered = false;
+    Peer.AnsweredFresh = false;
+    Peer.ProbedAt.reset();
+  }
+}
+
+bool inContact(const Membership &Fleet, TimePoint Now) {
+  const auto &Heard = Fleet.Joining.ServiceHeard;
+  if (Heard && Now - *Heard <= Fleet.Times.CutOff)
+    return true;
+  // Entries judge for themselves; an agent is in contact through any entry
+  // that is. Two cut-off processes can so never vouch for each other.
+  const bool Agent = Fleet.Self.Sender == Role::Agent;
+  const bool Vouched = std::ranges::any_of(Fleet.Links, [&](const auto &Row) {
+    const PeerLink &Peer = Row.second;
+    return isReady(Peer) && Peer.Peer.Sender == Role::Entry &&
+           (Agent ? Peer.Fresh : Peer.Service);
+  });
+  if (Agent || Vouched)
+    return Vouched;
+  const auto Reachable =
+      std::ranges::count_if(Fleet.Wanted, [&](const auto &Row) {
+        return readyLink(Fleet, Row.first) != nullptr;
+      });
+  return static_cast<size_t>(Reachable) * 2 > Fleet.Wanted.size();
+}
+
+void joinTick(const ConfigView &View, Membership &Fleet, TimePoint Now,
+              Effects &Out) {
+  Join &Joining = Fleet.Joining;
+  if (Joining.Fresh) {
+    if (inContact(Fleet, Now))
+      Joining.LastContact = Now;
+    if (Now - Joining.LastContact <= Fleet.Times.CutOff)
+      return;
+    // What was published meanwhile cannot be known here: a domain may have
+    // been taken out. Refusing costs the callers one more try elsewhere.
+    Out.push_back(LogNote{LogPart::Config, LogLevel::Error,
+                          "Cut off from the fleet; new work is refused."});
+    restartJoin(Fleet, Now);
+    sendHeartbeats(Fleet, View, Now, Out);
+  }
+  probePeers(View, Fleet, Now, Out);
+  if (!mayFinish(View, Fleet, Now))
+    return;
+  Joining.Fresh = true;
+  Fleet.Self.Fresh = true;
+  Joining.LastContact = Now;
+  Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
+                        "View is fresh at version " +
+                            std::to_string(versionInForce(View).Value) + "."});
+  sendHeartbeats(Fleet, View, Now, Out);
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/join_func.h
@@ -0,0 +1,49 @@
+/** @file join_func.h Making the view of the fleet fresh, and losing it. */
+
+#ifndef JACINTHPOND_CORE_JOIN_FUNC_H
+#define JACINTHPOND_CORE_JOIN_FUNC_H
+
+#include "config_view_type.h"
+#include "effect_type.h"
+#include "membership_type.h"
+
+namespace jacinthpond {
+
+/**
+ * Says whether new work may be taken and given on the present view.
+ * @param Fleet The state.
+ * @return True while the view is fresh.
+ */
+bool viewIsFresh(const Membership &Fleet);
+
+/**
+ * The view is not trusted any more: peers have to be asked again.
+ * @param Fleet State to change.
+ * @param Now Current time.
+ */
+void restartJoin(Membership &Fleet, TimePoint Now);
+
+/**
+ * Says whether this process can learn what is published: from the service,
+ * from a reader of it, or because most of the fleet it knew is reachable and
+ * would know.
+ * @param Fleet The state.
+ * @param Now Current time.
+ * @return False when it is cut off.
+ */
+bool inContact(const Membership &Fleet, TimePoint Now);
+
+/**
+ * Asks peers while the view is not fresh, and notices when it became fresh or
+ * when this process was cut off.
+ * @param View The configuration.
+ * @param Fleet State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void joinTick(const ConfigView &View, Membership &Fleet, TimePoint Now,
+              Effects &Out);
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -100,6 +100,7 @@
   it->second.Peer = Peer;
   it->second.Version = Peer.Version;
   it->second.ConfigDigest = Peer.ConfigDigest;
+  it->second.Fresh = Peer.Fresh;
 }
 
 bool linkHeard(Membership &Fleet, LinkId Link, TimePoint Now) {
@@ -121,6 +122,8 @@
   Peer.Version = Beat.Version;
   Peer.ConfigDigest = Beat.ConfigDigest;
   Peer.Leaving = Beat.Leaving;
+  Peer.Fresh = Beat.Fresh;
+  Peer.Service = Beat.Service;
   Peer.Load = Beat.Load;
   Peer.LoadAt = Now;
 }
@@ -128,6 +131,8 @@
 void sendHeartbeats(Membership &Fleet, const ConfigView &Config, TimePoint Now,
                     Effects &Out) {
   Fleet.LastHeartbeat = Now;
+  const auto &Heard = Fleet.Joining.ServiceHeard;
+  const bool Service = Heard && Now - *Heard <= Fleet.Times.CutOff;
   for (auto &[Link, Peer] : Fleet.Links) {
     if (Peer.State == LinkState::Opening)
       continue;
@@ -137,6 +142,8 @@
     Beat.Version = versionInForce(Config);
     Beat.ConfigDigest = digestInForce(Config);
     Beat.Leaving = Fleet.Leaving;
+    Beat.Fresh = Fleet.Joining.Fresh;
+    Beat.Service = Service;
     Beat.Load = Fleet.Load;
     Out.push_back(SendMessage{Link, Beat});
   }
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership_type.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_MEMBERSHIP_TYPE_H
 
 #include "ids_type.h"
+#include "join_type.h"
 #include "message_type.h"
 #include "time_type.h"
 
@@ -19,6 +20,7 @@
   Millis Reconnect{300}; ///< Shortest wait before opening again.
   Millis PauseGap{2000}; ///< Gap that shows that this process was paused.
   Millis CutOff{3000};   ///< Time without contact before refusing work.
+  Millis JoinWait{1500}; ///< Longest wait of a new process for its peers.
 };
 
 /** How far a link has come. */
@@ -39,6 +41,12 @@
   ConfigVersion Version;                ///< Last told.
   Digest ConfigDigest;                  ///< Last told.
   bool Leaving = false;                 ///< Last told.
+  bool Fresh = false;                   ///< Last told.
+  bool Service = false;                 ///< Last told.
+  bool PushRefused = false;             ///< Its document was invalid here.
+  bool Answered = false;                ///< It answered a pull of this join.
+  bool AnsweredFresh = false;           ///< It did so with a fresh view.
+  std::optional<TimePoint> ProbedAt;    ///< When it was asked last.
   WorkerLoad Load;                      ///< Last told.
   TimePoint LoadAt;                     ///< When Load was told.
 };
@@ -52,6 +60,13 @@
   uint32_t Failures = 0;      ///< Tries that failed in a row.
 };
 
+/** The one pull of a whole document that may be under way. */
+struct PendingPull {
+  std::optional<LinkId> Link; ///< Where it was sent.
+  TimePoint At;               ///< When.
+  uint64_t Sent = 0;          ///< Pulls so far; varies the choice of a peer.
+};
+
 /** All links of a process. */
 struct Membership {
   Hello Self;                            ///< What this process is.
@@ -62,6 +77,9 @@
   TimePoint LastHeartbeat;               ///< When heartbeats were sent last.
   TimePoint LastTick;                    ///< When time was looked at last.
   bool Leaving = false;                  ///< This process takes no new work.
+  Join Joining;                          ///< Whether the view is trusted.
+  PendingPull Pull;                      ///< Document under way.
+  Digest AlarmedDigest;                  ///< Conflict that was logged last.
   WorkerLoad Load;                       ///< Own load; agents only.
 };
 
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -18,6 +18,7 @@
   v("domain", m.Domain);
   v("version", m.Version);
   v("digest", m.ConfigDigest);
+  v("fresh", m.Fresh);
 }
 
 template <typename V> void describe(V &v, WorkerLoad &m) {
@@ -36,12 +37,20 @@
   v("version", m.Version);
   v("digest", m.ConfigDigest);
   v("leaving", m.Leaving);
+  v("fresh", m.Fresh);
+  v("service", m.Service);
   describe(v, m.Load);
 }
 
-template <typename V> void describe(V &v, ConfigPull &m) { v("have", m.Have); }
+template <typename V> void describe(V &v, ConfigPull &m) {
+  v("have", m.Have);
+  v("probe", m.Probe);
+}
 
-template <typename V> void describe(V &v, ConfigPush &m) { v("text", m.Text); }
+template <typename V> void describe(V &v, ConfigPush &m) {
+  v("text", m.Text);
+  v("fresh", m.Fresh);
+}
 
 template <typename V> void describe(V &v, AttemptStart &m) {
   v("attempt", m.Attempt);
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -39,6 +39,7 @@
   DomainName Domain;         ///< Failure domain of the sender.
   ConfigVersion Version;     ///< Configuration in force at the sender.
   Digest ConfigDigest;       ///< Digest of that document.
+  bool Fresh = false;        ///< The sender trusts its view; see join_type.h.
 };
 
 /** Load and state of one back end, as its agent sees it. */
@@ -59,17 +60,21 @@
   ConfigVersion Version; ///< Configuration in force at the sender.
   Digest ConfigDigest;   ///< Digest of that document.
   bool Leaving = false;  ///< The sender takes no new work.
+  bool Fresh = false;    ///< The sender trusts its view; see join_type.h.
+  bool Service = false;  ///< The configuration service answers the sender.
   WorkerLoad Load;       ///< Meaningful from agents only.
 };
 
 /** Asks a peer for its configuration document. */
 struct ConfigPull {
   ConfigVersion Have; ///< Version in force at the sender.
+  bool Probe = false; ///< Only asks whether the peer's view is fresh.
 };
 
-/** Carries a whole configuration document. */
+/** Answer to ConfigPull. */
 struct ConfigPush {
-  std::string Text; ///< The document as published.
+  std::string Text;   ///< The whole document; empty: nothing newer, or a probe.
+  bool Fresh = false; ///< The sender trusts its view.
 };
 
 /** Asks an agent to run one attempt. */
--- /dev/null
+++ b/packages/core/src/reader_rank_type.h
@@ -0,0 +1,21 @@
+/** @file reader_rank_type.h What a reader of the configuration service does. */
+
+#ifndef JACINTHPOND_CORE_READER_RANK_TYPE_H
+#define JACINTHPOND_CORE_READER_RANK_TYPE_H
+
+#include "ids_type.h"
+#include "time_type.h"
+
+namespace jacinthpond {
+
+/** What to do next with the configuration service. */
+struct ReadTurn {
+  bool Reader = false; ///< False: look again after Delay.
+  Millis Delay{0};     ///< Wait before the read, or before the next look.
+  ConfigVersion After; ///< Version in force.
+  Millis Wait{0};      ///< Longest wait of the watch.
+};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -4,6 +4,8 @@
 
 #include "config_view_func.h"
 #include "http/http_server.h"
+#include "join_func.h"
+#include "reader_rank_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,7 +27,16 @@
 Json healthOf(const EntryState &Entry) {
   const auto Ready = std::ranges::count_if(
       Entry.Fleet.Links, [](const auto &Row) { return takesWork(Row.second); });
-  return {{"version", versionInForce(Entry.View).Value},
+  const auto Behind =
+      std::ranges::count_if(Entry.Fleet.Links, [&](const auto &Row) {
+        return Row.second.State == LinkState::Ready &&
+               Row.second.Version < versionInForce(Entry.View);
+      });
+  return {{"fresh", viewIsFresh(Entry.Fleet)},
+          {"links", Entry.Fleet.Links.size()},
+          {"links_behind", Behind},
+          {"reader", isReader(Entry.View, Entry.Fleet)},
+          {"version", versionInForce(Entry.View).Value},
           {"ready_workers", Ready},
           {"leaving", Entry.Stopping},
           {"open_calls", Entry.Calls.size()}};
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -2,9 +2,9 @@
 
 #include "entry_shell.h"
 
-#include "config_view_func.h"
 #include "log/log.h"
 #include "overloaded.h"
+#include "reader_rank_func.h"
 #include "threads/process.h"
 
 #include <future>
@@ -16,10 +16,8 @@
 
 /** Time between two looks at the clock. */
 constexpr Millis TickPeriod{50};
-/** Longest wait of one watch at the configuration service. */
-constexpr Millis WatchWait{2000};
-/** Wait after a failed read of the configuration service. */
-constexpr Millis ReadRetry{500};
+/** Time between two looks whether a wait for the control thread is in vain. */
+constexpr Millis TurnPoll{100};
 /** Time between two looks at the requests in progress while draining. */
 constexpr Millis DrainPoll{20};
 
@@ -51,7 +49,11 @@
              }}) {}
 
 EntryShell::~EntryShell() {
-  Ending = true;
+  {
+    const std::lock_guard Lock(EndGuard);
+    Ending = true;
+  }
+  EndNow.notify_all();
   Loop.stop();
   if (Control.joinable())
     Control.join();
@@ -99,25 +101,37 @@
         One);
 }
 
+bool EntryShell::waitUnlessEnding(Millis Time) {
+  std::unique_lock Lock(EndGuard);
+  return !EndNow.wait_for(Lock, Time, [this] { return Ending.load(); });
+}
+
+std::optional<ReadTurn> EntryShell::askForTurn(uint64_t Salt) {
+  const auto Told = std::make_shared<std::promise<ReadTurn>>();
+  Loop.post([this, Told, Salt](TimePoint) {
+    Told->set_value(nextRead(State.View, State.Fleet, Salt));
+  });
+  auto Turn = Told->get_future();
+  // A loop that is ending never answers.
+  while (Turn.wait_for(TurnPoll) != std::future_status::ready)
+    if (Ending)
+      return std::nullopt;
+  return Turn.get();
+}
+
 void EntryShell::readConfig() {
-  while (!Ending) {
-    std::promise<ConfigVersion> Have;
-    Loop.post([&](TimePoint) { Have.set_value(versionInForce(State.View)); });
-    auto Version = Have.get_future();
-    while (Version.wait_for(ReadRetry) != std::future_status::ready)
-      if (Ending)
-        return;
-    const ConfigVersion After = Version.get();
-    const Outcome<std::string> Read =
-        outcomeOf([&] { return Service.watch(After, WatchWait); });
-    if (!Read.Value) {
-      std::this_thread::sleep_for(ReadRetry);
+  for (uint64_t n = 0; !Ending; ++n) {
+    const auto Turn = askForTurn(n);
+    if (!Turn || !waitUnlessEnding(Turn->Delay))
+      return;
+    if (!Turn->Reader)
       continue;
-    }
-    if (!Read.Value->empty())
-      post([this, Text = *Read.Value](TimePoint Now, Effects &Out) {
-        entryConfigRead(State, Text, Now, Out);
-      });
+    const TimePoint Began = Clock.now();
+    const Outcome<std::string> Read =
+        outcomeOf([&] { return Service.watch(Turn->After, Turn->Wait); });
+    post([this, Read, Began](TimePoint Now, Effects &Out) {
+      entryConfigRead(State, Read, Began, Now, Out);
+    });
   }
 }
 
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -7,10 +7,15 @@
 #include "clock/runtime_clock.h"
 #include "entry_func.h"
 #include "platform_port.h"
+#include "reader_rank_type.h"
 #include "threads/control_loop.h"
 #include "websocket/peer_links.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -65,6 +70,8 @@
 private:
   void perform(Effects Todo);
   void readConfig();
+  std::optional<ReadTurn> askForTurn(uint64_t Salt);
+  bool waitUnlessEnding(Millis Time);
   void post(std::function<void(TimePoint, Effects &)> Work);
 
   RuntimeClock Clock;
@@ -73,6 +80,8 @@
   ConfigPort &Service;
   CallTable Callers;
   std::atomic<bool> Ending{false};
+  std::mutex EndGuard;            ///< Guards a change of Ending.
+  std::condition_variable EndNow; ///< Ending was set.
   PeerLinks Links;
   std::thread Control;
   std::thread Reader;
