tests, bench: stand-ins restart, engines hide coldness and run on

Cause: the cold start cases need an engine that restarts on its address, one that turns cold without saying so, and one that goes on with requests whose agent is gone. Change: Fleet::restart takes stand-ins too; askTogether sends from many callers at once; the engine has hide_cold, run_on, reset_max and counts starts above what it bears while cold.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <random>
 #include <stdexcept>
+#include <thread>
 
 namespace jacinthpond::fleet {
 
@@ -83,10 +84,11 @@
 }
 
 void Fleet::startStandIn(const std::string &Name, const std::string &Kind,
-                         const Json &Options) {
+                         const Json &Options, const std::string &Port) {
   Processes[Name] = std::make_unique<ChildProcess>(
-      StandInProgram, std::vector<std::string>{Kind, "0", Options.dump()},
+      StandInProgram, std::vector<std::string>{Kind, Port, Options.dump()},
       Folder + "/" + Name + ".log");
+  StandIns[Name] = {Kind, Options};
 }
 
 void Fleet::startProgram(const std::string &Name, const std::string &Program,
@@ -108,6 +110,13 @@
 }
 
 void Fleet::restart(const std::string &Name) {
+  if (const auto it = StandIns.find(Name); it != StandIns.end()) {
+    const auto [Kind, Options] = it->second;
+    const std::string At = address(Name, "at");
+    Processes.erase(Name);
+    startStandIn(Name, Kind, Options, At.substr(At.rfind(':') + 1));
+    return;
+  }
   const auto [Program, Settings] = Programs.at(Name);
   Processes.erase(Name);
   startProgram(Name, Program, Settings);
@@ -224,6 +233,18 @@
   return {Got->status, Got->body};
 }
 
+std::vector<Answer>
+Fleet::askTogether(size_t Callers,
+                   const std::function<Answer(size_t)> &One) const {
+  std::vector<Answer> Answers(Callers);
+  std::vector<std::thread> Threads;
+  for (size_t n = 0; n < Callers; ++n)
+    Threads.emplace_back([&, n] { Answers[n] = One(n); });
+  for (std::thread &Each : Threads)
+    Each.join();
+  return Answers;
+}
+
 bool Fleet::waitServing(std::chrono::milliseconds Limit) {
   std::vector<Digest> Digests;
   for (const Json &Chunk : Document["models"][0]["chunks"])
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -5,6 +5,7 @@
 
 #include "fleet/process_runner.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -116,11 +117,21 @@
   ChildProcess &process(const std::string &Name) { return *Processes.at(Name); }
 
   /**
-   * Starts an ended entry or agent again, on its old addresses.
+   * Starts an ended process again, on its old addresses; a stand-in has its
+   * start options and has forgotten everything else.
    * @param Name Its name.
    */
   void restart(const std::string &Name);
 
+  /**
+   * Lets callers ask at the same time and waits for all answers.
+   * @param Callers How many.
+   * @param One Asks as the n-th caller.
+   * @return Their answers, by number.
+   */
+  std::vector<Answer>
+  askTogether(size_t Callers, const std::function<Answer(size_t)> &One) const;
+
   /**
    * Gives an address that a process told.
    * @param Name The process.
@@ -143,7 +154,7 @@
 
 private:
   void startStandIn(const std::string &Name, const std::string &Kind,
-                    const Json &Options);
+                    const Json &Options, const std::string &Port = "0");
   void startProgram(const std::string &Name, const std::string &Program,
                     Json Settings);
   void startWorker(const std::string &Name, const std::string &BackEnd,
@@ -153,6 +164,7 @@
   std::string Folder; ///< Settings and logs; removed at the end.
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
   std::map<std::string, std::pair<std::string, Json>> Programs; ///< Restarts.
+  std::map<std::string, std::pair<std::string, Json>> StandIns; ///< Restarts.
 };
 
 } // namespace jacinthpond::fleet
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -31,6 +31,7 @@
   int Running = 0;                           ///< Requests in the batch.
   int MaxRunning = 0;                        ///< Highest ever.
   int MaxRunningCold = 0;                    ///< Highest while cold.
+  int ColdOverstarts = 0;                    ///< Starts above cold_bears.
   int Completed = 0;                         ///< Requests since the start.
   Json Options;                              ///< See setOption().
   Json Records = Json::array();              ///< One for each request.
@@ -78,6 +79,10 @@
       : Host(At), Body(std::move(Asked)) {}
   ~Generation() {
     const std::lock_guard Lock(Host.Guard);
+    if (Next != Stop && Host.option("run_on", 0) != 0) {
+      runOn();
+      return;
+    }
     --Host.Running;
     if (Next == Stop)
       ++Host.Completed;
@@ -85,6 +90,17 @@
   Generation(const Generation &) = delete;
   Generation &operator=(const Generation &) = delete;
 
+  /** Goes on with the batch though nobody reads the answer any more. */
+  void runOn() const {
+    const auto Left = std::chrono::milliseconds(
+        Host.tokenMillis() * static_cast<int64_t>(Stop - Next));
+    std::thread([&At = Host, Left] {
+      std::this_thread::sleep_for(Left);
+      const std::lock_guard Lock(At.Guard);
+      --At.Running;
+    }).detach();
+  }
+
   bool write(httplib::DataSink &Sink) {
     std::string Text;
     if (!Begun) {
@@ -143,8 +159,11 @@
                           {"done", false}});
   ++Host.Running;
   Host.MaxRunning = std::max(Host.MaxRunning, Host.Running);
-  if (Host.cold())
+  if (Host.cold()) {
     Host.MaxRunningCold = std::max(Host.MaxRunningCold, Host.Running);
+    if (Host.Running > Host.bears())
+      ++Host.ColdOverstarts;
+  }
   Answer.set_chunked_content_provider(
       "text/event-stream",
       [Run](size_t, httplib::DataSink &Sink) { return Run->write(Sink); });
@@ -197,6 +216,8 @@
   const std::lock_guard Lock(Host.Guard);
   if (Value.value("cold", false))
     Host.Completed = 0;
+  if (Value.value("reset_max", false))
+    Host.MaxRunning = Host.Running;
   if (Value.value("forget", false)) // As after a restart of the engine alone.
     Host.Weights.clear();
   if (Value.contains("weights"))
@@ -211,9 +232,11 @@
   return {{"run", Host.Run},
           {"weights", Host.Weights},
           {"running", Host.Running},
-          {"cold", Host.cold()},
+          {"cold", Host.cold() && Host.option("hide_cold", 0) == 0},
           {"max_running", Host.MaxRunning},
           {"max_running_cold", Host.MaxRunningCold},
+          {"cold_overstarts", Host.ColdOverstarts},
+          {"completed", Host.Completed},
           {"records", Host.Records},
           {"loads", Host.Loads}};
 }
