core, agent: admission that follows the back end, fair queue

Ruled out: growth with time (idling warms nothing); the engine's report alone (it lags, and some say nothing). Change: growth begins after warm_after completed requests and stops while the engine reports cold or its tokens come slowly; a median gap of four times the warm one and above 40 ms turns the limit cold, as do stalls of most answers; runs that the engine reports beyond our own, and runs cut off here, hold their places until it reports less. Waiting work stands in a fair queue: class priority, tenants by deficit round robin, a lower class goes first after 8 takes above it; a full queue makes room for the tenant that holds less of it. Refusals carry a wait worked out from the queue and the measured service time, spread by a quarter, and an attempt that can't be done in its time is refused at once.

--- a/packages/adapters/log/log.cpp
+++ b/packages/adapters/log/log.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr std::array<const char *, static_cast<size_t>(LogPart::Count)>
-    PartPrefixes = {"main", "config", "links", "requests", "weights", "admin"};
+    PartPrefixes = {"main",    "config", "links",    "requests",
+                    "weights", "admin",  "admission"};
 
 log4cxx::LevelPtr levelOf(LogLevel Level) {
   switch (Level) {
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -134,10 +134,10 @@
           return !cancelled(Which);
         },
         [&](std::string Token) {
-          post(
-              [this, Which, Token = std::move(Token)](TimePoint, Effects &Out) {
-                engineToken(State, Which, Token, Out);
-              });
+          post([this, Which, Token = std::move(Token)](TimePoint Now,
+                                                       Effects &Out) {
+            engineToken(State, Which, Token, Now, Out);
+          });
           return !cancelled(Which);
         });
   });
--- a/packages/core/src/admission_func.h
+++ b/packages/core/src/admission_func.h
@@ -6,29 +6,59 @@
 #include "admission_type.h"
 
 #include <optional>
+#include <vector>
 
 namespace jacinthpond {
 
 /**
- * The back end started, loaded weights or turned cold: the limit falls.
+ * The back end started, loaded weights or turned cold: the limit falls. What
+ * runs goes on, but nothing starts until less than the new limit runs.
  * @param Gate State to change.
  */
 void turnCold(Admission &Gate);
 
+/**
+ * The back end reported on itself, with a lag.
+ * @param Gate State to change.
+ * @param Running Requests that it runs.
+ * @param Cold Whether it calls itself cold.
+ * @param Fresh First report of this incarnation of the back end: what it runs
+ *   without this process's doing is counted.
+ */
+void backEndReported(Admission &Gate, uint32_t Running, bool Cold, bool Fresh);
+
 /**
  * An attempt asks to run.
  * @param Gate State to change; the attempt counts as running or waiting.
- * @param Attempt Who asks.
+ * @param One Who asks.
  * @return What it may do.
  */
-Admitted askToRun(Admission &Gate, const AttemptId &Attempt);
+AdmissionAnswer askToRun(Admission &Gate, const Admittee &One);
+
+/** How a run ended, as far as the back end's load goes. */
+enum class RunEnd : uint8_t {
+  Whole,    ///< To its end; only that warms a back end.
+  NotBegun, ///< The back end never had it.
+  CutOff    ///< Given up here; the back end may be at it still.
+};
 
 /**
  * A running attempt ended.
  * @param Gate State to change.
- * @param Completed Whether it ran to its end; only that warms a back end.
+ * @param Attempt Which.
+ * @param How How it ended.
+ * @param Took How long it ran.
  */
-void runEnded(Admission &Gate, bool Completed);
+void runEnded(Admission &Gate, const AttemptId &Attempt, RunEnd How,
+              Duration Took);
+
+/**
+ * A token came after a gap.
+ * @param Gate State to change; it turns cold when the gaps say so.
+ * @param Gap Time since the one before.
+ * @return True when the limit fell because of it.
+ */
+bool tokenCame(Admission &Gate, Duration Gap);
 
 /**
  * Takes the next waiting attempt, which then counts as running.
@@ -45,6 +75,20 @@
  */
 bool stopWaiting(Admission &Gate, const AttemptId &Attempt);
 
+/**
+ * Lists what waits.
+ * @param Gate The state.
+ * @return All waiting attempts.
+ */
+std::vector<AttemptId> waitingAttempts(const Admission &Gate);
+
+/**
+ * Works out when a refused attempt may come back.
+ * @param Gate The state.
+ * @return Time in which the work ahead is done, spread a little; 0: not known.
+ */
+Millis timeToComeBack(const Admission &Gate);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -8,6 +8,7 @@
 #include "document_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "token_pace_func.h"
 #include "weights_func.h"
 
 #include <algorithm>
@@ -16,6 +17,11 @@
 
 namespace {
 
+/** Gap between two ticks that shows that this process was paused. */
+constexpr Millis LongestTickGap{250};
+/** Answers in progress from which stalls are judged. */
+constexpr size_t FewestStalls = 2;
+
 /** Works out how far the back end is from serving. */
 WorkerState stateOf(const AgentState &Agent) {
   if (Agent.Stopping)
@@ -34,8 +40,8 @@
 void refreshLoad(AgentState &Agent) {
   WorkerLoad &Load = Agent.Fleet.Load;
   Load.State = stateOf(Agent);
-  Load.Running = Agent.Gate.Running;
-  Load.Waiting = static_cast<uint32_t>(Agent.Gate.Waiting.size());
+  Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
+  Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
   Load.Weights = Agent.Weights.Loaded;
   Load.ChunksHeld = static_cast<uint32_t>(Agent.Weights.Held.size());
@@ -151,6 +157,48 @@
     orderLoad(Weights, versionInForce(Agent.View), Out);
 }
 
+/** Watches the time between tokens for a back end that turned cold. */
+void notePace(AgentState &Agent, Attempt &One, TimePoint Now, Effects &Out) {
+  const bool First = One.LastToken == TimePoint{};
+  const Duration Gap = Now - One.LastToken;
+  One.LastToken = Now;
+  // After a pause of this process all gaps are long, whatever the back end
+  // did; the missed ticks show it.
+  if (First || Now - Agent.Fleet.LastTick > LongestTickGap)
+    return;
+  if (tokenCame(Agent.Gate, Gap))
+    Out.push_back(LogNote{LogPart::Admission, LogLevel::Warn,
+                          "Tokens come far too slowly: back end is cold."});
+}
+
+/** Turns cold when most answers have stopped coming. */
+void noteStalls(AgentState &Agent, TimePoint Now, Effects &Out) {
+  if (Now - Agent.Fleet.LastTick > LongestTickGap)
+    return;
+  size_t Begun = 0;
+  size_t Stalled = 0;
+  for (const auto &[Id, One] : Agent.Attempts) {
+    if (One.LastToken == TimePoint{})
+      continue;
+    ++Begun;
+    Stalled += farOverWarm(Agent.Gate.Pace, Now - One.LastToken) ? 1 : 0;
+  }
+  const bool Most = Begun >= FewestStalls && Stalled * 2 > Begun;
+  if (!Most || Agent.Gate.Limit <= Agent.Gate.Limits.Cold)
+    return;
+  turnCold(Agent.Gate);
+  Out.push_back(LogNote{LogPart::Admission, LogLevel::Warn,
+                        "Most answers stall: back end is cold."});
+}
+
+/** Turns what is known of a run's end into what admission needs. */
+RunEnd runEndOf(bool Whole, const Outcome<EngineEnd> &End) {
+  if (Whole)
+    return RunEnd::Whole;
+  const bool NeverSent = !End.Value && End.Why.Kind == ErrorKind::Unreachable;
+  return NeverSent || End.Value ? RunEnd::NotBegun : RunEnd::CutOff;
+}
+
 } // namespace
 
 AgentState makeAgent(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -167,7 +215,8 @@
   Agent.Fleet.LastTick = Now;
   Agent.Gate.Limits = {static_cast<uint32_t>(Config.WarmLimit),
                        static_cast<uint32_t>(Config.ColdLimit),
-                       static_cast<uint32_t>(Config.QueueLimit)};
+                       static_cast<uint32_t>(Config.QueueLimit),
+                       static_cast<uint32_t>(Config.WarmAfter)};
   turnCold(Agent.Gate);
   return Agent;
 }
@@ -241,10 +290,12 @@
 }
 
 void engineToken(AgentState &Agent, const AttemptId &Which,
-                 const std::string &Token, Effects &Out) {
+                 const std::string &Token, TimePoint Now, Effects &Out) {
   const auto it = Agent.Attempts.find(Which);
-  if (it != Agent.Attempts.end())
-    sendFrame(Agent, it->second, Token, Out);
+  if (it == Agent.Attempts.end())
+    return;
+  notePace(Agent, it->second, Now, Out);
+  sendFrame(Agent, it->second, Token, Out);
 }
 
 void engineEnded(AgentState &Agent, const AttemptId &Which,
@@ -254,7 +305,8 @@
   const bool Whole = Known && End.Value &&
                      End.Value->Count == it->second.NextFrame &&
                      End.Value->Weights == it->second.Weights;
-  runEnded(Agent.Gate, Whole);
+  runEnded(Agent.Gate, Which, runEndOf(Whole, End),
+           Known ? Now - it->second.Began : Duration{0});
   if (Whole) {
     finishAttempt(Agent, Which, 200, Out);
   } else if (Known) {
@@ -272,8 +324,11 @@
 void serviceAnswered(AgentState &Agent, const AttemptId &Which,
                      const Outcome<ServiceAnswer> &Answer, TimePoint Now,
                      Effects &Out) {
-  runEnded(Agent.Gate, Answer.Value.has_value());
   const auto it = Agent.Attempts.find(Which);
+  // A plain service does not report what it runs, so that a run cut off here
+  // cannot be waited for.
+  runEnded(Agent.Gate, Which, Answer.Value ? RunEnd::Whole : RunEnd::NotBegun,
+           it == Agent.Attempts.end() ? Duration{0} : Now - it->second.Began);
   if (it == Agent.Attempts.end())
     return;
   const AttemptStart Asked = it->second.Asked;
@@ -330,6 +385,10 @@
     turnCold(Agent.Gate);
     refuseWaiting(Agent, ErrorKind::ColdStart, Out);
   }
+  if (Read.Value)
+    backEndReported(Agent.Gate, Read.Value->Running, Read.Value->Cold,
+                    Restarted);
+  runWaiting(Agent, Now, Out);
   loadInTurn(Agent, Out);
   announceChange(Agent, Now, Out);
 }
@@ -365,6 +424,8 @@
 }
 
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
+  noteStalls(Agent, Now, Out);
+  refuseOverdue(Agent, Now, Out);
   for (const LinkId Link : membershipTick(Agent.Fleet, Agent.View, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
   fetchMissing(Agent.Weights, Now, Out);
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -63,10 +63,11 @@
  * @param Agent State to change.
  * @param Which The attempt.
  * @param Token The token.
+ * @param Now Current time.
  * @param Out Effects are appended.
  */
 void engineToken(AgentState &Agent, const AttemptId &Which,
-                 const std::string &Token, Effects &Out);
+                 const std::string &Token, TimePoint Now, Effects &Out);
 
 /**
  * The engine ended an attempt.
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/agent_type.h
@@ -24,6 +24,8 @@
   LinkId Link;                                ///< Who asked.
   TimePoint Arrived;                          ///< When it came.
   TimePoint Deadline;                         ///< When its answer is useless.
+  TimePoint Began;                            ///< When the back end got it.
+  TimePoint LastToken;                        ///< When its last token came.
   AttemptKnown State = AttemptKnown::Waiting; ///< How far it has come.
   Digest Weights;                             ///< Weights that began it.
   uint64_t NextFrame = 0;                     ///< Sequence of the next frame.
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -15,17 +15,52 @@
 
 namespace {
 
+/** Shares of a told wait, in hundredths, between which callers are spread. */
+constexpr uint64_t SpreadFrom = 75;
+constexpr uint64_t SpreadWidth = 50;
+
+/** Callers refused together are not told to come back together. */
+Millis spread(Millis Wait, const AttemptId &Which) {
+  const uint64_t Share =
+      SpreadFrom + rendezvousScore("come back", Which.Value) % SpreadWidth;
+  return Wait * static_cast<int64_t>(Share) / 100;
+}
+
 void refuse(AgentState &Agent, LinkId Link, const AttemptId &Which,
-            ErrorKind Kind, const std::string &Detail, Effects &Out) {
-  ++Agent.Counters.Refused[Kind];
+            const Failure &Why, Effects &Out) {
+  ++Agent.Counters.Refused[Why.Kind];
   AttemptFailed m;
   m.Attempt = Which;
-  m.Kind = Kind;
+  m.Kind = Why.Kind;
   m.Executed = Ran::No;
-  m.Detail = Detail;
+  m.Detail = Why.Detail;
+  m.RetryAfterMillis =
+      static_cast<uint64_t>(spread(Why.RetryAfter, Which).count());
   Out.push_back(SendMessage{Link, m});
 }
 
+/** Tells an attempt that another one has a better claim to its place. */
+void pushOut(AgentState &Agent, const AttemptId &Which, Effects &Out) {
+  const Millis Wait = spread(timeToComeBack(Agent.Gate), Which);
+  failAttempt(Agent, Which, {ErrorKind::Overloaded, "queue full", Wait},
+              Ran::No, Out);
+}
+
+uint32_t weightOf(const Document &Doc, const TenantName &Name) {
+  const auto it = std::ranges::find(Doc.Tenants, Name, &Tenant::Name);
+  return it == Doc.Tenants.end() ? 1 : it->Weight;
+}
+
+Admittee admitteeOf(const AgentState &Agent, const AttemptStart &m) {
+  const Document &Doc = *Agent.View.InForce;
+  const WorkClass *Class = findClass(Doc, m.Class);
+  Admittee One;
+  One.Who = {m.Attempt, m.Tenant, weightOf(Doc, m.Tenant),
+             Class == nullptr ? 1 : Class->Priority};
+  One.Remaining = Millis(static_cast<int64_t>(m.RemainingMillis));
+  return One;
+}
+
 /** Says why this agent takes no such work at all now, or nothing. */
 std::optional<ErrorKind> standingRefusal(const AgentState &Agent,
                                          const AttemptStart &m) {
@@ -57,6 +92,7 @@
 void beginAttempt(AgentState &Agent, Attempt &One, TimePoint Now,
                   Effects &Out) {
   One.State = AttemptKnown::Running;
+  One.Began = Now;
   ++Agent.Counters.Started;
   const WorkClass *Class = findClass(*Agent.View.InForce, One.Asked.Class);
   if (!Agent.Config.EngineUrl.empty()) {
@@ -109,7 +145,7 @@
   if (Agent.Attempts.contains(m.Attempt))
     return; // A repeated message: the attempt is under way already.
   if (const auto Kind = standingRefusal(Agent, m)) {
-    refuse(Agent, Link, m.Attempt, *Kind, "", Out);
+    refuse(Agent, Link, m.Attempt, {*Kind, "", {}}, Out);
     return;
   }
   Attempt One;
@@ -126,11 +162,14 @@
       return;
     }
   }
-  const Admitted May = askToRun(Agent.Gate, m.Attempt);
-  if (May == Admitted::Refuse) {
-    refuse(Agent, Link, m.Attempt, ErrorKind::Overloaded, "queue full", Out);
+  const AdmissionAnswer Answer = askToRun(Agent.Gate, admitteeOf(Agent, m));
+  if (Answer.May == Admitted::Refuse) {
+    refuse(Agent, Link, m.Attempt,
+           {ErrorKind::Overloaded, "queue full", Answer.RetryAfter}, Out);
     return;
   }
+  if (Answer.PushedOut)
+    pushOut(Agent, *Answer.PushedOut, Out);
   if (Keyed) {
     KeyRecord Record;
     Record.Body = sha256(m.Body);
@@ -138,7 +177,7 @@
     Agent.Keys[keyOf(m)] = Record;
   }
   Attempt &Kept = Agent.Attempts[m.Attempt] = One;
-  if (May == Admitted::Run)
+  if (Answer.May == Admitted::Run)
     beginAttempt(Agent, Kept, Now, Out);
 }
 
@@ -215,18 +254,27 @@
       beginAttempt(Agent, One, Now, Out);
       continue;
     }
-    runEnded(Agent.Gate, false);
+    runEnded(Agent.Gate, *Next, RunEnd::NotBegun, {});
     failAttempt(Agent, *Next, {ErrorKind::Deadline, "waited too long", {}},
                 Ran::No, Out);
   }
 }
 
 void refuseWaiting(AgentState &Agent, ErrorKind Kind, Effects &Out) {
-  const std::vector<AttemptId> All(Agent.Gate.Waiting.begin(),
-                                   Agent.Gate.Waiting.end());
-  Agent.Gate.Waiting.clear();
-  for (const AttemptId &Which : All)
+  for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
+    stopWaiting(Agent.Gate, Which);
     failAttempt(Agent, Which, {Kind, "", {}}, Ran::No, Out);
+  }
+}
+
+void refuseOverdue(AgentState &Agent, TimePoint Now, Effects &Out) {
+  for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
+    if (Now < Agent.Attempts.at(Which).Deadline)
+      continue;
+    stopWaiting(Agent.Gate, Which);
+    failAttempt(Agent, Which, {ErrorKind::Deadline, "waited too long", {}},
+                Ran::No, Out);
+  }
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/attempt_func.h
+++ b/packages/core/src/attempt_func.h
@@ -75,6 +75,14 @@
  */
 void refuseWaiting(AgentState &Agent, ErrorKind Kind, Effects &Out);
 
+/**
+ * Refuses what waits past its deadline.
+ * @param Agent State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void refuseOverdue(AgentState &Agent, TimePoint Now, Effects &Out);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/log_type.h
+++ b/packages/core/src/log_type.h
@@ -9,13 +9,14 @@
 
 /** Parts of a process; each has its own prefix. */
 enum class LogPart : uint8_t {
-  Main,     ///< Start and shutdown.
-  Config,   ///< Configuration.
-  Links,    ///< Links and membership.
-  Requests, ///< Requests and attempts.
-  Weights,  ///< Weights and load orders.
-  Admin,    ///< Administration API.
-  Count     ///< Number of parts; not a part.
+  Main,      ///< Start and shutdown.
+  Config,    ///< Configuration.
+  Links,     ///< Links and membership.
+  Requests,  ///< Requests and attempts.
+  Weights,   ///< Weights and load orders.
+  Admin,     ///< Administration API.
+  Admission, ///< Admission, overload and quarantine.
+  Count      ///< Number of parts; not a part.
 };
 
 /** How much a line matters. */
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -38,6 +38,7 @@
   int64_t WarmLimit = 0;
   int64_t ColdLimit = 0;
   int64_t QueueLimit = 0;
+  int64_t WarmAfter = 0;
   int64_t UplinkBytesPerSecond = 0;
   bool FencedEngine = false;
 };
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -90,6 +90,10 @@
     SettingSpec{"queue_limit", &Settings::QueueLimit, SettingOwner::Agent,
                 false, "requests", 0, 65536, "32",
                 "Requests that wait in the agent at most."},
+    SettingSpec{"warm_after", &Settings::WarmAfter, SettingOwner::Agent, false,
+                "requests", 1, 65536, "8",
+                "Requests that a cold back end completes before its limit "
+                "grows."},
     SettingSpec{"uplink_bytes_per_second", &Settings::UplinkBytesPerSecond,
                 SettingOwner::Agent, false, "bytes/s", 0, int64_t{1} << 40, "0",
                 "Rate at which weights are sent to peers; 0: unlimited."},
--- /dev/null
+++ b/tests/unit/admission_test.cpp
@@ -0,0 +1,188 @@
+/** @file admission_test.cpp Limits, order of waiting work, times told. */
+// Labels: promise-2 overload
+
+#include "admission_func.h"
+#include "fair_queue_func.h"
+#include "token_pace_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+
+using namespace jacinthpond;
+
+namespace {
+
+Admittee asking(int n, const std::string &Tenant = "huts",
+                uint32_t Priority = 1, uint32_t Weight = 1) {
+  Admittee One;
+  One.Who = {AttemptId{std::to_string(n)}, TenantName{Tenant}, Weight,
+             Priority};
+  One.Remaining = Millis{30000};
+  return One;
+}
+
+struct Fixture {
+  Fixture() {
+    Gate.Limits = {16, 2, 4, 6};
+    turnCold(Gate);
+  }
+  /** Runs attempts one after the other to their ends. */
+  void complete(int Runs, Millis Took = Millis{100}) {
+    for (int n = 0; n < Runs; ++n) {
+      askToRun(Gate, asking(1000 + n));
+      runEnded(Gate, AttemptId{"any"}, RunEnd::Whole, Took);
+    }
+  }
+  Admission Gate;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Limits, Fixture)
+
+BOOST_AUTO_TEST_CASE(TheLimitGrowsWithCompletedWorkOnly) {
+  complete(5);
+  BOOST_TEST(Gate.Limit == 2U);
+  askToRun(Gate, asking(1));
+  runEnded(Gate, AttemptId{"1"}, RunEnd::CutOff, Millis{100});
+  BOOST_TEST(Gate.Limit == 2U);
+  backEndReported(Gate, 0, false, false);
+  complete(1);
+  BOOST_TEST(Gate.Limit == 4U);
+  complete(4 + 8);
+  BOOST_TEST(Gate.Limit == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(ReportedColdnessHoldsAndLowersTheLimit) {
+  backEndReported(Gate, 0, true, true);
+  complete(50);
+  BOOST_TEST(Gate.Limit == 2U);
+  backEndReported(Gate, 0, false, false);
+  complete(1);
+  BOOST_TEST(Gate.Limit == 4U);
+  backEndReported(Gate, 0, true, false);
+  BOOST_TEST(Gate.Limit == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(WorkOfAnOlderAgentIsCounted) {
+  backEndReported(Gate, 3, false, true);
+  BOOST_TEST((askToRun(Gate, asking(1)).May == Admitted::Wait));
+  backEndReported(Gate, 2, false, false);
+  BOOST_TEST(!nextToRun(Gate));
+  backEndReported(Gate, 1, false, false);
+  BOOST_TEST(nextToRun(Gate)->Value == "1");
+  // Later reports lag: they may not make lingering work of our own run.
+  backEndReported(Gate, 2, false, false);
+  BOOST_TEST(Gate.Lingering <= 1U);
+  backEndReported(Gate, 1, false, false);
+  BOOST_TEST(Gate.Lingering == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowTokensTurnItCold) {
+  Gate.Limit = 16;
+  for (int n = 0; n < 64; ++n)
+    BOOST_TEST(!tokenCame(Gate, Millis{10}));
+  // One stalled answer is no sign; most gaps must be long.
+  for (int n = 0; n < 32; ++n)
+    BOOST_TEST(!tokenCame(Gate, Millis{n % 3 == 0 ? 500 : 10}));
+  bool Fell = false;
+  for (int n = 0; n < 32; ++n)
+    Fell = tokenCame(Gate, Millis{100}) || Fell;
+  BOOST_TEST(Fell);
+  BOOST_TEST(Gate.Limit == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RunningWorkAboveAFallenLimitIsNotReplaced) {
+  Gate.Limit = 16;
+  for (int n = 0; n < 16; ++n)
+    askToRun(Gate, asking(n));
+  askToRun(Gate, asking(99));
+  turnCold(Gate);
+  for (int n = 0; n < 14; ++n) {
+    runEnded(Gate, AttemptId{std::to_string(n)}, RunEnd::Whole, Millis{100});
+    BOOST_TEST(!nextToRun(Gate));
+  }
+  runEnded(Gate, AttemptId{"14"}, RunEnd::Whole, Millis{100});
+  BOOST_TEST(nextToRun(Gate)->Value == "99");
+  BOOST_TEST(Gate.Limit == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsAreHonestAndAtOnce) {
+  complete(2, Millis{1000});
+  for (int n = 0; n < 2; ++n)
+    askToRun(Gate, asking(n));
+  Admittee Hurried = asking(2);
+  Hurried.Remaining = Millis{900};
+  BOOST_TEST((askToRun(Gate, Hurried).May == Admitted::Refuse));
+  for (int n = 3; n < 7; ++n)
+    BOOST_TEST((askToRun(Gate, asking(n)).May == Admitted::Wait));
+  const AdmissionAnswer Full = askToRun(Gate, asking(7));
+  BOOST_TEST((Full.May == Admitted::Refuse));
+  // Five to start, two at a time, a second each.
+  BOOST_TEST(Full.RetryAfter.count() == 2500);
+}
+
+BOOST_AUTO_TEST_CASE(ASuspectRunsAlone) {
+  askToRun(Gate, asking(1));
+  Admittee Suspect = asking(2);
+  Suspect.Alone = true;
+  BOOST_TEST((askToRun(Gate, Suspect).May == Admitted::Wait));
+  BOOST_TEST((askToRun(Gate, asking(3)).May == Admitted::Wait));
+  BOOST_TEST(!nextToRun(Gate));
+  runEnded(Gate, AttemptId{"1"}, RunEnd::Whole, Millis{1});
+  BOOST_TEST(nextToRun(Gate)->Value == "2");
+  BOOST_TEST(!nextToRun(Gate));
+  runEnded(Gate, AttemptId{"2"}, RunEnd::Whole, Millis{1});
+  BOOST_TEST(nextToRun(Gate)->Value == "3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Order)
+
+BOOST_AUTO_TEST_CASE(TenantsShareByWeight) {
+  FairQueue Queue;
+  for (int n = 0; n < 60; ++n)
+    pushWaiter(Queue, asking(n, "large").Who);
+  for (int n = 100; n < 140; ++n)
+    pushWaiter(Queue, asking(n, "heavy", 1, 2).Who);
+  for (int n = 200; n < 202; ++n)
+    pushWaiter(Queue, asking(n, "small").Who);
+  std::map<size_t, int> Taken; // By length of the id: 2 large, 3 others.
+  int Small = 0;
+  for (int n = 0; n < 24; ++n) {
+    const int Id = std::stoi(popWaiter(Queue)->Value);
+    ++Taken[Id < 100 ? 1 : Id < 200 ? 2 : 3];
+    Small += Id >= 200 && n < 8 ? 1 : 0;
+  }
+  BOOST_TEST(Small == 2);
+  BOOST_TEST(std::abs(Taken[2] - 2 * Taken[1]) <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(HigherClassesFirstButLowerOnesNeverStarve) {
+  FairQueue Queue;
+  pushWaiter(Queue, asking(1, "a", 1).Who);
+  for (int n = 10; n < 40; ++n)
+    pushWaiter(Queue, asking(n, "a", 5).Who);
+  int Place = 0;
+  while (popWaiter(Queue)->Value != "1")
+    ++Place;
+  BOOST_TEST(Place == 8);
+}
+
+BOOST_AUTO_TEST_CASE(AFullQueueMakesRoomForTheSmallTenant) {
+  FairQueue Queue;
+  for (int n = 0; n < 4; ++n)
+    pushWaiter(Queue, asking(n, "large").Who);
+  BOOST_TEST(makeRoom(Queue, asking(9, "small").Who)->Value == "3");
+  pushWaiter(Queue, asking(9, "small").Who);
+  BOOST_TEST(!makeRoom(Queue, asking(5, "large").Who));
+  BOOST_TEST(makeRoom(Queue, asking(6, "large", 2).Who)->Value == "2");
+  BOOST_TEST(aheadOf(Queue, asking(7, "new").Who) == 2U);
+  BOOST_TEST(dropWaiter(Queue, AttemptId{"9"}));
+  BOOST_TEST(allWaiters(Queue).size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
