--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -32,6 +32,7 @@
   int Running = 0;                           ///< Requests in the batch.
   int MaxRunning = 0;                        ///< Highest ever.
   int MaxRunningCold = 0;                    ///< Highest while cold.
+  int ColdOverstarts = 0;                    ///< Starts above cold_bears.
   int Completed = 0;                         ///< Requests since the start.
   Json Options;                              ///< See setOption().
   Json Records = Json::array();              ///< One for each request.
@@ -75,20 +76,34 @@
   uint64_t Epoch = 0;  ///< Epoch of its start.
   size_t Record = 0;   ///< Index into Records.
   bool Begun = false;  ///< The first event was sent.
+  bool Left = false;   ///< Not in the batch any more.
 
   Generation(Engine &At, std::string Asked)
       : Host(At), Body(std::move(Asked)) {}
   ~Generation() {
     const std::lock_guard Lock(Host.Guard);
-    if (Epoch != Host.Epoch)
+    if (Epoch != Host.Epoch || Left)
       return;
+    if (Next != Stop && Host.option("run_on", 0) != 0) {
+      runOn();
+      return;
+    }
     --Host.Running;
-    if (Next == Stop)
-      ++Host.Completed;
   }
   Generation(const Generation &) = delete;
   Generation &operator=(const Generation &) = delete;
 
+  /** Goes on with the batch though nobody reads the answer any more. */
+  void runOn() const {
+    const auto Rest = std::chrono::milliseconds(
+        Host.tokenMillis() * static_cast<int64_t>(Stop - Next));
+    std::thread([&At = Host, Rest] {
+      std::this_thread::sleep_for(Rest);
+      const std::lock_guard Lock(At.Guard);
+      --At.Running;
+    }).detach();
+  }
+
   bool write(httplib::DataSink &Sink) {
     std::string Text;
     if (!Begun) {
@@ -112,6 +127,12 @@
     {
       const std::lock_guard Lock(Host.Guard);
       Host.Records[Record]["done"] = true;
+      // Out of the batch before anybody can read that it has ended.
+      Left = Epoch == Host.Epoch;
+      if (Left) {
+        --Host.Running;
+        ++Host.Completed;
+      }
     }
     Text = sse({{"end", Stop}, {"weights", Weights}});
     Sink.write(Text.data(), Text.size());
@@ -150,8 +171,11 @@
                           {"done", false}});
   ++Host.Running;
   Host.MaxRunning = std::max(Host.MaxRunning, Host.Running);
-  if (Host.cold())
+  if (Host.cold()) {
     Host.MaxRunningCold = std::max(Host.MaxRunningCold, Host.Running);
+    if (Host.Running > Host.bears())
+      ++Host.ColdOverstarts;
+  }
   Answer.set_chunked_content_provider(
       "text/event-stream",
       [Run](size_t, httplib::DataSink &Sink) { return Run->write(Sink); });
@@ -204,6 +228,8 @@
   const std::lock_guard Lock(Host.Guard);
   if (Value.value("cold", false))
     Host.Completed = 0;
+  if (Value.value("reset_max", false))
+    Host.MaxRunning = Host.Running;
   if (Value.value("restart", false)) {
     ++Host.Epoch;
     Host.Run = "run-" + std::to_string(std::random_device{}());
@@ -224,9 +250,11 @@
   return {{"run", Host.Run},
           {"weights", Host.Weights},
           {"running", Host.Running},
-          {"cold", Host.cold()},
+          {"cold", Host.cold() && Host.option("hide_cold", 0) == 0},
           {"max_running", Host.MaxRunning},
           {"max_running_cold", Host.MaxRunningCold},
+          {"cold_overstarts", Host.ColdOverstarts},
+          {"completed", Host.Completed},
           {"records", Host.Records},
           {"loads", Host.Loads}};
 }
