entry, agent, adapters: metrics per tenant and class, admin listener of the agent

Cause: neither program told what it does: no histograms, no counters on a page, and the agent had no listener of its own. Ruled out: prometheus-cpp's exposer (brings a second HTTP server), and a registry of plain counters beside the state (two places that can disagree). Change: /metrics on the admin listener of both programs. Plain counters are read out of the state when the page is asked for; histograms (first token, between tokens, whole answer, time queued at the agent) are observed on the traffic side. A reader without a team's token gets sums over tenants; a team reads its own tenants and classes. Lines about a request carry its id.

--- /dev/null
+++ b/packages/agent/src/agent_admin.h
@@ -0,0 +1,47 @@
+/** @file agent_admin.h Health and metrics of an agent, on its own listener. */
+
+#ifndef JACINTHPOND_AGENT_AGENT_ADMIN_H
+#define JACINTHPOND_AGENT_AGENT_ADMIN_H
+
+#include "agent_shell.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+} // namespace httplib
+
+namespace jacinthpond {
+
+/** Serves health and metrics until it is destroyed. */
+class AgentAdmin {
+public:
+  /**
+   * Sets up; nothing is accepted yet.
+   * @param Config Settings of the process.
+   * @param Host The agent; outlives the listener.
+   */
+  AgentAdmin(const Settings &Config, AgentShell &Host);
+  /** Ends the server's threads. */
+  ~AgentAdmin();
+  AgentAdmin(const AgentAdmin &) = delete;
+  AgentAdmin &operator=(const AgentAdmin &) = delete;
+
+  /**
+   * Starts to accept.
+   * @return The address in use; empty when it cannot be had.
+   */
+  std::string start();
+
+private:
+  std::string At; ///< Where to listen.
+  AgentShell &Host;
+  std::unique_ptr<httplib::Server> Server;
+  std::thread Accepting;
+};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -99,10 +99,12 @@
             [this](const CloseLink &e) { Links.close(e.Link); },
             [this](const SendMessage &e) { Links.send(e.Link, e.Content); },
             [this](const RunModel &e) {
+              noteStart(e.Request.Attempt);
               Runners->enqueue(
                   [this, Request = e.Request] { runModel(Request); });
             },
             [this](const RunService &e) {
+              noteStart(e.Call.Attempt);
               Runners->enqueue([this, Call = e.Call] { runService(Call); });
             },
             [this](const CancelRun &e) {
@@ -122,6 +124,18 @@
         One);
 }
 
+void AgentShell::noteStart(const AttemptId &Which) {
+  const auto it = State.Attempts.find(Which);
+  if (it == State.Attempts.end())
+    return;
+  const Attempt &One = it->second;
+  Timings.observe(Timing::Queued, State.View.InForce.get(), One.Asked.Tenant,
+                  One.Asked.Class, Clock.now() - One.Arrived);
+  logLine(LogPart::Requests, LogLevel::Debug,
+          "Request " + One.Asked.Request.Value + ": attempt " + Which.Value +
+              " goes to the back end.");
+}
+
 bool AgentShell::cancelled(const AttemptId &Which) {
   const std::lock_guard Lock(CancelGuard);
   return Cancelled.contains(Which);
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -6,6 +6,7 @@
 #include "agent_func.h"
 #include "clock/runtime_clock.h"
 #include "engine_port.h"
+#include "metrics/traffic_metrics.h"
 #include "platform_port.h"
 #include "service_port.h"
 #include "threads/control_loop.h"
@@ -58,6 +59,12 @@
    */
   void inspect(const std::function<void(const AgentState &, TimePoint)> &Look);
 
+  /**
+   * Gives the histograms of waiting times.
+   * @return The histograms.
+   */
+  TrafficMetrics &timings() { return Timings; }
+
   /**
    * Ends gracefully: refuses new work, waits for that in progress.
    * @return False when the time limit cut off work.
@@ -73,11 +80,13 @@
   void loadWeights(const LoadWeights &Load);
   void watchBackEnd();
   bool cancelled(const AttemptId &Which);
+  void noteStart(const AttemptId &Which);
 
   RuntimeClock Clock;
   ControlLoop Loop;
   AgentState State; ///< Belongs to the control thread.
   BackEnds Beside;
+  TrafficMetrics Timings;
   std::atomic<bool> Ending{false};
   std::mutex WatchGuard;                        ///< Guards OrdersEnded.
   std::condition_variable WatchNow;             ///< A load order ended.
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp Program jacinthpond-agent: the slot beside a back end. */
 
+#include "agent_admin.h"
 #include "agent_shell.h"
 #include "http/http_backends.h"
 #include "log/log.h"
@@ -32,12 +33,14 @@
   Beside.Service = Config->ServiceUrl.empty() ? nullptr : &Service;
   Beside.Origin = Config->OriginUrl.empty() ? nullptr : &Origin;
   AgentShell Host(*Config, Beside);
+  AgentAdmin Admin(*Config, Host);
   const std::string Peers = Host.start();
-  if (Peers.empty()) {
+  const std::string AdminAt = Admin.start();
+  if (Peers.empty() || AdminAt.empty()) {
     logLine(LogPart::Main, LogLevel::Error, "A listening address is taken.");
     return ExitFailed;
   }
-  announceReady({{"peers", Peers}});
+  announceReady({{"peers", Peers}, {"admin", AdminAt}});
   waitForStopSignal();
   logLine(LogPart::Main, LogLevel::Info, "Shutting down.");
   return Host.drain() ? ExitDone : ExitCutOff;
--- /dev/null
+++ b/packages/core/src/team_access_type.h
@@ -0,0 +1,23 @@
+/** @file team_access_type.h What a team of the administration API may see. */
+
+#ifndef JACINTHPOND_CORE_TEAM_ACCESS_TYPE_H
+#define JACINTHPOND_CORE_TEAM_ACCESS_TYPE_H
+
+#include "ids_type.h"
+
+#include <set>
+#include <string>
+
+namespace jacinthpond {
+
+/** What the holder of a token may see. */
+struct TeamAccess {
+  std::string Team;             ///< Name of the team, for logs.
+  bool Operator = false;        ///< Sees everything.
+  std::set<ClassName> Classes;  ///< Classes that it sees.
+  std::set<TenantName> Tenants; ///< Tenants that it sees.
+};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -3,6 +3,7 @@
 #include "admin_api.h"
 
 #include "config_view_func.h"
+#include "entry_metrics.h"
 #include "http/http_server.h"
 #include "join_func.h"
 #include "reader_rank_func.h"
@@ -54,6 +55,17 @@
         [&](const EntryState &Entry, TimePoint) { Body = healthOf(Entry); });
     Answer.set_content(Body.dump(), "application/json");
   });
+  Server->Get("/metrics", [this](const auto &Asked, auto &Answer) {
+    MetricFamilies All = this->Host.timings().collect();
+    this->Host.inspect([&](const EntryState &Entry, TimePoint Now) {
+      std::ranges::move(entryFamilies(Entry, Now), std::back_inserter(All));
+    });
+    const DocumentPtr Doc = this->Host.document();
+    Answer.set_content(
+        metricsText(
+            visibleTo(All, Doc.get(), Asked.get_header_value("Authorization"))),
+        "text/plain; version=0.0.4");
+  });
 }
 
 AdminApi::~AdminApi() {
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -4,6 +4,7 @@
 
 #include "hash_func.h"
 #include "http/http_server.h"
+#include "log/log.h"
 #include "overloaded.h"
 #include "threads/process.h"
 
@@ -94,14 +95,67 @@
       Event);
 }
 
+/** Observes the pieces of one answer and logs its end. */
+class CallTimer {
+public:
+  CallTimer(EntryShell &Entry, const CallRequest &Call)
+      : Host(Entry), Doc(Entry.document()), Tenant(Call.Tenant),
+        Class(Call.Class), Request(Call.Request), Began(Entry.clock().now()) {}
+
+  /** Notes whatever happened to the call. */
+  void note(const CallEvent &Event) {
+    std::visit(Overloaded{[this](const CallPart &) { notePiece(); },
+                          [this](const CallEnd &) {
+                            observe(Timing::Whole, Began);
+                            log(LogLevel::Debug, "answered");
+                          },
+                          [this](const CallError &e) {
+                            log(LogLevel::Info,
+                                std::string(answerFor(e.Why.Kind).Name) +
+                                    ", ran " +
+                                    std::string(ranName(e.Executed)));
+                          }},
+               Event);
+  }
+
+private:
+  void observe(Timing What, TimePoint From) {
+    Host.timings().observe(What, Doc.get(), Tenant, Class,
+                           Host.clock().now() - From);
+  }
+
+  void notePiece() {
+    observe(Pieces == 0 ? Timing::FirstToken : Timing::BetweenTokens,
+            Pieces == 0 ? Began : LastPiece);
+    ++Pieces;
+    LastPiece = Host.clock().now();
+  }
+
+  void log(LogLevel Level, const std::string &End) const {
+    logLine(LogPart::Requests, Level,
+            "Request " + Request.Value + " of class " + Class.Value +
+                " ended: " + End + ".");
+  }
+
+  EntryShell &Host;
+  DocumentPtr Doc; ///< In force when the call came; bounds the labels.
+  TenantName Tenant;
+  ClassName Class;
+  RequestId Request;
+  TimePoint Began;
+  TimePoint LastPiece; ///< Valid once Pieces is above 0.
+  uint64_t Pieces = 0;
+};
+
 /** Waits for the whole answer and writes it. */
 void answerWhole(CallChannel &Channel, const CallRequest &Call,
-                 httplib::Response &Answer) {
+                 CallTimer &Timer, httplib::Response &Answer) {
   std::string Text;
   for (;;) {
     const auto Event = Channel.pop(KeepAlive);
     if (!Event)
       continue;
+    Timer.note(*Event);
     if (const auto *Part = std::get_if<CallPart>(&*Event)) {
       Text += Part->Data;
       continue;
@@ -132,13 +186,14 @@
   EntryShell &Host;                     ///< The entry.
   std::shared_ptr<CallChannel> Channel; ///< Where events come from.
   CallRequest Call;                     ///< Whose stream.
+  CallTimer Timer;                      ///< Its timings.
   std::optional<CallEvent> First;       ///< Event read before the stream began.
   bool Final = false;                   ///< The last event was written.
 
   OpenStream(EntryShell &Entry, std::shared_ptr<CallChannel> From,
-             CallRequest Asked, CallEvent Begin)
+             CallRequest Asked, CallTimer Began, CallEvent Begin)
       : Host(Entry), Channel(std::move(From)), Call(std::move(Asked)),
-        First(std::move(Begin)) {}
+        Timer(std::move(Began)), First(std::move(Begin)) {}
   ~OpenStream() { Host.done(Call.Call, Final); }
   OpenStream(const OpenStream &) = delete;
   OpenStream &operator=(const OpenStream &) = delete;
@@ -146,6 +201,8 @@
   bool writeNext(httplib::DataSink &Sink) {
     const auto Event =
         First ? std::exchange(First, std::nullopt) : Channel->pop(KeepAlive);
+    if (Event)
+      Timer.note(*Event);
     const std::string Text =
         Event ? streamText(*Event, Call.Request, Final) : ": keep-alive\n\n";
     if (!Sink.write(Text.data(), Text.size()))
@@ -158,17 +215,19 @@
 
 /** Answers as a stream; an error before the first token is a plain answer. */
 void answerStream(EntryShell &Host, std::shared_ptr<CallChannel> Channel,
-                  const CallRequest &Call, httplib::Response &Answer) {
+                  const CallRequest &Call, CallTimer Timer,
+                  httplib::Response &Answer) {
   std::optional<CallEvent> Begin;
   while (!Begin)
     Begin = Channel->pop(KeepAlive);
   if (const auto *Error = std::get_if<CallError>(&*Begin)) {
+    Timer.note(*Begin);
     writeError(Answer, Error->Why, Error->Executed, Call.Request);
     Host.done(Call.Call, true);
     return;
   }
-  const auto Stream = std::make_shared<OpenStream>(Host, std::move(Channel),
-                                                   Call, std::move(*Begin));
+  const auto Stream = std::make_shared<OpenStream>(
+      Host, std::move(Channel), Call, std::move(Timer), std::move(*Begin));
   Answer.set_header("X-Request-Id", Call.Request.Value);
   Answer.set_chunked_content_provider(
       "text/event-stream", [Stream](size_t, httplib::DataSink &Sink) {
@@ -184,12 +243,13 @@
     return;
   }
   CallRequest &Call = *Read.Value;
+  CallTimer Timer(Host, Call);
   auto Channel = Host.call(Call);
   if (Asked.get_header_value("Accept") == "text/event-stream") {
-    answerStream(Host, std::move(Channel), Call, Answer);
+    answerStream(Host, std::move(Channel), Call, std::move(Timer), Answer);
     return;
   }
-  answerWhole(*Channel, Call, Answer);
+  answerWhole(*Channel, Call, Timer, Answer);
   Host.done(Call.Call, true);
 }
 
--- /dev/null
+++ b/packages/entry/src/entry_metrics.h
@@ -0,0 +1,21 @@
+/** @file entry_metrics.h Counters and gauges of an entry. */
+
+#ifndef JACINTHPOND_ENTRY_ENTRY_METRICS_H
+#define JACINTHPOND_ENTRY_ENTRY_METRICS_H
+
+#include "entry_type.h"
+#include "metrics/metrics_page.h"
+
+namespace jacinthpond {
+
+/**
+ * Reads the counters out of the state.
+ * @param Entry The state.
+ * @param Now Current time.
+ * @return Families for the page; none names a tenant.
+ */
+MetricFamilies entryFamilies(const EntryState &Entry, TimePoint Now);
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -85,10 +85,22 @@
   Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
     Effects Out;
     Kept(Now, Out);
+    showDocument();
     perform(std::move(Out));
   });
 }
 
+void EntryShell::showDocument() {
+  const std::lock_guard Lock(ShownGuard);
+  if (Shown != State.View.InForce)
+    Shown = State.View.InForce;
+}
+
+DocumentPtr EntryShell::document() {
+  const std::lock_guard Lock(ShownGuard);
+  return Shown;
+}
+
 void EntryShell::perform(Effects Todo) {
   for (Effect &One : Todo)
     std::visit(
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -6,6 +6,7 @@
 #include "call_channel.h"
 #include "clock/runtime_clock.h"
 #include "entry_func.h"
+#include "metrics/traffic_metrics.h"
 #include "platform_port.h"
 #include "reader_rank_type.h"
 #include "threads/control_loop.h"
@@ -61,6 +62,24 @@
    */
   void inspect(const std::function<void(const EntryState &, TimePoint)> &Look);
 
+  /**
+   * Gives the document in force without waiting for the control thread.
+   * @return The document; null while there is none.
+   */
+  DocumentPtr document();
+
+  /**
+   * Gives the clock of the process.
+   * @return The clock.
+   */
+  const ClockPort &clock() const { return Clock; }
+
+  /**
+   * Gives the histograms of the traffic side.
+   * @return The histograms.
+   */
+  TrafficMetrics &timings() { return Timings; }
+
   /**
    * Ends gracefully: refuses new requests, waits for those in progress.
    * @return False when the time limit cut off requests.
@@ -73,12 +92,16 @@
   std::optional<ReadTurn> askForTurn(uint64_t Salt);
   bool waitUnlessEnding(Millis Time);
   void post(std::function<void(TimePoint, Effects &)> Work);
+  void showDocument();
 
   RuntimeClock Clock;
   ControlLoop Loop;
   EntryState State; ///< Belongs to the control thread.
   ConfigPort &Service;
   CallTable Callers;
+  TrafficMetrics Timings;
+  std::mutex ShownGuard; ///< Guards Shown.
+  DocumentPtr Shown;     ///< Document in force, for the traffic side.
   std::atomic<bool> Ending{false};
   std::mutex EndGuard;            ///< Guards a change of Ending.
   std::condition_variable EndNow; ///< Ending was set.
