entry: administration API with team tokens, operators' command line

Cause: operators could neither see nor check anything but /v1/health, and each program built its popt table by hand. Ruled out: a table made by the entry (a script needs JSON, a person columns: the command line turns the one into the other); tokens on the command line (other users of the host read it). Change: core trios team_access, status and document_change work out what a team may see; /v1/status, domains, workers for each team, config, refusals and POST /v1/check for operators; refusals by the error table and counted by cause. Fleets of tests publish two teams; runProgram captures a program's output.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -59,6 +59,14 @@
                  {"deadline_ms", 5000}},
                 {{"name", "status"}, {"service", "slots"}}}},
               {"tenants", {{{"name", "huts"}}, {{"name", "clubs"}}}},
+              {"teams",
+               {{{"name", "operators"},
+                 {"operator", true},
+                 {"token_sha256", sha256(OperatorToken).Value}},
+                {{"name", "huts"},
+                 {"classes", {"bookings"}},
+                 {"tenants", {"huts"}},
+                 {"token_sha256", sha256(HutsToken).Value}}}},
               {"models", Json::array()},
               {"workers", Json::array()},
               {"entries", Json::array()},
@@ -108,6 +116,22 @@
   Programs[Name] = {Program, Settings};
 }
 
+Finished Fleet::runCommand(const std::vector<std::string> &Arguments) {
+  return runProgram(EntryProgram, Arguments);
+}
+
+std::string Fleet::writeFile(const std::string &Name,
+                             const std::string &Content) const {
+  const std::string Path = Folder + "/" + Name;
+  std::ofstream(Path) << Content;
+  return Path;
+}
+
+std::string Fleet::logOf(const std::string &Name) const {
+  std::ifstream File(Folder + "/" + Name + ".log");
+  return std::string(std::istreambuf_iterator<char>(File), {});
+}
+
 void Fleet::restart(const std::string &Name) {
   const auto [Program, Settings] = Programs.at(Name);
   Processes.erase(Name);
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -12,6 +12,11 @@
 
 namespace jacinthpond::fleet {
 
+/** Token of the operators' team in the first document. */
+constexpr const char *OperatorToken = "operators-token";
+/** Token of a team that sees class "bookings" and tenant "huts" only. */
+constexpr const char *HutsToken = "huts-token";
+
 /** What to start. */
 struct FleetPlan {
   size_t Entries = 3;        ///< Entry hosts, spread over the domains.
@@ -132,6 +137,29 @@
    */
   int pidOf(const std::string &Name) const { return Processes.at(Name)->pid(); }
 
+  /**
+   * Runs the operators' command line to its end.
+   * @param Arguments Its arguments.
+   * @return How it ended.
+   */
+  static Finished runCommand(const std::vector<std::string> &Arguments);
+
+  /**
+   * Gives a file in the folder of this fleet.
+   * @param Name Name of the file.
+   * @param Content What to write into it.
+   * @return Its path.
+   */
+  std::string writeFile(const std::string &Name,
+                        const std::string &Content) const;
+
+  /**
+   * Gives what a process has logged.
+   * @param Name The process.
+   * @return Its standard error so far.
+   */
+  std::string logOf(const std::string &Name) const;
+
   /**
    * Starts an ended entry or agent again, on its old addresses.
    * @param Name Its name.
--- a/bench/fleet/process_runner.cpp
+++ b/bench/fleet/process_runner.cpp
@@ -25,14 +25,12 @@
 
 [[noreturn]] void becomeProgram(const std::string &Program,
                                 const std::vector<std::string> &Arguments,
-                                const std::string &LogPath, int Output) {
+                                int Log, int Output) {
   // No child outlives a test that crashed.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   sigset_t None;
   sigemptyset(&None);
   sigprocmask(SIG_SETMASK, &None, nullptr);
-  const int Log =
-      open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(Output, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
   std::vector<char *> Words;
@@ -56,7 +54,10 @@
   if (Pid < 0)
     throw std::runtime_error("no process");
   if (Pid == 0)
-    becomeProgram(Program, Arguments, LogPath, Pipe[1]);
+    becomeProgram(
+        Program, Arguments,
+        open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600),
+        Pipe[1]);
   close(Pipe[1]);
   Output = Pipe[0];
   readReadyLine(Output);
@@ -114,6 +115,35 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
 }
 
+Finished runProgram(const std::string &Program,
+                    const std::vector<std::string> &Arguments) {
+  std::array<int, 2> Pipe{};
+  if (pipe2(Pipe.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("no pipe");
+  const int Pid = fork();
+  if (Pid == 0)
+    becomeProgram(Program, Arguments, Pipe[1], Pipe[1]);
+  close(Pipe[1]);
+  Finished End;
+  std::array<char, 4096> Buf{};
+  pollfd One{Pipe[0], POLLIN, 0};
+  const auto Limit = Clock::now() + ReadyLimit;
+  ssize_t n = 1;
+  while (n > 0 && Clock::now() < Limit)
+    if (poll(&One, 1, 100) > 0 &&
+        (n = read(Pipe[0], Buf.data(), Buf.size())) > 0)
+      End.Output.append(Buf.data(), static_cast<size_t>(n));
+  close(Pipe[0]);
+  if (n > 0)
+    ::kill(Pid, SIGKILL);
+  int Status = 0;
+  waitpid(Pid, &Status, 0);
+  if (n > 0)
+    throw std::runtime_error("a program did not end");
+  End.Code = WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  return End;
+}
+
 bool waitFor(std::chrono::milliseconds Limit,
              const std::function<bool()> &Condition) {
   const auto End = Clock::now() + Limit;
--- a/bench/fleet/process_runner.h
+++ b/bench/fleet/process_runner.h
@@ -68,6 +68,21 @@
   Json Ready = Json::object();
 };
 
+/** What a program that ended left behind. */
+struct Finished {
+  int Code = -1;      ///< Exit code, or 128 + signal.
+  std::string Output; ///< Standard output and error together.
+};
+
+/**
+ * Runs a program to its end; throws when it goes on for too long.
+ * @param Program Path of the program.
+ * @param Arguments Its arguments, without its name.
+ * @return How it ended.
+ */
+Finished runProgram(const std::string &Program,
+                    const std::vector<std::string> &Arguments);
+
 /**
  * Waits for a condition.
  * @param Limit Longest wait.
--- /dev/null
+++ b/packages/adapters/cli/command_line.cpp
@@ -0,0 +1,67 @@
+/** @file command_line.cpp Command lines of both programs, by popt. */
+
+#include "cli/command_line.h"
+
+#include <popt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Builds popt's table; an option's value is its place, counted from 1. */
+std::vector<poptOption> poptTable(const std::vector<CommandOption> &Options) {
+  std::vector<poptOption> Table;
+  Table.reserve(Options.size() + 2);
+  for (const CommandOption &One : Options) {
+    const bool Flag = std::holds_alternative<bool *>(One.Into);
+    Table.push_back(
+        {One.Name, One.Short,
+         static_cast<unsigned>(Flag ? POPT_ARG_NONE : POPT_ARG_STRING), nullptr,
+         static_cast<int>(Table.size()) + 1, One.Help, One.Argument});
+  }
+  const std::vector<poptOption> Last = {
+      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
+  Table.insert(Table.end(), Last.begin(), Last.end());
+  return Table;
+}
+
+void setOption(const CommandOption &One, poptContext Context) {
+  if (bool *const *Flag = std::get_if<bool *>(&One.Into)) {
+    **Flag = true;
+    return;
+  }
+  char *Text = poptGetOptArg(Context);
+  *std::get<std::string *>(One.Into) = Text == nullptr ? "" : Text;
+  free(Text); // NOLINT: popt allocates by malloc.
+}
+
+} // namespace
+
+std::optional<std::vector<std::string>>
+readCommandLine(const std::string &Program, const std::string &Usage,
+                const std::vector<CommandOption> &Options, int Count,
+                const char **Arguments) {
+  const std::vector<poptOption> Table = poptTable(Options);
+  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
+      poptGetContext(Program.c_str(), Count, Arguments, Table.data(), 0),
+      poptFreeContext);
+  poptSetOtherOptionHelp(Context.get(), Usage.c_str());
+  int rc = 0;
+  while ((rc = poptGetNextOpt(Context.get())) > 0)
+    setOption(Options.at(static_cast<size_t>(rc) - 1), Context.get());
+  if (rc < -1) {
+    std::cerr << Program << ": " << poptBadOption(Context.get(), 0) << ": "
+              << poptStrerror(rc) << "; see --help\n";
+    return std::nullopt;
+  }
+  std::vector<std::string> Words;
+  while (const char *Word = poptGetArg(Context.get()))
+    Words.emplace_back(Word);
+  return Words;
+}
+
+} // namespace jacinthpond
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -2,15 +2,13 @@
 
 #include "agent_admin.h"
 #include "agent_shell.h"
+#include "cli/command_line.h"
 #include "http/http_backends.h"
 #include "log/log.h"
 #include "settings_func.h"
 #include "threads/process.h"
 
-#include <popt.h>
-
 #include <iostream>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,38 +45,27 @@
 }
 
 int parseAndRun(int Count, const char **Arguments) {
-  char *SettingsPath = nullptr;
-  int PrintSettings = 0;
-  int PrintVersion = 0;
-  const std::vector<poptOption> Options = {
-      {"settings", 's', POPT_ARG_STRING, &SettingsPath, 0, "Settings file",
-       "FILE"},
-      {"help-settings", 0, POPT_ARG_NONE, &PrintSettings, 0,
-       "Describe all settings", nullptr},
-      {"version", 0, POPT_ARG_NONE, &PrintVersion, 0, "Print the version",
-       nullptr},
-      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
-  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
-      poptGetContext("jacinthpond-agent", Count, Arguments, Options.data(), 0),
-      poptFreeContext);
-  const int rc = poptGetNextOpt(Context.get());
-  const bool Extra = poptPeekArg(Context.get()) != nullptr;
-  if (rc < -1 || Extra) {
-    std::cerr << "jacinthpond-agent: "
-              << (rc < -1 ? poptBadOption(Context.get(), 0)
-                          : poptPeekArg(Context.get()))
-              << ": not understood; see --help\n";
+  std::string SettingsPath;
+  bool PrintSettings = false;
+  bool PrintVersion = false;
+  const auto Words = readCommandLine(
+      "jacinthpond-agent", "[OPTIONS]",
+      {{"settings", 's', &SettingsPath, "FILE", "Settings file"},
+       {"help-settings", 0, &PrintSettings, nullptr, "Describe all settings"},
+       {"version", 0, &PrintVersion, nullptr, "Print the version"}},
+      Count, Arguments);
+  if (!Words)
+    return ExitUsage;
+  if (!Words->empty()) {
+    std::cerr << "jacinthpond-agent: " << Words->front()
+              << ": unexpected; see --help\n";
     return ExitUsage;
   }
-  const std::string Path = SettingsPath == nullptr ? "" : SettingsPath;
-  free(SettingsPath); // NOLINT: popt allocates by malloc.
-  if (PrintVersion != 0)
+  if (PrintVersion)
     std::cout << Version << "\n";
-  if (PrintSettings != 0)
+  if (PrintSettings)
     std::cout << describeSettings(SettingOwner::Agent);
-  if (PrintVersion != 0 || PrintSettings != 0)
-    return ExitDone;
-  return serve(Path);
+  return PrintVersion || PrintSettings ? ExitDone : serve(SettingsPath);
 }
 
 } // namespace
--- a/packages/core/src/document_type.h
+++ b/packages/core/src/document_type.h
@@ -28,12 +28,16 @@
   Millis BetweenTokens{41};              ///< Target between tokens.
   Millis Deadline{30000};                ///< Longest wait of a caller.
   double ServingShare = 0.5; ///< Share of workers that serve in a rollout.
+
+  bool operator==(const WorkClass &) const = default;
 };
 
 /** A customer's workspace. */
 struct Tenant {
   TenantName Name;     ///< Name in callers' headers.
   uint32_t Weight = 1; ///< Share relative to other tenants.
+
+  bool operator==(const Tenant &) const = default;
 };
 
 /** One version of a model, as chunks. */
@@ -44,6 +48,8 @@
   uint64_t ChunkBytes = 0;    ///< Size of each chunk but the last.
   uint64_t TotalBytes = 0;    ///< Size of all chunks.
   Digest Set;                 ///< Digest over the chunk digests; derived.
+
+  bool operator==(const ModelVersion &) const = default;
 };
 
 /** A backend server host. */
@@ -53,6 +59,8 @@
   Address Agent;       ///< Peer address of its agent.
   ModelName Model;     ///< Model it runs; empty for a plain service.
   ServiceName Service; ///< Plain service it runs; empty for a model.
+
+  bool operator==(const Worker &) const = default;
 };
 
 /** An entry host. */
@@ -61,6 +69,8 @@
   DomainName Domain; ///< Failure domain.
   Address Callers;   ///< Where callers connect.
   Address Peers;     ///< Where other entries connect.
+
+  bool operator==(const EntryHost &) const = default;
 };
 
 /** A team that uses the administration API. */
@@ -70,6 +80,8 @@
   bool Operator = false;        ///< Sees everything.
   std::set<ClassName> Classes;  ///< Classes that the team sees.
   std::set<TenantName> Tenants; ///< Tenants that the team sees.
+
+  bool operator==(const Team &) const = default;
 };
 
 /** The whole document, after validation. */
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -119,6 +119,8 @@
   PeerLink &Peer = it->second;
   Peer.HeardHeartbeat = Beat.Sequence;
   Peer.Peer.Run = Beat.Run;
+  if (Peer.Version != Beat.Version)
+    Peer.VersionSince = Now;
   Peer.Version = Beat.Version;
   Peer.ConfigDigest = Beat.ConfigDigest;
   Peer.Leaving = Beat.Leaving;
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership_type.h
@@ -40,6 +40,7 @@
   uint64_t HeardHeartbeat = 0;          ///< Sequence of the last one heard.
   ConfigVersion Version;                ///< Last told.
   Digest ConfigDigest;                  ///< Last told.
+  TimePoint VersionSince;               ///< When Version was first told.
   bool Leaving = false;                 ///< Last told.
   bool Fresh = false;                   ///< Last told.
   bool Service = false;                 ///< Last told.
--- /dev/null
+++ b/packages/core/src/status.cpp
@@ -0,0 +1,193 @@
+/** @file status.cpp Works out what operators are shown. */
+
+#include "status_func.h"
+
+#include "config_view_func.h"
+#include "document_func.h"
+#include "membership_func.h"
+#include "team_access_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+ProcessStatus selfStatus(const EntryState &Entry, TimePoint Now) {
+  ProcessStatus Self;
+  Self.Name = Entry.Fleet.Self.Name;
+  Self.Kind = Role::Entry;
+  Self.Domain = Entry.Fleet.Self.Domain;
+  Self.Seen = true;
+  Self.Version = versionInForce(Entry.View);
+  Self.ConfigDigest = digestInForce(Entry.View);
+  if (Entry.View.InForce)
+    Self.InForceFor = toMillis(Now - Entry.View.Since);
+  return Self;
+}
+
+template <typename Host>
+ProcessStatus peerStatus(const EntryState &Entry, const Host &Peer, Role Kind,
+                         TimePoint Now) {
+  ProcessStatus One;
+  One.Name = Peer.Name;
+  One.Kind = Kind;
+  One.Domain = Peer.Domain;
+  const PeerLink *Link = readyLink(Entry.Fleet, Peer.Name);
+  if (Link == nullptr)
+    return One;
+  One.Seen = true;
+  One.Version = Link->Version;
+  One.ConfigDigest = Link->ConfigDigest;
+  if (Link->Version.Value > 0)
+    One.InForceFor = toMillis(Now - Link->VersionSince);
+  return One;
+}
+
+std::vector<ProcessStatus> allProcesses(const EntryState &Entry,
+                                        TimePoint Now) {
+  const Document &Doc = *Entry.View.InForce;
+  std::vector<ProcessStatus> All{selfStatus(Entry, Now)};
+  All.reserve(1 + Doc.Entries.size() + Doc.Workers.size());
+  for (const EntryHost &Host : Doc.Entries)
+    if (Host.Name != Entry.Fleet.Self.Name)
+      All.push_back(peerStatus(Entry, Host, Role::Entry, Now));
+  for (const Worker &Host : Doc.Workers)
+    All.push_back(peerStatus(Entry, Host, Role::Agent, Now));
+  return All;
+}
+
+WorkerStatus workerStatus(const EntryState &Entry, const Worker &Host) {
+  WorkerStatus One;
+  One.Name = Host.Name;
+  One.Domain = Host.Domain;
+  One.Model = Host.Model;
+  One.Service = Host.Service;
+  if (const PeerLink *Link = readyLink(Entry.Fleet, Host.Name)) {
+    One.Seen = true;
+    One.Leaving = Link->Leaving;
+    One.Load = Link->Load;
+  }
+  return One;
+}
+
+bool mayServeNow(const WorkerStatus &Host) {
+  return Host.Seen && !Host.Leaving && takesWork(Host.Load);
+}
+
+std::vector<DomainStatus> domainsOf(const Document &Doc,
+                                    const std::vector<WorkerStatus> &Workers) {
+  std::map<DomainName, DomainStatus> All;
+  for (const EntryHost &Host : Doc.Entries)
+    All[Host.Domain];
+  for (const WorkerStatus &Host : Workers) {
+    DomainStatus &One = All[Host.Domain];
+    ++One.Workers;
+    One.Unseen += Host.Seen ? 0 : 1;
+    One.Serving += mayServeNow(Host) ? 1 : 0;
+    One.Running += Host.Load.Running;
+    One.Waiting += Host.Load.Waiting;
+  }
+  std::vector<DomainStatus> Listed;
+  Listed.reserve(All.size());
+  for (auto &[Name, One] : All) {
+    One.Name = Name;
+    One.Out = Doc.DomainsOut.contains(Name);
+    Listed.push_back(One);
+  }
+  return Listed;
+}
+
+ModelStatus modelStatus(const ModelVersion &Model,
+                        const std::vector<WorkerStatus> &Workers) {
+  ModelStatus One;
+  One.Name = Model.Name;
+  One.Version = Model.Version;
+  One.Set = Model.Set;
+  for (const WorkerStatus &Host : Workers) {
+    if (Host.Model != Model.Name)
+      continue;
+    const bool Has = Host.Load.Weights == Model.Set;
+    ++One.Workers;
+    One.Loaded += Has ? 1 : 0;
+    // A worker may drop the chunks of a set that its back end has loaded.
+    One.ChunksHeld += Has ? Model.Chunks.size() : Host.Load.ChunksHeld;
+    One.ChunksWanted += Model.Chunks.size();
+  }
+  return One;
+}
+
+ClassStatus classStatus(const WorkClass &Class, const Document &Doc,
+                        const std::vector<WorkerStatus> &Workers) {
+  ClassStatus One;
+  One.Name = Class.Name;
+  for (const WorkerStatus &Host : Workers) {
+    const Worker *Published = findWorker(Doc, Host.Name);
+    if (Published == nullptr || !servesClass(*Published, Class))
+      continue;
+    ++One.Workers;
+    if (!mayServeNow(Host) || Doc.DomainsOut.contains(Host.Domain))
+      continue;
+    ++One.Serving;
+    One.Running += Host.Load.Running;
+    One.Waiting += Host.Load.Waiting;
+    One.Limit += Host.Load.Limit;
+  }
+  return One;
+}
+
+TenantStatus tenantStatus(const EntryState &Entry, const TenantName &Name) {
+  TenantStatus One;
+  One.Name = Name;
+  One.OpenRequests = static_cast<uint32_t>(
+      std::ranges::count_if(Entry.Calls, [&](const auto &Row) {
+        return Row.second.Asked.Tenant == Name;
+      }));
+  return One;
+}
+
+void addVisible(FleetStatus &Into, const EntryState &Entry,
+                const TeamAccess &Access) {
+  const Document &Doc = *Entry.View.InForce;
+  for (const Worker &Host : Doc.Workers)
+    if (seesWorker(Access, Doc, Host))
+      Into.Workers.push_back(workerStatus(Entry, Host));
+  Into.Domains = domainsOf(Doc, Into.Workers);
+  for (const WorkClass &Class : Doc.Classes)
+    if (seesClass(Access, Class.Name))
+      Into.Classes.push_back(classStatus(Class, Doc, Into.Workers));
+  for (const ModelVersion &Model : Doc.Models)
+    if (Access.Operator ||
+        std::ranges::any_of(Into.Workers, [&](const WorkerStatus &Host) {
+          return Host.Model == Model.Name;
+        }))
+      Into.Models.push_back(modelStatus(Model, Into.Workers));
+  for (const Tenant &One : Doc.Tenants)
+    if (seesTenant(Access, One.Name))
+      Into.Tenants.push_back(tenantStatus(Entry, One.Name));
+}
+
+} // namespace
+
+bool takesWork(const WorkerLoad &Load) {
+  return Load.State == WorkerState::Serving ||
+         Load.State == WorkerState::Warming;
+}
+
+FleetStatus fleetStatus(const EntryState &Entry, const TeamAccess &Access,
+                        TimePoint Now) {
+  FleetStatus Status;
+  Status.Self = selfStatus(Entry, Now);
+  Status.OpenRequests = Entry.Calls.size();
+  if (!Entry.View.InForce)
+    return Status;
+  addVisible(Status, Entry, Access);
+  if (!Access.Operator)
+    return Status;
+  Status.Processes = allProcesses(Entry, Now);
+  Status.Refusals = {Entry.Counters.Errors, Entry.View.Refused,
+                     Entry.View.Conflicts, Entry.View.LastRefusal};
+  return Status;
+}
+
+} // namespace jacinthpond
--- a/packages/entry/src/admin_api.h
+++ b/packages/entry/src/admin_api.h
@@ -4,17 +4,30 @@
 #define JACINTHPOND_ENTRY_ADMIN_API_H
 
 #include "entry_shell.h"
+#include "metrics/metrics_page.h"
+#include "status_type.h"
+#include "team_access_type.h"
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
 
 namespace httplib {
 class Server;
+struct Request;
+struct Response;
 } // namespace httplib
 
 namespace jacinthpond {
 
+/** Why a reader was turned away. */
+enum class AccessRefusal : uint8_t { NoToken, WrongToken, OtherTeam, Count };
+
 /** Serves operators until it is destroyed. */
 class AdminApi {
 public:
@@ -36,10 +49,28 @@
   std::string start();
 
 private:
+  using View = nlohmann::json (*)(const FleetStatus &);
+  using Work =
+      std::function<void(const httplib::Request &, httplib::Response &)>;
+
+  void addOpenPaths();
+  void addView(const char *Path, View Show, bool OperatorsOnly);
+  void addCheck();
+  Work forTeam(const char *Path, bool OperatorsOnly,
+               std::function<void(const TeamAccess &, const httplib::Request &,
+                                  httplib::Response &)>
+                   Then);
+  Result<TeamAccess> accessFor(const httplib::Request &Asked,
+                               bool OperatorsOnly);
+  void countRefusal(const httplib::Request &Asked, ErrorKind Kind);
+  void addRefusals(MetricFamilies &Into) const;
+
   std::string At; ///< Where to listen.
   EntryShell &Host;
   std::unique_ptr<httplib::Server> Server;
   std::thread Accepting;
+  std::array<std::atomic<uint64_t>, static_cast<size_t>(AccessRefusal::Count)>
+      Refused{}; ///< Readers turned away, by cause.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -74,6 +74,7 @@
     Loop.run(TickPeriod, [this](TimePoint Now) {
       Effects Out;
       entryTick(State, Now, Out);
+      showDocument();
       perform(std::move(Out));
     });
   });
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -2,17 +2,15 @@
 
 #include "admin_api.h"
 #include "caller_api.h"
-#include "document_func.h"
+#include "cli/command_line.h"
 #include "entry_shell.h"
 #include "http/http_backends.h"
 #include "log/log.h"
+#include "operator_commands.h"
 #include "settings_func.h"
 #include "threads/process.h"
 
-#include <popt.h>
-
 #include <iostream>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -44,30 +42,45 @@
   return Host.drain() ? ExitDone : ExitCutOff;
 }
 
-int check(const std::string &Path) {
-  const auto Read = outcomeOf([&]() -> Result<DocumentPtr> {
-    BOOST_LEAF_AUTO(Text, readFile(Path));
-    return parseDocument(Text);
-  });
-  if (!Read.Value) {
-    std::cerr << Read.Why.Detail << "\n";
-    return ExitInvalid;
-  }
-  std::cout << Path << ": version " << (*Read.Value)->Version.Value
-            << " is valid\n";
-  return ExitDone;
-}
-
 /** What the command line says. */
 struct CommandLine {
-  std::string SettingsPath;       ///< --settings.
-  bool PrintSettings = false;     ///< --help-settings.
-  bool PrintPage = false;         ///< --settings-page.
-  bool PrintVersion = false;      ///< --version.
-  std::vector<std::string> Words; ///< Command and its arguments.
+  std::string SettingsPath;   ///< --settings.
+  std::string Against;        ///< --against.
+  AdminTarget Target;         ///< --admin, --token-file, --json.
+  bool PrintSettings = false; ///< --help-settings.
+  bool PrintPage = false;     ///< --settings-page.
+  bool PrintVersion = false;  ///< --version.
 };
 
-int run(const CommandLine &Line) {
+std::vector<CommandOption> optionsOf(CommandLine &Line) {
+  return {
+      {"settings", 's', &Line.SettingsPath, "FILE", "Settings file (serve)"},
+      {"admin", 'a', &Line.Target.Admin, "IP:port",
+       "Administration API to ask (status, domains, config)"},
+      {"against", 0, &Line.Against, "IP:port",
+       "Administration API whose configuration to compare with (check)"},
+      {"token-file", 0, &Line.Target.TokenFile, "FILE",
+       "File with the team's token; else JACINTHPOND_TOKEN holds it"},
+      {"json", 0, &Line.Target.AsJson, nullptr, "Print the answer as JSON"},
+      {"help-settings", 0, &Line.PrintSettings, nullptr,
+       "Describe all settings"},
+      {"settings-page", 0, &Line.PrintPage, nullptr, "Print docs/SETTINGS.md"},
+      {"version", 0, &Line.PrintVersion, nullptr, "Print the version"}};
+}
+
+int usageFault(const std::string &What) {
+  std::cerr << "jacinthpond: " << What << "; see --help\n";
+  return ExitUsage;
+}
+
+int check(CommandLine &Line, const std::string &Path) {
+  if (Line.Against.empty())
+    return checkFile(Path);
+  Line.Target.Admin = Line.Against;
+  return checkAgainst(Path, Line.Target);
+}
+
+int run(CommandLine &Line, const std::vector<std::string> &Words) {
   if (Line.PrintVersion)
     std::cout << Version << "\n";
   if (Line.PrintSettings)
@@ -76,48 +89,26 @@
     std::cout << settingsPage();
   if (Line.PrintVersion || Line.PrintSettings || Line.PrintPage)
     return ExitDone;
-  if (Line.Words.size() == 1 && Line.Words[0] == "serve")
-    return serve(Line.SettingsPath);
-  if (Line.Words.size() == 2 && Line.Words[0] == "check")
-    return check(Line.Words[1]);
-  std::cerr << "jacinthpond: unknown command; see --help\n";
-  return ExitUsage;
+  if (Words.empty())
+    return usageFault("no command");
+  const std::string &Command = Words.front();
+  if (Command == "check")
+    return Words.size() == 2 ? check(Line, Words[1])
+                             : usageFault("check: needs one FILE");
+  if (Command != "serve" && !asksEntry(Command))
+    return usageFault(Command + ": unknown command");
+  if (Words.size() > 1)
+    return usageFault(Words[1] + ": unexpected");
+  return Command == "serve" ? serve(Line.SettingsPath)
+                            : askEntry(Command, Line.Target);
 }
 
 int parseAndRun(int Count, const char **Arguments) {
-  char *SettingsPath = nullptr;
-  int PrintSettings = 0;
-  int PrintPage = 0;
-  int PrintVersion = 0;
-  const std::vector<poptOption> Options = {
-      {"settings", 's', POPT_ARG_STRING, &SettingsPath, 0,
-       "Settings file (serve)", "FILE"},
-      {"help-settings", 0, POPT_ARG_NONE, &PrintSettings, 0,
-       "Describe all settings", nullptr},
-      {"settings-page", 0, POPT_ARG_NONE, &PrintPage, 0,
-       "Print docs/SETTINGS.md", nullptr},
-      {"version", 0, POPT_ARG_NONE, &PrintVersion, 0, "Print the version",
-       nullptr},
-      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
-  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
-      poptGetContext("jacinthpond", Count, Arguments, Options.data(), 0),
-      poptFreeContext);
-  poptSetOtherOptionHelp(Context.get(), "[OPTIONS] serve | check FILE");
-  const int rc = poptGetNextOpt(Context.get());
-  if (rc < -1) {
-    std::cerr << "jacinthpond: " << poptBadOption(Context.get(), 0) << ": "
-              << poptStrerror(rc) << "\n";
-    return ExitUsage;
-  }
   CommandLine Line;
-  Line.SettingsPath = SettingsPath == nullptr ? "" : SettingsPath;
-  free(SettingsPath); // NOLINT: popt allocates by malloc.
-  Line.PrintSettings = PrintSettings != 0;
-  Line.PrintPage = PrintPage != 0;
-  Line.PrintVersion = PrintVersion != 0;
-  while (const char *Word = poptGetArg(Context.get()))
-    Line.Words.emplace_back(Word);
-  return run(Line);
+  const auto Words = readCommandLine(
+      "jacinthpond", "[OPTIONS] serve | check FILE | status | domains | config",
+      optionsOf(Line), Count, Arguments);
+  return Words ? run(Line, *Words) : ExitUsage;
 }
 
 } // namespace
