--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -74,6 +74,7 @@
     Loop.run(TickPeriod, [this](TimePoint Now) {
       Effects Out;
       entryTick(State, Now, Out);
+      showDocument();
       perform(std::move(Out));
     });
   });
@@ -85,10 +86,22 @@
   Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
     Effects Out;
     Kept(Now, Out);
+    showDocument();
     perform(std::move(Out));
   });
 }
 
+void EntryShell::showDocument() {
+  const std::lock_guard Lock(ShownGuard);
+  if (Shown != State.View.InForce)
+    Shown = State.View.InForce;
+}
+
+DocumentPtr EntryShell::document() {
+  const std::lock_guard Lock(ShownGuard);
+  return Shown;
+}
+
 void EntryShell::perform(Effects Todo) {
   for (Effect &One : Todo)
     std::visit(
