--- a/packages/adapters/websocket/peer_links.h
+++ b/packages/adapters/websocket/peer_links.h
@@ -47,6 +47,13 @@
   void send(LinkId Link, const Message &m) override {
     Node.send(Link.Value, encodeMessage(m));
   }
+
+  /**
+   * Gives how much of what was sent the network has not taken yet.
+   * @param Link Which link.
+   * @return Bytes; 0 for a link that is gone.
+   */
+  uint64_t backlog(LinkId Link) { return Node.backlog(Link.Value); }
   void close(LinkId Link) override { Node.close(Link.Value); }
 
 private:
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -5,6 +5,7 @@
 #include "log/log.h"
 #include "overloaded.h"
 #include "threads/process.h"
+#include "transfer_func.h"
 
 #include <httplib.h>
 
@@ -42,6 +43,10 @@
                });
              },
              [this](LinkId Link, Message m) {
+               if (auto *Data = std::get_if<ChunkData>(&m)) {
+                 takeChunk(Link, std::move(*Data));
+                 return;
+               }
                post([this, Link, Kept = std::move(m)](TimePoint Now,
                                                       Effects &Out) {
                  agentMessage(State, Link, Kept, Now, Out);
@@ -75,6 +80,9 @@
   Control = std::thread([this] {
     Loop.run(TickPeriod, [this](TimePoint Now) {
       Effects Out;
+      for (const auto &[Link, Peer] : State.Transfer.Peers)
+        if (Peer.BacklogBytes > 0)
+          linkBacklog(State, Link, Links.backlog(Link));
       agentTick(State, Now, Out);
       perform(std::move(Out));
     });
@@ -169,8 +177,19 @@
     if (Read.Value)
       Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
   }
-  post([this, Chunk, Bytes](TimePoint Now, Effects &Out) {
-    originAnswered(State, Chunk, Bytes, Now, Out);
+  post([this, Chunk, Came = checkChunk(Bytes)](TimePoint Now, Effects &Out) {
+    originAnswered(State, Chunk, Came, Now, Out);
+  });
+}
+
+void AgentShell::takeChunk(LinkId Link, ChunkData Data) {
+  ChunkBytes Bytes;
+  if (!Data.Bytes.empty())
+    Bytes = std::make_shared<const std::string>(std::move(Data.Bytes));
+  // Digested here, on the network thread, to keep the control thread free.
+  post([this, Link, Chunk = std::move(Data.Chunk),
+        Came = checkChunk(std::move(Bytes))](TimePoint Now, Effects &Out) {
+    peerSentChunk(State, Link, Chunk, Came, Now, Out);
   });
 }
 
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -70,6 +70,7 @@
   void runModel(const EngineRequest &Request);
   void runService(const ServiceCall &Call);
   void fetchChunk(const Digest &Chunk);
+  void takeChunk(LinkId Link, ChunkData Data);
   void loadWeights(const LoadWeights &Load);
   void watchBackEnd();
   bool cancelled(const AttemptId &Which);
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -10,6 +10,9 @@
 #include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "rollout_func.h"
+#include "transfer_func.h"
+#include "upload_func.h"
 #include "weights_func.h"
 
 #include <algorithm>
@@ -40,8 +43,7 @@
   Load.Waiting = static_cast<uint32_t>(Agent.Gate.Waiting.size());
   Load.Limit = Agent.Gate.Limit;
   Load.Weights = Agent.Weights.Loaded;
-  Load.ChunksHeld = static_cast<uint32_t>(Agent.Weights.Held.size());
-  Load.ChunksWanted = static_cast<uint32_t>(Agent.Weights.Wanted.Chunks.size());
+  describeTransfer(Agent.Transfer, Load);
 }
 
 /** Tells peers at once when the state of the back end changed. */
@@ -53,17 +55,6 @@
     sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
 }
 
-/** Keeps links to the agents of the same model. */
-void followPeers(AgentState &Agent, const Worker &Self, TimePoint Now,
-                 Effects &Out) {
-  std::vector<PeerAddress> Peers;
-  for (const Worker &Host : Agent.View.InForce->Workers)
-    if (Host.Model == Self.Model && Host.Name != Self.Name)
-      Peers.push_back({Host.Name, Host.Agent});
-  for (const LinkId Link : wantPeers(Agent.Fleet, Peers, Out))
-    agentLinkClosed(Agent, Link, Now, Out);
-}
-
 /** Takes what the document says of this host. */
 void followDocument(AgentState &Agent, TimePoint Now, Effects &Out) {
   const Document &Doc = *Agent.View.InForce;
@@ -71,64 +62,22 @@
   if (Self != nullptr && !Self->Model.Value.empty()) {
     if (const ModelVersion *Wanted = findModel(Doc, Self->Model))
       wantWeights(Agent.Weights, *Wanted);
-    followPeers(Agent, *Self, Now, Out);
+    planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
+    for (const LinkId Link : followPeers(Agent, Out))
+      agentLinkClosed(Agent, Link, Now, Out);
   }
   if (Doc.DomainsOut.contains(Agent.Fleet.Self.Domain))
     refuseWaiting(Agent, ErrorKind::DomainOut, Out);
-  fetchMissing(Agent.Weights, Now, Out);
-}
-
-/** Workers of this model that may be without a loaded set at a time. */
-size_t loadsAtATime(const AgentState &Agent, const Worker &Self) {
-  const Document &Doc = *Agent.View.InForce;
-  double Share = 0;
-  for (const WorkClass &Class : Doc.Classes)
-    if (servesClass(Self, Class))
-      Share = std::max(Share, Class.ServingShare);
-  const auto All = std::ranges::count_if(Doc.Workers, [&](const Worker &Host) {
-    return Host.Model == Self.Model;
-  });
-  const double Free = (1.0 - Share) * static_cast<double>(All);
-  return std::max(size_t{1}, static_cast<size_t>(Free));
-}
-
-/**
- * Says whether it is this worker's turn to load. Workers load in the order of
- * the document, a bounded number at a time; one that does not answer does not
- * hold up the others.
- */
-bool isTurnToLoad(const AgentState &Agent) {
-  const Document &Doc = *Agent.View.InForce;
-  const Worker *Self = findWorker(Doc, Agent.Fleet.Self.Name);
-  if (Self == nullptr || !mayServe(Agent.Weights))
-    return true;
-  size_t Before = 0;
-  for (const Worker &Host : Doc.Workers) {
-    if (&Host == Self)
-      break;
-    const PeerLink *Link = readyLink(Agent.Fleet, Host.Name);
-    if (Host.Model == Self->Model && Link != nullptr &&
-        Link->Load.Weights != Agent.Weights.Wanted.Set)
-      ++Before;
-  }
-  return Before < loadsAtATime(Agent, *Self);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
 }
 
-/** Orders the wanted weights once they are whole, in turn and idle. */
-void loadInTurn(AgentState &Agent, Effects &Out) {
-  WeightsState &Weights = Agent.Weights;
-  const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
-                      !Weights.Loading && Agent.BackEndUp;
-  if (!Needed || !wholeSetHeld(Weights))
+/** Lets an agent that said hello take part in the exchange of chunks. */
+void notePartner(AgentState &Agent, LinkId Link) {
+  const auto it = Agent.Fleet.Links.find(Link);
+  if (it == Agent.Fleet.Links.end() || it->second.Peer.Sender != Role::Agent)
     return;
-  if (!Weights.Draining && !isTurnToLoad(Agent))
-    return;
-  if (!Weights.Draining) {
-    Weights.Draining = true;
-    refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
-  }
-  if (Agent.Gate.Running == 0)
-    orderLoad(Weights, versionInForce(Agent.View), Out);
+  chunkPeerReady(Agent.Transfer, Link,
+                 it->second.Peer.Domain == Agent.Fleet.Self.Domain);
 }
 
 } // namespace
@@ -150,6 +99,7 @@
                        static_cast<uint32_t>(Config.ColdLimit),
                        static_cast<uint32_t>(Config.QueueLimit)};
   turnCold(Agent.Gate);
+  Agent.Transfer = makeTransfer(Config);
   return Agent;
 }
 
@@ -161,6 +111,7 @@
 void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now,
                      Effects &Out) {
   linkClosed(Agent.Fleet, Link, Now);
+  chunkPeerGone(Agent.Transfer, Link);
   std::vector<AttemptId> Lost;
   for (const auto &[Id, One] : Agent.Attempts)
     if (One.Link == Link)
@@ -179,6 +130,8 @@
     followDocument(Agent, Now, Out);
     announceChange(Agent, Now, Out);
   }
+  if (std::holds_alternative<Hello>(m))
+    notePartner(Agent, Link);
   if (News != FleetNews::NotMine)
     return;
   std::visit(Overloaded{[&](const AttemptStart &Start) {
@@ -187,6 +140,15 @@
                         [&](const AttemptCancel &Cancel) {
                           cancelAttempt(Agent, Cancel.Attempt, Now, Out);
                         },
+                        [&](const ChunkHave &Have) {
+                          chunkHaveHeard(Agent.Transfer, Link, Have, Now);
+                          moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+                        },
+                        [&](const ChunkRequest &Asked) {
+                          chunkRequested(Agent.Transfer, Agent.Weights, Link,
+                                         Asked.Chunk, Out);
+                          serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
+                        },
                         [](const auto &) {
                           // Meant for entries; an agent that gets one has
                           // nothing to do.
@@ -238,7 +200,7 @@
     failAttempt(Agent, Which, Why, NeverSent ? Ran::No : Ran::Unknown, Out);
   }
   runWaiting(Agent, Now, Out);
-  loadInTurn(Agent, Out);
+  loadInTurn(Agent, Now, Out);
   refreshLoad(Agent);
 }
 
@@ -303,7 +265,7 @@
     turnCold(Agent.Gate);
     refuseWaiting(Agent, ErrorKind::ColdStart, Out);
   }
-  loadInTurn(Agent, Out);
+  loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
 }
 
@@ -317,14 +279,30 @@
   announceChange(Agent, Now, Out);
 }
 
-void originAnswered(AgentState &Agent, const Digest &Chunk, ChunkBytes Bytes,
-                    TimePoint Now, Effects &Out) {
-  chunkArrived(Agent.Weights, Chunk, std::move(Bytes), Now);
-  fetchMissing(Agent.Weights, Now, Out);
-  loadInTurn(Agent, Out);
+void originAnswered(AgentState &Agent, const Digest &Chunk,
+                    const CheckedChunk &Came, TimePoint Now, Effects &Out) {
+  chunkFromOrigin(Agent.Transfer, Agent.Weights, Chunk, Came, Now);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
   refreshLoad(Agent);
 }
 
+void peerSentChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
+                   const CheckedChunk &Came, TimePoint Now, Effects &Out) {
+  if (!linkHeard(Agent.Fleet, Link, Now))
+    return;
+  chunkFromPeer(Agent.Transfer, Agent.Weights, Link, Chunk, Came, Now);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
+  refreshLoad(Agent);
+}
+
+void linkBacklog(AgentState &Agent, LinkId Link, uint64_t Bytes) {
+  const auto it = Agent.Transfer.Peers.find(Link);
+  if (it != Agent.Transfer.Peers.end())
+    it->second.BacklogBytes = Bytes;
+}
+
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
                Effects &Out) {
   ++Agent.Weights.OrdersEnded;
@@ -340,8 +318,8 @@
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
-  fetchMissing(Agent.Weights, Now, Out);
-  loadInTurn(Agent, Out);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
 }
 
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -116,12 +116,32 @@
  * A chunk arrived from the origin, or failed.
  * @param Agent State to change.
  * @param Chunk Which chunk was asked for.
- * @param Bytes Its content, or null.
+ * @param Came What came.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void originAnswered(AgentState &Agent, const Digest &Chunk, ChunkBytes Bytes,
-                    TimePoint Now, Effects &Out);
+void originAnswered(AgentState &Agent, const Digest &Chunk,
+                    const CheckedChunk &Came, TimePoint Now, Effects &Out);
+
+/**
+ * A peer answered a request for a chunk.
+ * @param Agent State to change.
+ * @param Link Over which link.
+ * @param Chunk Which chunk was asked for.
+ * @param Came What came.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void peerSentChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
+                   const CheckedChunk &Came, TimePoint Now, Effects &Out);
+
+/**
+ * Tells how much of what was sent over a link the network has not taken yet.
+ * @param Agent State to change.
+ * @param Link Which link.
+ * @param Bytes How much.
+ */
+void linkBacklog(AgentState &Agent, LinkId Link, uint64_t Bytes);
 
 /**
  * A load order ended; the engine's state is read next.
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/agent_type.h
@@ -7,7 +7,9 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
+#include "rollout_type.h"
 #include "settings_type.h"
+#include "transfer_type.h"
 #include "weights_type.h"
 
 #include <map>
@@ -58,6 +60,8 @@
   Membership Fleet;                      ///< Links to entries and agents.
   Admission Gate;                        ///< Running and waiting work.
   WeightsState Weights;                  ///< Weights of the engine.
+  TransferState Transfer;                ///< Exchange of chunks.
+  RolloutState Rollout;                  ///< Waiting for the turn to load.
   bool BackEndUp = false;                ///< The back end answers.
   std::string ServiceRun;                ///< Incarnation of the plain service.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -29,6 +29,10 @@
   v("weights", m.Weights);
   v("held", m.ChunksHeld);
   v("wanted", m.ChunksWanted);
+  v("rate", m.BytesPerSecond);
+  v("from_origin", m.BytesFromOrigin);
+  v("from_peers", m.BytesFromPeers);
+  v("across", m.BytesAcross);
 }
 
 template <typename V> void describe(V &v, Heartbeat &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -49,8 +49,12 @@
   uint32_t Waiting = 0;                   ///< Requests in the agent's queue.
   uint32_t Limit = 0;                     ///< Running work allowed now.
   Digest Weights;                         ///< Digest of the loaded weights.
-  uint32_t ChunksHeld = 0;   ///< Chunks of the wanted set that are here.
-  uint32_t ChunksWanted = 0; ///< Chunks of the wanted set.
+  uint32_t ChunksHeld = 0;      ///< Chunks of the wanted set that are here.
+  uint32_t ChunksWanted = 0;    ///< Chunks of the wanted set.
+  uint64_t BytesPerSecond = 0;  ///< Rate at which chunks arrive lately.
+  uint64_t BytesFromOrigin = 0; ///< Good chunks drawn from the origin.
+  uint64_t BytesFromPeers = 0;  ///< Good chunks from agents of the domain.
+  uint64_t BytesAcross = 0;     ///< Good chunks from other domains.
 };
 
 /** Sent both ways on each link at a fixed period. */
--- /dev/null
+++ b/packages/core/src/rate_limit_func.h
@@ -0,0 +1,28 @@
+/** @file rate_limit_func.h A token bucket. */
+
+#ifndef JACINTHPOND_CORE_RATE_LIMIT_FUNC_H
+#define JACINTHPOND_CORE_RATE_LIMIT_FUNC_H
+
+#include "rate_limit_type.h"
+
+namespace jacinthpond {
+
+/**
+ * Says whether something may be sent now. The limit lets a whole unit go as
+ * soon as there is no debt, so that units larger than the burst pass too.
+ * @param Limit State to change: tokens are added for the time that passed.
+ * @param Now Current time.
+ * @return True when there is no debt.
+ */
+bool rateAllows(RateLimit &Limit, TimePoint Now);
+
+/**
+ * Counts bytes that were sent.
+ * @param Limit State to change.
+ * @param Bytes How many.
+ */
+void rateSpend(RateLimit &Limit, uint64_t Bytes);
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/core/src/rate_limit_type.h
@@ -0,0 +1,21 @@
+/** @file rate_limit_type.h A token bucket. */
+
+#ifndef JACINTHPOND_CORE_RATE_LIMIT_TYPE_H
+#define JACINTHPOND_CORE_RATE_LIMIT_TYPE_H
+
+#include "time_type.h"
+
+#include <cstdint>
+
+namespace jacinthpond {
+
+/** Limits a flow of bytes to a mean rate. */
+struct RateLimit {
+  uint64_t BytesPerSecond = 0; ///< Mean rate; 0: unlimited.
+  double Tokens = 0;           ///< Bytes that may go now; below 0: a debt.
+  TimePoint Filled;            ///< When Tokens was brought up to date.
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/core/src/rollout.cpp
@@ -0,0 +1,138 @@
+/** @file rollout.cpp In which order the workers of a model load. */
+
+#include "rollout_func.h"
+
+#include "attempt_func.h"
+#include "chunk_plan_func.h"
+#include "config_view_func.h"
+#include "document_func.h"
+#include "membership_func.h"
+#include "weights_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Workers before this one that it keeps links to. */
+constexpr size_t MaxPredecessors = 2;
+/** Wait for one that answers and makes no progress. */
+constexpr Millis StuckLimit{10000};
+/** Wait for one that does not answer, beyond the silence of its link. */
+constexpr Millis AbsentLimit{1000};
+
+/** Workers of this model that may be without a loaded set at a time. */
+size_t loadsAtATime(const AgentState &Agent) {
+  const Document &Doc = *Agent.View.InForce;
+  const Worker *Self = findWorker(Doc, Agent.Fleet.Self.Name);
+  double Share = 0;
+  for (const WorkClass &Class : Doc.Classes)
+    if (Self != nullptr && servesClass(*Self, Class))
+      Share = std::max(Share, Class.ServingShare);
+  const auto All = static_cast<double>(Agent.Transfer.Plan.Hosts.size());
+  return std::max(size_t{1}, static_cast<size_t>((1.0 - Share) * All));
+}
+
+/** Finds a ready link to a peer, whoever opened it. */
+const PeerLink *linkTo(const Membership &Fleet, const HostName &Name) {
+  const auto it = std::ranges::find_if(Fleet.Links, [&](const auto &Row) {
+    return Row.second.State == LinkState::Ready && Row.second.Peer.Name == Name;
+  });
+  return it == Fleet.Links.end() ? nullptr : &it->second;
+}
+
+bool servesWanted(const AgentState &Agent, const PeerLink *Link) {
+  return Link != nullptr && Link->Load.Weights == Agent.Weights.Wanted.Set &&
+         (Link->Load.State == WorkerState::Warming ||
+          Link->Load.State == WorkerState::Serving);
+}
+
+/** Notes what is seen of a worker; gives how long that has not changed. */
+Duration unchangedFor(AgentState &Agent, const HostName &Name,
+                      const PeerLink *Link, TimePoint Now) {
+  PredecessorView View;
+  View.Since = Now;
+  View.Answered = Link != nullptr;
+  if (Link != nullptr) {
+    View.State = Link->Load.State;
+    View.ChunksHeld = Link->Load.ChunksHeld;
+  }
+  const auto [it, New] = Agent.Rollout.Seen.try_emplace(Name, View);
+  PredecessorView &Old = it->second;
+  const bool Same = Old.Answered == View.Answered && Old.State == View.State &&
+                    Old.ChunksHeld == View.ChunksHeld;
+  if (!New && !Same)
+    Old = View;
+  return Now - Old.Since;
+}
+
+/**
+ * Says whether it is this worker's turn. A dead or cut off worker never
+ * answers, one whose engine is broken never serves: both would hold up their
+ * chain for ever, so after a limit the worker before them is looked at.
+ */
+bool isTurnToLoad(AgentState &Agent, TimePoint Now) {
+  const Duration Absent =
+      Agent.Fleet.Times.Silence + Agent.Fleet.Times.Reconnect + AbsentLimit;
+  for (const size_t n : predecessors(Agent)) {
+    const HostName &Name = Agent.Transfer.Plan.Hosts[n].Name;
+    const PeerLink *Link = linkTo(Agent.Fleet, Name);
+    if (servesWanted(Agent, Link))
+      return true;
+    const Duration Unchanged = unchangedFor(Agent, Name, Link, Now);
+    const bool Leaving =
+        Link != nullptr && Link->Load.State == WorkerState::Leaving;
+    if (!Leaving && Unchanged < (Link == nullptr ? Absent : StuckLimit))
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+std::vector<size_t> predecessors(const AgentState &Agent) {
+  std::vector<size_t> Found;
+  const ChunkPlan &Plan = Agent.Transfer.Plan;
+  if (!planned(Plan))
+    return Found;
+  const size_t Step = loadsAtATime(Agent);
+  for (size_t n = Plan.Self; n >= Step && Found.size() < MaxPredecessors;) {
+    n -= Step;
+    Found.push_back(n);
+  }
+  return Found;
+}
+
+std::vector<LinkId> followPeers(AgentState &Agent, Effects &Out) {
+  std::vector<PeerAddress> Peers = chunkPeers(Agent.Transfer.Plan);
+  for (const size_t n : predecessors(Agent)) {
+    const PlanHost &Host = Agent.Transfer.Plan.Hosts[n];
+    if (std::ranges::find(Peers, Host.Name, &PeerAddress::Name) == Peers.end())
+      Peers.push_back({Host.Name, Host.At});
+  }
+  return wantPeers(Agent.Fleet, Peers, Out);
+}
+
+void loadInTurn(AgentState &Agent, TimePoint Now, Effects &Out) {
+  WeightsState &Weights = Agent.Weights;
+  if (Weights.Loaded == Weights.Wanted.Set)
+    dropFormerChunks(Weights);
+  const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
+                      !Weights.Loading && Agent.BackEndUp;
+  if (!Needed || !wholeSetHeld(Weights))
+    return;
+  if (Agent.Rollout.Set != Weights.Wanted.Set)
+    Agent.Rollout = {Weights.Wanted.Set, {}};
+  // One that serves nothing takes nothing away by loading at once.
+  if (mayServe(Weights) && !isTurnToLoad(Agent, Now))
+    return;
+  if (!Weights.Draining) {
+    Weights.Draining = true;
+    refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
+  }
+  if (Agent.Gate.Running == 0)
+    orderLoad(Weights, versionInForce(Agent.View), Out);
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/rollout_type.h
@@ -0,0 +1,29 @@
+/** @file rollout_type.h In which order the workers of a model load. */
+
+#ifndef JACINTHPOND_CORE_ROLLOUT_TYPE_H
+#define JACINTHPOND_CORE_ROLLOUT_TYPE_H
+
+#include "message_type.h"
+#include "time_type.h"
+
+#include <map>
+
+namespace jacinthpond {
+
+/** What was last seen of a worker that loads before this one. */
+struct PredecessorView {
+  bool Answered = false;                  ///< A link to it was ready.
+  WorkerState State = WorkerState::Empty; ///< What it said.
+  uint32_t ChunksHeld = 0;                ///< What it said.
+  TimePoint Since;                        ///< When this last changed.
+};
+
+/** Waiting for the turn to load. */
+struct RolloutState {
+  Digest Set; ///< The set that the views below are about.
+  std::map<HostName, PredecessorView> Seen; ///< Workers before this one.
+};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -39,6 +39,9 @@
   int64_t ColdLimit = 0;
   int64_t QueueLimit = 0;
   int64_t UplinkBytesPerSecond = 0;
+  int64_t AcrossBytesPerSecond = 0;
+  bool WeightsFromPeers = true;
+  int64_t ChunkTakeoverMillis = 0;
   bool FencedEngine = false;
 };
 
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -93,6 +93,18 @@
     SettingSpec{"uplink_bytes_per_second", &Settings::UplinkBytesPerSecond,
                 SettingOwner::Agent, false, "bytes/s", 0, int64_t{1} << 40, "0",
                 "Rate at which weights are sent to peers; 0: unlimited."},
+    SettingSpec{"across_bytes_per_second", &Settings::AcrossBytesPerSecond,
+                SettingOwner::Agent, false, "bytes/s", 0, int64_t{1} << 40, "0",
+                "Rate at which weights are sent to agents of other domains; "
+                "0: unlimited."},
+    SettingSpec{"weights_from_peers", &Settings::WeightsFromPeers,
+                SettingOwner::Agent, false, "true or false", 0, 0, "true",
+                "Whether chunks of weights are exchanged with other agents; "
+                "false: all come from the origin."},
+    SettingSpec{"chunk_takeover_ms", &Settings::ChunkTakeoverMillis,
+                SettingOwner::Agent, false, "ms", 10, MaxSettingMillis, "1500",
+                "Lack of progress after which the next rank draws a chunk "
+                "from the origin or from another domain."},
     SettingSpec{"fenced_engine", &Settings::FencedEngine, SettingOwner::Agent,
                 false, "true or false", 0, 0, "false",
                 "Whether the engine refuses orders with an old fencing "
--- /dev/null
+++ b/packages/core/src/transfer.cpp
@@ -0,0 +1,408 @@
+/** @file transfer.cpp Exchange of chunks with peers and the origin. */
+
+#include "transfer_func.h"
+
+#include "chunk_plan_func.h"
+#include "hash_func.h"
+#include "rate_limit_func.h"
+#include "upload_func.h"
+#include "weights_func.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Chunks asked of one peer at a time. */
+constexpr size_t MaxAskedOfPeer = 2;
+/** Chunks asked of all peers at a time. */
+constexpr size_t MaxAsked = 12;
+/** Chunks asked of the origin at a time. */
+constexpr size_t MaxDrawing = 2;
+/** Wait before a chunk that the origin failed to give is asked for again. */
+constexpr Millis OriginRetry{200};
+/** How long a peer is left alone after a bad chunk or a stall. */
+constexpr Millis AvoidTime{3000};
+/** Silence of a peer with requests open after which it counts as stalled. */
+constexpr Millis StallLimit{4000};
+/** Time for links to come about after the start. */
+constexpr Millis SettleTime{400};
+/** Time over which the rate of arrival is measured. */
+constexpr Millis RateWindow{1000};
+/** Shortest time between two announcements. */
+constexpr Millis TellPeriod{50};
+
+bool holds(const ChunkPeer &Peer, const Digest &Set, size_t n) {
+  return Peer.Told.Set == Set && n / 8 < Peer.Told.Held.size() &&
+         ((Peer.Told.Held[n / 8] >> (n % 8)) & 1U) != 0;
+}
+
+void noteSeen(TransferState &Transfer, ChunkProgress &Chunk, TimePoint Now) {
+  if (Chunk.Seen)
+    return;
+  Chunk.Seen = true;
+  Chunk.SeenSince = Now;
+  Transfer.LastNews = Now;
+}
+
+/** Adds or takes away what a peer said it holds. */
+void countHolder(TransferState &Transfer, const ChunkPeer &Peer, bool Add,
+                 TimePoint Now) {
+  for (size_t n = 0; n < Transfer.Chunks.size(); ++n) {
+    if (!holds(Peer, Transfer.Set, n))
+      continue;
+    ChunkProgress &Chunk = Transfer.Chunks[n];
+    uint32_t &Count =
+        Peer.SameDomain ? Chunk.HoldersHere : Chunk.HoldersOutside;
+    Count = Add ? Count + 1 : Count - 1;
+    if (Add)
+      noteSeen(Transfer, Chunk, Now);
+  }
+}
+
+/** Takes back what was asked of a peer, so that it is asked elsewhere. */
+void releaseAsked(TransferState &Transfer, ChunkPeer &Peer) {
+  for (const size_t n : Peer.Asked)
+    Transfer.Chunks[n].Asked = false;
+  Peer.Asked.clear();
+}
+
+void beginSet(TransferState &Transfer, const WeightsState &Weights,
+              TimePoint Now) {
+  Transfer.Set = Weights.Wanted.Set;
+  Transfer.Digests = Weights.Wanted.Chunks;
+  Transfer.Chunks.assign(Transfer.Digests.size(), {});
+  Transfer.IndexOf.clear();
+  Transfer.Missing.clear();
+  Transfer.LastNews = Now;
+  Transfer.HeldChanged = true;
+  for (size_t n = 0; n < Transfer.Digests.size(); ++n) {
+    const bool First = Transfer.IndexOf.emplace(Transfer.Digests[n], n).second;
+    if (First && !Weights.Held.contains(Transfer.Digests[n]))
+      Transfer.Missing.insert(n);
+  }
+  // Indices of the old set mean other chunks now; answers that are still on
+  // their way are told apart by their digest.
+  for (auto &[Link, Peer] : Transfer.Peers) {
+    Peer.Asked.clear();
+    Peer.ToldAll = false;
+    countHolder(Transfer, Peer, true, Now);
+  }
+}
+
+uint64_t nextRandom(TransferState &Transfer) {
+  Transfer.Random ^= Transfer.Random << 13U;
+  Transfer.Random ^= Transfer.Random >> 7U;
+  Transfer.Random ^= Transfer.Random << 17U;
+  return Transfer.Random;
+}
+
+/**
+ * Says whether a chunk may be fetched from another domain: once it is seen
+ * there and nobody near holds it, rank after rank.
+ */
+bool mayImport(const TransferState &Transfer, size_t n, TimePoint Now) {
+  const ChunkProgress &Chunk = Transfer.Chunks[n];
+  if (Chunk.HoldersHere > 0 || !planned(Transfer.Plan))
+    return false;
+  const auto Rank = static_cast<int64_t>(importRank(Transfer.Plan, n));
+  return Now - Chunk.SeenSince >= Transfer.Options.TakeOver * Rank;
+}
+
+/** Finds the least busy peer that can give a chunk. */
+ChunkPeer *pickSource(TransferState &Transfer, size_t n, TimePoint Now,
+                      LinkId &Link) {
+  const bool Import = mayImport(Transfer, n, Now);
+  ChunkPeer *Best = nullptr;
+  for (auto &[Id, Peer] : Transfer.Peers) {
+    if (Peer.Asked.size() >= MaxAskedOfPeer || Now < Peer.AvoidUntil ||
+        (!Peer.SameDomain && !Import) || !holds(Peer, Transfer.Set, n))
+      continue;
+    const bool Better = Best == nullptr ||
+                        Peer.Asked.size() < Best->Asked.size() ||
+                        (Peer.Asked.size() == Best->Asked.size() &&
+                         nextRandom(Transfer) % 2 == 0);
+    if (!Better)
+      continue;
+    Best = &Peer;
+    Link = Id;
+  }
+  return Best;
+}
+
+/** Missing chunks that some peer holds, rarest first, ties in any order. */
+std::vector<size_t> wantedFromPeers(TransferState &Transfer) {
+  std::vector<std::pair<uint64_t, size_t>> Keyed;
+  for (const size_t n : Transfer.Missing) {
+    const ChunkProgress &Chunk = Transfer.Chunks[n];
+    if (Chunk.Asked || Chunk.HoldersHere + Chunk.HoldersOutside == 0)
+      continue;
+    const uint64_t Tie = nextRandom(Transfer) & UINT32_MAX;
+    Keyed.emplace_back((uint64_t{Chunk.HoldersHere} << 32U) | Tie, n);
+  }
+  std::ranges::sort(Keyed);
+  std::vector<size_t> Order(Keyed.size());
+  std::ranges::transform(Keyed, Order.begin(),
+                         [](const auto &Row) { return Row.second; });
+  return Order;
+}
+
+void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
+  size_t Open = 0;
+  bool Room = false;
+  for (const auto &[Link, Peer] : Transfer.Peers) {
+    Open += Peer.Asked.size();
+    Room |= Peer.Asked.size() < MaxAskedOfPeer && Now >= Peer.AvoidUntil;
+  }
+  if (!Room || Open >= MaxAsked)
+    return;
+  for (const size_t n : wantedFromPeers(Transfer)) {
+    LinkId Link;
+    ChunkPeer *Peer = pickSource(Transfer, n, Now, Link);
+    if (Peer == nullptr)
+      continue;
+    if (Peer->Asked.empty())
+      Peer->LastData = Now;
+    Peer->Asked.insert(n);
+    Transfer.Chunks[n].Asked = true;
+    Out.push_back(SendMessage{Link, ChunkRequest{Transfer.Digests[n]}});
+    if (++Open >= MaxAsked)
+      return;
+  }
+}
+
+/** Says whether a chunk can still be had from a linked peer. */
+bool hasUsableHolder(const TransferState &Transfer, size_t n, TimePoint Now) {
+  return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
+    return Now >= Row.second.AvoidUntil && holds(Row.second, Transfer.Set, n);
+  });
+}
+
+/**
+ * Says whether this host draws a chunk from the origin. The first rank does
+ * so at once. It may be dead, or cut off from the origin: then no new chunk
+ * comes into view any more, and rank after rank takes over. As long as new
+ * chunks do come, the origin is at work and the chunk may be queued there.
+ */
+bool mayDraw(const TransferState &Transfer, size_t n, TimePoint Now) {
+  if (!Transfer.Options.FromPeers)
+    return true;
+  if (!planned(Transfer.Plan) || Now < Transfer.SettledAt)
+    return false;
+  const auto Rank = static_cast<int64_t>(drawRank(Transfer.Plan, n));
+  return Now - Transfer.LastNews >= Transfer.Options.TakeOver * Rank &&
+         !hasUsableHolder(Transfer, n, Now);
+}
+
+void askOrigin(TransferState &Transfer, TimePoint Now, Effects &Out) {
+  for (const size_t n : Transfer.Missing) {
+    if (Transfer.Drawing >= MaxDrawing)
+      return;
+    ChunkProgress &Chunk = Transfer.Chunks[n];
+    if (Chunk.Asked || Now < Chunk.RetryAt || !mayDraw(Transfer, n, Now))
+      continue;
+    Chunk.Asked = true;
+    ++Transfer.Drawing;
+    Out.push_back(FetchFromOrigin{Transfer.Digests[n]});
+  }
+}
+
+/**
+ * Leaves stalled peers alone. A peer that is frozen, or behind a link that
+ * went silent, keeps requests open without end; the heartbeat notices only
+ * some of these, and a peer may answer heartbeats while its uplink is stuck.
+ */
+void dropStalled(TransferState &Transfer, TimePoint Now) {
+  for (auto &[Link, Peer] : Transfer.Peers) {
+    if (Peer.Asked.empty() || Now - Peer.LastData < StallLimit)
+      continue;
+    ++Transfer.Counters.Stalls;
+    Peer.AvoidUntil = Now + AvoidTime;
+    releaseAsked(Transfer, Peer);
+  }
+}
+
+ChunkHave describeHeld(const TransferState &Transfer) {
+  ChunkHave Have;
+  Have.Set = Transfer.Set;
+  Have.Held.assign((Transfer.Digests.size() + 7) / 8, 0);
+  for (size_t n = 0; n < Transfer.Digests.size(); ++n)
+    if (!Transfer.Missing.contains(n))
+      Have.Held[n / 8] |= static_cast<uint8_t>(1U << (n % 8));
+  return Have;
+}
+
+void tellHeld(TransferState &Transfer, TimePoint Now, Effects &Out) {
+  const bool Due =
+      Transfer.HeldChanged && Now - Transfer.LastTold >= TellPeriod;
+  const bool NewPeer = std::ranges::any_of(
+      Transfer.Peers, [](const auto &Row) { return !Row.second.ToldAll; });
+  if (Transfer.Set.Value.empty() || (!Due && !NewPeer))
+    return;
+  const ChunkHave Have = describeHeld(Transfer);
+  for (auto &[Link, Peer] : Transfer.Peers) {
+    if (!Due && Peer.ToldAll)
+      continue;
+    Peer.ToldAll = true;
+    Out.push_back(SendMessage{Link, Have});
+  }
+  if (!Due)
+    return;
+  Transfer.HeldChanged = false;
+  Transfer.LastTold = Now;
+}
+
+/** Closes the window of the rate when it has lasted long enough. */
+void measureRate(TransferState &Transfer, TimePoint Now) {
+  const Duration Passed = Now - Transfer.RateSince;
+  if (Passed < RateWindow)
+    return;
+  Transfer.BytesPerSecond = Transfer.RateBytes * 1000 /
+                            static_cast<uint64_t>(toMillis(Passed).count());
+  Transfer.RateBytes = 0;
+  Transfer.RateSince = Now;
+}
+
+/** Takes a chunk that arrived; says whether it is now held. */
+bool takeChunk(TransferState &Transfer, WeightsState &Weights,
+               const Digest &Chunk, const CheckedChunk &Came, TimePoint Now) {
+  const auto it = Transfer.IndexOf.find(Chunk);
+  // The version may have changed while the chunk was on its way.
+  if (it == Transfer.IndexOf.end())
+    return true;
+  ChunkProgress &Progress = Transfer.Chunks[it->second];
+  Progress.Asked = false;
+  if (Came.Bytes == nullptr)
+    return false;
+  if (Came.Actual != Chunk) {
+    ++Transfer.Counters.BadChunks;
+    return false;
+  }
+  if (Transfer.Missing.erase(it->second) == 0) {
+    ++Transfer.Counters.Repeated;
+    return true;
+  }
+  Weights.Held[Chunk] = Came.Bytes;
+  Transfer.RateBytes += Came.Bytes->size();
+  Transfer.HeldChanged = true;
+  noteSeen(Transfer, Progress, Now);
+  return true;
+}
+
+} // namespace
+
+TransferState makeTransfer(const Settings &Config) {
+  TransferState Transfer;
+  Transfer.Options = {Config.WeightsFromPeers,
+                      Millis(Config.ChunkTakeoverMillis)};
+  Transfer.Uplink.BytesPerSecond =
+      static_cast<uint64_t>(Config.UplinkBytesPerSecond);
+  Transfer.Across.BytesPerSecond =
+      static_cast<uint64_t>(Config.AcrossBytesPerSecond);
+  Transfer.Random = rendezvousScore("transfer", Config.Name) | 1U;
+  return Transfer;
+}
+
+CheckedChunk checkChunk(ChunkBytes Bytes) {
+  CheckedChunk Checked;
+  if (Bytes != nullptr)
+    Checked.Actual = sha256(*Bytes);
+  Checked.Bytes = std::move(Bytes);
+  return Checked;
+}
+
+void planTransfer(TransferState &Transfer, const WeightsState &Weights,
+                  const Document &Doc, const HostName &Self, TimePoint Now) {
+  if (Transfer.Plan.Hosts.empty())
+    Transfer.SettledAt = Now + SettleTime;
+  Transfer.Plan = makeChunkPlan(Doc, Self);
+  if (Transfer.Set != Weights.Wanted.Set)
+    beginSet(Transfer, Weights, Now);
+}
+
+void chunkPeerReady(TransferState &Transfer, LinkId Link, bool SameDomain) {
+  ChunkPeer &Peer = Transfer.Peers[Link];
+  Peer.SameDomain = SameDomain;
+  Peer.ToldAll = false;
+}
+
+void chunkPeerGone(TransferState &Transfer, LinkId Link) {
+  const auto it = Transfer.Peers.find(Link);
+  if (it == Transfer.Peers.end())
+    return;
+  releaseAsked(Transfer, it->second);
+  countHolder(Transfer, it->second, false, {});
+  Transfer.Peers.erase(it);
+  std::erase_if(Transfer.Uploads,
+                [&](const Upload &One) { return One.Link == Link; });
+}
+
+void chunkHaveHeard(TransferState &Transfer, LinkId Link, const ChunkHave &Have,
+                    TimePoint Now) {
+  const auto it = Transfer.Peers.find(Link);
+  if (it == Transfer.Peers.end())
+    return;
+  countHolder(Transfer, it->second, false, Now);
+  it->second.Told = Have;
+  countHolder(Transfer, it->second, true, Now);
+}
+
+void chunkFromPeer(TransferState &Transfer, WeightsState &Weights, LinkId Link,
+                   const Digest &Chunk, const CheckedChunk &Came,
+                   TimePoint Now) {
+  const auto it = Transfer.Peers.find(Link);
+  if (it == Transfer.Peers.end())
+    return;
+  ChunkPeer &Peer = it->second;
+  Peer.LastData = Now;
+  if (const auto Index = Transfer.IndexOf.find(Chunk);
+      Index != Transfer.IndexOf.end())
+    Peer.Asked.erase(Index->second);
+  if (!takeChunk(Transfer, Weights, Chunk, Came, Now)) {
+    Peer.AvoidUntil = Now + AvoidTime;
+    releaseAsked(Transfer, Peer);
+    return;
+  }
+  const uint64_t Bytes = Came.Bytes == nullptr ? 0 : Came.Bytes->size();
+  (Peer.SameDomain ? Transfer.Counters.BytesFromPeers
+                   : Transfer.Counters.BytesAcross) += Bytes;
+}
+
+void chunkFromOrigin(TransferState &Transfer, WeightsState &Weights,
+                     const Digest &Chunk, const CheckedChunk &Came,
+                     TimePoint Now) {
+  if (Transfer.Drawing > 0)
+    --Transfer.Drawing;
+  if (takeChunk(Transfer, Weights, Chunk, Came, Now)) {
+    Transfer.Counters.BytesFromOrigin += Came.Bytes ? Came.Bytes->size() : 0;
+    return;
+  }
+  Transfer.Chunks[Transfer.IndexOf.at(Chunk)].RetryAt = Now + OriginRetry;
+}
+
+void moveChunks(TransferState &Transfer, const WeightsState &Weights,
+                TimePoint Now, Effects &Out) {
+  measureRate(Transfer, Now);
+  tellHeld(Transfer, Now, Out);
+  serveUploads(Transfer, Weights, Now, Out);
+  if (Transfer.Missing.empty() || Weights.Loaded == Weights.Wanted.Set)
+    return;
+  dropStalled(Transfer, Now);
+  if (Transfer.Options.FromPeers)
+    askPeers(Transfer, Now, Out);
+  askOrigin(Transfer, Now, Out);
+}
+
+void describeTransfer(const TransferState &Transfer, WorkerLoad &Load) {
+  Load.ChunksWanted = static_cast<uint32_t>(Transfer.Chunks.size());
+  Load.ChunksHeld =
+      static_cast<uint32_t>(Transfer.Chunks.size() - Transfer.Missing.size());
+  Load.BytesPerSecond = Transfer.BytesPerSecond;
+  Load.BytesFromOrigin = Transfer.Counters.BytesFromOrigin;
+  Load.BytesFromPeers = Transfer.Counters.BytesFromPeers;
+  Load.BytesAcross = Transfer.Counters.BytesAcross;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/transfer_func.h
@@ -0,0 +1,109 @@
+/** @file transfer_func.h Exchange of chunks with peers and the origin. */
+
+#ifndef JACINTHPOND_CORE_TRANSFER_FUNC_H
+#define JACINTHPOND_CORE_TRANSFER_FUNC_H
+
+#include "document_type.h"
+#include "settings_type.h"
+#include "transfer_type.h"
+#include "weights_type.h"
+
+namespace jacinthpond {
+
+/**
+ * Sets up the exchange.
+ * @param Config Settings of the process.
+ * @return The state.
+ */
+TransferState makeTransfer(const Settings &Config);
+
+/**
+ * Digests a chunk. Costs time in proportion to its size, so it is called
+ * where the chunk arrives and not on the control thread.
+ * @param Bytes Content, or null.
+ * @return The content with its digest.
+ */
+CheckedChunk checkChunk(ChunkBytes Bytes);
+
+/**
+ * Follows the published workers and the wanted set.
+ * @param Transfer State to change.
+ * @param Weights Wanted set and held chunks.
+ * @param Doc The document in force.
+ * @param Self Name of this host.
+ * @param Now Current time.
+ */
+void planTransfer(TransferState &Transfer, const WeightsState &Weights,
+                  const Document &Doc, const HostName &Self, TimePoint Now);
+
+/**
+ * An agent said hello.
+ * @param Transfer State to change.
+ * @param Link Over which link.
+ * @param SameDomain Whether it is in this host's domain.
+ */
+void chunkPeerReady(TransferState &Transfer, LinkId Link, bool SameDomain);
+
+/**
+ * A link is gone; what was asked over it is asked elsewhere.
+ * @param Transfer State to change.
+ * @param Link Which link.
+ */
+void chunkPeerGone(TransferState &Transfer, LinkId Link);
+
+/**
+ * A peer tells which chunks it holds.
+ * @param Transfer State to change.
+ * @param Link Over which link.
+ * @param Have What it said.
+ * @param Now Current time.
+ */
+void chunkHaveHeard(TransferState &Transfer, LinkId Link, const ChunkHave &Have,
+                    TimePoint Now);
+
+/**
+ * A peer's answer to a request arrived.
+ * @param Transfer State to change.
+ * @param Weights The chunk is added where it is good and wanted.
+ * @param Link Over which link.
+ * @param Chunk Which chunk was asked for.
+ * @param Came What came.
+ * @param Now Current time.
+ */
+void chunkFromPeer(TransferState &Transfer, WeightsState &Weights, LinkId Link,
+                   const Digest &Chunk, const CheckedChunk &Came,
+                   TimePoint Now);
+
+/**
+ * The origin's answer to a request arrived.
+ * @param Transfer State to change.
+ * @param Weights The chunk is added where it is good and wanted.
+ * @param Chunk Which chunk was asked for.
+ * @param Came What came.
+ * @param Now Current time.
+ */
+void chunkFromOrigin(TransferState &Transfer, WeightsState &Weights,
+                     const Digest &Chunk, const CheckedChunk &Came,
+                     TimePoint Now);
+
+/**
+ * Asks for missing chunks, tells peers what is held and sends what the rate
+ * allows. Called after each event and each tick.
+ * @param Transfer State to change.
+ * @param Weights Wanted set and held chunks.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void moveChunks(TransferState &Transfer, const WeightsState &Weights,
+                TimePoint Now, Effects &Out);
+
+/**
+ * Tells how far the exchange has come.
+ * @param Transfer The state.
+ * @param Load Its fields about chunks are set.
+ */
+void describeTransfer(const TransferState &Transfer, WorkerLoad &Load);
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/core/src/transfer_type.h
@@ -0,0 +1,98 @@
+/** @file transfer_type.h Exchange of chunks with peers and the origin. */
+
+#ifndef JACINTHPOND_CORE_TRANSFER_TYPE_H
+#define JACINTHPOND_CORE_TRANSFER_TYPE_H
+
+#include "chunk_plan_type.h"
+#include "effect_type.h"
+#include "message_type.h"
+#include "rate_limit_type.h"
+#include "time_type.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace jacinthpond {
+
+/** A chunk that arrived, with the digest of what really came. */
+struct CheckedChunk {
+  Digest Actual;    ///< Digest of Bytes; empty: nothing came.
+  ChunkBytes Bytes; ///< Content, or null.
+};
+
+/** What this host knows of one chunk of the wanted set. */
+struct ChunkProgress {
+  bool Asked = false;          ///< Asked of a peer or of the origin.
+  uint32_t HoldersHere = 0;    ///< Linked agents of this domain that hold it.
+  uint32_t HoldersOutside = 0; ///< Linked agents elsewhere that hold it.
+  bool Seen = false;           ///< Was held anywhere in view.
+  TimePoint SeenSince;         ///< When it was first seen.
+  TimePoint RetryAt;           ///< Earliest time of the next try at the origin.
+};
+
+/** One linked agent as a partner in the exchange. */
+struct ChunkPeer {
+  bool SameDomain = true;    ///< In this host's failure domain.
+  ChunkHave Told;            ///< What it said last that it holds.
+  std::set<size_t> Asked;    ///< Chunks asked of it, not come yet.
+  TimePoint LastData;        ///< Last chunk from it, or first request.
+  TimePoint AvoidUntil;      ///< Sent a bad chunk or stalled lately.
+  bool ToldAll = false;      ///< It knows what this host holds.
+  size_t QueuedUploads = 0;  ///< Its requests that wait here.
+  uint64_t BacklogBytes = 0; ///< Sent, and not taken by the network yet.
+};
+
+/** A request of a peer that waits for the uplink. */
+struct Upload {
+  LinkId Link;  ///< Who asked.
+  Digest Chunk; ///< For what.
+};
+
+/** From the settings. */
+struct TransferOptions {
+  bool FromPeers = true; ///< False: everything from the origin.
+  Millis TakeOver{1500}; ///< Wait of each further rank.
+};
+
+/** Counters of the exchange. */
+struct TransferCounters {
+  uint64_t BytesFromOrigin = 0; ///< Good chunks drawn from the origin.
+  uint64_t BytesFromPeers = 0;  ///< Good chunks from this domain.
+  uint64_t BytesAcross = 0;     ///< Good chunks from other domains.
+  uint64_t BytesSent = 0;       ///< Chunks sent to peers.
+  uint64_t BadChunks = 0;       ///< Chunks that failed their check.
+  uint64_t Repeated = 0;        ///< Chunks that were held already.
+  uint64_t Stalls = 0;          ///< Peers whose answers stayed out.
+};
+
+/** Exchange of the chunks of the wanted set. */
+struct TransferState {
+  TransferOptions Options;           ///< From the settings.
+  ChunkPlan Plan;                    ///< Who does what.
+  Digest Set;                        ///< The set that is exchanged.
+  std::vector<Digest> Digests;       ///< Its chunks by index.
+  std::map<Digest, size_t> IndexOf;  ///< Index of each chunk.
+  std::vector<ChunkProgress> Chunks; ///< By index.
+  std::set<size_t> Missing;          ///< Chunks that are not held.
+  std::map<LinkId, ChunkPeer> Peers; ///< Linked agents.
+  size_t Drawing = 0;                ///< Chunks asked of the origin.
+  std::deque<Upload> Uploads;        ///< Requests in order of arrival.
+  RateLimit Uplink;                  ///< All chunks sent.
+  RateLimit Across;                  ///< Chunks sent to other domains.
+  TimePoint SettledAt;               ///< Links may have come about by then.
+  TimePoint LastNews;                ///< A chunk was first seen.
+  TimePoint LastTold;                ///< Peers were told last.
+  bool HeldChanged = false;          ///< Something is to be told.
+  uint64_t Random = 1;               ///< Breaks ties; seeded by the name.
+  TimePoint RateSince;               ///< Start of the rate's window.
+  uint64_t RateBytes = 0;            ///< Bytes that came in the window.
+  uint64_t BytesPerSecond = 0;       ///< Rate in the last whole window.
+  TransferCounters Counters;         ///< What happened so far.
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/core/src/upload.cpp
@@ -0,0 +1,78 @@
+/** @file upload.cpp Sending chunks to peers within the rates. */
+
+#include "upload_func.h"
+
+#include "rate_limit_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Requests of one peer that wait here at most. */
+constexpr size_t MaxQueuedOfPeer = 8;
+/**
+ * Bytes of a link that the network has not taken yet, above which nothing
+ * more is sent to it: a slow receiver must not grow this host's memory.
+ */
+constexpr uint64_t MaxBacklogBytes = 4 << 20;
+
+/** Says whether a request can be answered now. */
+bool maySend(TransferState &Transfer, const Upload &One, TimePoint Now) {
+  const ChunkPeer &Peer = Transfer.Peers.at(One.Link);
+  if (Peer.BacklogBytes > MaxBacklogBytes)
+    return false;
+  return Peer.SameDomain || rateAllows(Transfer.Across, Now);
+}
+
+void sendChunk(TransferState &Transfer, const WeightsState &Weights,
+               const Upload &One, Effects &Out) {
+  ChunkPeer &Peer = Transfer.Peers.at(One.Link);
+  --Peer.QueuedUploads;
+  ChunkData Data;
+  Data.Chunk = One.Chunk;
+  if (const auto it = Weights.Held.find(One.Chunk); it != Weights.Held.end())
+    Data.Bytes = *it->second;
+  const size_t Bytes = Data.Bytes.size();
+  rateSpend(Transfer.Uplink, Bytes);
+  if (!Peer.SameDomain)
+    rateSpend(Transfer.Across, Bytes);
+  Peer.BacklogBytes += Bytes;
+  Transfer.Counters.BytesSent += Bytes;
+  Out.push_back(SendMessage{One.Link, std::move(Data)});
+}
+
+} // namespace
+
+void chunkRequested(TransferState &Transfer, const WeightsState &Weights,
+                    LinkId Link, const Digest &Chunk, Effects &Out) {
+  const auto it = Transfer.Peers.find(Link);
+  if (it == Transfer.Peers.end())
+    return;
+  // An empty answer tells the peer to ask elsewhere.
+  if (!Weights.Held.contains(Chunk) ||
+      it->second.QueuedUploads >= MaxQueuedOfPeer) {
+    Out.push_back(SendMessage{Link, ChunkData{Chunk, {}}});
+    return;
+  }
+  ++it->second.QueuedUploads;
+  Transfer.Uploads.push_back({Link, Chunk});
+}
+
+void serveUploads(TransferState &Transfer, const WeightsState &Weights,
+                  TimePoint Now, Effects &Out) {
+  while (rateAllows(Transfer.Uplink, Now)) {
+    const auto it =
+        std::ranges::find_if(Transfer.Uploads, [&](const Upload &One) {
+          return maySend(Transfer, One, Now);
+        });
+    if (it == Transfer.Uploads.end())
+      return;
+    const Upload One = *it;
+    Transfer.Uploads.erase(it);
+    sendChunk(Transfer, Weights, One, Out);
+  }
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/weights.cpp
+++ b/packages/core/src/weights.cpp
@@ -2,69 +2,43 @@
 
 #include "weights_func.h"
 
-#include "hash_func.h"
-
 #include <algorithm>
 
 namespace jacinthpond {
 
 namespace {
 
-/** Chunks asked for at a time. */
-constexpr size_t MaxFetching = 4;
-/** Wait before a chunk that failed is asked for again. */
-constexpr Millis FetchRetry{200};
 /** Bits of a fencing number below the configuration's version. */
 constexpr unsigned FenceBits = 24;
 
+/** Keeps the chunks of the wanted set and of the one before it. */
+void dropUnneeded(WeightsState &Weights) {
+  std::set<Digest> Needed(Weights.Wanted.Chunks.begin(),
+                          Weights.Wanted.Chunks.end());
+  Needed.insert(Weights.Before.begin(), Weights.Before.end());
+  std::erase_if(Weights.Held, [&](const auto &Chunk) {
+    return !Needed.contains(Chunk.first);
+  });
+}
+
 } // namespace
 
 void wantWeights(WeightsState &Weights, const ModelVersion &Wanted) {
   if (Weights.Wanted.Set == Wanted.Set)
     return;
+  Weights.Before = std::move(Weights.Wanted.Chunks);
   Weights.Wanted = Wanted;
+  // A worker that drained for a version that was taken back serves on.
+  Weights.Draining = false;
   Weights.Whole.insert(Wanted.Set);
-  const std::set<Digest> Needed(Wanted.Chunks.begin(), Wanted.Chunks.end());
-  std::erase_if(Weights.Held, [&](const auto &Chunk) {
-    return !Needed.contains(Chunk.first);
-  });
-  Weights.RetryAt.clear();
+  dropUnneeded(Weights);
 }
 
-void fetchMissing(WeightsState &Weights, TimePoint Now, Effects &Out) {
-  if (Weights.Loaded == Weights.Wanted.Set)
+void dropFormerChunks(WeightsState &Weights) {
+  if (Weights.Before.empty())
     return;
-  for (const Digest &Chunk : Weights.Wanted.Chunks) {
-    if (Weights.Fetching.size() >= MaxFetching)
-      return;
-    const auto Retry = Weights.RetryAt.find(Chunk);
-    const bool Waits = Retry != Weights.RetryAt.end() && Now < Retry->second;
-    if (Waits || Weights.Held.contains(Chunk) ||
-        Weights.Fetching.contains(Chunk))
-      continue;
-    Weights.Fetching.insert(Chunk);
-    Out.push_back(FetchFromOrigin{Chunk});
-  }
-}
-
-bool chunkArrived(WeightsState &Weights, const Digest &Chunk, ChunkBytes Bytes,
-                  TimePoint Now) {
-  Weights.Fetching.erase(Chunk);
-  // Corruption at a source or on the way shows here, before anything could
-  // pass the chunk on or load it.
-  const bool Good = Bytes && sha256(*Bytes) == Chunk;
-  if (Bytes && !Good)
-    ++Weights.BadChunks;
-  if (!Good) {
-    Weights.RetryAt[Chunk] = Now + FetchRetry;
-    return false;
-  }
-  // The version may have changed while the chunk was on its way.
-  if (std::ranges::find(Weights.Wanted.Chunks, Chunk) ==
-      Weights.Wanted.Chunks.end())
-    return false;
-  Weights.Held[Chunk] = std::move(Bytes);
-  return true;
+  Weights.Before.clear();
+  dropUnneeded(Weights);
 }
 
 bool wholeSetHeld(const WeightsState &Weights) {
--- a/packages/core/src/weights_func.h
+++ b/packages/core/src/weights_func.h
@@ -8,30 +8,19 @@
 namespace jacinthpond {
 
 /**
- * Follows the published version; chunks of equal digest are kept.
+ * Follows the published version. The chunks of the version wanted until now
+ * are kept beside its own until it is loaded, since it may be taken back; so
+ * the memory for chunks is bounded by two sets.
  * @param Weights State to change.
  * @param Wanted The published version.
  */
 void wantWeights(WeightsState &Weights, const ModelVersion &Wanted);
 
 /**
- * Asks for chunks that are missing.
+ * Forgets the chunks of the set wanted before, once the wanted one is loaded.
  * @param Weights State to change.
- * @param Now Current time.
- * @param Out Effects are appended.
- */
-void fetchMissing(WeightsState &Weights, TimePoint Now, Effects &Out);
-
-/**
- * A chunk arrived. It is checked here and nowhere else.
- * @param Weights State to change.
- * @param Chunk Which chunk was asked for.
- * @param Bytes Its content, or null when the source failed.
- * @param Now Current time.
- * @return True when the chunk is now held.
  */
-bool chunkArrived(WeightsState &Weights, const Digest &Chunk, ChunkBytes Bytes,
-                  TimePoint Now);
+void dropFormerChunks(WeightsState &Weights);
 
 /**
  * Says whether every chunk of the wanted set is held.
--- a/packages/core/src/weights_type.h
+++ b/packages/core/src/weights_type.h
@@ -5,20 +5,19 @@
 
 #include "document_type.h"
 #include "effect_type.h"
-#include "time_type.h"
 
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace jacinthpond {
 
 /** Weights as the agent of one back end sees them. */
 struct WeightsState {
-  ModelVersion Wanted;                 ///< Published version; empty: none.
-  std::map<Digest, ChunkBytes> Held;   ///< Checked chunks of Wanted.
-  std::set<Digest> Fetching;           ///< Chunks asked for.
-  std::map<Digest, TimePoint> RetryAt; ///< Chunks that failed lately.
+  ModelVersion Wanted;               ///< Published version; empty: none.
+  std::vector<Digest> Before;        ///< Chunks of the set wanted before.
+  std::map<Digest, ChunkBytes> Held; ///< Checked chunks of these two sets.
   Digest Loaded;            ///< What the engine said last that it has loaded.
   std::string EngineRun;    ///< Incarnation of the engine; empty: silent.
   bool Draining = false;    ///< No new work until the wanted set is loaded.
@@ -27,7 +26,6 @@
   uint64_t OrdersEnded = 0; ///< Load orders that the engine answered.
   std::set<Digest> Whole;   ///< Sets that were published, hence whole.
   uint64_t NextFence = 1;   ///< Low part of the next fencing number.
-  uint64_t BadChunks = 0;   ///< Chunks that failed their check.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -6,6 +6,7 @@
 #include "http/http_server.h"
 #include "join_func.h"
 #include "reader_rank_func.h"
+#include "weights_health.h"
 
 #include <nlohmann/json.hpp>
 
@@ -39,6 +40,7 @@
           {"version", versionInForce(Entry.View).Value},
           {"ready_workers", Ready},
           {"leaving", Entry.Stopping},
+          {"weights", weightsHealth(Entry)},
           {"open_calls", Entry.Calls.size()}};
 }
 
