--- a/bench/bench.h
+++ b/bench/bench.h
@@ -49,6 +49,13 @@
  */
 int benchPath(const BenchOptions &Options);
 
+/**
+ * Measures how fast a new version reaches all replicas.
+ * @param Options What to run.
+ * @return Exit code.
+ */
+int benchWeights(const BenchOptions &Options);
+
 } // namespace jacinthpond::bench
 
 #endif
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -17,7 +17,7 @@
 /** All measurements by name. */
 const std::map<std::string, int (*)(const BenchOptions &)> &measurements() {
   static const std::map<std::string, int (*)(const BenchOptions &)> All = {
-      {"path", benchPath}};
+      {"path", benchPath}, {"weights", benchWeights}};
   return All;
 }
 
--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -64,6 +64,11 @@
               {"entries", Json::array()},
               {"domains_out", Json::array()}};
   newModel("v1");
+  if (Plan.SharedEngines) {
+    Json Options = Plan.EngineOptions;
+    Options["count"] = Plan.ModelWorkers;
+    startStandIn("engines", "engines", Options);
+  }
   for (size_t n = 0; n < Plan.ModelWorkers; ++n)
     startWorker("m" + std::to_string(n), "engine-" + std::to_string(n), n,
                 true);
@@ -116,12 +121,13 @@
 
 void Fleet::startWorker(const std::string &Name, const std::string &BackEnd,
                         size_t n, bool Model) {
-  if (!Processes.contains(BackEnd))
+  const bool Shared = Model && Plan.SharedEngines;
+  if (!Shared && !Processes.contains(BackEnd))
     startStandIn(BackEnd, Model ? "engine" : "service",
                  Model ? Plan.EngineOptions : Plan.ServiceOptions);
   Json Settings = {{"name", Name}, {"domain", domainOf(n)}};
   Settings[Model ? "engine_url" : "service_url"] =
-      "http://" + address(BackEnd, "at");
+      "http://" + (Model ? engineAddress(n) : address(BackEnd, "at"));
   if (Model)
     Settings["origin_url"] = "http://" + address("origin", "at");
   Settings.update(Plan.AgentSettings);
@@ -152,11 +158,18 @@
                                  {"peers", address(Name, "peers")}});
 }
 
-std::string Fleet::newModel(const std::string &Version) {
+std::string Fleet::engineAddress(size_t n) const {
+  if (Plan.SharedEngines)
+    return Processes.at("engines")->ready().at("ats").at(n);
+  return address("engine-" + std::to_string(n), "at");
+}
+
+std::string Fleet::newModel(const std::string &Version, size_t Count) {
+  const size_t Total = Count == 0 ? Plan.Chunks : Count;
   httplib::Client Origin("http://" + address("origin", "at"));
   Json Chunks = Json::array();
   std::vector<Digest> Digests;
-  for (size_t n = 0; n < Plan.Chunks; ++n) {
+  for (size_t n = 0; n < Total; ++n) {
     const std::string Content = chunkContent(Version, n, Plan.ChunkBytes);
     Digests.push_back(sha256(Content));
     Chunks.push_back(Digests.back().Value);
@@ -166,7 +179,7 @@
   Document["models"] = {{{"name", "trail"},
                          {"version", Version},
                          {"chunk_bytes", Plan.ChunkBytes},
-                         {"total_bytes", Plan.ChunkBytes * Plan.Chunks},
+                         {"total_bytes", Plan.ChunkBytes * Total},
                          {"chunks", Chunks}}};
   return weightsSetDigest(Digests).Value;
 }
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -26,6 +26,7 @@
   Json EntrySettings = Json::object();  ///< Added to every entry's settings.
   Json AgentSettings = Json::object();  ///< Added to every agent's settings.
   bool SharedService = false; ///< One plain service stands behind all agents.
+  bool SharedEngines = false; ///< One process plays all engines.
   bool ProxyAgents = false;   ///< Entries reach agents through a proxy each.
 };
 
@@ -92,9 +93,10 @@
   /**
    * Puts chunks of a new version at the origin and into Document.
    * @param Version Name of the version; seeds its content.
+   * @param Count Number of chunks; 0: as planned.
    * @return Digest of the set.
    */
-  std::string newModel(const std::string &Version);
+  std::string newModel(const std::string &Version, size_t Count = 0);
 
   /**
    * Sends a request.
@@ -155,6 +157,13 @@
     return Plan.Domains[n % Plan.Domains.size()];
   }
 
+  /**
+   * Gives the engine of a worker its address.
+   * @param n Number of the worker.
+   * @return "IP:port".
+   */
+  std::string engineAddress(size_t n) const;
+
   Json Document = Json::object(); ///< What publish() publishes.
   const FleetPlan Plan;           ///< What was started.
 
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -7,15 +7,19 @@
  */
 
 #include "hash_func.h"
+#include "http/http_server.h"
 #include "standin.h"
 
 #include <chrono>
 #include <condition_variable>
 #include <cstdlib>
+#include <deque>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <random>
 #include <thread>
+#include <vector>
 
 namespace jacinthpond::standin {
 
@@ -231,15 +235,11 @@
           {"loads", Host.Loads}};
 }
 
-} // namespace
-
-int runEngine(int Port, const Json &Options) {
-  Engine Host;
-  Host.Options = Options;
+/** Sets up one engine on one listener. */
+void prepareEngine(Engine &Host, httplib::Server &Server, size_t Threads) {
   Host.Run = std::to_string(std::random_device{}());
-  Host.Weights = Options.value("weights", "");
-  httplib::Server Server;
-  prepare(Server, 256);
+  Host.Weights = Host.Options.value("weights", "");
+  prepare(Server, Threads);
   Server.set_payload_max_length(64 << 20);
   Server.Post("/v1/generate", [&](const auto &Asked, auto &Answer) {
     generate(Host, Asked, Answer);
@@ -261,7 +261,35 @@
   Server.Get("/control", [&](const auto &, auto &Answer) {
     reply(Answer, describe(Host));
   });
+}
+
+/** Threads of each engine that shares its process with others. */
+constexpr size_t SharedThreads = 4;
+
+} // namespace
+
+int runEngine(int Port, const Json &Options) {
+  Engine Host;
+  Host.Options = Options;
+  httplib::Server Server;
+  prepareEngine(Host, Server, 256);
   return serve(Server, Port);
 }
 
+int runEngines(int, const Json &Options) {
+  std::deque<Engine> Hosts(Options.value("count", size_t{1}));
+  std::deque<httplib::Server> Servers(Hosts.size());
+  std::vector<std::thread> Accepting(Hosts.size());
+  Json Addresses = Json::array();
+  for (size_t n = 0; n < Hosts.size(); ++n) {
+    Hosts[n].Options = Options;
+    prepareEngine(Hosts[n], Servers[n], SharedThreads);
+    Addresses.push_back(startServer(Servers[n], "127.0.0.1:0", Accepting[n]));
+  }
+  std::cout << Json({{"ready", true}, {"ats", Addresses}}).dump() << std::endl;
+  for (std::thread &One : Accepting)
+    One.join();
+  return 0;
+}
+
 } // namespace jacinthpond::standin
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -42,15 +42,13 @@
 int main(int Count, char **Arguments) {
   using namespace jacinthpond::standin;
   const std::map<std::string, int (*)(int, const Json &)> Kinds = {
-      {"engine", runEngine},
-      {"service", runService},
-      {"platform", runPlatform},
-      {"origin", runOrigin},
-      {"proxy", runProxy}};
+      {"engine", runEngine},   {"engines", runEngines},
+      {"service", runService}, {"platform", runPlatform},
+      {"origin", runOrigin},   {"proxy", runProxy}};
   std::signal(SIGPIPE, SIG_IGN);
   if (Count < 3 || !Kinds.contains(Arguments[1])) {
-    std::cerr << "usage: jp-standin engine|service|platform|origin|proxy PORT "
-                 "[JSON]\n";
+    std::cerr << "usage: jp-standin "
+                 "engine|engines|service|platform|origin|proxy PORT [JSON]\n";
     return 2;
   }
   const Json Options =
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -49,6 +49,14 @@
  */
 int runEngine(int Port, const Json &Options);
 
+/**
+ * Runs several model engines in one process, each on a port of its own.
+ * @param Port Not used; the kernel chooses.
+ * @param Options "count", and start values for each engine.
+ * @return Exit code.
+ */
+int runEngines(int Port, const Json &Options);
+
 /**
  * Runs a plain service.
  * @param Port Port to use.
