core: agents tell what they bring in; waits for dead predecessors run early

Cause: (1) more than one copy entered a domain from N=40 on: the chunk of the first rank stood in the queue of the shaped link longer than chunk_takeover_ms, so the second rank fetched it too. (2) Under faults the last replica waited after its last chunk for the whole limit of a dead worker before it. Ruled out: a longer takeover time (it would delay every real death). Change: ChunkHave also carries the chunks that the sender has asked of the origin or of another domain; those wait four ranks longer at its neighbours. Workers before this one are looked at from the publication on.

--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -121,6 +121,7 @@
 template <typename V> void describe(V &v, ChunkHave &m) {
   v("set", m.Set);
   v("held", m.Held);
+  v("coming", m.Coming);
 }
 
 template <typename V> void describe(V &v, SuspectNotice &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -156,10 +156,14 @@
   std::string Bytes; ///< Its content, checked by the receiver.
 };
 
-/** Tells peers which chunks of a set the sender holds. */
+/**
+ * Tells peers which chunks of a set the sender holds, and which it brings into
+ * its domain. Bit n%8 of byte n/8 stands for chunk n.
+ */
 struct ChunkHave {
-  Digest Set;                ///< Digest of the weights set.
-  std::vector<uint8_t> Held; ///< Bit n%8 of byte n/8: chunk n is held.
+  Digest Set;                  ///< Digest of the weights set.
+  std::vector<uint8_t> Held;   ///< Chunks that the sender holds.
+  std::vector<uint8_t> Coming; ///< Asked of the origin or another domain.
 };
 
 /** Tells that a request was running when a back end died. */
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -49,7 +49,7 @@
 }
 
 /** Notes what is seen of a worker; gives how long that has not changed. */
-Duration unchangedFor(AgentState &Agent, const HostName &Name,
+Duration unchangedFor(RolloutState &Rollout, const HostName &Name,
                       const PeerLink *Link, TimePoint Now) {
   PredecessorView View;
   View.Since = Now;
@@ -58,7 +58,7 @@
     View.State = Link->Load.State;
     View.ChunksHeld = Link->Load.ChunksHeld;
   }
-  const auto [it, New] = Agent.Rollout.Seen.try_emplace(Name, View);
+  const auto [it, New] = Rollout.Seen.try_emplace(Name, View);
   PredecessorView &Old = it->second;
   const bool Same = Old.Answered == View.Answered && Old.State == View.State &&
                     Old.ChunksHeld == View.ChunksHeld;
@@ -67,26 +67,41 @@
   return Now - Old.Since;
 }
 
+/** How far the wait for a worker before this one has come. */
+enum class Wait : uint8_t { Done, Pending, GivenUp };
+
 /**
- * Says whether it is this worker's turn. A dead or cut off worker never
- * answers, one whose engine is broken never serves: both would hold up their
- * chain for ever, so after a limit the worker before them is looked at.
+ * Looks at a worker before this one. A dead or cut off worker never answers,
+ * one whose engine is broken never serves: both would hold up their chain for
+ * ever, so each is given up after a limit.
  */
-bool isTurnToLoad(AgentState &Agent, TimePoint Now) {
+Wait waitFor(RolloutState &Rollout, const AgentState &Agent,
+             const HostName &Name, TimePoint Now) {
+  const PeerLink *Link = linkTo(Agent.Fleet, Name);
+  if (servesWanted(Agent, Link))
+    return Wait::Done;
+  const Duration Unchanged = unchangedFor(Rollout, Name, Link, Now);
   const Duration Absent =
       Agent.Fleet.Times.Silence + Agent.Fleet.Times.Reconnect + AbsentLimit;
+  const bool Leaving =
+      Link != nullptr && Link->Load.State == WorkerState::Leaving;
+  const bool Over = Unchanged >= (Link == nullptr ? Absent : StuckLimit);
+  return Leaving || Over ? Wait::GivenUp : Wait::Pending;
+}
+
+/**
+ * Says whether it is this worker's turn. All workers before it are looked at
+ * each time, so that the limits run while the chunks still come.
+ */
+bool isTurnToLoad(AgentState &Agent, TimePoint Now) {
+  Wait First = Wait::GivenUp;
   for (const size_t n : predecessors(Agent)) {
     const HostName &Name = Agent.Transfer.Plan.Hosts[n].Name;
-    const PeerLink *Link = linkTo(Agent.Fleet, Name);
-    if (servesWanted(Agent, Link))
-      return true;
-    const Duration Unchanged = unchangedFor(Agent, Name, Link, Now);
-    const bool Leaving =
-        Link != nullptr && Link->Load.State == WorkerState::Leaving;
-    if (!Leaving && Unchanged < (Link == nullptr ? Absent : StuckLimit))
-      return false;
+    const Wait One = waitFor(Agent.Rollout, Agent, Name, Now);
+    if (First == Wait::GivenUp)
+      First = One;
   }
-  return true;
+  return First != Wait::Pending;
 }
 
 } // namespace
@@ -120,12 +135,13 @@
     dropFormerChunks(Weights);
   const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
                       !Weights.Loading && Agent.BackEndUp;
-  if (!Needed || !wholeSetHeld(Weights))
+  if (!Needed)
     return;
   if (Agent.Rollout.Set != Weights.Wanted.Set)
     Agent.Rollout = {Weights.Wanted.Set, {}};
+  const bool Turn = isTurnToLoad(Agent, Now);
   // One that serves nothing takes nothing away by loading at once.
-  if (mayServe(Weights) && !isTurnToLoad(Agent, Now))
+  if (!wholeSetHeld(Weights) || (mayServe(Weights) && !Turn))
     return;
   if (!Weights.Draining) {
     Weights.Draining = true;
--- a/packages/core/src/transfer.cpp
+++ b/packages/core/src/transfer.cpp
@@ -27,6 +27,12 @@
 constexpr Millis AvoidTime{3000};
 /** Silence of a peer with requests open after which it counts as stalled. */
 constexpr Millis StallLimit{4000};
+/**
+ * Ranks that a chunk waits longer where a linked agent said that it brings it.
+ * That agent's request may stand in a queue; should it come to nothing, the
+ * claim only delays the next rank.
+ */
+constexpr size_t ClaimRanks = 4;
 /** Time for links to come about after the start. */
 constexpr Millis SettleTime{400};
 /** Time over which the rate of arrival is measured. */
@@ -34,9 +40,16 @@
 /** Shortest time between two announcements. */
 constexpr Millis TellPeriod{50};
 
+bool hasBit(const std::vector<uint8_t> &Bits, size_t n) {
+  return n / 8 < Bits.size() && ((Bits[n / 8] >> (n % 8)) & 1U) != 0;
+}
+
+void setBit(std::vector<uint8_t> &Bits, size_t n) {
+  Bits[n / 8] |= static_cast<uint8_t>(1U << (n % 8));
+}
+
 bool holds(const ChunkPeer &Peer, const Digest &Set, size_t n) {
-  return Peer.Told.Set == Set && n / 8 < Peer.Told.Held.size() &&
-         ((Peer.Told.Held[n / 8] >> (n % 8)) & 1U) != 0;
+  return Peer.Told.Set == Set && hasBit(Peer.Told.Held, n);
 }
 
 void noteSeen(TransferState &Transfer, ChunkProgress &Chunk, TimePoint Now) {
@@ -47,16 +60,19 @@
   Transfer.LastNews = Now;
 }
 
-/** Adds or takes away what a peer said it holds. */
+/** Adds or takes away what a peer said it holds and brings. */
 void countHolder(TransferState &Transfer, const ChunkPeer &Peer, bool Add,
                  TimePoint Now) {
+  if (Peer.Told.Set != Transfer.Set)
+    return;
+  const uint32_t Step = Add ? 1 : UINT32_MAX; // Wraps around to -1.
   for (size_t n = 0; n < Transfer.Chunks.size(); ++n) {
-    if (!holds(Peer, Transfer.Set, n))
-      continue;
     ChunkProgress &Chunk = Transfer.Chunks[n];
-    uint32_t &Count =
-        Peer.SameDomain ? Chunk.HoldersHere : Chunk.HoldersOutside;
-    Count = Add ? Count + 1 : Count - 1;
+    if (hasBit(Peer.Told.Coming, n))
+      (Peer.SameDomain ? Chunk.ComingHere : Chunk.ComingOutside) += Step;
+    if (!hasBit(Peer.Told.Held, n))
+      continue;
+    (Peer.SameDomain ? Chunk.HoldersHere : Chunk.HoldersOutside) += Step;
     if (Add)
       noteSeen(Transfer, Chunk, Now);
   }
@@ -65,7 +81,7 @@
 /** Takes back what was asked of a peer, so that it is asked elsewhere. */
 void releaseAsked(TransferState &Transfer, ChunkPeer &Peer) {
   for (const size_t n : Peer.Asked)
-    Transfer.Chunks[n].Asked = false;
+    Transfer.Chunks[n].Asked = Transfer.Chunks[n].Coming = false;
   Peer.Asked.clear();
 }
 
@@ -107,8 +123,10 @@
   const ChunkProgress &Chunk = Transfer.Chunks[n];
   if (Chunk.HoldersHere > 0 || !planned(Transfer.Plan))
     return false;
-  const auto Rank = static_cast<int64_t>(importRank(Transfer.Plan, n));
-  return Now - Chunk.SeenSince >= Transfer.Options.TakeOver * Rank;
+  const size_t Rank =
+      importRank(Transfer.Plan, n) + (Chunk.ComingHere > 0 ? ClaimRanks : 0);
+  return Now - Chunk.SeenSince >=
+         Transfer.Options.TakeOver * static_cast<int64_t>(Rank);
 }
 
 /** Finds the least busy peer that can give a chunk. */
@@ -149,6 +167,12 @@
   return Order;
 }
 
+/** The chunk is being brought into this domain; peers are told. */
+void noteComing(TransferState &Transfer, size_t n) {
+  Transfer.Chunks[n].Coming = true;
+  Transfer.HeldChanged = true;
+}
+
 void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
   size_t Open = 0;
   bool Room = false;
@@ -167,6 +191,8 @@
       Peer->LastData = Now;
     Peer->Asked.insert(n);
     Transfer.Chunks[n].Asked = true;
+    if (!Peer->SameDomain)
+      noteComing(Transfer, n);
     Out.push_back(SendMessage{Link, ChunkRequest{Transfer.Digests[n]}});
     if (++Open >= MaxAsked)
       return;
@@ -191,8 +217,11 @@
     return true;
   if (!planned(Transfer.Plan) || Now < Transfer.SettledAt)
     return false;
-  const auto Rank = static_cast<int64_t>(drawRank(Transfer.Plan, n));
-  return Now - Transfer.LastNews >= Transfer.Options.TakeOver * Rank &&
+  const ChunkProgress &Chunk = Transfer.Chunks[n];
+  const bool Claimed = Chunk.ComingHere + Chunk.ComingOutside > 0;
+  const size_t Rank = drawRank(Transfer.Plan, n) + (Claimed ? ClaimRanks : 0);
+  return Now - Transfer.LastNews >=
+             Transfer.Options.TakeOver * static_cast<int64_t>(Rank) &&
          !hasUsableHolder(Transfer, n, Now);
 }
 
@@ -204,6 +233,7 @@
     if (Chunk.Asked || Now < Chunk.RetryAt || !mayDraw(Transfer, n, Now))
       continue;
     Chunk.Asked = true;
+    noteComing(Transfer, n);
     ++Transfer.Drawing;
     Out.push_back(FetchFromOrigin{Transfer.Digests[n]});
   }
@@ -228,9 +258,13 @@
   ChunkHave Have;
   Have.Set = Transfer.Set;
   Have.Held.assign((Transfer.Digests.size() + 7) / 8, 0);
-  for (size_t n = 0; n < Transfer.Digests.size(); ++n)
+  Have.Coming = Have.Held;
+  for (size_t n = 0; n < Transfer.Digests.size(); ++n) {
     if (!Transfer.Missing.contains(n))
-      Have.Held[n / 8] |= static_cast<uint8_t>(1U << (n % 8));
+      setBit(Have.Held, n);
+    else if (Transfer.Chunks[n].Coming)
+      setBit(Have.Coming, n);
+  }
   return Have;
 }
 
@@ -273,7 +307,7 @@
   if (it == Transfer.IndexOf.end())
     return true;
   ChunkProgress &Progress = Transfer.Chunks[it->second];
-  Progress.Asked = false;
+  Progress.Asked = Progress.Coming = false;
   if (Came.Bytes == nullptr)
     return false;
   if (Came.Actual != Chunk) {
--- a/packages/core/src/transfer_type.h
+++ b/packages/core/src/transfer_type.h
@@ -26,8 +26,11 @@
 /** What this host knows of one chunk of the wanted set. */
 struct ChunkProgress {
   bool Asked = false;          ///< Asked of a peer or of the origin.
+  bool Coming = false;         ///< Asked of the origin or of another domain.
   uint32_t HoldersHere = 0;    ///< Linked agents of this domain that hold it.
   uint32_t HoldersOutside = 0; ///< Linked agents elsewhere that hold it.
+  uint32_t ComingHere = 0;     ///< Linked agents of this domain that bring it.
+  uint32_t ComingOutside = 0;  ///< Linked agents elsewhere that bring it.
   bool Seen = false;           ///< Was held anywhere in view.
   TimePoint SeenSince;         ///< When it was first seen.
   TimePoint RetryAt;           ///< Earliest time of the next try at the origin.
