--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -49,8 +49,12 @@
   uint32_t Waiting = 0;                   ///< Requests in the agent's queue.
   uint32_t Limit = 0;                     ///< Running work allowed now.
   Digest Weights;                         ///< Digest of the loaded weights.
-  uint32_t ChunksHeld = 0;   ///< Chunks of the wanted set that are here.
-  uint32_t ChunksWanted = 0; ///< Chunks of the wanted set.
+  uint32_t ChunksHeld = 0;      ///< Chunks of the wanted set that are here.
+  uint32_t ChunksWanted = 0;    ///< Chunks of the wanted set.
+  uint64_t BytesPerSecond = 0;  ///< Rate at which chunks arrive lately.
+  uint64_t BytesFromOrigin = 0; ///< Good chunks drawn from the origin.
+  uint64_t BytesFromPeers = 0;  ///< Good chunks from agents of the domain.
+  uint64_t BytesAcross = 0;     ///< Good chunks from other domains.
 };
 
 /** Sent both ways on each link at a fixed period. */
@@ -152,10 +156,14 @@
   std::string Bytes; ///< Its content, checked by the receiver.
 };
 
-/** Tells peers which chunks of a set the sender holds. */
+/**
+ * Tells peers which chunks of a set the sender holds, and which it brings into
+ * its domain. Bit n%8 of byte n/8 stands for chunk n.
+ */
 struct ChunkHave {
-  Digest Set;                ///< Digest of the weights set.
-  std::vector<uint8_t> Held; ///< Bit n%8 of byte n/8: chunk n is held.
+  Digest Set;                  ///< Digest of the weights set.
+  std::vector<uint8_t> Held;   ///< Chunks that the sender holds.
+  std::vector<uint8_t> Coming; ///< Asked of the origin or another domain.
 };
 
 /** Tells that a request was running when a back end died. */
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -13,6 +13,7 @@
 #include "status_func.h"
 #include "status_json.h"
 #include "team_access_func.h"
+#include "weights_health.h"
 
 #include <nlohmann/json.hpp>
 
@@ -47,6 +48,7 @@
           {"version", versionInForce(Entry.View).Value},
           {"ready_workers", Ready},
           {"leaving", Entry.Stopping},
+          {"weights", weightsHealth(Entry)},
           {"open_calls", Entry.Calls.size()}};
 }
 
