--- a/packages/agent/src/agent_metrics.cpp
+++ b/packages/agent/src/agent_metrics.cpp
@@ -40,7 +40,7 @@
   addFamily(
       Into, MetricType::Counter,
       {"jacinthpond_agent_bad_chunks_total", "Chunks that failed their check."},
-      one(static_cast<double>(Agent.Transfer.BadChunks)));
+      one(static_cast<double>(Agent.Transfer.Counters.BadChunks)));
   addFamily(Into, MetricType::Counter,
             {"jacinthpond_agent_load_orders_total",
              "Load orders given to the engine."},
