core, agent, entry: a request that kills back ends costs two at most

Cause: a request that crashes each engine that runs it was tried again by its entry and its caller until no engine was left. Ruled out: counting in the entry alone (the caller goes to another one); refusing after the first death (16 innocent neighbours would be refused). Change: an agent holds a run that broke off until the engine's next states say whether it died; then all that ran there is told to every linked peer as suspect, before the failures. A suspect is sent by every entry to the same worker (rendezvous of its fingerprint) and runs there with nothing beside it; running whole clears it, a second death refuses it for a minute, at the entries and at the agents. Entries pass news on to entries, and a new link gets all that is known.

--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -4,12 +4,14 @@
 
 #include "admission_func.h"
 #include "attempt_func.h"
+#include "back_end_death_func.h"
 #include "config_spread_func.h"
 #include "config_view_func.h"
 #include "document_func.h"
 #include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "quarantine_func.h"
 #include "token_pace_func.h"
 #include "weights_func.h"
 
@@ -171,6 +173,12 @@
                         "Most answers stall: back end is cold."});
 }
 
+/** True when the back end may have died in the middle of a run. */
+bool brokeOff(const Outcome<EngineEnd> &End) {
+  return !End.Value && (End.Why.Kind == ErrorKind::OutcomeUnknown ||
+                        End.Why.Kind == ErrorKind::PartialAnswer);
+}
+
 /** Turns what is known of a run's end into what admission needs. */
 RunEnd runEndOf(bool Whole, const Outcome<EngineEnd> &End) {
   if (Whole)
@@ -228,6 +236,8 @@
     followDocument(Agent, Now, Out);
     announceChange(Agent, Now, Out);
   }
+  if (std::holds_alternative<Hello>(m))
+    tellSuspects(Agent.Suspects, Link, Now, Out);
   if (News != FleetNews::NotMine)
     return;
   std::visit(Overloaded{[&](const AttemptStart &Start) {
@@ -236,6 +246,9 @@
                         [&](const AttemptCancel &Cancel) {
                           cancelAttempt(Agent, Cancel.Attempt, Now, Out);
                         },
+                        [&](const SuspectNotice &Notice) {
+                          agentSuspect(Agent, Notice, Now, Out);
+                        },
                         [](const auto &) {
                           // Meant for entries; an agent that gets one has
                           // nothing to do.
@@ -281,7 +294,13 @@
   runEnded(Agent.Gate, Which, runEndOf(Whole, End),
            Known ? Now - it->second.Began : Duration{0});
   if (Whole) {
+    if (!Agent.Suspects.Suspects.empty())
+      clearSuspect(Agent.Suspects, fingerprintOf(it->second.Asked.Tenant,
+                                                 it->second.Asked.Class,
+                                                 it->second.Asked.Body));
     finishAttempt(Agent, Which, 200, Out);
+  } else if (Known && !it->second.Cancelled && brokeOff(End)) {
+    runBrokeOff(Agent, Which, End.Why);
   } else if (Known) {
     const bool NeverSent = End.Why.Kind == ErrorKind::Unreachable && !End.Value;
     Failure Why = End.Why;
@@ -354,6 +373,7 @@
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
                           "Back end is silent: " + Read.Why.Detail});
   Agent.BackEndUp = Read.Value.has_value();
+  judgeBrokenRuns(Agent, Run, Now, Out);
   if (Restarted) {
     turnCold(Agent.Gate);
     refuseWaiting(Agent, ErrorKind::ColdStart, Out);
@@ -398,6 +418,7 @@
 
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
   noteStalls(Agent, Now, Out);
+  forgetSuspects(Agent.Suspects, Now);
   refuseOverdue(Agent, Now, Out);
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/agent_type.h
@@ -7,6 +7,7 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
+#include "quarantine_type.h"
 #include "settings_type.h"
 #include "weights_type.h"
 
@@ -31,6 +32,9 @@
   uint64_t NextFrame = 0;                     ///< Sequence of the next frame.
   std::string Text;                           ///< Frames so far.
   bool Cancelled = false;                     ///< Nobody waits for it.
+  bool RanAlone = false;                      ///< Nothing else ran beside it.
+  std::optional<Failure> Broke;               ///< It broke off; being judged.
+  uint32_t ReadsSinceBroke = 0; ///< States of the back end read since.
 };
 
 /** A call that may not be repeated, as its home remembers it. */
@@ -62,6 +66,8 @@
   WeightsState Weights;                  ///< Weights of the engine.
   bool BackEndUp = false;                ///< The back end answers.
   std::string ServiceRun;                ///< Incarnation of the plain service.
+  std::string BackEndRun;                ///< Last incarnation that answered.
+  Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
   std::map<KeyName, KeyRecord> Keys;     ///< Calls that ran here.
   bool Stopping = false;                 ///< No new work is taken.
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -3,10 +3,12 @@
 #include "attempt_func.h"
 
 #include "admission_func.h"
+#include "back_end_death_func.h"
 #include "document_func.h"
 #include "error_func.h"
 #include "hash_func.h"
 #include "join_func.h"
+#include "quarantine_func.h"
 #include "weights_func.h"
 
 #include <algorithm>
@@ -52,6 +54,14 @@
   return it == Doc.Tenants.end() ? 1 : it->Weight;
 }
 
+/** Refusal of a request that cost too many back ends. */
+Failure quarantined(const AgentState &Agent, const AttemptStart &m,
+                    TimePoint Now) {
+  const Digest Fingerprint = fingerprintOf(m.Tenant, m.Class, m.Body);
+  return {ErrorKind::Quarantined, "it made back ends fail",
+          refusedFor(Agent.Suspects, Fingerprint, Now)};
+}
+
 Admittee admitteeOf(const AgentState &Agent, const AttemptStart &m) {
   const Document &Doc = *Agent.View.InForce;
   const WorkClass *Class = findClass(Doc, m.Class);
@@ -59,6 +69,7 @@
   One.Who = {m.Attempt, m.Tenant, weightOf(Doc, m.Tenant),
              Class == nullptr ? 1 : Class->Priority};
   One.Remaining = Millis(static_cast<int64_t>(m.RemainingMillis));
+  One.Alone = m.Alone;
   return One;
 }
 
@@ -94,6 +105,7 @@
                   Effects &Out) {
   One.State = AttemptKnown::Running;
   One.Began = Now;
+  One.RanAlone = Agent.Gate.Alone == One.Asked.Attempt;
   ++Agent.Counters.Started;
   const WorkClass *Class = findClass(*Agent.View.InForce, One.Asked.Class);
   if (!Agent.Config.EngineUrl.empty()) {
@@ -163,7 +175,14 @@
       return;
     }
   }
-  const AdmissionAnswer Answer = askToRun(Agent.Gate, admitteeOf(Agent, m));
+  const Suspicion Doubt = suspicionOf(Agent, m, Now);
+  if (Doubt == Suspicion::Refuse) {
+    refuse(Agent, Link, m.Attempt, quarantined(Agent, m, Now), Out);
+    return;
+  }
+  Admittee Asking = admitteeOf(Agent, m);
+  Asking.Alone = Asking.Alone || Doubt == Suspicion::RunAlone;
+  const AdmissionAnswer Answer = askToRun(Agent.Gate, Asking);
   if (Answer.May == Admitted::Refuse) {
     refuse(Agent, Link, m.Attempt,
            {ErrorKind::Overloaded, "queue full", Answer.RetryAfter}, Out);
@@ -261,6 +280,24 @@
   }
 }
 
+void readmit(AgentState &Agent, const AttemptId &Which, TimePoint Now,
+             Effects &Out) {
+  Attempt &One = Agent.Attempts.at(Which);
+  if (suspicionOf(Agent, One.Asked, Now) == Suspicion::Refuse) {
+    failAttempt(Agent, Which, quarantined(Agent, One.Asked, Now), Ran::No, Out);
+    return;
+  }
+  Admittee Asking = admitteeOf(Agent, One.Asked);
+  Asking.Alone = true;
+  const AdmissionAnswer Answer = askToRun(Agent.Gate, Asking);
+  if (Answer.May == Admitted::Refuse)
+    failAttempt(Agent, Which,
+                {ErrorKind::Overloaded, "queue full", Answer.RetryAfter},
+                Ran::No, Out);
+  if (Answer.May == Admitted::Run)
+    beginAttempt(Agent, One, Now, Out);
+}
+
 void refuseWaiting(AgentState &Agent, ErrorKind Kind, Effects &Out) {
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
     stopWaiting(Agent.Gate, Which);
--- a/packages/core/src/attempt_func.h
+++ b/packages/core/src/attempt_func.h
@@ -67,6 +67,16 @@
  */
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out);
 
+/**
+ * An attempt that waited has become suspect: it runs alone, or is refused.
+ * @param Agent State to change.
+ * @param Which The attempt, out of the queue.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void readmit(AgentState &Agent, const AttemptId &Which, TimePoint Now,
+             Effects &Out);
+
 /**
  * Refuses everything that waits.
  * @param Agent State to change.
--- /dev/null
+++ b/packages/core/src/back_end_death_func.h
@@ -0,0 +1,54 @@
+/** @file back_end_death_func.h An agent that sees its back end die. */
+
+#ifndef JACINTHPOND_CORE_BACK_END_DEATH_FUNC_H
+#define JACINTHPOND_CORE_BACK_END_DEATH_FUNC_H
+
+#include "agent_type.h"
+#include "error_func.h"
+
+namespace jacinthpond {
+
+/**
+ * A run broke off. Whether the back end died with it shows only in its next
+ * states, so that the attempt is held until then.
+ * @param Agent State to change.
+ * @param Which The attempt.
+ * @param Why How it broke off.
+ */
+void runBrokeOff(AgentState &Agent, const AttemptId &Which, const Failure &Why);
+
+/**
+ * The back end's state was read: decides on runs that broke off. When it died,
+ * what ran is told to all peers as suspect and then failed.
+ * @param Agent State to change.
+ * @param Run Incarnation read; empty when it gave none.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void judgeBrokenRuns(AgentState &Agent, const std::string &Run, TimePoint Now,
+                     Effects &Out);
+
+/**
+ * A peer told of a suspect: what waits here of it waits to run alone, or is
+ * refused.
+ * @param Agent State to change.
+ * @param Notice What was told.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void agentSuspect(AgentState &Agent, const SuspectNotice &Notice, TimePoint Now,
+                  Effects &Out);
+
+/**
+ * Says how an attempt is to be treated.
+ * @param Agent The state.
+ * @param m The attempt.
+ * @param Now Current time.
+ * @return What its record of deaths says.
+ */
+Suspicion suspicionOf(const AgentState &Agent, const AttemptStart &m,
+                      TimePoint Now);
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -6,7 +6,8 @@
 #include "hash_func.h"
 #include "join_func.h"
 #include "membership_func.h"
-#include "routing_func.h"
+#include "quarantine_func.h"
+#include "worker_choice_func.h"
 
 #include <algorithm>
 #include <string>
@@ -17,40 +18,6 @@
 
 /** Attempts of one call, the first included. */
 constexpr uint32_t MaxTries = 4;
-/** Bytes of a body that count as its prompt prefix for affinity. */
-constexpr size_t AffinityPrefixBytes = 256;
-
-/** True when a worker may get new work of this entry. */
-bool mayTake(const EntryState &Entry, const Worker &Host, const Call &One) {
-  if (!viewIsFresh(Entry.Fleet))
-    return false;
-  if (Entry.View.InForce->DomainsOut.contains(Host.Domain))
-    return false;
-  if (std::ranges::find(One.Tried, Host.Name) != One.Tried.end())
-    return false;
-  const PeerLink *Link = readyLink(Entry.Fleet, Host.Name);
-  if (Link == nullptr || Link->Leaving)
-    return false;
-  const bool Serves = Link->Load.State == WorkerState::Serving ||
-                      Link->Load.State == WorkerState::Warming;
-  const bool SameWeights =
-      One.Weights.Value.empty() || Link->Load.Weights == One.Weights;
-  return Serves && SameWeights;
-}
-
-std::vector<Candidate> candidatesFor(const EntryState &Entry,
-                                     const WorkClass &Class, const Call &One) {
-  std::vector<Candidate> Found;
-  for (const Worker *Host : workersOf(*Entry.View.InForce, Class)) {
-    if (!mayTake(Entry, *Host, One))
-      continue;
-    const PeerLink *Link = readyLink(Entry.Fleet, Host->Name);
-    const auto Open = Entry.OpenAt.find(Host->Name);
-    Found.push_back({Host->Name, Link->Link, Link->Load,
-                     Open == Entry.OpenAt.end() ? 0 : Open->second});
-  }
-  return Found;
-}
 
 /**
  * Gives the home of an idempotency key. It follows the published list only,
@@ -72,11 +39,6 @@
   return Found;
 }
 
-std::string affinityKey(const Call &One) {
-  return One.Asked.Tenant.Value + "/" +
-         One.Asked.Body.substr(0, AffinityPrefixBytes);
-}
-
 /** Forgets the attempt under way. */
 void dropAttempt(EntryState &Entry, Call &One) {
   if (One.Attempt.Id.Value.empty())
@@ -140,9 +102,22 @@
   m.Token = One.Asked.Token;
   m.ResumeOn = One.Weights;
   m.ResumeFrom = One.NextFrame;
+  m.Alone = suspicionOf(Entry, One, Now) == Suspicion::RunAlone;
   Out.push_back(SendMessage{To.Link, m});
 }
 
+/** Ends a call whose request cost too many back ends. */
+void endQuarantined(EntryState &Entry, const Call &One, TimePoint Now,
+                    Effects &Out) {
+  const Millis Left = refusedFor(
+      Entry.Suspects,
+      fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body), Now);
+  // Its earlier tries did run, though none to its end.
+  endCallWithError(Entry, One.Asked.Call,
+                   {ErrorKind::Quarantined, "it made back ends fail", Left},
+                   One.Tries > 0 ? Ran::Unknown : Ran::No, Out);
+}
+
 } // namespace
 
 void startAttempt(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
@@ -154,12 +129,14 @@
         Out);
     return;
   }
+  if (suspicionOf(Entry, One, Now) == Suspicion::Refuse) {
+    endQuarantined(Entry, One, Now, Out);
+    return;
+  }
   const bool Keyed = !Class->Repeatable;
   const std::vector<Candidate> Choice =
       Keyed ? homeOf(Entry, *Class, One) : candidatesFor(Entry, *Class, One);
-  const std::string Affinity =
-      Class->Kind == BackEndKind::Model ? affinityKey(One) : "";
-  const size_t n = chooseWorker(Choice, Affinity, Entry.NextAttempt);
+  const size_t n = chooseFor(Entry, *Class, One, Choice, Now);
   if (n < Choice.size()) {
     if (One.Tries > 0)
       ++Entry.Counters.Retries;
@@ -239,6 +216,10 @@
     return;
   }
   dropAttempt(Entry, *One);
+  if (!Entry.Suspects.Suspects.empty())
+    clearSuspect(
+        Entry.Suspects,
+        fingerprintOf(One->Asked.Tenant, One->Asked.Class, One->Asked.Body));
   Out.push_back(CallEnd{One->Asked.Call, m.Status, m.Count, sha256(One->Text),
                         One->Weights});
   Entry.Calls.erase(One->Asked.Call);
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -8,6 +8,7 @@
 #include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "quarantine_func.h"
 #include "reader_rank_func.h"
 
 #include <algorithm>
@@ -127,6 +128,8 @@
       fleetMessage(Entry.View, Entry.Fleet, Link, m, Now, Out);
   if (News == FleetNews::NewDocument)
     followDocument(Entry, Now, Out);
+  if (std::holds_alternative<Hello>(m))
+    tellSuspects(Entry.Suspects, Link, Now, Out);
   if (News != FleetNews::NotMine)
     return;
   std::visit(
@@ -137,6 +140,10 @@
           [&](const AttemptFailed &Failed) {
             attemptFailed(Entry, Failed, Now, Out);
           },
+          [&](const SuspectNotice &Notice) {
+            if (noteSuspect(Entry.Suspects, Notice, Now))
+              spreadNotice(Entry.Fleet, Notice, Role::Entry, Out);
+          },
           [](const auto &) {
             // Meant for agents; an entry that gets one has nothing to do.
           }},
@@ -169,6 +176,7 @@
   if (!WasFresh && viewIsFresh(Entry.Fleet)) // Seeds have done their work.
     followDocument(Entry, Now, Out);
   endLateCalls(Entry, Now, Out);
+  forgetSuspects(Entry.Suspects, Now);
 }
 
 void entryStop(EntryState &Entry, TimePoint Now, Effects &Out) {
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -6,6 +6,7 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
+#include "quarantine_type.h"
 #include "settings_type.h"
 
 #include <map>
@@ -67,6 +68,7 @@
   std::map<AttemptId, CallId> Attempts; ///< Attempts under way.
   std::map<HostName, uint32_t> OpenAt;  ///< Attempts open at each worker.
   uint64_t NextAttempt = 1;             ///< Part of the next attempt id.
+  Quarantine Suspects;                  ///< Requests that were at a death.
   bool Stopping = false;                ///< No new requests are taken.
   EntryCounters Counters;               ///< What happened so far.
 };
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -63,6 +63,7 @@
   v("token", m.Token);
   v("resume_on", m.ResumeOn);
   v("resume_from", m.ResumeFrom);
+  v("alone", m.Alone);
 }
 
 template <typename V> void describe(V &v, AttemptBegun &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -89,6 +89,7 @@
   std::string Token;            ///< Home token of the key; may be empty.
   Digest ResumeOn;              ///< Weights that began the answer, or empty.
   uint64_t ResumeFrom = 0;      ///< Frames that the caller already has.
+  bool Alone = false;           ///< Suspected: nothing may run beside it.
 };
 
 /** The attempt was given to the back end. */
--- /dev/null
+++ b/packages/core/src/quarantine.cpp
@@ -0,0 +1,103 @@
+/** @file quarantine.cpp Requests that were running when back ends died. */
+
+#include "quarantine_func.h"
+
+#include "hash_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** How long a request is refused, or runs only alone, after a death. */
+constexpr Millis Keep{60000};
+/** Deaths that a request may cost. */
+constexpr size_t MaxDeaths = 2;
+/** Suspects held at most; the oldest make way. */
+constexpr size_t MaxSuspects = 4096;
+
+const Suspect *find(const Quarantine &State, const Digest &Fingerprint,
+                    TimePoint Now) {
+  const auto it = State.Suspects.find(Fingerprint);
+  if (it == State.Suspects.end() || Now - it->second.Last >= Keep)
+    return nullptr;
+  return &it->second;
+}
+
+void dropOldest(Quarantine &State) {
+  const auto it = std::ranges::min_element(
+      State.Suspects, {}, [](const auto &Row) { return Row.second.Last; });
+  State.Suspects.erase(it);
+}
+
+} // namespace
+
+Digest fingerprintOf(const TenantName &Tenant, const ClassName &Class,
+                     std::string_view Body) {
+  // Lengths keep apart what plain joining would make equal.
+  std::string All = std::to_string(Tenant.Value.size()) + "/" + Tenant.Value +
+                    std::to_string(Class.Value.size()) + "/" + Class.Value;
+  All.append(Body);
+  return sha256(All);
+}
+
+bool noteSuspect(Quarantine &State, const SuspectNotice &Notice,
+                 TimePoint Now) {
+  const Millis Age(
+      static_cast<int64_t>(std::min<uint64_t>(Notice.AgeMillis, Keep.count())));
+  if (Age >= Keep)
+    return false;
+  if (!State.Suspects.contains(Notice.Fingerprint) &&
+      State.Suspects.size() >= MaxSuspects)
+    dropOldest(State);
+  Suspect &One = State.Suspects[Notice.Fingerprint];
+  const bool NewDeath = One.Deaths.insert(Notice.DeathId).second;
+  const bool NewProof = Notice.Alone && !One.Proven;
+  One.Proven = One.Proven || Notice.Alone;
+  One.Last = std::max(One.Last, Now - Age);
+  return NewDeath || NewProof;
+}
+
+Suspicion suspicionOf(const Quarantine &State, const Digest &Fingerprint,
+                      TimePoint Now) {
+  const Suspect *One = find(State, Fingerprint, Now);
+  if (One == nullptr)
+    return Suspicion::None;
+  return One->Proven || One->Deaths.size() >= MaxDeaths ? Suspicion::Refuse
+                                                        : Suspicion::RunAlone;
+}
+
+Millis refusedFor(const Quarantine &State, const Digest &Fingerprint,
+                  TimePoint Now) {
+  const Suspect *One = find(State, Fingerprint, Now);
+  return One == nullptr ? Millis{0} : toMillis(One->Last + Keep - Now);
+}
+
+void clearSuspect(Quarantine &State, const Digest &Fingerprint) {
+  State.Suspects.erase(Fingerprint);
+}
+
+void forgetSuspects(Quarantine &State, TimePoint Now) {
+  std::erase_if(State.Suspects,
+                [&](const auto &Row) { return Now - Row.second.Last >= Keep; });
+}
+
+void tellSuspects(const Quarantine &State, LinkId Link, TimePoint Now,
+                  Effects &Out) {
+  for (const auto &[Fingerprint, One] : State.Suspects) {
+    const auto Age = static_cast<uint64_t>(toMillis(Now - One.Last).count());
+    for (const std::string &Death : One.Deaths)
+      Out.push_back(SendMessage{
+          Link, SuspectNotice{Fingerprint, Death, Age, One.Proven}});
+  }
+}
+
+void spreadNotice(const Membership &Fleet, const SuspectNotice &Notice,
+                  std::optional<Role> Only, Effects &Out) {
+  for (const auto &[Link, Peer] : Fleet.Links)
+    if (Peer.State == LinkState::Ready && (!Only || Peer.Peer.Sender == *Only))
+      Out.push_back(SendMessage{Link, Notice});
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/worker_choice.cpp
@@ -0,0 +1,95 @@
+/** @file worker_choice.cpp Workers that an entry may give a call to. */
+
+#include "worker_choice_func.h"
+
+#include "document_func.h"
+#include "hash_func.h"
+#include "join_func.h"
+#include "membership_func.h"
+#include "quarantine_func.h"
+#include "routing_func.h"
+
+#include <algorithm>
+#include <string>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Bytes of a body that count as its prompt prefix for affinity. */
+constexpr size_t AffinityPrefixBytes = 256;
+
+/** True when a worker may get new work of this entry. */
+bool mayTake(const EntryState &Entry, const Worker &Host, const Call &One) {
+  if (!viewIsFresh(Entry.Fleet))
+    return false;
+  if (Entry.View.InForce->DomainsOut.contains(Host.Domain))
+    return false;
+  if (std::ranges::find(One.Tried, Host.Name) != One.Tried.end())
+    return false;
+  const PeerLink *Link = readyLink(Entry.Fleet, Host.Name);
+  if (Link == nullptr || Link->Leaving)
+    return false;
+  const bool Serves = Link->Load.State == WorkerState::Serving ||
+                      Link->Load.State == WorkerState::Warming;
+  const bool SameWeights =
+      One.Weights.Value.empty() || Link->Load.Weights == One.Weights;
+  return Serves && SameWeights;
+}
+
+std::string affinityKey(const Call &One) {
+  return One.Asked.Tenant.Value + "/" +
+         One.Asked.Body.substr(0, AffinityPrefixBytes);
+}
+
+/**
+ * The place of a suspect. Two entries that try it again at the same time send
+ * it to the same worker, so that it can cost no more than that one.
+ */
+size_t placeOfSuspect(const std::vector<Candidate> &Choice,
+                      const Digest &Fingerprint) {
+  const auto it =
+      std::ranges::max_element(Choice, {}, [&](const Candidate &Each) {
+        return rendezvousScore(Fingerprint.Value, Each.Name.Value);
+      });
+  return static_cast<size_t>(it - Choice.begin());
+}
+
+} // namespace
+
+std::vector<Candidate> candidatesFor(const EntryState &Entry,
+                                     const WorkClass &Class, const Call &One) {
+  std::vector<Candidate> Found;
+  for (const Worker *Host : workersOf(*Entry.View.InForce, Class)) {
+    if (!mayTake(Entry, *Host, One))
+      continue;
+    const PeerLink *Link = readyLink(Entry.Fleet, Host->Name);
+    const auto Open = Entry.OpenAt.find(Host->Name);
+    Found.push_back({Host->Name, Link->Link, Link->Load,
+                     Open == Entry.OpenAt.end() ? 0 : Open->second});
+  }
+  return Found;
+}
+
+size_t chooseFor(const EntryState &Entry, const WorkClass &Class,
+                 const Call &One, const std::vector<Candidate> &Choice,
+                 TimePoint Now) {
+  if (suspicionOf(Entry, One, Now) == Suspicion::RunAlone)
+    return placeOfSuspect(
+        Choice,
+        fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body));
+  const std::string Affinity =
+      Class.Kind == BackEndKind::Model ? affinityKey(One) : "";
+  return chooseWorker(Choice, Affinity, Entry.NextAttempt);
+}
+
+Suspicion suspicionOf(const EntryState &Entry, const Call &One, TimePoint Now) {
+  // Digesting every body would cost time for nothing on ordinary days.
+  if (Entry.Suspects.Suspects.empty())
+    return Suspicion::None;
+  return suspicionOf(
+      Entry.Suspects,
+      fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body), Now);
+}
+
+} // namespace jacinthpond
--- a/tests/integration/cold_start_test.cpp
+++ b/tests/integration/cold_start_test.cpp
@@ -1,12 +1,11 @@
 /** @file cold_start_test.cpp A back end gets no more work than it bears. */
 // Labels: promise-2
 
-#include "fleet/fleet.h"
+#include "fleet/steady_callers.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <thread>
 
 using namespace jacinthpond::fleet;
@@ -39,46 +38,11 @@
   });
 }
 
-/** Callers that ask again and again until told to stop. */
-class SteadyCallers {
-public:
-  SteadyCallers(const Fleet &All, size_t Callers) {
-    for (size_t n = 0; n < Callers; ++n)
-      Threads.emplace_back([this, &All, n] { run(All, n); });
-  }
-  ~SteadyCallers() { stop(); }
-  SteadyCallers(const SteadyCallers &) = delete;
-  SteadyCallers &operator=(const SteadyCallers &) = delete;
-
-  void stop() {
-    Ending = true;
-    for (std::thread &One : Threads)
-      One.join();
-    Threads.clear();
-  }
-
-  std::atomic<size_t> Good{0};    ///< Whole answers.
-  std::atomic<size_t> Refused{0}; ///< Truly not run, with a time to come back.
-  std::atomic<size_t> Other{0};   ///< Anything else.
-
-private:
-  void run(const Fleet &All, size_t n) {
-    for (size_t i = n; !Ending; ++i) {
-      Ask What;
-      What.Body = {{"prompt", "hut " + std::to_string(i)}, {"max_tokens", 10}};
-      const Answer Got = All.ask(i % Entries, What);
-      const int Wait =
-          Got.json().value("/error/retry_after_ms"_json_pointer, 0);
-      ++(Got.Status == 200 ? Good : Wait > 0 ? Refused : Other);
-      if (Got.Status != 200)
-        std::this_thread::sleep_for(
-            std::chrono::milliseconds(std::max(Wait, 20)));
-    }
-  }
-
-  std::atomic<bool> Ending{false};
-  std::vector<std::thread> Threads;
-};
+Ask hutReport(size_t n, size_t i) {
+  Ask What;
+  What.Body = {{"prompt", "hut " + std::to_string(n + i)}, {"max_tokens", 10}};
+  return What;
+}
 
 /** Keeps a worker busy until it runs as much as a warm one may. */
 bool warmUp(const Fleet &All, const std::string &Engine, int Running) {
@@ -127,9 +91,8 @@
 BOOST_AUTO_TEST_CASE(WarmEngineTurnsColdWithoutWarning) {
   Fleet All(planFor(1));
   BOOST_REQUIRE(All.waitServing(30s));
-  SteadyCallers Load(All, 24);
+  SteadyCallers Load(All, 24, hutReport);
   BOOST_REQUIRE(warmUp(All, "engine-0", 15));
-  std::this_thread::yield();
   const size_t Before = Load.Good;
   BOOST_REQUIRE(waitFor(20s, [&] { return Load.Good > Before + 100; }));
   All.control("engine-0",
@@ -177,7 +140,7 @@
   BOOST_REQUIRE(All.waitServing(30s));
   for (size_t n = 0; n < Entries; ++n)
     All.restart("entry-" + std::to_string(n));
-  SteadyCallers Load(All, 50);
+  SteadyCallers Load(All, 50, hutReport);
   BOOST_REQUIRE(waitFor(20s, [&] { return Load.Good > 200; }));
   Load.stop();
   for (size_t n = 0; n < 3; ++n) {
@@ -193,7 +156,7 @@
 BOOST_AUTO_TEST_CASE(WholeDomainReturns) {
   Fleet All(planFor(4));
   BOOST_REQUIRE(All.waitServing(30s));
-  SteadyCallers Load(All, 24);
+  SteadyCallers Load(All, 24, hutReport);
   All.Document["domains_out"] = {All.domainOf(0)};
   All.publish();
   BOOST_REQUIRE(waitFor(20s, [&] {
