core, entry, agent: load told with every answer, choices that differ

Cause: entries chose by heartbeats twice a second and by an attempt counter that is the same in all of them, so that entries started together chose alike; the second of the two choices could be the first again; a warm prefix was left as soon as its worker had one request more than the others. Ruled out: broadcasting load more often (8 entries by 19 workers grow as a product); asking before each choice (a round trip). Setting random_routing is the naive way to measure against.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -76,6 +76,7 @@
     Loop.run(TickPeriod, [this](TimePoint Now) {
       Effects Out;
       agentTick(State, Now, Out);
+      tellLoad(State, Out);
       perform(std::move(Out));
     });
   });
@@ -87,6 +88,7 @@
   Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
     Effects Out;
     Kept(Now, Out);
+    tellLoad(State, Out);
     perform(std::move(Out));
   });
 }
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -9,6 +9,7 @@
 #include "config_view_func.h"
 #include "document_func.h"
 #include "join_func.h"
+#include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
 #include "quarantine_func.h"
@@ -40,9 +41,8 @@
                                                    : WorkerState::Serving;
 }
 
-/** Brings the load that heartbeats tell up to date. */
-void refreshLoad(AgentState &Agent) {
-  WorkerLoad &Load = Agent.Fleet.Load;
+WorkerLoad loadOf(const AgentState &Agent) {
+  WorkerLoad Load;
   Load.State = stateOf(Agent);
   Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
@@ -50,8 +50,12 @@
   Load.Weights = Agent.Weights.Loaded;
   Load.ChunksHeld = static_cast<uint32_t>(Agent.Weights.Held.size());
   Load.ChunksWanted = static_cast<uint32_t>(Agent.Weights.Wanted.Chunks.size());
+  return Load;
 }
 
+/** Brings the load that heartbeats tell up to date. */
+void refreshLoad(AgentState &Agent) { Agent.Fleet.Load = loadOf(Agent); }
+
 /** Tells peers at once when the state of the back end changed. */
 void announceChange(AgentState &Agent, TimePoint Now, Effects &Out) {
   const WorkerState Before = Agent.Fleet.Load.State;
@@ -416,6 +420,10 @@
                           "Load order failed: " + Why->Detail});
 }
 
+void tellLoad(const AgentState &Agent, Effects &Out) {
+  stampLoad(loadOf(Agent), Out);
+}
+
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
   noteStalls(Agent, Now, Out);
   forgetSuspects(Agent.Suspects, Now);
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -133,6 +133,13 @@
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
                Effects &Out);
 
+/**
+ * Writes the load into answers; called on the effects of every decision.
+ * @param Agent The state.
+ * @param Out Effects to change.
+ */
+void tellLoad(const AgentState &Agent, Effects &Out);
+
 /**
  * Time passed.
  * @param Agent State to change.
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -4,7 +4,7 @@
 
 #include "document_func.h"
 #include "hash_func.h"
-#include "join_func.h"
+#include "load_view_func.h"
 #include "membership_func.h"
 #include "quarantine_func.h"
 #include "worker_choice_func.h"
@@ -89,6 +89,7 @@
   Next.TextOffset = One.Text.size();
   ++One.Tries;
   ++Entry.OpenAt[To.Name];
+  noteSent(Entry.Fleet, To.Link);
   Entry.Attempts[Next.Id] = One.Asked.Call;
   AttemptStart m;
   m.Attempt = Next.Id;
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -6,6 +6,7 @@
 #include "config_spread_func.h"
 #include "document_func.h"
 #include "join_func.h"
+#include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
 #include "quarantine_func.h"
@@ -124,6 +125,7 @@
                   TimePoint Now, Effects &Out) {
   if (!linkHeard(Entry.Fleet, Link, Now))
     return;
+  noteLoad(Entry.Fleet, Link, m, Now);
   const FleetNews News =
       fleetMessage(Entry.View, Entry.Fleet, Link, m, Now, Out);
   if (News == FleetNews::NewDocument)
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -128,6 +128,7 @@
   Peer.Service = Beat.Service;
   Peer.Load = Beat.Load;
   Peer.LoadAt = Now;
+  Peer.SentSince = 0;
 }
 
 void sendHeartbeats(Membership &Fleet, const ConfigView &Config, TimePoint Now,
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership_type.h
@@ -50,6 +50,8 @@
   std::optional<TimePoint> ProbedAt;    ///< When it was asked last.
   WorkerLoad Load;                      ///< Last told.
   TimePoint LoadAt;                     ///< When Load was told.
+  uint32_t SentSince = 0;               ///< Attempts sent there since then.
+  TimePoint AvoidUntil;                 ///< It refused work for lack of room.
 };
 
 /** A peer that this process keeps a link to. */
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -31,6 +31,11 @@
   v("wanted", m.ChunksWanted);
 }
 
+template <typename V> void describe(V &v, LoadTold &m) {
+  v("busy", m.Busy);
+  v("limit", m.Limit);
+}
+
 template <typename V> void describe(V &v, Heartbeat &m) {
   v("seq", m.Sequence);
   v("run", m.Run);
@@ -69,6 +74,7 @@
 template <typename V> void describe(V &v, AttemptBegun &m) {
   v("attempt", m.Attempt);
   v("weights", m.Weights);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AnswerFrame &m) {
@@ -82,6 +88,7 @@
   v("count", m.Count);
   v("content", m.Content);
   v("status", m.Status);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AttemptFailed &m) {
@@ -90,6 +97,7 @@
   v("ran", m.Executed);
   v("detail", m.Detail);
   v("retry_after", m.RetryAfterMillis);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AttemptCancel &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -92,10 +92,17 @@
   bool Alone = false;           ///< Suspected: nothing may run beside it.
 };
 
+/** Work at a back end, told with each answer: fresher than heartbeats. */
+struct LoadTold {
+  uint32_t Busy = 0;  ///< Running and waiting requests.
+  uint32_t Limit = 0; ///< Running work allowed; 0: nothing told.
+};
+
 /** The attempt was given to the back end. */
 struct AttemptBegun {
   AttemptId Attempt; ///< Which attempt.
   Digest Weights;    ///< Weights that produce the answer; empty: none.
+  LoadTold Load{};   ///< Work at the sender.
 };
 
 /** One piece of an answer. */
@@ -111,6 +118,7 @@
   uint64_t Count = 0;   ///< Frames of the whole answer, resumed part included.
   Digest Content;       ///< Digest over all frames of this attempt.
   int32_t Status = 200; ///< Status of a plain service's answer.
+  LoadTold Load{};      ///< Work at the sender.
 };
 
 /** The attempt ends without a whole answer. */
@@ -120,6 +128,7 @@
   Ran Executed = Ran::Unknown;          ///< Whether the work ran.
   std::string Detail;                   ///< For logs.
   uint64_t RetryAfterMillis = 0;        ///< 0: the table's hint.
+  LoadTold Load{};                      ///< Work at the sender.
 };
 
 /** The caller gave up; the agent ends the attempt where it can. */
--- a/packages/core/src/routing_func.h
+++ b/packages/core/src/routing_func.h
@@ -21,6 +21,14 @@
 size_t chooseWorker(const std::vector<Candidate> &Candidates,
                     std::string_view AffinityKey, uint64_t Salt);
 
+/**
+ * Chooses any worker: the naive way, to measure against.
+ * @param Candidates Workers that may be taken; not changed.
+ * @param Salt Differs for each try.
+ * @return Index into Candidates; Candidates.size() when there is none.
+ */
+size_t chooseAtRandom(const std::vector<Candidate> &Candidates, uint64_t Salt);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/routing_type.h
+++ b/packages/core/src/routing_type.h
@@ -13,7 +13,10 @@
   HostName Name;          ///< Published name.
   LinkId Link;            ///< Ready link to its agent.
   WorkerLoad Load;        ///< Last load told.
-  uint32_t SentSince = 0; ///< Requests that this entry has open there.
+  uint32_t SentSince = 0; ///< Attempts sent there since Load was told.
+  uint32_t Open = 0;      ///< Attempts that this entry has open there.
+  bool Near = false;      ///< In the failure domain of this entry.
+  bool Avoid = false;     ///< It refused work a moment ago.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -40,6 +40,7 @@
   int64_t QueueLimit = 0;
   int64_t WarmAfter = 0;
   int64_t UplinkBytesPerSecond = 0;
+  bool RandomRouting = false;
   bool FencedEngine = false;
 };
 
--- a/packages/core/src/worker_choice.cpp
+++ b/packages/core/src/worker_choice.cpp
@@ -65,8 +65,10 @@
       continue;
     const PeerLink *Link = readyLink(Entry.Fleet, Host->Name);
     const auto Open = Entry.OpenAt.find(Host->Name);
-    Found.push_back({Host->Name, Link->Link, Link->Load,
-                     Open == Entry.OpenAt.end() ? 0 : Open->second});
+    Found.push_back({Host->Name, Link->Link, Link->Load, Link->SentSince,
+                     Open == Entry.OpenAt.end() ? 0 : Open->second,
+                     Host->Domain == Entry.Fleet.Self.Domain,
+                     Entry.Fleet.LastTick < Link->AvoidUntil});
   }
   return Found;
 }
@@ -80,7 +82,11 @@
         fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body));
   const std::string Affinity =
       Class.Kind == BackEndKind::Model ? affinityKey(One) : "";
-  return chooseWorker(Choice, Affinity, Entry.NextAttempt);
+  // Entries started together count alike; their choices must still differ.
+  const uint64_t Salt = Entry.Fleet.Self.Run.Value + Entry.NextAttempt;
+  if (Entry.Config.RandomRouting)
+    return chooseAtRandom(Choice, Salt);
+  return chooseWorker(Choice, Affinity, Salt);
 }
 
 Suspicion suspicionOf(const EntryState &Entry, const Call &One, TimePoint Now) {
