--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -84,6 +84,7 @@
         if (Peer.BacklogBytes > 0)
           linkBacklog(State, Link, Links.backlog(Link));
       agentTick(State, Now, Out);
+      tellLoad(State, Out);
       perform(std::move(Out));
     });
   });
@@ -95,6 +96,7 @@
   Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
     Effects Out;
     Kept(Now, Out);
+    tellLoad(State, Out);
     perform(std::move(Out));
   });
 }
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -4,12 +4,15 @@
 
 #include "admission_func.h"
 #include "attempt_func.h"
+#include "back_end_death_func.h"
 #include "config_spread_func.h"
 #include "config_view_func.h"
 #include "document_func.h"
 #include "join_func.h"
+#include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "quarantine_func.h"
 #include "rollout_func.h"
 #include "token_pace_func.h"
 #include "transfer_func.h"
@@ -41,17 +44,20 @@
                                                    : WorkerState::Serving;
 }
 
-/** Brings the load that heartbeats tell up to date. */
-void refreshLoad(AgentState &Agent) {
-  WorkerLoad &Load = Agent.Fleet.Load;
+WorkerLoad loadOf(const AgentState &Agent) {
+  WorkerLoad Load;
   Load.State = stateOf(Agent);
   Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
   Load.Weights = Agent.Weights.Loaded;
   describeTransfer(Agent.Transfer, Load);
+  return Load;
 }
 
+/** Brings the load that heartbeats tell up to date. */
+void refreshLoad(AgentState &Agent) { Agent.Fleet.Load = loadOf(Agent); }
+
 /** Tells peers at once when the state of the back end changed. */
 void announceChange(AgentState &Agent, TimePoint Now, Effects &Out) {
   const WorkerState Before = Agent.Fleet.Load.State;
@@ -120,6 +126,12 @@
                         "Most answers stall: back end is cold."});
 }
 
+/** True when the back end may have died in the middle of a run. */
+bool brokeOff(const Outcome<EngineEnd> &End) {
+  return !End.Value && (End.Why.Kind == ErrorKind::OutcomeUnknown ||
+                        End.Why.Kind == ErrorKind::PartialAnswer);
+}
+
 /** Turns what is known of a run's end into what admission needs. */
 RunEnd runEndOf(bool Whole, const Outcome<EngineEnd> &End) {
   if (Whole)
@@ -179,8 +191,10 @@
     followDocument(Agent, Now, Out);
     announceChange(Agent, Now, Out);
   }
-  if (std::holds_alternative<Hello>(m))
+  if (std::holds_alternative<Hello>(m)) {
     notePartner(Agent, Link);
+    tellSuspects(Agent.Suspects, Link, Now, Out);
+  }
   if (News != FleetNews::NotMine)
     return;
   std::visit(Overloaded{[&](const AttemptStart &Start) {
@@ -198,6 +212,9 @@
                                          Asked.Chunk, Out);
                           serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
                         },
+                        [&](const SuspectNotice &Notice) {
+                          agentSuspect(Agent, Notice, Now, Out);
+                        },
                         [](const auto &) {
                           // Meant for entries; an agent that gets one has
                           // nothing to do.
@@ -243,7 +260,13 @@
   runEnded(Agent.Gate, Which, runEndOf(Whole, End),
            Known ? Now - it->second.Began : Duration{0});
   if (Whole) {
+    if (!Agent.Suspects.Suspects.empty())
+      clearSuspect(Agent.Suspects, fingerprintOf(it->second.Asked.Tenant,
+                                                 it->second.Asked.Class,
+                                                 it->second.Asked.Body));
     finishAttempt(Agent, Which, 200, Out);
+  } else if (Known && !it->second.Cancelled && brokeOff(End)) {
+    runBrokeOff(Agent, Which, End.Why);
   } else if (Known) {
     const bool NeverSent = End.Why.Kind == ErrorKind::Unreachable && !End.Value;
     Failure Why = End.Why;
@@ -316,6 +339,7 @@
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
                           "Back end is silent: " + Read.Why.Detail});
   Agent.BackEndUp = Read.Value.has_value();
+  judgeBrokenRuns(Agent, Run, Now, Out);
   if (Restarted) {
     turnCold(Agent.Gate);
     refuseWaiting(Agent, ErrorKind::ColdStart, Out);
@@ -374,8 +398,13 @@
                           "Load order failed: " + Why->Detail});
 }
 
+void tellLoad(const AgentState &Agent, Effects &Out) {
+  stampLoad(loadOf(Agent), Out);
+}
+
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
   noteStalls(Agent, Now, Out);
+  forgetSuspects(Agent.Suspects, Now);
   refuseOverdue(Agent, Now, Out);
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -153,6 +153,13 @@
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
                Effects &Out);
 
+/**
+ * Writes the load into answers; called on the effects of every decision.
+ * @param Agent The state.
+ * @param Out Effects to change.
+ */
+void tellLoad(const AgentState &Agent, Effects &Out);
+
 /**
  * Time passed.
  * @param Agent State to change.
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -35,6 +35,11 @@
   v("across", m.BytesAcross);
 }
 
+template <typename V> void describe(V &v, LoadTold &m) {
+  v("busy", m.Busy);
+  v("limit", m.Limit);
+}
+
 template <typename V> void describe(V &v, Heartbeat &m) {
   v("seq", m.Sequence);
   v("run", m.Run);
@@ -67,11 +72,13 @@
   v("token", m.Token);
   v("resume_on", m.ResumeOn);
   v("resume_from", m.ResumeFrom);
+  v("alone", m.Alone);
 }
 
 template <typename V> void describe(V &v, AttemptBegun &m) {
   v("attempt", m.Attempt);
   v("weights", m.Weights);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AnswerFrame &m) {
@@ -85,6 +92,7 @@
   v("count", m.Count);
   v("content", m.Content);
   v("status", m.Status);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AttemptFailed &m) {
@@ -93,6 +101,7 @@
   v("ran", m.Executed);
   v("detail", m.Detail);
   v("retry_after", m.RetryAfterMillis);
+  describe(v, m.Load);
 }
 
 template <typename V> void describe(V &v, AttemptCancel &m) {
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -43,6 +43,7 @@
   int64_t AcrossBytesPerSecond = 0;
   bool WeightsFromPeers = true;
   int64_t ChunkTakeoverMillis = 0;
+  bool RandomRouting = false;
   bool FencedEngine = false;
 };
 
