--- a/bench/chaos/callers.cpp
+++ b/bench/chaos/callers.cpp
@@ -26,6 +26,8 @@
 Told toldBy(const Answer &Got) {
   if (Got.Status == 200)
     return Told::Answered;
+  if (!Got.Sent)
+    return Told::NotRun;
   const Json Body = Got.json();
   if (Body.contains("error") && Body["error"].value("ran", "") == "no")
     return Told::NotRun;
@@ -35,7 +37,7 @@
 std::string kindOf(const Answer &Got) {
   const Json Body = Got.json();
   if (!Body.contains("error"))
-    return "no_answer";
+    return Got.Sent ? "no_answer" : "not_connected";
   return Body["error"].value("kind", "no_kind");
 }
 
--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -271,8 +271,8 @@
       Client.Post("/v1/classes/" + What.Class + "/requests", Headers,
                   What.Body.dump(), "application/json");
   if (!Got)
-    return {};
-  return {Got->status, Got->body};
+    return {0, Got.error() != httplib::Error::Connection, ""};
+  return {Got->status, true, Got->body};
 }
 
 std::vector<Answer>
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -39,6 +39,7 @@
 /** An answer to a caller. */
 struct Answer {
   int Status = 0;   ///< HTTP status; 0: no answer.
+  bool Sent = true; ///< False: no connection came about.
   std::string Body; ///< Content.
 
   /**
