core, entry, agent: pauses, cut-off processes and leaving hosts

Cause: a process that was stopped woke up with an old view and full sockets and acted on both; nobody read the list of hosts; a departure reached only those whom the leaving process told. Change: dropLinksAfterPause closes all links unread, takes a new incarnation and restarts the join; agents refuse their queue and give the back end nothing decided before the pause; readers read the list of hosts each second and LeavingNotice messages tell on what they find, with its age. Conclusion: left is the instruction window between the last check and the call.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -49,7 +49,8 @@
 }
 
 Fleet::Fleet(FleetPlan Wanted) : Plan(std::move(Wanted)), Folder(makeFolder()) {
-  startStandIn("platform", "platform", Json::object());
+  for (size_t n = 0; n < Plan.Platforms; ++n)
+    startStandIn(platformOf(n), "platform", Json::object());
   startStandIn("origin", "origin", Plan.OriginOptions);
   Document = {{"version", 0},
               {"classes",
@@ -171,12 +172,17 @@
        {Model ? "model" : "service", Model ? "trail" : "slots"}});
 }
 
+std::string Fleet::platformOf(size_t n) const {
+  const size_t Which = n % Plan.Platforms;
+  return Which == 0 ? "platform" : "platform-" + std::to_string(Which);
+}
+
 void Fleet::startEntry(size_t n) {
   const std::string Name = "entry-" + std::to_string(n);
   Json Settings = {{"name", Name},
                    {"domain", domainOf(n)},
-                   {"config_url", "http://" + address("platform", "at")},
-                   {"hosts_url", "http://" + address("platform", "at")}};
+                   {"config_url", "http://" + address(platformOf(n), "at")},
+                   {"hosts_url", "http://" + address(platformOf(n), "at")}};
   Settings.update(Plan.EntrySettings);
   startProgram(Name, EntryProgram, Settings);
   Document["entries"].push_back({{"name", Name},
@@ -206,7 +212,8 @@
 
 void Fleet::publish() {
   Document["version"] = Document["version"].get<uint64_t>() + 1;
-  control("platform", {{"document", Document.dump()}});
+  for (size_t n = 0; n < Plan.Platforms; ++n)
+    control(platformOf(n), {{"document", Document.dump()}});
 }
 
 std::string Fleet::address(const std::string &Name,
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -31,6 +31,7 @@
   Json OriginOptions = Json::object();  ///< For the origin.
   Json EntrySettings = Json::object();  ///< Added to every entry's settings.
   Json AgentSettings = Json::object();  ///< Added to every agent's settings.
+  size_t Platforms = 1;       ///< Entry n reads from platform n % Platforms.
   bool SharedService = false; ///< One plain service stands behind all agents.
   bool ProxyAgents = false;   ///< Entries reach agents through a proxy each.
 };
@@ -112,7 +113,8 @@
 
   /**
    * Gives a stand-in's control state.
-   * @param Name "platform", "origin", "engine-0", "service-0", "proxy-m0".
+   * @param Name "platform", "platform-1", "origin", "engine-0", "service-0",
+   * "proxy-m0".
    * @return Its JSON.
    */
   Json look(const std::string &Name) const;
@@ -205,6 +207,7 @@
   void startWorker(const std::string &Name, const std::string &BackEnd,
                    size_t n, bool Model);
   void startEntry(size_t n);
+  std::string platformOf(size_t n) const;
 
   std::string Folder; ///< Settings and logs; removed at the end.
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -86,6 +86,7 @@
 void AgentShell::post(std::function<void(TimePoint, Effects &)> Work) {
   Loop.post([this, Kept = std::move(Work)](TimePoint Now) {
     Effects Out;
+    agentNoticePause(State, Now, Out);
     Kept(Now, Out);
     perform(std::move(Out));
   });
@@ -100,12 +101,15 @@
             [this](const SendMessage &e) { Links.send(e.Link, e.Content); },
             [this](const RunModel &e) {
               noteStart(e.Request.Attempt);
-              Runners->enqueue(
-                  [this, Request = e.Request] { runModel(Request); });
+              Runners->enqueue([this, Request = e.Request, At = Clock.now()] {
+                runModel(Request, At);
+              });
             },
             [this](const RunService &e) {
               noteStart(e.Call.Attempt);
-              Runners->enqueue([this, Call = e.Call] { runService(Call); });
+              Runners->enqueue([this, Call = e.Call, At = Clock.now()] {
+                runService(Call, At);
+              });
             },
             [this](const CancelRun &e) {
               const std::lock_guard Lock(CancelGuard);
@@ -141,9 +145,18 @@
   return Cancelled.contains(Which);
 }
 
-void AgentShell::runModel(const EngineRequest &Request) {
+Result<void> AgentShell::refuseAfterPause(TimePoint Decided) const {
+  // The process may have been stopped between the decision and the call. The
+  // decision is then old, the domain may be out: nothing is sent any more.
+  if (Clock.now() - Decided > State.Fleet.Times.PauseGap)
+    return fail(ErrorKind::Unreachable, "paused before the call");
+  return {};
+}
+
+void AgentShell::runModel(const EngineRequest &Request, TimePoint Decided) {
   const AttemptId Which = Request.Attempt;
-  const auto End = outcomeOf([&] {
+  const auto End = outcomeOf([&]() -> Result<EngineEnd> {
+    BOOST_LEAF_CHECK(refuseAfterPause(Decided));
     return Beside.Engine->generate(
         Request,
         [&](const Digest &Weights) {
@@ -169,8 +182,11 @@
   });
 }
 
-void AgentShell::runService(const ServiceCall &Call) {
-  const auto Answer = outcomeOf([&] { return Beside.Service->call(Call); });
+void AgentShell::runService(const ServiceCall &Call, TimePoint Decided) {
+  const auto Answer = outcomeOf([&]() -> Result<ServiceAnswer> {
+    BOOST_LEAF_CHECK(refuseAfterPause(Decided));
+    return Beside.Service->call(Call);
+  });
   post([this, Which = Call.Attempt, Answer](TimePoint Now, Effects &Out) {
     serviceAnswered(State, Which, Answer, Now, Out);
   });
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -74,8 +74,9 @@
 private:
   void post(std::function<void(TimePoint, Effects &)> Work);
   void perform(Effects Todo);
-  void runModel(const EngineRequest &Request);
-  void runService(const ServiceCall &Call);
+  Result<void> refuseAfterPause(TimePoint Decided) const;
+  void runModel(const EngineRequest &Request, TimePoint Decided);
+  void runService(const ServiceCall &Call, TimePoint Decided);
   void fetchChunk(const Digest &Chunk);
   void loadWeights(const LoadWeights &Load);
   void watchBackEnd();
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -6,10 +6,12 @@
 #include "attempt_func.h"
 #include "config_spread_func.h"
 #include "config_view_func.h"
+#include "departure_func.h"
 #include "document_func.h"
 #include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "pause_func.h"
 #include "token_pace_func.h"
 #include "weights_func.h"
 
@@ -26,7 +28,7 @@
 
 /** Works out how far the back end is from serving. */
 WorkerState stateOf(const AgentState &Agent) {
-  if (Agent.Stopping)
+  if (agentIsLeaving(Agent))
     return WorkerState::Leaving;
   const bool Model = !Agent.Config.EngineUrl.empty();
   if (!Agent.BackEndUp)
@@ -124,7 +126,8 @@
 void loadInTurn(AgentState &Agent, Effects &Out) {
   WeightsState &Weights = Agent.Weights;
   const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
-                      !Weights.Loading && Agent.BackEndUp;
+                      !Weights.Loading && Agent.BackEndUp &&
+                      viewIsFresh(Agent.Fleet);
   if (!Needed || !wholeSetHeld(Weights))
     return;
   if (!Weights.Draining && !isTurnToLoad(Agent))
@@ -218,8 +221,19 @@
     cancelAttempt(Agent, Which, Now, Out);
 }
 
+void agentNoticePause(AgentState &Agent, TimePoint Now, Effects &Out) {
+  const std::vector<LinkId> Dropped =
+      dropLinksAfterPause(Agent.Fleet, Now, Out);
+  if (Dropped.empty())
+    return;
+  for (const LinkId Link : Dropped)
+    agentLinkClosed(Agent, Link, Now, Out);
+  refuseWaiting(Agent, ErrorKind::StaleView, Out);
+}
+
 void agentMessage(AgentState &Agent, LinkId Link, const Message &m,
                   TimePoint Now, Effects &Out) {
+  agentNoticePause(Agent, Now, Out);
   if (!linkHeard(Agent.Fleet, Link, Now))
     return;
   const FleetNews News =
@@ -399,8 +413,12 @@
 void agentTick(AgentState &Agent, TimePoint Now, Effects &Out) {
   noteStalls(Agent, Now, Out);
   refuseOverdue(Agent, Now, Out);
+  agentNoticePause(Agent, Now, Out);
+  const bool WasFresh = viewIsFresh(Agent.Fleet);
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
+  if (WasFresh && !viewIsFresh(Agent.Fleet))
+    refuseWaiting(Agent, ErrorKind::StaleView, Out);
   fetchMissing(Agent.Weights, Now, Out);
   loadInTurn(Agent, Out);
   announceChange(Agent, Now, Out);
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -37,6 +37,15 @@
 void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now,
                      Effects &Out);
 
+/**
+ * Looks for a gap in the own clock and ends what was open before it. To be
+ * called before each event, since a pause may end in front of any.
+ * @param Agent State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void agentNoticePause(AgentState &Agent, TimePoint Now, Effects &Out);
+
 /**
  * A message arrived from a peer.
  * @param Agent State to change.
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -3,6 +3,7 @@
 #include "attempt_func.h"
 
 #include "admission_func.h"
+#include "departure_func.h"
 #include "document_func.h"
 #include "error_func.h"
 #include "hash_func.h"
@@ -65,7 +66,7 @@
 /** Says why this agent takes no such work at all now, or nothing. */
 std::optional<ErrorKind> standingRefusal(const AgentState &Agent,
                                          const AttemptStart &m) {
-  if (Agent.Stopping)
+  if (agentIsLeaving(Agent))
     return ErrorKind::Leaving;
   if (!Agent.View.InForce || !viewIsFresh(Agent.Fleet))
     return ErrorKind::StaleView;
@@ -141,6 +142,11 @@
 
 } // namespace
 
+bool agentIsLeaving(const AgentState &Agent) {
+  return Agent.Stopping ||
+         isDeparting(Agent.Fleet, Agent.Fleet.Self.Name, Agent.Fleet.Self.Run);
+}
+
 void takeAttempt(AgentState &Agent, LinkId Link, const AttemptStart &m,
                  TimePoint Now, Effects &Out) {
   if (Agent.Attempts.contains(m.Attempt))
--- a/packages/core/src/attempt_func.h
+++ b/packages/core/src/attempt_func.h
@@ -7,6 +7,13 @@
 
 namespace jacinthpond {
 
+/**
+ * Says whether this agent takes no new work because it or its host leaves.
+ * @param Agent The state.
+ * @return True after a stop signal, or while the list of hosts names it.
+ */
+bool agentIsLeaving(const AgentState &Agent);
+
 /**
  * An entry asks for an attempt: it is run, queued, or refused at once.
  * @param Agent State to change.
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "call_func.h"
 
+#include "departure_func.h"
 #include "document_func.h"
 #include "hash_func.h"
 #include "join_func.h"
@@ -29,7 +30,8 @@
   if (std::ranges::find(One.Tried, Host.Name) != One.Tried.end())
     return false;
   const PeerLink *Link = readyLink(Entry.Fleet, Host.Name);
-  if (Link == nullptr || Link->Leaving)
+  if (Link == nullptr || Link->Leaving ||
+      isDeparting(Entry.Fleet, Host.Name, Link->Peer.Run))
     return false;
   const bool Serves = Link->Load.State == WorkerState::Serving ||
                       Link->Load.State == WorkerState::Warming;
--- a/packages/core/src/config_spread.cpp
+++ b/packages/core/src/config_spread.cpp
@@ -3,6 +3,7 @@
 #include "config_spread_func.h"
 
 #include "config_view_func.h"
+#include "departure_func.h"
 #include "hash_func.h"
 #include "join_func.h"
 #include "membership_func.h"
@@ -61,6 +62,14 @@
   Out.push_back(SendMessage{Link, Push});
 }
 
+/** A peer that leaves may reach only this process: the others are told. */
+void tellDeparture(Membership &Fleet, LinkId Link, TimePoint Now,
+                   Effects &Out) {
+  const PeerLink &Peer = Fleet.Links.at(Link);
+  if (Peer.Leaving && Peer.State == LinkState::Ready)
+    departureHeard(Fleet, {Peer.Peer.Name, Peer.Peer.Run, 0}, Now, Out);
+}
+
 FleetNews takePush(ConfigView &View, Membership &Fleet, LinkId Link,
                    const ConfigPush &Push, TimePoint Now, Effects &Out) {
   PeerLink &Peer = Fleet.Links.at(Link);
@@ -130,11 +139,16 @@
                                },
                                [&](const Heartbeat &Beat) {
                                  heartbeatHeard(Fleet, Link, Beat, Now);
+                                 tellDeparture(Fleet, Link, Now, Out);
                                  compareDigests(View, Fleet, Beat.Version,
                                                 Beat.ConfigDigest, Out);
                                  pullWhenBehind(View, Fleet, Now, Out);
                                  return FleetNews::Handled;
                                },
+                               [&](const LeavingNotice &Notice) {
+                                 departureHeard(Fleet, Notice, Now, Out);
+                                 return FleetNews::Handled;
+                               },
                                [&](const ConfigPull &Pull) {
                                  answerPull(View, Fleet, Link, Pull, Out);
                                  return FleetNews::Handled;
@@ -150,6 +164,7 @@
 std::vector<LinkId> fleetTick(const ConfigView &View, Membership &Fleet,
                               TimePoint Now, Effects &Out) {
   const std::vector<LinkId> Silent = membershipTick(Fleet, View, Now, Out);
+  departureTick(Fleet, Now, Out);
   joinTick(View, Fleet, Now, Out);
   pullWhenBehind(View, Fleet, Now, Out);
   return Silent;
--- /dev/null
+++ b/packages/core/src/departure.cpp
@@ -0,0 +1,62 @@
+/** @file departure.cpp Hosts that leave, as told by list, peer or host. */
+
+#include "departure_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Time after which a departure that nobody confirms is forgotten. */
+constexpr Millis HoldTime{10000};
+
+void tellPeers(const Membership &Fleet, const Departure &Who, TimePoint SaidAt,
+               TimePoint Now, Effects &Out) {
+  LeavingNotice Notice;
+  Notice.Host = Who.Host;
+  Notice.Run = Who.Run;
+  Notice.AgeMillis = static_cast<uint64_t>(toMillis(Now - SaidAt).count());
+  for (const auto &[Link, Peer] : Fleet.Links)
+    if (Peer.State == LinkState::Ready)
+      Out.push_back(SendMessage{Link, Notice});
+}
+
+} // namespace
+
+void hostListRead(Membership &Fleet, const std::vector<HostName> &Named,
+                  TimePoint Now, Effects &Out) {
+  for (const HostName &Host : Named)
+    departureHeard(Fleet, {Host, Incarnation{}, 0}, Now, Out);
+}
+
+void departureHeard(Membership &Fleet, const LeavingNotice &Notice,
+                    TimePoint Now, Effects &Out) {
+  if (Notice.AgeMillis >= static_cast<uint64_t>(HoldTime.count()))
+    return;
+  const TimePoint SaidAt = Now - Millis(static_cast<int64_t>(Notice.AgeMillis));
+  const Departure Who{Notice.Host, Notice.Run};
+  const auto [it, New] = Fleet.Departures.try_emplace(Who, SaidAt);
+  it->second = std::max(it->second, SaidAt);
+  if (New) // The others must know within seconds: no wait for a heartbeat.
+    tellPeers(Fleet, Who, SaidAt, Now, Out);
+}
+
+bool isDeparting(const Membership &Fleet, const HostName &Name,
+                 Incarnation Run) {
+  // The list means the host; the process itself only its present run, so that
+  // one which was started again gets work at once.
+  return Fleet.Departures.contains({Name, Incarnation{}}) ||
+         Fleet.Departures.contains({Name, Run});
+}
+
+void departureTick(Membership &Fleet, TimePoint Now, Effects &Out) {
+  std::erase_if(Fleet.Departures,
+                [&](const auto &Row) { return Now - Row.second >= HoldTime; });
+  if (Fleet.LastHeartbeat != Now)
+    return;
+  for (const auto &[Who, SaidAt] : Fleet.Departures)
+    tellPeers(Fleet, Who, SaidAt, Now, Out);
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -4,10 +4,12 @@
 
 #include "call_func.h"
 #include "config_spread_func.h"
+#include "departure_func.h"
 #include "document_func.h"
 #include "join_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "pause_func.h"
 #include "reader_rank_func.h"
 
 #include <algorithm>
@@ -38,6 +40,12 @@
     attemptsLost(Entry, Link, Now, Out);
 }
 
+/** Ends what was open before a pause. */
+void noticePause(EntryState &Entry, TimePoint Now, Effects &Out) {
+  for (const LinkId Link : dropLinksAfterPause(Entry.Fleet, Now, Out))
+    attemptsLost(Entry, Link, Now, Out);
+}
+
 } // namespace
 
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -60,6 +68,7 @@
 
 void entryCall(EntryState &Entry, const CallRequest &Asked, TimePoint Now,
                Effects &Out) {
+  noticePause(Entry, Now, Out);
   ++Entry.Counters.Calls;
   Call One;
   One.Asked = Asked;
@@ -121,6 +130,7 @@
 
 void entryMessage(EntryState &Entry, LinkId Link, const Message &m,
                   TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   if (!linkHeard(Entry.Fleet, Link, Now))
     return;
   const FleetNews News =
@@ -145,6 +155,7 @@
 
 void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
                      TimePoint Began, TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   if (!Read.Value || Read.Value->empty()) {
     readEnded(Entry.Fleet, Read.Value.has_value(), true, Began, Now);
     return;
@@ -158,7 +169,14 @@
     followDocument(Entry, Now, Out);
 }
 
+void entryHostsRead(EntryState &Entry, const std::vector<HostName> &Leaving,
+                    TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
+  hostListRead(Entry.Fleet, Leaving, Now, Out);
+}
+
 void entryTick(EntryState &Entry, TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   const bool WasFresh = viewIsFresh(Entry.Fleet);
   for (const LinkId Link : fleetTick(Entry.View, Entry.Fleet, Now, Out)) {
     Out.push_back(
--- a/packages/core/src/entry_func.h
+++ b/packages/core/src/entry_func.h
@@ -77,6 +77,16 @@
 void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
                      TimePoint Began, TimePoint Now, Effects &Out);
 
+/**
+ * The platform's list of hosts was read.
+ * @param Entry State to change.
+ * @param Leaving Hosts that it names as leaving.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void entryHostsRead(EntryState &Entry, const std::vector<HostName> &Leaving,
+                    TimePoint Now, Effects &Out);
+
 /**
  * Time passed.
  * @param Entry State to change.
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership_type.h
@@ -68,6 +68,13 @@
   uint64_t Sent = 0;          ///< Pulls so far; varies the choice of a peer.
 };
 
+/** Which run of a host leaves; run 0 means the host, whatever runs. */
+struct Departure {
+  HostName Host;   ///< Who.
+  Incarnation Run; ///< Which run.
+  auto operator<=>(const Departure &) const = default;
+};
+
 /** All links of a process. */
 struct Membership {
   Hello Self;                            ///< What this process is.
@@ -78,10 +85,11 @@
   TimePoint LastHeartbeat;               ///< When heartbeats were sent last.
   TimePoint LastTick;                    ///< When time was looked at last.
   bool Leaving = false;                  ///< This process takes no new work.
-  Join Joining;                          ///< Whether the view is trusted.
-  PendingPull Pull;                      ///< Document under way.
-  Digest AlarmedDigest;                  ///< Conflict that was logged last.
-  WorkerLoad Load;                       ///< Own load; agents only.
+  std::map<Departure, TimePoint> Departures; ///< When last confirmed.
+  Join Joining;                              ///< Whether the view is trusted.
+  PendingPull Pull;                          ///< Document under way.
+  Digest AlarmedDigest;                      ///< Conflict that was logged last.
+  WorkerLoad Load;                           ///< Own load; agents only.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -126,6 +126,12 @@
   v("alone", m.Alone);
 }
 
+template <typename V> void describe(V &v, LeavingNotice &m) {
+  v("host", m.Host);
+  v("run", m.Run);
+  v("age", m.AgeMillis);
+}
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -166,11 +166,18 @@
   bool Alone = false;     ///< The request ran alone: it is the cause.
 };
 
+/** Tells that a host takes no new work; sent on by whoever hears it. */
+struct LeavingNotice {
+  HostName Host;          ///< Who leaves.
+  Incarnation Run;        ///< Which run of it; 0: the host, whatever runs.
+  uint64_t AgeMillis = 0; ///< How long ago that was last confirmed.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
-                 ChunkData, ChunkHave, SuspectNotice>;
+                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice>;
 
 } // namespace jacinthpond
 
--- /dev/null
+++ b/packages/core/src/pause.cpp
@@ -0,0 +1,53 @@
+/** @file pause.cpp Noticing that this process did not run for a while. */
+
+#include "pause_func.h"
+
+#include "hash_func.h"
+#include "join_func.h"
+
+#include <string>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Gives an incarnation that no other start or wake-up has. */
+Incarnation nextIncarnation(const Membership &Fleet, TimePoint Now) {
+  const std::string Old = std::to_string(Fleet.Self.Run.Value);
+  const std::string At = std::to_string(Now.time_since_epoch().count());
+  return Incarnation{(rendezvousScore(Old, At) >> 1U) | 1U};
+}
+
+} // namespace
+
+std::vector<LinkId> dropLinksAfterPause(Membership &Fleet, TimePoint Now,
+                                        Effects &Out) {
+  // A stopped process wakes up with an old view and with sockets full of old
+  // requests: it would send work into a domain that was taken out meanwhile,
+  // and run requests that were given up. What its peers said before the pause
+  // is worth nothing, so nothing of it is read.
+  if (Now - Fleet.LastTick <= Fleet.Times.PauseGap)
+    return {};
+  Out.push_back(LogNote{
+      LogPart::Links, LogLevel::Warn,
+      "Paused for " + std::to_string(toMillis(Now - Fleet.LastTick).count()) +
+          " ms; all links are opened again."});
+  std::vector<LinkId> Dropped;
+  for (const auto &[Link, Peer] : Fleet.Links) {
+    Dropped.push_back(Link);
+    Out.push_back(CloseLink{Link});
+  }
+  Fleet.Links.clear();
+  for (auto &[Name, Peer] : Fleet.Wanted) {
+    Peer.Link.reset();
+    Peer.NextTry = Now;
+    Peer.Failures = 0;
+  }
+  Fleet.Self.Run = nextIncarnation(Fleet, Now);
+  Fleet.Joining.ServiceHeard.reset();
+  Fleet.LastTick = Now;
+  restartJoin(Fleet, Now);
+  return Dropped;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -11,10 +11,10 @@
 namespace jacinthpond {
 
 constexpr std::array<std::string_view, std::variant_size_v<Message>>
-    MessageNames = {"hello",  "heartbeat", "pull",  "push",
-                    "start",  "begun",     "frame", "end",
-                    "failed", "cancel",    "query", "status",
-                    "chunk?", "chunk",     "have",  "suspect"};
+    MessageNames = {"hello",   "heartbeat", "pull",   "push",   "start",
+                    "begun",   "frame",     "end",    "failed", "cancel",
+                    "query",   "status",    "chunk?", "chunk",  "have",
+                    "suspect", "leaving"};
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -18,15 +18,18 @@
 constexpr Millis TickPeriod{50};
 /** Time between two looks whether a wait for the control thread is in vain. */
 constexpr Millis TurnPoll{100};
+/** Time between two readings of the list of hosts. */
+constexpr Millis HostsPeriod{1000};
 /** Time between two looks at the requests in progress while draining. */
 constexpr Millis DrainPoll{20};
 
 } // namespace
 
-EntryShell::EntryShell(const Settings &Config, ConfigPort &Service)
+EntryShell::EntryShell(const Settings &Config, ConfigPort &Service,
+                       HostsPort *Hosts)
     : Loop(Clock),
       State(makeEntry(Config, Incarnation{randomIncarnation()}, Clock.now())),
-      Service(Service),
+      Service(Service), Hosts(Hosts),
       Links({[this](LinkId Link) {
                post([this, Link](TimePoint Now, Effects &Out) {
                  entryLinkOpened(State, Link, Now, Out);
@@ -64,6 +67,8 @@
     Control.join();
   if (Reader.joinable())
     Reader.join();
+  if (HostsReader.joinable())
+    HostsReader.join();
 }
 
 std::string EntryShell::start() {
@@ -79,6 +84,8 @@
     });
   });
   Reader = std::thread([this] { readConfig(); });
+  if (Hosts != nullptr)
+    HostsReader = std::thread([this] { readHosts(); });
   return At;
 }
 
@@ -153,6 +160,31 @@
   }
 }
 
+void EntryShell::readHosts() {
+  std::vector<HostName> Leaving;
+  for (uint64_t n = 0; waitUnlessEnding(HostsPeriod); ++n) {
+    const auto Turn = askForTurn(n);
+    if (!Turn)
+      return;
+    if (!Turn->Reader) {
+      Leaving.clear();
+      continue;
+    }
+    const Outcome<HostStates> Read = outcomeOf([&] { return Hosts->hosts(); });
+    if (Read.Value) {
+      Leaving.clear();
+      for (const auto &[Host, State] : *Read.Value)
+        if (State == HostState::Leaving)
+          Leaving.push_back(Host);
+    }
+    // While the list is silent its last answer stands: a host that was
+    // leaving does not stay.
+    post([this, Leaving](TimePoint Now, Effects &Out) {
+      entryHostsRead(State, Leaving, Now, Out);
+    });
+  }
+}
+
 std::shared_ptr<CallChannel> EntryShell::call(CallRequest &Asked) {
   auto Channel = Callers.open(Asked.Call);
   post([this, Asked](TimePoint Now, Effects &Out) {
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -29,8 +29,9 @@
    * Sets up; nothing runs yet.
    * @param Config Settings of the process.
    * @param Service The configuration service; outlives the shell.
+   * @param Hosts The list of hosts, or null; outlives the shell.
    */
-  EntryShell(const Settings &Config, ConfigPort &Service);
+  EntryShell(const Settings &Config, ConfigPort &Service, HostsPort *Hosts);
   /** Ends all threads. */
   ~EntryShell();
   EntryShell(const EntryShell &) = delete;
@@ -89,6 +90,7 @@
 private:
   void perform(Effects Todo);
   void readConfig();
+  void readHosts();
   std::optional<ReadTurn> askForTurn(uint64_t Salt);
   bool waitUnlessEnding(Millis Time);
   void post(std::function<void(TimePoint, Effects &)> Work);
@@ -98,6 +100,7 @@
   ControlLoop Loop;
   EntryState State; ///< Belongs to the control thread.
   ConfigPort &Service;
+  HostsPort *Hosts;
   CallTable Callers;
   TrafficMetrics Timings;
   std::mutex ShownGuard; ///< Guards Shown.
@@ -108,6 +111,7 @@
   PeerLinks Links;
   std::thread Control;
   std::thread Reader;
+  std::thread HostsReader;
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -26,7 +26,9 @@
     return ExitInvalid;
   setupLog(Config->Name, Config->LogLevel);
   HttpConfig Service(Config->ConfigUrl);
-  EntryShell Host(*Config, Service);
+  HttpHosts Hosts(Config->HostsUrl);
+  EntryShell Host(*Config, Service,
+                  Config->HostsUrl.empty() ? nullptr : &Hosts);
   CallerApi Callers(*Config, Host);
   AdminApi Admin(*Config, Host);
   const std::string Peers = Host.start();
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -2,7 +2,7 @@
  *
  * /control takes: "document" (text to publish), "hosts" (the list), "down"
  * (answers 500), "slow_ms", "stale" (readers go on getting what was published
- * before).
+ * before), "reads_left" (goes down once that many documents were given).
  */
 
 #include "standin.h"
@@ -63,6 +63,11 @@
     return;
   }
   Answer.set_content(Host.Shown, "application/json");
+  const int Left = Host.Options.value("reads_left", 0);
+  if (Left > 0)
+    Host.Options["reads_left"] = Left - 1;
+  if (Left == 1)
+    Host.Options["down"] = true;
 }
 
 void control(Platform &Host, const httplib::Request &Asked) {
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -1,9 +1,7 @@
 /** @file config_spread_test.cpp Versions from service and peers; joining. */
 // Labels: promise-9
 
-#include "config_view_func.h"
-#include "entry_func.h"
-#include "join_func.h"
+#include "one_entry.h"
 #include "reader_rank_func.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,91 +10,6 @@
 
 using namespace jacinthpond;
 
-namespace {
-
-/** Four entries, all in domain d; "x" tells two documents apart. */
-std::string document(uint64_t Version, const std::string &x = "x") {
-  std::string Text = "{\"version\": " + std::to_string(Version) +
-                     ", \"tenants\": [{\"name\": \"" + x +
-                     "\"}], \"entries\": [";
-  for (const char *Name : {"a", "b", "c", "e"})
-    Text += std::string(Name == std::string("a") ? "" : ", ") +
-            R"({"name": ")" + Name +
-            R"(", "domain": "d", "callers": "127.0.0.1:1", )"
-            R"("peers": "127.0.0.1:2"})";
-  return Text + "]}";
-}
-
-/** One entry whose peers are played by the test. */
-struct OneEntry {
-  OneEntry() {
-    Settings Config;
-    Config.Name = "a";
-    Config.Domain = "d";
-    Config.HeartbeatMillis = 500;
-    Config.LinkSilenceMillis = 2500;
-    Config.ReconnectMillis = 300;
-    Config.PauseGapMillis = 2000;
-    Config.CutOffMillis = 3000;
-    Config.JoinWaitMillis = 1500;
-    State = makeEntry(Config, Incarnation{7}, Now);
-  }
-
-  void read(const std::string &Text) {
-    entryConfigRead(State, {Text, {}}, Now, Now, Out);
-  }
-
-  /** Lets time pass in ticks of the usual length. */
-  void pass(Millis Time) {
-    for (Millis n{0}; n < Time; n += Millis{50}) {
-      Now += Millis{50};
-      entryTick(State, Now, Out);
-    }
-  }
-
-  /** The peer of a wanted link says hello. */
-  LinkId greet(const std::string &Name, uint64_t Version, bool Fresh) {
-    const LinkId Link = *State.Fleet.Wanted.at(HostName{Name}).Link;
-    entryLinkOpened(State, Link, Now, Out);
-    Hello Peer;
-    Peer.Name.Value = Name;
-    Peer.Version.Value = Version;
-    Peer.Fresh = Fresh;
-    entryMessage(State, Link, Peer, Now, Out);
-    return Link;
-  }
-
-  void push(LinkId Link, const std::string &Text, bool Fresh) {
-    entryMessage(State, Link, ConfigPush{Text, Fresh}, Now, Out);
-  }
-
-  /** All peers say hello and answer the first question. */
-  void joinAll(uint64_t Version) {
-    pass(Millis{50}); // Opens the links.
-    for (const char *Name : {"b", "c", "e"})
-      push(greet(Name, Version, true), "", true);
-    pass(Millis{100});
-  }
-
-  size_t pullsSent() const {
-    return static_cast<size_t>(std::ranges::count_if(Out, [](const Effect &e) {
-      const auto *Sent = std::get_if<SendMessage>(&e);
-      const auto *Pull =
-          Sent == nullptr ? nullptr : std::get_if<ConfigPull>(&Sent->Content);
-      return Pull != nullptr && !Pull->Probe;
-    }));
-  }
-
-  uint64_t version() const { return versionInForce(State.View).Value; }
-  bool fresh() const { return viewIsFresh(State.Fleet); }
-
-  TimePoint Now{std::chrono::hours{1}};
-  EntryState State;
-  Effects Out;
-};
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(ConfigSpread, OneEntry)
 
 // A caller's request for a domain that was taken out is served by a new entry.
@@ -128,7 +41,7 @@
   read(document(5));
   joinAll(5);
   read(document(4));
-  push(*State.Fleet.Wanted.at(HostName{"b"}).Link, document(3), true);
+  push(linkOf("b"), document(3), true);
   read(document(5, "other"));
   read("{\"version\": 9, \"nonsense\": 1}");
   read("\xff garbage");
@@ -149,8 +62,7 @@
   Beat.Version.Value = 6;
   for (const char *Name : {"b", "c", "e"}) {
     ++Beat.Sequence;
-    entryMessage(State, *State.Fleet.Wanted.at(HostName{Name}).Link, Beat, Now,
-                 Out);
+    hear(Name, Beat);
   }
   BOOST_TEST(pullsSent() == 1U);
   pass(Millis{900});
