--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -7,11 +7,13 @@
 #include "back_end_death_func.h"
 #include "config_spread_func.h"
 #include "config_view_func.h"
+#include "departure_func.h"
 #include "document_func.h"
 #include "join_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "pause_func.h"
 #include "quarantine_func.h"
 #include "rollout_func.h"
 #include "token_pace_func.h"
@@ -32,7 +34,7 @@
 
 /** Works out how far the back end is from serving. */
 WorkerState stateOf(const AgentState &Agent) {
-  if (Agent.Stopping)
+  if (agentIsLeaving(Agent))
     return WorkerState::Leaving;
   const bool Model = !Agent.Config.EngineUrl.empty();
   if (!Agent.BackEndUp)
@@ -181,8 +183,19 @@
     cancelAttempt(Agent, Which, Now, Out);
 }
 
+void agentNoticePause(AgentState &Agent, TimePoint Now, Effects &Out) {
+  const std::vector<LinkId> Dropped =
+      dropLinksAfterPause(Agent.Fleet, Now, Out);
+  if (Dropped.empty())
+    return;
+  for (const LinkId Link : Dropped)
+    agentLinkClosed(Agent, Link, Now, Out);
+  refuseWaiting(Agent, ErrorKind::StaleView, Out);
+}
+
 void agentMessage(AgentState &Agent, LinkId Link, const Message &m,
                   TimePoint Now, Effects &Out) {
+  agentNoticePause(Agent, Now, Out);
   if (!linkHeard(Agent.Fleet, Link, Now))
     return;
   const FleetNews News =
@@ -406,8 +419,12 @@
   noteStalls(Agent, Now, Out);
   forgetSuspects(Agent.Suspects, Now);
   refuseOverdue(Agent, Now, Out);
+  agentNoticePause(Agent, Now, Out);
+  const bool WasFresh = viewIsFresh(Agent.Fleet);
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
     agentLinkClosed(Agent, Link, Now, Out);
+  if (WasFresh && !viewIsFresh(Agent.Fleet))
+    refuseWaiting(Agent, ErrorKind::StaleView, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -2,6 +2,7 @@
 
 #include "call_func.h"
 
+#include "departure_func.h"
 #include "document_func.h"
 #include "hash_func.h"
 #include "load_view_func.h"
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -4,11 +4,13 @@
 
 #include "call_func.h"
 #include "config_spread_func.h"
+#include "departure_func.h"
 #include "document_func.h"
 #include "join_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
+#include "pause_func.h"
 #include "quarantine_func.h"
 #include "reader_rank_func.h"
 
@@ -40,6 +42,12 @@
     attemptsLost(Entry, Link, Now, Out);
 }
 
+/** Ends what was open before a pause. */
+void noticePause(EntryState &Entry, TimePoint Now, Effects &Out) {
+  for (const LinkId Link : dropLinksAfterPause(Entry.Fleet, Now, Out))
+    attemptsLost(Entry, Link, Now, Out);
+}
+
 } // namespace
 
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -62,6 +70,7 @@
 
 void entryCall(EntryState &Entry, const CallRequest &Asked, TimePoint Now,
                Effects &Out) {
+  noticePause(Entry, Now, Out);
   ++Entry.Counters.Calls;
   Call One;
   One.Asked = Asked;
@@ -123,6 +132,7 @@
 
 void entryMessage(EntryState &Entry, LinkId Link, const Message &m,
                   TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   if (!linkHeard(Entry.Fleet, Link, Now))
     return;
   noteLoad(Entry.Fleet, Link, m, Now);
@@ -154,6 +164,7 @@
 
 void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
                      TimePoint Began, TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   if (!Read.Value || Read.Value->empty()) {
     readEnded(Entry.Fleet, Read.Value.has_value(), true, Began, Now);
     return;
@@ -167,7 +178,14 @@
     followDocument(Entry, Now, Out);
 }
 
+void entryHostsRead(EntryState &Entry, const std::vector<HostName> &Leaving,
+                    TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
+  hostListRead(Entry.Fleet, Leaving, Now, Out);
+}
+
 void entryTick(EntryState &Entry, TimePoint Now, Effects &Out) {
+  noticePause(Entry, Now, Out);
   const bool WasFresh = viewIsFresh(Entry.Fleet);
   for (const LinkId Link : fleetTick(Entry.View, Entry.Fleet, Now, Out)) {
     Out.push_back(
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -6,6 +6,7 @@
 #include "chunk_plan_func.h"
 #include "config_view_func.h"
 #include "document_func.h"
+#include "join_func.h"
 #include "membership_func.h"
 #include "weights_func.h"
 
@@ -134,7 +135,8 @@
   if (Weights.Loaded == Weights.Wanted.Set)
     dropFormerChunks(Weights);
   const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
-                      !Weights.Loading && Agent.BackEndUp;
+                      !Weights.Loading && Agent.BackEndUp &&
+                      viewIsFresh(Agent.Fleet);
   if (!Needed)
     return;
   if (Agent.Rollout.Set != Weights.Wanted.Set)
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -38,7 +38,7 @@
     if (!Token.empty())
       Headers.emplace("Authorization", "Bearer " + Token);
     const httplib::Result Got = Client.Get(Path, Headers);
-    return Got ? Answer{Got->status, Got->body} : Answer{};
+    return Got ? Answer{Got->status, true, Got->body} : Answer{};
   }
 
   Finished command(std::vector<std::string> Words,
