core, agent: orders are dropped after a pause; failed ones back off; idle classes load faster

Cause: (1) a paused agent that woke carried out an order decided before, while another agent might own the host, and some engines ignore fencing numbers; (2) a new agent counted fencing numbers from 1 and was refused for ever by an engine that remembered those of the agent before; (3) a failed order was given again at once, with all its chunks; (4) an answer that the engine had begun on other weights was reported as not run; (5) a rollout in an idle class was as slow as in a busy one. Change: a count of pauses is compared right before the load order, and nothing is ordered while the view of the fleet is not fresh; the low part of the fencing number doubles with each failure (the version stays the high part, so an old configuration never passes) and the wait with it; such an answer is reported as unknown; without work in view for 3 s half of the serving share is kept. Left: a pause of less than pause_gap_ms, and the instructions between the last look and the send.

--- a/packages/agent/src/agent_metrics.cpp
+++ b/packages/agent/src/agent_metrics.cpp
@@ -37,10 +37,13 @@
       Into, MetricType::Gauge,
       {"jacinthpond_agent_chunks_wanted", "Chunks of the wanted weights."},
       one(Agent.Fleet.Load.ChunksWanted));
-  addFamily(
-      Into, MetricType::Counter,
-      {"jacinthpond_agent_bad_chunks_total", "Chunks that failed their check."},
-      one(static_cast<double>(Agent.Transfer.Counters.BadChunks)));
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_agent_chunk_bytes_per_second",
+             "Rate at which chunks arrive."},
+            one(static_cast<double>(Agent.Fleet.Load.BytesPerSecond)));
+  for (const TransferCounterSpec &Row : TransferCounterTable)
+    addFamily(Into, MetricType::Counter, Row.Spec,
+              one(static_cast<double>(Agent.Transfer.Counters.*Row.Counter)));
   addFamily(Into, MetricType::Counter,
             {"jacinthpond_agent_load_orders_total",
              "Load orders given to the engine."},
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 AgentShell::AgentShell(const Settings &Config, const BackEnds &Beside)
-    : Loop(Clock),
+    : Loop(Clock), Pauses(Clock.now(), Millis(Config.PauseGapMillis)),
       State(makeAgent(Config, Incarnation{randomIncarnation()}, Clock.now())),
       Beside(Beside), Runners(std::make_unique<httplib::ThreadPool>(
                           static_cast<size_t>(Config.WarmLimit))),
@@ -79,6 +79,7 @@
     return At;
   Control = std::thread([this] {
     Loop.run(TickPeriod, [this](TimePoint Now) {
+      Pauses.beat(Now);
       Effects Out;
       for (const auto &[Link, Peer] : State.Transfer.Peers)
         if (Peer.BacklogBytes > 0)
@@ -125,7 +126,10 @@
               Fetchers->enqueue([this, Chunk = e.Chunk] { fetchChunk(Chunk); });
             },
             [this](const LoadWeights &e) {
-              Fetchers->enqueue([this, Load = e] { loadWeights(Load); });
+              Fetchers->enqueue(
+                  [this, Load = e, Before = Pauses.pauses(Clock.now())] {
+                    loadWeights(Load, Before);
+                  });
             },
             [](const LogNote &e) { logLine(e.Part, e.Level, e.Text); },
             [](const auto &) {
@@ -209,18 +213,24 @@
   });
 }
 
-void AgentShell::loadWeights(const LoadWeights &Load) {
+void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
   const auto Done = outcomeOf([&]() -> Result<bool> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
       BOOST_LEAF_CHECK(
           Beside.Engine->stage(Load.Order.Chunks[n], *Load.Chunks[n]));
+    // A process that was paused wakes with an order that may be long out of
+    // date, while another agent owns the host; some engines would obey it.
+    if (Pauses.pauses(Clock.now()) != Before)
+      return fail(ErrorKind::StaleView, "paused since the order was decided");
     BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order));
     return true;
   });
   std::optional<Failure> Why;
   if (!Done.Value)
     Why = Done.Why;
-  post([this, Why](TimePoint, Effects &Out) { loadEnded(State, Why, Out); });
+  post([this, Why](TimePoint Now, Effects &Out) {
+    loadEnded(State, Why, Now, Out);
+  });
   {
     const std::lock_guard Lock(WatchGuard);
     ++OrdersEnded;
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -10,6 +10,7 @@
 #include "platform_port.h"
 #include "service_port.h"
 #include "threads/control_loop.h"
+#include "threads/pause_watch.h"
 #include "websocket/peer_links.h"
 
 #include <atomic>
@@ -78,13 +79,14 @@
   void runService(const ServiceCall &Call);
   void fetchChunk(const Digest &Chunk);
   void takeChunk(LinkId Link, ChunkData Data);
-  void loadWeights(const LoadWeights &Load);
+  void loadWeights(const LoadWeights &Load, uint64_t Before);
   void watchBackEnd();
   bool cancelled(const AttemptId &Which);
   void noteStart(const AttemptId &Which);
 
   RuntimeClock Clock;
   ControlLoop Loop;
+  PauseWatch Pauses;
   AgentState State; ///< Belongs to the control thread.
   BackEnds Beside;
   TrafficMetrics Timings;
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -234,7 +234,7 @@
     Out.push_back(CancelRun{Which});
     failAttempt(Agent, Which,
                 {ErrorKind::WeightsNotReady, "engine uses other weights", {}},
-                Ran::No, Out);
+                Ran::Unknown, Out);
     return;
   }
   it->second.Weights = Weights;
@@ -387,11 +387,8 @@
 }
 
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
-               Effects &Out) {
-  ++Agent.Weights.OrdersEnded;
-  // What the engine has loaded counts only once it was read back: some
-  // engines ignore fencing numbers and may have taken another order since.
-  Agent.Weights.Loaded = Digest{};
+               TimePoint Now, Effects &Out) {
+  orderEnded(Agent.Weights, !Why, Now);
   turnCold(Agent.Gate);
   if (Why)
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -148,10 +148,11 @@
  * A load order ended; the engine's state is read next.
  * @param Agent State to change.
  * @param Why Set when the engine refused or could not be reached.
+ * @param Now Current time.
  * @param Out Effects are appended.
  */
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
-               Effects &Out);
+               TimePoint Now, Effects &Out);
 
 /**
  * Writes the load into answers; called on the effects of every decision.
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -6,10 +6,12 @@
 #include "chunk_plan_func.h"
 #include "config_view_func.h"
 #include "document_func.h"
+#include "join_func.h"
 #include "membership_func.h"
 #include "weights_func.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jacinthpond {
 
@@ -17,13 +19,20 @@
 
 /** Workers before this one that it keeps links to. */
 constexpr size_t MaxPredecessors = 2;
+/** Time without work in view after which a class counts as idle. */
+constexpr Millis IdleTime{3000};
+/** Part of the serving share that is kept while a class is idle. */
+constexpr double IdleShareFactor = 0.5;
 /** Wait for one that answers and makes no progress. */
 constexpr Millis StuckLimit{10000};
 /** Wait for one that does not answer, beyond the silence of its link. */
 constexpr Millis AbsentLimit{1000};
 
-/** Workers of this model that may be without a loaded set at a time. */
-size_t loadsAtATime(const AgentState &Agent) {
+/**
+ * Workers of this model that may be without a loaded set at a time. While the
+ * class is idle the share that has to serve is halved.
+ */
+size_t loadsAtATime(const AgentState &Agent, bool Idle) {
   const Document &Doc = *Agent.View.InForce;
   const Worker *Self = findWorker(Doc, Agent.Fleet.Self.Name);
   double Share = 0;
@@ -31,9 +40,31 @@
     if (Self != nullptr && servesClass(*Self, Class))
       Share = std::max(Share, Class.ServingShare);
   const auto All = static_cast<double>(Agent.Transfer.Plan.Hosts.size());
+  if (Idle)
+    Share *= IdleShareFactor;
   return std::max(size_t{1}, static_cast<size_t>((1.0 - Share) * All));
 }
 
+bool hasWork(const WorkerLoad &Load) { return Load.Running + Load.Waiting > 0; }
+
+/** Notes when this worker or an agent in view last had work. */
+void noteWork(AgentState &Agent, TimePoint Now) {
+  const bool Work = hasWork(Agent.Fleet.Load) ||
+                    Agent.Counters.Started != Agent.Rollout.StartedBefore ||
+                    std::ranges::any_of(Agent.Fleet.Links, [](const auto &Row) {
+                      return Row.second.Peer.Sender == Role::Agent &&
+                             hasWork(Row.second.Load);
+                    });
+  Agent.Rollout.StartedBefore = Agent.Counters.Started;
+  if (Work)
+    Agent.Rollout.LastWork = Now;
+}
+
+/** The linked agents are a sample of the class: all must have been idle. */
+bool classIsIdle(const AgentState &Agent, TimePoint Now) {
+  return Now - Agent.Rollout.LastWork >= IdleTime;
+}
+
 /** Finds a ready link to a peer, whoever opened it. */
 const PeerLink *linkTo(const Membership &Fleet, const HostName &Name) {
   const auto it = std::ranges::find_if(Fleet.Links, [&](const auto &Row) {
@@ -48,6 +79,11 @@
           Link->Load.State == WorkerState::Serving);
 }
 
+void beginRollout(RolloutState &Rollout, const Digest &Set) {
+  Rollout.Set = Set;
+  Rollout.Seen.clear();
+}
+
 /** Notes what is seen of a worker; gives how long that has not changed. */
 Duration unchangedFor(RolloutState &Rollout, const HostName &Name,
                       const PeerLink *Link, TimePoint Now) {
@@ -95,7 +131,7 @@
  */
 bool isTurnToLoad(AgentState &Agent, TimePoint Now) {
   Wait First = Wait::GivenUp;
-  for (const size_t n : predecessors(Agent)) {
+  for (const size_t n : predecessors(Agent, classIsIdle(Agent, Now))) {
     const HostName &Name = Agent.Transfer.Plan.Hosts[n].Name;
     const Wait One = waitFor(Agent.Rollout, Agent, Name, Now);
     if (First == Wait::GivenUp)
@@ -106,12 +142,12 @@
 
 } // namespace
 
-std::vector<size_t> predecessors(const AgentState &Agent) {
+std::vector<size_t> predecessors(const AgentState &Agent, bool Idle) {
   std::vector<size_t> Found;
   const ChunkPlan &Plan = Agent.Transfer.Plan;
   if (!planned(Plan))
     return Found;
-  const size_t Step = loadsAtATime(Agent);
+  const size_t Step = loadsAtATime(Agent, Idle);
   for (size_t n = Plan.Self; n >= Step && Found.size() < MaxPredecessors;) {
     n -= Step;
     Found.push_back(n);
@@ -121,7 +157,9 @@
 
 std::vector<LinkId> followPeers(AgentState &Agent, Effects &Out) {
   std::vector<PeerAddress> Peers = chunkPeers(Agent.Transfer.Plan);
-  for (const size_t n : predecessors(Agent)) {
+  std::vector<size_t> Before = predecessors(Agent, false);
+  std::ranges::copy(predecessors(Agent, true), std::back_inserter(Before));
+  for (const size_t n : Before) {
     const PlanHost &Host = Agent.Transfer.Plan.Hosts[n];
     if (std::ranges::find(Peers, Host.Name, &PeerAddress::Name) == Peers.end())
       Peers.push_back({Host.Name, Host.At});
@@ -131,6 +169,7 @@
 
 void loadInTurn(AgentState &Agent, TimePoint Now, Effects &Out) {
   WeightsState &Weights = Agent.Weights;
+  noteWork(Agent, Now);
   if (Weights.Loaded == Weights.Wanted.Set)
     dropFormerChunks(Weights);
   const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
@@ -138,7 +177,7 @@
   if (!Needed)
     return;
   if (Agent.Rollout.Set != Weights.Wanted.Set)
-    Agent.Rollout = {Weights.Wanted.Set, {}};
+    beginRollout(Agent.Rollout, Weights.Wanted.Set);
   const bool Turn = isTurnToLoad(Agent, Now);
   // One that serves nothing takes nothing away by loading at once.
   if (!wholeSetHeld(Weights) || (mayServe(Weights) && !Turn))
@@ -147,7 +186,11 @@
     Weights.Draining = true;
     refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
   }
-  if (Agent.Gate.Running == 0)
+  // An agent that was paused or cut off knows that its view is old; another
+  // may own the host by now. It orders nothing until it has asked its peers.
+  // Runs that nobody waits for any more do not hold the order up.
+  if (Agent.Gate.Running == 0 && Now >= Weights.NextOrder &&
+      viewIsFresh(Agent.Fleet))
     orderLoad(Weights, versionInForce(Agent.View), Out);
 }
 
--- a/packages/core/src/rollout_func.h
+++ b/packages/core/src/rollout_func.h
@@ -6,7 +6,9 @@
  * wanted set, so that each chain has at most one worker out and nobody needs
  * to know more than the workers just before it. The fleet order changes the
  * domain at each step, so that the workers that load together are spread over
- * the domains.
+ * the domains. While a class is idle half of its serving share is kept, which
+ * makes the chains shorter; workers that see it idle at different times may
+ * then be out together for a moment.
  */
 
 #ifndef JACINTHPOND_CORE_ROLLOUT_FUNC_H
@@ -21,9 +23,10 @@
 /**
  * Gives the workers before this one in its chain, nearest first.
  * @param Agent The state.
+ * @param Idle Whether the classes that the model serves have no work.
  * @return Positions in the fleet order; two at most.
  */
-std::vector<size_t> predecessors(const AgentState &Agent);
+std::vector<size_t> predecessors(const AgentState &Agent, bool Idle);
 
 /**
  * Keeps links to the agents that chunks and rollout need.
--- a/packages/core/src/rollout_type.h
+++ b/packages/core/src/rollout_type.h
@@ -22,6 +22,8 @@
 struct RolloutState {
   Digest Set; ///< The set that the views below are about.
   std::map<HostName, PredecessorView> Seen; ///< Workers before this one.
+  TimePoint LastWork;         ///< When work was last seen in the class.
+  uint64_t StartedBefore = 0; ///< Attempts started until the last look.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/weights.cpp
+++ b/packages/core/src/weights.cpp
@@ -11,6 +11,12 @@
 /** Bits of a fencing number below the configuration's version. */
 constexpr unsigned FenceBits = 24;
 
+/** Largest low part of a fencing number. */
+constexpr uint64_t MaxFenceLow = (uint64_t{1} << FenceBits) - 1;
+/** Shortest wait after a failed order; doubled with each one. */
+constexpr Millis OrderRetry{200};
+constexpr uint32_t MaxDoublings = 6;
+
 /** Keeps the chunks of the wanted set and of the one before it. */
 void dropUnneeded(WeightsState &Weights) {
   std::set<Digest> Needed(Weights.Wanted.Chunks.begin(),
@@ -50,7 +56,8 @@
 
 void orderLoad(WeightsState &Weights, ConfigVersion Version, Effects &Out) {
   LoadWeights Load;
-  Load.Order.Fence.Value = (Version.Value << FenceBits) + Weights.NextFence++;
+  Load.Order.Fence.Value = (Version.Value << FenceBits) + Weights.NextFence;
+  Weights.NextFence = std::min(Weights.NextFence + 1, MaxFenceLow);
   Load.Order.Set = Weights.Wanted.Set;
   Load.Order.Chunks = Weights.Wanted.Chunks;
   for (const Digest &Chunk : Weights.Wanted.Chunks)
@@ -63,6 +70,23 @@
                         "Loading version " + Weights.Wanted.Version + "."});
 }
 
+void orderEnded(WeightsState &Weights, bool Taken, TimePoint Now) {
+  ++Weights.OrdersEnded;
+  Weights.Loaded = Digest{};
+  if (Taken) {
+    Weights.FailedOrders = 0;
+    return;
+  }
+  const uint32_t Doublings = std::min(Weights.FailedOrders, MaxDoublings);
+  Weights.NextOrder = Now + OrderRetry * (1U << Doublings);
+  ++Weights.FailedOrders;
+  // A new agent counts from the start and would be refused for ever by an
+  // engine that remembers the numbers of the agent before. Doubling passes
+  // any of them soon. An agent on an older configuration cannot pass in this
+  // way, since the version is the high part.
+  Weights.NextFence = std::min(Weights.NextFence * 2, MaxFenceLow);
+}
+
 bool mayServe(const WeightsState &Weights) {
   return !Weights.Draining && !Weights.Loading && !Weights.EngineRun.empty() &&
          Weights.Whole.contains(Weights.Loaded);
--- a/packages/core/src/weights_func.h
+++ b/packages/core/src/weights_func.h
@@ -37,6 +37,15 @@
  */
 void orderLoad(WeightsState &Weights, ConfigVersion Version, Effects &Out);
 
+/**
+ * A load order ended. What the engine has loaded counts only once it was read
+ * back: some engines ignore fencing numbers and may have taken another order.
+ * @param Weights State to change.
+ * @param Taken False when the engine refused it or could not be reached.
+ * @param Now Current time.
+ */
+void orderEnded(WeightsState &Weights, bool Taken, TimePoint Now);
+
 /**
  * Says whether answers may be produced from what the engine has loaded.
  * @param Weights The state.
--- a/packages/core/src/weights_type.h
+++ b/packages/core/src/weights_type.h
@@ -5,6 +5,7 @@
 
 #include "document_type.h"
 #include "effect_type.h"
+#include "time_type.h"
 
 #include <map>
 #include <set>
@@ -18,14 +19,16 @@
   ModelVersion Wanted;               ///< Published version; empty: none.
   std::vector<Digest> Before;        ///< Chunks of the set wanted before.
   std::map<Digest, ChunkBytes> Held; ///< Checked chunks of these two sets.
-  Digest Loaded;            ///< What the engine said last that it has loaded.
-  std::string EngineRun;    ///< Incarnation of the engine; empty: silent.
-  bool Draining = false;    ///< No new work until the wanted set is loaded.
-  bool Loading = false;     ///< Ordered, and not read back since.
-  uint64_t OrdersGiven = 0; ///< Load orders that were sent.
-  uint64_t OrdersEnded = 0; ///< Load orders that the engine answered.
-  std::set<Digest> Whole;   ///< Sets that were published, hence whole.
-  uint64_t NextFence = 1;   ///< Low part of the next fencing number.
+  Digest Loaded;             ///< What the engine said last that it has loaded.
+  std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
+  bool Draining = false;     ///< No new work until the wanted set is loaded.
+  bool Loading = false;      ///< Ordered, and not read back since.
+  uint64_t OrdersGiven = 0;  ///< Load orders that were sent.
+  uint64_t OrdersEnded = 0;  ///< Load orders that the engine answered.
+  std::set<Digest> Whole;    ///< Sets that were published, hence whole.
+  uint64_t NextFence = 1;    ///< Low part of the next fencing number.
+  uint32_t FailedOrders = 0; ///< Orders that failed in a row.
+  TimePoint NextOrder;       ///< Earliest time of the next one.
 };
 
 } // namespace jacinthpond
--- /dev/null
+++ b/tests/unit/transfer_test.cpp
@@ -0,0 +1,226 @@
+/** @file transfer_test.cpp The exchange of chunks, its clock moved by hand. */
+// Labels: promise-1 weights
+
+#include "document_func.h"
+#include "hash_func.h"
+#include "transfer_func.h"
+#include "upload_func.h"
+#include "weights_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace jacinthpond;
+
+namespace {
+
+constexpr LinkId PeerA{1};
+constexpr LinkId PeerB{2};
+
+ChunkBytes content(const std::string &Text) {
+  return std::make_shared<const std::string>(Text);
+}
+
+ModelVersion version(const std::vector<std::string> &Texts) {
+  ModelVersion Model;
+  Model.Name.Value = "m";
+  for (const std::string &Text : Texts)
+    Model.Chunks.push_back(sha256(Text));
+  Model.Set = weightsSetDigest(Model.Chunks);
+  return Model;
+}
+
+/** One host with two linked peers of its domain; the clock stands still. */
+struct Host {
+  explicit Host(const std::string &Name = "w0") {
+    for (const char *One : {"w0", "w1", "w2", "w3"}) {
+      Worker Row;
+      Row.Name.Value = One;
+      Row.Domain.Value = "d";
+      Row.Agent.Value = "127.0.0.1:1";
+      Row.Model.Value = "m";
+      Doc.Workers.push_back(Row);
+    }
+    Self.Value = Name;
+    Settings Config;
+    Config.Name = Name;
+    Config.ChunkTakeoverMillis = 1000;
+    Transfer = makeTransfer(Config);
+    chunkPeerReady(Transfer, PeerA, true);
+    chunkPeerReady(Transfer, PeerB, true);
+  }
+
+  void want(const ModelVersion &Model) {
+    wantWeights(Weights, Model);
+    planTransfer(Transfer, Weights, Doc, Self, Now);
+  }
+  void have(LinkId Link, uint8_t Held, uint8_t Coming = 0) {
+    chunkHaveHeard(Transfer, Link, {Weights.Wanted.Set, {Held}, {Coming}}, Now);
+  }
+  void give(LinkId Link, const std::string &Asked, const std::string &Came) {
+    chunkFromPeer(Transfer, Weights, Link, sha256(Asked),
+                  checkChunk(content(Came)), Now);
+  }
+  /** Moves on by some time; gives the links that were asked. */
+  std::vector<LinkId> asked(Millis Passed = Millis(0)) {
+    Now += Passed;
+    Out.clear();
+    moveChunks(Transfer, Weights, Now, Out);
+    std::vector<LinkId> Links;
+    for (const Effect &One : Out)
+      if (const auto *Send = std::get_if<SendMessage>(&One);
+          Send != nullptr && std::get_if<ChunkRequest>(&Send->Content))
+        Links.push_back(Send->Link);
+    return Links;
+  }
+  size_t drawn() const {
+    return static_cast<size_t>(
+        std::ranges::count_if(Out, [](const Effect &One) {
+          return std::holds_alternative<FetchFromOrigin>(One);
+        }));
+  }
+
+  Document Doc;
+  HostName Self;
+  WeightsState Weights;
+  TransferState Transfer;
+  TimePoint Now{Millis(100000)};
+  Effects Out;
+};
+
+const std::vector<LinkId> None;
+
+} // namespace
+
+// A user would see an answer from damaged weights. A peer's memory or the way
+// flips a bit of a chunk; the chunk looks whole. Its digest gives it away.
+BOOST_AUTO_TEST_CASE(ABadChunkIsNeverHeldAndIsFetchedElsewhere) {
+  Host One;
+  One.want(version({"a"}));
+  One.have(PeerA, 1);
+  BOOST_TEST((One.asked() == std::vector{PeerA}));
+  One.have(PeerB, 1);
+  One.give(PeerA, "a", "b");
+  BOOST_TEST(One.Weights.Held.empty());
+  BOOST_TEST((One.asked() == std::vector{PeerB}));
+  One.give(PeerB, "a", "a");
+  BOOST_TEST(wholeSetHeld(One.Weights));
+  BOOST_TEST(One.Transfer.Counters.BadChunks == 1U);
+}
+
+// Replicas would wait for ever. The only asked peer freezes with the request
+// open, or its uplink is stuck while its heartbeats still come.
+BOOST_AUTO_TEST_CASE(AStalledPeerIsLeftForAnother) {
+  Host One;
+  One.want(version({"a"}));
+  One.have(PeerA, 1);
+  BOOST_TEST((One.asked() == std::vector{PeerA}));
+  One.have(PeerB, 1);
+  BOOST_TEST((One.asked(Millis(3000)) == None));
+  BOOST_TEST((One.asked(Millis(1000)) == std::vector{PeerB}));
+  chunkPeerGone(One.Transfer, PeerB);
+  BOOST_TEST((One.asked(Millis(3000)) == std::vector{PeerA}));
+}
+
+// A version is taken back while the next one is under way. Nothing of the new
+// one may be mixed in, and what was there before must not be fetched again.
+BOOST_AUTO_TEST_CASE(AVersionTakenBackInMidTransferKeepsItsChunks) {
+  Host One;
+  const ModelVersion Old = version({"a", "b"});
+  const ModelVersion New = version({"a", "c"});
+  One.want(Old);
+  One.have(PeerA, 3);
+  One.asked();
+  One.give(PeerA, "a", "a");
+  One.give(PeerA, "b", "b");
+  One.Weights.Loaded = Old.Set;
+  One.want(New);
+  BOOST_TEST(One.Transfer.Missing.size() == 1U); // "a" is in both.
+  One.have(PeerB, 3);
+  BOOST_TEST((One.asked() == std::vector{PeerB}));
+  One.want(Old);
+  BOOST_TEST(wholeSetHeld(One.Weights));
+  One.give(PeerB, "c", "c"); // Late; belongs to no wanted set.
+  BOOST_TEST(!One.Weights.Held.contains(sha256("c")));
+  BOOST_TEST((One.asked() == None));
+}
+
+BOOST_AUTO_TEST_CASE(MemoryHoldsTwoSetsAtMost) {
+  Host One;
+  for (const std::string Text : {"a", "b", "c", "d"}) {
+    One.want(version({Text}));
+    One.have(PeerA, 1);
+    One.asked(Millis(10));
+    One.give(PeerA, Text, Text);
+    BOOST_TEST(One.Weights.Held.size() <= 2U);
+  }
+  dropFormerChunks(One.Weights);
+  BOOST_TEST(One.Weights.Held.size() == 1U);
+}
+
+// Exactly one host draws a chunk at once; when it is dead nothing new comes
+// into view, and the others follow one takeover time after the other. A claim
+// of a neighbour puts them off, but not for ever.
+BOOST_AUTO_TEST_CASE(RanksDrawOneAfterTheOther) {
+  size_t AtOnce = 0;
+  for (const std::string Name : {"w0", "w1", "w2", "w3"}) {
+    Host One(Name);
+    One.want(version({"a"}));
+    One.asked();
+    BOOST_TEST(One.drawn() == 0U); // Links may still come about.
+    One.asked(Millis(500));
+    size_t Waited = 500;
+    if (One.drawn() > 0)
+      ++AtOnce;
+    else
+      One.have(PeerA, 0, 1);
+    while (One.drawn() == 0 && Waited < 20000) {
+      One.asked(Millis(500));
+      Waited += 500;
+      if (Waited < 4000)
+        BOOST_TEST(One.drawn() == 0U);
+    }
+    BOOST_TEST(Waited <= 7500U);
+  }
+  BOOST_TEST(AtOnce == 1U);
+}
+
+// A slow receiver must not make the sender's memory grow.
+BOOST_AUTO_TEST_CASE(BacklogAndRateHoldUploadsBack) {
+  Host One;
+  One.want(version({"a"}));
+  One.Weights.Held[sha256("a")] = content("a");
+  One.Transfer.Peers[PeerA].BacklogBytes = 5 << 20;
+  for (int n = 0; n < 20; ++n)
+    chunkRequested(One.Transfer, One.Weights, PeerA, sha256("a"), One.Out);
+  BOOST_TEST(One.Transfer.Uploads.size() == 8U);
+  One.asked();
+  BOOST_TEST(One.Transfer.Uploads.size() == 8U);
+  One.Transfer.Peers[PeerA].BacklogBytes = 0;
+  One.asked();
+  BOOST_TEST(One.Transfer.Uploads.empty());
+}
+
+// An engine that remembers fencing numbers outlives its agent. The new agent
+// counts from the start and must get through; an old one with an older
+// configuration must not.
+BOOST_AUTO_TEST_CASE(ANewAgentPassesTheFenceAndAnOldVersionNever) {
+  WeightsState Before;
+  WeightsState After;
+  Before.NextFence = 1000;
+  const auto Order = [](WeightsState &Weights, uint64_t Version) {
+    Effects Out;
+    orderLoad(Weights, ConfigVersion{Version}, Out);
+    return std::get<LoadWeights>(Out[0]).Order.Fence;
+  };
+  const FencingNumber Known = Order(Before, 7);
+  TimePoint Now{};
+  int Tries = 1;
+  for (; Order(After, 7) <= Known && Tries < 20; ++Tries)
+    orderEnded(After, false, Now);
+  BOOST_TEST(Tries < 12);
+  for (int n = 0; n < 100; ++n)
+    orderEnded(Before, false, Now);
+  BOOST_TEST((Order(Before, 6) < Known));
+}
