core, tests: spoiled, lying, flapping and frozen agents do not stop a rollout

Change: only trusted holders count; distrust belongs to the agent's name and doubles; the wait ends after rollout_patience_ms without progress (a setting, since a load of large weights takes minutes) however the link flaps.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -152,6 +152,18 @@
   startProgram(Name, Program, Settings);
 }
 
+std::string Fleet::replaceAgent(const std::string &Worker) {
+  const std::string Name = "agent-" + Worker + "-new";
+  auto [Program, Settings] = Programs.at("agent-" + Worker);
+  Settings.erase("peer_listen");
+  Settings.erase("admin_listen");
+  startProgram(Name, Program, Settings);
+  for (Json &Row : Document["workers"])
+    if (Row["name"] == Worker)
+      Row["agent"] = address(Name, "peers");
+  return Name;
+}
+
 void Fleet::startWorker(const std::string &Name, const std::string &BackEnd,
                         size_t n, bool Model) {
   const bool Shared = Model && Plan.SharedEngines;
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -171,6 +171,14 @@
    */
   void restart(const std::string &Name);
 
+  /**
+   * Starts a second agent beside the back end of a worker, on other addresses,
+   * and names it in Document; the first one is left as it is.
+   * @param Worker Name of the worker, such as "m0".
+   * @return Name of the new process.
+   */
+  std::string replaceAgent(const std::string &Worker);
+
   /**
    * Lets callers ask at the same time and waits for all answers.
    * @param Callers How many.
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -88,7 +88,7 @@
   const auto it = Agent.Fleet.Links.find(Link);
   if (it == Agent.Fleet.Links.end() || it->second.Peer.Sender != Role::Agent)
     return;
-  chunkPeerReady(Agent.Transfer, Link,
+  chunkPeerReady(Agent.Transfer, Link, it->second.Peer.Name,
                  it->second.Peer.Domain == Agent.Fleet.Self.Domain);
 }
 
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -23,8 +23,6 @@
 constexpr Millis IdleTime{3000};
 /** Part of the serving share that is kept while a class is idle. */
 constexpr double IdleShareFactor = 0.5;
-/** Wait for one that answers and makes no progress. */
-constexpr Millis StuckLimit{10000};
 /** Wait for one that does not answer, beyond the silence of its link. */
 constexpr Millis AbsentLimit{1000};
 
@@ -84,23 +82,23 @@
   Rollout.Seen.clear();
 }
 
-/** Notes what is seen of a worker; gives how long that has not changed. */
-Duration unchangedFor(RolloutState &Rollout, const HostName &Name,
-                      const PeerLink *Link, TimePoint Now) {
-  PredecessorView View;
-  View.Since = Now;
-  View.Answered = Link != nullptr;
-  if (Link != nullptr) {
-    View.State = Link->Load.State;
-    View.ChunksHeld = Link->Load.ChunksHeld;
+/**
+ * Notes what is seen of a worker. A link that comes and goes is no progress.
+ */
+const PredecessorView &notePredecessor(RolloutState &Rollout,
+                                       const HostName &Name,
+                                       const PeerLink *Link, TimePoint Now) {
+  PredecessorView &View =
+      Rollout.Seen.try_emplace(Name, PredecessorView{Now, 0, Now})
+          .first->second;
+  if (Link == nullptr)
+    return View;
+  View.LastAnswered = Now;
+  if (Link->Load.ChunksHeld > View.MostHeld) {
+    View.MostHeld = Link->Load.ChunksHeld;
+    View.LastProgress = Now;
   }
-  const auto [it, New] = Rollout.Seen.try_emplace(Name, View);
-  PredecessorView &Old = it->second;
-  const bool Same = Old.Answered == View.Answered && Old.State == View.State &&
-                    Old.ChunksHeld == View.ChunksHeld;
-  if (!New && !Same)
-    Old = View;
-  return Now - Old.Since;
+  return View;
 }
 
 /** How far the wait for a worker before this one has come. */
@@ -116,12 +114,14 @@
   const PeerLink *Link = linkTo(Agent.Fleet, Name);
   if (servesWanted(Agent, Link))
     return Wait::Done;
-  const Duration Unchanged = unchangedFor(Rollout, Name, Link, Now);
+  const PredecessorView &View = notePredecessor(Rollout, Name, Link, Now);
   const Duration Absent =
       Agent.Fleet.Times.Silence + Agent.Fleet.Times.Reconnect + AbsentLimit;
   const bool Leaving =
       Link != nullptr && Link->Load.State == WorkerState::Leaving;
-  const bool Over = Unchanged >= (Link == nullptr ? Absent : StuckLimit);
+  const bool Over =
+      Now - View.LastAnswered >= Absent ||
+      Now - View.LastProgress >= Millis(Agent.Config.RolloutPatienceMillis);
   return Leaving || Over ? Wait::GivenUp : Wait::Pending;
 }
 
--- a/packages/core/src/rollout_type.h
+++ b/packages/core/src/rollout_type.h
@@ -10,12 +10,11 @@
 
 namespace jacinthpond {
 
-/** What was last seen of a worker that loads before this one. */
+/** What was seen of a worker that loads before this one. */
 struct PredecessorView {
-  bool Answered = false;                  ///< A link to it was ready.
-  WorkerState State = WorkerState::Empty; ///< What it said.
-  uint32_t ChunksHeld = 0;                ///< What it said.
-  TimePoint Since;                        ///< When this last changed.
+  TimePoint LastAnswered; ///< A link to it was ready, or the wait began.
+  uint32_t MostHeld = 0;  ///< Most chunks that it ever held of the set.
+  TimePoint LastProgress; ///< MostHeld rose, or the wait began.
 };
 
 /** Waiting for the turn to load. */
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -44,6 +44,7 @@
   bool WeightsFromPeers = true;
   int64_t ChunkTakeoverMillis = 0;
   bool RandomRouting = false;
+  int64_t RolloutPatienceMillis = 0;
   bool FencedEngine = false;
 };
 
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -112,6 +112,11 @@
                 SettingOwner::Agent, false, "ms", 10, MaxSettingMillis, "1500",
                 "Lack of progress after which the next rank draws a chunk "
                 "from the origin or from another domain."},
+    SettingSpec{"rollout_patience_ms", &Settings::RolloutPatienceMillis,
+                SettingOwner::Agent, false, "ms", 100, MaxSettingMillis,
+                "60000",
+                "How long a worker waits in a rollout for the one before it "
+                "while that makes no progress; longer than a load takes."},
     SettingSpec{"fenced_engine", &Settings::FencedEngine, SettingOwner::Agent,
                 false, "true or false", 0, 0, "false",
                 "Whether the engine refuses orders with an old fencing "
--- a/packages/core/src/transfer.cpp
+++ b/packages/core/src/transfer.cpp
@@ -23,8 +23,9 @@
 constexpr size_t MaxDrawing = 2;
 /** Wait before a chunk that the origin failed to give is asked for again. */
 constexpr Millis OriginRetry{200};
-/** How long a peer is left alone after a bad chunk or a stall. */
+/** How long a peer is left alone after its first bad chunk or stall. */
 constexpr Millis AvoidTime{3000};
+constexpr uint32_t MaxDoublings = 5;
 /** Silence of a peer with requests open after which it counts as stalled. */
 constexpr Millis StallLimit{4000};
 /**
@@ -85,6 +86,15 @@
   Peer.Asked.clear();
 }
 
+/** Leaves a peer alone for a while, twice as long each time. */
+void avoidPeer(TransferState &Transfer, ChunkPeer &Peer, TimePoint Now) {
+  Distrust &Known = Transfer.Distrusted[Peer.Name];
+  Known.Until = Now + AvoidTime * (1U << std::min(Known.Times, MaxDoublings));
+  ++Known.Times;
+  Peer.AvoidUntil = Known.Until;
+  releaseAsked(Transfer, Peer);
+}
+
 void beginSet(TransferState &Transfer, const WeightsState &Weights,
               TimePoint Now) {
   Transfer.Set = Weights.Wanted.Set;
@@ -115,13 +125,23 @@
   return Transfer.Random;
 }
 
+/** Says whether a chunk can be had from a linked peer that is trusted. */
+bool hasUsableHolder(const TransferState &Transfer, size_t n, bool NearOnly,
+                     TimePoint Now) {
+  return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
+    const ChunkPeer &Peer = Row.second;
+    return (Peer.SameDomain || !NearOnly) && Now >= Peer.AvoidUntil &&
+           holds(Peer, Transfer.Set, n);
+  });
+}
+
 /**
  * Says whether a chunk may be fetched from another domain: once it is seen
  * there and nobody near holds it, rank after rank.
  */
 bool mayImport(const TransferState &Transfer, size_t n, TimePoint Now) {
   const ChunkProgress &Chunk = Transfer.Chunks[n];
-  if (Chunk.HoldersHere > 0 || !planned(Transfer.Plan))
+  if (!planned(Transfer.Plan) || hasUsableHolder(Transfer, n, true, Now))
     return false;
   const size_t Rank =
       importRank(Transfer.Plan, n) + (Chunk.ComingHere > 0 ? ClaimRanks : 0);
@@ -199,13 +219,6 @@
   }
 }
 
-/** Says whether a chunk can still be had from a linked peer. */
-bool hasUsableHolder(const TransferState &Transfer, size_t n, TimePoint Now) {
-  return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
-    return Now >= Row.second.AvoidUntil && holds(Row.second, Transfer.Set, n);
-  });
-}
-
 /**
  * Says whether this host draws a chunk from the origin. The first rank does
  * so at once. It may be dead, or cut off from the origin: then no new chunk
@@ -222,7 +235,7 @@
   const size_t Rank = drawRank(Transfer.Plan, n) + (Claimed ? ClaimRanks : 0);
   return Now - Transfer.LastNews >=
              Transfer.Options.TakeOver * static_cast<int64_t>(Rank) &&
-         !hasUsableHolder(Transfer, n, Now);
+         !hasUsableHolder(Transfer, n, false, Now);
 }
 
 void askOrigin(TransferState &Transfer, TimePoint Now, Effects &Out) {
@@ -249,8 +262,7 @@
     if (Peer.Asked.empty() || Now - Peer.LastData < StallLimit)
       continue;
     ++Transfer.Counters.Stalls;
-    Peer.AvoidUntil = Now + AvoidTime;
-    releaseAsked(Transfer, Peer);
+    avoidPeer(Transfer, Peer, Now);
   }
 }
 
@@ -352,14 +364,24 @@
   if (Transfer.Plan.Hosts.empty())
     Transfer.SettledAt = Now + SettleTime;
   Transfer.Plan = makeChunkPlan(Doc, Self);
+  std::erase_if(Transfer.Distrusted, [&](const auto &Row) {
+    return std::ranges::find(Transfer.Plan.Hosts, Row.first, &PlanHost::Name) ==
+           Transfer.Plan.Hosts.end();
+  });
   if (Transfer.Set != Weights.Wanted.Set)
     beginSet(Transfer, Weights, Now);
 }
 
-void chunkPeerReady(TransferState &Transfer, LinkId Link, bool SameDomain) {
+void chunkPeerReady(TransferState &Transfer, LinkId Link, const HostName &Name,
+                    bool SameDomain) {
   ChunkPeer &Peer = Transfer.Peers[Link];
+  Peer.Name = Name;
   Peer.SameDomain = SameDomain;
   Peer.ToldAll = false;
+  // A peer that fails and opens its link again is still left alone.
+  if (const auto it = Transfer.Distrusted.find(Name);
+      it != Transfer.Distrusted.end())
+    Peer.AvoidUntil = it->second.Until;
 }
 
 void chunkPeerGone(TransferState &Transfer, LinkId Link) {
@@ -395,8 +417,7 @@
       Index != Transfer.IndexOf.end())
     Peer.Asked.erase(Index->second);
   if (!takeChunk(Transfer, Weights, Chunk, Came, Now)) {
-    Peer.AvoidUntil = Now + AvoidTime;
-    releaseAsked(Transfer, Peer);
+    avoidPeer(Transfer, Peer, Now);
     return;
   }
   const uint64_t Bytes = Came.Bytes == nullptr ? 0 : Came.Bytes->size();
--- a/packages/core/src/transfer_func.h
+++ b/packages/core/src/transfer_func.h
@@ -40,9 +40,11 @@
  * An agent said hello.
  * @param Transfer State to change.
  * @param Link Over which link.
+ * @param Name Its published name.
  * @param SameDomain Whether it is in this host's domain.
  */
-void chunkPeerReady(TransferState &Transfer, LinkId Link, bool SameDomain);
+void chunkPeerReady(TransferState &Transfer, LinkId Link, const HostName &Name,
+                    bool SameDomain);
 
 /**
  * A link is gone; what was asked over it is asked elsewhere.
--- a/packages/core/src/transfer_type.h
+++ b/packages/core/src/transfer_type.h
@@ -36,8 +36,15 @@
   TimePoint RetryAt;           ///< Earliest time of the next try at the origin.
 };
 
+/** An agent that sent bad chunks or stalled; outlives its links. */
+struct Distrust {
+  TimePoint Until;    ///< Left alone until then.
+  uint32_t Times = 0; ///< How often that came about.
+};
+
 /** One linked agent as a partner in the exchange. */
 struct ChunkPeer {
+  HostName Name;             ///< Published name.
   bool SameDomain = true;    ///< In this host's failure domain.
   ChunkHave Told;            ///< What it said last that it holds.
   std::set<size_t> Asked;    ///< Chunks asked of it, not come yet.
@@ -73,27 +80,28 @@
 
 /** Exchange of the chunks of the wanted set. */
 struct TransferState {
-  TransferOptions Options;           ///< From the settings.
-  ChunkPlan Plan;                    ///< Who does what.
-  Digest Set;                        ///< The set that is exchanged.
-  std::vector<Digest> Digests;       ///< Its chunks by index.
-  std::map<Digest, size_t> IndexOf;  ///< Index of each chunk.
-  std::vector<ChunkProgress> Chunks; ///< By index.
-  std::set<size_t> Missing;          ///< Chunks that are not held.
-  std::map<LinkId, ChunkPeer> Peers; ///< Linked agents.
-  size_t Drawing = 0;                ///< Chunks asked of the origin.
-  std::deque<Upload> Uploads;        ///< Requests in order of arrival.
-  RateLimit Uplink;                  ///< All chunks sent.
-  RateLimit Across;                  ///< Chunks sent to other domains.
-  TimePoint SettledAt;               ///< Links may have come about by then.
-  TimePoint LastNews;                ///< A chunk was first seen.
-  TimePoint LastTold;                ///< Peers were told last.
-  bool HeldChanged = false;          ///< Something is to be told.
-  uint64_t Random = 1;               ///< Breaks ties; seeded by the name.
-  TimePoint RateSince;               ///< Start of the rate's window.
-  uint64_t RateBytes = 0;            ///< Bytes that came in the window.
-  uint64_t BytesPerSecond = 0;       ///< Rate in the last whole window.
-  TransferCounters Counters;         ///< What happened so far.
+  TransferOptions Options;                 ///< From the settings.
+  ChunkPlan Plan;                          ///< Who does what.
+  Digest Set;                              ///< The set that is exchanged.
+  std::vector<Digest> Digests;             ///< Its chunks by index.
+  std::map<Digest, size_t> IndexOf;        ///< Index of each chunk.
+  std::vector<ChunkProgress> Chunks;       ///< By index.
+  std::set<size_t> Missing;                ///< Chunks that are not held.
+  std::map<LinkId, ChunkPeer> Peers;       ///< Linked agents.
+  std::map<HostName, Distrust> Distrusted; ///< Agents that failed.
+  size_t Drawing = 0;                      ///< Chunks asked of the origin.
+  std::deque<Upload> Uploads;              ///< Requests in order of arrival.
+  RateLimit Uplink;                        ///< All chunks sent.
+  RateLimit Across;                        ///< Chunks sent to other domains.
+  TimePoint SettledAt;         ///< Links may have come about by then.
+  TimePoint LastNews;          ///< A chunk was first seen.
+  TimePoint LastTold;          ///< Peers were told last.
+  bool HeldChanged = false;    ///< Something is to be told.
+  uint64_t Random = 1;         ///< Breaks ties; seeded by the name.
+  TimePoint RateSince;         ///< Start of the rate's window.
+  uint64_t RateBytes = 0;      ///< Bytes that came in the window.
+  uint64_t BytesPerSecond = 0; ///< Rate in the last whole window.
+  TransferCounters Counters;   ///< What happened so far.
 };
 
 } // namespace jacinthpond
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -260,6 +260,7 @@
           {"cold_overstarts", Host.ColdOverstarts},
           {"completed", Host.Completed},
           {"records", Host.Records},
+          {"staged", Host.Staged.size()},
           {"loads", Host.Loads}};
 }
 
@@ -276,7 +277,11 @@
     load(Host, Asked, Answer);
   });
   Server.Put(R"(/v1/chunks/([0-9a-f]+))", [&](const auto &Asked, auto &) {
-    const std::lock_guard Lock(Host.Guard);
+    std::unique_lock Lock(Host.Guard);
+    const std::chrono::milliseconds StageTime(Host.option("stage_ms", 0));
+    Lock.unlock();
+    std::this_thread::sleep_for(StageTime);
+    Lock.lock();
     Host.Staged[Asked.matches[1]] = Asked.body;
   });
   Server.Get("/v1/state", [&](const auto &, auto &Answer) {
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -47,8 +47,8 @@
     Config.Name = Name;
     Config.ChunkTakeoverMillis = 1000;
     Transfer = makeTransfer(Config);
-    chunkPeerReady(Transfer, PeerA, true);
-    chunkPeerReady(Transfer, PeerB, true);
+    chunkPeerReady(Transfer, PeerA, {"w1"}, true);
+    chunkPeerReady(Transfer, PeerB, {"w2"}, true);
   }
 
   void want(const ModelVersion &Model) {
