--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -90,7 +90,7 @@
   const auto it = Agent.Fleet.Links.find(Link);
   if (it == Agent.Fleet.Links.end() || it->second.Peer.Sender != Role::Agent)
     return;
-  chunkPeerReady(Agent.Transfer, Link,
+  chunkPeerReady(Agent.Transfer, Link, it->second.Peer.Name,
                  it->second.Peer.Domain == Agent.Fleet.Self.Domain);
 }
 
@@ -247,7 +247,7 @@
     Out.push_back(CancelRun{Which});
     failAttempt(Agent, Which,
                 {ErrorKind::WeightsNotReady, "engine uses other weights", {}},
-                Ran::No, Out);
+                Ran::Unknown, Out);
     return;
   }
   it->second.Weights = Weights;
@@ -400,11 +400,8 @@
 }
 
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
-               Effects &Out) {
-  ++Agent.Weights.OrdersEnded;
-  // What the engine has loaded counts only once it was read back: some
-  // engines ignore fencing numbers and may have taken another order since.
-  Agent.Weights.Loaded = Digest{};
+               TimePoint Now, Effects &Out) {
+  orderEnded(Agent.Weights, !Why, Now);
   turnCold(Agent.Gate);
   if (Why)
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
--- a/packages/core/src/rollout_type.h
+++ b/packages/core/src/rollout_type.h
@@ -10,18 +10,19 @@
 
 namespace jacinthpond {
 
-/** What was last seen of a worker that loads before this one. */
+/** What was seen of a worker that loads before this one. */
 struct PredecessorView {
-  bool Answered = false;                  ///< A link to it was ready.
-  WorkerState State = WorkerState::Empty; ///< What it said.
-  uint32_t ChunksHeld = 0;                ///< What it said.
-  TimePoint Since;                        ///< When this last changed.
+  TimePoint LastAnswered; ///< A link to it was ready, or the wait began.
+  uint32_t MostHeld = 0;  ///< Most chunks that it ever held of the set.
+  TimePoint LastProgress; ///< MostHeld rose, or the wait began.
 };
 
 /** Waiting for the turn to load. */
 struct RolloutState {
   Digest Set; ///< The set that the views below are about.
   std::map<HostName, PredecessorView> Seen; ///< Workers before this one.
+  TimePoint LastWork;         ///< When work was last seen in the class.
+  uint64_t StartedBefore = 0; ///< Attempts started until the last look.
 };
 
 } // namespace jacinthpond
