adapters, entry: a thread only for a whole request; vanished callers are noticed

Cause: the HTTP library gives a thread to each connection, so that slow or silent callers hold all of them; a caller that left was noticed only in a stream; more callers than threads waited without a word; the listener's end cut off streams whose last bytes were still to be sent. Ruled out: more threads (a thousand slow callers cost a thousand stacks), a shorter read timeout (a byte now and then lengthens it). Change: RequestReceiver collects the bytes of all connections on one thread (epoll), bounds head, body, time of a whole request (from its first byte) and connections; GuardedServer gives whole requests to the pool and refuses at once what finds no thread. Names with control characters are refused: they could forge log lines. finish() lets answers under way end.

--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -17,7 +17,9 @@
 struct ListenerLimits {
   size_t Threads = 8;            ///< Connections served at a time.
   size_t MaxBodyBytes = 1 << 20; ///< Largest request body.
-  Millis ReadTimeout{5000};      ///< Longest wait for the next bytes.
+  Millis ReadTimeout{5000};      ///< Longest time for a whole request.
+  size_t MaxConnections = 2048;  ///< Connections without a whole request.
+  size_t MaxQueued = 256;        ///< Requests that wait for a thread.
 };
 
 /**
--- a/packages/agent/src/agent_admin.cpp
+++ b/packages/agent/src/agent_admin.cpp
@@ -4,7 +4,7 @@
 
 #include "agent_metrics.h"
 #include "config_view_func.h"
-#include "http/http_server.h"
+#include "http/guarded_server.h"
 
 #include <nlohmann/json.hpp>
 
@@ -30,8 +30,7 @@
 
 AgentAdmin::AgentAdmin(const Settings &Config, AgentShell &Host)
     : At(Config.AdminListen), Host(Host),
-      Server(std::make_unique<httplib::Server>()) {
-  setupServer(*Server, ListenerLimits{});
+      Server(std::make_unique<GuardedServer>(ListenerLimits{})) {
   Server->Get("/v1/health", [this](const auto &, auto &Answer) {
     Json Body;
     this->Host.inspect(
@@ -52,11 +51,7 @@
   });
 }
 
-AgentAdmin::~AgentAdmin() {
-  Server->stop();
-  if (Accepting.joinable())
-    Accepting.join();
-}
+AgentAdmin::~AgentAdmin() { Server->finish(Accepting); }
 
 std::string AgentAdmin::start() { return startServer(*Server, At, Accepting); }
 
--- a/packages/agent/src/agent_admin.h
+++ b/packages/agent/src/agent_admin.h
@@ -9,12 +9,10 @@
 #include <string>
 #include <thread>
 
-namespace httplib {
-class Server;
-} // namespace httplib
-
 namespace jacinthpond {
 
+class GuardedServer;
+
 /** Serves health and metrics until it is destroyed. */
 class AgentAdmin {
 public:
@@ -24,7 +22,7 @@
    * @param Host The agent; outlives the listener.
    */
   AgentAdmin(const Settings &Config, AgentShell &Host);
-  /** Ends the server's threads. */
+  /** Lets answers under way end, then ends the server's threads. */
   ~AgentAdmin();
   AgentAdmin(const AgentAdmin &) = delete;
   AgentAdmin &operator=(const AgentAdmin &) = delete;
@@ -38,7 +36,7 @@
 private:
   std::string At; ///< Where to listen.
   AgentShell &Host;
-  std::unique_ptr<httplib::Server> Server;
+  std::unique_ptr<GuardedServer> Server;
   std::thread Accepting;
 };
 
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -80,7 +80,7 @@
                 "Callers' connections served at a time."},
     SettingSpec{"caller_read_ms", &Settings::CallerReadMillis,
                 SettingOwner::Entry, false, "ms", 100, MaxSettingMillis, "5000",
-                "Longest wait for a caller's next bytes."},
+                "Longest time for a caller's whole request to arrive."},
     SettingSpec{"random_routing", &Settings::RandomRouting, SettingOwner::Entry,
                 false, "true or false", 0, 0, "false",
                 "Choose workers at random; for measurements only."},
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -6,7 +6,7 @@
 #include "document_change_func.h"
 #include "document_func.h"
 #include "entry_metrics.h"
-#include "http/http_server.h"
+#include "http/guarded_server.h"
 #include "join_func.h"
 #include "log/log.h"
 #include "reader_rank_func.h"
@@ -79,8 +79,7 @@
 
 AdminApi::AdminApi(const Settings &Config, EntryShell &Host)
     : At(Config.AdminListen), Host(Host),
-      Server(std::make_unique<httplib::Server>()) {
-  setupServer(*Server, ListenerLimits{});
+      Server(std::make_unique<GuardedServer>(ListenerLimits{})) {
   addOpenPaths();
   addView("/v1/status", statusJson, false);
   addView("/v1/domains", domainsJson, false);
@@ -196,11 +195,7 @@
             Values);
 }
 
-AdminApi::~AdminApi() {
-  Server->stop();
-  if (Accepting.joinable())
-    Accepting.join();
-}
+AdminApi::~AdminApi() { Server->finish(Accepting); }
 
 std::string AdminApi::start() { return startServer(*Server, At, Accepting); }
 
--- a/packages/entry/src/admin_api.h
+++ b/packages/entry/src/admin_api.h
@@ -18,13 +18,14 @@
 #include <thread>
 
 namespace httplib {
-class Server;
 struct Request;
 struct Response;
 } // namespace httplib
 
 namespace jacinthpond {
 
+class GuardedServer;
+
 /** Why a reader was turned away. */
 enum class AccessRefusal : uint8_t { NoToken, WrongToken, OtherTeam, Count };
 
@@ -37,7 +38,7 @@
    * @param Host The entry; outlives the API.
    */
   AdminApi(const Settings &Config, EntryShell &Host);
-  /** Ends the server's threads. */
+  /** Lets answers under way end, then ends the server's threads. */
   ~AdminApi();
   AdminApi(const AdminApi &) = delete;
   AdminApi &operator=(const AdminApi &) = delete;
@@ -67,7 +68,7 @@
 
   std::string At; ///< Where to listen.
   EntryShell &Host;
-  std::unique_ptr<httplib::Server> Server;
+  std::unique_ptr<GuardedServer> Server;
   std::thread Accepting;
   std::array<std::atomic<uint64_t>, static_cast<size_t>(AccessRefusal::Count)>
       Refused{}; ///< Readers turned away, by cause.
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -3,7 +3,7 @@
 #include "caller_api.h"
 
 #include "hash_func.h"
-#include "http/http_server.h"
+#include "http/guarded_server.h"
 #include "log/log.h"
 #include "overloaded.h"
 #include "threads/process.h"
@@ -11,6 +11,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -38,6 +40,15 @@
                    std::to_string(Next++)};
 }
 
+/**
+ * Says whether a text may stand in a log line. A line feed would let a caller
+ * write lines of its own.
+ */
+bool isName(const std::string &Text) {
+  return std::ranges::none_of(Text,
+                              [](unsigned char c) { return std::iscntrl(c); });
+}
+
 /** Reads what a caller asks for out of path, headers and body. */
 Result<CallRequest> readCall(const httplib::Request &Asked) {
   CallRequest Call;
@@ -49,9 +60,13 @@
   Call.Body = Asked.body;
   if (Call.Tenant.Value.empty())
     return fail(ErrorKind::BadRequest, "header X-Tenant is missing");
-  if (Call.Tenant.Value.size() > MaxNameBytes ||
-      Call.Key.Value.size() > MaxNameBytes)
-    return fail(ErrorKind::TooLarge, "a header is too long");
+  const std::array Names = {&Call.Tenant.Value, &Call.Key.Value,
+                            &Call.Class.Value};
+  if (std::ranges::any_of(
+          Names, [](const auto *One) { return One->size() > MaxNameBytes; }))
+    return fail(ErrorKind::TooLarge, "a name is too long");
+  if (std::ranges::any_of(Names, [](const auto *One) { return !isName(*One); }))
+    return fail(ErrorKind::BadRequest, "a name has control characters");
   const std::string Deadline = Asked.get_header_value("X-Deadline-Ms");
   if (!Deadline.empty()) {
     int64_t n = 0;
@@ -147,12 +162,15 @@
   uint64_t Pieces = 0;
 };
 
-/** Waits for the whole answer and writes it. */
-void answerWhole(CallChannel &Channel, const CallRequest &Call,
+/** Waits for the whole answer and writes it; false when the caller left. */
+bool answerWhole(CallChannel &Channel, const CallRequest &Call,
                  CallTimer &Timer, httplib::Response &Answer) {
   std::string Text;
   for (;;) {
     const auto Event = Channel.pop(KeepAlive);
+    // A caller that left wants no answer: its attempt is to end too.
+    if (callerGone())
+      return false;
     if (!Event)
       continue;
     Timer.note(*Event);
@@ -162,14 +180,14 @@
     }
     if (const auto *Error = std::get_if<CallError>(&*Event)) {
       writeError(Answer, Error->Why, Error->Executed, Call.Request);
-      return;
+      return true;
     }
     const auto &End = std::get<CallEnd>(*Event);
     Answer.set_header("X-Request-Id", Call.Request.Value);
     if (End.Weights.Value.empty()) {
       Answer.status = End.Status;
       Answer.set_content(Text, "application/json");
-      return;
+      return true;
     }
     Answer.set_content(dumpJson({{"text", Text},
                                  {"count", End.Count},
@@ -177,7 +195,7 @@
                                  {"weights", End.Weights.Value},
                                  {"request_id", Call.Request.Value}}),
                        "application/json");
-    return;
+    return true;
   }
 }
 
@@ -218,8 +236,11 @@
                   const CallRequest &Call, CallTimer Timer,
                   httplib::Response &Answer) {
   std::optional<CallEvent> Begin;
-  while (!Begin)
-    Begin = Channel->pop(KeepAlive);
+  while (!(Begin = Channel->pop(KeepAlive)))
+    if (callerGone()) {
+      Host.done(Call.Call, false);
+      return;
+    }
   if (const auto *Error = std::get_if<CallError>(&*Begin)) {
     Timer.note(*Begin);
     writeError(Answer, Error->Why, Error->Executed, Call.Request);
@@ -249,8 +270,8 @@
     answerStream(Host, std::move(Channel), Call, std::move(Timer), Answer);
     return;
   }
-  answerWhole(*Channel, Call, Timer, Answer);
-  Host.done(Call.Call, true);
+  const bool Heard = answerWhole(*Channel, Call, Timer, Answer);
+  Host.done(Call.Call, Heard);
 }
 
 /** Tells which entries to use, in an order spread by a hash of the caller. */
@@ -277,13 +298,23 @@
 
 } // namespace
 
-CallerApi::CallerApi(const Settings &Config, EntryShell &Host)
-    : Config(Config), Host(Host), Server(std::make_unique<httplib::Server>()) {
+namespace {
+
+ListenerLimits limitsOf(const Settings &Config) {
   ListenerLimits Limits;
   Limits.Threads = static_cast<size_t>(Config.CallerThreads);
   Limits.MaxBodyBytes = static_cast<size_t>(Config.MaxBodyBytes);
   Limits.ReadTimeout = Millis(Config.CallerReadMillis);
-  setupServer(*Server, Limits);
+  // Answers may take long: whoever finds no thread is told at once.
+  Limits.MaxQueued = 0;
+  return Limits;
+}
+
+} // namespace
+
+CallerApi::CallerApi(const Settings &Config, EntryShell &Host)
+    : Config(Config), Host(Host),
+      Server(std::make_unique<GuardedServer>(limitsOf(Config))) {
   Server->Get("/v1/entries", [this](const auto &Asked, auto &Answer) {
     handleEntries(this->Host, this->Config, Asked, Answer);
   });
@@ -293,11 +324,7 @@
                });
 }
 
-CallerApi::~CallerApi() {
-  Server->stop();
-  if (Accepting.joinable())
-    Accepting.join();
-}
+CallerApi::~CallerApi() { Server->finish(Accepting); }
 
 std::string CallerApi::start() {
   return startServer(*Server, Config.CallerListen, Accepting);
--- a/packages/entry/src/caller_api.h
+++ b/packages/entry/src/caller_api.h
@@ -8,12 +8,10 @@
 #include <memory>
 #include <string>
 
-namespace httplib {
-class Server;
-} // namespace httplib
-
 namespace jacinthpond {
 
+class GuardedServer;
+
 /** Serves callers until it is destroyed. */
 class CallerApi {
 public:
@@ -23,7 +21,7 @@
    * @param Host The entry; outlives the API.
    */
   CallerApi(const Settings &Config, EntryShell &Host);
-  /** Ends the server's threads. */
+  /** Lets answers under way end, then ends the server's threads. */
   ~CallerApi();
   CallerApi(const CallerApi &) = delete;
   CallerApi &operator=(const CallerApi &) = delete;
@@ -37,7 +35,7 @@
 private:
   Settings Config;
   EntryShell &Host;
-  std::unique_ptr<httplib::Server> Server;
+  std::unique_ptr<GuardedServer> Server;
   std::thread Accepting;
 };
 
