core: settings and documents are checked for addresses, order, size and depth

Ruled out: a regular expression for each row (no clear fault text). Change: one parseJson() with a depth bound and line and column of a fault; rows of the settings table say what a text looks like; table SettingOrders; bounds for lists and texts of the document; ObjectReader::digest and address. An agent needs exactly one of engine_url and service_url. Counters of the exchange of weights on the agent's page. A shutdown that cut off work exits at its limit instead of waiting for that work. Tests: settings_test, 5 cases: docs/SETTINGS.md equals the table.

--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -55,6 +56,11 @@
   sigwait(&Signals, &Signal);
 }
 
+void exitCutOff() {
+  std::cerr.flush();
+  std::_Exit(ExitCutOff);
+}
+
 uint64_t randomIncarnation() {
   std::random_device Source;
   std::uniform_int_distribution<uint64_t> Any(1, UINT64_MAX >> 1U);
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -44,6 +44,13 @@
  */
 void waitForStopSignal();
 
+/**
+ * Ends the process at once with ExitCutOff. Work that a shutdown cut off still
+ * holds threads; ending them in order would wait for that work after all and
+ * the time limit of the shutdown would mean nothing.
+ */
+[[noreturn]] void exitCutOff();
+
 /**
  * Makes a random incarnation.
  * @return Never 0.
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -41,7 +41,9 @@
   announceReady({{"peers", Peers}, {"admin", AdminAt}});
   waitForStopSignal();
   logLine(LogPart::Main, LogLevel::Info, "Shutting down.");
-  return Host.drain() ? ExitDone : ExitCutOff;
+  if (!Host.drain())
+    exitCutOff();
+  return ExitDone;
 }
 
 int parseAndRun(int Count, const char **Arguments) {
--- a/packages/agent/src/table/agent_metric_table.h
+++ b/packages/agent/src/table/agent_metric_table.h
@@ -28,6 +28,33 @@
                      &AgentCounters::KeyRepeats},
 };
 
+/** Where a counter of the exchange of weights comes from. */
+struct TransferCounterSpec {
+  MetricSpec Spec;                     ///< Name and help.
+  uint64_t TransferCounters::*Counter; ///< The counter.
+};
+
+inline const std::array TransferCounterTable = {
+    TransferCounterSpec{{"jacinthpond_agent_origin_bytes_total",
+                         "Good chunks drawn from the origin."},
+                        &TransferCounters::BytesFromOrigin},
+    TransferCounterSpec{{"jacinthpond_agent_peer_bytes_total",
+                         "Good chunks from agents of this domain."},
+                        &TransferCounters::BytesFromPeers},
+    TransferCounterSpec{{"jacinthpond_agent_across_bytes_total",
+                         "Good chunks from agents of other domains."},
+                        &TransferCounters::BytesAcross},
+    TransferCounterSpec{
+        {"jacinthpond_agent_sent_bytes_total", "Chunks sent to other agents."},
+        &TransferCounters::BytesSent},
+    TransferCounterSpec{{"jacinthpond_agent_bad_chunks_total",
+                         "Chunks that failed their check."},
+                        &TransferCounters::BadChunks},
+    TransferCounterSpec{{"jacinthpond_agent_transfer_stalls_total",
+                         "Agents whose chunks stayed out."},
+                        &TransferCounters::Stalls},
+};
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/document.cpp
+++ b/packages/core/src/document.cpp
@@ -23,23 +23,24 @@
 constexpr int64_t MaxTotalBytes = int64_t{1} << 40;
 /** Largest document that the platform's service holds, in bytes. */
 constexpr size_t MaxDocumentBytes = 1 << 20;
-constexpr size_t DigestHexDigits = 64;
+/** Longest lists; well above the size that the system is designed for. */
+constexpr size_t MaxClasses = 256;
+constexpr size_t MaxTenants = 10000;
+constexpr size_t MaxModels = 256;
+constexpr size_t MaxWorkers = 8000;
+constexpr size_t MaxEntries = 2000;
+constexpr size_t MaxTeams = 1000;
 
 std::string elementPath(const char *List, size_t n) {
   return std::string(List) + "[" + std::to_string(n) + "]";
 }
 
-bool isDigest(const std::string &Text) {
-  return Text.size() == DigestHexDigits &&
-         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
 /** Reads a list of objects, each by one function. */
 template <typename T, typename Function>
-std::vector<T> readList(ObjectReader &Root, const char *Key, FaultList &Faults,
-                        Function &&ReadOne) {
+std::vector<T> readList(ObjectReader &Root, const char *Key, size_t Max,
+                        FaultList &Faults, Function &&ReadOne) {
   std::vector<T> All;
-  for (const Json *Element : Root.list(Key)) {
+  for (const Json *Element : Root.list(Key, Max)) {
     ObjectReader Reader(*Element, elementPath(Key, All.size()), Faults);
     All.push_back(ReadOne(Reader));
     Reader.refuseUnknown();
@@ -105,7 +106,7 @@
   Worker Host;
   Host.Name.Value = Reader.text("name", true);
   Host.Domain.Value = Reader.text("domain", true);
-  Host.Agent.Value = Reader.text("agent", true);
+  Host.Agent.Value = Reader.address("agent");
   Host.Model.Value = Reader.text("model", false);
   Host.Service.Value = Reader.text("service", false);
   if (Host.Model.Value.empty() == Host.Service.Value.empty())
@@ -117,8 +118,8 @@
   EntryHost Host;
   Host.Name.Value = Reader.text("name", true);
   Host.Domain.Value = Reader.text("domain", true);
-  Host.Callers.Value = Reader.text("callers", true);
-  Host.Peers.Value = Reader.text("peers", true);
+  Host.Callers.Value = Reader.address("callers");
+  Host.Peers.Value = Reader.address("peers");
   return Host;
 }
 
@@ -133,10 +134,7 @@
 Team readTeam(ObjectReader &Reader) {
   Team One;
   One.Name = Reader.text("name", true);
-  One.TokenDigest.Value = Reader.text("token_sha256", true);
-  if (!isDigest(One.TokenDigest.Value))
-    Reader.fault("token_sha256", "something else",
-                 "a SHA-256 digest in lower-case hex");
+  One.TokenDigest.Value = Reader.digest("token_sha256");
   One.Operator = Reader.flag("operator", false);
   One.Classes = idSet<ClassName>(Reader.texts("classes"));
   One.Tenants = idSet<TenantName>(Reader.texts("tenants"));
@@ -191,13 +189,18 @@
   ObjectReader Root(Value, "", Faults);
   Doc.Version.Value = static_cast<uint64_t>(
       Root.number("version", true, 1, 1, std::numeric_limits<int64_t>::max()));
-  Doc.Classes = readList<WorkClass>(Root, "classes", Faults, readClass);
-  Doc.Tenants = readList<Tenant>(Root, "tenants", Faults, readTenant);
-  Doc.Models = readList<ModelVersion>(Root, "models", Faults, readModel);
-  Doc.Workers = readList<Worker>(Root, "workers", Faults, readWorker);
-  Doc.Entries = readList<EntryHost>(Root, "entries", Faults, readEntry);
+  Doc.Classes =
+      readList<WorkClass>(Root, "classes", MaxClasses, Faults, readClass);
+  Doc.Tenants =
+      readList<Tenant>(Root, "tenants", MaxTenants, Faults, readTenant);
+  Doc.Models =
+      readList<ModelVersion>(Root, "models", MaxModels, Faults, readModel);
+  Doc.Workers =
+      readList<Worker>(Root, "workers", MaxWorkers, Faults, readWorker);
+  Doc.Entries =
+      readList<EntryHost>(Root, "entries", MaxEntries, Faults, readEntry);
   Doc.DomainsOut = idSet<DomainName>(Root.texts("domains_out"));
-  Doc.Teams = readList<Team>(Root, "teams", Faults, readTeam);
+  Doc.Teams = readList<Team>(Root, "teams", MaxTeams, Faults, readTeam);
   Doc.RetryHorizon = Millis(Root.number(
       "retry_horizon_ms", false, Doc.RetryHorizon.count(), 100, MaxMillis));
   Root.refuseUnknown();
@@ -220,12 +223,8 @@
     return fail(ErrorKind::InvalidDocument,
                 "document: found " + std::to_string(Text.size()) +
                     " bytes, allowed: " + std::to_string(MaxDocumentBytes));
-  const Json Value =
-      Json::parse(Text.begin(), Text.end(), nullptr, false, true);
-  if (Value.is_discarded())
-    return fail(ErrorKind::InvalidDocument,
-                "document: found text that is no JSON, allowed: JSON with "
-                "comments");
+  BOOST_LEAF_AUTO(Value,
+                  parseJson(Text, "document", ErrorKind::InvalidDocument));
   FaultList Faults;
   Document Doc = readDocument(Value, Faults);
   if (!Faults.Lines.empty())
--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/json_reader.cpp
@@ -2,7 +2,10 @@
 
 #include "json_reader.h"
 
+#include "address_func.h"
+
 #include <algorithm>
+#include <cctype>
 #include <numeric>
 #include <utility>
 
@@ -16,6 +19,18 @@
 constexpr size_t MaxExcerpt = 60;
 /** Largest edit distance at which a name counts as mistyped. */
 constexpr size_t MaxTypingErrors = 3;
+/** Longest text that a member may hold, in bytes. */
+constexpr size_t MaxTextBytes = 256;
+/** Deepest nesting of lists and objects; the library's printing recurses. */
+constexpr int MaxDepth = 32;
+constexpr size_t DigestHexDigits = 64;
+
+/** A line feed or escape in a name would spoil logs and tables. */
+bool isPlain(const std::string &Text) {
+  return Text.size() <= MaxTextBytes &&
+         std::ranges::none_of(Text,
+                              [](unsigned char c) { return std::iscntrl(c); });
+}
 
 std::string excerpt(const Json &Value) {
   std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -53,6 +68,35 @@
   return All;
 }
 
+Result<Json> parseJson(std::string_view Text, const std::string &What,
+                       ErrorKind Kind) {
+  bool TooDeep = false;
+  const auto KeepShallow = [&](int Depth, Json::parse_event_t, Json &) {
+    TooDeep = TooDeep || Depth > MaxDepth;
+    return !TooDeep;
+  };
+  try {
+    Json Value = Json::parse(Text.begin(), Text.end(), KeepShallow, true, true);
+    if (!TooDeep)
+      return Value;
+    return fail(Kind, What + ": found deeper nesting than allowed: " +
+                          std::to_string(MaxDepth));
+  } catch (const Json::parse_error &Fault) {
+    // The library's sentence names line and column after its own number.
+    const std::string Sentence = Fault.what();
+    const size_t At = Sentence.find("at line");
+    const std::string Where =
+        At == std::string::npos ? "" : " (" + Sentence.substr(At) + ")";
+    return fail(Kind, What + ": found text that is no JSON" + Where +
+                          ", allowed: JSON with comments");
+  }
+}
+
+bool isDigest(std::string_view Text) {
+  return Text.size() == DigestHexDigits &&
+         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 ObjectReader::ObjectReader(const Json &Value, std::string ObjectPath,
                            FaultList &Into)
     : Object(Value.is_object() ? &Value : nullptr), Path(std::move(ObjectPath)),
@@ -89,12 +133,33 @@
   if (Value == nullptr)
     return Default;
   if (Value->is_string() &&
-      !(Required && Value->get_ref<const std::string &>().empty()))
+      !(Required && Value->get_ref<const std::string &>().empty()) &&
+      isPlain(Value->get_ref<const std::string &>()))
     return Value->get<std::string>();
-  fault(Key, excerpt(*Value), Required ? "a text that is not empty" : "a text");
+  fault(Key, excerpt(*Value),
+        std::string(Required ? "a text that is not empty" : "a text") +
+            ", of at most " + std::to_string(MaxTextBytes) +
+            " bytes without control characters");
   return Default;
 }
 
+std::string ObjectReader::digest(const char *Key) {
+  const Json *Value = find(Key, true, "a SHA-256 digest in lower-case hex");
+  if (Value == nullptr)
+    return "";
+  if (Value->is_string() && isDigest(Value->get_ref<const std::string &>()))
+    return Value->get<std::string>();
+  fault(Key, "something else", "a SHA-256 digest in lower-case hex");
+  return "";
+}
+
+std::string ObjectReader::address(const char *Key) {
+  std::string Text = text(Key, true);
+  if (!Text.empty() && !isAddress(Text, false))
+    fault(Key, "\"" + Text + "\"", "IP:port with an IPv4 number");
+  return Text;
+}
+
 int64_t ObjectReader::number(const char *Key, bool Required, int64_t Default,
                              int64_t Min, int64_t Max) {
   const std::string Allowed = "a whole number from " + std::to_string(Min) +
@@ -135,7 +200,7 @@
   return Default;
 }
 
-std::vector<const Json *> ObjectReader::list(const char *Key) {
+std::vector<const Json *> ObjectReader::list(const char *Key, size_t Max) {
   std::vector<const Json *> Elements;
   const Json *Value = find(Key, false, "");
   if (Value == nullptr)
@@ -144,6 +209,12 @@
     fault(Key, excerpt(*Value), "a list");
     return Elements;
   }
+  if (Value->size() > Max) {
+    fault(Key, std::to_string(Value->size()) + " elements",
+          "at most " + std::to_string(Max));
+    return Elements;
+  }
+  Elements.reserve(Value->size());
   for (const Json &Element : *Value)
     Elements.push_back(&Element);
   return Elements;
@@ -152,10 +223,11 @@
 std::vector<std::string> ObjectReader::texts(const char *Key) {
   std::vector<std::string> Texts;
   for (const Json *Element : list(Key)) {
-    if (Element->is_string())
+    if (Element->is_string() &&
+        isPlain(Element->get_ref<const std::string &>()))
       Texts.push_back(Element->get<std::string>());
     else
-      fault(Key, excerpt(*Element), "a list of texts");
+      fault(Key, excerpt(*Element), "a list of plain texts");
   }
   return Texts;
 }
--- a/packages/core/src/json_reader.h
+++ b/packages/core/src/json_reader.h
@@ -7,6 +7,8 @@
 #ifndef JACINTHPOND_CORE_JSON_READER_H
 #define JACINTHPOND_CORE_JSON_READER_H
 
+#include "error_func.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -37,6 +39,23 @@
   std::string text() const;
 };
 
+/**
+ * Parses JSON with comments.
+ * @param Text Not trusted.
+ * @param What Name of the text in the fault.
+ * @param Kind Kind of the fault.
+ * @return The value, or where the text is no JSON or nests too deeply.
+ */
+Result<nlohmann::json> parseJson(std::string_view Text, const std::string &What,
+                                 ErrorKind Kind);
+
+/**
+ * Says whether a text is a SHA-256 digest.
+ * @param Text The text.
+ * @return True for 64 lower-case hex digits.
+ */
+bool isDigest(std::string_view Text);
+
 /** One JSON object being read, with its path. */
 class ObjectReader {
 public:
@@ -59,6 +78,21 @@
   std::string text(const char *Key, bool Required,
                    const std::string &Default = "");
 
+  /**
+   * Reads a SHA-256 digest. A fault never repeats what stands there: people
+   * put the token itself where its digest belongs.
+   * @param Key Name of the member; its absence is a fault.
+   * @return The digest in lower-case hex, or empty.
+   */
+  std::string digest(const char *Key);
+
+  /**
+   * Reads "IP:port" with a port above 0.
+   * @param Key Name of the member; its absence is a fault.
+   * @return The address.
+   */
+  std::string address(const char *Key);
+
   /**
    * Reads a whole number.
    * @param Key Name of the member.
@@ -99,9 +133,11 @@
   /**
    * Gives the elements of a list.
    * @param Key Name of the member; absent means empty.
+   * @param Max Longest list allowed.
    * @return The elements, pointers into the JSON value.
    */
-  std::vector<const nlohmann::json *> list(const char *Key);
+  std::vector<const nlohmann::json *> list(const char *Key,
+                                           size_t Max = SIZE_MAX);
 
   /** Reports every member that was not asked for, with the nearest known. */
   void refuseUnknown();
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "settings_func.h"
 
+#include "address_func.h"
 #include "json_reader.h"
 #include "table/settings_table.h"
 
@@ -22,6 +23,20 @@
   return Spec.Owner == SettingOwner::Both || Spec.Owner == Program;
 }
 
+bool hasForm(const std::string &Text, TextForm Form) {
+  switch (Form) {
+  case TextForm::Free:
+    return true;
+  case TextForm::Listen:
+    return isAddress(Text, true);
+  case TextForm::Peer:
+    return isAddress(Text, false);
+  case TextForm::Url:
+    return isHttpUrl(Text);
+  }
+  return false;
+}
+
 /** Visitor that reads one setting into its member. */
 struct SettingReader {
   ObjectReader &Reader;    ///< The file.
@@ -30,9 +45,12 @@
 
   void operator()(std::string Settings::*Field) const {
     Into.*Field = Reader.text(Spec.Key, Spec.Required, Spec.Default);
+    checkForm(Into.*Field);
   }
   void operator()(std::vector<std::string> Settings::*Field) const {
     Into.*Field = Reader.texts(Spec.Key);
+    std::ranges::for_each(Into.*Field,
+                          [this](const std::string &One) { checkForm(One); });
   }
   void operator()(int64_t Settings::*Field) const {
     const int64_t Default = std::strtoll(Spec.Default, nullptr, 10);
@@ -43,8 +61,31 @@
     const bool Default = std::string_view(Spec.Default) == "true";
     Into.*Field = Reader.flag(Spec.Key, Default);
   }
+
+private:
+  void checkForm(const std::string &Text) const {
+    if (!Text.empty() && !hasForm(Text, Spec.Form))
+      Reader.fault(Spec.Key, "\"" + Text + "\"",
+                   std::string(Spec.Unit) + " with an IPv4 number");
+  }
 };
 
+/** Reports settings that contradict each other. */
+void checkOrder(const Settings &Read, ObjectReader &Reader) {
+  for (const SettingOrder &Rule : SettingOrders) {
+    const int64_t Lower = Read.*Rule.Lower;
+    const int64_t Upper = Read.*Rule.Upper;
+    if (Lower < Upper || (Rule.MayEqual && Lower == Upper))
+      continue;
+    // Settings of the other program are 0 here.
+    if (Lower == 0 && Upper == 0)
+      continue;
+    Reader.fault(Rule.LowerKey, std::to_string(Lower),
+                 std::string(Rule.MayEqual ? "at most " : "below ") +
+                     Rule.UpperKey + " (" + std::to_string(Upper) + ")");
+  }
+}
+
 std::string rangeOf(const SettingSpec &Spec) {
   if (!std::holds_alternative<int64_t Settings::*>(Spec.Field))
     return "";
@@ -74,12 +115,7 @@
 Result<Settings> parseSettings(std::string_view Text,
                                const std::string &FileName,
                                SettingOwner Program) {
-  const Json Value =
-      Json::parse(Text.begin(), Text.end(), nullptr, false, true);
-  if (Value.is_discarded())
-    return fail(ErrorKind::InvalidSettings,
-                FileName + ": found text that is no JSON, allowed: JSON with "
-                           "comments");
+  BOOST_LEAF_AUTO(Value, parseJson(Text, FileName, ErrorKind::InvalidSettings));
   Settings Read;
   FaultList Faults;
   ObjectReader Reader(Value, "", Faults);
@@ -90,6 +126,11 @@
   if (std::ranges::find(LogLevels, Read.LogLevel) == LogLevels.end())
     Reader.fault("log_level", "\"" + Read.LogLevel + "\"",
                  "one of debug, info, warn, error");
+  checkOrder(Read, Reader);
+  if (Program == SettingOwner::Agent &&
+      Read.EngineUrl.empty() == Read.ServiceUrl.empty())
+    Reader.fault("engine_url", "both or none of engine_url and service_url",
+                 "one of them");
   if (Faults.Lines.empty())
     return Read;
   for (std::string &Line : Faults.Lines)
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -55,17 +55,35 @@
     std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
                  int64_t Settings::*, bool Settings::*>;
 
+/** What a text must look like. */
+enum class TextForm : uint8_t {
+  Free,   ///< Anything plain.
+  Listen, ///< "IP:port", port 0 lets the kernel choose.
+  Peer,   ///< "IP:port" with a port above 0.
+  Url     ///< "http://IP:port".
+};
+
 /** One row of the settings table. */
 struct SettingSpec {
-  const char *Key;     ///< Name in the file.
-  SettingField Field;  ///< Member that holds it.
-  SettingOwner Owner;  ///< Program that reads it.
-  bool Required;       ///< Whether it has to be given.
-  const char *Unit;    ///< Unit, or kind of text.
-  int64_t Min;         ///< Smallest number allowed.
-  int64_t Max;         ///< Largest number allowed.
-  const char *Default; ///< Default as text.
-  const char *Text;    ///< What it does.
+  const char *Key;                ///< Name in the file.
+  SettingField Field;             ///< Member that holds it.
+  SettingOwner Owner;             ///< Program that reads it.
+  bool Required;                  ///< Whether it has to be given.
+  const char *Unit;               ///< Unit, or kind of text.
+  int64_t Min;                    ///< Smallest number allowed.
+  int64_t Max;                    ///< Largest number allowed.
+  const char *Default;            ///< Default as text.
+  const char *Text;               ///< What it does.
+  TextForm Form = TextForm::Free; ///< What a text must look like.
+};
+
+/** Two settings of which one has to stay below the other. */
+struct SettingOrder {
+  const char *LowerKey;     ///< Name of the lower one.
+  int64_t Settings::*Lower; ///< Member of the lower one.
+  const char *UpperKey;     ///< Name of the upper one.
+  int64_t Settings::*Upper; ///< Member of the upper one.
+  bool MayEqual;            ///< Whether both may be the same.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -19,32 +19,36 @@
                 0, 0, "", "Failure domain of this host."},
     SettingSpec{"peer_listen", &Settings::PeerListen, SettingOwner::Both, false,
                 "IP:port", 0, 0, "127.0.0.1:0",
-                "Where other processes of the system connect."},
+                "Where other processes of the system connect.",
+                TextForm::Listen},
     SettingSpec{"caller_listen", &Settings::CallerListen, SettingOwner::Entry,
-                false, "IP:port", 0, 0, "127.0.0.1:0",
-                "Where callers connect."},
+                false, "IP:port", 0, 0, "127.0.0.1:0", "Where callers connect.",
+                TextForm::Listen},
     SettingSpec{"admin_listen", &Settings::AdminListen, SettingOwner::Both,
                 false, "IP:port", 0, 0, "127.0.0.1:0",
-                "Where the administration API and metrics listen."},
+                "Where the administration API and metrics listen.",
+                TextForm::Listen},
     SettingSpec{"config_url", &Settings::ConfigUrl, SettingOwner::Entry, true,
                 "http://IP:port", 0, 0, "",
-                "The platform's configuration service."},
+                "The platform's configuration service.", TextForm::Url},
     SettingSpec{"hosts_url", &Settings::HostsUrl, SettingOwner::Entry, false,
                 "http://IP:port", 0, 0, "",
-                "The platform's list of live and leaving hosts; empty: none."},
+                "The platform's list of live and leaving hosts; empty: none.",
+                TextForm::Url},
     SettingSpec{"seed_peers", &Settings::SeedPeers, SettingOwner::Entry, false,
                 "list of IP:port", 0, 0, "",
                 "Peer addresses of entries to ask while the configuration "
-                "service is silent."},
+                "service is silent.",
+                TextForm::Peer},
     SettingSpec{"engine_url", &Settings::EngineUrl, SettingOwner::Agent, false,
                 "http://IP:port", 0, 0, "",
-                "The model engine on this host; empty: none."},
+                "The model engine on this host; empty: none.", TextForm::Url},
     SettingSpec{"service_url", &Settings::ServiceUrl, SettingOwner::Agent,
                 false, "http://IP:port", 0, 0, "",
-                "The plain service on this host; empty: none."},
+                "The plain service on this host; empty: none.", TextForm::Url},
     SettingSpec{"origin_url", &Settings::OriginUrl, SettingOwner::Agent, false,
                 "http://IP:port", 0, 0, "",
-                "The origin of weights; empty: peers only."},
+                "The origin of weights; empty: peers only.", TextForm::Url},
     SettingSpec{"log_level", &Settings::LogLevel, SettingOwner::Both, false,
                 "text", 0, 0, "info", "One of debug, info, warn, error."},
     SettingSpec{"heartbeat_ms", &Settings::HeartbeatMillis, SettingOwner::Both,
@@ -118,6 +122,19 @@
                 "number."},
 };
 
+/** A heartbeat above the silence would drop every link; above the gap, every
+ * wait for the next one would count as a pause. */
+constexpr std::array<SettingOrder, 4> SettingOrders = {{
+    {"cold_limit", &Settings::ColdLimit, "warm_limit", &Settings::WarmLimit,
+     true},
+    {"heartbeat_ms", &Settings::HeartbeatMillis, "link_silence_ms",
+     &Settings::LinkSilenceMillis, false},
+    {"heartbeat_ms", &Settings::HeartbeatMillis, "pause_gap_ms",
+     &Settings::PauseGapMillis, false},
+    {"heartbeat_ms", &Settings::HeartbeatMillis, "cut_off_ms",
+     &Settings::CutOffMillis, false},
+}};
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -39,7 +39,9 @@
   announceReady({{"peers", Peers}, {"callers", At}, {"admin", AdminAt}});
   waitForStopSignal();
   logLine(LogPart::Main, LogLevel::Info, "Shutting down.");
-  return Host.drain() ? ExitDone : ExitCutOff;
+  if (!Host.drain())
+    exitCutOff();
+  return ExitDone;
 }
 
 /** What the command line says. */
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,126 @@
+/** @file settings_test.cpp Settings and documents: checks, page, table. */
+// Labels: product
+
+#include "document_func.h"
+#include "json_reader.h"
+#include "settings_func.h"
+#include "table/settings_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <fstream>
+
+using namespace jacinthpond;
+
+namespace {
+
+/** Gives all faults of a text; empty: none. */
+std::string faultsOfAgent(const std::string &Members) {
+  const std::string Text = R"({"name": "a", "domain": "d")" + Members + "}";
+  const auto Read = outcomeOf(
+      [&] { return parseSettings(Text, "f.json", SettingOwner::Agent); });
+  return Read.Value ? "" : Read.Why.Detail;
+}
+
+std::string faultsOfDocument(const std::string &Members) {
+  const std::string Text = R"({"version": 1)" + Members + "}";
+  const auto Read = outcomeOf([&] { return parseDocument(Text); });
+  return Read.Value ? "" : Read.Why.Detail;
+}
+
+struct Case {
+  std::string Members;
+  std::string Fault; ///< Part of the faults; empty: valid.
+};
+
+void check(const std::vector<Case> &Cases,
+           std::string (*FaultsOf)(const std::string &)) {
+  for (const Case &One : Cases) {
+    const std::string Faults = FaultsOf(One.Members);
+    BOOST_TEST(Faults.empty() == One.Fault.empty(), One.Members + Faults);
+    BOOST_TEST(Faults.find(One.Fault) != std::string::npos, Faults);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ThePageIsMadeFromTheTable) {
+  std::ifstream File(JACINTHPOND_SOURCE_FOLDER "/docs/SETTINGS.md");
+  const std::string Page(std::istreambuf_iterator<char>(File), {});
+  BOOST_TEST(Page == settingsPage());
+}
+
+BOOST_AUTO_TEST_CASE(DefaultsLieInTheirRanges) {
+  for (const SettingSpec &Spec : SettingsTable) {
+    if (!std::holds_alternative<int64_t Settings::*>(Spec.Field))
+      continue;
+    const int64_t Default = std::strtoll(Spec.Default, nullptr, 10);
+    BOOST_TEST((Default >= Spec.Min && Default <= Spec.Max), Spec.Key);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SettingsAreChecked) {
+  const std::string Engine = R"(, "engine_url": "http://127.0.0.1:80")";
+  check({{Engine, ""},
+         {"", "engine_url: found both or none"},
+         {R"(, "engine_url": "127.0.0.1:80")", "f.json: engine_url: found"},
+         {R"(, "engine_url": "http://host:80")", "http://IP:port"},
+         {R"(, "engine_url": "http://127.0.0.1:80/x")", "http://IP:port"},
+         {Engine + R"(, "peer_listen": "127.0.0.1:0")", ""},
+         {Engine + R"(, "peer_listen": "127.0.0.1")", "IP:port"},
+         {Engine + R"(, "peer_listen": "127.0.0.1:65536")", "IP:port"},
+         {Engine + R"(, "cold_limit": 9, "warm_limit": 8)",
+          "cold_limit: found 9, allowed: at most warm_limit (8)"},
+         {Engine + R"(, "cold_limit": 8, "warm_limit": 8)", ""},
+         {Engine + R"(, "heartbeat_ms": 3000)",
+          "heartbeat_ms: found 3000, allowed: below link_silence_ms (2500)"},
+         {Engine + R"(, "heartbeat_ms": 3000)", "below pause_gap_ms (2000)"},
+         {Engine + R"(, "log_level": "loud")", "one of debug"},
+         {Engine + R"(, "warm_limt": 8)", "did you mean \"warm_limit\""},
+         {Engine + R"(, "origin_url": "a\nb")", "control characters"},
+         {", oops", "line 1"}},
+        faultsOfAgent);
+}
+
+BOOST_AUTO_TEST_CASE(DocumentsAreChecked) {
+  const std::string Worker =
+      R"(, "workers": [{"name": "w", "domain": "d", "service": "s", "agent": )";
+  check({{Worker + R"("10.0.0.1:9"}])", ""},
+         {Worker + R"("10.0.0.1:0"}])", "workers[0].agent: found"},
+         {Worker + R"("somewhere:9"}])", "IP:port with an IPv4 number"},
+         {R"(, "tenants": [{"name": ")" + std::string(300, 'x') + R"("}])",
+          "at most 256 bytes"},
+         {R"(, "tenants": [{"name": "a\u001b[2J"}])", "control characters"},
+         {R"(, "teams": [{"name": "t", "token_sha256": "secret"}])",
+          "token_sha256: found something else"},
+         {R"(, "teams": [{"name": "t", "token_sha256": ["secret"]}])",
+          "token_sha256: found something else"},
+         {R"(, "classes": [)" +
+              [] {
+                std::string All = "{}";
+                for (int n = 0; n < 256; ++n)
+                  All += ",{}";
+                return All;
+              }() +
+              "]",
+          "classes: found 257 elements, allowed: at most 256"}},
+        faultsOfDocument);
+  BOOST_TEST(faultsOfDocument(
+                 R"(, "teams": [{"name": "t", "token_sha256": ["secret"]}])")
+                 .find("\"secret\"") == std::string::npos);
+}
+
+// Story: a document of nested brackets is published, or sent to /v1/check. It
+// is valid JSON; printing it for the fault recurses once a bracket, and every
+// process that reads it would crash on its stack at the same time.
+BOOST_AUTO_TEST_CASE(DeepNestingIsRefusedNotPrinted) {
+  const size_t Depth = 400000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  BOOST_TEST(
+      faultsOfDocument(", \"tenants\": " + Nested).find("deeper nesting") !=
+      std::string::npos);
+  const auto Read = outcomeOf(
+      [&] { return parseSettings(Nested, "f.json", SettingOwner::Entry); });
+  BOOST_TEST(Read.Why.Detail.find("deeper nesting") != std::string::npos);
+}
