--- a/tests/integration/weights_test.cpp
+++ b/tests/integration/weights_test.cpp
@@ -204,6 +204,7 @@
 BOOST_AUTO_TEST_CASE(AWokenAgentDropsItsOldOrder) {
   FleetPlan Plan = smallPlan();
   Plan.EngineOptions = {{"stage_ms", 100}, {"ignore_fence", 1}};
+  Plan.AgentSettings["heartbeat_ms"] = 200;
   Plan.AgentSettings["pause_gap_ms"] = 500;
   Serving Run(Plan);
   Run.publish("v2");
