bench, tests: overload, coldstart and routing against the naive way

Cause: admission and routing had no figures, and nothing showed that fair queueing holds a small tenant's share. Ruled out: holding back what is refused.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -42,6 +42,27 @@
  */
 double quantile(std::vector<double> Samples, double Share);
 
+/**
+ * Offers three times the capacity: goodput, shares, refusals, retries.
+ * @param Options What to run.
+ * @return Exit code.
+ */
+int benchOverload(const BenchOptions &Options);
+
+/**
+ * Restarts engines one after the other under load from many callers.
+ * @param Options What to run.
+ * @return Exit code.
+ */
+int benchColdstart(const BenchOptions &Options);
+
+/**
+ * Runs a steady load with shared prompt prefixes.
+ * @param Options What to run.
+ * @return Exit code.
+ */
+int benchRouting(const BenchOptions &Options);
+
 /**
  * Measures the latency that entry and agent add to the first token.
  * @param Options What to run.
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -17,7 +17,11 @@
 /** All measurements by name. */
 const std::map<std::string, int (*)(const BenchOptions &)> &measurements() {
   static const std::map<std::string, int (*)(const BenchOptions &)> All = {
-      {"path", benchPath}, {"weights", benchWeights}};
+      {"coldstart", benchColdstart},
+      {"overload", benchOverload},
+      {"path", benchPath},
+      {"routing", benchRouting},
+      {"weights", benchWeights}};
   return All;
 }
 
--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -271,6 +271,20 @@
   return Json::parse(Got->body, nullptr, false);
 }
 
+double Fleet::entryCounter(const std::string &Counter) const {
+  double Sum = 0;
+  for (size_t n = 0; n < Plan.Entries; ++n) {
+    httplib::Client Client("http://" +
+                           address("entry-" + std::to_string(n), "admin"));
+    const httplib::Result Got = Client.Get("/metrics");
+    const std::string Line = "\n" + Counter + " ";
+    const size_t At = Got ? Got->body.find(Line) : std::string::npos;
+    if (At != std::string::npos)
+      Sum += std::strtod(Got->body.c_str() + At + Line.size(), nullptr);
+  }
+  return Sum;
+}
+
 Answer Fleet::ask(size_t Entry, const Ask &What) const {
   return askAt(address("entry-" + std::to_string(Entry), "callers"), What);
 }
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -95,6 +95,13 @@
    */
   Json health(size_t Entry) const;
 
+  /**
+   * Reads a counter of all entries from their metrics pages.
+   * @param Counter Its name.
+   * @return The sum.
+   */
+  double entryCounter(const std::string &Counter) const;
+
   /** Publishes Document under the next version. */
   void publish();
 
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -69,6 +69,8 @@
   Admittee One;
   One.Who = {m.Attempt, m.Tenant, weightOf(Doc, m.Tenant),
              Class == nullptr ? 1 : Class->Priority};
+  if (Agent.Config.FifoQueue)
+    One.Who = {m.Attempt, {}, 1, 1};
   One.Remaining = Millis(static_cast<int64_t>(m.RemainingMillis));
   One.Alone = m.Alone;
   return One;
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -45,6 +45,7 @@
   int64_t ChunkTakeoverMillis = 0;
   bool RandomRouting = false;
   int64_t RolloutPatienceMillis = 0;
+  bool FifoQueue = false;
   bool FencedEngine = false;
 };
 
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -93,6 +93,10 @@
     SettingSpec{"queue_limit", &Settings::QueueLimit, SettingOwner::Agent,
                 false, "requests", 0, 65536, "32",
                 "Requests that wait in the agent at most."},
+    SettingSpec{"fifo_queue", &Settings::FifoQueue, SettingOwner::Agent, false,
+                "true or false", 0, 0, "false",
+                "Let work wait in order of arrival, whoever's it is; for "
+                "measurements only."},
     SettingSpec{"warm_after", &Settings::WarmAfter, SettingOwner::Agent, false,
                 "requests", 1, 65536, "8",
                 "Requests that a cold back end completes before its limit "
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -19,6 +19,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace jacinthpond::standin {
@@ -38,6 +39,8 @@
   int MaxRunningCold = 0;                    ///< Highest while cold.
   int ColdOverstarts = 0;                    ///< Starts above cold_bears.
   int Completed = 0;                         ///< Requests since the start.
+  std::deque<std::string> Prefixes;          ///< Cached, oldest use first.
+  int PrefixHits = 0;                        ///< Requests that found theirs.
   Json Options;                              ///< See setOption().
   Json Records = Json::array();              ///< One for each request.
   Json Loads = Json::array();                ///< One for each load order.
@@ -55,6 +58,21 @@
   }
 };
 
+/** Bytes of a body that count as its prompt prefix. */
+constexpr size_t PrefixBytes = 256;
+
+/** Looks a prefix up in the cache, and keeps it; true when it was there. */
+bool usePrefix(Engine &Host, const std::string &Body) {
+  const std::string Prefix = Body.substr(0, PrefixBytes);
+  const bool Hit = std::erase(Host.Prefixes, Prefix) > 0;
+  Host.Prefixes.push_back(Prefix);
+  const auto Room = static_cast<size_t>(Host.option("cache_prefixes", 4));
+  if (Host.Prefixes.size() > Room)
+    Host.Prefixes.pop_front();
+  Host.PrefixHits += Hit ? 1 : 0;
+  return Hit;
+}
+
 std::string tokenAt(const std::string &Body, const std::string &Weights,
                     uint64_t n) {
   const std::string Seed = Body + "|" + Weights + "|" + std::to_string(n);
@@ -79,6 +97,7 @@
   uint64_t Stop = 0;   ///< Position after the last one.
   uint64_t Epoch = 0;  ///< Epoch of its start.
   size_t Record = 0;   ///< Index into Records.
+  int Prefill = 0;     ///< Milliseconds before the first token.
   bool Begun = false;  ///< The first event was sent.
   bool Left = false;   ///< Not in the batch any more.
 
@@ -121,7 +140,7 @@
         const std::lock_guard Lock(Host.Guard);
         if (Epoch != Host.Epoch)
           return false; // The restart broke off this stream.
-        Millis = Host.tokenMillis();
+        Millis = Host.tokenMillis() + std::exchange(Prefill, 0);
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(Millis));
       Text = sse({{"token", tokenAt(Body, Weights, Next)}});
@@ -165,6 +184,7 @@
   auto Run = std::make_shared<Generation>(Host, Body);
   Run->Weights = Host.Weights;
   Run->Epoch = Host.Epoch;
+  Run->Prefill = usePrefix(Host, Body) ? 0 : Host.option("prefill_ms", 0);
   Run->Next = Value.value("resume_from", uint64_t{0});
   Run->Stop = std::max(Run->Next, tokensWanted(Body));
   Run->Record = Host.Records.size();
@@ -259,6 +279,7 @@
           {"max_running_cold", Host.MaxRunningCold},
           {"cold_overstarts", Host.ColdOverstarts},
           {"completed", Host.Completed},
+          {"prefix_hits", Host.PrefixHits},
           {"records", Host.Records},
           {"staged", Host.Staged.size()},
           {"loads", Host.Loads}};
