core: ask after attempts whose link was lost, remember ended ones

Cause: a silent link ended every attempt on it. A repeatable request ran a second time elsewhere, a keyed one ended as unknown though its agent had the answer. A start that came twice, or after its refusal, ran again. A refusal of the last try was passed on as "not run" although an earlier try may have run. An attempt that the engine began on other weights was called not run.

Ruled out: waiting on the old link (it stays silent for good), and asking every worker (only the agent that got the start can vouch for it).

Change: both ends keep the attempt. The entry reopens the link and sends AttemptQuery with the first frame it lacks; the agent goes on, sends the end again, or says that it never saw the start and then never runs it. The wait is 1.5 s for repeatable work and 5 s for keyed work; a refused connection ends it at once for repeatable work. A call's final error joins what is known of all its attempts.

Conclusion: a silent link costs a delay, not a second run or an unknown.

--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -173,14 +173,10 @@
 
 void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now,
                      Effects &Out) {
+  (void)Out;
   linkClosed(Agent.Fleet, Link, Now);
   chunkPeerGone(Agent.Transfer, Link);
-  std::vector<AttemptId> Lost;
-  for (const auto &[Id, One] : Agent.Attempts)
-    if (One.Link == Link)
-      Lost.push_back(Id);
-  for (const AttemptId &Which : Lost)
-    cancelAttempt(Agent, Which, Now, Out);
+  detachAttempts(Agent, Link, Now);
 }
 
 void agentNoticePause(AgentState &Agent, TimePoint Now, Effects &Out) {
@@ -228,6 +224,9 @@
                         [&](const SuspectNotice &Notice) {
                           agentSuspect(Agent, Notice, Now, Out);
                         },
+                        [&](const AttemptQuery &Query) {
+                          queryAttempt(Agent, Link, Query, Now, Out);
+                        },
                         [](const auto &) {
                           // Meant for entries; an agent that gets one has
                           // nothing to do.
@@ -247,11 +246,10 @@
     Out.push_back(CancelRun{Which});
     failAttempt(Agent, Which,
                 {ErrorKind::WeightsNotReady, "engine uses other weights", {}},
-                Ran::Unknown, Out);
+                Ran::Yes, Out);
     return;
   }
-  it->second.Weights = Weights;
-  Out.push_back(SendMessage{it->second.Link, AttemptBegun{Which, Weights}});
+  tellBegun(it->second, Weights, Out);
 }
 
 void engineToken(AgentState &Agent, const AttemptId &Which,
@@ -260,7 +258,7 @@
   if (it == Agent.Attempts.end())
     return;
   notePace(Agent, it->second, Now, Out);
-  sendFrame(Agent, it->second, Token, Out);
+  sendFrame(it->second, Token, Out);
 }
 
 void engineEnded(AgentState &Agent, const AttemptId &Which,
@@ -268,7 +266,7 @@
   const auto it = Agent.Attempts.find(Which);
   const bool Known = it != Agent.Attempts.end();
   const bool Whole = Known && End.Value &&
-                     End.Value->Count == it->second.NextFrame &&
+                     End.Value->Count == nextFrame(it->second) &&
                      End.Value->Weights == it->second.Weights;
   runEnded(Agent.Gate, Which, runEndOf(Whole, End),
            Known ? Now - it->second.Began : Duration{0});
@@ -325,7 +323,7 @@
                   Out);
       continue;
     }
-    sendFrame(Agent, Open->second, Answer.Value->Body, Out);
+    sendFrame(Open->second, Answer.Value->Body, Out);
     finishAttempt(Agent, One, Answer.Value->Status, Out);
   }
   runWaiting(Agent, Now, Out);
@@ -422,6 +420,7 @@
     agentLinkClosed(Agent, Link, Now, Out);
   if (WasFresh && !viewIsFresh(Agent.Fleet))
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
+  sweepAttempts(Agent, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/agent_type.h
@@ -6,6 +6,7 @@
 #include "admission_type.h"
 #include "config_view_type.h"
 #include "effect_type.h"
+#include "ended_attempts_type.h"
 #include "membership_type.h"
 #include "quarantine_type.h"
 #include "rollout_type.h"
@@ -31,12 +32,13 @@
   TimePoint LastToken;                        ///< When its last token came.
   AttemptKnown State = AttemptKnown::Waiting; ///< How far it has come.
   Digest Weights;                             ///< Weights that began it.
-  uint64_t NextFrame = 0;                     ///< Sequence of the next frame.
-  std::string Text;                           ///< Frames so far.
-  bool Cancelled = false;                     ///< Nobody waits for it.
-  bool RanAlone = false;                      ///< Nothing else ran beside it.
-  std::optional<Failure> Broke;               ///< It broke off; being judged.
-  uint32_t ReadsSinceBroke = 0; ///< States of the back end read since.
+  bool Begun = false;                ///< The back end said that it began.
+  std::vector<std::string> Frames;   ///< Frames so far, from Asked.ResumeFrom.
+  std::optional<TimePoint> LinkLost; ///< Since when nobody can be answered.
+  bool Cancelled = false;            ///< Nobody waits for it.
+  bool RanAlone = false;             ///< Nothing else ran beside it.
+  std::optional<Failure> Broke;      ///< It broke off; being judged.
+  uint32_t ReadsSinceBroke = 0;      ///< States of the back end read since.
 };
 
 /** A call that may not be repeated, as its home remembers it. */
@@ -53,9 +55,10 @@
 
 /** Counters of an agent; read by metrics and status. */
 struct AgentCounters {
-  uint64_t Started = 0;    ///< Attempts given to the back end.
-  uint64_t Completed = 0;  ///< Attempts answered whole.
-  uint64_t KeyRepeats = 0; ///< Repeats answered from a key's record.
+  uint64_t Started = 0;        ///< Attempts given to the back end.
+  uint64_t Completed = 0;      ///< Attempts answered whole.
+  uint64_t KeyRepeats = 0;     ///< Repeats answered from a key's record.
+  uint64_t RepeatedStarts = 0; ///< Starts of attempts known already.
   std::map<ErrorKind, uint64_t> Refused; ///< Attempts refused, by kind.
 };
 
@@ -73,6 +76,7 @@
   std::string BackEndRun;                ///< Last incarnation that answered.
   Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
+  EndedAttempts Ended;                   ///< Attempts of the last while.
   std::map<KeyName, KeyRecord> Keys;     ///< Calls that ran here.
   bool Stopping = false;                 ///< No new work is taken.
   AgentCounters Counters;                ///< What happened so far.
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -6,6 +6,7 @@
 #include "back_end_death_func.h"
 #include "departure_func.h"
 #include "document_func.h"
+#include "ended_attempts_func.h"
 #include "error_func.h"
 #include "hash_func.h"
 #include "join_func.h"
@@ -13,6 +14,8 @@
 #include "weights_func.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 #include <vector>
 
 namespace jacinthpond {
@@ -30,6 +33,14 @@
   return Wait * static_cast<int64_t>(Share) / 100;
 }
 
+/**
+ * How long an attempt whose link was lost goes on without an entry that asks
+ * for it. Above the time in which an entry reopens a link and asks.
+ */
+constexpr Millis DetachedKeep{8000};
+/** How long a refusal is remembered: above the longest silence of a link. */
+constexpr Millis RefusalKeep{10000};
+
 void refuse(AgentState &Agent, LinkId Link, const AttemptId &Which,
             const Failure &Why, Effects &Out) {
   ++Agent.Counters.Refused[Why.Kind];
@@ -41,6 +52,59 @@
   m.RetryAfterMillis =
       static_cast<uint64_t>(spread(Why.RetryAfter, Which).count());
   Out.push_back(SendMessage{Link, m});
+  const TimePoint Now = Agent.Fleet.LastTick;
+  EndedAttempt Ended;
+  Ended.Final = m;
+  Ended.Forget = Now + RefusalKeep;
+  rememberEnded(Agent.Ended, Which, std::move(Ended), Now);
+}
+
+/** Moves an open attempt to the memory of ended ones. */
+void endAttempt(AgentState &Agent, const AttemptId &Which,
+                std::variant<AttemptFailed, AnswerEnd> Final) {
+  const auto it = Agent.Attempts.find(Which);
+  Attempt &One = it->second;
+  EndedAttempt Ended;
+  Ended.Final = std::move(Final);
+  if (One.Begun)
+    Ended.Weights = One.Weights;
+  Ended.FirstFrame = One.Asked.ResumeFrom;
+  Ended.Frames = std::move(One.Frames);
+  Ended.Forget = One.Deadline + EndedKeep;
+  rememberEnded(Agent.Ended, Which, std::move(Ended), Agent.Fleet.LastTick);
+  Agent.Attempts.erase(it);
+}
+
+/** Sends frames again from the first one that the entry lacks. */
+void sendFramesFrom(LinkId Link, const AttemptId &Which, uint64_t First,
+                    const std::vector<std::string> &Frames, uint64_t Next,
+                    Effects &Out) {
+  for (uint64_t n = std::max(First, Next); n < First + Frames.size(); ++n)
+    Out.push_back(
+        SendMessage{Link, AnswerFrame{Which, n, Frames.at(n - First)}});
+}
+
+/** Sends the end of an attempt again, with what the entry lacks before it. */
+void sendEndAgain(LinkId Link, const AttemptQuery &m, const EndedAttempt &One,
+                  Effects &Out) {
+  if (One.Weights)
+    Out.push_back(SendMessage{Link, AttemptBegun{m.Attempt, *One.Weights}});
+  sendFramesFrom(Link, m.Attempt, One.FirstFrame, One.Frames, m.NextFrame, Out);
+  const auto *End = std::get_if<AnswerEnd>(&One.Final);
+  const bool Dropped = End != nullptr &&
+                       One.FirstFrame + One.Frames.size() < End->Count &&
+                       m.NextFrame < End->Count;
+  if (Dropped) {
+    Out.push_back(SendMessage{
+        Link, AttemptFailed{m.Attempt, ErrorKind::PartialAnswer, Ran::Yes,
+                            "the answer is no longer held", 0}});
+    return;
+  }
+  std::visit(
+      [&](const auto &Final) {
+        Out.push_back(SendMessage{Link, Final});
+      },
+      One.Final);
 }
 
 /** Tells an attempt that another one has a better claim to its place. */
@@ -126,7 +190,7 @@
   Call.Key = One.Asked.Key;
   Call.Body = One.Asked.Body;
   Call.Timeout = toMillis(One.Deadline - Now);
-  Out.push_back(SendMessage{One.Link, AttemptBegun{One.Asked.Attempt, {}}});
+  tellBegun(One, {}, Out);
   Out.push_back(RunService{Call});
 }
 
@@ -150,7 +214,7 @@
                 Ran::Unknown, Out);
     return;
   }
-  sendFrame(Agent, One, Record.Answer->Body, Out);
+  sendFrame(One, Record.Answer->Body, Out);
   finishAttempt(Agent, Which, Record.Answer->Status, Out);
 }
 
@@ -163,8 +227,13 @@
 
 void takeAttempt(AgentState &Agent, LinkId Link, const AttemptStart &m,
                  TimePoint Now, Effects &Out) {
-  if (Agent.Attempts.contains(m.Attempt))
-    return; // A repeated message: the attempt is under way already.
+  // A start can come twice, or late after its attempt was asked after and
+  // given up. It would run a second time, or after "not run" was told.
+  if (Agent.Attempts.contains(m.Attempt) ||
+      Agent.Ended.Known.contains(m.Attempt)) {
+    ++Agent.Counters.RepeatedStarts;
+    return;
+  }
   if (const auto Kind = standingRefusal(Agent, m)) {
     refuse(Agent, Link, m.Attempt, {*Kind, "", {}}, Out);
     return;
@@ -174,7 +243,6 @@
   One.Link = Link;
   One.Arrived = Now;
   One.Deadline = Now + Millis(static_cast<int64_t>(m.RemainingMillis));
-  One.NextFrame = m.ResumeFrom;
   const bool Keyed = !m.Key.Value.empty();
   if (Keyed) {
     if (const auto it = Agent.Keys.find(keyOf(m)); it != Agent.Keys.end()) {
@@ -241,7 +309,7 @@
   Out.push_back(SendMessage{it->second.Link, m});
   const AttemptStart Asked = it->second.Asked;
   const bool WasFirst = it->second.State == AttemptKnown::Waiting;
-  Agent.Attempts.erase(it);
+  endAttempt(Agent, Which, m);
   // A key whose attempt never reached the back end has not run.
   if (!Asked.Key.Value.empty() && WasFirst && Executed == Ran::No &&
       Why.Kind != ErrorKind::KeyConflict)
@@ -256,23 +324,80 @@
   const Attempt &One = it->second;
   AnswerEnd m;
   m.Attempt = Which;
-  m.Count = One.NextFrame;
-  m.Content = sha256(One.Text);
+  m.Count = nextFrame(One);
+  m.Content = sha256(
+      std::accumulate(One.Frames.begin(), One.Frames.end(), std::string()));
   m.Status = Status;
   Out.push_back(SendMessage{One.Link, m});
   ++Agent.Counters.Completed;
-  Agent.Attempts.erase(it);
+  endAttempt(Agent, Which, m);
 }
 
-void sendFrame(AgentState &Agent, Attempt &One, const std::string &Data,
-               Effects &Out) {
-  (void)Agent;
-  AnswerFrame m;
-  m.Attempt = One.Asked.Attempt;
-  m.Sequence = One.NextFrame++;
-  m.Data = Data;
-  One.Text += Data;
-  Out.push_back(SendMessage{One.Link, m});
+void queryAttempt(AgentState &Agent, LinkId Link, const AttemptQuery &m,
+                  TimePoint Now, Effects &Out) {
+  const Incarnation Self = Agent.Fleet.Self.Run;
+  if (const auto it = Agent.Attempts.find(m.Attempt);
+      it != Agent.Attempts.end()) {
+    Attempt &One = it->second;
+    One.Link = Link;
+    One.LinkLost.reset();
+    Out.push_back(SendMessage{Link, AttemptStatus{m.Attempt, One.State, Self}});
+    if (One.Begun)
+      Out.push_back(SendMessage{Link, AttemptBegun{m.Attempt, One.Weights}});
+    sendFramesFrom(Link, m.Attempt, One.Asked.ResumeFrom, One.Frames,
+                   m.NextFrame, Out);
+    return;
+  }
+  if (const auto it = Agent.Ended.Known.find(m.Attempt);
+      it != Agent.Ended.Known.end()) {
+    Out.push_back(SendMessage{
+        Link, AttemptStatus{m.Attempt, AttemptKnown::Finished, Self}});
+    sendEndAgain(Link, m, it->second, Out);
+    return;
+  }
+  const bool Vouched = endedIsComplete(Agent.Ended, Now);
+  Out.push_back(
+      SendMessage{Link, AttemptStatus{m.Attempt, AttemptKnown::NeverSeen,
+                                      Vouched ? Self : Incarnation{}}});
+  // Its start may still be on the way over the old link; it must not run now.
+  EndedAttempt Revoked;
+  Revoked.Final = AttemptFailed{m.Attempt, ErrorKind::Unreachable, Ran::No,
+                                "asked after before it came", 0};
+  Revoked.Forget = Now + EndedKeep;
+  rememberEnded(Agent.Ended, m.Attempt, std::move(Revoked), Now);
+}
+
+void detachAttempts(AgentState &Agent, LinkId Link, TimePoint Now) {
+  for (auto &[Id, One] : Agent.Attempts)
+    if (One.Link == Link && !One.LinkLost)
+      One.LinkLost = Now;
+}
+
+void sweepAttempts(AgentState &Agent, TimePoint Now, Effects &Out) {
+  std::vector<AttemptId> Unclaimed;
+  for (const auto &[Id, One] : Agent.Attempts)
+    if (One.LinkLost && Now - *One.LinkLost >= DetachedKeep && !One.Cancelled)
+      Unclaimed.push_back(Id);
+  for (const AttemptId &Which : Unclaimed)
+    cancelAttempt(Agent, Which, Now, Out);
+  expireEnded(Agent.Ended, Now);
+}
+
+uint64_t nextFrame(const Attempt &One) {
+  return One.Asked.ResumeFrom + One.Frames.size();
+}
+
+void tellBegun(Attempt &One, const Digest &Weights, Effects &Out) {
+  One.Begun = true;
+  One.Weights = Weights;
+  Out.push_back(
+      SendMessage{One.Link, AttemptBegun{One.Asked.Attempt, Weights}});
+}
+
+void sendFrame(Attempt &One, const std::string &Data, Effects &Out) {
+  Out.push_back(SendMessage{
+      One.Link, AnswerFrame{One.Asked.Attempt, nextFrame(One), Data}});
+  One.Frames.push_back(Data);
 }
 
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out) {
--- a/packages/core/src/attempt_func.h
+++ b/packages/core/src/attempt_func.h
@@ -35,6 +35,33 @@
 void cancelAttempt(AgentState &Agent, const AttemptId &Which, TimePoint Now,
                    Effects &Out);
 
+/**
+ * An entry asks what became of an attempt whose link it lost.
+ * @param Agent State to change.
+ * @param Link Who asks; the attempt is answered over it from now on.
+ * @param m What is asked.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void queryAttempt(AgentState &Agent, LinkId Link, const AttemptQuery &m,
+                  TimePoint Now, Effects &Out);
+
+/**
+ * The link of attempts is gone; they go on for a while.
+ * @param Agent State to change.
+ * @param Link Which link.
+ * @param Now Current time.
+ */
+void detachAttempts(AgentState &Agent, LinkId Link, TimePoint Now);
+
+/**
+ * Ends attempts that no entry has asked for since their link was lost.
+ * @param Agent State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void sweepAttempts(AgentState &Agent, TimePoint Now, Effects &Out);
+
 /**
  * Ends an attempt without a whole answer and forgets it.
  * @param Agent State to change.
@@ -56,15 +83,28 @@
 void finishAttempt(AgentState &Agent, const AttemptId &Which, int Status,
                    Effects &Out);
 
+/**
+ * Gives the sequence of the next frame of an attempt.
+ * @param One The attempt.
+ * @return The number that the entry expects next, when it has all so far.
+ */
+uint64_t nextFrame(const Attempt &One);
+
+/**
+ * Tells the entry that the back end has an attempt.
+ * @param One The attempt.
+ * @param Weights What the back end uses; empty: none.
+ * @param Out Effects are appended.
+ */
+void tellBegun(Attempt &One, const Digest &Weights, Effects &Out);
+
 /**
  * Sends one piece of an answer.
- * @param Agent State to change.
  * @param One The attempt.
  * @param Data The piece.
  * @param Out Effects are appended.
  */
-void sendFrame(AgentState &Agent, Attempt &One, const std::string &Data,
-               Effects &Out);
+void sendFrame(Attempt &One, const std::string &Data, Effects &Out);
 
 /**
  * Starts waiting attempts while the limit allows.
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -19,6 +19,15 @@
 
 /** Attempts of one call, the first included. */
 constexpr uint32_t MaxTries = 4;
+/**
+ * How long a lost attempt is asked after before it is tried elsewhere. Above
+ * the time to reopen a link, below what a caller notices much.
+ */
+constexpr Millis AskRepeatable{1500};
+/** The same for a call that may not be repeated: only its home can answer. */
+constexpr Millis AskKeyed{5000};
+/** An agent gives up waiting work this long before the entry's deadline. */
+constexpr Millis DeadlineMargin{200};
 
 /**
  * Gives the home of an idempotency key. It follows the published list only,
@@ -64,10 +73,29 @@
   return Class != nullptr && Class->Repeatable;
 }
 
+/**
+ * Deadline as an agent gets it. The agent says "not run" of work that waited
+ * too long, and the word must be here before the deadline; otherwise the entry
+ * could only say "unknown".
+ */
+uint64_t remainingFor(const Call &One, TimePoint Now) {
+  const Millis Left = toMillis(One.Deadline - Now);
+  const Millis Margin = std::min(DeadlineMargin, Left / 4);
+  return static_cast<uint64_t>((Left - Margin).count());
+}
+
+/** Joins what is known of two attempts: one that ran outweighs a guess. */
+Ran worseOf(Ran A, Ran B) {
+  if (A == Ran::Yes || B == Ran::Yes)
+    return Ran::Yes;
+  return A == Ran::Unknown ? A : B;
+}
+
 /** Tries again elsewhere, or ends the call when nothing may be tried. */
 void retryOrEnd(EntryState &Entry, Call &One, const Failure &Why, Ran Executed,
                 TimePoint Now, Effects &Out) {
   One.Tried.push_back(One.Attempt.Worker);
+  One.Executed = worseOf(One.Executed, Executed);
   dropAttempt(Entry, One);
   const bool Harmless = Executed == Ran::No || repeatable(Entry, One);
   const bool Passing = answerFor(Why.Kind).RetryAfterMillis > 0 ||
@@ -86,6 +114,7 @@
                   std::to_string(Entry.NextAttempt++);
   Next.Worker = To.Name;
   Next.Link = To.Link;
+  Next.Run = Entry.Fleet.Links.at(To.Link).Peer.Run;
   Next.FirstFrame = One.NextFrame;
   Next.TextOffset = One.Text.size();
   ++One.Tries;
@@ -98,8 +127,7 @@
   m.Class = One.Asked.Class;
   m.Tenant = One.Asked.Tenant;
   m.Body = One.Asked.Body;
-  m.RemainingMillis =
-      static_cast<uint64_t>(toMillis(One.Deadline - Now).count());
+  m.RemainingMillis = remainingFor(One, Now);
   m.Key = One.Asked.Key;
   m.Token = One.Asked.Token;
   m.ResumeOn = One.Weights;
@@ -120,6 +148,25 @@
                    One.Tries > 0 ? Ran::Unknown : Ran::No, Out);
 }
 
+/** Goes on without an attempt whose agent did not answer for it. */
+void giveUpLost(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
+  if (One.NextFrame > 0)
+    ++Entry.Counters.Resumes;
+  retryOrEnd(Entry, One, {ErrorKind::OutcomeUnknown, "agent lost", {}},
+             Ran::Unknown, Now, Out);
+}
+
+template <typename Predicate>
+void giveUpLostWhere(EntryState &Entry, Predicate Which, TimePoint Now,
+                     Effects &Out) {
+  std::vector<CallId> Chosen;
+  for (const auto &[Id, One] : Entry.Calls)
+    if (One.Attempt.Lost && Which(One))
+      Chosen.push_back(Id);
+  for (const CallId Id : Chosen)
+    giveUpLost(Entry, Entry.Calls.at(Id), Now, Out);
+}
+
 } // namespace
 
 void startAttempt(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
@@ -161,9 +208,19 @@
   const auto it = Entry.Calls.find(Id);
   if (it == Entry.Calls.end())
     return;
-  dropAttempt(Entry, it->second);
-  ++Entry.Counters.Errors[Why.Kind];
-  Out.push_back(CallError{Id, Why, Executed});
+  Call &One = it->second;
+  dropAttempt(Entry, One);
+  // The last attempt's "not run" says nothing of the ones before it: the
+  // request may have run there, or the caller may hold a part of the answer.
+  const Ran Part = One.NextFrame > 0 ? Ran::Yes : Ran::No;
+  const Ran Told = worseOf(worseOf(One.Executed, Executed), Part);
+  Failure Final = Why;
+  if (One.NextFrame > 0 && Why.Kind != ErrorKind::PartialAnswer)
+    Final = {ErrorKind::PartialAnswer,
+             std::string(answerFor(Why.Kind).Name) + " " + Why.Detail,
+             Why.RetryAfter};
+  ++Entry.Counters.Errors[Final.Kind];
+  Out.push_back(CallError{Id, Final, Told});
   Entry.Calls.erase(it);
 }
 
@@ -240,19 +297,68 @@
 }
 
 void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now, Effects &Out) {
-  std::vector<CallId> Lost;
-  for (const auto &[Id, One] : Entry.Calls)
-    if (One.Attempt.Link == Link && !One.Attempt.Id.Value.empty())
-      Lost.push_back(Id);
-  for (const CallId Id : Lost) {
-    Call &One = Entry.Calls.at(Id);
-    if (One.NextFrame > 0)
-      ++Entry.Counters.Resumes;
-    retryOrEnd(Entry, One, {ErrorKind::OutcomeUnknown, "link lost", {}},
-               Ran::Unknown, Now, Out);
+  (void)Out;
+  for (auto &[Id, One] : Entry.Calls) {
+    OpenAttempt &Attempt = One.Attempt;
+    if (Attempt.Link != Link || Attempt.Id.Value.empty() || Attempt.Lost)
+      continue;
+    Attempt.Lost = Now;
+    Attempt.Link = LinkId{};
   }
 }
 
+void askAfterAttempts(EntryState &Entry, const HostName &Worker, LinkId Link,
+                      Effects &Out) {
+  for (auto &[Id, One] : Entry.Calls) {
+    OpenAttempt &Attempt = One.Attempt;
+    if (!Attempt.Lost || Attempt.Worker != Worker)
+      continue;
+    Attempt.Link = Link;
+    Out.push_back(SendMessage{Link, AttemptQuery{Attempt.Id, One.NextFrame}});
+  }
+}
+
+void attemptStatusHeard(EntryState &Entry, const AttemptStatus &m,
+                        TimePoint Now, Effects &Out) {
+  Call *One = callOf(Entry, m.Attempt);
+  if (One == nullptr || !One->Attempt.Lost) {
+    ++Entry.Counters.DroppedFrames;
+    return;
+  }
+  if (m.Known != AttemptKnown::NeverSeen) {
+    One->Attempt.Lost.reset();
+    ++Entry.Counters.Recovered;
+    return;
+  }
+  // Only the incarnation that the start was sent to can say that it never saw
+  // it; it also promises not to run it any more.
+  if (m.Run == One->Attempt.Run)
+    retryOrEnd(Entry, *One, {ErrorKind::Unreachable, "never arrived", {}},
+               Ran::No, Now, Out);
+  else
+    giveUpLost(Entry, *One, Now, Out);
+}
+
+void agentUnreachable(EntryState &Entry, const HostName &Worker, TimePoint Now,
+                      Effects &Out) {
+  giveUpLostWhere(
+      Entry,
+      [&](const Call &One) {
+        return One.Attempt.Worker == Worker && repeatable(Entry, One);
+      },
+      Now, Out);
+}
+
+void endLostAttempts(EntryState &Entry, TimePoint Now, Effects &Out) {
+  giveUpLostWhere(
+      Entry,
+      [&](const Call &One) {
+        const Millis Wait = repeatable(Entry, One) ? AskRepeatable : AskKeyed;
+        return Now - *One.Attempt.Lost >= Wait;
+      },
+      Now, Out);
+}
+
 void endLateCalls(EntryState &Entry, TimePoint Now, Effects &Out) {
   std::vector<CallId> Late;
   for (const auto &[Id, One] : Entry.Calls)
@@ -261,7 +367,7 @@
   for (const CallId Id : Late) {
     const Call &One = Entry.Calls.at(Id);
     const bool Sent = !One.Attempt.Id.Value.empty();
-    if (Sent)
+    if (Sent && !One.Attempt.Lost)
       Out.push_back(
           SendMessage{One.Attempt.Link, AttemptCancel{One.Attempt.Id}});
     const Failure Why{Sent ? ErrorKind::OutcomeUnknown : ErrorKind::Deadline,
--- a/packages/core/src/call_func.h
+++ b/packages/core/src/call_func.h
@@ -64,7 +64,8 @@
                    Effects &Out);
 
 /**
- * The link of open attempts is gone.
+ * The link of open attempts is gone. They are kept, and asked after once the
+ * agent is reached again; a silent link says nothing about the work.
  * @param Entry State to change.
  * @param Link Which link.
  * @param Now Current time.
@@ -72,6 +73,44 @@
  */
 void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now, Effects &Out);
 
+/**
+ * An agent is reached: asks it what became of attempts whose link was lost.
+ * @param Entry State to change.
+ * @param Worker The agent.
+ * @param Link The link to it.
+ * @param Out Effects are appended.
+ */
+void askAfterAttempts(EntryState &Entry, const HostName &Worker, LinkId Link,
+                      Effects &Out);
+
+/**
+ * An agent says what became of an attempt.
+ * @param Entry State to change.
+ * @param m The message.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void attemptStatusHeard(EntryState &Entry, const AttemptStatus &m,
+                        TimePoint Now, Effects &Out);
+
+/**
+ * An agent cannot be reached: its repeatable attempts go elsewhere at once.
+ * @param Entry State to change.
+ * @param Worker The agent.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void agentUnreachable(EntryState &Entry, const HostName &Worker, TimePoint Now,
+                      Effects &Out);
+
+/**
+ * Gives up attempts that were asked after for too long.
+ * @param Entry State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void endLostAttempts(EntryState &Entry, TimePoint Now, Effects &Out);
+
 /**
  * Ends calls whose deadline has passed.
  * @param Entry State to change.
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -48,6 +48,18 @@
     attemptsLost(Entry, Link, Now, Out);
 }
 
+/** Gives the peer of a link that was asked for and never came about. */
+std::optional<HostName> peerOpening(const Membership &Fleet, LinkId Link) {
+  const auto it = Fleet.Links.find(Link);
+  if (it == Fleet.Links.end() || it->second.State != LinkState::Opening)
+    return std::nullopt;
+  const auto Peer = std::ranges::find_if(
+      Fleet.Wanted, [&](const auto &Row) { return Row.second.Link == Link; });
+  if (Peer == Fleet.Wanted.end())
+    return std::nullopt;
+  return Peer->first;
+}
+
 } // namespace
 
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -126,8 +138,11 @@
 
 void entryLinkClosed(EntryState &Entry, LinkId Link, TimePoint Now,
                      Effects &Out) {
+  const std::optional<HostName> Refused = peerOpening(Entry.Fleet, Link);
   linkClosed(Entry.Fleet, Link, Now);
   attemptsLost(Entry, Link, Now, Out);
+  if (Refused)
+    agentUnreachable(Entry, *Refused, Now, Out);
 }
 
 void entryMessage(EntryState &Entry, LinkId Link, const Message &m,
@@ -142,6 +157,8 @@
     followDocument(Entry, Now, Out);
   if (std::holds_alternative<Hello>(m))
     tellSuspects(Entry.Suspects, Link, Now, Out);
+  if (const auto *Peer = std::get_if<Hello>(&m))
+    askAfterAttempts(Entry, Peer->Name, Link, Out);
   if (News != FleetNews::NotMine)
     return;
   std::visit(
@@ -156,6 +173,9 @@
             if (noteSuspect(Entry.Suspects, Notice, Now))
               spreadNotice(Entry.Fleet, Notice, Role::Entry, Out);
           },
+          [&](const AttemptStatus &Status) {
+            attemptStatusHeard(Entry, Status, Now, Out);
+          },
           [](const auto &) {
             // Meant for agents; an entry that gets one has nothing to do.
           }},
@@ -197,6 +217,7 @@
     followDocument(Entry, Now, Out);
   endLateCalls(Entry, Now, Out);
   forgetSuspects(Entry.Suspects, Now);
+  endLostAttempts(Entry, Now, Out);
 }
 
 void entryStop(EntryState &Entry, TimePoint Now, Effects &Out) {
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -10,6 +10,7 @@
 #include "settings_type.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,12 +30,14 @@
 
 /** The attempt of a call that is under way. */
 struct OpenAttempt {
-  AttemptId Id;            ///< Unique for ever.
-  HostName Worker;         ///< Where it was sent.
-  LinkId Link;             ///< Over which link.
-  bool Begun = false;      ///< The back end has it.
-  uint64_t FirstFrame = 0; ///< Sequence of its first frame.
-  size_t TextOffset = 0;   ///< Where its first frame stands in Call::Text.
+  AttemptId Id;                  ///< Unique for ever.
+  HostName Worker;               ///< Where it was sent.
+  LinkId Link;                   ///< Over which link.
+  Incarnation Run;               ///< Incarnation of the agent it was sent to.
+  bool Begun = false;            ///< The back end has it.
+  std::optional<TimePoint> Lost; ///< Since when its link is gone.
+  uint64_t FirstFrame = 0;       ///< Sequence of its first frame.
+  size_t TextOffset = 0; ///< Where its first frame stands in Call::Text.
 };
 
 /** A caller's request until its final answer. */
@@ -48,6 +51,7 @@
   std::string Text;            ///< The answer so far.
   uint32_t Tries = 0;          ///< Attempts so far.
   std::vector<HostName> Tried; ///< Workers that refused or failed it.
+  Ran Executed = Ran::No;      ///< Whether any ended attempt ran.
 };
 
 /** Counters of an entry; read by metrics and status. */
@@ -55,6 +59,7 @@
   uint64_t Calls = 0;                   ///< Requests taken.
   uint64_t Retries = 0;                 ///< Attempts after the first.
   uint64_t Resumes = 0;                 ///< Answers gone on with elsewhere.
+  uint64_t Recovered = 0;               ///< Attempts found again at an agent.
   uint64_t DroppedFrames = 0;           ///< Late, crossed or repeated frames.
   std::map<ErrorKind, uint64_t> Errors; ///< Final errors of each kind.
 };
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -110,6 +110,7 @@
 
 template <typename V> void describe(V &v, AttemptQuery &m) {
   v("attempt", m.Attempt);
+  v("next", m.NextFrame);
 }
 
 template <typename V> void describe(V &v, AttemptStatus &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -142,17 +142,22 @@
 
 /** Asks what became of an attempt after its link was lost. */
 struct AttemptQuery {
-  AttemptId Attempt; ///< Which attempt.
+  AttemptId Attempt;      ///< Which attempt.
+  uint64_t NextFrame = 0; ///< First frame that the entry lacks.
 };
 
 /** What an agent knows of an attempt that was asked after. */
 enum class AttemptKnown : uint8_t { NeverSeen, Waiting, Running, Finished };
 
-/** Answer to AttemptQuery. A finished one's frames are sent again after it. */
+/**
+ * Answer to AttemptQuery. The frames that the entry lacks and, for a finished
+ * one, its end are sent again after it. One that was never seen is never run
+ * after this answer.
+ */
 struct AttemptStatus {
   AttemptId Attempt;                            ///< Which attempt.
   AttemptKnown Known = AttemptKnown::NeverSeen; ///< What is known.
-  Incarnation Run;                              ///< Incarnation that says so.
+  Incarnation Run; ///< Incarnation whose memory says so; 0: none vouches.
 };
 
 /** Asks a peer agent for a chunk of weights. */
