core: homes of non-repeatable calls by token, and by list with a horizon

Cause: a key's record lived in the memory of one agent and nothing guarded a home that restarted, was moved by a new list, or slept: its keys ran again. An entry that could not reach a home said "not run" of keys that had run.

Ruled out: a shared record (no store may be written), homes by liveness (two views, two homes), a clock shared by processes (none to trust).

Change: a token names the homes with incarnation and memory epoch; a key runs only at the home that its token names, or not at all. Without a token the home follows the published list and waits out the retry horizon after a start or a move. A home's "not run" bars the key under that token, and only then comes a fresh one. Records, answers and past lists are bounded and expire by clock; above the bound new keys wait, known ones are not forgotten. An entry says "not run" of a key only on its home's word, waits 2 s for a link to the home, and gives tokens at /v1/classes/{class}/token. The fleet's caller takes tokens.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -10,9 +10,12 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <mutex>
 #include <random>
 #include <stdexcept>
 #include <thread>
+#include <tuple>
 
 namespace jacinthpond::fleet {
 
@@ -41,6 +44,55 @@
   return Content;
 }
 
+/** Home tokens that callers keep with their keys. */
+class TokenWallet {
+public:
+  static TokenWallet &shared() {
+    static TokenWallet All;
+    return All;
+  }
+  void clear() {
+    const std::lock_guard Lock(Guard);
+    Tokens.clear();
+  }
+  std::string get(const Ask &What) {
+    const std::lock_guard Lock(Guard);
+    const auto it = Tokens.find({What.Class, What.Tenant, What.Key});
+    return it == Tokens.end() ? "" : it->second;
+  }
+  void put(const Ask &What, const std::string &Token) {
+    const std::lock_guard Lock(Guard);
+    Tokens[{What.Class, What.Tenant, What.Key}] = Token;
+  }
+  /** Keeps the first of two tokens that two threads asked for. */
+  std::string putFirst(const Ask &What, const std::string &Token) {
+    const std::lock_guard Lock(Guard);
+    return Tokens.try_emplace({What.Class, What.Tenant, What.Key}, Token)
+        .first->second;
+  }
+
+private:
+  std::mutex Guard; ///< Guards Tokens.
+  std::map<std::tuple<std::string, std::string, std::string>, std::string>
+      Tokens;
+};
+
+/** Gives the token of a key, asked for before its first try; else the error. */
+Answer tokenFor(httplib::Client &Client, const Ask &What) {
+  TokenWallet &Wallet = TokenWallet::shared();
+  if (std::string Kept = Wallet.get(What); !Kept.empty())
+    return {200, true, "", Kept};
+  const httplib::Result Got =
+      Client.Get("/v1/classes/" + What.Class + "/token");
+  if (!Got) // The request itself was not sent.
+    return {0, false, "", ""};
+  Answer Told{Got->status, true, Got->body, ""};
+  const std::string Fresh = Told.json().value("token", "");
+  if (!Fresh.empty())
+    Told.Token = Wallet.putFirst(What, Fresh);
+  return Told;
+}
+
 } // namespace
 
 Json Answer::json() const {
@@ -49,6 +101,7 @@
 }
 
 Fleet::Fleet(FleetPlan Wanted) : Plan(std::move(Wanted)), Folder(makeFolder()) {
+  TokenWallet::shared().clear();
   for (size_t n = 0; n < Plan.Platforms; ++n)
     startStandIn(platformOf(n), "platform", Json::object());
   startStandIn("origin", "origin", Plan.OriginOptions);
@@ -296,6 +349,12 @@
   httplib::Headers Headers = {{"X-Tenant", What.Tenant}};
   if (!What.Key.empty())
     Headers.emplace("Idempotency-Key", What.Key);
+  if (!What.Key.empty() && !What.Tokenless) {
+    const Answer Token = tokenFor(Client, What);
+    if (Token.Token.empty())
+      return Token;
+    Headers.emplace("X-Home-Token", Token.Token);
+  }
   if (What.DeadlineMillis > 0)
     Headers.emplace("X-Deadline-Ms", std::to_string(What.DeadlineMillis));
   if (What.Stream)
@@ -305,7 +364,10 @@
                   What.Body.dump(), "application/json");
   if (!Got)
     return {0, Got.error() != httplib::Error::Connection, ""};
-  return {Got->status, true, Got->body};
+  const std::string Fresh = Got->get_header_value("X-Home-Token");
+  if (!Fresh.empty())
+    TokenWallet::shared().put(What, Fresh);
+  return {Got->status, true, Got->body, Fresh};
 }
 
 std::vector<Answer>
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -39,9 +39,10 @@
 
 /** An answer to a caller. */
 struct Answer {
-  int Status = 0;   ///< HTTP status; 0: no answer.
-  bool Sent = true; ///< False: no connection came about.
-  std::string Body; ///< Content.
+  int Status = 0;         ///< HTTP status; 0: no answer.
+  bool Sent = true;       ///< False: no connection came about.
+  std::string Body;       ///< Content.
+  std::string Token = {}; ///< Fresh home token, when one came.
 
   /**
    * Reads the content.
@@ -56,12 +57,14 @@
   std::string Tenant = "huts";                         ///< Whose.
   Json Body = {{"prompt", "snow"}, {"max_tokens", 4}}; ///< What.
   std::string Key;                                     ///< Idempotency key.
-  int DeadlineMillis = 0;                              ///< 0: the class's.
-  bool Stream = false; ///< As server-sent events.
+  bool Tokenless = false; ///< Send the key without its home token.
+  int DeadlineMillis = 0; ///< 0: the class's.
+  bool Stream = false;    ///< As server-sent events.
 };
 
 /**
- * Sends a request to an address. Callers' threads use this one while the main
+ * Sends a request to an address; a key goes with its home token, which is asked
+ * for before the first try. Callers' threads use this one while the main
  * thread restarts processes, which keep their addresses.
  * @param At "IP:port" of an entry.
  * @param What The request.
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -9,7 +9,9 @@
 #include "config_view_func.h"
 #include "departure_func.h"
 #include "document_func.h"
+#include "idempotency_func.h"
 #include "join_func.h"
+#include "keyed_attempt_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
@@ -52,6 +54,7 @@
   Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
+  Load.KeyEpoch = Agent.Keys.Epoch;
   Load.Weights = Agent.Weights.Loaded;
   describeTransfer(Agent.Transfer, Load);
   return Load;
@@ -163,6 +166,8 @@
                        static_cast<uint32_t>(Config.WarmAfter)};
   turnCold(Agent.Gate);
   Agent.Transfer = makeTransfer(Config);
+  Agent.Keys = makeKeyBook(Now);
+  Agent.Keys.Runs.insert(Run);
   return Agent;
 }
 
@@ -194,9 +199,11 @@
   agentNoticePause(Agent, Now, Out);
   if (!linkHeard(Agent.Fleet, Link, Now))
     return;
+  const DocumentPtr Before = Agent.View.InForce;
   const FleetNews News =
       fleetMessage(Agent.View, Agent.Fleet, Link, m, Now, Out);
   if (News == FleetNews::NewDocument) {
+    keepPastList(Agent.Keys, Before, Now);
     followDocument(Agent, Now, Out);
     announceChange(Agent, Now, Out);
   }
@@ -301,30 +308,14 @@
   if (it == Agent.Attempts.end())
     return;
   const AttemptStart Asked = it->second.Asked;
-  const bool NeverSent =
-      !Answer.Value && Answer.Why.Kind == ErrorKind::Unreachable;
-  std::vector<AttemptId> Waiting{Which};
-  const auto Record = Agent.Keys.find({Asked.Class, Asked.Tenant, Asked.Key});
-  if (!Asked.Key.Value.empty() && Record != Agent.Keys.end()) {
-    const auto &Followers = Record->second.Followers;
-    Waiting.insert(Waiting.end(), Followers.begin(), Followers.end());
-    Record->second.Followers.clear();
-    Record->second.Done = true;
-    Record->second.Answer = Answer.Value;
-    if (NeverSent)
-      Agent.Keys.erase(Record);
-  }
-  for (const AttemptId &One : Waiting) {
-    const auto Open = Agent.Attempts.find(One);
-    if (Open == Agent.Attempts.end())
-      continue;
-    if (!Answer.Value) {
-      failAttempt(Agent, One, Answer.Why, NeverSent ? Ran::No : Ran::Unknown,
-                  Out);
-      continue;
-    }
-    sendFrame(Open->second, Answer.Value->Body, Out);
-    finishAttempt(Agent, One, Answer.Value->Status, Out);
+  if (Answer.Value) {
+    sendFrame(it->second, Answer.Value->Body, Out);
+    finishAttempt(Agent, Which, Answer.Value->Status, Out);
+    keyAnswered(Agent, Asked, *Answer.Value, Out);
+  } else {
+    const bool NeverSent = Answer.Why.Kind == ErrorKind::Unreachable;
+    failAttempt(Agent, Which, Answer.Why, NeverSent ? Ran::No : Ran::Unknown,
+                Out);
   }
   runWaiting(Agent, Now, Out);
   refreshLoad(Agent);
@@ -421,6 +412,7 @@
   if (WasFresh && !viewIsFresh(Agent.Fleet))
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
+  expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/agent_type.h
@@ -7,6 +7,7 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "ended_attempts_type.h"
+#include "idempotency_type.h"
 #include "membership_type.h"
 #include "quarantine_type.h"
 #include "rollout_type.h"
@@ -17,7 +18,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace jacinthpond {
@@ -41,18 +41,6 @@
   uint32_t ReadsSinceBroke = 0;      ///< States of the back end read since.
 };
 
-/** A call that may not be repeated, as its home remembers it. */
-struct KeyRecord {
-  Digest Body;                         ///< Digest of the body.
-  bool Done = false;                   ///< The first run has ended.
-  std::optional<ServiceAnswer> Answer; ///< Its answer; none: unknown.
-  TimePoint Since;                     ///< When it was first run.
-  std::vector<AttemptId> Followers;    ///< Repeats that wait for the answer.
-};
-
-/** Names a key among all classes and tenants. */
-using KeyName = std::tuple<ClassName, TenantName, IdempotencyKey>;
-
 /** Counters of an agent; read by metrics and status. */
 struct AgentCounters {
   uint64_t Started = 0;        ///< Attempts given to the back end.
@@ -77,7 +65,7 @@
   Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
   EndedAttempts Ended;                   ///< Attempts of the last while.
-  std::map<KeyName, KeyRecord> Keys;     ///< Calls that ran here.
+  KeyBook Keys;                          ///< Non-repeatable calls.
   bool Stopping = false;                 ///< No new work is taken.
   AgentCounters Counters;                ///< What happened so far.
 };
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -10,6 +10,7 @@
 #include "error_func.h"
 #include "hash_func.h"
 #include "join_func.h"
+#include "keyed_attempt_func.h"
 #include "quarantine_func.h"
 #include "weights_func.h"
 
@@ -70,7 +71,11 @@
     Ended.Weights = One.Weights;
   Ended.FirstFrame = One.Asked.ResumeFrom;
   Ended.Frames = std::move(One.Frames);
-  Ended.Forget = One.Deadline + EndedKeep;
+  const auto *Failed = std::get_if<AttemptFailed>(&Ended.Final);
+  const bool NeverRan = Failed != nullptr && Failed->Executed == Ran::No;
+  // "Not run" stays true of one that was never seen, so it may go early.
+  Ended.Forget =
+      NeverRan ? Agent.Fleet.LastTick + RefusalKeep : One.Deadline + EndedKeep;
   rememberEnded(Agent.Ended, Which, std::move(Ended), Agent.Fleet.LastTick);
   Agent.Attempts.erase(it);
 }
@@ -165,8 +170,6 @@
   return std::nullopt;
 }
 
-KeyName keyOf(const AttemptStart &m) { return {m.Class, m.Tenant, m.Key}; }
-
 /** Gives an attempt to the back end. */
 void beginAttempt(AgentState &Agent, Attempt &One, TimePoint Now,
                   Effects &Out) {
@@ -190,32 +193,36 @@
   Call.Key = One.Asked.Key;
   Call.Body = One.Asked.Body;
   Call.Timeout = toMillis(One.Deadline - Now);
+  // A home waits longer than its caller, so that a repeat gets the answer.
+  if (!Call.Key.Value.empty())
+    Call.Timeout = std::max(Call.Timeout, Agent.View.InForce->RetryHorizon);
+  keyBegan(Agent, One.Asked);
   tellBegun(One, {}, Out);
   Out.push_back(RunService{Call});
 }
 
-/** Answers an attempt whose key ran before, or lets it wait for that run. */
-void followKey(AgentState &Agent, const AttemptId &Which, KeyRecord &Record,
-               Effects &Out) {
-  Attempt &One = Agent.Attempts.at(Which);
-  if (Record.Body != sha256(One.Asked.Body)) {
-    failAttempt(Agent, Which, {ErrorKind::KeyConflict, "", {}}, Ran::No, Out);
-    return;
-  }
-  ++Agent.Counters.KeyRepeats;
-  if (!Record.Done) {
-    One.State = AttemptKnown::Running;
-    Record.Followers.push_back(Which);
-    return;
-  }
-  if (!Record.Answer) {
-    failAttempt(Agent, Which,
-                {ErrorKind::OutcomeUnknown, "first run's answer is lost", {}},
-                Ran::Unknown, Out);
+/** Runs an attempt, lets it wait, or refuses it as not run. */
+void admitAttempt(AgentState &Agent, Attempt &One, TimePoint Now,
+                  Effects &Out) {
+  const AttemptStart &m = One.Asked;
+  const Suspicion Doubt = suspicionOf(Agent, m, Now);
+  if (Doubt == Suspicion::Refuse) {
+    failAttempt(Agent, AttemptId(m.Attempt), quarantined(Agent, m, Now),
+                Ran::No, Out);
     return;
   }
-  sendFrame(One, Record.Answer->Body, Out);
-  finishAttempt(Agent, Which, Record.Answer->Status, Out);
+  Admittee Asking = admitteeOf(Agent, m);
+  Asking.Alone = Asking.Alone || Doubt == Suspicion::RunAlone;
+  const AdmissionAnswer Answer = askToRun(Agent.Gate, Asking);
+  if (Answer.PushedOut)
+    pushOut(Agent, *Answer.PushedOut, Out);
+  if (Answer.May == Admitted::Refuse)
+    failAttempt(Agent, AttemptId(m.Attempt),
+                {ErrorKind::Overloaded, "queue full",
+                 spread(Answer.RetryAfter, m.Attempt)},
+                Ran::No, Out);
+  if (Answer.May == Admitted::Run)
+    beginAttempt(Agent, One, Now, Out);
 }
 
 } // namespace
@@ -234,8 +241,10 @@
     ++Agent.Counters.RepeatedStarts;
     return;
   }
-  if (const auto Kind = standingRefusal(Agent, m)) {
-    refuse(Agent, Link, m.Attempt, {*Kind, "", {}}, Out);
+  const auto Standing = standingRefusal(Agent, m);
+  const bool Keyed = !m.Key.Value.empty();
+  if (Standing && !Keyed) {
+    refuse(Agent, Link, m.Attempt, {*Standing, "", {}}, Out);
     return;
   }
   Attempt One;
@@ -243,38 +252,12 @@
   One.Link = Link;
   One.Arrived = Now;
   One.Deadline = Now + Millis(static_cast<int64_t>(m.RemainingMillis));
-  const bool Keyed = !m.Key.Value.empty();
-  if (Keyed) {
-    if (const auto it = Agent.Keys.find(keyOf(m)); it != Agent.Keys.end()) {
-      Agent.Attempts[m.Attempt] = One;
-      followKey(Agent, m.Attempt, it->second, Out);
-      return;
-    }
-  }
-  const Suspicion Doubt = suspicionOf(Agent, m, Now);
-  if (Doubt == Suspicion::Refuse) {
-    refuse(Agent, Link, m.Attempt, quarantined(Agent, m, Now), Out);
-    return;
-  }
-  Admittee Asking = admitteeOf(Agent, m);
-  Asking.Alone = Asking.Alone || Doubt == Suspicion::RunAlone;
-  const AdmissionAnswer Answer = askToRun(Agent.Gate, Asking);
-  if (Answer.May == Admitted::Refuse) {
-    refuse(Agent, Link, m.Attempt,
-           {ErrorKind::Overloaded, "queue full", Answer.RetryAfter}, Out);
+  if (Keyed && answerByKey(Agent, One, Standing, Now, Out))
     return;
-  }
-  if (Answer.PushedOut)
-    pushOut(Agent, *Answer.PushedOut, Out);
-  if (Keyed) {
-    KeyRecord Record;
-    Record.Body = sha256(m.Body);
-    Record.Since = Now;
-    Agent.Keys[keyOf(m)] = Record;
-  }
   Attempt &Kept = Agent.Attempts[m.Attempt] = One;
-  if (Answer.May == Admitted::Run)
-    beginAttempt(Agent, Kept, Now, Out);
+  if (Keyed)
+    openKeyOf(Agent, m, Now);
+  admitAttempt(Agent, Kept, Now, Out);
 }
 
 void cancelAttempt(AgentState &Agent, const AttemptId &Which, TimePoint Now,
@@ -308,12 +291,8 @@
   m.RetryAfterMillis = static_cast<uint64_t>(Why.RetryAfter.count());
   Out.push_back(SendMessage{it->second.Link, m});
   const AttemptStart Asked = it->second.Asked;
-  const bool WasFirst = it->second.State == AttemptKnown::Waiting;
   endAttempt(Agent, Which, m);
-  // A key whose attempt never reached the back end has not run.
-  if (!Asked.Key.Value.empty() && WasFirst && Executed == Ran::No &&
-      Why.Kind != ErrorKind::KeyConflict)
-    Agent.Keys.erase(keyOf(Asked));
+  keyFailed(Agent, Asked, Why, Executed, Out);
 }
 
 void finishAttempt(AgentState &Agent, const AttemptId &Which, int Status,
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -5,6 +5,7 @@
 #include "departure_func.h"
 #include "document_func.h"
 #include "hash_func.h"
+#include "keyed_call_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "quarantine_func.h"
@@ -26,29 +27,11 @@
 constexpr Millis AskRepeatable{1500};
 /** The same for a call that may not be repeated: only its home can answer. */
 constexpr Millis AskKeyed{5000};
+/** How long a keyed call waits for a link to its home. */
+constexpr Millis HomeWait{2000};
 /** An agent gives up waiting work this long before the entry's deadline. */
 constexpr Millis DeadlineMargin{200};
 
-/**
- * Gives the home of an idempotency key. It follows the published list only,
- * so that two entries with different views of liveness never run a key at two
- * workers.
- */
-std::vector<Candidate> homeOf(const EntryState &Entry, const WorkClass &Class,
-                              const Call &One) {
-  std::vector<HostName> Names;
-  for (const Worker *Host : workersOf(*Entry.View.InForce, Class))
-    Names.push_back(Host->Name);
-  if (Names.empty())
-    return {};
-  const std::string Key = Class.Name.Value + "/" + One.Asked.Tenant.Value +
-                          "/" + One.Asked.Key.Value;
-  const HostName Home = rendezvousOrder(Key, Names).front();
-  std::vector<Candidate> Found = candidatesFor(Entry, Class, One);
-  std::erase_if(Found, [&](const Candidate &c) { return c.Name != Home; });
-  return Found;
-}
-
 /** Forgets the attempt under way. */
 void dropAttempt(EntryState &Entry, Call &One) {
   if (One.Attempt.Id.Value.empty())
@@ -97,7 +80,9 @@
   One.Tried.push_back(One.Attempt.Worker);
   One.Executed = worseOf(One.Executed, Executed);
   dropAttempt(Entry, One);
-  const bool Harmless = Executed == Ran::No || repeatable(Entry, One);
+  // A home that refused a key has barred it: trying again would be in vain.
+  const bool Harmless =
+      (Executed == Ran::No && !One.HomeSaidNo) || repeatable(Entry, One);
   const bool Passing = answerFor(Why.Kind).RetryAfterMillis > 0 ||
                        Why.Kind == ErrorKind::OutcomeUnknown;
   if (Harmless && Passing && One.Tries < MaxTries && Now < One.Deadline) {
@@ -167,6 +152,32 @@
     giveUpLost(Entry, Entry.Calls.at(Id), Now, Out);
 }
 
+/** Sends a keyed call to its home, or lets it wait a while for a link. */
+void startKeyed(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
+  const HostName Home = homeOfCall(Entry, One);
+  const PeerLink *Link = readyLink(Entry.Fleet, Home);
+  if (Link == nullptr) {
+    if (!One.HomeSought)
+      One.HomeSought = Now;
+    return;
+  }
+  One.HomeSought.reset();
+  sendAttempt(Entry, One, {Home, Link->Link, Link->Load, 0}, Now, Out);
+}
+
+/** Ends keyed calls whose home cannot be reached. */
+template <typename Predicate>
+void endSeekingWhere(EntryState &Entry, Predicate Which, Effects &Out) {
+  std::vector<CallId> Chosen;
+  for (const auto &[Id, One] : Entry.Calls)
+    if (One.HomeSought && Which(One))
+      Chosen.push_back(Id);
+  for (const CallId Id : Chosen)
+    endCallWithError(Entry, Id,
+                     {ErrorKind::NoWorker, "the key's home is not reached", {}},
+                     Ran::No, Out);
+}
+
 } // namespace
 
 void startAttempt(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
@@ -182,9 +193,11 @@
     endQuarantined(Entry, One, Now, Out);
     return;
   }
-  const bool Keyed = !Class->Repeatable;
-  const std::vector<Candidate> Choice =
-      Keyed ? homeOf(Entry, *Class, One) : candidatesFor(Entry, *Class, One);
+  if (!Class->Repeatable) {
+    startKeyed(Entry, One, Now, Out);
+    return;
+  }
+  const std::vector<Candidate> Choice = candidatesFor(Entry, *Class, One);
   const size_t n = chooseFor(Entry, *Class, One, Choice, Now);
   if (n < Choice.size()) {
     if (One.Tries > 0)
@@ -213,14 +226,19 @@
   // The last attempt's "not run" says nothing of the ones before it: the
   // request may have run there, or the caller may hold a part of the answer.
   const Ran Part = One.NextFrame > 0 ? Ran::Yes : Ran::No;
-  const Ran Told = worseOf(worseOf(One.Executed, Executed), Part);
+  const Ran Told =
+      ranOfKey(Entry, One, Why, worseOf(worseOf(One.Executed, Executed), Part));
+  const bool Barred = One.HomeSaidNo && Told == Ran::No &&
+                      !One.Asked.Token.empty() &&
+                      Why.Kind != ErrorKind::KeyConflict;
   Failure Final = Why;
   if (One.NextFrame > 0 && Why.Kind != ErrorKind::PartialAnswer)
     Final = {ErrorKind::PartialAnswer,
              std::string(answerFor(Why.Kind).Name) + " " + Why.Detail,
              Why.RetryAfter};
   ++Entry.Counters.Errors[Final.Kind];
-  Out.push_back(CallError{Id, Final, Told});
+  Out.push_back(CallError{Id, Final, Told,
+                          Barred ? makeHomeToken(Entry, One.Asked.Class) : ""});
   Entry.Calls.erase(it);
 }
 
@@ -291,6 +309,7 @@
     ++Entry.Counters.DroppedFrames;
     return;
   }
+  One->HomeSaidNo = m.Executed == Ran::No && isKeyed(Entry, *One);
   const Failure Why{m.Kind, m.Detail,
                     Millis(static_cast<int64_t>(m.RetryAfterMillis))};
   retryOrEnd(Entry, *One, Why, m.Executed, Now, Out);
@@ -308,7 +327,7 @@
 }
 
 void askAfterAttempts(EntryState &Entry, const HostName &Worker, LinkId Link,
-                      Effects &Out) {
+                      TimePoint Now, Effects &Out) {
   for (auto &[Id, One] : Entry.Calls) {
     OpenAttempt &Attempt = One.Attempt;
     if (!Attempt.Lost || Attempt.Worker != Worker)
@@ -316,6 +335,9 @@
     Attempt.Link = Link;
     Out.push_back(SendMessage{Link, AttemptQuery{Attempt.Id, One.NextFrame}});
   }
+  for (auto &[Id, One] : Entry.Calls)
+    if (One.HomeSought && homeOfCall(Entry, One) == Worker)
+      startKeyed(Entry, One, Now, Out);
 }
 
 void attemptStatusHeard(EntryState &Entry, const AttemptStatus &m,
@@ -347,6 +369,9 @@
         return One.Attempt.Worker == Worker && repeatable(Entry, One);
       },
       Now, Out);
+  endSeekingWhere(
+      Entry, [&](const Call &One) { return homeOfCall(Entry, One) == Worker; },
+      Out);
 }
 
 void endLostAttempts(EntryState &Entry, TimePoint Now, Effects &Out) {
@@ -357,6 +382,9 @@
         return Now - *One.Attempt.Lost >= Wait;
       },
       Now, Out);
+  endSeekingWhere(
+      Entry, [&](const Call &One) { return Now - *One.HomeSought >= HomeWait; },
+      Out);
 }
 
 void endLateCalls(EntryState &Entry, TimePoint Now, Effects &Out) {
--- a/packages/core/src/call_func.h
+++ b/packages/core/src/call_func.h
@@ -74,14 +74,16 @@
 void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now, Effects &Out);
 
 /**
- * An agent is reached: asks it what became of attempts whose link was lost.
+ * An agent is reached: asks it what became of attempts whose link was lost,
+ * and sends it the keyed calls that wait for it.
  * @param Entry State to change.
  * @param Worker The agent.
  * @param Link The link to it.
+ * @param Now Current time.
  * @param Out Effects are appended.
  */
 void askAfterAttempts(EntryState &Entry, const HostName &Worker, LinkId Link,
-                      Effects &Out);
+                      TimePoint Now, Effects &Out);
 
 /**
  * An agent says what became of an attempt.
--- a/packages/core/src/effect_type.h
+++ b/packages/core/src/effect_type.h
@@ -58,6 +58,7 @@
   CallId Call;                 ///< Whose.
   Failure Why;                 ///< Kind, detail and retry hint.
   Ran Executed = Ran::Unknown; ///< Whether the work ran.
+  std::string Token; ///< Fresh home token for the next try; may be empty.
 };
 
 /** Give an attempt to the engine. */
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -7,6 +7,7 @@
 #include "departure_func.h"
 #include "document_func.h"
 #include "join_func.h"
+#include "keyed_call_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
@@ -112,6 +113,16 @@
         Ran::No, Out);
     return;
   }
+  if (!Class->Repeatable && !tokenFits(Asked.Token, Asked.Class)) {
+    endCallWithError(
+        Entry, Asked.Call,
+        {ErrorKind::BadRequest, "X-Home-Token is cut or of another class", {}},
+        Ran::No, Out);
+    return;
+  }
+  // Only a key that its home watches over is passed on.
+  if (Class->Repeatable)
+    Kept.Asked.Key = IdempotencyKey{};
   const Millis Longest = Class->Deadline;
   const Millis Wanted =
       Asked.Deadline.count() > 0 ? std::min(Asked.Deadline, Longest) : Longest;
@@ -158,7 +169,7 @@
   if (std::holds_alternative<Hello>(m))
     tellSuspects(Entry.Suspects, Link, Now, Out);
   if (const auto *Peer = std::get_if<Hello>(&m))
-    askAfterAttempts(Entry, Peer->Name, Link, Out);
+    askAfterAttempts(Entry, Peer->Name, Link, Now, Out);
   if (News != FleetNews::NotMine)
     return;
   std::visit(
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -52,6 +52,8 @@
   uint32_t Tries = 0;          ///< Attempts so far.
   std::vector<HostName> Tried; ///< Workers that refused or failed it.
   Ran Executed = Ran::No;      ///< Whether any ended attempt ran.
+  bool HomeSaidNo = false;     ///< The home vouches that the key did not run.
+  std::optional<TimePoint> HomeSought; ///< Since when its home is waited for.
 };
 
 /** Counters of an entry; read by metrics and status. */
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -26,6 +26,7 @@
   v("running", m.Running);
   v("waiting", m.Waiting);
   v("limit", m.Limit);
+  v("key_epoch", m.KeyEpoch);
   v("weights", m.Weights);
   v("held", m.ChunksHeld);
   v("wanted", m.ChunksWanted);
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -48,7 +48,8 @@
   uint32_t Running = 0;                   ///< Requests in the back end.
   uint32_t Waiting = 0;                   ///< Requests in the agent's queue.
   uint32_t Limit = 0;                     ///< Running work allowed now.
-  Digest Weights;                         ///< Digest of the loaded weights.
+  uint64_t KeyEpoch = 0;        ///< Stretch of memory that home tokens name.
+  Digest Weights;               ///< Digest of the loaded weights.
   uint32_t ChunksHeld = 0;      ///< Chunks of the wanted set that are here.
   uint32_t ChunksWanted = 0;    ///< Chunks of the wanted set.
   uint64_t BytesPerSecond = 0;  ///< Rate at which chunks arrive lately.
--- a/packages/core/src/table/error_table.h
+++ b/packages/core/src/table/error_table.h
@@ -43,7 +43,7 @@
          "The model is not loaded yet."},
         {ErrorKind::KeyConflict, "key_conflict", 409, Ran::No, 0,
          "The idempotency key was used with another body."},
-        {ErrorKind::KeyHomeWarming, "key_home_warming", 503, Ran::No, 1000,
+        {ErrorKind::KeyHomeWarming, "key_home_warming", 503, Ran::Unknown, 1000,
          "The key's record may be missing; try again later."},
         {ErrorKind::Deadline, "deadline", 504, Ran::No, 1000,
          "The deadline passed before the request began."},
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -2,9 +2,12 @@
 
 #include "caller_api.h"
 
+#include "document_func.h"
 #include "hash_func.h"
 #include "http/guarded_server.h"
 #include "log/log.h"
+
+#include "keyed_call_func.h"
 #include "overloaded.h"
 #include "threads/process.h"
 
@@ -26,6 +29,8 @@
 constexpr Millis KeepAlive{1000};
 /** Longest text of a header that names something, in bytes. */
 constexpr size_t MaxNameBytes = 128;
+/** Longest home token, in bytes. */
+constexpr size_t MaxTokenBytes = 6144;
 /** Addresses given to a caller. */
 constexpr size_t MaxAddresses = 4;
 
@@ -67,6 +72,8 @@
     return fail(ErrorKind::TooLarge, "a name is too long");
   if (std::ranges::any_of(Names, [](const auto *One) { return !isName(*One); }))
     return fail(ErrorKind::BadRequest, "a name has control characters");
+  if (Call.Token.size() > MaxTokenBytes)
+    return fail(ErrorKind::TooLarge, "X-Home-Token is too long");
   const std::string Deadline = Asked.get_header_value("X-Deadline-Ms");
   if (!Deadline.empty()) {
     int64_t n = 0;
@@ -162,6 +169,14 @@
   uint64_t Pieces = 0;
 };
 
+void writeCallError(httplib::Response &Answer, const CallError &Error,
+                    const RequestId &Request) {
+  if (!Error.Token.empty())
+    Answer.set_header("X-Home-Token", Error.Token);
+  Answer.set_header("X-Request-Id", Request.Value);
+  writeError(Answer, Error.Why, Error.Executed, Request);
+}
+
 /** Waits for the whole answer and writes it; false when the caller left. */
 bool answerWhole(CallChannel &Channel, const CallRequest &Call,
                  CallTimer &Timer, httplib::Response &Answer) {
@@ -179,7 +194,7 @@
       continue;
     }
     if (const auto *Error = std::get_if<CallError>(&*Event)) {
-      writeError(Answer, Error->Why, Error->Executed, Call.Request);
+      writeCallError(Answer, *Error, Call.Request);
       return true;
     }
     const auto &End = std::get<CallEnd>(*Event);
@@ -243,7 +258,7 @@
     }
   if (const auto *Error = std::get_if<CallError>(&*Begin)) {
     Timer.note(*Begin);
-    writeError(Answer, Error->Why, Error->Executed, Call.Request);
+    writeCallError(Answer, *Error, Call.Request);
     Host.done(Call.Call, true);
     return;
   }
@@ -274,6 +289,34 @@
   Host.done(Call.Call, Heard);
 }
 
+/** Gives a home token for a class whose calls may not be repeated. */
+void handleToken(EntryShell &Host, const httplib::Request &Asked,
+                 httplib::Response &Answer) {
+  const ClassName Class{Asked.matches[1]};
+  std::string Token;
+  bool Known = false;
+  Host.inspect([&](const EntryState &Entry, TimePoint) {
+    const Document *Doc = Entry.View.InForce.get();
+    const WorkClass *Row = Doc == nullptr ? nullptr : findClass(*Doc, Class);
+    Known = Row != nullptr && !Row->Repeatable;
+    Token = makeHomeToken(Entry, Class);
+  });
+  if (!Known) {
+    writeError(
+        Answer,
+        {ErrorKind::NotFound, "no class with tokens: " + Class.Value, {}},
+        Ran::No, {});
+    return;
+  }
+  if (Token.empty()) {
+    writeError(Answer, {ErrorKind::NoWorker, "no home is ready", {}}, Ran::No,
+               {});
+    return;
+  }
+  Answer.set_content(dumpJson({{"class", Class.Value}, {"token", Token}}),
+                     "application/json");
+}
+
 /** Tells which entries to use, in an order spread by a hash of the caller. */
 void handleEntries(EntryShell &Host, const Settings &Config,
                    const httplib::Request &Asked, httplib::Response &Answer) {
@@ -318,6 +361,10 @@
   Server->Get("/v1/entries", [this](const auto &Asked, auto &Answer) {
     handleEntries(this->Host, this->Config, Asked, Answer);
   });
+  Server->Get(R"(/v1/classes/([^/]+)/token)",
+              [this](const auto &Asked, auto &Answer) {
+                handleToken(this->Host, Asked, Answer);
+              });
   Server->Post(R"(/v1/classes/([^/]+)/requests)",
                [this](const auto &Asked, auto &Answer) {
                  handleCall(this->Host, Asked, Answer);
--- a/tests/unit/mesh.h
+++ b/tests/unit/mesh.h
@@ -39,6 +39,7 @@
   std::string Text;                  ///< All parts.
   bool Whole = false;                ///< Ended as whole.
   ErrorKind Kind = ErrorKind::Count; ///< Else: why not.
+  std::string Token;                 ///< Fresh home token; may be empty.
   Ran Executed = Ran::Unknown;       ///< Else: whether it ran.
 };
 
@@ -75,6 +76,15 @@
               {"workers", Json::array()},
               {"entries", Json::array()}};
 
+  std::map<std::string, std::string> NameAt; ///< Process behind an address.
+
+  /** Gives a process an address. */
+  std::string addressOf(const std::string &Name) {
+    const std::string At = "127.0.0.1:" + std::to_string(10000 + NameAt.size());
+    NameAt[At] = Name;
+    return At;
+  }
+
   static Settings settingsOf(const std::string &Name) {
     Settings Config;
     Config.Name = Name;
@@ -104,8 +114,8 @@
 
   /** Starts entries e0.. and agents m0.. and s0.., all linked. */
   Mesh(size_t EntryCount, size_t ModelCount, size_t ServiceCount) {
-    const auto Row = [](const std::string &Name) {
-      return Json{{"name", Name}, {"domain", "d"}, {"agent", Name}};
+    const auto Row = [this](const std::string &Name) {
+      return Json{{"name", Name}, {"domain", "d"}, {"agent", addressOf(Name)}};
     };
     for (size_t n = 0; n < ModelCount + ServiceCount; ++n) {
       const bool Model = n < ModelCount;
@@ -120,8 +130,8 @@
       const std::string Name = "e" + std::to_string(n);
       Doc["entries"].push_back({{"name", Name},
                                 {"domain", "d"},
-                                {"callers", Name},
-                                {"peers", Name}});
+                                {"callers", addressOf(Name)},
+                                {"peers", addressOf(Name)}});
       Entries[Name] = makeEntry(settingsOf(Name), Incarnation{NextRun++}, Now);
     }
     publish();
@@ -319,17 +329,19 @@
     for (const Effect &One : Todo)
       std::visit(
           Overloaded{
-              [&](const OpenLink &e) { open(Name, e.Link, e.To.Value); },
+              [&](const OpenLink &e) {
+                open(Name, e.Link, NameAt.at(e.To.Value));
+              },
               [&](const CloseLink &e) { dropped(Name, e.Link); },
               [&](const SendMessage &e) { send(Name, e.Link, e.Content); },
               [&](const CallPart &e) { Texts[e.Call.Value] += e.Data; },
               [&](const CallEnd &e) {
                 Finals[e.Call.Value] = {Texts[e.Call.Value], true,
-                                        ErrorKind::Count, Ran::Yes};
+                                        ErrorKind::Count, "", Ran::Yes};
               },
               [&](const CallError &e) {
                 Finals[e.Call.Value] = {Texts[e.Call.Value], false, e.Why.Kind,
-                                        e.Executed};
+                                        e.Token, e.Executed};
               },
               [&](const RunService &e) {
                 Records.emplace_back(Name, e.Call);
