entry, agent: graceful shutdown that finishes what callers still read

Cause: an entry counted a request as over when its last event was queued, while the server's stop cuts streams that are still being written; it closed its listener at once under callers on kept connections; the agent's network thread dropped frames that were not written; after the time limit the process hung in what it had cut off. Ruled out: a fixed wait at the end (too short for a slow caller, too long else).

--- a/packages/adapters/http/http_server.cpp
+++ b/packages/adapters/http/http_server.cpp
@@ -80,7 +80,8 @@
 }
 
 std::string errorBody(const Failure &Why, Ran Executed,
-                      const RequestId &Request) {
+                      const RequestId &Request,
+                      const std::vector<Address> &Elsewhere) {
   const ErrorAnswer &Row = answerFor(Why.Kind);
   Json Error = {{"kind", Row.Name},
                 {"message", Row.Text},
@@ -89,19 +90,23 @@
   if (!Why.Detail.empty())
     Error["detail"] = Why.Detail;
   Json Body = {{"error", Error}};
+  for (const Address &At : Elsewhere)
+    Body["entries"].push_back(At.Value);
   if (!Request.Value.empty())
     Body["request_id"] = Request.Value;
   return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 void writeError(httplib::Response &Answer, const Failure &Why, Ran Executed,
-                const RequestId &Request) {
+                const RequestId &Request,
+                const std::vector<Address> &Elsewhere) {
   Answer.status = answerFor(Why.Kind).HttpStatus;
   const Millis After = retryAfter(Why);
   if (After.count() > 0) // The header counts in whole seconds.
     Answer.set_header("Retry-After",
                       std::to_string((After.count() + 999) / 1000));
-  Answer.set_content(errorBody(Why, Executed, Request), "application/json");
+  Answer.set_content(errorBody(Why, Executed, Request, Elsewhere),
+                     "application/json");
 }
 
 } // namespace jacinthpond
--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -10,6 +10,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace jacinthpond {
 
@@ -45,19 +46,23 @@
  * @param Why Kind and detail.
  * @param Executed Whether the work ran.
  * @param Request Id of the request; may be empty.
+ * @param Elsewhere Addresses to use instead; may be empty.
  */
 void writeError(httplib::Response &Answer, const Failure &Why, Ran Executed,
-                const RequestId &Request);
+                const RequestId &Request,
+                const std::vector<Address> &Elsewhere = {});
 
 /**
  * Gives the JSON object that describes a failure.
  * @param Why Kind and detail.
  * @param Executed Whether the work ran.
  * @param Request Id of the request; may be empty.
+ * @param Elsewhere Addresses to use instead; may be empty.
  * @return JSON text.
  */
 std::string errorBody(const Failure &Why, Ran Executed,
-                      const RequestId &Request);
+                      const RequestId &Request,
+                      const std::vector<Address> &Elsewhere = {});
 
 } // namespace jacinthpond
 
--- a/packages/adapters/websocket/peer_links.h
+++ b/packages/adapters/websocket/peer_links.h
@@ -41,6 +41,12 @@
    */
   std::string listen(const std::string &At) { return Node.listen(At); }
 
+  /**
+   * Closes all links after what was sent, and waits for the other ends.
+   * @param Limit Longest wait.
+   */
+  void finish(Millis Limit) { Node.finish(static_cast<long>(Limit.count())); }
+
   void open(LinkId Link, const Address &To) override {
     Node.open(Link.Value, To.Value);
   }
--- a/packages/adapters/websocket/peer_node.cpp
+++ b/packages/adapters/websocket/peer_node.cpp
@@ -7,6 +7,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -251,6 +252,37 @@
   });
 }
 
+void PeerNode::finish(long LimitMillis) {
+  // Ending the network thread drops what it has not written: the end of an
+  // answer would be lost. The close frame goes behind it, and the peer's reply
+  // shows that it has read that far.
+  boost::asio::post(Inner->Io, [this] {
+    websocketpp::lib::error_code ec;
+    Inner->Accepting.stop_listening(ec); // Peers would connect again.
+    std::map<uint64_t, Server::connection_ptr> In;
+    std::map<uint64_t, Client::connection_ptr> Out;
+    {
+      const std::lock_guard Lock(Inner->Guard);
+      In = Inner->Accepted;
+      Out = Inner->Opened;
+    }
+    for (const auto &[n, Link] : In)
+      Link->close(websocketpp::close::status::going_away, "", ec);
+    for (const auto &[n, Link] : Out)
+      Link->close(websocketpp::close::status::going_away, "", ec);
+  });
+  const auto Limit =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(LimitMillis);
+  while (std::chrono::steady_clock::now() < Limit) {
+    {
+      const std::lock_guard Lock(Inner->Guard);
+      if (Inner->Accepted.empty() && Inner->Opened.empty())
+        return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 uint64_t PeerNode::backlog(uint64_t Link) {
   const std::lock_guard Lock(Inner->Guard);
   if (const auto it = Inner->Accepted.find(Link); it != Inner->Accepted.end())
--- a/packages/adapters/websocket/peer_node.h
+++ b/packages/adapters/websocket/peer_node.h
@@ -62,6 +62,12 @@
    */
   void close(uint64_t Link);
 
+  /**
+   * Closes all links after what was sent, and waits for the other ends.
+   * @param LimitMillis Longest wait; a frozen peer does not answer.
+   */
+  void finish(long LimitMillis);
+
   /**
    * Bytes accepted by send() that the network has not taken yet.
    * @param Link Which link.
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -21,6 +21,8 @@
 constexpr Millis WatchPeriod{200};
 /** Threads that fetch and load weights. */
 constexpr size_t FetchThreads = 5;
+/** Longest wait for peers to take the last messages. */
+constexpr Millis FinishWait{1000};
 /** Time between two looks at the work in progress while draining. */
 constexpr Millis DrainPoll{20};
 
@@ -297,6 +299,7 @@
   if (Open > 0)
     logLine(LogPart::Main, LogLevel::Error,
             "Shutdown cut off " + std::to_string(Open) + " attempts.");
+  Links.finish(FinishWait);
   return Open == 0;
 }
 
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -4,6 +4,7 @@
 
 #include "departure_func.h"
 #include "document_func.h"
+#include "entry_addresses_func.h"
 #include "hash_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
@@ -163,7 +164,11 @@
     return;
   dropAttempt(Entry, it->second);
   ++Entry.Counters.Errors[Why.Kind];
-  Out.push_back(CallError{Id, Why, Executed});
+  CallError Error{Id, Why, Executed, {}};
+  // These say nothing of the work but that this entry is the wrong one.
+  if (Why.Kind == ErrorKind::Leaving || Why.Kind == ErrorKind::StaleView)
+    Error.Elsewhere = addressesFor(Entry, it->second.Asked.Caller);
+  Out.push_back(std::move(Error));
   Entry.Calls.erase(it);
 }
 
--- a/packages/core/src/effect_type.h
+++ b/packages/core/src/effect_type.h
@@ -55,9 +55,10 @@
 
 /** Tell a caller that its request failed. */
 struct CallError {
-  CallId Call;                 ///< Whose.
-  Failure Why;                 ///< Kind, detail and retry hint.
-  Ran Executed = Ran::Unknown; ///< Whether the work ran.
+  CallId Call;                    ///< Whose.
+  Failure Why;                    ///< Kind, detail and retry hint.
+  Ran Executed = Ran::Unknown;    ///< Whether the work ran.
+  std::vector<Address> Elsewhere; ///< Entries to use instead; may be empty.
 };
 
 /** Give an attempt to the engine. */
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -205,4 +205,15 @@
   sendHeartbeats(Entry.Fleet, Entry.View, Now, Out);
 }
 
+void entryCutOff(EntryState &Entry, Effects &Out) {
+  std::vector<CallId> Open;
+  Open.reserve(Entry.Calls.size());
+  for (const auto &[Id, One] : Entry.Calls)
+    Open.push_back(Id);
+  for (const CallId Id : Open)
+    endCallWithError(Entry, Id,
+                     {ErrorKind::OutcomeUnknown, "shutdown took too long", {}},
+                     Ran::Unknown, Out);
+}
+
 } // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/entry_addresses.cpp
@@ -0,0 +1,66 @@
+/** @file entry_addresses.cpp Which entries a caller is told to use. */
+
+#include "entry_addresses_func.h"
+
+#include "departure_func.h"
+#include "hash_func.h"
+#include "join_func.h"
+#include "membership_func.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Addresses given to a caller. */
+constexpr size_t MaxAddresses = 4;
+/** How many of them come from the domain of this entry. */
+constexpr size_t NearAddresses = 2;
+
+/** True when nothing speaks against sending a caller to an entry. */
+bool takesCallers(const EntryState &Entry, const EntryHost &Host) {
+  if (Entry.View.InForce->DomainsOut.contains(Host.Domain))
+    return false;
+  if (Host.Name == Entry.Fleet.Self.Name)
+    return !Entry.Stopping && viewIsFresh(Entry.Fleet) &&
+           !isDeparting(Entry.Fleet, Host.Name, Entry.Fleet.Self.Run);
+  if (const PeerLink *Link = readyLink(Entry.Fleet, Host.Name))
+    return Link->Fresh && !Link->Leaving &&
+           !isDeparting(Entry.Fleet, Host.Name, Link->Peer.Run);
+  // Of an entry without a link from here nothing bad is known; one whose link
+  // is wanted and lost is down, or cannot be reached.
+  return !Entry.Fleet.Wanted.contains(Host.Name);
+}
+
+} // namespace
+
+std::vector<Address> addressesFor(const EntryState &Entry,
+                                  std::string_view Caller) {
+  if (!Entry.View.InForce)
+    return {};
+  std::vector<const EntryHost *> Hosts;
+  for (const EntryHost &Host : Entry.View.InForce->Entries)
+    if (takesCallers(Entry, Host))
+      Hosts.push_back(&Host);
+  std::ranges::sort(Hosts, std::greater<>{}, [&](const EntryHost *Host) {
+    return rendezvousScore(Caller, Host->Name.Value);
+  });
+  const auto IsNear = [&](const EntryHost *Host) {
+    return Host->Domain == Entry.Fleet.Self.Domain;
+  };
+  const auto Far = std::stable_partition(Hosts.begin(), Hosts.end(), IsNear);
+  // Those near above the share go last: they fill up when others are few.
+  const auto Near = static_cast<size_t>(Far - Hosts.begin());
+  if (Near > NearAddresses)
+    std::rotate(Hosts.begin() + NearAddresses, Far, Hosts.end());
+  Hosts.resize(std::min(Hosts.size(), MaxAddresses));
+  std::vector<Address> Chosen;
+  Chosen.reserve(Hosts.size());
+  for (const EntryHost *Host : Hosts)
+    Chosen.push_back(Host->Callers);
+  return Chosen;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/entry_func.h
+++ b/packages/core/src/entry_func.h
@@ -103,6 +103,14 @@
  */
 void entryStop(EntryState &Entry, TimePoint Now, Effects &Out);
 
+/**
+ * The time limit of a graceful shutdown has passed: every request gets its
+ * final answer now.
+ * @param Entry State to change.
+ * @param Out Effects are appended.
+ */
+void entryCutOff(EntryState &Entry, Effects &Out);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -23,6 +23,7 @@
   TenantName Tenant;  ///< Whose request it is.
   IdempotencyKey Key; ///< Empty: none given.
   std::string Token;  ///< Home token; empty: none given.
+  std::string Caller; ///< Spreads callers over the entries.
   std::string Body;   ///< As the caller sent it.
   Millis Deadline{0}; ///< 0: the class's.
 };
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -31,6 +31,7 @@
   int64_t CutOffMillis = 0;
   int64_t JoinWaitMillis = 0;
   int64_t ShutdownMillis = 0;
+  int64_t LeaveNoticeMillis = 0;
   int64_t AddressKeepMillis = 0;
   int64_t MaxBodyBytes = 0;
   int64_t CallerThreads = 0;
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -73,6 +73,10 @@
     SettingSpec{"shutdown_ms", &Settings::ShutdownMillis, SettingOwner::Both,
                 false, "ms", 0, MaxSettingMillis, "30000",
                 "Longest graceful shutdown."},
+    SettingSpec{"leave_notice_ms", &Settings::LeaveNoticeMillis,
+                SettingOwner::Entry, false, "ms", 0, MaxSettingMillis, "2500",
+                "Shortest graceful shutdown of an entry: callers on kept "
+                "connections learn in it to use other addresses."},
     SettingSpec{"address_keep_ms", &Settings::AddressKeepMillis,
                 SettingOwner::Entry, false, "ms", 100, MaxSettingMillis,
                 "10000", "How long callers may keep the addresses given."},
--- a/packages/entry/src/call_channel.cpp
+++ b/packages/entry/src/call_channel.cpp
@@ -47,4 +47,9 @@
   Channel->push(std::move(Event));
 }
 
+size_t CallTable::size() {
+  const std::lock_guard Lock(Guard);
+  return Channels.size();
+}
+
 } // namespace jacinthpond
--- a/packages/entry/src/call_channel.h
+++ b/packages/entry/src/call_channel.h
@@ -62,6 +62,12 @@
    */
   void push(CallEvent Event);
 
+  /**
+   * Counts the callers.
+   * @return Channels that are open.
+   */
+  size_t size();
+
 private:
   std::mutex Guard; ///< Guards both members below.
   std::map<CallId, std::shared_ptr<CallChannel>> Channels;
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -2,7 +2,7 @@
 
 #include "caller_api.h"
 
-#include "hash_func.h"
+#include "entry_addresses_func.h"
 #include "http/guarded_server.h"
 #include "log/log.h"
 #include "overloaded.h"
@@ -26,8 +26,6 @@
 constexpr Millis KeepAlive{1000};
 /** Longest text of a header that names something, in bytes. */
 constexpr size_t MaxNameBytes = 128;
-/** Addresses given to a caller. */
-constexpr size_t MaxAddresses = 4;
 
 std::string dumpJson(const Json &Value) {
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -92,21 +90,22 @@
 std::string streamText(const CallEvent &Event, const RequestId &Request,
                        bool &Final) {
   return std::visit(
-      Overloaded{
-          [&](const CallPart &e) {
-            return sseEvent("token", dumpJson({{"text", e.Data}}));
-          },
-          [&](const CallEnd &e) {
-            Final = true;
-            return sseEvent("end", dumpJson({{"count", e.Count},
+      Overloaded{[&](const CallPart &e) {
+                   return sseEvent("token", dumpJson({{"text", e.Data}}));
+                 },
+                 [&](const CallEnd &e) {
+                   Final = true;
+                   return sseEvent("end",
+                                   dumpJson({{"count", e.Count},
                                              {"sha256", e.Content.Value},
                                              {"weights", e.Weights.Value},
                                              {"request_id", Request.Value}}));
-          },
-          [&](const CallError &e) {
-            Final = true;
-            return sseEvent("error", errorBody(e.Why, e.Executed, Request));
-          }},
+                 },
+                 [&](const CallError &e) {
+                   Final = true;
+                   return sseEvent("error", errorBody(e.Why, e.Executed,
+                                                      Request, e.Elsewhere));
+                 }},
       Event);
 }
 
@@ -179,7 +178,8 @@
       continue;
     }
     if (const auto *Error = std::get_if<CallError>(&*Event)) {
-      writeError(Answer, Error->Why, Error->Executed, Call.Request);
+      writeError(Answer, Error->Why, Error->Executed, Call.Request,
+                 Error->Elsewhere);
       return true;
     }
     const auto &End = std::get<CallEnd>(*Event);
@@ -243,7 +243,8 @@
     }
   if (const auto *Error = std::get_if<CallError>(&*Begin)) {
     Timer.note(*Begin);
-    writeError(Answer, Error->Why, Error->Executed, Call.Request);
+    writeError(Answer, Error->Why, Error->Executed, Call.Request,
+               Error->Elsewhere);
     Host.done(Call.Call, true);
     return;
   }
@@ -264,6 +265,7 @@
     return;
   }
   CallRequest &Call = *Read.Value;
+  Call.Caller = Asked.remote_addr;
   CallTimer Timer(Host, Call);
   auto Channel = Host.call(Call);
   if (Asked.get_header_value("Accept") == "text/event-stream") {
@@ -280,18 +282,8 @@
   Json Body = {{"entries", Json::array()},
                {"keep_ms", Config.AddressKeepMillis}};
   Host.inspect([&](const EntryState &Entry, TimePoint) {
-    if (!Entry.View.InForce)
-      return;
-    std::vector<const EntryHost *> Hosts;
-    for (const EntryHost &One : Entry.View.InForce->Entries)
-      if (!Entry.View.InForce->DomainsOut.contains(One.Domain))
-        Hosts.push_back(&One);
-    std::ranges::sort(Hosts, std::greater<>{}, [&](const EntryHost *One) {
-      return rendezvousScore(Asked.remote_addr, One->Name.Value);
-    });
-    Hosts.resize(std::min(Hosts.size(), MaxAddresses));
-    for (const EntryHost *One : Hosts)
-      Body["entries"].push_back(One->Callers.Value);
+    for (const Address &At : addressesFor(Entry, Asked.remote_addr))
+      Body["entries"].push_back(At.Value);
   });
   Answer.set_content(Body.dump(), "application/json");
 }
@@ -315,6 +307,12 @@
 CallerApi::CallerApi(const Settings &Config, EntryShell &Host)
     : Config(Config), Host(Host),
       Server(std::make_unique<GuardedServer>(limitsOf(Config))) {
+  // A caller on a kept connection would go on using an entry that leaves.
+  Server->set_post_routing_handler(
+      [this](const httplib::Request &, httplib::Response &Answer) {
+        if (this->Host.leaving())
+          Answer.set_header("Connection", "close");
+      });
   Server->Get("/v1/entries", [this](const auto &Asked, auto &Answer) {
     handleEntries(this->Host, this->Config, Asked, Answer);
   });
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -20,6 +20,8 @@
 constexpr Millis TurnPoll{100};
 /** Time between two readings of the list of hosts. */
 constexpr Millis HostsPeriod{1000};
+/** Longest wait for callers to take the error that cuts them off. */
+constexpr Millis LastAnswerWait{1000};
 /** Time between two looks at the requests in progress while draining. */
 constexpr Millis DrainPoll{20};
 
@@ -205,20 +207,28 @@
   Loop.postAndWait([&](TimePoint Now) { Look(State, Now); });
 }
 
+bool EntryShell::waitAnswered(TimePoint NotBefore, TimePoint Limit) {
+  while (Clock.now() < Limit && (Callers.size() > 0 || Clock.now() < NotBefore))
+    std::this_thread::sleep_for(DrainPoll);
+  return Callers.size() == 0;
+}
+
 bool EntryShell::drain() {
+  Leaving = true;
   post([this](TimePoint Now, Effects &Out) { entryStop(State, Now, Out); });
-  const TimePoint Limit = Clock.now() + Millis(State.Config.ShutdownMillis);
-  size_t Open = 1;
-  while (Open > 0 && Clock.now() < Limit) {
-    inspect(
-        [&](const EntryState &Entry, TimePoint) { Open = Entry.Calls.size(); });
-    if (Open > 0)
-      std::this_thread::sleep_for(DrainPoll);
-  }
-  if (Open > 0)
-    logLine(LogPart::Main, LogLevel::Error,
-            "Shutdown cut off " + std::to_string(Open) + " requests.");
-  return Open == 0;
+  const TimePoint Begin = Clock.now();
+  const TimePoint Limit = Begin + Millis(State.Config.ShutdownMillis);
+  // A channel is closed when its answer was written to the caller's socket,
+  // later than the last event of the call. Until callers on kept connections
+  // were told, the listener stays: a connection that it had taken would be
+  // cut with the request of a caller in it.
+  if (waitAnswered(Begin + Millis(State.Config.LeaveNoticeMillis), Limit))
+    return true;
+  logLine(LogPart::Main, LogLevel::Error,
+          "Shutdown cut off " + std::to_string(Callers.size()) + " requests.");
+  post([this](TimePoint, Effects &Out) { entryCutOff(State, Out); });
+  waitAnswered(Begin, Clock.now() + LastAnswerWait);
+  return false;
 }
 
 } // namespace jacinthpond
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -87,7 +87,14 @@
    */
   bool drain();
 
+  /**
+   * Says whether a graceful shutdown is under way; from any thread.
+   * @return True once drain() has begun.
+   */
+  bool leaving() const { return Leaving; }
+
 private:
+  bool waitAnswered(TimePoint NotBefore, TimePoint Limit);
   void perform(Effects Todo);
   void readConfig();
   void readHosts();
@@ -105,6 +112,7 @@
   TrafficMetrics Timings;
   std::mutex ShownGuard; ///< Guards Shown.
   DocumentPtr Shown;     ///< Document in force, for the traffic side.
+  std::atomic<bool> Leaving{false};
   std::atomic<bool> Ending{false};
   std::mutex EndGuard;            ///< Guards a change of Ending.
   std::condition_variable EndNow; ///< Ending was set.
