--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -4,6 +4,7 @@
 
 #include "departure_func.h"
 #include "document_func.h"
+#include "entry_addresses_func.h"
 #include "hash_func.h"
 #include "keyed_call_func.h"
 #include "load_view_func.h"
@@ -237,8 +238,13 @@
              std::string(answerFor(Why.Kind).Name) + " " + Why.Detail,
              Why.RetryAfter};
   ++Entry.Counters.Errors[Final.Kind];
-  Out.push_back(CallError{Id, Final, Told,
-                          Barred ? makeHomeToken(Entry, One.Asked.Class) : ""});
+  CallError Error{Id, Final, Told, {}, {}};
+  if (Barred)
+    Error.Token = makeHomeToken(Entry, One.Asked.Class);
+  // These say nothing of the work but that this entry is the wrong one.
+  if (Final.Kind == ErrorKind::Leaving || Final.Kind == ErrorKind::StaleView)
+    Error.Elsewhere = addressesFor(Entry, One.Asked.Caller);
+  Out.push_back(std::move(Error));
   Entry.Calls.erase(it);
 }
 
--- a/packages/core/src/effect_type.h
+++ b/packages/core/src/effect_type.h
@@ -59,6 +59,7 @@
   Failure Why;                 ///< Kind, detail and retry hint.
   Ran Executed = Ran::Unknown; ///< Whether the work ran.
   std::string Token; ///< Fresh home token for the next try; may be empty.
+  std::vector<Address> Elsewhere; ///< Entries to use instead; may be empty.
 };
 
 /** Give an attempt to the engine. */
