codec, adapters, entry: hostile frames and events are refused; suspects are shown

Cause: a frame of nested lists with a right checksum ended every process that read it: the CBOR library recurses (HostileFramesAreRefused failed with a memory access violation before the guard); one that claims 2^64-2 elements was refused without a reason. An engine's state with a text for "cold" threw, an engine that never ends a line filled the memory. Heartbeat and pause gap may be the same (weights_test sets both to 500 ms; the earlier rule was too strict). Change: messages are read by a reader that takes one flat map; EventParser has a file of its own and a bound; members of other types count as absent; /v1/refusals and metrics show requests held apart.

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -141,6 +141,42 @@
   return Sum == checksum64(Frame);
 }
 
+/**
+ * Builds the map of a message. The library recurses into nested values, so
+ * that one hostile frame would end the process on its stack, and it throws for
+ * a list that claims to be longer than memory, though it is told not to. No
+ * message nests: the first value within the map that does ends the reading.
+ */
+class FlatReader : public nlohmann::detail::json_sax_dom_parser<Json> {
+public:
+  explicit FlatReader(Json &Into)
+      : nlohmann::detail::json_sax_dom_parser<Json>(Into, false) {}
+
+  bool start_object(size_t Size) {
+    if (Inside || (Size != SIZE_MAX && Size > MaxFields))
+      return false;
+    Inside = true;
+    return json_sax_dom_parser::start_object(Size);
+  }
+  bool start_array(size_t) { return false; }
+
+private:
+  /** Well above the fields of any message. */
+  static constexpr size_t MaxFields = 64;
+
+  bool Inside = false; ///< The message's own map was begun.
+};
+
+/** Gives the map of a frame, or something else when there is none. */
+Json readMap(std::string_view Bytes) {
+  Json Map;
+  FlatReader Reader(Map);
+  if (!Json::sax_parse(Bytes.begin(), Bytes.end(), &Reader,
+                       Json::input_format_t::cbor, true))
+    return Json(Json::value_t::discarded);
+  return Map;
+}
+
 template <size_t Index = 0>
 Result<Message> decodeAlternative(size_t Which, const Json &Map) {
   if constexpr (Index < std::variant_size_v<Message>) {
@@ -178,7 +214,7 @@
 Result<Message> decodeMessage(std::string_view Bytes) {
   if (!dropChecksum(Bytes))
     return fail(ErrorKind::Malformed, "checksum differs");
-  const Json Map = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
+  const Json Map = readMap(Bytes);
   if (!Map.is_object())
     return fail(ErrorKind::Malformed, "not a CBOR map");
   const auto it = Map.find(TypeKey);
--- /dev/null
+++ b/packages/adapters/http/event_parser.cpp
@@ -0,0 +1,53 @@
+/** @file event_parser.cpp Reads an engine's event stream. */
+
+#include "http/event_parser.h"
+
+#include "http/json_fields.h"
+
+namespace jacinthpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** Longest line; an engine that never ends one must not fill the memory. */
+constexpr size_t MaxLineBytes = 1 << 20;
+
+} // namespace
+
+bool EventParser::takeLine(const std::string &Line) {
+  static const std::string Prefix = "data: ";
+  if (Line.compare(0, Prefix.size(), Prefix) != 0)
+    return true;
+  const Json Event = Json::parse(Line.substr(Prefix.size()), nullptr, false);
+  if (!Event.is_object())
+    return false;
+  if (Event.contains("begin"))
+    return OnBegin(Digest{textOf(Event, "begin")});
+  if (Event.contains("token"))
+    return OnToken(textOf(Event, "token"));
+  if (Event.contains("end"))
+    End = EngineEnd{numberOf(Event, "end"), Digest{textOf(Event, "weights")}};
+  return true;
+}
+
+bool EventParser::take(const char *Data, size_t n) {
+  if (Cancelled)
+    return false;
+  Buffer.append(Data, n);
+  size_t Start = 0;
+  for (size_t Stop = Buffer.find('\n'); Stop != std::string::npos;
+       Stop = Buffer.find('\n', Start)) {
+    const bool Wanted = takeLine(Buffer.substr(Start, Stop - Start));
+    Start = Stop + 1;
+    if (!Wanted) {
+      Cancelled = true;
+      return false;
+    }
+  }
+  Buffer.erase(0, Start);
+  Cancelled = Buffer.size() > MaxLineBytes;
+  return !Cancelled;
+}
+
+} // namespace jacinthpond
--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -2,6 +2,9 @@
 
 #include "http/http_backends.h"
 
+#include "http/event_parser.h"
+#include "http/json_fields.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -44,58 +47,6 @@
               httplib::to_string(Why));
 }
 
-std::string textOf(const Json &Value, const char *Key) {
-  const auto it = Value.find(Key);
-  return it != Value.end() && it->is_string() ? it->get<std::string>() : "";
-}
-
-uint64_t numberOf(const Json &Value, const char *Key) {
-  const auto it = Value.find(Key);
-  return it != Value.end() && it->is_number_unsigned() ? it->get<uint64_t>()
-                                                       : 0;
-}
-
-/** Reads an engine's event stream line by line. */
-struct EventParser {
-  const std::function<bool(Digest)> &OnBegin;      ///< Takes the weights.
-  const std::function<bool(std::string)> &OnToken; ///< Takes a token.
-  std::string Buffer;                              ///< Unfinished line.
-  std::optional<EngineEnd> End;                    ///< Set by the last event.
-  bool Cancelled = false;                          ///< A taker said stop.
-
-  bool takeLine(const std::string &Line) {
-    static const std::string Prefix = "data: ";
-    if (Line.compare(0, Prefix.size(), Prefix) != 0)
-      return true;
-    const Json Event = Json::parse(Line.substr(Prefix.size()), nullptr, false);
-    if (!Event.is_object())
-      return false;
-    if (Event.contains("begin"))
-      return OnBegin(Digest{textOf(Event, "begin")});
-    if (Event.contains("token"))
-      return OnToken(textOf(Event, "token"));
-    if (Event.contains("end"))
-      End = EngineEnd{numberOf(Event, "end"), Digest{textOf(Event, "weights")}};
-    return true;
-  }
-
-  bool take(const char *Data, size_t n) {
-    Buffer.append(Data, n);
-    size_t Start = 0;
-    for (size_t Stop = Buffer.find('\n'); Stop != std::string::npos;
-         Stop = Buffer.find('\n', Start)) {
-      const bool Wanted = takeLine(Buffer.substr(Start, Stop - Start));
-      Start = Stop + 1;
-      if (!Wanted) {
-        Cancelled = true;
-        return false;
-      }
-    }
-    Buffer.erase(0, Start);
-    return true;
-  }
-};
-
 Result<std::string> getText(const std::string &Url, const std::string &Path,
                             std::chrono::milliseconds Timeout) {
   httplib::Client Client = makeClient(Url, Timeout);
@@ -154,7 +105,7 @@
   Read.Run = textOf(Value, "run");
   Read.Weights.Value = textOf(Value, "weights");
   Read.Running = static_cast<uint32_t>(numberOf(Value, "running"));
-  Read.Cold = Value.value("cold", false);
+  Read.Cold = flagOf(Value, "cold");
   return Read;
 }
 
--- a/packages/core/src/status.cpp
+++ b/packages/core/src/status.cpp
@@ -5,6 +5,7 @@
 #include "config_view_func.h"
 #include "document_func.h"
 #include "membership_func.h"
+#include "quarantine_func.h"
 #include "team_access_func.h"
 
 #include <algorithm>
@@ -167,6 +168,18 @@
       Into.Tenants.push_back(tenantStatus(Entry, One.Name));
 }
 
+RefusalStatus refusalStatus(const EntryState &Entry, TimePoint Now) {
+  RefusalStatus Status;
+  Status.Errors = Entry.Counters.Errors;
+  Status.DocumentsRefused = Entry.View.Refused;
+  Status.DocumentConflicts = Entry.View.Conflicts;
+  Status.LastRefusal = Entry.View.LastRefusal;
+  for (const auto &[Fingerprint, One] : Entry.Suspects.Suspects)
+    Status.Suspects.push_back({Fingerprint, One.Deaths.size(), One.Proven,
+                               refusedFor(Entry.Suspects, Fingerprint, Now)});
+  return Status;
+}
+
 } // namespace
 
 bool takesWork(const WorkerLoad &Load) {
@@ -185,8 +198,7 @@
   if (!Access.Operator)
     return Status;
   Status.Processes = allProcesses(Entry, Now);
-  Status.Refusals = {Entry.Counters.Errors, Entry.View.Refused,
-                     Entry.View.Conflicts, Entry.View.LastRefusal};
+  Status.Refusals = refusalStatus(Entry, Now);
   return Status;
 }
 
--- a/packages/core/src/status_type.h
+++ b/packages/core/src/status_type.h
@@ -74,12 +74,21 @@
   uint32_t OpenRequests = 0; ///< Requests open at this entry.
 };
 
+/** A request that is held apart because back ends died of it. */
+struct SuspectStatus {
+  Digest Fingerprint;   ///< Digest of tenant, class and body.
+  size_t Deaths = 0;    ///< Deaths at which it was running.
+  bool Proven = false;  ///< It ran alone at one of them.
+  Millis RefusedFor{0}; ///< Time for which it is refused; 0: it runs alone.
+};
+
 /** What this entry refused. */
 struct RefusalStatus {
   std::map<ErrorKind, uint64_t> Errors; ///< Final errors of each kind.
   uint64_t DocumentsRefused = 0;        ///< Invalid documents seen.
   uint64_t DocumentConflicts = 0;       ///< Versions published twice.
   std::string LastRefusal;              ///< Faults of the last one.
+  std::vector<SuspectStatus> Suspects;  ///< Requests held apart.
 };
 
 /** Everything, as one entry sees it and one team may see it. */
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -131,15 +131,16 @@
                 "number."},
 };
 
-/** A heartbeat above the silence would drop every link; above the gap, every
- * wait for the next one would count as a pause. */
+/** A heartbeat period above the silence would drop every link, above the time
+ * of cut_off_ms it would refuse all work; a process cannot tell a pause from
+ * its own period when the gap is the shorter one. */
 constexpr std::array<SettingOrder, 4> SettingOrders = {{
     {"cold_limit", &Settings::ColdLimit, "warm_limit", &Settings::WarmLimit,
      true},
     {"heartbeat_ms", &Settings::HeartbeatMillis, "link_silence_ms",
      &Settings::LinkSilenceMillis, false},
     {"heartbeat_ms", &Settings::HeartbeatMillis, "pause_gap_ms",
-     &Settings::PauseGapMillis, false},
+     &Settings::PauseGapMillis, true},
     {"heartbeat_ms", &Settings::HeartbeatMillis, "cut_off_ms",
      &Settings::CutOffMillis, false},
 }};
--- a/packages/entry/src/entry_metrics.cpp
+++ b/packages/entry/src/entry_metrics.cpp
@@ -89,6 +89,9 @@
   addFamily(All, MetricType::Gauge,
             {"jacinthpond_open_requests", "Requests without a final answer."},
             one(static_cast<double>(Entry.Calls.size())));
+  addFamily(All, MetricType::Gauge,
+            {"jacinthpond_quarantined", "Requests held apart as suspects."},
+            one(static_cast<double>(Entry.Suspects.Suspects.size())));
   addConfig(All, Entry, Now);
   addLinks(All, Entry);
   addTransfer(All, Entry);
--- a/packages/entry/src/status_json.cpp
+++ b/packages/entry/src/status_json.cpp
@@ -73,6 +73,13 @@
           {"chunks_wanted", One.Load.ChunksWanted}};
 }
 
+Json suspectJson(const SuspectStatus &One) {
+  return {{"fingerprint", One.Fingerprint.Value},
+          {"deaths", One.Deaths},
+          {"proven", One.Proven},
+          {"refused_for_ms", One.RefusedFor.count()}};
+}
+
 Json tenantJson(const TenantStatus &One) {
   return {{"name", One.Name.Value}, {"open_requests", One.OpenRequests}};
 }
@@ -108,7 +115,8 @@
   return {{"errors", Errors},
           {"documents_refused", Status.Refusals.DocumentsRefused},
           {"document_conflicts", Status.Refusals.DocumentConflicts},
-          {"last_document_refusal", Status.Refusals.LastRefusal}};
+          {"last_document_refusal", Status.Refusals.LastRefusal},
+          {"quarantine", listOf(Status.Refusals.Suspects, suspectJson)}};
 }
 
 Json changeJson(const DocumentChange &Change) {
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -70,6 +70,9 @@
   const Json Everything = get("entry-0", "/v1/status", OperatorToken).json();
   BOOST_TEST(Everything["workers"].size() == 6U);
   BOOST_TEST(Everything["models"][0]["loaded"] == 3);
+  BOOST_TEST(get("entry-0", "/v1/refusals", OperatorToken)
+                 .json()["quarantine"]
+                 .empty());
   const Json Own = get("entry-0", "/v1/status", HutsToken).json();
   BOOST_TEST(
       (namesOf(Own["workers"]) == std::set<std::string>{"s0", "s1", "s2"}));
