--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -6,7 +6,9 @@
 #include <boost/test/unit_test.hpp>
 #include <httplib.h>
 
+#include <fstream>
 #include <set>
+#include <sstream>
 
 using namespace jacinthpond::fleet;
 using namespace std::chrono_literals;
@@ -142,6 +144,24 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(EveryMetricIsDocumented) {
+  std::ifstream File(JACINTHPOND_SOURCE_FOLDER "/docs/OPERATING.md");
+  const std::string Docs(std::istreambuf_iterator<char>(File), {});
+  std::istringstream Pages(get("entry-0", "/metrics", "").Body +
+                           get("agent-m0", "/metrics", "").Body);
+  const std::string Mark = "# TYPE ";
+  size_t Checked = 0;
+  for (std::string Line; std::getline(Pages, Line);) {
+    if (!Line.starts_with(Mark))
+      continue;
+    const std::string Name =
+        Line.substr(Mark.size(), Line.rfind(' ') - Mark.size());
+    BOOST_TEST(Docs.find("`" + Name + "`") != std::string::npos, Name);
+    ++Checked;
+  }
+  BOOST_TEST(Checked > 25U);
+}
+
 BOOST_AUTO_TEST_CASE(CommandsPrintTablesAndJson) {
   const Finished Table = command(toEntry("status"));
   BOOST_TEST(Table.Code == 0);
