bench: a restart waits until its port is free again

Cause: entry restarts failed now and then with 'a process ended before it was ready': while a process was down, the kernel lent its port to another connection. Change: a restart tries again for up to 15 s.

--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -27,6 +27,8 @@
 
 /** Longest wait of a caller for an answer. */
 constexpr std::chrono::seconds CallerTimeout{60};
+/** Longest wait until a restarted process has its port again. */
+constexpr std::chrono::seconds RestartLimit{15};
 
 std::string makeFolder() {
   std::string Name =
@@ -194,15 +196,32 @@
 }
 
 void Fleet::restart(const std::string &Name) {
+  // While the process was down, the kernel may have lent its port to a short
+  // connection of another one on this machine; that ends soon.
+  std::string Why;
+  const bool Started = waitFor(RestartLimit, [&] {
+    try {
+      startAgain(Name);
+      return true;
+    } catch (const std::runtime_error &Error) {
+      Why = Error.what();
+      return false;
+    }
+  });
+  if (!Started)
+    throw std::runtime_error(Name + ": " + Why);
+}
+
+void Fleet::startAgain(const std::string &Name) {
   if (const auto it = StandIns.find(Name); it != StandIns.end()) {
     const auto [Kind, Options] = it->second;
     const std::string At = address(Name, "at");
-    Processes.erase(Name);
+    Processes.at(Name)->kill();
     startStandIn(Name, Kind, Options, At.substr(At.rfind(':') + 1));
     return;
   }
   const auto [Program, Settings] = Programs.at(Name);
-  Processes.erase(Name);
+  Processes.at(Name)->kill();
   startProgram(Name, Program, Settings);
 }
 
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -235,6 +235,7 @@
   void startWorker(const std::string &Name, const std::string &BackEnd,
                    size_t n, bool Model);
   void startEntry(size_t n);
+  void startAgain(const std::string &Name);
   std::string platformOf(size_t n) const;
 
   std::string Folder; ///< Settings and logs; removed at the end.
