core: a suspect that ran whole is cleared everywhere

Cause: entries and agents cleared a suspect each for itself. Where many callers send equal requests, two deaths of other causes within a minute add up at those that did not run it in between, and it is refused though harmless. Ruled out: forgetting the record on the news alone. Change: the agent where it ran whole tells which deaths are cleared; cleared deaths are remembered and not counted again.

--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -278,10 +278,7 @@
   runEnded(Agent.Gate, Which, runEndOf(Whole, End),
            Known ? Now - it->second.Began : Duration{0});
   if (Whole) {
-    if (!Agent.Suspects.Suspects.empty())
-      clearSuspect(Agent.Suspects, fingerprintOf(it->second.Asked.Tenant,
-                                                 it->second.Asked.Class,
-                                                 it->second.Asked.Body));
+    ranWhole(Agent, it->second, Now, Out);
     finishAttempt(Agent, Which, 200, Out);
   } else if (Known && !it->second.Cancelled && brokeOff(End)) {
     runBrokeOff(Agent, Which, End.Why);
--- a/packages/core/src/back_end_death.cpp
+++ b/packages/core/src/back_end_death.cpp
@@ -90,9 +90,16 @@
   }
 }
 
+void ranWhole(AgentState &Agent, const Attempt &One, TimePoint Now,
+              Effects &Out) {
+  if (!Agent.Suspects.Suspects.empty())
+    clearSuspect(Agent.Suspects, fingerprintOf(One.Asked), Agent.Fleet, Now,
+                 Out);
+}
+
 void agentSuspect(AgentState &Agent, const SuspectNotice &Notice, TimePoint Now,
                   Effects &Out) {
-  if (!noteSuspect(Agent.Suspects, Notice, Now))
+  if (!noteSuspect(Agent.Suspects, Notice, Now) || Notice.Cleared)
     return;
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
     const AttemptStart Asked = Agent.Attempts.at(Which).Asked;
--- a/packages/core/src/back_end_death_func.h
+++ b/packages/core/src/back_end_death_func.h
@@ -28,6 +28,16 @@
 void judgeBrokenRuns(AgentState &Agent, const std::string &Run, TimePoint Now,
                      Effects &Out);
 
+/**
+ * An attempt ran to its end: if it was suspect, it is so no more.
+ * @param Agent State to change.
+ * @param One The attempt.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void ranWhole(AgentState &Agent, const Attempt &One, TimePoint Now,
+              Effects &Out);
+
 /**
  * A peer told of a suspect: what waits here of it waits to run alone, or is
  * refused.
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -299,10 +299,6 @@
     return;
   }
   dropAttempt(Entry, *One);
-  if (!Entry.Suspects.Suspects.empty())
-    clearSuspect(
-        Entry.Suspects,
-        fingerprintOf(One->Asked.Tenant, One->Asked.Class, One->Asked.Body));
   Out.push_back(CallEnd{One->Asked.Call, m.Status, m.Count, sha256(One->Text),
                         One->Weights});
   Entry.Calls.erase(One->Asked.Call);
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/message_fields.h
@@ -140,6 +140,7 @@
   v("death", m.DeathId);
   v("age", m.AgeMillis);
   v("alone", m.Alone);
+  v("cleared", m.Cleared);
 }
 
 template <typename V> void describe(V &v, LeavingNotice &m) {
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/message_type.h
@@ -188,6 +188,7 @@
   std::string DeathId;    ///< Unique for each death, for counting once.
   uint64_t AgeMillis = 0; ///< How long ago the death was.
   bool Alone = false;     ///< The request ran alone: it is the cause.
+  bool Cleared = false;   ///< It ran whole since: forget its deaths.
 };
 
 /** Tells that a host takes no new work; sent on by whoever hears it. */
--- a/packages/core/src/quarantine.cpp
+++ b/packages/core/src/quarantine.cpp
@@ -52,6 +52,16 @@
       State.Suspects.size() >= MaxSuspects)
     dropOldest(State);
   Suspect &One = State.Suspects[Notice.Fingerprint];
+  if (Notice.Cleared) {
+    One.Deaths.erase(Notice.DeathId);
+    One.Proven = false;
+    One.Last = std::max(One.Last, Now - Age);
+    return One.Cleared.insert(Notice.DeathId).second;
+  }
+  // News of a death may be passed on more slowly than that of the whole run
+  // after it; taken then, it would go round again.
+  if (One.Cleared.contains(Notice.DeathId))
+    return false;
   const bool NewDeath = One.Deaths.insert(Notice.DeathId).second;
   const bool NewProof = Notice.Alone && !One.Proven;
   One.Proven = One.Proven || Notice.Alone;
@@ -62,7 +72,7 @@
 Suspicion suspicionOf(const Quarantine &State, const Digest &Fingerprint,
                       TimePoint Now) {
   const Suspect *One = find(State, Fingerprint, Now);
-  if (One == nullptr)
+  if (One == nullptr || One->Deaths.empty())
     return Suspicion::None;
   return One->Proven || One->Deaths.size() >= MaxDeaths ? Suspicion::Refuse
                                                         : Suspicion::RunAlone;
@@ -74,8 +84,19 @@
   return One == nullptr ? Millis{0} : toMillis(One->Last + Keep - Now);
 }
 
-void clearSuspect(Quarantine &State, const Digest &Fingerprint) {
-  State.Suspects.erase(Fingerprint);
+void clearSuspect(Quarantine &State, const Digest &Fingerprint,
+                  const Membership &Fleet, TimePoint Now, Effects &Out) {
+  const Suspect *One = find(State, Fingerprint, Now);
+  if (One == nullptr)
+    return;
+  // Many callers may send equal requests. Without this news, two deaths of
+  // other causes would add up wherever the request did not run in between.
+  const std::set<std::string> Deaths = One->Deaths;
+  for (const std::string &Death : Deaths) {
+    const SuspectNotice Notice{Fingerprint, Death, 0, false, true};
+    noteSuspect(State, Notice, Now);
+    spreadNotice(Fleet, Notice, {}, Out);
+  }
 }
 
 void forgetSuspects(Quarantine &State, TimePoint Now) {
@@ -89,7 +110,10 @@
     const auto Age = static_cast<uint64_t>(toMillis(Now - One.Last).count());
     for (const std::string &Death : One.Deaths)
       Out.push_back(SendMessage{
-          Link, SuspectNotice{Fingerprint, Death, Age, One.Proven}});
+          Link, SuspectNotice{Fingerprint, Death, Age, One.Proven, false}});
+    for (const std::string &Death : One.Cleared)
+      Out.push_back(SendMessage{
+          Link, SuspectNotice{Fingerprint, Death, Age, false, true}});
   }
 }
 
--- a/packages/core/src/quarantine_func.h
+++ b/packages/core/src/quarantine_func.h
@@ -61,8 +61,12 @@
  * A request ran whole: it was there at a death by accident.
  * @param State State to change.
  * @param Fingerprint The request.
+ * @param Fleet Peers that are told.
+ * @param Now Current time.
+ * @param Out Effects are appended.
  */
-void clearSuspect(Quarantine &State, const Digest &Fingerprint);
+void clearSuspect(Quarantine &State, const Digest &Fingerprint,
+                  const Membership &Fleet, TimePoint Now, Effects &Out);
 
 /**
  * Forgets suspects whose last death is long past.
--- a/packages/core/src/quarantine_type.h
+++ b/packages/core/src/quarantine_type.h
@@ -14,9 +14,10 @@
 
 /** What is known of one request that was running when a back end died. */
 struct Suspect {
-  std::set<std::string> Deaths; ///< Names of the deaths, each counted once.
-  bool Proven = false;          ///< It ran alone at one of them.
-  TimePoint Last;               ///< When the last one was.
+  std::set<std::string> Deaths;  ///< Names of the deaths, each counted once.
+  std::set<std::string> Cleared; ///< Deaths after which it ran whole.
+  bool Proven = false;           ///< It ran alone at one of them.
+  TimePoint Last;                ///< When the last one was.
 };
 
 /** How a request is to be treated. */
--- a/tests/integration/poison_request_test.cpp
+++ b/tests/integration/poison_request_test.cpp
@@ -109,4 +109,22 @@
   BOOST_TEST(deaths() == Dead);
 }
 
+// Two engines are restarted by their supplier, one after the other, while all
+// callers send the same request. It was running at both deaths and caused
+// neither: nobody may be refused for it.
+BOOST_AUTO_TEST_CASE(InnocentRequestsAreClearedBetweenTwoDeaths) {
+  SteadyCallers Same(All, 16, [](size_t, size_t) { return Ask{}; });
+  for (const char *Engine : {"engine-0", "engine-1"}) {
+    const size_t Before = Same.Good;
+    BOOST_REQUIRE(waitFor(20s, [&] { return Same.Good > Before + 200; }));
+    All.restart(Engine);
+  }
+  const size_t Before = Same.Good;
+  BOOST_REQUIRE(waitFor(20s, [&] { return Same.Good > Before + 200; }));
+  Same.stop();
+  BOOST_TEST(Same.Other == 0U);
+  for (size_t n = 0; n < Entries; ++n)
+    BOOST_TEST(All.ask(n, {}).Status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -12,7 +12,7 @@
 struct Fixture {
   bool tell(const std::string &Death, bool Alone = false,
             uint64_t AgeMillis = 0) {
-    return noteSuspect(State, {Print, Death, AgeMillis, Alone}, Now);
+    return noteSuspect(State, {Print, Death, AgeMillis, Alone, false}, Now);
   }
   int now() const { return static_cast<int>(suspicionOf(State, Print, Now)); }
   const Digest Print =
@@ -47,10 +47,25 @@
   BOOST_TEST(now() == Refuse);
 }
 
-BOOST_AUTO_TEST_CASE(RunningWholeClears) {
+BOOST_AUTO_TEST_CASE(RunningWholeClearsEverywhere) {
   tell("w1/7");
-  clearSuspect(State, Print);
+  Quarantine Other = State;
+  Membership Fleet;
+  Fleet.Links[LinkId{4}].State = LinkState::Ready;
+  Effects Out;
+  clearSuspect(State, Print, Fleet, Now, Out);
   BOOST_TEST(now() == None);
+  BOOST_REQUIRE(Out.size() == 1U);
+  const auto &Sent = std::get<SendMessage>(Out.front());
+  const auto Notice = std::get<SuspectNotice>(Sent.Content);
+  BOOST_TEST(noteSuspect(Other, Notice, Now));
+  BOOST_TEST(!noteSuspect(Other, Notice, Now)); // No news: not passed on.
+  // The old news, passed on late, is not taken again.
+  BOOST_TEST(!noteSuspect(Other, {Print, "w1/7", 0, false, false}, Now));
+  BOOST_TEST(static_cast<int>(suspicionOf(Other, Print, Now)) == None);
+  // A later death of another cause counts as the first.
+  noteSuspect(Other, {Print, "w2/9", 0, false, false}, Now);
+  BOOST_TEST(static_cast<int>(suspicionOf(Other, Print, Now)) == RunAlone);
 }
 
 BOOST_AUTO_TEST_CASE(ANewPeerLearnsAllWithItsAge) {
