core: retries within a budget for each class and tenant

Cause: every refused or lost attempt was tried at up to three more workers. When all refuse, that multiplies the load by four for as long as callers come.

Ruled out: one budget for an entry (a large tenant's failures would take a small one's retries), and none for resumed streams (they are load as well).

Without budget the call is given up and answered at once with the refusal's time to come back.

--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -10,6 +10,7 @@
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "quarantine_func.h"
+#include "retry_budget_func.h"
 #include "worker_choice_func.h"
 
 #include <algorithm>
@@ -86,7 +87,9 @@
       (Executed == Ran::No && !One.HomeSaidNo) || repeatable(Entry, One);
   const bool Passing = answerFor(Why.Kind).RetryAfterMillis > 0 ||
                        Why.Kind == ErrorKind::OutcomeUnknown;
-  if (Harmless && Passing && One.Tries < MaxTries && Now < One.Deadline) {
+  const bool InTime = One.Tries < MaxTries && Now < One.Deadline;
+  if (Harmless && Passing && InTime &&
+      spendRetry(Entry.Retries, One.Asked.Class, One.Asked.Tenant)) {
     startAttempt(Entry, One, Now, Out);
     return;
   }
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -14,6 +14,7 @@
 #include "pause_func.h"
 #include "quarantine_func.h"
 #include "reader_rank_func.h"
+#include "retry_budget_func.h"
 
 #include <algorithm>
 
@@ -123,6 +124,7 @@
   // Only a key that its home watches over is passed on.
   if (Class->Repeatable)
     Kept.Asked.Key = IdempotencyKey{};
+  earnRetry(Entry.Retries, Asked.Class, Asked.Tenant, Now);
   const Millis Longest = Class->Deadline;
   const Millis Wanted =
       Asked.Deadline.count() > 0 ? std::min(Asked.Deadline, Longest) : Longest;
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -7,6 +7,7 @@
 #include "effect_type.h"
 #include "membership_type.h"
 #include "quarantine_type.h"
+#include "retry_budget_type.h"
 #include "settings_type.h"
 
 #include <map>
@@ -77,6 +78,7 @@
   std::map<HostName, uint32_t> OpenAt;  ///< Attempts open at each worker.
   uint64_t NextAttempt = 1;             ///< Part of the next attempt id.
   Quarantine Suspects;                  ///< Requests that were at a death.
+  RetryBudget Retries;                  ///< Retries that may still be made.
   bool Stopping = false;                ///< No new requests are taken.
   EntryCounters Counters;               ///< What happened so far.
 };
