--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::seconds ReadyLimit{30};
 /** Longest wait for a domain that was taken out to fall silent. */
 constexpr std::chrono::seconds SilentLimit{10};
+/** Rate of the origin; slow enough for a look at a model on its way. */
+constexpr int OriginRate = 100000;
 /** Answers that callers get while the domain is out. */
 constexpr int AnswersWhileOut = 50;
 
@@ -86,11 +88,26 @@
          fail("the booking was not answered alike");
 }
 
+/** Shows the spread of the model once, when it has come half way. */
+void showProgress(const Fleet &All) {
+  Finished Status;
+  const bool HalfWay = waitFor(ReadyLimit, [&] {
+    Status = command(All, "status");
+    const size_t Bar = Status.Output.find("[####");
+    return Bar != std::string::npos && Status.Output[Bar + 20] == '.';
+  });
+  const size_t Begin = Status.Output.find("MODEL");
+  const size_t End = Status.Output.find("\n\n", Begin);
+  if (HalfWay && End != std::string::npos)
+    std::cout << Status.Output.substr(Begin, End + 1 - Begin);
+}
+
 bool showModel(Fleet &All) {
   const Traffic Callers(All);
   const std::string Set = All.newModel("v2");
   const auto Begin = std::chrono::steady_clock::now();
   All.publish();
+  showProgress(All);
   if (!All.waitServing(ReadyLimit))
     return fail("the new model did not reach every replica");
   std::cout << "model v2 " << Set.substr(0, 12) << " on every replica after "
@@ -141,7 +158,9 @@
 }
 
 int demo() {
-  Fleet All(FleetPlan{});
+  FleetPlan Plan;
+  Plan.OriginOptions = {{"bytes_per_second", OriginRate}};
+  Fleet All(Plan);
   if (!All.waitServing(ReadyLimit)) {
     fail("the fleet did not come up");
     return 1;
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempt.cpp
@@ -290,6 +290,11 @@
   m.Detail = Why.Detail;
   m.RetryAfterMillis = static_cast<uint64_t>(Why.RetryAfter.count());
   Out.push_back(SendMessage{it->second.Link, m});
+  Out.push_back(LogNote{LogPart::Requests, LogLevel::Info,
+                        "Request " + it->second.Asked.Request.Value +
+                            ": attempt " + Which.Value +
+                            " failed: " + answerFor(Why.Kind).Name + ", ran " +
+                            std::string(ranName(Executed)) + "."});
   const AttemptStart Asked = it->second.Asked;
   endAttempt(Agent, Which, m);
   keyFailed(Agent, Asked, Why, Executed, Out);
--- a/packages/core/src/status.cpp
+++ b/packages/core/src/status.cpp
@@ -123,8 +123,10 @@
   ClassStatus One;
   One.Name = Class.Name;
   for (const WorkerStatus &Host : Workers) {
-    const Worker *Published = findWorker(Doc, Host.Name);
-    if (Published == nullptr || !servesClass(*Published, Class))
+    const bool Serves = Class.Kind == BackEndKind::Model
+                            ? Host.Model == Class.Model
+                            : Host.Service == Class.Service;
+    if (!Serves)
       continue;
     ++One.Workers;
     if (!mayServeNow(Host) || Doc.DomainsOut.contains(Host.Domain))
@@ -137,14 +139,11 @@
   return One;
 }
 
-TenantStatus tenantStatus(const EntryState &Entry, const TenantName &Name) {
-  TenantStatus One;
-  One.Name = Name;
-  One.OpenRequests = static_cast<uint32_t>(
-      std::ranges::count_if(Entry.Calls, [&](const auto &Row) {
-        return Row.second.Asked.Tenant == Name;
-      }));
-  return One;
+std::map<TenantName, uint32_t> openByTenant(const EntryState &Entry) {
+  std::map<TenantName, uint32_t> Open;
+  for (const auto &[Id, One] : Entry.Calls)
+    ++Open[One.Asked.Tenant];
+  return Open;
 }
 
 void addVisible(FleetStatus &Into, const EntryState &Entry,
@@ -163,9 +162,12 @@
           return Host.Model == Model.Name;
         }))
       Into.Models.push_back(modelStatus(Model, Into.Workers));
-  for (const Tenant &One : Doc.Tenants)
+  const std::map<TenantName, uint32_t> Open = openByTenant(Entry);
+  for (const Tenant &One : Doc.Tenants) {
+    const auto it = Open.find(One.Name);
     if (seesTenant(Access, One.Name))
-      Into.Tenants.push_back(tenantStatus(Entry, One.Name));
+      Into.Tenants.push_back({One.Name, it == Open.end() ? 0 : it->second});
+  }
 }
 
 RefusalStatus refusalStatus(const EntryState &Entry, TimePoint Now) {
--- a/tests/integration/hardening_test.cpp
+++ b/tests/integration/hardening_test.cpp
@@ -11,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
+
 using namespace jacinthpond::fleet;
 using namespace std::chrono_literals;
 
@@ -213,3 +215,23 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Story: an entry is told to stop while a caller gets an answer that takes
+// longer than the time limit of the shutdown. Its threads wait for that answer;
+// ending them in order would keep the process alive far beyond the limit.
+BOOST_AUTO_TEST_CASE(AShutdownEndsAtItsLimit) {
+  FleetPlan Plan = SmallEntry::plan();
+  Plan.EntrySettings["shutdown_ms"] = 300;
+  Fleet All(Plan);
+  BOOST_REQUIRE(All.waitServing(30s));
+  BOOST_REQUIRE(waitFor(30s, [&] { return All.ask(0, Ask{}).Status == 200; }));
+  const RawCaller Caller(All.address("entry-0", "callers"));
+  Caller.send(post(Reports, Huts + "Accept: text/event-stream\r\n",
+                   "{\"prompt\": \"l\", \"max_tokens\": 5000}"));
+  BOOST_TEST(Caller.read("event: token").find("event: token") !=
+             std::string::npos);
+  All.process("entry-0").signal(SIGTERM);
+  BOOST_TEST(All.process("entry-0").waitExit(5s).value_or(-1) == 4);
+  BOOST_TEST(All.logOf("entry-0").find("ERROR Shutdown cut off 1 requests.") !=
+             std::string::npos);
+}
