agent: a leaving agent ends only when its peers know

Cause: starts that entries had sent before they knew that an agent leaves stood in sockets which it then closed; the entries could only say 'unknown'. Ruled out: reading on in the closing handshake (the library drops data there); a fixed wait (too short when the machine is busy). Change: on a stop the agent asks every peer for an answer behind the heartbeat that says so, and goes on refusing until all have answered or are silent.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -2,6 +2,7 @@
 
 #include "agent_shell.h"
 
+#include "departure_func.h"
 #include "log/log.h"
 #include "overloaded.h"
 #include "threads/process.h"
@@ -288,14 +289,15 @@
 bool AgentShell::drain() {
   post([this](TimePoint Now, Effects &Out) { agentStop(State, Now, Out); });
   const TimePoint Limit = Clock.now() + Millis(State.Config.ShutdownMillis);
-  size_t Open = 1;
-  while (Open > 0 && Clock.now() < Limit) {
+  size_t Open = 0;
+  bool Known = false;
+  do {
+    std::this_thread::sleep_for(DrainPoll);
     inspect([&](const AgentState &Agent, TimePoint) {
       Open = Agent.Attempts.size();
+      Known = leavingIsKnown(Agent.Fleet);
     });
-    if (Open > 0)
-      std::this_thread::sleep_for(DrainPoll);
-  }
+  } while ((Open > 0 || !Known) && Clock.now() < Limit);
   if (Open > 0)
     logLine(LogPart::Main, LogLevel::Error,
             "Shutdown cut off " + std::to_string(Open) + " attempts.");
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -420,10 +420,9 @@
 
 void agentStop(AgentState &Agent, TimePoint Now, Effects &Out) {
   Agent.Stopping = true;
-  Agent.Fleet.Leaving = true;
   refuseWaiting(Agent, ErrorKind::Leaving, Out);
   refreshLoad(Agent);
-  sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
+  announceLeaving(Agent.Fleet, Agent.View, Now, Out);
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/departure.cpp
+++ b/packages/core/src/departure.cpp
@@ -2,6 +2,9 @@
 
 #include "departure_func.h"
 
+#include "config_view_func.h"
+#include "membership_func.h"
+
 #include <algorithm>
 
 namespace jacinthpond {
@@ -59,4 +62,25 @@
     tellPeers(Fleet, Who, SaidAt, Now, Out);
 }
 
+void announceLeaving(Membership &Fleet, const ConfigView &View, TimePoint Now,
+                     Effects &Out) {
+  Fleet.Leaving = true;
+  sendHeartbeats(Fleet, View, Now, Out);
+  // A start that a peer sent before it knew would be lost when the links are
+  // closed, and its caller told that the outcome is unknown. Links keep the
+  // order, so whatever was sent before stands in front of the answer.
+  for (auto &[Link, Peer] : Fleet.Links) {
+    if (Peer.State != LinkState::Ready)
+      continue;
+    Peer.Answered = false;
+    Out.push_back(SendMessage{Link, ConfigPull{versionInForce(View), true}});
+  }
+}
+
+bool leavingIsKnown(const Membership &Fleet) {
+  return std::ranges::all_of(Fleet.Links, [](const auto &Row) {
+    return Row.second.State != LinkState::Ready || Row.second.Answered;
+  });
+}
+
 } // namespace jacinthpond
--- a/packages/core/src/departure_func.h
+++ b/packages/core/src/departure_func.h
@@ -9,6 +9,7 @@
 #ifndef JACINTHPOND_CORE_DEPARTURE_FUNC_H
 #define JACINTHPOND_CORE_DEPARTURE_FUNC_H
 
+#include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
 
@@ -54,6 +55,24 @@
  */
 void departureTick(Membership &Fleet, TimePoint Now, Effects &Out);
 
+/**
+ * This process leaves: tells all peers and asks each for an answer.
+ * @param Fleet State to change.
+ * @param View What heartbeats say is in force.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void announceLeaving(Membership &Fleet, const ConfigView &View, TimePoint Now,
+                     Effects &Out);
+
+/**
+ * Says whether every peer knows that this process leaves. All work that they
+ * sent before they knew has arrived by then.
+ * @param Fleet The state.
+ * @return False while an answer is missing on a ready link.
+ */
+bool leavingIsKnown(const Membership &Fleet);
+
 } // namespace jacinthpond
 
 #endif
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -129,7 +129,8 @@
   for (std::jthread &One : Asking)
     One.join();
   for (const Answer &One : Streams)
-    BOOST_TEST((isWhole(One) || One.json()["error"]["ran"] == "no"));
+    BOOST_TEST((isWhole(One) || One.json()["error"]["ran"] == "no"),
+               One.Body.substr(0, 200));
   const auto Whole = std::count_if(Streams.begin(), Streams.end(), isWhole);
   BOOST_TEST(Whole >= 3); // Those that were seen running.
   for (size_t n = 0; n < All.Plan.ModelWorkers; ++n)
