entry, chaos: no configuration is no unknown class

Ruled out: a document without the class (none was published). Change: such an entry says 'stale view', not run, come back.

--- a/bench/chaos/callers.cpp
+++ b/bench/chaos/callers.cpp
@@ -38,7 +38,8 @@
   const Json Body = Got.json();
   if (!Body.contains("error"))
     return Got.Sent ? "no_answer" : "not_connected";
-  return Body["error"].value("kind", "no_kind");
+  return Body["error"].value("kind", "no_kind") + " ran " +
+         Body["error"].value("ran", "not told");
 }
 
 /** Waits as a well-behaved caller does before the next try. */
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -296,12 +296,19 @@
   const ClassName Class{Asked.matches[1]};
   std::string Token;
   bool Known = false;
+  bool Ready = false;
   Host.inspect([&](const EntryState &Entry, TimePoint) {
     const Document *Doc = Entry.View.InForce.get();
+    Ready = Doc != nullptr;
     const WorkClass *Row = Doc == nullptr ? nullptr : findClass(*Doc, Class);
     Known = Row != nullptr && !Row->Repeatable;
     Token = makeHomeToken(Entry, Class);
   });
+  if (!Ready) {
+    writeError(Answer, {ErrorKind::StaleView, "no configuration yet", {}},
+               Ran::No, {});
+    return;
+  }
   if (!Known) {
     writeError(
         Answer,
