--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -67,7 +67,12 @@
     std::cout << Version << "\n";
   if (PrintSettings)
     std::cout << describeSettings(SettingOwner::Agent);
-  return PrintVersion || PrintSettings ? ExitDone : serve(SettingsPath);
+  if (PrintVersion || PrintSettings)
+    return ExitDone;
+  if (!SettingsPath.empty())
+    return serve(SettingsPath);
+  std::cerr << "jacinthpond-agent: --settings FILE is missing; see --help\n";
+  return ExitUsage;
 }
 
 } // namespace
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -103,8 +103,10 @@
     return usageFault(Command + ": unknown command");
   if (Words.size() > 1)
     return usageFault(Words[1] + ": unexpected");
-  return Command == "serve" ? serve(Line.SettingsPath)
-                            : askEntry(Command, Line.Target);
+  if (Command != "serve")
+    return askEntry(Command, Line.Target);
+  return Line.SettingsPath.empty() ? usageFault("--settings FILE is missing")
+                                   : serve(Line.SettingsPath);
 }
 
 int parseAndRun(int Count, const char **Arguments) {
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -218,6 +218,8 @@
       {{"status", "more"}, 2, "more: unexpected"},
       {{"status"}, 1, "no token"},
       {{"check"}, 2, "needs one FILE"},
+      {{"serve"}, 2, "--settings FILE is missing"},
+      {{"serve", "--settings", "/nothing/here"}, 3, "cannot be read"},
       {{"check", "/nothing/here"}, 1, "cannot be read"},
       {{"check", Bad}, 3, "did you mean \"classes\""},
       {{"serve", "--settings", Bad}, 3, "name: found nothing"},
