core: an attempt that its agent never saw is sent again, not retried

Ruled out: a larger budget (the same fault would empty it too).

Change: such an attempt is sent again, to any worker, keyed ones to their home; the bound on tries and the deadline stay.

--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -137,6 +137,22 @@
                    One.Tries > 0 ? Ran::Unknown : Ran::No, Out);
 }
 
+/**
+ * Sends an attempt again that its agent never saw. It cost no back end
+ * anything, so it is no retry in the sense of the budget, and says nothing
+ * against the worker.
+ */
+void sendUnseenAgain(EntryState &Entry, Call &One, TimePoint Now,
+                     Effects &Out) {
+  dropAttempt(Entry, One);
+  if (One.Tries < MaxTries && Now < One.Deadline) {
+    startAttempt(Entry, One, Now, Out);
+    return;
+  }
+  endCallWithError(Entry, One.Asked.Call,
+                   {ErrorKind::Unreachable, "never arrived", {}}, Ran::No, Out);
+}
+
 /** Goes on without an attempt whose agent did not answer for it. */
 void giveUpLost(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
   if (One.NextFrame > 0)
@@ -360,8 +376,7 @@
   // Only the incarnation that the start was sent to can say that it never saw
   // it; it also promises not to run it any more.
   if (m.Run == One->Attempt.Run)
-    retryOrEnd(Entry, *One, {ErrorKind::Unreachable, "never arrived", {}},
-               Ran::No, Now, Out);
+    sendUnseenAgain(Entry, *One, Now, Out);
   else
     giveUpLost(Entry, *One, Now, Out);
 }
