core, tests: what waits to be sent is bounded over all links; origin down after one copy

Cause: the backlog was bounded for each link only, so that many slow receivers at once could grow an agent by several MiB each. Change: nothing is sent above 64 MiB for all links together.

--- a/packages/core/src/upload.cpp
+++ b/packages/core/src/upload.cpp
@@ -5,6 +5,7 @@
 #include "rate_limit_func.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace jacinthpond {
 
@@ -18,6 +19,16 @@
  */
 constexpr uint64_t MaxBacklogBytes = 4 << 20;
 
+/** The same for all links together: many slow receivers at once. */
+constexpr uint64_t MaxTotalBacklogBytes = 64 << 20;
+
+uint64_t totalBacklog(const TransferState &Transfer) {
+  return std::accumulate(Transfer.Peers.begin(), Transfer.Peers.end(),
+                         uint64_t{0}, [](uint64_t Sum, const auto &Row) {
+                           return Sum + Row.second.BacklogBytes;
+                         });
+}
+
 /** Says whether a request can be answered now. */
 bool maySend(TransferState &Transfer, const Upload &One, TimePoint Now) {
   const ChunkPeer &Peer = Transfer.Peers.at(One.Link);
@@ -62,7 +73,8 @@
 
 void serveUploads(TransferState &Transfer, const WeightsState &Weights,
                   TimePoint Now, Effects &Out) {
-  while (rateAllows(Transfer.Uplink, Now)) {
+  while (rateAllows(Transfer.Uplink, Now) &&
+         totalBacklog(Transfer) <= MaxTotalBacklogBytes) {
     const auto it =
         std::ranges::find_if(Transfer.Uploads, [&](const Upload &One) {
           return maySend(Transfer, One, Now);
--- a/tests/integration/weights_test.cpp
+++ b/tests/integration/weights_test.cpp
@@ -243,3 +243,28 @@
     }
   Run.checkRecords();
 }
+
+// The origin goes down when one copy has left it, each chunk to another host.
+// The version still reaches all, and a host that is replaced with its engine
+// afterwards gets it from the others.
+BOOST_AUTO_TEST_CASE(OneCopyOutOfTheOriginIsEnough) {
+  FleetPlan Plan = smallPlan();
+  Plan.AgentSettings["uplink_bytes_per_second"] = 60000;
+  Serving Run(Plan);
+  const auto Drawn = [&] {
+    return Run.All.health(0)["weights"].value("bytes_from_origin", size_t{0});
+  };
+  const size_t Before = Drawn();
+  const std::string Set = Run.publish("v2");
+  const size_t Copy = Plan.Chunks * Plan.ChunkBytes;
+  BOOST_TEST(waitFor(Limit, [&] { return Drawn() >= Before + Copy; }));
+  Run.All.control("origin", {{"down", true}});
+  BOOST_TEST(Run.weightsOf(3) != Set);
+  BOOST_TEST(Run.All.waitServing(Limit));
+  Run.All.process("agent-m3").kill();
+  Run.All.control("engine-3", {{"restart", true}});
+  Run.All.restart("agent-m3");
+  BOOST_TEST(Run.All.waitServing(Limit));
+  BOOST_TEST(Run.weightsOf(3) == Set);
+  Run.checkRecords();
+}
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -218,6 +218,10 @@
   One.asked();
   BOOST_TEST(One.Transfer.Uploads.size() == 8U);
   One.Transfer.Peers[PeerA].BacklogBytes = 0;
+  One.Transfer.Peers[PeerB].BacklogBytes = 65 << 20;
+  One.asked();
+  BOOST_TEST(One.Transfer.Uploads.size() == 8U);
+  One.Transfer.Peers[PeerB].BacklogBytes = 0;
   One.asked();
   BOOST_TEST(One.Transfer.Uploads.empty());
 }
