--- a/bench/bench.h
+++ b/bench/bench.h
@@ -77,6 +77,22 @@
  */
 int benchWeights(const BenchOptions &Options);
 
+/**
+ * Measures how fast and at what price a configuration spreads.
+ * @param Options Hosts: processes of the system, one in five an entry;
+ *        Seconds: length of the quiet phase.
+ * @return Exit code.
+ */
+int benchSpread(const BenchOptions &Options);
+
+/**
+ * Measures service while a failure domain is taken out and returned; with
+ * faults, while its entries and agents are killed and started again.
+ * @param Options Seconds: length of each of the three phases.
+ * @return Exit code.
+ */
+int benchDomain(const BenchOptions &Options);
+
 } // namespace jacinthpond::bench
 
 #endif
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -17,10 +17,9 @@
 /** All measurements by name. */
 const std::map<std::string, int (*)(const BenchOptions &)> &measurements() {
   static const std::map<std::string, int (*)(const BenchOptions &)> All = {
-      {"coldstart", benchColdstart},
-      {"overload", benchOverload},
-      {"path", benchPath},
-      {"routing", benchRouting},
+      {"coldstart", benchColdstart}, {"domain", benchDomain},
+      {"overload", benchOverload},   {"path", benchPath},
+      {"routing", benchRouting},     {"spread", benchSpread},
       {"weights", benchWeights}};
   return All;
 }
