core: an entry keeps links to a part of a large fleet

Cause: a full mesh of 390 entries and 1,800 workers would cost an entry 2,189 links; spread measured 0.65 KB/s each way and 0.011 to 0.016 % of a core a link. Ruled out: random links (change with each start), near workers only (all gone when the domain goes out). Change: above 96 workers of a model 64 of them by rendezvous, half from the own domain; above 32 entries the first four reader ranks of the own domain and 9 of 390 others. Plain services keep all links, since a key has one home. Smaller fleets are linked in full as before. Left: when all four reader ranks of a domain fall silent at once, its other entries read the service meanwhile.

--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -8,6 +8,7 @@
 #include "document_func.h"
 #include "join_func.h"
 #include "keyed_call_func.h"
+#include "link_subset_func.h"
 #include "load_view_func.h"
 #include "membership_func.h"
 #include "overloaded.h"
@@ -30,16 +31,14 @@
   return Seeds;
 }
 
-/** Keeps links to every agent and to every other entry. */
+/** Keeps links to the agents and entries that the document calls for. */
 void followDocument(EntryState &Entry, TimePoint Now, Effects &Out) {
   std::vector<PeerAddress> Peers;
   if (!viewIsFresh(Entry.Fleet))
     Peers = seedPeers(Entry.Config);
-  for (const Worker &Host : Entry.View.InForce->Workers)
-    Peers.push_back({Host.Name, Host.Agent});
-  for (const EntryHost &Host : Entry.View.InForce->Entries)
-    if (Host.Name != Entry.Fleet.Self.Name)
-      Peers.push_back({Host.Name, Host.Peers});
+  const std::vector<PeerAddress> Published =
+      linkSubset(*Entry.View.InForce, Entry.Fleet.Self);
+  Peers.insert(Peers.end(), Published.begin(), Published.end());
   for (const LinkId Link : wantPeers(Entry.Fleet, Peers, Out))
     attemptsLost(Entry, Link, Now, Out);
 }
--- /dev/null
+++ b/packages/core/src/link_subset_func.h
@@ -0,0 +1,32 @@
+/** @file link_subset_func.h Which peers an entry keeps links to. */
+
+#ifndef JACINTHPOND_CORE_LINK_SUBSET_FUNC_H
+#define JACINTHPOND_CORE_LINK_SUBSET_FUNC_H
+
+#include "document_type.h"
+#include "membership_func.h"
+
+#include <vector>
+
+namespace jacinthpond {
+
+/** Entries up to which each keeps links to all others. */
+constexpr size_t FullMeshEntries = 32;
+/** Workers of a model up to which an entry keeps links to all of them. */
+constexpr size_t FullMeshWorkers = 96;
+/** Workers of a larger model that an entry keeps links to. */
+constexpr size_t WorkersPerModel = 64;
+
+/**
+ * Chooses the peers of an entry. In a small fleet these are all; in a large
+ * one a part that follows from the names alone, so that links are spread
+ * evenly and stay when other hosts come or go.
+ * @param Doc The document.
+ * @param Self The entry.
+ * @return Peers to keep links to.
+ */
+std::vector<PeerAddress> linkSubset(const Document &Doc, const Hello &Self);
+
+} // namespace jacinthpond
+
+#endif
