--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -136,3 +136,15 @@
   All.control("proxy-s0", {{"mode", "pass"}});
   BOOST_TEST(waitFor(10s, [&] { return everywhere(All, 2); }));
 }
+
+// An agent is never told a version though its entries think it is linked. Its
+// open connections went silent for good while new ones work.
+BOOST_AUTO_TEST_CASE(SilentlyLostLinksAreReplacedInTime) {
+  FleetPlan Plan = plan(3, 3);
+  Plan.ProxyAgents = true;
+  Fleet All(Plan);
+  BOOST_REQUIRE(waitFor(20s, [&] { return everywhere(All, 1); }));
+  All.control("proxy-s0", {{"lose", true}});
+  All.publish();
+  BOOST_TEST(waitFor(InForceLimit, [&] { return everywhere(All, 2); }));
+}
