core: a leaving process waits only for peers that it asked

Its threads were idle; it waited for the answers of links that had come about after it had asked its peers, and those are never asked. Change: only links that were asked count. A later link carries no start that could be lost, since its peer gives work only after a heartbeat.

--- a/packages/core/src/departure.cpp
+++ b/packages/core/src/departure.cpp
@@ -73,13 +73,18 @@
     if (Peer.State != LinkState::Ready)
       continue;
     Peer.Answered = false;
+    Peer.AskedToKnow = true;
     Out.push_back(SendMessage{Link, ConfigPull{versionInForce(View), true}});
   }
 }
 
 bool leavingIsKnown(const Membership &Fleet) {
+  // A link that came about later carries no start that could be lost: its
+  // peer gives work only after a heartbeat, and that says that we leave.
+  // Waiting for such links too held up a shutdown for as long as peers were
+  // restarted and came back.
   return std::ranges::all_of(Fleet.Links, [](const auto &Row) {
-    return Row.second.State != LinkState::Ready || Row.second.Answered;
+    return !Row.second.AskedToKnow || Row.second.Answered;
   });
 }
 
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership_type.h
@@ -46,6 +46,7 @@
   bool Service = false;                 ///< Last told.
   bool PushRefused = false;             ///< Its document was invalid here.
   bool Answered = false;                ///< It answered a pull of this join.
+  bool AskedToKnow = false;             ///< Asked to answer that we leave.
   bool AnsweredFresh = false;           ///< It did so with a fresh view.
   std::optional<TimePoint> ProbedAt;    ///< When it was asked last.
   WorkerLoad Load;                      ///< Last told.
--- a/tests/unit/pause_test.cpp
+++ b/tests/unit/pause_test.cpp
@@ -90,6 +90,22 @@
   BOOST_TEST(!fresh());
 }
 
+// An agent gets SIGTERM while its peers are restarted one after the other. Its
+// shutdown ran to the time limit, since every peer that came back counted as
+// one that does not know yet, though only links that were asked can answer.
+BOOST_AUTO_TEST_CASE(APeerThatComesBackDoesNotHoldUpAShutdown) {
+  announceLeaving(State.Fleet, State.View, Now, Out);
+  BOOST_TEST(!leavingIsKnown(State.Fleet));
+  for (auto &[Link, Peer] : State.Fleet.Links)
+    Peer.Answered = true;
+  BOOST_TEST(leavingIsKnown(State.Fleet));
+  entryLinkOpened(State, LinkId{FirstAcceptedLink + 9}, Now, Out);
+  Hello Back;
+  Back.Name.Value = "w";
+  entryMessage(State, LinkId{FirstAcceptedLink + 9}, Back, Now, Out);
+  BOOST_TEST(leavingIsKnown(State.Fleet));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(Departures, Joined)
