--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/entry_type.h
@@ -6,7 +6,6 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
-#include "prefix_memory_type.h"
 #include "quarantine_type.h"
 #include "retry_budget_type.h"
 #include "settings_type.h"
@@ -77,7 +76,6 @@
   std::map<CallId, Call> Calls;         ///< Requests without a final answer.
   std::map<AttemptId, CallId> Attempts; ///< Attempts under way.
   std::map<HostName, uint32_t> OpenAt;  ///< Attempts open at each worker.
-  PrefixMemory Prefixes;                ///< Prompt prefixes that came before.
   uint64_t NextAttempt = 1;             ///< Part of the next attempt id.
   Quarantine Suspects;                  ///< Requests that were at a death.
   RetryBudget Retries;                  ///< Retries that may still be made.
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -31,11 +31,6 @@
                   One.Open);
 }
 
-/** True when one request more would run at once, as far as is known here. */
-bool hasRoom(const Candidate &One) {
-  return !One.Avoid && busy(One) < One.Load.Limit;
-}
-
 /** Open work relative to what the worker bears, with one request more. */
 double relativeLoad(const Candidate &One) {
   const double Load = (busy(One) + 1.0) / std::max(1U, One.Load.Limit);
@@ -58,18 +53,6 @@
   return static_cast<size_t>(it - Candidates.begin());
 }
 
-/** Indices of the candidates with room; of all where none has any. */
-std::vector<size_t> worthAsking(const std::vector<Candidate> &Candidates) {
-  std::vector<size_t> Order(Candidates.size());
-  std::iota(Order.begin(), Order.end(), size_t{0});
-  const auto Full = std::partition(Order.begin(), Order.end(), [&](size_t n) {
-    return hasRoom(Candidates[n]);
-  });
-  if (Full != Order.begin())
-    Order.erase(Full, Order.end());
-  return Order;
-}
-
 /** One of the first Count indices of Order, by hash. */
 size_t pick(const std::vector<size_t> &Order, size_t Count, uint64_t Salt,
             const char *Which) {
@@ -77,13 +60,12 @@
 }
 
 /**
- * The less busy of two, where there is room. Two of all would often both be
- * full while a third stands idle, and the request would wait. The first one is
- * near where there is a near one, and stays when both are equal: near work
- * saves the links between domains.
+ * The less busy of two. The first one is near where there is a near one, and
+ * stays when both are equal: near work saves the links between domains.
  */
 size_t lessBusyOfTwo(const std::vector<Candidate> &Candidates, uint64_t Salt) {
-  std::vector<size_t> Order = worthAsking(Candidates);
+  std::vector<size_t> Order(Candidates.size());
+  std::iota(Order.begin(), Order.end(), size_t{0});
   const auto Far = std::partition(Order.begin(), Order.end(),
                                   [&](size_t n) { return Candidates[n].Near; });
   const auto Near = static_cast<size_t>(Far - Order.begin());
--- a/packages/core/src/worker_choice.cpp
+++ b/packages/core/src/worker_choice.cpp
@@ -7,7 +7,6 @@
 #include "hash_func.h"
 #include "join_func.h"
 #include "membership_func.h"
-#include "prefix_memory_func.h"
 #include "quarantine_func.h"
 #include "routing_func.h"
 
@@ -76,16 +75,15 @@
   return Found;
 }
 
-size_t chooseFor(EntryState &Entry, const WorkClass &Class, const Call &One,
-                 const std::vector<Candidate> &Choice, TimePoint Now) {
+size_t chooseFor(const EntryState &Entry, const WorkClass &Class,
+                 const Call &One, const std::vector<Candidate> &Choice,
+                 TimePoint Now) {
   if (suspicionOf(Entry, One, Now) == Suspicion::RunAlone)
     return placeOfSuspect(
         Choice,
         fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body));
-  std::string Affinity =
+  const std::string Affinity =
       Class.Kind == BackEndKind::Model ? affinityKey(One) : "";
-  if (!prefixCame(Entry.Prefixes, Affinity))
-    Affinity.clear();
   // Entries started together count alike; their choices must still differ.
   const uint64_t Salt = Entry.Fleet.Self.Run.Value + Entry.NextAttempt;
   if (Entry.Config.RandomRouting)
--- a/packages/core/src/worker_choice_func.h
+++ b/packages/core/src/worker_choice_func.h
@@ -22,15 +22,16 @@
 
 /**
  * Chooses one of the candidates.
- * @param Entry The entry; notes the prefix.
+ * @param Entry The entry.
  * @param Class Class of the call.
  * @param One The call.
  * @param Choice The candidates.
  * @param Now Current time.
  * @return Index into Choice; Choice.size() when it is empty.
  */
-size_t chooseFor(EntryState &Entry, const WorkClass &Class, const Call &One,
-                 const std::vector<Candidate> &Choice, TimePoint Now);
+size_t chooseFor(const EntryState &Entry, const WorkClass &Class,
+                 const Call &One, const std::vector<Candidate> &Choice,
+                 TimePoint Now);
 
 /**
  * Says how a call is to be treated.
