core, adapters: membership set up in one place, order answers read in one place

The same lines stood in both programs and in two calls of the engine. Behaviour is as it was; path, pause, config, attempt and key tests pass.

--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -47,6 +47,16 @@
               httplib::to_string(Why));
 }
 
+/** Turns the answer to an order into success or its failure. */
+Result<void> expectDone(const httplib::Result &Answer) {
+  if (!Answer)
+    return callFailed(Answer.error());
+  if (Answer->status != 200)
+    return fail(ErrorKind::BackEndFailed,
+                "status " + std::to_string(Answer->status));
+  return {};
+}
+
 Result<std::string> getText(const std::string &Url, const std::string &Path,
                             std::chrono::milliseconds Timeout) {
   httplib::Client Client = makeClient(Url, Timeout);
@@ -113,12 +123,7 @@
   httplib::Client Client = makeClient(Url, LongTimeout);
   const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Value, Bytes,
                                             "application/octet-stream");
-  if (!Answer)
-    return callFailed(Answer.error());
-  if (Answer->status != 200)
-    return fail(ErrorKind::BackEndFailed,
-                "status " + std::to_string(Answer->status));
-  return {};
+  return expectDone(Answer);
 }
 
 Result<void> HttpEngine::load(const LoadOrder &Order) {
@@ -130,12 +135,7 @@
     Body["chunks"].push_back(Chunk.Value);
   const httplib::Result Answer =
       Client.Post("/v1/load", Body.dump(), "application/json");
-  if (!Answer)
-    return callFailed(Answer.error());
-  if (Answer->status != 200)
-    return fail(ErrorKind::BackEndFailed,
-                "status " + std::to_string(Answer->status));
-  return {};
+  return expectDone(Answer);
 }
 
 Result<ServiceAnswer> HttpService::call(const ServiceCall &Call) {
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -158,16 +158,7 @@
 AgentState makeAgent(const Settings &Config, Incarnation Run, TimePoint Now) {
   AgentState Agent;
   Agent.Config = Config;
-  Agent.Fleet.Self.Name.Value = Config.Name;
-  Agent.Fleet.Self.Sender = Role::Agent;
-  Agent.Fleet.Self.Run = Run;
-  Agent.Fleet.Self.Domain.Value = Config.Domain;
-  Agent.Fleet.Times = {
-      Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
-      Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
-      Millis(Config.CutOffMillis),    Millis(Config.JoinWaitMillis)};
-  Agent.Fleet.LastTick = Now;
-  restartJoin(Agent.Fleet, Now);
+  Agent.Fleet = makeMembership(Config, Role::Agent, Run, Now);
   Agent.Gate.Limits = {static_cast<uint32_t>(Config.WarmLimit),
                        static_cast<uint32_t>(Config.ColdLimit),
                        static_cast<uint32_t>(Config.QueueLimit),
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -66,16 +66,7 @@
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
   EntryState Entry;
   Entry.Config = Config;
-  Entry.Fleet.Self.Name.Value = Config.Name;
-  Entry.Fleet.Self.Sender = Role::Entry;
-  Entry.Fleet.Self.Run = Run;
-  Entry.Fleet.Self.Domain.Value = Config.Domain;
-  Entry.Fleet.Times = {
-      Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
-      Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
-      Millis(Config.CutOffMillis),    Millis(Config.JoinWaitMillis)};
-  Entry.Fleet.LastTick = Now;
-  restartJoin(Entry.Fleet, Now);
+  Entry.Fleet = makeMembership(Config, Role::Entry, Run, Now);
   Effects None;
   wantPeers(Entry.Fleet, seedPeers(Config), None);
   return Entry;
--- a/packages/core/src/join.cpp
+++ b/packages/core/src/join.cpp
@@ -73,6 +73,22 @@
 
 bool viewIsFresh(const Membership &Fleet) { return Fleet.Joining.Fresh; }
 
+Membership makeMembership(const Settings &Config, Role Sender, Incarnation Run,
+                          TimePoint Now) {
+  Membership Fleet;
+  Fleet.Self.Name.Value = Config.Name;
+  Fleet.Self.Sender = Sender;
+  Fleet.Self.Run = Run;
+  Fleet.Self.Domain.Value = Config.Domain;
+  Fleet.Times = {
+      Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
+      Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
+      Millis(Config.CutOffMillis),    Millis(Config.JoinWaitMillis)};
+  Fleet.LastTick = Now;
+  restartJoin(Fleet, Now);
+  return Fleet;
+}
+
 void restartJoin(Membership &Fleet, TimePoint Now) {
   Fleet.Joining.Fresh = false;
   Fleet.Self.Fresh = false;
--- a/packages/core/src/join_func.h
+++ b/packages/core/src/join_func.h
@@ -6,9 +6,21 @@
 #include "config_view_type.h"
 #include "effect_type.h"
 #include "membership_type.h"
+#include "settings_type.h"
 
 namespace jacinthpond {
 
+/**
+ * Sets up the membership of a new process, which joins the fleet.
+ * @param Config Its settings.
+ * @param Sender What it is.
+ * @param Run Its random incarnation.
+ * @param Now Current time.
+ * @return The state, without links.
+ */
+Membership makeMembership(const Settings &Config, Role Sender, Incarnation Run,
+                          TimePoint Now);
+
 /**
  * Says whether new work may be taken and given on the present view.
  * @param Fleet The state.
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -6,9 +6,8 @@
 #include "entry_addresses_func.h"
 #include "hash_func.h"
 #include "http/guarded_server.h"
-#include "log/log.h"
-
 #include "keyed_call_func.h"
+#include "log/log.h"
 #include "overloaded.h"
 #include "threads/process.h"
 
