core: drop a setting, a look-up and two parameters that nothing used

fenced_engine was read and never looked at: all engines are treated as ones that ignore fencing numbers, so the setting promised what it did not do.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -41,8 +41,8 @@
                });
              },
              [this](LinkId Link) {
-               post([this, Link](TimePoint Now, Effects &Out) {
-                 agentLinkClosed(State, Link, Now, Out);
+               post([this, Link](TimePoint Now, Effects &) {
+                 agentLinkClosed(State, Link, Now);
                });
              },
              [this](LinkId Link, Message m) {
@@ -60,8 +60,8 @@
                logLine(LogPart::Links, LogLevel::Warn,
                        "Unreadable frame; link dropped: " + Why.Detail);
                Links.close(Link);
-               post([this, Link](TimePoint Now, Effects &Out) {
-                 agentLinkClosed(State, Link, Now, Out);
+               post([this, Link](TimePoint Now, Effects &) {
+                 agentLinkClosed(State, Link, Now);
                });
              }}) {}
 
--- a/packages/core/src/agent.cpp
+++ b/packages/core/src/agent.cpp
@@ -89,7 +89,7 @@
       wantWeights(Agent.Weights, *Wanted);
     planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
     for (const LinkId Link : followPeers(Agent, Out))
-      agentLinkClosed(Agent, Link, Now, Out);
+      agentLinkClosed(Agent, Link, Now);
   }
   if (Doc.DomainsOut.contains(Agent.Fleet.Self.Domain))
     refuseWaiting(Agent, ErrorKind::DomainOut, Out);
@@ -175,9 +175,7 @@
   linkOpened(Agent.Fleet, Link, Now, Out);
 }
 
-void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now,
-                     Effects &Out) {
-  (void)Out;
+void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now) {
   linkClosed(Agent.Fleet, Link, Now);
   chunkPeerGone(Agent.Transfer, Link, Now);
   detachAttempts(Agent, Link, Now);
@@ -189,7 +187,7 @@
   if (Dropped.empty())
     return;
   for (const LinkId Link : Dropped)
-    agentLinkClosed(Agent, Link, Now, Out);
+    agentLinkClosed(Agent, Link, Now);
   refuseWaiting(Agent, ErrorKind::StaleView, Out);
 }
 
@@ -411,7 +409,7 @@
   agentNoticePause(Agent, Now, Out);
   const bool WasFresh = viewIsFresh(Agent.Fleet);
   for (const LinkId Link : fleetTick(Agent.View, Agent.Fleet, Now, Out))
-    agentLinkClosed(Agent, Link, Now, Out);
+    agentLinkClosed(Agent, Link, Now);
   if (WasFresh && !viewIsFresh(Agent.Fleet))
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/agent_func.h
@@ -32,10 +32,8 @@
  * @param Agent State to change.
  * @param Link Which link.
  * @param Now Current time.
- * @param Out Effects are appended.
  */
-void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now,
-                     Effects &Out);
+void agentLinkClosed(AgentState &Agent, LinkId Link, TimePoint Now);
 
 /**
  * Looks for a gap in the own clock and ends what was open before it. To be
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/call.cpp
@@ -336,8 +336,7 @@
   retryOrEnd(Entry, *One, Why, m.Executed, Now, Out);
 }
 
-void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now, Effects &Out) {
-  (void)Out;
+void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now) {
   for (auto &[Id, One] : Entry.Calls) {
     OpenAttempt &Attempt = One.Attempt;
     if (Attempt.Link != Link || Attempt.Id.Value.empty() || Attempt.Lost)
--- a/packages/core/src/call_func.h
+++ b/packages/core/src/call_func.h
@@ -69,9 +69,8 @@
  * @param Entry State to change.
  * @param Link Which link.
  * @param Now Current time.
- * @param Out Effects are appended.
  */
-void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now, Effects &Out);
+void attemptsLost(EntryState &Entry, LinkId Link, TimePoint Now);
 
 /**
  * An agent is reached: asks it what became of attempts whose link was lost,
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/entry.cpp
@@ -40,13 +40,13 @@
       linkSubset(*Entry.View.InForce, Entry.Fleet.Self);
   Peers.insert(Peers.end(), Published.begin(), Published.end());
   for (const LinkId Link : wantPeers(Entry.Fleet, Peers, Out))
-    attemptsLost(Entry, Link, Now, Out);
+    attemptsLost(Entry, Link, Now);
 }
 
 /** Ends what was open before a pause. */
 void noticePause(EntryState &Entry, TimePoint Now, Effects &Out) {
   for (const LinkId Link : dropLinksAfterPause(Entry.Fleet, Now, Out))
-    attemptsLost(Entry, Link, Now, Out);
+    attemptsLost(Entry, Link, Now);
 }
 
 /** Gives the peer of a link that was asked for and never came about. */
@@ -143,7 +143,7 @@
                      Effects &Out) {
   const std::optional<HostName> Refused = peerOpening(Entry.Fleet, Link);
   linkClosed(Entry.Fleet, Link, Now);
-  attemptsLost(Entry, Link, Now, Out);
+  attemptsLost(Entry, Link, Now);
   if (Refused)
     agentUnreachable(Entry, *Refused, Now, Out);
 }
@@ -214,7 +214,7 @@
     Out.push_back(
         LogNote{LogPart::Links, LogLevel::Warn,
                 "Link " + std::to_string(Link.Value) + " is silent."});
-    attemptsLost(Entry, Link, Now, Out);
+    attemptsLost(Entry, Link, Now);
   }
   if (!WasFresh && viewIsFresh(Entry.Fleet)) // Seeds have done their work.
     followDocument(Entry, Now, Out);
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -4,22 +4,12 @@
 
 #include "table/error_table.h"
 
-#include <algorithm>
-
 namespace jacinthpond {
 
 const ErrorAnswer &answerFor(ErrorKind Kind) {
   return ErrorTable.at(static_cast<size_t>(Kind));
 }
 
-std::optional<ErrorKind> errorKindByName(std::string_view Name) {
-  const auto *it = std::ranges::find_if(
-      ErrorTable, [&](const ErrorAnswer &Row) { return Name == Row.Name; });
-  if (it == ErrorTable.end())
-    return std::nullopt;
-  return it->Kind;
-}
-
 std::string_view ranName(Ran Executed) {
   switch (Executed) {
   case Ran::No:
--- a/packages/core/src/error_func.h
+++ b/packages/core/src/error_func.h
@@ -23,13 +23,6 @@
  */
 const ErrorAnswer &answerFor(ErrorKind Kind);
 
-/**
- * Finds a kind by its name in answers and messages.
- * @param Name Name as in the error table.
- * @return The kind, or nothing for an unknown name.
- */
-std::optional<ErrorKind> errorKindByName(std::string_view Name);
-
 /**
  * Names whether work ran, as in answers.
  * @param Executed The value to name.
--- a/packages/core/src/settings_type.h
+++ b/packages/core/src/settings_type.h
@@ -47,7 +47,6 @@
   bool RandomRouting = false;
   int64_t RolloutPatienceMillis = 0;
   bool FifoQueue = false;
-  bool FencedEngine = false;
 };
 
 /** Which program a setting belongs to. */
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -129,10 +129,6 @@
                 "60000",
                 "How long a worker waits in a rollout for the one before it "
                 "while that makes no progress; longer than a load takes."},
-    SettingSpec{"fenced_engine", &Settings::FencedEngine, SettingOwner::Agent,
-                false, "true or false", 0, 0, "false",
-                "Whether the engine refuses orders with an old fencing "
-                "number."},
 };
 
 /** A heartbeat period above the silence would drop every link, above the time
--- a/tests/unit/mesh.h
+++ b/tests/unit/mesh.h
@@ -239,7 +239,7 @@
     if (Entries.contains(Name))
       entryLinkClosed(Entries.at(Name), End, Now, Out);
     else
-      agentLinkClosed(Agents.at(Name), End, Now, Out);
+      agentLinkClosed(Agents.at(Name), End, Now);
     perform(Name, Out);
   }
 
