--- a/bench/chaos/checks.cpp
+++ b/bench/chaos/checks.cpp
@@ -2,7 +2,7 @@
 
 #include "chaos/checks.h"
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 
 #include <algorithm>
 
--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -2,8 +2,8 @@
 
 #include "fleet/fleet.h"
 
-#include "document_func.h"
-#include "hash_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
 
 #include <httplib.h>
 
--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -2,11 +2,11 @@
 
 #include "codec/message_codec.h"
 
-#include "cbor_reader.h"
-#include "hash_func.h"
-#include "message_fields.h"
+#include "base/cbor_reader.h"
+#include "base/hash_func.h"
 #include "table/error_table.h"
 #include "table/message_table.h"
+#include "wire/message_fields.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/adapters/codec/message_codec.h
+++ b/packages/adapters/codec/message_codec.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_ADAPTERS_CODEC_MESSAGE_CODEC_H
 #define JACINTHPOND_ADAPTERS_CODEC_MESSAGE_CODEC_H
 
-#include "error_func.h"
-#include "message_type.h"
+#include "base/error_func.h"
+#include "wire/message_type.h"
 
 #include <string>
 #include <string_view>
--- a/packages/adapters/http/event_parser.h
+++ b/packages/adapters/http/event_parser.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_EVENT_PARSER_H
 #define JACINTHPOND_ADAPTERS_HTTP_EVENT_PARSER_H
 
-#include "backend_type.h"
+#include "attempts/backend_type.h"
 
 #include <functional>
 #include <optional>
--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_HTTP_SERVER_H
 #define JACINTHPOND_ADAPTERS_HTTP_HTTP_SERVER_H
 
-#include "error_func.h"
-#include "ids_type.h"
+#include "base/error_func.h"
+#include "base/ids_type.h"
 
 #include <httplib.h>
 
--- a/packages/adapters/http/request_framing.h
+++ b/packages/adapters/http/request_framing.h
@@ -6,7 +6,7 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_REQUEST_FRAMING_H
 #define JACINTHPOND_ADAPTERS_HTTP_REQUEST_FRAMING_H
 
-#include "error_type.h"
+#include "base/error_type.h"
 
 #include <cstddef>
 #include <optional>
--- a/packages/adapters/http/request_receiver.h
+++ b/packages/adapters/http/request_receiver.h
@@ -9,8 +9,8 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_REQUEST_RECEIVER_H
 #define JACINTHPOND_ADAPTERS_HTTP_REQUEST_RECEIVER_H
 
+#include "base/time_type.h"
 #include "http/request_framing.h"
-#include "time_type.h"
 
 #include <functional>
 #include <map>
--- a/packages/adapters/log/log.h
+++ b/packages/adapters/log/log.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_LOG_LOG_H
 #define JACINTHPOND_ADAPTERS_LOG_LOG_H
 
-#include "log_type.h"
+#include "base/log_type.h"
 
 #include <string>
 
--- a/packages/adapters/metrics/metrics_page.cpp
+++ b/packages/adapters/metrics/metrics_page.cpp
@@ -2,8 +2,8 @@
 
 #include "metrics/metrics_page.h"
 
-#include "error_func.h"
-#include "team_access_func.h"
+#include "base/error_func.h"
+#include "status/team_access_func.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/packages/adapters/metrics/metrics_page.h
+++ b/packages/adapters/metrics/metrics_page.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_ADAPTERS_METRICS_METRICS_PAGE_H
 #define JACINTHPOND_ADAPTERS_METRICS_METRICS_PAGE_H
 
-#include "document_type.h"
-#include "error_type.h"
+#include "base/error_type.h"
+#include "configuration/document_type.h"
 
 #include <prometheus/metric_family.h>
 
--- a/packages/adapters/metrics/traffic_metrics.h
+++ b/packages/adapters/metrics/traffic_metrics.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_METRICS_TRAFFIC_METRICS_H
 #define JACINTHPOND_ADAPTERS_METRICS_TRAFFIC_METRICS_H
 
-#include "document_type.h"
+#include "configuration/document_type.h"
 #include "metrics/table/timing_table.h"
 
 #include <prometheus/registry.h>
--- a/packages/adapters/threads/pause_watch.h
+++ b/packages/adapters/threads/pause_watch.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_THREADS_PAUSE_WATCH_H
 #define JACINTHPOND_ADAPTERS_THREADS_PAUSE_WATCH_H
 
-#include "time_type.h"
+#include "base/time_type.h"
 
 #include <cstdint>
 #include <mutex>
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_ADAPTERS_THREADS_PROCESS_H
 #define JACINTHPOND_ADAPTERS_THREADS_PROCESS_H
 
-#include "error_func.h"
-#include "settings_func.h"
+#include "base/error_func.h"
+#include "settings/settings_func.h"
 
 #include <functional>
 #include <string>
--- a/packages/agent/src/agent_admin.cpp
+++ b/packages/agent/src/agent_admin.cpp
@@ -3,7 +3,7 @@
 #include "agent_admin.h"
 
 #include "agent_metrics.h"
-#include "config_view_func.h"
+#include "configuration/config_view_func.h"
 #include "http/guarded_server.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/agent/src/agent_metrics.cpp
+++ b/packages/agent/src/agent_metrics.cpp
@@ -2,7 +2,7 @@
 
 #include "agent_metrics.h"
 
-#include "config_view_func.h"
+#include "configuration/config_view_func.h"
 #include "table/agent_metric_table.h"
 
 namespace jacinthpond {
--- a/packages/agent/src/agent_metrics.h
+++ b/packages/agent/src/agent_metrics.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_AGENT_AGENT_METRICS_H
 #define JACINTHPOND_AGENT_AGENT_METRICS_H
 
-#include "agent_type.h"
+#include "attempts/agent_type.h"
 #include "metrics/metrics_page.h"
 
 namespace jacinthpond {
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -2,11 +2,11 @@
 
 #include "agent_shell.h"
 
-#include "departure_func.h"
+#include "base/overloaded.h"
 #include "log/log.h"
-#include "overloaded.h"
+#include "membership/departure_func.h"
 #include "threads/process.h"
-#include "transfer_func.h"
+#include "weights/transfer_func.h"
 
 #include <httplib.h>
 
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_AGENT_AGENT_SHELL_H
 #define JACINTHPOND_AGENT_AGENT_SHELL_H
 
-#include "agent_func.h"
+#include "attempts/agent_func.h"
 #include "clock/runtime_clock.h"
 #include "engine_port.h"
 #include "metrics/traffic_metrics.h"
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -5,7 +5,7 @@
 #include "cli/command_line.h"
 #include "http/http_backends.h"
 #include "log/log.h"
-#include "settings_func.h"
+#include "settings/settings_func.h"
 #include "threads/process.h"
 
 #include <iostream>
--- a/packages/agent/src/table/agent_metric_table.h
+++ b/packages/agent/src/table/agent_metric_table.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_AGENT_TABLE_AGENT_METRIC_TABLE_H
 #define JACINTHPOND_AGENT_TABLE_AGENT_METRIC_TABLE_H
 
-#include "agent_type.h"
+#include "attempts/agent_type.h"
 #include "metrics/metrics_page.h"
 
 #include <array>
--- a/packages/core/src/admission.cpp
+++ b/packages/core/src/admission/admission.cpp
@@ -1,9 +1,9 @@
 /** @file admission.cpp Bounds on the work of a back end. */
 
-#include "admission_func.h"
+#include "admission/admission_func.h"
 
-#include "fair_queue_func.h"
-#include "token_pace_func.h"
+#include "admission/fair_queue_func.h"
+#include "admission/token_pace_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/admission_func.h
+++ b/packages/core/src/admission/admission_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_ADMISSION_FUNC_H
 #define JACINTHPOND_CORE_ADMISSION_FUNC_H
 
-#include "admission_type.h"
+#include "admission/admission_type.h"
 
 #include <optional>
 #include <vector>
--- a/packages/core/src/admission_type.h
+++ b/packages/core/src/admission/admission_type.h
@@ -3,10 +3,10 @@
 #ifndef JACINTHPOND_CORE_ADMISSION_TYPE_H
 #define JACINTHPOND_CORE_ADMISSION_TYPE_H
 
-#include "fair_queue_type.h"
-#include "ids_type.h"
-#include "time_type.h"
-#include "token_pace_type.h"
+#include "admission/fair_queue_type.h"
+#include "admission/token_pace_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 #include <cstdint>
 #include <deque>
--- a/packages/core/src/fair_queue.cpp
+++ b/packages/core/src/admission/fair_queue.cpp
@@ -1,6 +1,6 @@
 /** @file fair_queue.cpp Order of waiting work. */
 
-#include "fair_queue_func.h"
+#include "admission/fair_queue_func.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/core/src/fair_queue_func.h
+++ b/packages/core/src/admission/fair_queue_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_FAIR_QUEUE_FUNC_H
 #define JACINTHPOND_CORE_FAIR_QUEUE_FUNC_H
 
-#include "fair_queue_type.h"
+#include "admission/fair_queue_type.h"
 
 #include <optional>
 #include <vector>
--- a/packages/core/src/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -1,8 +1,8 @@
 /** @file quarantine.cpp Requests that were running when back ends died. */
 
-#include "quarantine_func.h"
+#include "admission/quarantine_func.h"
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/quarantine_func.h
+++ b/packages/core/src/admission/quarantine_func.h
@@ -8,9 +8,9 @@
 #ifndef JACINTHPOND_CORE_QUARANTINE_FUNC_H
 #define JACINTHPOND_CORE_QUARANTINE_FUNC_H
 
-#include "effect_type.h"
-#include "membership_type.h"
-#include "quarantine_type.h"
+#include "admission/quarantine_type.h"
+#include "base/effect_type.h"
+#include "membership/membership_type.h"
 
 #include <optional>
 #include <string_view>
--- a/packages/core/src/quarantine_type.h
+++ b/packages/core/src/admission/quarantine_type.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_QUARANTINE_TYPE_H
 #define JACINTHPOND_CORE_QUARANTINE_TYPE_H
 
-#include "ids_type.h"
-#include "time_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 #include <map>
 #include <set>
--- a/packages/core/src/token_pace.cpp
+++ b/packages/core/src/admission/token_pace.cpp
@@ -1,6 +1,6 @@
 /** @file token_pace.cpp Time between tokens, as a sign of a cold engine. */
 
-#include "token_pace_func.h"
+#include "admission/token_pace_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/token_pace_func.h
+++ b/packages/core/src/admission/token_pace_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_TOKEN_PACE_FUNC_H
 #define JACINTHPOND_CORE_TOKEN_PACE_FUNC_H
 
-#include "token_pace_type.h"
+#include "admission/token_pace_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_AGENT_FUNC_H
 #define JACINTHPOND_CORE_AGENT_FUNC_H
 
-#include "agent_type.h"
-#include "error_func.h"
+#include "attempts/agent_type.h"
+#include "base/error_func.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -3,17 +3,17 @@
 #ifndef JACINTHPOND_CORE_AGENT_TYPE_H
 #define JACINTHPOND_CORE_AGENT_TYPE_H
 
-#include "admission_type.h"
-#include "config_view_type.h"
-#include "effect_type.h"
-#include "ended_attempts_type.h"
-#include "idempotency_type.h"
-#include "membership_type.h"
-#include "quarantine_type.h"
-#include "rollout_type.h"
-#include "settings_type.h"
-#include "transfer_type.h"
-#include "weights_type.h"
+#include "admission/admission_type.h"
+#include "admission/quarantine_type.h"
+#include "attempts/ended_attempts_type.h"
+#include "attempts/idempotency_type.h"
+#include "base/effect_type.h"
+#include "configuration/config_view_type.h"
+#include "membership/membership_type.h"
+#include "settings/settings_type.h"
+#include "weights/rollout_type.h"
+#include "weights/transfer_type.h"
+#include "weights/weights_type.h"
 
 #include <map>
 #include <optional>
--- a/packages/core/src/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -1,18 +1,18 @@
 /** @file attempt.cpp Attempts at an agent: taken, run, answered. */
 
-#include "attempt_func.h"
-
-#include "admission_func.h"
-#include "back_end_death_func.h"
-#include "departure_func.h"
-#include "document_func.h"
-#include "ended_attempts_func.h"
-#include "error_func.h"
-#include "hash_func.h"
-#include "join_func.h"
-#include "keyed_attempt_func.h"
-#include "quarantine_func.h"
-#include "weights_func.h"
+#include "attempts/attempt_func.h"
+
+#include "admission/admission_func.h"
+#include "admission/quarantine_func.h"
+#include "attempts/back_end_death_func.h"
+#include "attempts/ended_attempts_func.h"
+#include "attempts/keyed_attempt_func.h"
+#include "base/error_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "weights/weights_func.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/core/src/attempt_func.h
+++ b/packages/core/src/attempts/attempt_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_ATTEMPT_FUNC_H
 #define JACINTHPOND_CORE_ATTEMPT_FUNC_H
 
-#include "agent_type.h"
+#include "attempts/agent_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/back_end_death.cpp
+++ b/packages/core/src/attempts/back_end_death.cpp
@@ -1,10 +1,10 @@
 /** @file back_end_death.cpp An agent that sees its back end die. */
 
-#include "back_end_death_func.h"
+#include "attempts/back_end_death_func.h"
 
-#include "admission_func.h"
-#include "attempt_func.h"
-#include "quarantine_func.h"
+#include "admission/admission_func.h"
+#include "admission/quarantine_func.h"
+#include "attempts/attempt_func.h"
 
 #include <algorithm>
 #include <vector>
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/attempts/call.cpp
@@ -1,17 +1,17 @@
 /** @file call.cpp Calls of an entry host: attempts, frames and ends. */
 
-#include "call_func.h"
-
-#include "departure_func.h"
-#include "document_func.h"
-#include "entry_addresses_func.h"
-#include "hash_func.h"
-#include "keyed_call_func.h"
-#include "load_view_func.h"
-#include "membership_func.h"
-#include "quarantine_func.h"
-#include "retry_budget_func.h"
-#include "worker_choice_func.h"
+#include "attempts/call_func.h"
+
+#include "admission/quarantine_func.h"
+#include "attempts/keyed_call_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "membership/departure_func.h"
+#include "membership/membership_func.h"
+#include "routing/entry_addresses_func.h"
+#include "routing/load_view_func.h"
+#include "routing/retry_budget_func.h"
+#include "routing/worker_choice_func.h"
 
 #include <algorithm>
 #include <string>
--- a/packages/core/src/ended_attempts.cpp
+++ b/packages/core/src/attempts/ended_attempts.cpp
@@ -1,6 +1,6 @@
 /** @file ended_attempts.cpp Memory of ended attempts. */
 
-#include "ended_attempts_func.h"
+#include "attempts/ended_attempts_func.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/core/src/ended_attempts_func.h
+++ b/packages/core/src/attempts/ended_attempts_func.h
@@ -9,7 +9,7 @@
 #ifndef JACINTHPOND_CORE_ENDED_ATTEMPTS_FUNC_H
 #define JACINTHPOND_CORE_ENDED_ATTEMPTS_FUNC_H
 
-#include "ended_attempts_type.h"
+#include "attempts/ended_attempts_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/ended_attempts_type.h
+++ b/packages/core/src/attempts/ended_attempts_type.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_ENDED_ATTEMPTS_TYPE_H
 #define JACINTHPOND_CORE_ENDED_ATTEMPTS_TYPE_H
 
-#include "message_type.h"
-#include "time_type.h"
+#include "base/time_type.h"
+#include "wire/message_type.h"
 
 #include <map>
 #include <optional>
--- a/packages/core/src/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -1,21 +1,21 @@
 /** @file entry.cpp Decisions of an entry host. */
 
-#include "entry_func.h"
-
-#include "call_func.h"
-#include "config_spread_func.h"
-#include "departure_func.h"
-#include "document_func.h"
-#include "join_func.h"
-#include "keyed_call_func.h"
-#include "link_subset_func.h"
-#include "load_view_func.h"
-#include "membership_func.h"
-#include "overloaded.h"
-#include "pause_func.h"
-#include "quarantine_func.h"
-#include "reader_rank_func.h"
-#include "retry_budget_func.h"
+#include "attempts/entry_func.h"
+
+#include "admission/quarantine_func.h"
+#include "attempts/call_func.h"
+#include "attempts/keyed_call_func.h"
+#include "base/overloaded.h"
+#include "configuration/config_spread_func.h"
+#include "configuration/document_func.h"
+#include "configuration/reader_rank_func.h"
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "membership/link_subset_func.h"
+#include "membership/membership_func.h"
+#include "membership/pause_func.h"
+#include "routing/load_view_func.h"
+#include "routing/retry_budget_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/entry_func.h
+++ b/packages/core/src/attempts/entry_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_ENTRY_FUNC_H
 #define JACINTHPOND_CORE_ENTRY_FUNC_H
 
-#include "entry_type.h"
-#include "error_func.h"
+#include "attempts/entry_type.h"
+#include "base/error_func.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/entry_type.h
+++ b/packages/core/src/attempts/entry_type.h
@@ -3,12 +3,12 @@
 #ifndef JACINTHPOND_CORE_ENTRY_TYPE_H
 #define JACINTHPOND_CORE_ENTRY_TYPE_H
 
-#include "config_view_type.h"
-#include "effect_type.h"
-#include "membership_type.h"
-#include "quarantine_type.h"
-#include "retry_budget_type.h"
-#include "settings_type.h"
+#include "admission/quarantine_type.h"
+#include "base/effect_type.h"
+#include "configuration/config_view_type.h"
+#include "membership/membership_type.h"
+#include "routing/retry_budget_type.h"
+#include "settings/settings_type.h"
 
 #include <map>
 #include <optional>
--- a/packages/core/src/home_token.cpp
+++ b/packages/core/src/attempts/home_token.cpp
@@ -1,10 +1,10 @@
 /** @file home_token.cpp Home tokens, and the home of a key. */
 
-#include "home_token_func.h"
+#include "attempts/home_token_func.h"
 
-#include "cbor_reader.h"
-#include "document_func.h"
-#include "hash_func.h"
+#include "base/cbor_reader.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/core/src/home_token_func.h
+++ b/packages/core/src/attempts/home_token_func.h
@@ -13,9 +13,9 @@
 #ifndef JACINTHPOND_CORE_HOME_TOKEN_FUNC_H
 #define JACINTHPOND_CORE_HOME_TOKEN_FUNC_H
 
-#include "document_type.h"
-#include "error_func.h"
-#include "home_token_type.h"
+#include "attempts/home_token_type.h"
+#include "base/error_func.h"
+#include "configuration/document_type.h"
 
 #include <string>
 #include <string_view>
--- a/packages/core/src/idempotency.cpp
+++ b/packages/core/src/attempts/idempotency.cpp
@@ -1,8 +1,8 @@
 /** @file idempotency.cpp Decisions of a home about non-repeatable calls. */
 
-#include "idempotency_func.h"
+#include "attempts/idempotency_func.h"
 
-#include "document_func.h"
+#include "configuration/document_func.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/core/src/idempotency_func.h
+++ b/packages/core/src/attempts/idempotency_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_IDEMPOTENCY_FUNC_H
 #define JACINTHPOND_CORE_IDEMPOTENCY_FUNC_H
 
-#include "idempotency_type.h"
+#include "attempts/idempotency_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/idempotency_type.h
+++ b/packages/core/src/attempts/idempotency_type.h
@@ -3,11 +3,11 @@
 #ifndef JACINTHPOND_CORE_IDEMPOTENCY_TYPE_H
 #define JACINTHPOND_CORE_IDEMPOTENCY_TYPE_H
 
-#include "backend_type.h"
-#include "document_type.h"
-#include "error_type.h"
-#include "home_token_func.h"
-#include "time_type.h"
+#include "attempts/backend_type.h"
+#include "attempts/home_token_func.h"
+#include "base/error_type.h"
+#include "base/time_type.h"
+#include "configuration/document_type.h"
 
 #include <deque>
 #include <map>
--- a/packages/core/src/keyed_attempt.cpp
+++ b/packages/core/src/attempts/keyed_attempt.cpp
@@ -1,10 +1,10 @@
 /** @file keyed_attempt.cpp Non-repeatable calls at the agent that is home. */
 
-#include "keyed_attempt_func.h"
+#include "attempts/keyed_attempt_func.h"
 
-#include "attempt_func.h"
-#include "hash_func.h"
-#include "idempotency_func.h"
+#include "attempts/attempt_func.h"
+#include "attempts/idempotency_func.h"
+#include "base/hash_func.h"
 
 #include <vector>
 
--- a/packages/core/src/keyed_call.cpp
+++ b/packages/core/src/attempts/keyed_call.cpp
@@ -1,11 +1,11 @@
 /** @file keyed_call.cpp Non-repeatable calls at an entry: homes, tokens. */
 
-#include "keyed_call_func.h"
+#include "attempts/keyed_call_func.h"
 
-#include "document_func.h"
-#include "hash_func.h"
-#include "home_token_func.h"
-#include "membership_func.h"
+#include "attempts/home_token_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "membership/membership_func.h"
 
 #include <algorithm>
 #include <vector>
--- a/packages/core/src/keyed_call_func.h
+++ b/packages/core/src/attempts/keyed_call_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_KEYED_CALL_FUNC_H
 #define JACINTHPOND_CORE_KEYED_CALL_FUNC_H
 
-#include "entry_type.h"
+#include "attempts/entry_type.h"
 
 #include <string>
 
--- a/packages/core/src/address.cpp
+++ b/packages/core/src/base/address.cpp
@@ -1,6 +1,6 @@
 /** @file address.cpp Checks addresses as they stand in texts. */
 
-#include "address_func.h"
+#include "base/address_func.h"
 
 #include <arpa/inet.h>
 
--- a/packages/core/src/cbor_reader.cpp
+++ b/packages/core/src/base/cbor_reader.cpp
@@ -1,6 +1,6 @@
 /** @file cbor_reader.cpp Reads CBOR that is not trusted. */
 
-#include "cbor_reader.h"
+#include "base/cbor_reader.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -7,10 +7,10 @@
 #ifndef JACINTHPOND_CORE_EFFECT_TYPE_H
 #define JACINTHPOND_CORE_EFFECT_TYPE_H
 
-#include "backend_type.h"
-#include "error_type.h"
-#include "log_type.h"
-#include "message_type.h"
+#include "attempts/backend_type.h"
+#include "base/error_type.h"
+#include "base/log_type.h"
+#include "wire/message_type.h"
 
 #include <memory>
 #include <string>
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/base/error.cpp
@@ -1,6 +1,6 @@
 /** @file error.cpp Look-ups in the error table. */
 
-#include "error_func.h"
+#include "base/error_func.h"
 
 #include "table/error_table.h"
 
--- a/packages/core/src/error_func.h
+++ b/packages/core/src/base/error_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_ERROR_FUNC_H
 #define JACINTHPOND_CORE_ERROR_FUNC_H
 
-#include "error_type.h"
+#include "base/error_type.h"
 
 #include <boost/leaf.hpp>
 
--- a/packages/core/src/hash.cpp
+++ b/packages/core/src/base/hash.cpp
@@ -1,6 +1,6 @@
 /** @file hash.cpp SHA-256 by OpenSSL, rendezvous ranking by xxHash. */
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/packages/core/src/hash_func.h
+++ b/packages/core/src/base/hash_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_HASH_FUNC_H
 #define JACINTHPOND_CORE_HASH_FUNC_H
 
-#include "ids_type.h"
+#include "base/ids_type.h"
 
 #include <string_view>
 #include <vector>
--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/base/json_reader.cpp
@@ -1,8 +1,8 @@
 /** @file json_reader.cpp Reads checked values out of JSON. */
 
-#include "json_reader.h"
+#include "base/json_reader.h"
 
-#include "address_func.h"
+#include "base/address_func.h"
 
 #include <algorithm>
 #include <cctype>
--- a/packages/core/src/json_reader.h
+++ b/packages/core/src/base/json_reader.h
@@ -7,7 +7,7 @@
 #ifndef JACINTHPOND_CORE_JSON_READER_H
 #define JACINTHPOND_CORE_JSON_READER_H
 
-#include "error_func.h"
+#include "base/error_func.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/core/src/rate_limit.cpp
+++ b/packages/core/src/base/rate_limit.cpp
@@ -1,6 +1,6 @@
 /** @file rate_limit.cpp A token bucket. */
 
-#include "rate_limit_func.h"
+#include "base/rate_limit_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/rate_limit_func.h
+++ b/packages/core/src/base/rate_limit_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_RATE_LIMIT_FUNC_H
 #define JACINTHPOND_CORE_RATE_LIMIT_FUNC_H
 
-#include "rate_limit_type.h"
+#include "base/rate_limit_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/rate_limit_type.h
+++ b/packages/core/src/base/rate_limit_type.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_RATE_LIMIT_TYPE_H
 #define JACINTHPOND_CORE_RATE_LIMIT_TYPE_H
 
-#include "time_type.h"
+#include "base/time_type.h"
 
 #include <cstdint>
 
--- a/packages/core/src/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -1,13 +1,13 @@
 /** @file config_spread.cpp How documents reach all processes. */
 
-#include "config_spread_func.h"
-
-#include "config_view_func.h"
-#include "departure_func.h"
-#include "hash_func.h"
-#include "join_func.h"
-#include "membership_func.h"
-#include "overloaded.h"
+#include "configuration/config_spread_func.h"
+
+#include "base/hash_func.h"
+#include "base/overloaded.h"
+#include "configuration/config_view_func.h"
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "membership/membership_func.h"
 
 #include <string>
 
--- a/packages/core/src/config_spread_func.h
+++ b/packages/core/src/configuration/config_spread_func.h
@@ -7,9 +7,9 @@
 #ifndef JACINTHPOND_CORE_CONFIG_SPREAD_FUNC_H
 #define JACINTHPOND_CORE_CONFIG_SPREAD_FUNC_H
 
-#include "config_view_type.h"
-#include "effect_type.h"
-#include "membership_type.h"
+#include "base/effect_type.h"
+#include "configuration/config_view_type.h"
+#include "membership/membership_type.h"
 
 #include <string_view>
 
--- a/packages/core/src/config_view.cpp
+++ b/packages/core/src/configuration/config_view.cpp
@@ -1,8 +1,8 @@
 /** @file config_view.cpp Accepting documents from service and peers. */
 
-#include "config_view_func.h"
+#include "configuration/config_view_func.h"
 
-#include "document_func.h"
+#include "configuration/document_func.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/config_view_func.h
+++ b/packages/core/src/configuration/config_view_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_CONFIG_VIEW_FUNC_H
 #define JACINTHPOND_CORE_CONFIG_VIEW_FUNC_H
 
-#include "config_view_type.h"
+#include "configuration/config_view_type.h"
 
 #include <string_view>
 
--- a/packages/core/src/config_view_type.h
+++ b/packages/core/src/configuration/config_view_type.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_CONFIG_VIEW_TYPE_H
 #define JACINTHPOND_CORE_CONFIG_VIEW_TYPE_H
 
-#include "document_type.h"
-#include "time_type.h"
+#include "base/time_type.h"
+#include "configuration/document_type.h"
 
 #include <string>
 
--- a/packages/core/src/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -1,9 +1,9 @@
 /** @file document.cpp Validation of and look-ups in the document. */
 
-#include "document_func.h"
+#include "configuration/document_func.h"
 
-#include "hash_func.h"
-#include "json_reader.h"
+#include "base/hash_func.h"
+#include "base/json_reader.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/core/src/document_change.cpp
+++ b/packages/core/src/configuration/document_change.cpp
@@ -1,8 +1,8 @@
 /** @file document_change.cpp Compares two documents. */
 
-#include "document_change_func.h"
+#include "configuration/document_change_func.h"
 
-#include "document_func.h"
+#include "configuration/document_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/document_change_func.h
+++ b/packages/core/src/configuration/document_change_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_DOCUMENT_CHANGE_FUNC_H
 #define JACINTHPOND_CORE_DOCUMENT_CHANGE_FUNC_H
 
-#include "document_change_type.h"
-#include "document_type.h"
+#include "configuration/document_change_type.h"
+#include "configuration/document_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/document_change_type.h
+++ b/packages/core/src/configuration/document_change_type.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_DOCUMENT_CHANGE_TYPE_H
 #define JACINTHPOND_CORE_DOCUMENT_CHANGE_TYPE_H
 
-#include "ids_type.h"
+#include "base/ids_type.h"
 
 #include <string>
 #include <vector>
--- a/packages/core/src/document_func.h
+++ b/packages/core/src/configuration/document_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_DOCUMENT_FUNC_H
 #define JACINTHPOND_CORE_DOCUMENT_FUNC_H
 
-#include "document_type.h"
-#include "error_func.h"
+#include "base/error_func.h"
+#include "configuration/document_type.h"
 
 #include <string_view>
 
--- a/packages/core/src/reader_rank.cpp
+++ b/packages/core/src/configuration/reader_rank.cpp
@@ -1,11 +1,11 @@
 /** @file reader_rank.cpp Who reads the configuration service, and when. */
 
-#include "reader_rank_func.h"
+#include "configuration/reader_rank_func.h"
 
-#include "config_view_func.h"
-#include "hash_func.h"
-#include "join_func.h"
-#include "membership_func.h"
+#include "base/hash_func.h"
+#include "configuration/config_view_func.h"
+#include "membership/join_func.h"
+#include "membership/membership_func.h"
 
 #include <algorithm>
 #include <string>
--- a/packages/core/src/reader_rank_func.h
+++ b/packages/core/src/configuration/reader_rank_func.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_CORE_READER_RANK_FUNC_H
 #define JACINTHPOND_CORE_READER_RANK_FUNC_H
 
-#include "config_view_type.h"
-#include "membership_type.h"
-#include "reader_rank_type.h"
+#include "configuration/config_view_type.h"
+#include "configuration/reader_rank_type.h"
+#include "membership/membership_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/departure.cpp
+++ b/packages/core/src/membership/departure.cpp
@@ -1,9 +1,9 @@
 /** @file departure.cpp Hosts that leave, as told by list, peer or host. */
 
-#include "departure_func.h"
+#include "membership/departure_func.h"
 
-#include "config_view_func.h"
-#include "membership_func.h"
+#include "configuration/config_view_func.h"
+#include "membership/membership_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -1,9 +1,9 @@
 /** @file join.cpp Making the view of the fleet fresh, and losing it. */
 
-#include "join_func.h"
+#include "membership/join_func.h"
 
-#include "config_view_func.h"
-#include "membership_func.h"
+#include "configuration/config_view_func.h"
+#include "membership/membership_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/join_type.h
+++ b/packages/core/src/membership/join_type.h
@@ -9,7 +9,7 @@
 #ifndef JACINTHPOND_CORE_JOIN_TYPE_H
 #define JACINTHPOND_CORE_JOIN_TYPE_H
 
-#include "time_type.h"
+#include "base/time_type.h"
 
 #include <cstdint>
 #include <optional>
--- a/packages/core/src/link_subset.cpp
+++ b/packages/core/src/membership/link_subset.cpp
@@ -1,9 +1,9 @@
 /** @file link_subset.cpp Which peers an entry keeps links to. */
 
-#include "link_subset_func.h"
+#include "membership/link_subset_func.h"
 
-#include "hash_func.h"
-#include "reader_rank_func.h"
+#include "base/hash_func.h"
+#include "configuration/reader_rank_func.h"
 
 #include <algorithm>
 #include <bit>
--- a/packages/core/src/link_subset_func.h
+++ b/packages/core/src/membership/link_subset_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_LINK_SUBSET_FUNC_H
 #define JACINTHPOND_CORE_LINK_SUBSET_FUNC_H
 
-#include "document_type.h"
-#include "membership_func.h"
+#include "configuration/document_type.h"
+#include "membership/membership_func.h"
 
 #include <vector>
 
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -1,8 +1,8 @@
 /** @file membership.cpp Keeping links and noticing that they are lost. */
 
-#include "membership_func.h"
+#include "membership/membership_func.h"
 
-#include "config_view_func.h"
+#include "configuration/config_view_func.h"
 
 #include <algorithm>
 #include <set>
--- a/packages/core/src/membership_type.h
+++ b/packages/core/src/membership/membership_type.h
@@ -3,10 +3,10 @@
 #ifndef JACINTHPOND_CORE_MEMBERSHIP_TYPE_H
 #define JACINTHPOND_CORE_MEMBERSHIP_TYPE_H
 
-#include "ids_type.h"
-#include "join_type.h"
-#include "message_type.h"
-#include "time_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
+#include "membership/join_type.h"
+#include "wire/message_type.h"
 
 #include <map>
 #include <optional>
--- a/packages/core/src/pause.cpp
+++ b/packages/core/src/membership/pause.cpp
@@ -1,9 +1,9 @@
 /** @file pause.cpp Noticing that this process did not run for a while. */
 
-#include "pause_func.h"
+#include "membership/pause_func.h"
 
-#include "hash_func.h"
-#include "join_func.h"
+#include "base/hash_func.h"
+#include "membership/join_func.h"
 
 #include <string>
 
--- a/packages/core/src/pause_func.h
+++ b/packages/core/src/membership/pause_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_PAUSE_FUNC_H
 #define JACINTHPOND_CORE_PAUSE_FUNC_H
 
-#include "effect_type.h"
-#include "membership_type.h"
+#include "base/effect_type.h"
+#include "membership/membership_type.h"
 
 #include <vector>
 
--- a/packages/core/src/entry_addresses.cpp
+++ b/packages/core/src/routing/entry_addresses.cpp
@@ -1,11 +1,11 @@
 /** @file entry_addresses.cpp Which entries a caller is told to use. */
 
-#include "entry_addresses_func.h"
+#include "routing/entry_addresses_func.h"
 
-#include "departure_func.h"
-#include "hash_func.h"
-#include "join_func.h"
-#include "membership_func.h"
+#include "base/hash_func.h"
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "membership/membership_func.h"
 
 #include <algorithm>
 #include <functional>
--- a/packages/core/src/entry_addresses_func.h
+++ b/packages/core/src/routing/entry_addresses_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_ENTRY_ADDRESSES_FUNC_H
 #define JACINTHPOND_CORE_ENTRY_ADDRESSES_FUNC_H
 
-#include "entry_type.h"
+#include "attempts/entry_type.h"
 
 #include <string_view>
 #include <vector>
--- a/packages/core/src/load_view.cpp
+++ b/packages/core/src/routing/load_view.cpp
@@ -1,6 +1,6 @@
 /** @file load_view.cpp Load of workers as entries learn it from answers. */
 
-#include "load_view_func.h"
+#include "routing/load_view_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/load_view_func.h
+++ b/packages/core/src/routing/load_view_func.h
@@ -8,8 +8,8 @@
 #ifndef JACINTHPOND_CORE_LOAD_VIEW_FUNC_H
 #define JACINTHPOND_CORE_LOAD_VIEW_FUNC_H
 
-#include "effect_type.h"
-#include "membership_type.h"
+#include "base/effect_type.h"
+#include "membership/membership_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/retry_budget.cpp
+++ b/packages/core/src/routing/retry_budget.cpp
@@ -1,6 +1,6 @@
 /** @file retry_budget.cpp Bounds on the load that retries add. */
 
-#include "retry_budget_func.h"
+#include "routing/retry_budget_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/retry_budget_func.h
+++ b/packages/core/src/routing/retry_budget_func.h
@@ -10,7 +10,7 @@
 #ifndef JACINTHPOND_CORE_RETRY_BUDGET_FUNC_H
 #define JACINTHPOND_CORE_RETRY_BUDGET_FUNC_H
 
-#include "retry_budget_type.h"
+#include "routing/retry_budget_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing/routing.cpp
@@ -1,8 +1,8 @@
 /** @file routing.cpp Choice of the worker for a request. */
 
-#include "routing_func.h"
+#include "routing/routing_func.h"
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/core/src/routing_func.h
+++ b/packages/core/src/routing/routing_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_ROUTING_FUNC_H
 #define JACINTHPOND_CORE_ROUTING_FUNC_H
 
-#include "routing_type.h"
+#include "routing/routing_type.h"
 
 #include <string_view>
 #include <vector>
--- a/packages/core/src/worker_choice.cpp
+++ b/packages/core/src/routing/worker_choice.cpp
@@ -1,14 +1,14 @@
 /** @file worker_choice.cpp Workers that an entry may give a call to. */
 
-#include "worker_choice_func.h"
+#include "routing/worker_choice_func.h"
 
-#include "departure_func.h"
-#include "document_func.h"
-#include "hash_func.h"
-#include "join_func.h"
-#include "membership_func.h"
-#include "quarantine_func.h"
-#include "routing_func.h"
+#include "admission/quarantine_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "membership/membership_func.h"
+#include "routing/routing_func.h"
 
 #include <algorithm>
 #include <string>
--- a/packages/core/src/worker_choice_func.h
+++ b/packages/core/src/routing/worker_choice_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_WORKER_CHOICE_FUNC_H
 #define JACINTHPOND_CORE_WORKER_CHOICE_FUNC_H
 
-#include "entry_type.h"
-#include "routing_type.h"
+#include "attempts/entry_type.h"
+#include "routing/routing_type.h"
 
 #include <vector>
 
--- a/packages/core/src/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -1,9 +1,9 @@
 /** @file settings.cpp Reading and describing settings. */
 
-#include "settings_func.h"
+#include "settings/settings_func.h"
 
-#include "address_func.h"
-#include "json_reader.h"
+#include "base/address_func.h"
+#include "base/json_reader.h"
 #include "table/settings_table.h"
 
 #include <algorithm>
--- a/packages/core/src/settings_func.h
+++ b/packages/core/src/settings/settings_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_SETTINGS_FUNC_H
 #define JACINTHPOND_CORE_SETTINGS_FUNC_H
 
-#include "error_func.h"
-#include "settings_type.h"
+#include "base/error_func.h"
+#include "settings/settings_type.h"
 
 #include <string>
 #include <string_view>
--- a/packages/core/src/status.cpp
+++ b/packages/core/src/status/status.cpp
@@ -1,12 +1,12 @@
 /** @file status.cpp Works out what operators are shown. */
 
-#include "status_func.h"
+#include "status/status_func.h"
 
-#include "config_view_func.h"
-#include "document_func.h"
-#include "membership_func.h"
-#include "quarantine_func.h"
-#include "team_access_func.h"
+#include "admission/quarantine_func.h"
+#include "configuration/config_view_func.h"
+#include "configuration/document_func.h"
+#include "membership/membership_func.h"
+#include "status/team_access_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/status_func.h
+++ b/packages/core/src/status/status_func.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_CORE_STATUS_FUNC_H
 #define JACINTHPOND_CORE_STATUS_FUNC_H
 
-#include "entry_type.h"
-#include "status_type.h"
-#include "team_access_type.h"
+#include "attempts/entry_type.h"
+#include "status/status_type.h"
+#include "status/team_access_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/status_type.h
+++ b/packages/core/src/status/status_type.h
@@ -3,10 +3,10 @@
 #ifndef JACINTHPOND_CORE_STATUS_TYPE_H
 #define JACINTHPOND_CORE_STATUS_TYPE_H
 
-#include "error_type.h"
-#include "ids_type.h"
-#include "message_type.h"
-#include "time_type.h"
+#include "base/error_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
+#include "wire/message_type.h"
 
 #include <map>
 #include <string>
--- a/packages/core/src/team_access.cpp
+++ b/packages/core/src/status/team_access.cpp
@@ -1,9 +1,9 @@
 /** @file team_access.cpp Tokens of teams and what they open. */
 
-#include "team_access_func.h"
+#include "status/team_access_func.h"
 
-#include "document_func.h"
-#include "hash_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
 
 #include <openssl/crypto.h>
 
--- a/packages/core/src/team_access_func.h
+++ b/packages/core/src/status/team_access_func.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_CORE_TEAM_ACCESS_FUNC_H
 #define JACINTHPOND_CORE_TEAM_ACCESS_FUNC_H
 
-#include "document_type.h"
-#include "error_func.h"
-#include "team_access_type.h"
+#include "base/error_func.h"
+#include "configuration/document_type.h"
+#include "status/team_access_type.h"
 
 #include <string_view>
 
--- a/packages/core/src/table/error_table.h
+++ b/packages/core/src/table/error_table.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_TABLE_ERROR_TABLE_H
 #define JACINTHPOND_CORE_TABLE_ERROR_TABLE_H
 
-#include "error_type.h"
+#include "base/error_type.h"
 
 #include <array>
 
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_TABLE_MESSAGE_TABLE_H
 #define JACINTHPOND_CORE_TABLE_MESSAGE_TABLE_H
 
-#include "message_type.h"
+#include "wire/message_type.h"
 
 #include <array>
 #include <string_view>
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_TABLE_SETTINGS_TABLE_H
 #define JACINTHPOND_CORE_TABLE_SETTINGS_TABLE_H
 
-#include "settings_type.h"
+#include "settings/settings_type.h"
 
 #include <array>
 
--- a/packages/core/src/chunk_plan.cpp
+++ b/packages/core/src/weights/chunk_plan.cpp
@@ -1,9 +1,9 @@
 /** @file chunk_plan.cpp Who draws, imports and passes on which chunks. */
 
-#include "chunk_plan_func.h"
+#include "weights/chunk_plan_func.h"
 
-#include "document_func.h"
-#include "hash_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
 
 #include <algorithm>
 #include <map>
--- a/packages/core/src/chunk_plan_func.h
+++ b/packages/core/src/weights/chunk_plan_func.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_CORE_CHUNK_PLAN_FUNC_H
 #define JACINTHPOND_CORE_CHUNK_PLAN_FUNC_H
 
-#include "chunk_plan_type.h"
-#include "document_type.h"
-#include "membership_func.h"
+#include "configuration/document_type.h"
+#include "membership/membership_func.h"
+#include "weights/chunk_plan_type.h"
 
 #include <vector>
 
--- a/packages/core/src/chunk_plan_type.h
+++ b/packages/core/src/weights/chunk_plan_type.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_CHUNK_PLAN_TYPE_H
 #define JACINTHPOND_CORE_CHUNK_PLAN_TYPE_H
 
-#include "ids_type.h"
+#include "base/ids_type.h"
 
 #include <cstddef>
 #include <vector>
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -1,14 +1,14 @@
 /** @file rollout.cpp In which order the workers of a model load. */
 
-#include "rollout_func.h"
-
-#include "attempt_func.h"
-#include "chunk_plan_func.h"
-#include "config_view_func.h"
-#include "document_func.h"
-#include "join_func.h"
-#include "membership_func.h"
-#include "weights_func.h"
+#include "weights/rollout_func.h"
+
+#include "attempts/attempt_func.h"
+#include "configuration/config_view_func.h"
+#include "configuration/document_func.h"
+#include "membership/join_func.h"
+#include "membership/membership_func.h"
+#include "weights/chunk_plan_func.h"
+#include "weights/weights_func.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/core/src/rollout_func.h
+++ b/packages/core/src/weights/rollout_func.h
@@ -14,7 +14,7 @@
 #ifndef JACINTHPOND_CORE_ROLLOUT_FUNC_H
 #define JACINTHPOND_CORE_ROLLOUT_FUNC_H
 
-#include "agent_type.h"
+#include "attempts/agent_type.h"
 
 #include <vector>
 
--- a/packages/core/src/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -1,12 +1,12 @@
 /** @file transfer.cpp Exchange of chunks with peers and the origin. */
 
-#include "transfer_func.h"
+#include "weights/transfer_func.h"
 
-#include "chunk_plan_func.h"
-#include "hash_func.h"
-#include "rate_limit_func.h"
-#include "upload_func.h"
-#include "weights_func.h"
+#include "base/hash_func.h"
+#include "base/rate_limit_func.h"
+#include "weights/chunk_plan_func.h"
+#include "weights/upload_func.h"
+#include "weights/weights_func.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/core/src/transfer_func.h
+++ b/packages/core/src/weights/transfer_func.h
@@ -3,10 +3,10 @@
 #ifndef JACINTHPOND_CORE_TRANSFER_FUNC_H
 #define JACINTHPOND_CORE_TRANSFER_FUNC_H
 
-#include "document_type.h"
-#include "settings_type.h"
-#include "transfer_type.h"
-#include "weights_type.h"
+#include "configuration/document_type.h"
+#include "settings/settings_type.h"
+#include "weights/transfer_type.h"
+#include "weights/weights_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -3,11 +3,11 @@
 #ifndef JACINTHPOND_CORE_TRANSFER_TYPE_H
 #define JACINTHPOND_CORE_TRANSFER_TYPE_H
 
-#include "chunk_plan_type.h"
-#include "effect_type.h"
-#include "message_type.h"
-#include "rate_limit_type.h"
-#include "time_type.h"
+#include "base/effect_type.h"
+#include "base/rate_limit_type.h"
+#include "base/time_type.h"
+#include "weights/chunk_plan_type.h"
+#include "wire/message_type.h"
 
 #include <cstdint>
 #include <deque>
--- a/packages/core/src/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -1,8 +1,8 @@
 /** @file upload.cpp Sending chunks to peers within the rates. */
 
-#include "upload_func.h"
+#include "weights/upload_func.h"
 
-#include "rate_limit_func.h"
+#include "base/rate_limit_func.h"
 
 #include <algorithm>
 #include <numeric>
--- a/packages/core/src/upload_func.h
+++ b/packages/core/src/weights/upload_func.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_CORE_UPLOAD_FUNC_H
 #define JACINTHPOND_CORE_UPLOAD_FUNC_H
 
-#include "transfer_type.h"
-#include "weights_type.h"
+#include "weights/transfer_type.h"
+#include "weights/weights_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -1,6 +1,6 @@
 /** @file weights.cpp Decisions on fetching and loading weights. */
 
-#include "weights_func.h"
+#include "weights/weights_func.h"
 
 #include <algorithm>
 
--- a/packages/core/src/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_CORE_WEIGHTS_FUNC_H
 #define JACINTHPOND_CORE_WEIGHTS_FUNC_H
 
-#include "weights_type.h"
+#include "weights/weights_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_CORE_WEIGHTS_TYPE_H
 #define JACINTHPOND_CORE_WEIGHTS_TYPE_H
 
-#include "document_type.h"
-#include "effect_type.h"
-#include "time_type.h"
+#include "base/effect_type.h"
+#include "base/time_type.h"
+#include "configuration/document_type.h"
 
 #include <map>
 #include <set>
--- a/packages/core/src/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -7,7 +7,7 @@
 #ifndef JACINTHPOND_CORE_MESSAGE_FIELDS_H
 #define JACINTHPOND_CORE_MESSAGE_FIELDS_H
 
-#include "message_type.h"
+#include "wire/message_type.h"
 
 namespace jacinthpond {
 
--- a/packages/core/src/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -9,8 +9,8 @@
 #ifndef JACINTHPOND_CORE_MESSAGE_TYPE_H
 #define JACINTHPOND_CORE_MESSAGE_TYPE_H
 
-#include "error_type.h"
-#include "ids_type.h"
+#include "base/error_type.h"
+#include "base/ids_type.h"
 
 #include <optional>
 #include <string>
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -2,17 +2,17 @@
 
 #include "admin_api.h"
 
-#include "config_view_func.h"
-#include "document_change_func.h"
-#include "document_func.h"
+#include "configuration/config_view_func.h"
+#include "configuration/document_change_func.h"
+#include "configuration/document_func.h"
+#include "configuration/reader_rank_func.h"
 #include "entry_metrics.h"
 #include "http/guarded_server.h"
-#include "join_func.h"
 #include "log/log.h"
-#include "reader_rank_func.h"
-#include "status_func.h"
+#include "membership/join_func.h"
+#include "status/status_func.h"
+#include "status/team_access_func.h"
 #include "status_json.h"
-#include "team_access_func.h"
 #include "weights_health.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/entry/src/admin_api.h
+++ b/packages/entry/src/admin_api.h
@@ -5,8 +5,8 @@
 
 #include "entry_shell.h"
 #include "metrics/metrics_page.h"
-#include "status_type.h"
-#include "team_access_type.h"
+#include "status/status_type.h"
+#include "status/team_access_type.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/packages/entry/src/call_channel.h
+++ b/packages/entry/src/call_channel.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ENTRY_CALL_CHANNEL_H
 #define JACINTHPOND_ENTRY_CALL_CHANNEL_H
 
-#include "effect_type.h"
+#include "base/effect_type.h"
 
 #include <condition_variable>
 #include <deque>
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -2,13 +2,13 @@
 
 #include "caller_api.h"
 
-#include "document_func.h"
-#include "entry_addresses_func.h"
-#include "hash_func.h"
+#include "attempts/keyed_call_func.h"
+#include "base/hash_func.h"
+#include "base/overloaded.h"
+#include "configuration/document_func.h"
 #include "http/guarded_server.h"
-#include "keyed_call_func.h"
 #include "log/log.h"
-#include "overloaded.h"
+#include "routing/entry_addresses_func.h"
 #include "threads/process.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/entry/src/entry_metrics.cpp
+++ b/packages/entry/src/entry_metrics.cpp
@@ -2,7 +2,7 @@
 
 #include "entry_metrics.h"
 
-#include "config_view_func.h"
+#include "configuration/config_view_func.h"
 #include "table/entry_metric_table.h"
 
 #include <chrono>
--- a/packages/entry/src/entry_metrics.h
+++ b/packages/entry/src/entry_metrics.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ENTRY_ENTRY_METRICS_H
 #define JACINTHPOND_ENTRY_ENTRY_METRICS_H
 
-#include "entry_type.h"
+#include "attempts/entry_type.h"
 #include "metrics/metrics_page.h"
 
 namespace jacinthpond {
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -2,9 +2,9 @@
 
 #include "entry_shell.h"
 
+#include "base/overloaded.h"
+#include "configuration/reader_rank_func.h"
 #include "log/log.h"
-#include "overloaded.h"
-#include "reader_rank_func.h"
 #include "threads/process.h"
 
 #include <future>
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -3,12 +3,12 @@
 #ifndef JACINTHPOND_ENTRY_ENTRY_SHELL_H
 #define JACINTHPOND_ENTRY_ENTRY_SHELL_H
 
+#include "attempts/entry_func.h"
 #include "call_channel.h"
 #include "clock/runtime_clock.h"
-#include "entry_func.h"
+#include "configuration/reader_rank_type.h"
 #include "metrics/traffic_metrics.h"
 #include "platform_port.h"
-#include "reader_rank_type.h"
 #include "threads/control_loop.h"
 #include "websocket/peer_links.h"
 
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -7,7 +7,7 @@
 #include "http/http_backends.h"
 #include "log/log.h"
 #include "operator_commands.h"
-#include "settings_func.h"
+#include "settings/settings_func.h"
 #include "threads/process.h"
 
 #include <iostream>
--- a/packages/entry/src/operator_commands.cpp
+++ b/packages/entry/src/operator_commands.cpp
@@ -2,7 +2,7 @@
 
 #include "operator_commands.h"
 
-#include "document_func.h"
+#include "configuration/document_func.h"
 #include "status_view.h"
 
 #include <httplib.h>
--- a/packages/entry/src/status_json.cpp
+++ b/packages/entry/src/status_json.cpp
@@ -2,7 +2,7 @@
 
 #include "status_json.h"
 
-#include "error_func.h"
+#include "base/error_func.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/entry/src/status_json.h
+++ b/packages/entry/src/status_json.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_ENTRY_STATUS_JSON_H
 #define JACINTHPOND_ENTRY_STATUS_JSON_H
 
-#include "document_change_type.h"
-#include "status_type.h"
+#include "configuration/document_change_type.h"
+#include "status/status_type.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/entry/src/table/entry_metric_table.h
+++ b/packages/entry/src/table/entry_metric_table.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ENTRY_TABLE_ENTRY_METRIC_TABLE_H
 #define JACINTHPOND_ENTRY_TABLE_ENTRY_METRIC_TABLE_H
 
-#include "entry_type.h"
+#include "attempts/entry_type.h"
 #include "metrics/metrics_page.h"
 
 #include <array>
--- a/packages/entry/src/weights_health.h
+++ b/packages/entry/src/weights_health.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ENTRY_WEIGHTS_HEALTH_H
 #define JACINTHPOND_ENTRY_WEIGHTS_HEALTH_H
 
-#include "entry_type.h"
+#include "attempts/entry_type.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/ports/src/clock_port.h
+++ b/packages/ports/src/clock_port.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_PORTS_CLOCK_PORT_H
 #define JACINTHPOND_PORTS_CLOCK_PORT_H
 
-#include "time_type.h"
+#include "base/time_type.h"
 
 namespace jacinthpond {
 
--- a/packages/ports/src/peer_port.h
+++ b/packages/ports/src/peer_port.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_PORTS_PEER_PORT_H
 #define JACINTHPOND_PORTS_PEER_PORT_H
 
-#include "ids_type.h"
-#include "message_type.h"
+#include "base/ids_type.h"
+#include "wire/message_type.h"
 
 namespace jacinthpond {
 
--- a/packages/ports/src/platform_port.h
+++ b/packages/ports/src/platform_port.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_PORTS_PLATFORM_PORT_H
 #define JACINTHPOND_PORTS_PLATFORM_PORT_H
 
-#include "error_func.h"
-#include "ids_type.h"
-#include "time_type.h"
+#include "base/error_func.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 #include <map>
 #include <string>
--- a/packages/ports/src/service_port.h
+++ b/packages/ports/src/service_port.h
@@ -3,8 +3,8 @@
 #ifndef JACINTHPOND_PORTS_SERVICE_PORT_H
 #define JACINTHPOND_PORTS_SERVICE_PORT_H
 
-#include "backend_type.h"
-#include "error_func.h"
+#include "attempts/backend_type.h"
+#include "base/error_func.h"
 
 #include <string>
 
--- a/tests/integration/weights_test.cpp
+++ b/tests/integration/weights_test.cpp
@@ -1,8 +1,8 @@
 /** @file weights_test.cpp No answer from partial, mixed or unknown weights. */
 // Labels: promise-1 weights
 
+#include "base/hash_func.h"
 #include "fleet/fleet.h"
-#include "hash_func.h"
 #include "websocket/peer_links.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -3,7 +3,7 @@
 
 #include "fleet/fleet.h"
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -6,7 +6,7 @@
  * takes collapse_factor times as long.
  */
 
-#include "hash_func.h"
+#include "base/hash_func.h"
 #include "http/http_server.h"
 #include "standin.h"
 
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -1,9 +1,9 @@
 /** @file admission_test.cpp Limits, order of waiting work, times told. */
 // Labels: promise-2 overload
 
-#include "admission_func.h"
-#include "fair_queue_func.h"
-#include "token_pace_func.h"
+#include "admission/admission_func.h"
+#include "admission/fair_queue_func.h"
+#include "admission/token_pace_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/attempt_recovery_test.cpp
+++ b/tests/unit/attempt_recovery_test.cpp
@@ -1,8 +1,8 @@
 /** @file attempt_recovery_test.cpp Attempts through lost links and agents. */
 // Labels: promise-4 promise-5
 
-#include "ended_attempts_func.h"
-#include "hash_func.h"
+#include "attempts/ended_attempts_func.h"
+#include "base/hash_func.h"
 #include "mesh.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/chunk_plan_test.cpp
+++ b/tests/unit/chunk_plan_test.cpp
@@ -2,8 +2,8 @@
  */
 // Labels: promise-1 weights
 
-#include "chunk_plan_func.h"
-#include "rate_limit_func.h"
+#include "base/rate_limit_func.h"
+#include "weights/chunk_plan_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -1,8 +1,8 @@
 /** @file codec_test.cpp Messages survive the codec; garbage is refused. */
 
+#include "base/hash_func.h"
 #include "codec/message_codec.h"
-#include "hash_func.h"
-#include "membership_func.h"
+#include "membership/membership_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -1,8 +1,8 @@
 /** @file config_spread_test.cpp Versions from service and peers; joining. */
 // Labels: promise-9
 
+#include "configuration/reader_rank_func.h"
 #include "one_entry.h"
-#include "reader_rank_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -1,7 +1,7 @@
 /** @file document_test.cpp Validation of the published document. */
 
-#include "document_func.h"
-#include "settings_func.h"
+#include "configuration/document_func.h"
+#include "settings/settings_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -5,13 +5,13 @@
  */
 // Labels: product
 
+#include "attempts/home_token_func.h"
+#include "base/hash_func.h"
 #include "codec/message_codec.h"
-#include "document_func.h"
-#include "hash_func.h"
-#include "home_token_func.h"
+#include "configuration/document_func.h"
 #include "http/event_parser.h"
 #include "http/request_framing.h"
-#include "settings_func.h"
+#include "settings/settings_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/keyed_interleavings_test.cpp
+++ b/tests/unit/keyed_interleavings_test.cpp
@@ -7,9 +7,9 @@
  */
 // Labels: promise-5 promise-6
 
-#include "home_token_func.h"
-#include "idempotency_func.h"
-#include "keyed_call_func.h"
+#include "attempts/home_token_func.h"
+#include "attempts/idempotency_func.h"
+#include "attempts/keyed_call_func.h"
 #include "mesh.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/link_subset_test.cpp
+++ b/tests/unit/link_subset_test.cpp
@@ -1,7 +1,7 @@
 /** @file link_subset_test.cpp Links of an entry in small and large fleets. */
 // Labels: promise-9
 
-#include "link_subset_func.h"
+#include "membership/link_subset_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/mesh.h
+++ b/tests/unit/mesh.h
@@ -7,9 +7,9 @@
 #ifndef JACINTHPOND_TESTS_UNIT_MESH_H
 #define JACINTHPOND_TESTS_UNIT_MESH_H
 
-#include "agent_func.h"
-#include "entry_func.h"
-#include "overloaded.h"
+#include "attempts/agent_func.h"
+#include "attempts/entry_func.h"
+#include "base/overloaded.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/unit/one_entry.h
+++ b/tests/unit/one_entry.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_TESTS_UNIT_ONE_ENTRY_H
 #define JACINTHPOND_TESTS_UNIT_ONE_ENTRY_H
 
-#include "config_view_func.h"
-#include "entry_func.h"
-#include "join_func.h"
+#include "attempts/entry_func.h"
+#include "configuration/config_view_func.h"
+#include "membership/join_func.h"
 
 #include <algorithm>
 #include <optional>
--- a/tests/unit/pause_test.cpp
+++ b/tests/unit/pause_test.cpp
@@ -3,7 +3,7 @@
 
 #include "one_entry.h"
 
-#include "departure_func.h"
+#include "membership/departure_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -1,7 +1,7 @@
 /** @file quarantine_test.cpp What deaths say of the requests at them. */
 // Labels: quarantine
 
-#include "quarantine_func.h"
+#include "admission/quarantine_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/retry_budget_test.cpp
+++ b/tests/unit/retry_budget_test.cpp
@@ -2,7 +2,7 @@
 // Labels: promise-5 overload
 
 #include "mesh.h"
-#include "retry_budget_func.h"
+#include "routing/retry_budget_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -1,12 +1,12 @@
 /** @file rollout_test.cpp Turns to load, and which weights may answer. */
 // Labels: promise-1 weights
 
-#include "agent_func.h"
-#include "chunk_plan_func.h"
-#include "document_func.h"
-#include "hash_func.h"
-#include "rollout_func.h"
-#include "weights_func.h"
+#include "attempts/agent_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "weights/chunk_plan_func.h"
+#include "weights/rollout_func.h"
+#include "weights/weights_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -1,8 +1,8 @@
 /** @file routing_test.cpp Choice of a worker, and load learnt from answers. */
 // Labels: promise-2
 
-#include "load_view_func.h"
-#include "routing_func.h"
+#include "routing/load_view_func.h"
+#include "routing/routing_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -1,9 +1,9 @@
 /** @file settings_test.cpp Settings and documents: checks, page, table. */
 // Labels: product
 
-#include "document_func.h"
-#include "json_reader.h"
-#include "settings_func.h"
+#include "base/json_reader.h"
+#include "configuration/document_func.h"
+#include "settings/settings_func.h"
 #include "table/settings_table.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/unit/status_test.cpp
+++ b/tests/unit/status_test.cpp
@@ -2,9 +2,9 @@
  */
 // Labels: product
 
-#include "document_change_func.h"
-#include "document_func.h"
-#include "status_func.h"
+#include "configuration/document_change_func.h"
+#include "configuration/document_func.h"
+#include "status/status_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/team_access_test.cpp
+++ b/tests/unit/team_access_test.cpp
@@ -1,11 +1,11 @@
 /** @file team_access_test.cpp Tokens of teams; what a metrics page shows. */
 // Labels: product
 
-#include "document_func.h"
-#include "hash_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
 #include "metrics/metrics_page.h"
 #include "metrics/traffic_metrics.h"
-#include "team_access_func.h"
+#include "status/team_access_func.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -1,11 +1,11 @@
 /** @file transfer_test.cpp The exchange of chunks, its clock moved by hand. */
 // Labels: promise-1 weights
 
-#include "document_func.h"
-#include "hash_func.h"
-#include "transfer_func.h"
-#include "upload_func.h"
-#include "weights_func.h"
+#include "base/hash_func.h"
+#include "configuration/document_func.h"
+#include "weights/transfer_func.h"
+#include "weights/upload_func.h"
+#include "weights/weights_func.h"
 
 #include <boost/test/unit_test.hpp>
 
