--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -119,13 +119,18 @@
   return Read;
 }
 
-Result<void> HttpEngine::stage(const Digest &Chunk, const std::string &Bytes) {
+Result<void> HttpEngine::stage(const ChunkRef &Chunk,
+                               const std::string &Bytes) {
   httplib::Client Client = makeClient(Url, LongTimeout);
-  const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Value, Bytes,
+  const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Content.Value, Bytes,
                                             "application/octet-stream");
   return expectDone(Answer);
 }
 
+Result<std::string> HttpEngine::staged(const ChunkRef &) {
+  return fail(ErrorKind::NotFound, "this engine gives nothing back");
+}
+
 Result<void> HttpEngine::load(const LoadOrder &Order) {
   httplib::Client Client = makeClient(Url, LongTimeout);
   Json Body = {{"fence", Order.Fence.Value},
@@ -172,8 +177,12 @@
   return States;
 }
 
-Result<std::string> HttpOrigin::fetch(const Digest &Chunk) {
-  return getText(Url, "/v1/chunks/" + Chunk.Value, LongTimeout);
+Result<std::string> HttpOrigin::fetch(const ChunkRef &Chunk) {
+  return getText(Url, "/v1/chunks/" + Chunk.Content.Value, LongTimeout);
+}
+
+Result<ChunkList> HttpOrigin::list(const ChunkRef &) {
+  return fail(ErrorKind::NotFound, "documents hold the list");
 }
 
 } // namespace jacinthpond
--- a/packages/adapters/http/http_backends.h
+++ b/packages/adapters/http/http_backends.h
@@ -24,7 +24,8 @@
            const std::function<bool(Digest)> &OnBegin,
            const std::function<bool(std::string)> &OnToken) override;
   Result<EngineState> state() override;
-  Result<void> stage(const Digest &Chunk, const std::string &Bytes) override;
+  Result<void> stage(const ChunkRef &Chunk, const std::string &Bytes) override;
+  Result<std::string> staged(const ChunkRef &Chunk) override;
   Result<void> load(const LoadOrder &Order) override;
 
 private:
@@ -82,7 +83,8 @@
    * @param At "http://IP:port".
    */
   explicit HttpOrigin(std::string At) : Url(std::move(At)) {}
-  Result<std::string> fetch(const Digest &Chunk) override;
+  Result<std::string> fetch(const ChunkRef &Chunk) override;
+  Result<ChunkList> list(const ChunkRef &Version) override;
 
 private:
   std::string Url;
--- a/packages/adapters/metrics/traffic_metrics.cpp
+++ b/packages/adapters/metrics/traffic_metrics.cpp
@@ -37,7 +37,15 @@
 void TrafficMetrics::observe(Timing What, const Document *Doc,
                              const TenantName &Tenant, const ClassName &Class,
                              Seconds Took) {
-  Labels Key = labelsOf(Doc, Tenant, Class);
+  observeAs(labelsOf(Doc, Tenant, Class), What, Took);
+}
+
+void TrafficMetrics::observeService(Timing What, const std::string &Service,
+                                    Seconds Took) {
+  observeAs({OtherLabel, Service}, What, Took);
+}
+
+void TrafficMetrics::observeAs(Labels Key, Timing What, Seconds Took) {
   const std::lock_guard Lock(Guard);
   // Documents replace names over time: without this bound the series of all
   // names that ever were would stay.
--- a/packages/adapters/metrics/traffic_metrics.h
+++ b/packages/adapters/metrics/traffic_metrics.h
@@ -45,6 +45,15 @@
   void observe(Timing What, const Document *Doc, const TenantName &Tenant,
                const ClassName &Class, Seconds Took);
 
+  /**
+   * Notes one timing of requests on routes, by service alone: a series for
+   * each route and tenant would cost more memory than all connections.
+   * @param What Which timing.
+   * @param Service Service that answered.
+   * @param Took How long it took.
+   */
+  void observeService(Timing What, const std::string &Service, Seconds Took);
+
   /**
    * Collects all series.
    * @return Families for the page.
@@ -56,6 +65,7 @@
   using Row =
       std::array<prometheus::Histogram *, static_cast<size_t>(Timing::Count)>;
 
+  void observeAs(Labels Key, Timing What, Seconds Took);
   Labels labelsOf(const Document *Doc, const TenantName &Tenant,
                   const ClassName &Class) const;
 
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -22,6 +22,9 @@
 constexpr Millis WatchPeriod{200};
 /** Threads that fetch and load weights. */
 constexpr size_t FetchThreads = 5;
+/** Chunks in a row that lie staged and are not wanted, after which the rest is
+ * not looked at; single ones may have been damaged. */
+constexpr size_t MaxWrongStaged = 4;
 /** Longest wait for peers to take the last messages. */
 constexpr Millis FinishWait{1000};
 /** Time between two looks at the work in progress while draining. */
@@ -136,6 +139,16 @@
             [this](const FetchFromOrigin &e) {
               Fetchers->enqueue([this, Chunk = e.Chunk] { fetchChunk(Chunk); });
             },
+            [this](const ReadChunkList &e) {
+              Fetchers->enqueue([this, Version = e.Version] {
+                readChunkList(Version);
+              });
+            },
+            [this](const ReadStaged &e) {
+              Fetchers->enqueue([this, Chunks = e.Chunks] {
+                readStaged(Chunks);
+              });
+            },
             [this](const LoadWeights &e) {
               Fetchers->enqueue(
                   [this, Load = e, Before = Pauses.pauses(Clock.now())] {
@@ -213,15 +226,44 @@
   });
 }
 
-void AgentShell::fetchChunk(const Digest &Chunk) {
+void AgentShell::readChunkList(const ChunkRef &Version) {
+  Outcome<ChunkList> Read;
+  if (Beside.Origin != nullptr)
+    Read = outcomeOf([&] { return Beside.Origin->list(Version); });
+  post([this, Version, Read](TimePoint Now, Effects &Out) {
+    chunkListRead(State, Version, Read, Now, Out);
+  });
+}
+
+void AgentShell::readStaged(const std::vector<ChunkRef> &Chunks) {
+  size_t Wrong = 0;
+  for (const ChunkRef &Chunk : Chunks) {
+    const auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+    ChunkBytes Bytes;
+    if (Read.Value)
+      Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
+    const CheckedChunk Came = checkChunk(Bytes);
+    // Another version lies there, or none: the rest would only cost time.
+    Wrong = Came.Actual == Chunk.Content ? 0 : Wrong + 1;
+    if (Wrong > MaxWrongStaged || Ending)
+      return;
+    if (Wrong == 0)
+      post([this, Content = Chunk.Content, Came](TimePoint Now, Effects &Out) {
+        stagedRead(State, Content, Came, Now, Out);
+      });
+  }
+}
+
+void AgentShell::fetchChunk(const ChunkRef &Chunk) {
   ChunkBytes Bytes;
   if (Beside.Origin != nullptr) {
     auto Read = outcomeOf([&] { return Beside.Origin->fetch(Chunk); });
     if (Read.Value)
       Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
   }
-  post([this, Chunk, Came = checkChunk(Bytes)](TimePoint Now, Effects &Out) {
-    originAnswered(State, Chunk, Came, Now, Out);
+  post([this, Content = Chunk.Content,
+        Came = checkChunk(Bytes)](TimePoint Now, Effects &Out) {
+    originAnswered(State, Content, Came, Now, Out);
   });
 }
 
@@ -239,8 +281,10 @@
 void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
   const auto Done = outcomeOf([&]() -> Result<bool> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
-      BOOST_LEAF_CHECK(
-          Beside.Engine->stage(Load.Order.Chunks[n], *Load.Chunks[n]));
+      BOOST_LEAF_CHECK(Beside.Engine->stage({Load.Order.Model,
+                                             Load.Order.Version, n,
+                                             Load.Order.Chunks[n], {}},
+                                            *Load.Chunks[n]));
     // A process that was paused wakes with an order that may be long out of
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -78,7 +78,9 @@
   Result<void> refuseAfterPause(TimePoint Decided) const;
   void runModel(const EngineRequest &Request, TimePoint Decided);
   void runService(const ServiceCall &Call, TimePoint Decided);
-  void fetchChunk(const Digest &Chunk);
+  void fetchChunk(const ChunkRef &Chunk);
+  void readChunkList(const ChunkRef &Version);
+  void readStaged(const std::vector<ChunkRef> &Chunks);
   void takeChunk(LinkId Link, ChunkData Data);
   void loadWeights(const LoadWeights &Load, uint64_t Before);
   void watchBackEnd();
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -5,6 +5,7 @@
 #include "cli/command_line.h"
 #include "http/http_backends.h"
 #include "log/log.h"
+#include "platform/store_engine.h"
 #include "settings/settings_func.h"
 #include "threads/process.h"
 
@@ -23,13 +24,19 @@
   if (!Config)
     return ExitInvalid;
   setupLog(Config->Name, Config->LogLevel);
-  HttpEngine Engine(Config->EngineUrl);
+  const bool OnStore = Config->Platform == "store";
+  HttpEngine OwnEngine(Config->EngineUrl);
+  StoreEngine Worker(Config->EngineUrl);
+  EnginePort &Engine = OnStore ? static_cast<EnginePort &>(Worker) : OwnEngine;
   HttpService Service(Config->ServiceUrl);
-  HttpOrigin Origin(Config->OriginUrl);
+  HttpOrigin OwnOrigin(Config->OriginUrl);
+  StoreOrigin Listed;
   BackEnds Beside;
   Beside.Engine = Config->EngineUrl.empty() ? nullptr : &Engine;
   Beside.Service = Config->ServiceUrl.empty() ? nullptr : &Service;
-  Beside.Origin = Config->OriginUrl.empty() ? nullptr : &Origin;
+  Beside.Origin = Config->OriginUrl.empty() ? nullptr : &OwnOrigin;
+  if (OnStore)
+    Beside.Origin = &Listed;
   AgentShell Host(*Config, Beside);
   AgentAdmin Admin(*Config, Host);
   const std::string Peers = Host.start();
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -18,6 +18,7 @@
 #include "membership/join_func.h"
 #include "membership/membership_func.h"
 #include "membership/pause_func.h"
+#include "membership/roster_func.h"
 #include "routing/load_view_func.h"
 #include "weights/rollout_func.h"
 #include "weights/transfer_func.h"
@@ -30,6 +31,10 @@
 
 namespace {
 
+/** Name of the platform on which requests go straight to back ends. */
+constexpr std::string_view StorePlatform = "store";
+/** Wait before a list of chunks that could not be read is read again. */
+constexpr Millis ListRetry{300};
 /** Gap between two ticks that shows that this process was paused. */
 constexpr Millis LongestTickGap{250};
 /** Answers in progress from which stalls are judged. */
@@ -52,7 +57,11 @@
 WorkerLoad loadOf(const AgentState &Agent) {
   WorkerLoad Load;
   Load.State = stateOf(Agent);
-  Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
+  // On a platform whose callers' requests pass by the agent, only the back end
+  // itself knows its work.
+  Load.Running = Agent.Config.Platform == StorePlatform
+                     ? Agent.ReportedWork
+                     : Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
   Load.KeyEpoch = Agent.Keys.Epoch;
@@ -72,7 +81,9 @@
   // Entries that believe in room where there is none let requests wait in one
   // queue while another worker stands idle.
   const uint32_t Work = Agent.Fleet.Load.Running + Agent.Fleet.Load.Waiting;
-  const bool Moved = Work != Agent.ToldWork && mayBeatEarly(Agent.Fleet, Now);
+  const bool Moved = Work != Agent.ToldWork &&
+                     Agent.Config.Platform != StorePlatform &&
+                     mayBeatEarly(Agent.Fleet, Now);
   if (Moved)
     Agent.ToldWork = Work;
   if (Moved || Agent.Fleet.Load.State != Before ||
@@ -80,12 +91,54 @@
     sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
 }
 
+/** Follows a version whose chunks are known, and looks what lies staged. */
+void wantVersion(AgentState &Agent, const ModelVersion &Wanted, TimePoint Now,
+                 Effects &Out) {
+  const bool New = Agent.Weights.Wanted.Set != Wanted.Set;
+  wantWeights(Agent.Weights, Wanted);
+  planTransfer(Agent.Transfer, Agent.Weights, *Agent.View.InForce,
+               Agent.Fleet.Self.Name, Now);
+  // An agent that was started again beside a loaded engine need not fetch what
+  // lies there, and others can fetch it from here.
+  if (New && !Agent.Config.EngineUrl.empty() && !Wanted.Origin.Value.empty())
+    Out.push_back(ReadStaged{missingChunks(Agent.Transfer)});
+}
+
+/** Reads the chunk list of a version whose document does not hold it. */
+void readList(AgentState &Agent, TimePoint Now, Effects &Out) {
+  const ModelVersion &Wanted = Agent.Listing;
+  if (Wanted.Set.Value.empty() || Agent.ListAsked || Now < Agent.NextListRead)
+    return;
+  Agent.ListAsked = true;
+  Out.push_back(ReadChunkList{
+      {Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin}});
+}
+
+/** Begins to read a list, unless that version is known or being read. */
+void wantList(AgentState &Agent, const ModelVersion &Wanted, TimePoint Now,
+              Effects &Out) {
+  if (Agent.Weights.Wanted.Set == Wanted.Set) {
+    Agent.Listing = {};
+    return;
+  }
+  if (Agent.Listing.Set == Wanted.Set)
+    return;
+  Agent.Listing = Wanted;
+  Agent.ListRead.reset();
+  Agent.NextListRead = Now;
+  Agent.ListAsked = false;
+  readList(Agent, Now, Out);
+}
+
 /** Takes what the document says of this host. */
 void followDocument(AgentState &Agent, TimePoint Now, Effects &Out) {
   const Document &Doc = *Agent.View.InForce;
   const Worker *Self = findWorker(Doc, Agent.Fleet.Self.Name);
   if (Self != nullptr && !Self->Model.Value.empty()) {
-    if (const ModelVersion *Wanted = findModel(Doc, Self->Model))
+    const ModelVersion *Wanted = findModel(Doc, Self->Model);
+    if (Wanted != nullptr && !Wanted->Origin.Value.empty())
+      wantList(Agent, *Wanted, Now, Out);
+    else if (Wanted != nullptr)
       wantWeights(Agent.Weights, *Wanted);
     planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
     for (const LinkId Link : followPeers(Agent, Out))
@@ -164,6 +217,8 @@
                        static_cast<uint32_t>(Config.QueueLimit),
                        static_cast<uint32_t>(Config.WarmAfter)};
   turnCold(Agent.Gate);
+  Effects None; // Links are opened with the first tick.
+  wantPeers(Agent.Fleet, seedPeers(Config), None);
   Agent.Transfer = makeTransfer(Config);
   Agent.Keys = makeKeyBook(Now);
   Agent.Keys.Runs.insert(Run);
@@ -322,6 +377,10 @@
                        OrdersEnded == Agent.Weights.OrdersGiven;
   if (Read.Value && Current)
     Agent.Weights.Loading = false;
+  if (Read.Value) {
+    Agent.ReportedWork = Read.Value->Running;
+    Agent.Weights.EngineBusy = Read.Value->Busy;
+  }
   const std::string Run = Read.Value ? Read.Value->Run : "";
   const bool Restarted = Run != Agent.Weights.EngineRun;
   Agent.Weights.EngineRun = Run;
@@ -366,6 +425,43 @@
   refreshLoad(Agent);
 }
 
+void chunkListRead(AgentState &Agent, const ChunkRef &Version,
+                   const Outcome<ChunkList> &Read, TimePoint Now,
+                   Effects &Out) {
+  const ModelVersion &Wanted = Agent.Listing;
+  if (Wanted.Name != Version.Model || Wanted.Version != Version.Version)
+    return; // Another version is wanted by now.
+  Agent.ListAsked = false;
+  if (!Read.Value || Read.Value->Chunks.empty()) {
+    Agent.NextListRead = Now + ListRetry;
+    Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
+                          "Chunk list of version " + Version.Version +
+                              " not read: " + Read.Why.Detail});
+    return;
+  }
+  // The list may be damaged on its way, and nothing vouches for it: it counts
+  // once two readings agree.
+  if (Agent.ListRead != Read.Value) {
+    Agent.ListRead = Read.Value;
+    readList(Agent, Now, Out);
+    return;
+  }
+  ModelVersion Known = Wanted;
+  Known.Chunks = Read.Value->Chunks;
+  Known.ChunkBytes = Read.Value->ChunkBytes;
+  Known.TotalBytes = Known.ChunkBytes * Known.Chunks.size();
+  Agent.Listing = {};
+  wantVersion(Agent, Known, Now, Out);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+  announceChange(Agent, Now, Out);
+}
+
+void stagedRead(AgentState &Agent, const Digest &Chunk,
+                const CheckedChunk &Came, TimePoint Now, Effects &Out) {
+  chunkFromStage(Agent.Transfer, Agent.Weights, Chunk, Came, Now);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+}
+
 void peerSentChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
                    const CheckedChunk &Came, TimePoint Now, Effects &Out) {
   if (!linkHeard(Agent.Fleet, Link, Now))
@@ -414,6 +510,7 @@
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
+  readList(Agent, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   announceChange(Agent, Now, Out);
--- a/packages/core/src/attempts/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -131,6 +131,28 @@
 void originAnswered(AgentState &Agent, const Digest &Chunk,
                     const CheckedChunk &Came, TimePoint Now, Effects &Out);
 
+/**
+ * The list of a version's chunks was read from its origin.
+ * @param Agent State to change.
+ * @param Version Which version was asked for.
+ * @param Read The list, or why it could not be read.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void chunkListRead(AgentState &Agent, const ChunkRef &Version,
+                   const Outcome<ChunkList> &Read, TimePoint Now, Effects &Out);
+
+/**
+ * A chunk was looked for at the engine's stage.
+ * @param Agent State to change.
+ * @param Chunk Which chunk was looked for.
+ * @param Came What lay there; may be nothing.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void stagedRead(AgentState &Agent, const Digest &Chunk,
+                const CheckedChunk &Came, TimePoint Now, Effects &Out);
+
 /**
  * A peer answered a request for a chunk.
  * @param Agent State to change.
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -66,6 +66,11 @@
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
   EndedAttempts Ended;                   ///< Attempts of the last while.
   KeyBook Keys;                          ///< Non-repeatable calls.
+  ModelVersion Listing; ///< Version whose chunk list is being read; may be empty.
+  std::optional<ChunkList> ListRead; ///< What the first reading gave.
+  TimePoint NextListRead;            ///< Earliest time of the next reading.
+  bool ListAsked = false;            ///< A reading is under way.
+  uint32_t ReportedWork = 0;         ///< Requests that the back end told last.
   uint32_t ToldWork = 0;  ///< Work in the last heartbeat before its time.
   bool Stopping = false;  ///< No new work is taken.
   AgentCounters Counters; ///< What happened so far.
--- a/packages/core/src/attempts/backend_type.h
+++ b/packages/core/src/attempts/backend_type.h
@@ -18,6 +18,24 @@
   Digest Weights;       ///< Digest of the loaded set; empty: none.
   uint32_t Running = 0; ///< Requests in its batch.
   bool Cold = false;    ///< Its caches are cold.
+  bool Busy = false;    ///< It carries out a load order.
+};
+
+/** One chunk of one version of a model. */
+struct ChunkRef {
+  ModelName Model;     ///< Which model.
+  std::string Version; ///< Which version of it.
+  size_t Number = 0;   ///< Place in the version's list.
+  Digest Content;      ///< Digest of its bytes.
+  Address Origin;      ///< Where the version comes from; empty: one for all.
+};
+
+/** Chunks of a version, as its origin lists them. */
+struct ChunkList {
+  std::vector<Digest> Chunks; ///< Digest of each chunk, in order.
+  uint64_t ChunkBytes = 0;    ///< Size of each chunk but the last.
+
+  bool operator==(const ChunkList &) const = default;
 };
 
 /** One request for an engine. */
@@ -38,6 +56,8 @@
 struct LoadOrder {
   FencingNumber Fence;        ///< Some engines refuse an old one.
   Digest Set;                 ///< Digest of the set.
+  ModelName Model;            ///< Which model.
+  std::string Version;        ///< Which version of it.
   std::vector<Digest> Chunks; ///< Its chunks, in order.
 };
 
--- a/packages/core/src/attempts/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -14,6 +14,7 @@
 #include "membership/link_subset_func.h"
 #include "membership/membership_func.h"
 #include "membership/pause_func.h"
+#include "membership/roster_func.h"
 #include "routing/load_view_func.h"
 #include "routing/retry_budget_func.h"
 
@@ -23,21 +24,15 @@
 
 namespace {
 
-/** Peers that the settings name, for as long as no document is trusted. */
-std::vector<PeerAddress> seedPeers(const Settings &Config) {
-  std::vector<PeerAddress> Seeds;
-  for (const std::string &At : Config.SeedPeers)
-    Seeds.push_back({HostName{"seed " + At}, Address{At}});
-  return Seeds;
-}
-
 /** Keeps links to the agents and entries that the document calls for. */
 void followDocument(EntryState &Entry, TimePoint Now, Effects &Out) {
   std::vector<PeerAddress> Peers;
   if (!viewIsFresh(Entry.Fleet))
     Peers = seedPeers(Entry.Config);
   const std::vector<PeerAddress> Published =
-      linkSubset(*Entry.View.InForce, Entry.Fleet.Self);
+      linkSubset(*Entry.View.InForce,
+                 knownEntries(Entry.View.InForce.get(), Entry.Fleet),
+                 Entry.Fleet.Self);
   Peers.insert(Peers.end(), Published.begin(), Published.end());
   for (const LinkId Link : wantPeers(Entry.Fleet, Peers, Out))
     attemptsLost(Entry, Link, Now);
@@ -156,7 +151,8 @@
   noteLoad(Entry.Fleet, Link, m, Now);
   const FleetNews News =
       fleetMessage(Entry.View, Entry.Fleet, Link, m, Now, Out);
-  if (News == FleetNews::NewDocument)
+  if (News == FleetNews::NewDocument ||
+      (News == FleetNews::NewEntry && Entry.View.InForce))
     followDocument(Entry, Now, Out);
   if (std::holds_alternative<Hello>(m))
     tellSuspects(Entry.Suspects, Link, Now, Out);
--- a/packages/core/src/base/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -79,7 +79,17 @@
 
 /** Fetch a chunk of weights from the origin. */
 struct FetchFromOrigin {
-  Digest Chunk; ///< Which.
+  ChunkRef Chunk; ///< Which.
+};
+
+/** Read the list of a version's chunks from its origin. */
+struct ReadChunkList {
+  ChunkRef Version; ///< Which version.
+};
+
+/** Look which of these chunks lie staged at the engine. */
+struct ReadStaged {
+  std::vector<ChunkRef> Chunks; ///< Candidates.
 };
 
 /** A chunk of weights in memory, never changed. */
@@ -100,7 +110,8 @@
 
 using Effect = std::variant<OpenLink, CloseLink, SendMessage, CallPart, CallEnd,
                             CallError, RunModel, RunService, CancelRun,
-                            FetchFromOrigin, LoadWeights, LogNote>;
+                            FetchFromOrigin, ReadChunkList, ReadStaged,
+                            LoadWeights, LogNote>;
 
 /** Effects in the order in which they are carried out. */
 using Effects = std::vector<Effect>;
--- a/packages/core/src/base/json_reader.cpp
+++ b/packages/core/src/base/json_reader.cpp
@@ -200,6 +200,14 @@
   return Default;
 }
 
+const Json *ObjectReader::object(const char *Key) {
+  return find(Key, false, "");
+}
+
+bool ObjectReader::has(const char *Key) const {
+  return Object != nullptr && Object->contains(Key);
+}
+
 std::vector<const Json *> ObjectReader::list(const char *Key, size_t Max) {
   std::vector<const Json *> Elements;
   const Json *Value = find(Key, false, "");
--- a/packages/core/src/base/json_reader.h
+++ b/packages/core/src/base/json_reader.h
@@ -139,6 +139,26 @@
   std::vector<const nlohmann::json *> list(const char *Key,
                                            size_t Max = SIZE_MAX);
 
+  /**
+   * Gives a member that is an object.
+   * @param Key Name of the member.
+   * @return Pointer into the JSON value; null when absent.
+   */
+  const nlohmann::json *object(const char *Key);
+
+  /**
+   * Says whether a member is there.
+   * @param Key Name of the member.
+   * @return True when it stands in the object, whatever it holds.
+   */
+  bool has(const char *Key) const;
+
+  /**
+   * Gives where faults go, for readers of members.
+   * @return The list.
+   */
+  FaultList &faults() { return *Faults; }
+
   /** Reports every member that was not asked for, with the nearest known. */
   void refuseUnknown();
 
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -8,6 +8,7 @@
 #include "membership/departure_func.h"
 #include "membership/join_func.h"
 #include "membership/membership_func.h"
+#include "membership/roster_func.h"
 
 #include <string>
 
@@ -132,10 +133,18 @@
                        const Message &m, TimePoint Now, Effects &Out) {
   return std::visit(Overloaded{[&](const Hello &Peer) {
                                  helloHeard(Fleet, Link, Peer);
+                                 const bool NewEntry =
+                                     rosterHello(Fleet, Link, Peer, Now, Out);
                                  compareDigests(View, Fleet, Peer.Version,
                                                 Peer.ConfigDigest, Out);
                                  pullWhenBehind(View, Fleet, Now, Out);
-                                 return FleetNews::Handled;
+                                 return NewEntry ? FleetNews::NewEntry
+                                                 : FleetNews::Handled;
+                               },
+                               [&](const EntrySeen &Seen) {
+                                 return entrySeen(Fleet, Seen, Now, Out)
+                                            ? FleetNews::NewEntry
+                                            : FleetNews::Handled;
                                },
                                [&](const Heartbeat &Beat) {
                                  heartbeatHeard(Fleet, Link, Beat, Now);
@@ -165,6 +174,7 @@
                               TimePoint Now, Effects &Out) {
   const std::vector<LinkId> Silent = membershipTick(Fleet, View, Now, Out);
   departureTick(Fleet, Now, Out);
+  rosterTick(Fleet, Now);
   joinTick(View, Fleet, Now, Out);
   pullWhenBehind(View, Fleet, Now, Out);
   return Silent;
--- a/packages/core/src/configuration/config_spread_func.h
+++ b/packages/core/src/configuration/config_spread_func.h
@@ -19,7 +19,8 @@
 enum class FleetNews : uint8_t {
   NotMine,    ///< The message is about something else.
   Handled,    ///< Nothing more to do.
-  NewDocument ///< Another document came into force.
+  NewDocument, ///< Another document came into force.
+  NewEntry    ///< An entry became known, or has moved.
 };
 
 /**
--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -4,8 +4,10 @@
 
 #include "base/hash_func.h"
 #include "base/json_reader.h"
+#include "table/route_table.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <limits>
 
@@ -21,8 +23,8 @@
 constexpr int64_t MaxWeight = 1000;
 constexpr int64_t MaxChunkBytes = 8 << 20;
 constexpr int64_t MaxTotalBytes = int64_t{1} << 40;
-/** Largest document that the platform's service holds, in bytes. */
-constexpr size_t MaxDocumentBytes = 1 << 20;
+/** Largest document taken, in bytes: routes of a large fleet, and its workers. */
+constexpr size_t MaxDocumentBytes = 8 << 20;
 /** Longest lists; well above the size that the system is designed for. */
 constexpr size_t MaxClasses = 256;
 constexpr size_t MaxTenants = 10000;
@@ -30,6 +32,13 @@
 constexpr size_t MaxWorkers = 8000;
 constexpr size_t MaxEntries = 2000;
 constexpr size_t MaxTeams = 1000;
+constexpr size_t MaxRoutes = 20000;
+constexpr size_t MaxServices = 1000;
+constexpr size_t MaxDomains = 1000;
+constexpr size_t MaxTargets = 64;
+constexpr int64_t MaxAttemptsAllowed = 16;
+constexpr int64_t MaxRouteWeight = 1000000;
+constexpr int64_t MaxConnectionsAllowed = 1000000;
 
 std::string elementPath(const char *List, size_t n) {
   return std::string(List) + "[" + std::to_string(n) + "]";
@@ -48,6 +57,26 @@
   return All;
 }
 
+/** Reads one word out of a table of names. */
+template <typename Enum, size_t Size>
+Enum readWord(ObjectReader &Reader, const char *Key,
+              const std::array<std::string_view, Size> &Names) {
+  const std::string Word = Reader.text(Key, true);
+  const auto it = std::ranges::find(Names, Word);
+  if (it != Names.end())
+    return static_cast<Enum>(it - Names.begin());
+  Reader.fault(Key, "\"" + Word + "\"", "another word");
+  return static_cast<Enum>(0);
+}
+
+template <typename Id>
+std::set<Id> idSet(const std::vector<std::string> &From) {
+  std::set<Id> Ids;
+  std::ranges::transform(From, std::inserter(Ids, Ids.end()),
+                         [](const std::string &Text) { return Id{Text}; });
+  return Ids;
+}
+
 WorkClass readClass(ObjectReader &Reader) {
   WorkClass Class;
   Class.Name.Value = Reader.text("name", true);
@@ -77,6 +106,13 @@
   Customer.Name.Value = Reader.text("name", true);
   Customer.Weight =
       static_cast<uint32_t>(Reader.number("weight", false, 1, 1, MaxWeight));
+  Customer.Keys = Reader.texts("keys");
+  constexpr int64_t NoRank = -1;
+  const int64_t Rank =
+      Reader.number("rank", false, NoRank, NoRank, MaxPriority);
+  if (Rank != NoRank)
+    Customer.Rank = static_cast<uint32_t>(Rank);
+  Customer.Regions = idSet<RegionName>(Reader.texts("regions"));
   return Customer;
 }
 
@@ -84,6 +120,11 @@
   ModelVersion Model;
   Model.Name.Value = Reader.text("name", true);
   Model.Version = Reader.text("version", true);
+  if (Reader.has("origin")) {
+    Model.Origin.Value = Reader.address("origin");
+    Model.Set = publishedSet(Model.Name, Model.Version);
+    return Model;
+  }
   Model.ChunkBytes = static_cast<uint64_t>(
       Reader.number("chunk_bytes", true, 1, 1, MaxChunkBytes));
   Model.TotalBytes = static_cast<uint64_t>(
@@ -123,12 +164,87 @@
   return Host;
 }
 
-template <typename Id>
-std::set<Id> idSet(const std::vector<std::string> &From) {
-  std::set<Id> Ids;
-  std::ranges::transform(From, std::inserter(Ids, Ids.end()),
-                         [](const std::string &Text) { return Id{Text}; });
-  return Ids;
+Route readRoute(ObjectReader &Reader) {
+  Route One;
+  One.Name = Reader.text("name", true);
+  One.Host = Reader.text("host", true);
+  One.Prefix = Reader.text("prefix", true);
+  if (!One.Prefix.starts_with('/') || !One.Prefix.ends_with('/'))
+    Reader.fault("prefix", "\"" + One.Prefix + "\"",
+                 "a path that begins and ends with a slash");
+  One.Kind = readWord<RouteKind>(Reader, "kind", RouteKindNames);
+  One.Resumable = Reader.flag("resumable", false);
+  One.Anonymous = Reader.flag("anonymous", false);
+  One.MaxAttempts = static_cast<uint32_t>(
+      Reader.number("max_attempts", false, 1, 1, MaxAttemptsAllowed));
+  One.Timeout = Millis(Reader.number("timeout_ms", true, 0, 1, MaxMillis));
+  One.Target = Millis(Reader.number("target_ms", false, 0, 0, MaxMillis));
+  One.GapTarget =
+      Millis(Reader.number("gap_target_ms", false, 0, 0, MaxMillis));
+  One.Rank =
+      static_cast<uint32_t>(Reader.number("rank", false, 0, 0, MaxPriority));
+  One.Regions = idSet<RegionName>(Reader.texts("regions"));
+  for (const Json *Part : Reader.list("targets", MaxTargets)) {
+    ObjectReader Row(*Part, Reader.pathOf("targets"), Reader.faults());
+    RouteTarget Target;
+    Target.Service.Value = Row.text("service", true);
+    Target.Weight = static_cast<uint32_t>(
+        Row.number("weight", false, 1, 0, MaxRouteWeight));
+    Row.refuseUnknown();
+    One.Targets.push_back(Target);
+  }
+  if (One.Targets.empty())
+    Reader.fault("targets", "none", "at least one service");
+  return One;
+}
+
+Service readService(ObjectReader &Reader) {
+  Service One;
+  One.Name.Value = Reader.text("name", true);
+  One.Model.Value = Reader.text("model", false);
+  One.MaxConnections = static_cast<uint32_t>(
+      Reader.number("max_connections", false, 0, 0, MaxConnectionsAllowed));
+  One.ColdPerSecond =
+      Reader.real("cold_per_second", 0, 0, MaxConnectionsAllowed);
+  return One;
+}
+
+BackEndServer readServer(ObjectReader &Reader) {
+  BackEndServer One;
+  One.Id.Value = Reader.text("id", true);
+  One.Service.Value = Reader.text("service", true);
+  One.At.Value = Reader.address("at");
+  One.Domain.Value = Reader.text("domain", true);
+  One.Slots = static_cast<uint32_t>(
+      Reader.number("slots", false, 1, 0, MaxConnectionsAllowed));
+  One.Draining = Reader.flag("draining", false);
+  One.ColdFor = Millis(Reader.number("cold_ms", false, 0, 0, MaxMillis));
+  One.Weights.Value = Reader.text("weights", false);
+  return One;
+}
+
+CallerLimits readLimits(ObjectReader &Reader) {
+  CallerLimits One;
+  One.MaxHeadBytes = static_cast<uint32_t>(Reader.number(
+      "max_head_bytes", false, One.MaxHeadBytes, 256, MaxChunkBytes));
+  One.MaxBodyBytes = static_cast<uint32_t>(Reader.number(
+      "max_body_bytes", false, One.MaxBodyBytes, 0, int64_t{1} << 30));
+  One.HeadTimeout = Millis(Reader.number(
+      "head_timeout_ms", false, One.HeadTimeout.count(), 1, MaxMillis));
+  One.IdleTimeout = Millis(Reader.number(
+      "idle_timeout_ms", false, One.IdleTimeout.count(), 1, MaxMillis));
+  return One;
+}
+
+std::map<DomainName, RegionName> readRegions(ObjectReader &Root) {
+  std::map<DomainName, RegionName> RegionOf;
+  for (const Json *Element : Root.list("domains", MaxDomains)) {
+    ObjectReader Row(*Element, "domains", Root.faults());
+    const DomainName Domain{Row.text("name", true)};
+    RegionOf[Domain] = RegionName{Row.text("region", true)};
+    Row.refuseUnknown();
+  }
+  return RegionOf;
 }
 
 Team readTeam(ObjectReader &Reader) {
@@ -167,6 +283,8 @@
     Domains.insert(Host.Domain);
   for (const EntryHost &Host : Doc.Entries)
     Domains.insert(Host.Domain);
+  for (const auto &[Domain, Region] : Doc.RegionOf)
+    Domains.insert(Domain);
   for (const DomainName &Out : Doc.DomainsOut)
     if (!Domains.contains(Out))
       Faults.add("domains_out", "\"" + Out.Value + "\"",
@@ -201,6 +319,17 @@
       readList<EntryHost>(Root, "entries", MaxEntries, Faults, readEntry);
   Doc.DomainsOut = idSet<DomainName>(Root.texts("domains_out"));
   Doc.Teams = readList<Team>(Root, "teams", MaxTeams, Faults, readTeam);
+  Doc.Routes = readList<Route>(Root, "routes", MaxRoutes, Faults, readRoute);
+  Doc.Services =
+      readList<Service>(Root, "services", MaxServices, Faults, readService);
+  Doc.Servers = readList<BackEndServer>(Root, "servers", MaxWorkers, Faults,
+                                        readServer);
+  if (const Json *Limits = Root.object("limits")) {
+    ObjectReader Row(*Limits, "limits", Faults);
+    Doc.Limits = readLimits(Row);
+    Row.refuseUnknown();
+  }
+  Doc.RegionOf = readRegions(Root);
   Doc.RetryHorizon = Millis(Root.number(
       "retry_horizon_ms", false, Doc.RetryHorizon.count(), 100, MaxMillis));
   Root.refuseUnknown();
@@ -211,6 +340,10 @@
 
 } // namespace
 
+Digest publishedSet(const ModelName &Model, const std::string &Version) {
+  return Digest{Model.Value + "@" + Version};
+}
+
 Digest weightsSetDigest(const std::vector<Digest> &Chunks) {
   std::string All;
   for (const Digest &Chunk : Chunks)
--- a/packages/core/src/configuration/document_func.h
+++ b/packages/core/src/configuration/document_func.h
@@ -26,6 +26,15 @@
  */
 Digest weightsSetDigest(const std::vector<Digest> &Chunks);
 
+/**
+ * Names a set of weights whose chunk list is read from its origin: the
+ * publisher vouches that a version of a model never changes.
+ * @param Model The model.
+ * @param Version Its version.
+ * @return Name in place of a digest over the chunks.
+ */
+Digest publishedSet(const ModelName &Model, const std::string &Version);
+
 /**
  * Finds a class of work.
  * @param Doc The document.
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -6,7 +6,9 @@
 #include "base/ids_type.h"
 #include "base/time_type.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,8 +36,11 @@
 
 /** A customer's workspace. */
 struct Tenant {
-  TenantName Name;     ///< Name in callers' headers.
-  uint32_t Weight = 1; ///< Share relative to other tenants.
+  TenantName Name;               ///< Name in callers' headers.
+  uint32_t Weight = 1;           ///< Share relative to other tenants.
+  std::vector<std::string> Keys; ///< API keys of its callers.
+  std::optional<uint32_t> Rank;  ///< Goes before a route's; 0 is first.
+  std::set<RegionName> Regions;  ///< Where its work may run; empty: anywhere.
 
   bool operator==(const Tenant &) const = default;
 };
@@ -48,6 +53,7 @@
   uint64_t ChunkBytes = 0;    ///< Size of each chunk but the last.
   uint64_t TotalBytes = 0;    ///< Size of all chunks.
   Digest Set;                 ///< Digest over the chunk digests; derived.
+  Address Origin; ///< Where its chunk list is read; empty: it stands here.
 
   bool operator==(const ModelVersion &) const = default;
 };
@@ -73,6 +79,74 @@
   bool operator==(const EntryHost &) const = default;
 };
 
+/** What may be repeated of the requests of a route. */
+enum class RouteKind : uint8_t {
+  Idempotent, ///< May run more than once.
+  AtMostOnce, ///< Runs once at most.
+  Stream      ///< Answered event by event; resumed only where allowed.
+};
+
+/** One of the services among which a route's requests are split. */
+struct RouteTarget {
+  ServiceName Service; ///< Which service.
+  uint32_t Weight = 1; ///< Share relative to the other targets.
+
+  bool operator==(const RouteTarget &) const = default;
+};
+
+/** Where requests that are passed on unchanged go. */
+struct Route {
+  std::string Name;                 ///< For logs and metrics.
+  std::string Host;                 ///< Host header of its requests.
+  std::string Prefix;               ///< Begins and ends with a slash.
+  RouteKind Kind = RouteKind::AtMostOnce; ///< What may be repeated.
+  bool Resumable = false;           ///< A stream may go on elsewhere.
+  bool Anonymous = false;           ///< Callers need no API key.
+  uint32_t MaxAttempts = 1;         ///< Back ends that may get one request.
+  Millis Timeout{0};                ///< Longest wait for the whole answer.
+  Millis Target{0};                 ///< Wanted time to the first byte.
+  Millis GapTarget{0};              ///< Longest wanted gap between events.
+  uint32_t Rank = 0;                ///< Urgency; 0 is first.
+  std::vector<RouteTarget> Targets; ///< Services, at least one.
+  std::set<RegionName> Regions;     ///< Where it may run; empty: anywhere.
+
+  bool operator==(const Route &) const = default;
+};
+
+/** A service that routes lead to. */
+struct Service {
+  ServiceName Name;            ///< Unique.
+  ModelName Model;             ///< Model it runs; empty for a plain service.
+  uint32_t MaxConnections = 0; ///< Connections a back end bears; 0: unknown.
+  double ColdPerSecond = 0;    ///< Requests a cold back end bears; 0: any.
+
+  bool operator==(const Service &) const = default;
+};
+
+/** One running back end of a service. */
+struct BackEndServer {
+  InstanceId Id;         ///< Changes with each start, mostly.
+  ServiceName Service;   ///< What it serves.
+  Address At;            ///< Where it takes requests.
+  DomainName Domain;     ///< Failure domain.
+  uint32_t Slots = 0;    ///< Requests it works on at a time.
+  bool Draining = false; ///< Takes no new work.
+  Millis ColdFor{0};     ///< How long it was still cold when it said so.
+  Digest Weights;        ///< Set it said to have loaded; empty: none.
+
+  bool operator==(const BackEndServer &) const = default;
+};
+
+/** Bounds on what callers send. */
+struct CallerLimits {
+  uint32_t MaxHeadBytes = 16384;  ///< Request line and headers.
+  uint32_t MaxBodyBytes = 4 << 20; ///< Body.
+  Millis HeadTimeout{3000};       ///< Time for the whole head to arrive.
+  Millis IdleTimeout{15000};      ///< Idle time of a kept connection.
+
+  bool operator==(const CallerLimits &) const = default;
+};
+
 /** A team that uses the administration API. */
 struct Team {
   std::string Name;             ///< For people and logs.
@@ -96,6 +170,11 @@
   std::vector<EntryHost> Entries;   ///< All entry hosts.
   std::set<DomainName> DomainsOut;  ///< Domains taken out.
   std::vector<Team> Teams;          ///< Users of the administration API.
+  std::vector<Route> Routes;        ///< Requests that are passed on unchanged.
+  std::vector<Service> Services;    ///< What routes lead to.
+  std::vector<BackEndServer> Servers;        ///< Back ends of these services.
+  CallerLimits Limits;                       ///< Of callers on routes.
+  std::map<DomainName, RegionName> RegionOf; ///< Region of each domain.
   Millis RetryHorizon{30000};       ///< Longest time a caller repeats a key.
 };
 
--- a/packages/core/src/configuration/reader_rank.cpp
+++ b/packages/core/src/configuration/reader_rank.cpp
@@ -6,6 +6,7 @@
 #include "configuration/config_view_func.h"
 #include "membership/join_func.h"
 #include "membership/membership_func.h"
+#include "membership/roster_func.h"
 
 #include <algorithm>
 #include <string>
@@ -34,10 +35,10 @@
 
 } // namespace
 
-std::vector<HostName> readerOrder(const Document &Doc,
+std::vector<HostName> readerOrder(const std::vector<EntryHost> &Entries,
                                   const DomainName &Domain) {
   std::vector<HostName> Names;
-  for (const EntryHost &Host : Doc.Entries)
+  for (const EntryHost &Host : Entries)
     if (Host.Domain == Domain)
       Names.push_back(Host.Name);
   return rendezvousOrder("readers/" + Domain.Value, std::move(Names));
@@ -47,7 +48,8 @@
   if (!View.InForce || !viewIsFresh(Fleet))
     return true;
   size_t Before = 0;
-  for (const HostName &Name : readerOrder(*View.InForce, Fleet.Self.Domain)) {
+  const std::vector<EntryHost> All = knownEntries(View.InForce.get(), Fleet);
+  for (const HostName &Name : readerOrder(All, Fleet.Self.Domain)) {
     if (Name == Fleet.Self.Name)
       break;
     const PeerLink *Peer = readyLink(Fleet, Name);
--- a/packages/core/src/configuration/reader_rank_func.h
+++ b/packages/core/src/configuration/reader_rank_func.h
@@ -13,12 +13,12 @@
 constexpr size_t ReadersPerDomain = 2;
 
 /**
- * Orders the published entries of a domain by their rank as readers.
- * @param Doc The document.
+ * Orders the entries of a domain by their rank as readers.
+ * @param Entries All entries.
  * @param Domain The domain.
  * @return Names, first rank first.
  */
-std::vector<HostName> readerOrder(const Document &Doc,
+std::vector<HostName> readerOrder(const std::vector<EntryHost> &Entries,
                                   const DomainName &Domain);
 
 /**
--- /dev/null
+++ b/packages/core/src/forwarding/event_stream.cpp
@@ -0,0 +1,67 @@
+/** @file event_stream.cpp Server-sent events cut at their boundaries. */
+
+#include "forwarding/event_stream_func.h"
+
+#include <charconv>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Gives the length of the first event with its blank line; 0: not whole. */
+size_t firstEventBytes(std::string_view Text) {
+  const size_t Lf = Text.find("\n\n");
+  const size_t CrLf = Text.find("\r\n\r\n");
+  if (Lf == std::string_view::npos && CrLf == std::string_view::npos)
+    return 0;
+  return Lf < CrLf ? Lf + 2 : CrLf + 4;
+}
+
+/** Reads the id line of an event. */
+std::optional<uint64_t> eventId(std::string_view Event) {
+  constexpr std::string_view Name = "id:";
+  for (size_t At = 0; At < Event.size();) {
+    const size_t End = std::min(Event.find('\n', At), Event.size());
+    std::string_view Line = Event.substr(At, End - At);
+    At = End + 1;
+    if (!Line.starts_with(Name))
+      continue;
+    Line.remove_prefix(Name.size());
+    Line.remove_prefix(std::min(Line.find_first_not_of(' '), Line.size()));
+    uint64_t n = 0;
+    const auto Read = std::from_chars(Line.data(), Line.data() + Line.size(), n);
+    if (Read.ec == std::errc{})
+      return n;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+EventVerdict putEvents(EventStream &Stream, std::string_view Bytes,
+                       std::string &Out) {
+  Stream.Partial += Bytes;
+  size_t Done = 0;
+  const std::string_view All = Stream.Partial;
+  EventVerdict Verdict = EventVerdict::Good;
+  while (const size_t n = firstEventBytes(All.substr(Done))) {
+    const std::string_view Event = All.substr(Done, n);
+    if (const auto Id = eventId(Event)) {
+      if (Stream.LastId && *Id != *Stream.LastId + 1) {
+        Verdict = EventVerdict::OutOfOrder;
+        break;
+      }
+      Stream.LastId = Id;
+    }
+    Out += Event;
+    Done += n;
+  }
+  Stream.Partial.erase(0, Done);
+  if (Verdict == EventVerdict::Good && Stream.Partial.size() > MaxEventBytes)
+    return EventVerdict::TooLarge;
+  return Verdict;
+}
+
+void dropPartialEvent(EventStream &Stream) { Stream.Partial.clear(); }
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -0,0 +1,91 @@
+/** @file fleet_snapshot.cpp What the traffic thread knows of the fleet. */
+
+#include "forwarding/fleet_snapshot_func.h"
+
+#include "membership/departure_func.h"
+#include "membership/join_func.h"
+#include "membership/roster_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Says whether anybody in view was answered by the platform of late. */
+bool listingAway(const Membership &Fleet, TimePoint Now) {
+  const Join &Joining = Fleet.Joining;
+  const bool Own = Joining.ServiceHeard &&
+                   Now - *Joining.ServiceHeard <= Fleet.Times.CutOff;
+  const bool Others = std::ranges::any_of(Fleet.Links, [](const auto &Row) {
+    const PeerLink &Peer = Row.second;
+    return Peer.State == LinkState::Ready &&
+           Peer.Peer.Sender == Role::Entry && Peer.Service;
+  });
+  return !Own && !Others;
+}
+
+/** Names the entries with a working link that take callers. */
+std::set<HostName> linkedEntries(const Membership &Fleet) {
+  std::set<HostName> Names;
+  for (const auto &[Id, Link] : Fleet.Links) {
+    const bool Takes = Link.State == LinkState::Ready &&
+                       Link.Peer.Sender == Role::Entry && !Link.Leaving &&
+                       Link.Version.Value > 0 &&
+                       !isDeparting(Fleet, Link.Peer.Name, Link.Peer.Run);
+    if (Takes)
+      Names.insert(Link.Peer.Name);
+  }
+  return Names;
+}
+
+AgentNews newsOf(const PeerLink &Link) {
+  AgentNews News;
+  News.Server.Value = Link.Peer.Name.Value;
+  News.State = Link.Load.State;
+  News.Busy = Link.Load.Running + Link.Load.Waiting;
+  News.Weights = Link.Load.Weights;
+  News.Fresh = true;
+  return News;
+}
+
+} // namespace
+
+FleetSnapshot fleetSnapshot(const EntryState &Entry, TimePoint Now) {
+  FleetSnapshot Snapshot;
+  const Membership &Fleet = Entry.Fleet;
+  Snapshot.Ready =
+      Entry.View.InForce != nullptr &&
+      (viewIsFresh(Fleet) ||
+       (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
+  Snapshot.ListingAway = listingAway(Fleet, Now);
+  const std::set<HostName> Linked = linkedEntries(Fleet);
+  const bool SelfTakes = Snapshot.Ready && !Entry.Stopping;
+  for (const EntryHost &Host : knownEntries(Entry.View.InForce.get(), Fleet))
+    if (Linked.contains(Host.Name) ||
+        (Host.Name == Fleet.Self.Name && SelfTakes))
+      Snapshot.Alive.push_back(Host);
+  return Snapshot;
+}
+
+std::vector<AgentNews> newsOfAgents(const EntryState &Entry, ToldNews &Told) {
+  std::vector<AgentNews> News;
+  std::map<HostName, TimePoint> Heard;
+  for (const auto &[Id, Link] : Entry.Fleet.Links) {
+    if (Link.State != LinkState::Ready || Link.Peer.Sender != Role::Agent ||
+        Link.HeardHeartbeat == 0)
+      continue;
+    Heard[Link.Peer.Name] = Link.LoadAt;
+    const auto it = Told.LoadAt.find(Link.Peer.Name);
+    if (it == Told.LoadAt.end() || it->second != Link.LoadAt)
+      News.push_back(newsOf(Link));
+  }
+  for (const auto &[Name, LoadAt] : Told.LoadAt)
+    if (!Heard.contains(Name))
+      News.push_back({Address{Name.Value}, WorkerState::Empty, 0, {}, false});
+  Told.LoadAt = std::move(Heard);
+  return News;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/forwarding/route_match.cpp
@@ -0,0 +1,75 @@
+/** @file route_match.cpp Which route a request belongs to. */
+
+#include "forwarding/route_match_func.h"
+
+#include <algorithm>
+#include <cctype>
+#include <functional>
+
+namespace jacinthpond {
+
+namespace {
+
+constexpr std::string_view BearerScheme = "bearer ";
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::ranges::transform(Lower, Lower.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return Lower;
+}
+
+std::string_view withoutPort(std::string_view Host) {
+  return Host.substr(0, Host.find(':'));
+}
+
+std::string_view trimmed(std::string_view Text) {
+  constexpr std::string_view Blank = " \t";
+  const size_t First = Text.find_first_not_of(Blank);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blank) - First + 1);
+}
+
+} // namespace
+
+RouteIndex makeRouteIndex(const Document &Doc) {
+  RouteIndex Index;
+  for (const Route &One : Doc.Routes)
+    Index.ByHost[lowerCase(withoutPort(One.Host))].push_back(&One);
+  for (auto &[Host, Routes] : Index.ByHost)
+    std::ranges::stable_sort(Routes, std::greater<>{}, [](const Route *One) {
+      return One->Prefix.size();
+    });
+  for (const Tenant &One : Doc.Tenants)
+    for (const std::string &Key : One.Keys)
+      Index.ByKey[Key] = &One;
+  Index.KeysWanted = !Doc.Tenants.empty();
+  return Index;
+}
+
+const Route *matchRoute(const RouteIndex &Index, std::string_view Host,
+                        std::string_view Target) {
+  const auto it = Index.ByHost.find(lowerCase(withoutPort(trimmed(Host))));
+  if (it == Index.ByHost.end())
+    return nullptr;
+  const std::string_view Path = Target.substr(0, Target.find('?'));
+  const auto Found = std::ranges::find_if(it->second, [&](const Route *One) {
+    return Path.starts_with(One->Prefix);
+  });
+  return Found == it->second.end() ? nullptr : *Found;
+}
+
+const Tenant *matchTenant(const RouteIndex &Index,
+                          std::string_view Authorization) {
+  const std::string_view Value = trimmed(Authorization);
+  const std::string Scheme = lowerCase(Value.substr(0, BearerScheme.size()));
+  if (Scheme != BearerScheme)
+    return nullptr;
+  const auto it =
+      Index.ByKey.find(std::string(trimmed(Value.substr(BearerScheme.size()))));
+  return it == Index.ByKey.end() ? nullptr : it->second;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -0,0 +1,352 @@
+/** @file server_pool.cpp Choosing a back end for each attempt. */
+
+#include "forwarding/server_pool_func.h"
+
+#include "configuration/document_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jacinthpond {
+
+namespace {
+
+/** First time for which a back end that failed is left alone. */
+constexpr Millis FirstAvoid{300};
+/** It doubles with each failure in a row up to this many times. */
+constexpr uint32_t MaxAvoidDoublings = 4;
+/** Share of an answer in the running share of errors. */
+constexpr double ErrorWeight = 0.15;
+/** Share of errors that is taken for the usual failures of the work itself. */
+constexpr double UsualErrors = 0.25;
+/** Requests by which a back end that fails everything counts as busier. */
+constexpr double ErrorPenalty = 40;
+/** Requests by which one of another domain counts as busier, so that work
+ * stays near only while near ones are no busier. */
+constexpr double FarPenalty = 0.4;
+/** Time after which a back end's word on its load counts half. */
+constexpr Millis LoadHalfLife{1500};
+/** Answers whose length is averaged. */
+constexpr int TimeWeight = 15;
+/** Length of an answer before any was seen. */
+constexpr Millis FirstUsualTime{500};
+/** Part of a route's target that may be spent waiting at the back end. */
+constexpr double WaitPart = 0.35;
+/** Part of the rate that cold back ends bear which entries use together. */
+constexpr double ColdPart = 0.8;
+/** Shortest and longest time that a refused caller is told to stay away. */
+constexpr Millis ShortestComeBack{150};
+constexpr Millis LongestComeBack{1500};
+/** How long a back end is left alone that was misjudged; news come sooner. */
+constexpr Millis MisjudgedAvoid{500};
+
+uint64_t nextRandom(ServerPool &Pool) {
+  Pool.Random ^= Pool.Random << 13U;
+  Pool.Random ^= Pool.Random >> 7U;
+  Pool.Random ^= Pool.Random << 17U;
+  return Pool.Random;
+}
+
+double randomPart(ServerPool &Pool) {
+  return static_cast<double>(nextRandom(Pool) >> 11U) /
+         static_cast<double>(uint64_t{1} << 53U);
+}
+
+const Service *findService(const Document &Doc, const ServiceName &Name) {
+  const auto it = std::ranges::find(Doc.Services, Name, &Service::Name);
+  return it == Doc.Services.end() ? nullptr : &*it;
+}
+
+/** Requests at a back end, those of other entries as far as known. */
+double workAt(const ServerView &View, TimePoint Now) {
+  const double Age =
+      static_cast<double>(toMillis(Now - View.ToldAt).count()) /
+      static_cast<double>(LoadHalfLife.count());
+  return View.Open + View.OtherWork * std::exp2(-std::max(0.0, Age));
+}
+
+Duration usualTime(const ServerPool &Pool, const ServiceName &Name) {
+  const auto it = Pool.UsualTime.find(Name);
+  return it == Pool.UsualTime.end() ? Duration(FirstUsualTime) : it->second;
+}
+
+/** Requests that a back end may have so that the last one begins in time. */
+double roomOf(const ServerPool &Pool, const ServerView &View,
+              const Route &From) {
+  const auto Slots = static_cast<double>(std::max(1U, View.Listed.Slots));
+  const double Usual = std::chrono::duration<double, std::milli>(
+                           usualTime(Pool, View.Listed.Service))
+                           .count();
+  const double Wait = WaitPart * static_cast<double>(From.Target.count());
+  const double Waiting = Usual > 0 ? Wait * Slots / Usual : 0;
+  return Slots + std::min(Waiting, Slots * 2);
+}
+
+bool regionAllowed(const std::set<RegionName> &Regions, const Document &Doc,
+                   const DomainName &Domain) {
+  if (Regions.empty())
+    return true;
+  const auto it = Doc.RegionOf.find(Domain);
+  return it != Doc.RegionOf.end() && Regions.contains(it->second);
+}
+
+/** Says whether the weights of a back end may begin, or go on with, a request.
+ */
+bool weightsFit(const ServerPool &Pool, const Service &Kind,
+                const ServerView &View, const Digest &Needed, TimePoint Now) {
+  if (Kind.Model.Value.empty())
+    return true;
+  if (View.Weights.Value.empty())
+    return false;
+  if (!Needed.Value.empty())
+    return View.Weights == Needed;
+  const auto it = Pool.Wanted.find(Kind.Model);
+  if (it == Pool.Wanted.end() || View.Weights == it->second.Set)
+    return true;
+  return View.Weights == it->second.Former && Now < it->second.FormerUntil;
+}
+
+/** Says whether a back end may get this request at all. */
+bool usable(const ServerPool &Pool, const ServerView &View,
+            const ServerNeeds &Needs, const Service &Kind, TimePoint Now) {
+  const Document &Doc = *Pool.Doc;
+  if (View.Listed.Service != Needs.Service || View.Listed.Draining ||
+      Needs.Tried.contains(View.Listed.Id) ||
+      Doc.DomainsOut.contains(View.Listed.Domain))
+    return false;
+  if (View.Vanished && Now >= Pool.ListingDoubtUntil)
+    return false;
+  if (!regionAllowed(Needs.From->Regions, Doc, View.Listed.Domain) ||
+      (Needs.Owner != nullptr &&
+       !regionAllowed(Needs.Owner->Regions, Doc, View.Listed.Domain)))
+    return false;
+  const bool Loading =
+      View.Agent && View.Agent->Fresh &&
+      (View.Agent->State == WorkerState::Loading ||
+       View.Agent->State == WorkerState::Empty);
+  if (Loading && !Kind.Model.Value.empty())
+    return false;
+  return weightsFit(Pool, Kind, View, Needs.Weights, Now);
+}
+
+/** A cold back end breaks down above a rate that all entries share. */
+bool coldAllows(const ServerPool &Pool, const ServerView &View,
+                const Service &Kind, TimePoint Now) {
+  if (Kind.ColdPerSecond <= 0 || Now >= View.ColdUntil)
+    return true;
+  const double Share =
+      ColdPart * Kind.ColdPerSecond / std::max(1U, Pool.Entries);
+  const auto Recent =
+      std::ranges::count_if(View.Starts, [&](const TimePoint At) {
+        return Now - At < Millis(1000);
+      });
+  return static_cast<double>(Recent) + 1 <= std::max(1.0, Share);
+}
+
+double scoreOf(ServerPool &Pool, const ServerView &View, TimePoint Now) {
+  double Score = workAt(View, Now) + randomPart(Pool);
+  if (View.Listed.Domain != Pool.Options.Domain)
+    Score += FarPenalty;
+  Score += ErrorPenalty * std::max(0.0, View.ErrorShare - UsualErrors);
+  return Score;
+}
+
+/** Time until one of so many back ends has room again, spread a little. */
+Millis timeToRoom(ServerPool &Pool, const ServerNeeds &Needs,
+                  uint32_t Candidates) {
+  // Each answer that ends makes room for one; callers that were refused
+  // together come back apart.
+  const Duration Usual = usualTime(Pool, Needs.Service);
+  const Millis Mean = toMillis(Usual / std::max(1U, std::min(Candidates, 4U)));
+  const auto Spread = static_cast<int64_t>(
+      static_cast<double>(Mean.count()) * (0.75 + randomPart(Pool)));
+  return std::clamp(Millis(Spread), ShortestComeBack, LongestComeBack);
+}
+
+void noteServers(ServerPool &Pool, TimePoint Now) {
+  std::set<InstanceId> Listed;
+  for (const BackEndServer &One : Pool.Doc->Servers) {
+    Listed.insert(One.Id);
+    const auto [it, New] = Pool.Servers.try_emplace(One.Id);
+    ServerView &View = it->second;
+    if (New || View.Listed.ColdFor != One.ColdFor)
+      View.ColdUntil = Now + One.ColdFor;
+    // An agent's word is newer than the list while its back end is the same.
+    if (New || View.Listed.Weights != One.Weights)
+      View.Weights = One.Weights;
+    View.Listed = One;
+    View.Vanished.reset();
+  }
+  for (auto &[Id, View] : Pool.Servers)
+    if (!Listed.contains(Id) && !View.Vanished)
+      View.Vanished = Now;
+  std::erase_if(Pool.Servers, [&](const auto &Row) {
+    const ServerView &View = Row.second;
+    return View.Vanished && View.Open == 0 && Now >= Pool.ListingDoubtUntil;
+  });
+}
+
+void noteWanted(ServerPool &Pool, bool First, TimePoint Now) {
+  for (const ModelVersion &Model : Pool.Doc->Models) {
+    WantedWeights &Wanted = Pool.Wanted[Model.Name];
+    if (Wanted.Set == Model.Set)
+      continue;
+    // A process that starts does not know how long a version was wanted
+    // before: it begins nothing on an older one.
+    Wanted.Former = First ? Digest{} : Wanted.Set;
+    Wanted.FormerUntil = Now + Pool.Options.FormerWeightsFor;
+    Wanted.Set = Model.Set;
+    Wanted.Version = Model.Version;
+  }
+}
+
+} // namespace
+
+void poolFollows(ServerPool &Pool, const DocumentPtr &Doc, TimePoint Now) {
+  const bool First = Pool.Doc == nullptr;
+  Pool.Doc = Doc;
+  noteServers(Pool, Now);
+  noteWanted(Pool, First, Now);
+}
+
+void listingAway(ServerPool &Pool, bool Away, TimePoint Now) {
+  if (Away)
+    Pool.ListingDoubtUntil = TimePoint::max();
+  else if (Pool.ListingDoubtUntil == TimePoint::max())
+    Pool.ListingDoubtUntil = Now + Pool.Options.LapseGrace;
+}
+
+void agentTold(ServerPool &Pool, const AgentNews &News, TimePoint Now) {
+  for (auto &[Id, View] : Pool.Servers) {
+    if (View.Listed.At != News.Server || View.Vanished)
+      continue;
+    View.Agent = News;
+    if (!News.Fresh)
+      continue;
+    View.OtherWork = News.Busy > View.Open ? News.Busy - View.Open : 0;
+    View.ToldAt = Now;
+    View.Weights = News.Weights;
+  }
+}
+
+ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
+                          TimePoint Now) {
+  ServerChoice Choice;
+  const Service *Kind =
+      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
+  if (Kind == nullptr)
+    return Choice;
+  double Best = 0;
+  for (const auto &[Id, View] : Pool.Servers) {
+    if (!usable(Pool, View, Needs, *Kind, Now) || Now < View.AvoidUntil)
+      continue;
+    ++Choice.Candidates;
+    if (workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From) ||
+        !coldAllows(Pool, View, *Kind, Now))
+      continue;
+    const double Score = scoreOf(Pool, View, Now);
+    if (Choice.Server != nullptr && Score >= Best)
+      continue;
+    Choice.Server = &View;
+    Best = Score;
+  }
+  if (Choice.Server == nullptr) {
+    Choice.Why = Choice.Candidates > 0 ? PoolRefusal::AllFull
+                                       : PoolRefusal::NoneListed;
+    Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
+    return Choice;
+  }
+  const auto Wanted = Pool.Wanted.find(Kind->Model);
+  const bool MustBeNew = Wanted != Pool.Wanted.end() &&
+                         Now >= Wanted->second.FormerUntil;
+  if (MustBeNew)
+    Choice.Version = Wanted->second.Version;
+  return Choice;
+}
+
+void attemptOpened(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  if (it == Pool.Servers.end())
+    return;
+  ServerView &View = it->second;
+  ++View.Open;
+  while (!View.Starts.empty() && Now - View.Starts.front() > Millis(1000))
+    View.Starts.pop_front();
+  if (Now < View.ColdUntil)
+    View.Starts.push_back(Now);
+}
+
+void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
+              TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  if (it == Pool.Servers.end())
+    return;
+  ServerView &View = it->second;
+  View.OtherWork = Busy > View.Open ? Busy - View.Open : 0;
+  View.ToldAt = Now;
+}
+
+void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
+  if (const auto it = Pool.Servers.find(Id); it != Pool.Servers.end())
+    it->second.LastHeard = Now;
+}
+
+bool heardSince(const ServerPool &Pool, const InstanceId &Id, TimePoint Since) {
+  const auto it = Pool.Servers.find(Id);
+  return it != Pool.Servers.end() && it->second.LastHeard > Since;
+}
+
+Digest weightsAt(const ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  return it == Pool.Servers.end() ? Digest{} : it->second.Weights;
+}
+
+void attemptClosed(ServerPool &Pool, const InstanceId &Id, AttemptEnd How,
+                   Duration Took, TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  if (it == Pool.Servers.end())
+    return;
+  ServerView &View = it->second;
+  if (View.Open > 0)
+    --View.Open;
+  switch (How) {
+  case AttemptEnd::Answered:
+  case AttemptEnd::Error: {
+    View.Failures = 0;
+    const double Failed = How == AttemptEnd::Error ? 1 : 0;
+    View.ErrorShare += ErrorWeight * (Failed - View.ErrorShare);
+    if (How == AttemptEnd::Error)
+      return;
+    Duration &Usual =
+        Pool.UsualTime.try_emplace(View.Listed.Service, Took).first->second;
+    Usual = (Usual * TimeWeight + Took) / (TimeWeight + 1);
+    return;
+  }
+  case AttemptEnd::Unreached:
+  case AttemptEnd::Broken: {
+    const uint32_t Doublings = std::min(View.Failures, MaxAvoidDoublings);
+    ++View.Failures;
+    View.ErrorShare += ErrorWeight * (1 - View.ErrorShare);
+    // One broken answer may be the fault of the request or the network; a
+    // back end that cannot be reached is left alone at once.
+    if (How == AttemptEnd::Unreached || View.Failures > 1)
+      View.AvoidUntil = Now + FirstAvoid * (1U << Doublings);
+    return;
+  }
+  case AttemptEnd::Refused:
+    // It is full, whatever was believed: its own word comes with answers.
+    View.OtherWork = std::max(View.OtherWork, View.Listed.Slots);
+    View.ToldAt = Now;
+    return;
+  case AttemptEnd::Dropped:
+    return;
+  }
+}
+
+void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  if (it != Pool.Servers.end())
+    it->second.AvoidUntil = Now + MisjudgedAvoid;
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -0,0 +1,110 @@
+/** @file server_pool_func.h Choosing a back end for each attempt. */
+
+#ifndef JACINTHPOND_CORE_SERVER_POOL_FUNC_H
+#define JACINTHPOND_CORE_SERVER_POOL_FUNC_H
+
+#include "forwarding/server_pool_type.h"
+
+namespace jacinthpond {
+
+/**
+ * Takes a document that came into force.
+ * @param Pool State to change.
+ * @param Doc The document.
+ * @param Now Current time.
+ */
+void poolFollows(ServerPool &Pool, const DocumentPtr &Doc, TimePoint Now);
+
+/**
+ * The platform's list went away or came back. Servers that live on may be
+ * missing in it until a while after that, when they have registered again.
+ * @param Pool State to change.
+ * @param Away Whether nobody can read the list now.
+ * @param Now Current time.
+ */
+void listingAway(ServerPool &Pool, bool Away, TimePoint Now);
+
+/**
+ * An agent told of its back end.
+ * @param Pool State to change.
+ * @param News What it told.
+ * @param Now Current time.
+ */
+void agentTold(ServerPool &Pool, const AgentNews &News, TimePoint Now);
+
+/**
+ * Chooses a back end.
+ * @param Pool State to change: ties are broken at random.
+ * @param Needs What the request needs.
+ * @param Now Current time.
+ * @return The back end, or why there is none.
+ */
+ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
+                          TimePoint Now);
+
+/**
+ * An attempt goes to a back end.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param Now Current time.
+ */
+void attemptOpened(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
+
+/**
+ * A back end told its load with an answer.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param Busy Requests that run or wait there.
+ * @param Now Current time.
+ */
+void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
+              TimePoint Now);
+
+/**
+ * Any part of an answer came from a back end.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param Now Current time.
+ */
+void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
+
+/**
+ * Says whether a back end answered anybody here since some time.
+ * @param Pool The state.
+ * @param Id Which back end.
+ * @param Since From when on.
+ * @return True when a byte came later than that.
+ */
+bool heardSince(const ServerPool &Pool, const InstanceId &Id, TimePoint Since);
+
+/**
+ * Gives the weights that a back end is believed to have.
+ * @param Pool The state.
+ * @param Id Which back end.
+ * @return The set; empty when unknown.
+ */
+Digest weightsAt(const ServerPool &Pool, const InstanceId &Id);
+
+/**
+ * An attempt ended.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param How How it ended.
+ * @param Took How long it lasted.
+ * @param Now Current time.
+ */
+void attemptClosed(ServerPool &Pool, const InstanceId &Id, AttemptEnd How,
+                   Duration Took, TimePoint Now);
+
+/**
+ * A back end said that another run of it holds the address, or that it has
+ * other weights than was believed.
+ * @param Pool State to change.
+ * @param Id Which run is gone or was misjudged.
+ * @param Now Current time.
+ */
+void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -0,0 +1,107 @@
+/** @file server_pool_type.h Back ends as one entry uses them. */
+
+#ifndef JACINTHPOND_CORE_SERVER_POOL_TYPE_H
+#define JACINTHPOND_CORE_SERVER_POOL_TYPE_H
+
+#include "configuration/document_type.h"
+#include "wire/message_type.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace jacinthpond {
+
+/** What an agent says of the back end beside it. */
+struct AgentNews {
+  Address Server;     ///< Where that back end takes requests.
+  WorkerState State = WorkerState::Empty; ///< How far it is from serving.
+  uint32_t Busy = 0;  ///< Requests that run or wait there.
+  Digest Weights;     ///< What it has loaded; empty: nothing whole.
+  bool Fresh = false; ///< The agent answers now.
+};
+
+/** One back end as this entry sees it. */
+struct ServerView {
+  BackEndServer Listed;              ///< What the document says.
+  std::optional<TimePoint> Vanished; ///< Since when it is not listed.
+  uint32_t Open = 0;                 ///< Attempts of this entry there.
+  uint32_t OtherWork = 0; ///< Work of other entries, as told last.
+  TimePoint ToldAt;       ///< When OtherWork was told.
+  std::optional<AgentNews> Agent; ///< Last word of its agent.
+  Digest Weights;                 ///< What it has loaded, newest word.
+  uint32_t Failures = 0;          ///< Attempts in a row that broke.
+  TimePoint AvoidUntil;           ///< Left alone until then.
+  double ErrorShare = 0;          ///< Answers that were errors, weighed.
+  TimePoint LastHeard;            ///< Last byte of any answer of it.
+  TimePoint ColdUntil;            ///< Bears little until then.
+  std::deque<TimePoint> Starts;   ///< Attempts of the last second, when cold.
+};
+
+/** Wanted weights of one model, and since when. */
+struct WantedWeights {
+  Digest Set;          ///< Wanted set.
+  Digest Former;       ///< Set wanted before; empty: none that may be used.
+  std::string Version; ///< Version of Set, as the publisher names it.
+  TimePoint FormerUntil; ///< Until when Former may begin requests.
+};
+
+/** Bounds and habits of the choice; from the settings. */
+struct PoolOptions {
+  DomainName Domain;            ///< Failure domain of this entry.
+  Millis FormerWeightsFor{5000}; ///< How long a former version may begin.
+  Millis LapseGrace{2200};      ///< Wait for servers to be listed again.
+};
+
+/** All back ends that routes lead to. */
+struct ServerPool {
+  PoolOptions Options;                           ///< From the settings.
+  DocumentPtr Doc;                               ///< Document in force.
+  std::map<InstanceId, ServerView> Servers;      ///< By run.
+  std::map<ModelName, WantedWeights> Wanted;     ///< By model.
+  std::map<ServiceName, Duration> UsualTime;     ///< Length of an answer.
+  TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
+  uint32_t Entries = 1;        ///< Live entries, this one included.
+  uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
+};
+
+/** What a request needs of a back end. */
+struct ServerNeeds {
+  ServiceName Service;                   ///< Which service.
+  const Route *From = nullptr;           ///< Its route.
+  const Tenant *Owner = nullptr;         ///< Its tenant; null: none.
+  std::set<InstanceId> Tried;            ///< Not these again.
+  Digest Weights; ///< Only this set, to go on with an answer; empty: any.
+};
+
+/** Why no back end was given. */
+enum class PoolRefusal : uint8_t {
+  NoneListed, ///< No back end of the service may be used at all.
+  AllFull     ///< Those that may be used have no room.
+};
+
+/** A back end for one attempt, or why there is none. */
+struct ServerChoice {
+  const ServerView *Server = nullptr; ///< Chosen; null: none.
+  PoolRefusal Why = PoolRefusal::NoneListed; ///< Meaningful without a server.
+  Millis RetryAfter{0};  ///< When there may be room.
+  std::string Version;   ///< Version to demand of it; empty: any.
+  uint32_t Candidates = 0; ///< Back ends that were compared.
+};
+
+/** How an attempt ended, as far as its back end goes. */
+enum class AttemptEnd : uint8_t {
+  Answered,  ///< A whole answer that is no error.
+  Error,     ///< A whole answer that is an error of the back end.
+  Refused,   ///< It said that it did not run it.
+  Unreached, ///< No connection came about.
+  Broken,    ///< It broke off, or sent what cannot be read.
+  Dropped    ///< Given up here; says nothing about the back end.
+};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -80,6 +80,10 @@
   Fleet.Self.Sender = Sender;
   Fleet.Self.Run = Run;
   Fleet.Self.Domain.Value = Config.Domain;
+  if (!Config.RouteListen.empty()) {
+    Fleet.Self.At.Value = Config.PeerListen;
+    Fleet.Self.Callers.Value = Config.RouteListen;
+  }
   Fleet.Times = {
       Millis(Config.HeartbeatMillis), Millis(Config.LinkSilenceMillis),
       Millis(Config.ReconnectMillis), Millis(Config.PauseGapMillis),
@@ -142,6 +146,7 @@
   if (!mayFinish(View, Fleet, Now))
     return;
   Joining.Fresh = true;
+  Joining.WasFresh = true;
   Fleet.Self.Fresh = true;
   Joining.LastContact = Now;
   Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
--- a/packages/core/src/membership/join_type.h
+++ b/packages/core/src/membership/join_type.h
@@ -19,6 +19,7 @@
 /** How far a process has come in making its view fresh. */
 struct Join {
   bool Fresh = false;           ///< The view may be acted on.
+  bool WasFresh = false;        ///< It was acted on since the start.
   TimePoint Since;              ///< Start, wake-up or loss of contact.
   bool ServiceAnswered = false; ///< A read begun after Since was answered.
   std::optional<TimePoint> ServiceHeard; ///< Last answer of the service.
--- a/packages/core/src/membership/link_subset.cpp
+++ b/packages/core/src/membership/link_subset.cpp
@@ -39,13 +39,13 @@
   return All;
 }
 
-std::set<HostName> entriesFor(const Document &Doc, const Hello &Self) {
+std::set<HostName> entriesFor(const std::vector<EntryHost> &Entries,
+                              const Hello &Self) {
   std::vector<HostName> All;
-  std::ranges::transform(Doc.Entries, std::back_inserter(All),
-                         &EntryHost::Name);
+  std::ranges::transform(Entries, std::back_inserter(All), &EntryHost::Name);
   if (All.size() <= FullMeshEntries)
     return {All.begin(), All.end()};
-  std::vector<HostName> Chosen = readerOrder(Doc, Self.Domain);
+  std::vector<HostName> Chosen = readerOrder(Entries, Self.Domain);
   Chosen.resize(std::min(Chosen.size(), ReaderLinks));
   All = rendezvousOrder("links/" + Self.Name.Value, std::move(All));
   All.resize(static_cast<size_t>(std::bit_width(All.size())));
@@ -55,7 +55,9 @@
 
 } // namespace
 
-std::vector<PeerAddress> linkSubset(const Document &Doc, const Hello &Self) {
+std::vector<PeerAddress> linkSubset(const Document &Doc,
+                                    const std::vector<EntryHost> &Entries,
+                                    const Hello &Self) {
   std::vector<PeerAddress> Peers;
   std::map<ModelName, WorkerList> Models;
   for (const Worker &Host : Doc.Workers) {
@@ -68,8 +70,8 @@
   for (const auto &[Model, All] : Models)
     for (const Worker *Host : someOf(All, Self))
       Peers.push_back({Host->Name, Host->Agent});
-  const std::set<HostName> Chosen = entriesFor(Doc, Self);
-  for (const EntryHost &Host : Doc.Entries)
+  const std::set<HostName> Chosen = entriesFor(Entries, Self);
+  for (const EntryHost &Host : Entries)
     if (Host.Name != Self.Name && Chosen.contains(Host.Name))
       Peers.push_back({Host.Name, Host.Peers});
   return Peers;
--- a/packages/core/src/membership/link_subset_func.h
+++ b/packages/core/src/membership/link_subset_func.h
@@ -22,10 +22,13 @@
  * one a part that follows from the names alone, so that links are spread
  * evenly and stay when other hosts come or go.
  * @param Doc The document.
+ * @param Entries All entries; see roster_func.h.
  * @param Self The entry.
  * @return Peers to keep links to.
  */
-std::vector<PeerAddress> linkSubset(const Document &Doc, const Hello &Self);
+std::vector<PeerAddress> linkSubset(const Document &Doc,
+                                    const std::vector<EntryHost> &Entries,
+                                    const Hello &Self);
 
 } // namespace jacinthpond
 
--- a/packages/core/src/membership/membership_type.h
+++ b/packages/core/src/membership/membership_type.h
@@ -5,6 +5,7 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "configuration/document_type.h"
 #include "membership/join_type.h"
 #include "wire/message_type.h"
 
@@ -81,6 +82,12 @@
   auto operator<=>(const Departure &) const = default;
 };
 
+/** An entry that is known from its own word or another process's. */
+struct KnownEntry {
+  EntryHost Host;     ///< What it said.
+  TimePoint LastSeen; ///< Last link or word of it.
+};
+
 /** All links of a process. */
 struct Membership {
   Hello Self;                            ///< What this process is.
@@ -96,6 +103,7 @@
   PendingPull Pull;                          ///< Document under way.
   Digest AlarmedDigest;                      ///< Conflict that was logged last.
   WorkerLoad Load;                           ///< Own load; agents only.
+  std::map<HostName, KnownEntry> Roster; ///< Entries that told of themselves.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/routing/entry_addresses.cpp
+++ b/packages/core/src/routing/entry_addresses.cpp
@@ -6,6 +6,7 @@
 #include "membership/departure_func.h"
 #include "membership/join_func.h"
 #include "membership/membership_func.h"
+#include "membership/roster_func.h"
 
 #include <algorithm>
 #include <functional>
@@ -41,7 +42,9 @@
   if (!Entry.View.InForce)
     return {};
   std::vector<const EntryHost *> Hosts;
-  for (const EntryHost &Host : Entry.View.InForce->Entries)
+  const std::vector<EntryHost> All =
+      knownEntries(Entry.View.InForce.get(), Entry.Fleet);
+  for (const EntryHost &Host : All)
     if (takesCallers(Entry, Host))
       Hosts.push_back(&Host);
   std::ranges::sort(Hosts, std::greater<>{}, [&](const EntryHost *Host) {
--- a/packages/core/src/settings/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -19,6 +19,9 @@
 constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info", "warn",
                                                        "error"};
 
+/** Platforms that the programs can run on. */
+constexpr std::array<std::string_view, 2> PlatformNames = {"own", "store"};
+
 bool belongsTo(const SettingSpec &Spec, SettingOwner Program) {
   return Spec.Owner == SettingOwner::Both || Spec.Owner == Program;
 }
@@ -57,6 +60,11 @@
     Into.*Field =
         Reader.number(Spec.Key, Spec.Required, Default, Spec.Min, Spec.Max);
   }
+  void operator()(double Settings::*Field) const {
+    Into.*Field = Reader.real(Spec.Key, std::strtod(Spec.Default, nullptr),
+                              static_cast<double>(Spec.Min),
+                              static_cast<double>(Spec.Max));
+  }
   void operator()(bool Settings::*Field) const {
     const bool Default = std::string_view(Spec.Default) == "true";
     Into.*Field = Reader.flag(Spec.Key, Default);
@@ -87,7 +95,8 @@
 }
 
 std::string rangeOf(const SettingSpec &Spec) {
-  if (!std::holds_alternative<int64_t Settings::*>(Spec.Field))
+  if (!std::holds_alternative<int64_t Settings::*>(Spec.Field) &&
+      !std::holds_alternative<double Settings::*>(Spec.Field))
     return "";
   return std::to_string(Spec.Min) + " to " + std::to_string(Spec.Max);
 }
@@ -127,6 +136,8 @@
     Reader.fault("log_level", "\"" + Read.LogLevel + "\"",
                  "one of debug, info, warn, error");
   checkOrder(Read, Reader);
+  if (std::ranges::find(PlatformNames, Read.Platform) == PlatformNames.end())
+    Reader.fault("platform", "\"" + Read.Platform + "\"", "own or store");
   if (Program == SettingOwner::Agent &&
       Read.EngineUrl.empty() == Read.ServiceUrl.empty())
     Reader.fault("engine_url", "both or none of engine_url and service_url",
--- a/packages/core/src/settings/settings_type.h
+++ b/packages/core/src/settings/settings_type.h
@@ -24,6 +24,19 @@
   std::string ServiceUrl;
   std::string OriginUrl;
   std::string LogLevel;
+  std::string Platform;
+  std::string RouteListen;
+  std::string ReadyListen;
+  std::string DirectoryListen;
+  std::vector<std::string> DomainRegions;
+  int64_t AgentPort = 0;
+  int64_t StopGraceSeconds = 0;
+  int64_t WeightsChangeMillis = 0;
+  int64_t LapseGraceMillis = 0;
+  bool ServeCutOff = false;
+  double RepeatRatio = 0;
+  int64_t RepeatSlack = 0;
+  int64_t RepeatWindowSeconds = 0;
   int64_t HeartbeatMillis = 0;
   int64_t LinkSilenceMillis = 0;
   int64_t ReconnectMillis = 0;
@@ -55,7 +68,7 @@
 /** Where a setting's value goes, which also gives its type. */
 using SettingField =
     std::variant<std::string Settings::*, std::vector<std::string> Settings::*,
-                 int64_t Settings::*, bool Settings::*>;
+                 int64_t Settings::*, double Settings::*, bool Settings::*>;
 
 /** What a text must look like. */
 enum class TextForm : uint8_t {
--- /dev/null
+++ b/packages/core/src/table/route_table.h
@@ -0,0 +1,17 @@
+/** @file table/route_table.h Word of each kind of route, in enum order. */
+
+#ifndef JACINTHPOND_CORE_TABLE_ROUTE_TABLE_H
+#define JACINTHPOND_CORE_TABLE_ROUTE_TABLE_H
+
+#include <array>
+#include <string_view>
+
+namespace jacinthpond {
+
+/** Words of RouteKind in documents. */
+constexpr std::array<std::string_view, 3> RouteKindNames = {
+    "idempotent", "at_most_once", "stream"};
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -9,6 +9,7 @@
 #include "weights/weights_func.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 
 namespace jacinthpond {
@@ -101,10 +102,22 @@
   releaseAsked(Transfer, Peer);
 }
 
+ChunkRef versionRef(const ModelVersion &Wanted) {
+  return {Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin};
+}
+
+ChunkRef chunkRef(const TransferState &Transfer, size_t n) {
+  ChunkRef Ref = Transfer.Version;
+  Ref.Number = n;
+  Ref.Content = Transfer.Digests[n];
+  return Ref;
+}
+
 void beginSet(TransferState &Transfer, const WeightsState &Weights,
               TimePoint Now) {
   Transfer.Set = Weights.Wanted.Set;
   Transfer.Digests = Weights.Wanted.Chunks;
+  Transfer.Version = versionRef(Weights.Wanted);
   Transfer.Chunks.assign(Transfer.Digests.size(), {});
   Transfer.IndexOf.clear();
   Transfer.Missing.clear();
@@ -289,7 +302,7 @@
     Chunk.Asked = true;
     noteComing(Transfer, n);
     ++Transfer.Drawing;
-    Out.push_back(FetchFromOrigin{Transfer.Digests[n]});
+    Out.push_back(FetchFromOrigin{chunkRef(Transfer, n)});
     const size_t Rank = planned(Transfer.Plan) ? drawRank(Transfer.Plan, n) : 0;
     if (Rank == 0 || !Transfer.Options.FromPeers)
       continue;
@@ -494,6 +507,27 @@
   Transfer.Chunks[Transfer.IndexOf.at(Chunk)].RetryAt = Now + OriginRetry;
 }
 
+void chunkFromStage(TransferState &Transfer, WeightsState &Weights,
+                    const Digest &Chunk, const CheckedChunk &Came,
+                    TimePoint Now) {
+  if (Came.Bytes == nullptr || Came.Actual != Chunk)
+    return;
+  const auto it = Transfer.IndexOf.find(Chunk);
+  // A request for it may be under way; its answer is then counted as repeated.
+  const bool Asked =
+      it != Transfer.IndexOf.end() && Transfer.Chunks[it->second].Asked;
+  takeChunk(Transfer, Weights, Chunk, Came, Now);
+  if (Asked)
+    Transfer.Chunks[it->second].Asked = true;
+}
+
+std::vector<ChunkRef> missingChunks(const TransferState &Transfer) {
+  std::vector<ChunkRef> All;
+  std::ranges::transform(Transfer.Missing, std::back_inserter(All),
+                         [&](size_t n) { return chunkRef(Transfer, n); });
+  return All;
+}
+
 void moveChunks(TransferState &Transfer, const WeightsState &Weights,
                 TimePoint Now, Effects &Out) {
   measureRate(Transfer, Now);
--- a/packages/core/src/weights/transfer_func.h
+++ b/packages/core/src/weights/transfer_func.h
@@ -100,6 +100,25 @@
 void moveChunks(TransferState &Transfer, const WeightsState &Weights,
                 TimePoint Now, Effects &Out);
 
+/**
+ * Takes a chunk that lay staged at the engine.
+ * @param Transfer State to change.
+ * @param Weights Held chunks.
+ * @param Chunk Which chunk was looked for.
+ * @param Came What lay there.
+ * @param Now Current time.
+ */
+void chunkFromStage(TransferState &Transfer, WeightsState &Weights,
+                    const Digest &Chunk, const CheckedChunk &Came,
+                    TimePoint Now);
+
+/**
+ * Names all chunks of the wanted set that are missing.
+ * @param Transfer The state.
+ * @return The chunks.
+ */
+std::vector<ChunkRef> missingChunks(const TransferState &Transfer);
+
 /**
  * Tells how far the exchange has come.
  * @param Transfer The state.
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -84,6 +84,7 @@
   ChunkPlan Plan;                          ///< Who does what.
   Digest Set;                              ///< The set that is exchanged.
   std::vector<Digest> Digests;             ///< Its chunks by index.
+  ChunkRef Version;                        ///< Model, version and origin.
   std::map<Digest, size_t> IndexOf;        ///< Index of each chunk.
   std::vector<ChunkProgress> Chunks;       ///< By index.
   std::set<size_t> Missing;                ///< Chunks that are not held.
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -59,6 +59,8 @@
   Load.Order.Fence.Value = (Version.Value << FenceBits) + Weights.NextFence;
   Weights.NextFence = std::min(Weights.NextFence + 1, MaxFenceLow);
   Load.Order.Set = Weights.Wanted.Set;
+  Load.Order.Model = Weights.Wanted.Name;
+  Load.Order.Version = Weights.Wanted.Version;
   Load.Order.Chunks = Weights.Wanted.Chunks;
   for (const Digest &Chunk : Weights.Wanted.Chunks)
     Load.Chunks.push_back(Weights.Held.at(Chunk));
@@ -88,7 +90,7 @@
 }
 
 bool mayServe(const WeightsState &Weights) {
-  return !Weights.Draining && !Weights.Loading && !Weights.EngineRun.empty() &&
+  return !Weights.Draining && !Weights.Loading && !Weights.EngineBusy && !Weights.EngineRun.empty() &&
          Weights.Whole.contains(Weights.Loaded);
 }
 
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -23,6 +23,7 @@
   std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
   bool Draining = false;     ///< No new work until the wanted set is loaded.
   bool Loading = false;      ///< Ordered, and not read back since.
+  bool EngineBusy = false;   ///< The engine carries out some order.
   uint64_t OrdersGiven = 0;  ///< Load orders that were sent.
   uint64_t OrdersEnded = 0;  ///< Load orders that the engine answered.
   std::set<Digest> Whole;    ///< Sets that were published, hence whole.
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -19,6 +19,15 @@
   v("version", m.Version);
   v("digest", m.ConfigDigest);
   v("fresh", m.Fresh);
+  v("at", m.At);
+  v("callers", m.Callers);
+}
+
+template <typename V> void describe(V &v, EntrySeen &m) {
+  v("name", m.Name);
+  v("domain", m.Domain);
+  v("at", m.At);
+  v("callers", m.Callers);
 }
 
 template <typename V> void describe(V &v, WorkerLoad &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -40,6 +40,8 @@
   ConfigVersion Version;     ///< Configuration in force at the sender.
   Digest ConfigDigest;       ///< Digest of that document.
   bool Fresh = false;        ///< The sender trusts its view; see join_type.h.
+  Address At;                ///< Where the sender accepts links; empty: unsaid.
+  Address Callers;           ///< Where it takes callers; entries only.
 };
 
 /** Load and state of one back end, as its agent sees it. */
@@ -199,11 +201,23 @@
   uint64_t AgeMillis = 0; ///< How long ago that was last confirmed.
 };
 
+/**
+ * Tells of an entry that the sender has a link to. Where the platform does not
+ * list entries they find each other by this, from a few seeds.
+ */
+struct EntrySeen {
+  HostName Name;     ///< Its name.
+  DomainName Domain; ///< Its failure domain.
+  Address At;        ///< Where it accepts links.
+  Address Callers;   ///< Where it takes callers.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
-                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice>;
+                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice,
+                 EntrySeen>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -24,14 +24,26 @@
 constexpr Millis LastAnswerWait{1000};
 /** Time between two looks at the requests in progress while draining. */
 constexpr Millis DrainPoll{20};
+/** Part of the grace time that is kept for ending, before the process is
+ * killed. */
+constexpr Millis EndMargin{600};
+
+/** Longest shutdown: the setting's, and no longer than the host allows. */
+Millis shutdownTime(const Settings &Config) {
+  const Millis Setting(Config.ShutdownMillis);
+  if (Config.StopGraceSeconds == 0)
+    return Setting;
+  return std::min(Setting,
+                  Millis(Config.StopGraceSeconds * 1000) - EndMargin);
+}
 
 } // namespace
 
 EntryShell::EntryShell(const Settings &Config, ConfigPort &Service,
-                       HostsPort *Hosts)
+                       HostsPort *Hosts, Forwarder *Routes)
     : Loop(Clock),
       State(makeEntry(Config, Incarnation{randomIncarnation()}, Clock.now())),
-      Service(Service), Hosts(Hosts),
+      Service(Service), Hosts(Hosts), Routes(Routes),
       Links({[this](LinkId Link) {
                post([this, Link](TimePoint Now, Effects &Out) {
                  entryLinkOpened(State, Link, Now, Out);
@@ -82,6 +94,7 @@
       Effects Out;
       entryTick(State, Now, Out);
       showDocument();
+      tellRoutes(Now);
       perform(std::move(Out));
     });
   });
@@ -102,8 +115,30 @@
 
 void EntryShell::showDocument() {
   const std::lock_guard Lock(ShownGuard);
-  if (Shown != State.View.InForce)
-    Shown = State.View.InForce;
+  if (Shown == State.View.InForce)
+    return;
+  Shown = State.View.InForce;
+  if (Routes != nullptr)
+    Routes->follow(Shown);
+}
+
+/** Agents' words are gathered for a tick: each would wake the traffic thread.
+ */
+void EntryShell::tellRoutes(TimePoint Now) {
+  if (Routes == nullptr)
+    return;
+  std::vector<AgentNews> News = newsOfAgents(State, ToldAgents);
+  if (!News.empty())
+    Routes->told(std::move(News));
+  FleetSnapshot Fleet = fleetSnapshot(State, Now);
+  if (Fleet == ToldFleet)
+    return;
+  ToldFleet = Fleet;
+  Routes->fleet(std::move(Fleet));
+}
+
+size_t EntryShell::openRequests() {
+  return Callers.size() + (Routes == nullptr ? 0 : Routes->open());
 }
 
 DocumentPtr EntryShell::document() {
@@ -208,24 +243,34 @@
 }
 
 bool EntryShell::waitAnswered(TimePoint NotBefore, TimePoint Limit) {
-  while (Clock.now() < Limit && (Callers.size() > 0 || Clock.now() < NotBefore))
+  while (Clock.now() < Limit && (openRequests() > 0 || Clock.now() < NotBefore))
     std::this_thread::sleep_for(DrainPoll);
-  return Callers.size() == 0;
+  return openRequests() == 0;
 }
 
 bool EntryShell::drain() {
   Leaving = true;
+  if (Routes != nullptr)
+    Routes->leave();
   post([this](TimePoint Now, Effects &Out) { entryStop(State, Now, Out); });
   const TimePoint Begin = Clock.now();
-  const TimePoint Limit = Begin + Millis(State.Config.ShutdownMillis);
+  const TimePoint Limit = Begin + shutdownTime(State.Config);
   // A channel is closed when its answer was written to the caller's socket,
   // later than the last event of the call. Until callers on kept connections
   // were told, the listener stays: a connection that it had taken would be
   // cut with the request of a caller in it.
-  if (waitAnswered(Begin + Millis(State.Config.LeaveNoticeMillis), Limit))
+  const Millis Notice =
+      std::min(Millis(State.Config.LeaveNoticeMillis),
+               shutdownTime(State.Config) * 3 / 4);
+  // What comes in the last part could not be answered before the end.
+  if (Routes != nullptr) {
+    waitAnswered(Begin + Notice / 2, Begin + Notice / 2);
+    Routes->refuseNew();
+  }
+  if (waitAnswered(Begin + Notice, Limit))
     return true;
   logLine(LogPart::Main, LogLevel::Error,
-          "Shutdown cut off " + std::to_string(Callers.size()) + " requests.");
+          "Shutdown cut off " + std::to_string(openRequests()) + " requests.");
   post([this](TimePoint, Effects &Out) { entryCutOff(State, Out); });
   waitAnswered(Begin, Clock.now() + LastAnswerWait);
   return false;
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -7,6 +7,8 @@
 #include "call_channel.h"
 #include "clock/runtime_clock.h"
 #include "configuration/reader_rank_type.h"
+#include "forward/forwarder.h"
+#include "forwarding/fleet_snapshot_func.h"
 #include "metrics/traffic_metrics.h"
 #include "platform_port.h"
 #include "threads/control_loop.h"
@@ -30,8 +32,10 @@
    * @param Config Settings of the process.
    * @param Service The configuration service; outlives the shell.
    * @param Hosts The list of hosts, or null; outlives the shell.
+   * @param Routes Requests on routes, or null; outlives the shell.
    */
-  EntryShell(const Settings &Config, ConfigPort &Service, HostsPort *Hosts);
+  EntryShell(const Settings &Config, ConfigPort &Service, HostsPort *Hosts,
+             Forwarder *Routes);
   /** Ends all threads. */
   ~EntryShell();
   EntryShell(const EntryShell &) = delete;
@@ -102,12 +106,17 @@
   bool waitUnlessEnding(Millis Time);
   void post(std::function<void(TimePoint, Effects &)> Work);
   void showDocument();
+  void tellRoutes(TimePoint Now);
+  size_t openRequests();
 
   RuntimeClock Clock;
   ControlLoop Loop;
   EntryState State; ///< Belongs to the control thread.
   ConfigPort &Service;
   HostsPort *Hosts;
+  Forwarder *Routes;      ///< Null where no routes are served.
+  FleetSnapshot ToldFleet; ///< Last told to Routes.
+  ToldNews ToldAgents;     ///< Last told to Routes.
   CallTable Callers;
   TrafficMetrics Timings;
   std::mutex ShownGuard; ///< Guards Shown.
--- /dev/null
+++ b/packages/entry/src/forward/exchange.cpp
@@ -0,0 +1,594 @@
+/** @file exchange.cpp One request on a route, from its arrival to its answer.
+ */
+
+#include "forward/exchange.h"
+
+#include "forward/forward_headers.h"
+#include "http/http_server.h"
+#include "log/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace jacinthpond {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Longest wait for a connection: several times the way between regions. */
+constexpr Millis ConnectLimit{300};
+/** Connections tried at most for one request; none of them sends anything
+ * unless it comes about. */
+constexpr uint32_t MaxTries = 5;
+/** Time left below which an attempt could not be answered any more. */
+constexpr Millis LeastRemaining{10};
+/**
+ * Silence, in targets of the route, after which a request that may be repeated
+ * goes elsewhere. The shorter one counts where nothing at all was heard of the
+ * back end, the longer one where it answers others: it is only slow.
+ */
+constexpr double SilentTargets = 2.0;
+constexpr double SlowTargets = 4.5;
+/** The same between two events, in wanted gaps. */
+constexpr double SilentGaps = 3.0;
+constexpr double SlowGaps = 6.0;
+/** Bytes that may wait for a caller that reads slowly. */
+constexpr size_t MaxBacklog = 1 << 20;
+/** Largest answer that is held until it is whole. */
+constexpr size_t MaxWholeAnswer = 16 << 20;
+constexpr int64_t MostRemaining = int64_t{3600} * 1000;
+
+std::string_view view(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+std::string_view fieldOf(const http::fields &Fields, std::string_view Name) {
+  return view(Fields[boost::beast::string_view(Name.data(), Name.size())]);
+}
+
+std::optional<int64_t> numberIn(std::string_view Text) {
+  int64_t n = 0;
+  const auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), n);
+  if (Text.empty() || Read.ec != std::errc{})
+    return std::nullopt;
+  return n;
+}
+
+/** Chooses among the services of a route by their weights. */
+const ServiceName &pickTarget(const Route &From, std::string_view Id) {
+  uint64_t Sum = 0;
+  for (const RouteTarget &One : From.Targets)
+    Sum += One.Weight;
+  if (Sum == 0)
+    return From.Targets.front().Service;
+  uint64_t Point = std::hash<std::string_view>{}(Id) % Sum;
+  const auto it =
+      std::ranges::find_if(From.Targets, [&](const RouteTarget &One) {
+        if (Point < One.Weight)
+          return true;
+        Point -= One.Weight;
+        return false;
+      });
+  return it->Service;
+}
+
+std::string secondsText(Millis Time) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                static_cast<double>(Time.count()) / 1000);
+  return Text.data();
+}
+
+/** Value in a log line: blanks and control characters would split it. */
+std::string logValue(std::string_view Text) {
+  constexpr size_t Longest = 64;
+  std::string Value(Text.substr(0, Longest));
+  std::ranges::replace_if(
+      Value, [](unsigned char c) { return c <= ' ' || c >= 127; }, '_');
+  return Value.empty() ? "-" : Value;
+}
+
+} // namespace
+
+Exchange::Exchange(ForwardContext &Shared,
+                   std::shared_ptr<CallerSession> Session, CallerRequest Asked)
+    : Shared(Shared), Session(std::move(Session)), Asked(std::move(Asked)),
+      Arrived(Shared.Clock.now()), Timer(Shared.Io) {
+  ++Shared.Open;
+}
+
+Exchange::~Exchange() { --Shared.Open; }
+
+void Exchange::start() {
+  Shared.Counters.add(ForwardCount::Requests);
+  Id = fieldOf(Asked, Shared.Wire.names().AttemptId);
+  Doc = Shared.Doc;
+  Session->workedOnBy(shared_from_this());
+  if (!findRoute() || !checkCaller())
+    return;
+  readDeadline();
+  Needs.Service = pickTarget(*From, Id);
+  Needs.From = From;
+  Needs.Owner = Owner;
+  if (const auto Last =
+          numberIn(fieldOf(Asked, Shared.Wire.names().LastEventId)))
+    Events.LastId = static_cast<uint64_t>(*Last);
+  armTimer();
+  countFirst(Shared.Repeats, Needs.Service, Arrived);
+  tryNext();
+}
+
+bool Exchange::findRoute() {
+  if (Doc == nullptr || !Shared.Fleet.Ready) {
+    endWith({ErrorKind::StaleView, "no configuration yet", {}}, Ran::No,
+            "no_configuration");
+    return false;
+  }
+  if (Shared.Refusing) {
+    endWith({ErrorKind::Leaving, "", {}}, Ran::No, "leaving");
+    return false;
+  }
+  From = matchRoute(Shared.Index, fieldOf(Asked, "Host"), view(Asked.target()));
+  if (From == nullptr) {
+    endWith({ErrorKind::NotFound, "no route", {}}, Ran::No, "no_route");
+    return false;
+  }
+  return true;
+}
+
+bool Exchange::checkCaller() {
+  if (!Shared.Index.KeysWanted)
+    return true;
+  Owner = matchTenant(Shared.Index, fieldOf(Asked, "Authorization"));
+  if (Owner != nullptr || From->Anonymous)
+    return true;
+  endWith({ErrorKind::Unauthorized, "", {}}, Ran::No, "unknown_key");
+  return false;
+}
+
+void Exchange::readDeadline() {
+  const auto Told =
+      numberIn(fieldOf(Asked, Shared.Wire.names().Remaining));
+  Millis Longest = From->Timeout;
+  if (Told)
+    Longest = std::min(
+        Longest, Millis(std::clamp(*Told, int64_t{0}, MostRemaining)));
+  Limit = Arrived + Longest;
+}
+
+bool Exchange::attemptsLeft() const {
+  return Sent < From->MaxAttempts && Tries < MaxTries;
+}
+
+/** Says whether the request may run again although it may have run. */
+bool Exchange::canRepeat() const {
+  if (From->Kind == RouteKind::Stream)
+    return From->Resumable;
+  return From->Kind == RouteKind::Idempotent;
+}
+
+void Exchange::tryNext() {
+  const TimePoint Now = Shared.Clock.now();
+  if (Limit - Now < LeastRemaining) {
+    limitCame();
+    return;
+  }
+  if (!attemptsLeft()) {
+    endWithoutServer({ErrorKind::Overloaded, "no attempt left", {}},
+                     "no_attempt_left");
+    return;
+  }
+  const ServerChoice Choice = chooseServer(Shared.Pool, Needs, Now);
+  if (Choice.Server == nullptr) {
+    refusedBy(Choice);
+    return;
+  }
+  if (Sent > 0) {
+    if (!mayRepeat(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now)) {
+      endWithoutServer({ErrorKind::Overloaded, "retry budget used up", {}},
+                       "retry_budget");
+      return;
+    }
+    Shared.Counters.add(ForwardCount::Repeats);
+    if (HeadSent)
+      Shared.Counters.add(ForwardCount::Resumes);
+  }
+  logAttempt(*Choice.Server, Choice);
+  sendTo(*Choice.Server, Choice.Version);
+}
+
+void Exchange::refusedBy(const ServerChoice &Choice) {
+  const bool Full = Choice.Why == PoolRefusal::AllFull;
+  endWithoutServer({Full ? ErrorKind::Overloaded : ErrorKind::NoWorker,
+                    Needs.Service.Value, Choice.RetryAfter},
+                   Full ? "all_full" : "none_usable");
+}
+
+void Exchange::sendTo(const ServerView &Server, const std::string &Version) {
+  const TimePoint Now = Shared.Clock.now();
+  const HeaderNames &Names = Shared.Wire.names();
+  PassedOn Passed;
+  Passed.Remaining = toMillis(Limit - Now);
+  Passed.Server = Server.Listed.Id;
+  Passed.Version = Version;
+  if (HeadSent) { // Goes on with the weights that began it.
+    Passed.Version = fieldOf(Head, Names.WeightVersion);
+    Passed.LastEventId = Events.LastId;
+  }
+  Passed.Tenant = Owner == nullptr ? "" : Owner->Name.Value;
+  Passed.Rank =
+      Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+  CallPlan Plan;
+  Plan.To = Server.Listed.At;
+  Plan.Bytes = requestBytes(Asked, Names, Passed);
+  Plan.IdHeader = Names.AttemptId;
+  Plan.AttemptId = Id;
+  // A kept connection may be closed by the other end just as the request is
+  // sent. Whether it ran is then unknown, so what may not be repeated goes over
+  // a new one: a round trip more, and no lost bookings.
+  Plan.NewConnection = NewConnection || !canRepeat();
+  Plan.NoBody = Asked.method() == http::verb::head;
+  At = Server.Listed.Id;
+  Mode = AnswerMode::Waiting;
+  Body.clear();
+  dropPartialEvent(Events);
+  CallBegan = Now;
+  LastProgress = Now;
+  ++Tries;
+  ++Sent; // Taken back where no connection comes about.
+  Places += (Places.empty() ? "" : ",") + At.Value;
+  attemptOpened(Shared.Pool, At, Now);
+  Call = std::make_shared<BackEndCall>(Shared.Io, Shared.Connections,
+                                       std::move(Plan), *this);
+  armTimer();
+  Call->start(std::min(ConnectLimit, toMillis(Limit - Now)));
+}
+
+void Exchange::callHead(const ResponseHead &Came) {
+  const TimePoint Now = Shared.Clock.now();
+  const HeaderNames &Names = Shared.Wire.names();
+  LastProgress = Now;
+  serverHeard(Shared.Pool, At, Now);
+  if (const auto Busy = Shared.Wire.busyOf(fieldOf(Came, Names.Load)))
+    loadTold(Shared.Pool, At, *Busy, Now);
+  const unsigned Status = Came.result_int();
+  const bool Misdirected = Status == 421;
+  if (Misdirected || !fieldOf(Came, Names.NotExecuted).empty()) {
+    if (Misdirected) {
+      serverMisjudged(Shared.Pool, At, Now);
+      Shared.Counters.add(ForwardCount::Misjudged);
+    }
+    Mode = AnswerMode::Refusal;
+    return;
+  }
+  const bool Success = Status >= 200 && Status < 300;
+  const bool Foreign =
+      (Success && fieldOf(Came, Names.Signature).empty()) ||
+      !fieldOf(Came, "Content-Encoding").empty();
+  const bool OtherWeights =
+      HeadSent && fieldOf(Came, Names.WeightVersion) !=
+                      fieldOf(Head, Names.WeightVersion);
+  if (Foreign || OtherWeights || (HeadSent && !Success)) {
+    answerBroke();
+    return;
+  }
+  if (!HeadSent)
+    Head = Came;
+  const bool IsEvents =
+      fieldOf(Came, "Content-Type").starts_with("text/event-stream");
+  Mode = Success && IsEvents ? AnswerMode::Events : AnswerMode::Whole;
+}
+
+void Exchange::callBody(std::string Bytes) {
+  LastProgress = Shared.Clock.now();
+  serverHeard(Shared.Pool, At, LastProgress);
+  if (Mode == AnswerMode::Refusal)
+    return;
+  if (Mode == AnswerMode::Whole) {
+    Body += Bytes;
+    if (Body.size() > MaxWholeAnswer)
+      answerBroke();
+    return;
+  }
+  const auto Self = shared_from_this();
+  std::string Whole;
+  const EventVerdict Verdict = putEvents(Events, Bytes, Whole);
+  if (!Whole.empty()) {
+    if (!HeadSent)
+      beginEvents();
+    Session->sendBody(Whole);
+  }
+  if (Verdict != EventVerdict::Good)
+    answerBroke();
+  else if (Session && Session->backlog() > MaxBacklog)
+    endWith({ErrorKind::PartialAnswer, "the caller does not read", {}},
+            Ran::Yes, "caller_slow");
+}
+
+void Exchange::beginEvents() {
+  HeadSent = true;
+  Needs.Weights = weightsAt(Shared.Pool, At);
+  FirstByte = Shared.Clock.now();
+  CallerAnswerHead Out;
+  Out.result(Head.result());
+  copyAnswerHeaders(Head, Out);
+  Session->beginBody(std::move(Out));
+}
+
+void Exchange::callEnded() {
+  const auto Self = shared_from_this();
+  if (Mode == AnswerMode::Refusal) {
+    Shared.Counters.add(ForwardCount::NotExecuted);
+    attemptOver(AttemptEnd::Refused);
+    Needs.Tried.insert(At);
+    tryNext();
+    return;
+  }
+  if (Mode == AnswerMode::Events) {
+    if (!Events.Partial.empty()) {
+      answerBroke();
+      return;
+    }
+    attemptOver(AttemptEnd::Answered);
+    if (!HeadSent)
+      beginEvents();
+    logEnd("answered", Head.result_int(), "stream");
+    Shared.Counters.add(ForwardCount::Answered);
+    const auto To = Session;
+    finish();
+    To->endBody();
+    return;
+  }
+  deliverWhole();
+}
+
+void Exchange::deliverWhole() {
+  const bool Failed = Head.result_int() >= 500;
+  attemptOver(Failed ? AttemptEnd::Error : AttemptEnd::Answered);
+  const TimePoint Now = Shared.Clock.now();
+  MayHaveRun = MayHaveRun || Failed;
+  // A back end's error on work that may be repeated is often its own: another
+  // one answers. When there is none the caller gets the error as it came.
+  if (Failed && canRepeat() && attemptsLeft() &&
+      Limit - Now > Millis(From->Target.count() / 4)) {
+    ServerNeeds Other = Needs;
+    Other.Tried.insert(At);
+    const bool Somewhere =
+        chooseServer(Shared.Pool, Other, Now).Server != nullptr;
+    if (Somewhere && mayTryAgain()) {
+      Needs.Tried.insert(At);
+      tryNext();
+      return;
+    }
+  }
+  FirstByte = Now;
+  CallerAnswer Out;
+  Out.result(Head.result());
+  copyAnswerHeaders(Head, Out);
+  Out.body() = std::move(Body);
+  logEnd("answered", Head.result_int(), Failed ? "back_end_error" : "whole");
+  Shared.Counters.add(ForwardCount::Answered);
+  const auto To = Session;
+  finish();
+  To->answer(std::move(Out));
+}
+
+/** The budget is asked again when the attempt is made; here it is only felt
+ * whether there is any, so that an answer in hand is not thrown away. */
+bool Exchange::mayTryAgain() {
+  return repeatsLeft(Shared.Repeats, Needs.Service, Shared.Pool.Entries,
+                     Shared.Clock.now());
+}
+
+/** What came cannot be used, or stopped coming. */
+void Exchange::answerBroke() {
+  if (Call)
+    Call->cancel();
+  callFailed(CallFailure::Broken);
+}
+
+void Exchange::callFailed(CallFailure Why) {
+  const auto Self = shared_from_this();
+  if (Why == CallFailure::Unreached) {
+    Shared.Counters.add(ForwardCount::Unreached);
+    attemptOver(AttemptEnd::Unreached);
+    --Sent; // Nothing reached a back end.
+    Needs.Tried.insert(At);
+    tryNext();
+    return;
+  }
+  if (Why == CallFailure::Stale && canRepeat()) {
+    // The other end closed it while it was idle: no fault of the back end.
+    attemptOver(AttemptEnd::Dropped);
+    --Sent;
+    NewConnection = true;
+    tryNext();
+    return;
+  }
+  Shared.Counters.add(ForwardCount::Broken);
+  attemptOver(AttemptEnd::Broken);
+  MayHaveRun = true;
+  Needs.Tried.insert(At);
+  const bool Continuable = !HeadSent || Events.LastId;
+  if (canRepeat() && Continuable) {
+    tryNext();
+    return;
+  }
+  endWith({ErrorKind::OutcomeUnknown, "the answer broke off", {}}, Ran::Unknown,
+          "back_end_broke");
+}
+
+void Exchange::attemptOver(AttemptEnd How) {
+  const TimePoint Now = Shared.Clock.now();
+  if (!Call)
+    return;
+  Call.reset();
+  attemptClosed(Shared.Pool, At, How, Now - CallBegan, Now);
+}
+
+/** No back end can take it: it is refused, unless it may have run. */
+void Exchange::endWithoutServer(const Failure &Why, const char *Reason) {
+  if (!MayHaveRun) {
+    endWith(Why, Ran::No, Reason);
+    return;
+  }
+  endWith({ErrorKind::OutcomeUnknown, Why.Detail, {}}, Ran::Unknown, Reason);
+}
+
+void Exchange::endWith(const Failure &Why, Ran Executed, const char *Reason) {
+  const auto Self = shared_from_this();
+  if (Call)
+    Call->cancel();
+  attemptOver(AttemptEnd::Dropped);
+  const ErrorAnswer &Row = answerFor(Why.Kind);
+  const auto Status = static_cast<unsigned>(Row.HttpStatus);
+  Shared.Counters.add(Executed == Ran::No ? ForwardCount::Refused
+                                          : ForwardCount::Failed);
+  logEnd(Row.Name, HeadSent ? 0 : Status, Reason);
+  const auto To = Session;
+  finish();
+  if (HeadSent) { // An end that looked whole would hide what is missing.
+    To->abort();
+    return;
+  }
+  CallerAnswer Out;
+  Out.result(Status);
+  Out.set(http::field::content_type, "application/json");
+  const Millis Again = retryAfter(Why);
+  const bool Promises = Executed == Ran::No && (Status == 503 || Status == 429);
+  if (Promises && Again.count() > 0)
+    Out.set(http::field::retry_after, secondsText(Again));
+  Out.body() = errorBody(Why, Executed, RequestId{Id});
+  To->answer(std::move(Out));
+}
+
+void Exchange::callerGone() {
+  const auto Self = shared_from_this();
+  if (!Session)
+    return;
+  // Whoever left needs no answer: the back end is free for others.
+  if (Call)
+    Call->cancel();
+  attemptOver(AttemptEnd::Dropped);
+  Shared.Counters.add(ForwardCount::CallersGone);
+  logEnd("caller_gone", 0, HeadSent ? "in_stream" : "before_answer");
+  finish();
+}
+
+void Exchange::finish() {
+  Timer.cancel();
+  Session.reset();
+}
+
+void Exchange::armTimer() {
+  const TimePoint Now = Shared.Clock.now();
+  TimePoint Next = Limit;
+  if (Call && canRepeat()) {
+    constexpr Millis Soonest{20};
+    const bool InStream = HeadSent;
+    const auto Unit = InStream ? From->GapTarget : From->Target;
+    const auto Silent = std::chrono::duration_cast<Duration>(
+        Unit * (InStream ? SilentGaps : SilentTargets));
+    // Later looks follow at the same distance until the slow limit is over.
+    Next = std::min(Next, std::max(LastProgress + Silent, Now + Silent / 4));
+    Next = std::max(Next, Now + Soonest);
+  }
+  Timer.expires_at(std::min(Next, std::max(Limit, Now)));
+  Timer.async_wait([Self = shared_from_this()](
+                       const boost::system::error_code &ec) {
+    if (!ec && Self->Session)
+      Self->timeCame();
+  });
+}
+
+void Exchange::timeCame() {
+  const TimePoint Now = Shared.Clock.now();
+  if (Now >= Limit) {
+    limitCame();
+    return;
+  }
+  if (Call && canRepeat() && silentTooLong(Now))
+    abandonSilent();
+  if (Session)
+    armTimer();
+}
+
+/** Says whether a back end has been silent for longer than it may be. */
+bool Exchange::silentTooLong(TimePoint Now) const {
+  if (!attemptsLeft())
+    return false;
+  const Millis Unit = HeadSent ? From->GapTarget : From->Target;
+  if (Unit.count() == 0)
+    return false;
+  const bool Alive =
+      heardSince(Shared.Pool, At, std::max(CallBegan, LastProgress));
+  const double Silent = HeadSent ? SilentGaps : SilentTargets;
+  const double Slow = HeadSent ? SlowGaps : SlowTargets;
+  return Now - LastProgress >= Unit * (Alive ? Slow : Silent);
+}
+
+/** Sends the request elsewhere, if there is anywhere else. */
+void Exchange::abandonSilent() {
+  ServerNeeds Other = Needs;
+  Other.Tried.insert(At);
+  const TimePoint Now = Shared.Clock.now();
+  if (chooseServer(Shared.Pool, Other, Now).Server == nullptr || !mayTryAgain())
+    return;
+  answerBroke();
+}
+
+void Exchange::limitCame() {
+  if (MayHaveRun || Sent > 0)
+    endWith({ErrorKind::Deadline, "time is up", {}}, Ran::Unknown, "time_up");
+  else
+    endWith({ErrorKind::Overloaded, "time is up", {}}, Ran::No, "time_up");
+}
+
+void Exchange::logAttempt(const ServerView &Server,
+                          const ServerChoice &Choice) const {
+  const TimePoint Now = Shared.Clock.now();
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=attempt id=" + logValue(Id) + " n=" +
+              std::to_string(Sent + 1) + " server=" + Server.Listed.Id.Value +
+              " at=" + Server.Listed.At.Value + " open=" +
+              std::to_string(Server.Open) + " others=" +
+              std::to_string(Server.OtherWork) + " told_ms=" +
+              std::to_string(std::min<int64_t>(
+                  99999, toMillis(Now - Server.ToldAt).count())) +
+              " candidates=" + std::to_string(Choice.Candidates) +
+              " weights=" + logValue(Server.Weights.Value) +
+              " demand=" + logValue(Choice.Version));
+}
+
+void Exchange::logEnd(const char *Outcome, unsigned Status,
+                      const char *Reason) {
+  const TimePoint Now = Shared.Clock.now();
+  const auto Since = [&](TimePoint Then) {
+    return std::to_string(toMillis(Now - Then).count());
+  };
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=end id=" + logValue(Id) + " outcome=" + Outcome + " status=" +
+              std::to_string(Status) + " reason=" + Reason + " route=" +
+              (From == nullptr ? "-" : logValue(From->Name)) + " tenant=" +
+              (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
+              " attempts=" + std::to_string(Sent) + " servers=" +
+              (Places.empty() ? "-" : Places) + " ms=" + Since(Arrived) +
+              " first_ms=" +
+              (FirstByte ? std::to_string(
+                               toMillis(*FirstByte - Arrived).count())
+                         : "-") +
+              " version=" +
+              (Doc ? std::to_string(Doc->Version.Value) : "0") + " age_ms=" +
+              Since(Shared.DocSince));
+  if (From != nullptr && FirstByte) {
+    Shared.Timings.observeService(Timing::FirstToken, Needs.Service.Value,
+                                  *FirstByte - Arrived);
+    Shared.Timings.observeService(Timing::Whole, Needs.Service.Value,
+                                  Now - Arrived);
+  }
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/forward/forward_context.h
@@ -0,0 +1,48 @@
+/** @file forward_context.h What all requests on routes share. */
+
+#ifndef JACINTHPOND_ENTRY_FORWARD_FORWARD_CONTEXT_H
+#define JACINTHPOND_ENTRY_FORWARD_FORWARD_CONTEXT_H
+
+#include "clock/runtime_clock.h"
+#include "forward/back_end_call.h"
+#include "forward/caller_session.h"
+#include "forward/forward_counters.h"
+#include "forwarding/fleet_snapshot_type.h"
+#include "forwarding/repeat_budget_func.h"
+#include "forwarding/route_match_func.h"
+#include "forwarding/server_pool_func.h"
+#include "metrics/traffic_metrics.h"
+#include "wire_port.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <vector>
+
+namespace jacinthpond {
+
+/** State of the traffic thread; nothing else touches it while it runs. */
+struct ForwardContext {
+  boost::asio::io_context Io{1};  ///< Runs on the traffic thread.
+  RuntimeClock Clock;             ///< The runtime's clock.
+  const WirePort &Wire;           ///< How callers and back ends speak.
+  BackEndConnections Connections; ///< Kept connections to back ends.
+  ServerPool Pool;                ///< Back ends.
+  RepeatBudget Repeats;           ///< Requests sent once more.
+  DocumentPtr Doc;                ///< Document in force.
+  TimePoint DocSince;             ///< When it came into force here.
+  RouteIndex Index;               ///< Look-ups into it.
+  FleetSnapshot Fleet;            ///< Entries, and whether this one is ready.
+  std::atomic<bool> Leaving{false};    ///< The process is to end.
+  std::atomic<bool> Refusing{false};   ///< No new request is taken any more.
+  std::atomic<uint32_t> Open{0};       ///< Requests without a final answer.
+  ForwardCounters Counters;            ///< What happened so far.
+  TrafficMetrics &Timings;             ///< Histograms.
+
+  ForwardContext(const WirePort &Spoken, TrafficMetrics &Into)
+      : Wire(Spoken), Timings(Into) {}
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/entry/src/forward/forward_counters.h
@@ -0,0 +1,76 @@
+/** @file forward_counters.h What happened to requests on routes. */
+
+#ifndef JACINTHPOND_ENTRY_FORWARD_FORWARD_COUNTERS_H
+#define JACINTHPOND_ENTRY_FORWARD_FORWARD_COUNTERS_H
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace jacinthpond {
+
+/** Counters of the traffic thread. */
+enum class ForwardCount : uint8_t {
+  Requests,     ///< Requests taken.
+  Answered,     ///< Answers of back ends given to callers whole.
+  Refused,      ///< Refused, not run.
+  Failed,       ///< Ended without a whole answer after they may have run.
+  CallersGone,  ///< Callers that left before their answer.
+  Repeats,      ///< Attempts after the first of a request.
+  Resumes,      ///< Streams that went on at another back end.
+  Unreached,    ///< Back ends that could not be connected to.
+  Broken,       ///< Answers that broke off or could not be read.
+  NotExecuted,  ///< Refusals by back ends.
+  Misjudged,    ///< Back ends that were not the run, or version, expected.
+  Count         ///< Number of counters; not a counter.
+};
+
+/** Name and help of each counter, in enum order. */
+struct ForwardCounterSpec {
+  const char *Name; ///< Metric name.
+  const char *Help; ///< Text for the page.
+};
+
+constexpr std::array<ForwardCounterSpec,
+                     static_cast<size_t>(ForwardCount::Count)>
+    ForwardCounterTable = {{
+        {"jacinthpond_route_requests_total", "Requests on routes."},
+        {"jacinthpond_route_answered_total", "Answers of back ends passed on."},
+        {"jacinthpond_route_refused_total", "Requests refused as not run."},
+        {"jacinthpond_route_failed_total",
+         "Requests that ended without a whole answer and may have run."},
+        {"jacinthpond_route_callers_gone_total",
+         "Callers that left before their answer."},
+        {"jacinthpond_route_repeats_total",
+         "Attempts after the first one of a request."},
+        {"jacinthpond_route_resumes_total",
+         "Streams that went on at another back end."},
+        {"jacinthpond_back_end_unreached_total",
+         "Attempts for which no connection came about."},
+        {"jacinthpond_back_end_broken_total",
+         "Attempts whose answer broke off or could not be read."},
+        {"jacinthpond_back_end_not_executed_total",
+         "Attempts that a back end refused."},
+        {"jacinthpond_back_end_misjudged_total",
+         "Attempts at a back end that was another run or version."},
+    }};
+
+/** Safe to read from any thread. */
+class ForwardCounters {
+public:
+  /** Counts one. @param What Which counter. */
+  void add(ForwardCount What) { ++Values.at(static_cast<size_t>(What)); }
+  /** Reads a counter. @param What Which. @return Its value. */
+  uint64_t get(ForwardCount What) const {
+    return Values.at(static_cast<size_t>(What)).load();
+  }
+
+private:
+  std::array<std::atomic<uint64_t>, static_cast<size_t>(ForwardCount::Count)>
+      Values{};
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -0,0 +1,237 @@
+/** @file forwarder.cpp Listeners and thread of requests on routes. */
+
+#include "forward/forwarder.h"
+
+#include "forward/exchange.h"
+#include "http/http_server.h"
+#include "log/log.h"
+#include "routing/directory_func.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace jacinthpond {
+
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+/** Connections that the kernel accepts for us before we do. */
+constexpr int ListenBacklog = 1024;
+/** Wait before accepting again when no descriptor is left. */
+constexpr Millis AcceptPause{50};
+/**
+ * Part of the time for a change of weights that is kept free: news of it reach
+ * entries within a second, and a request may wait at a back end for two.
+ */
+constexpr Millis BeginMargin{3000};
+/** Time between two looks for old idle connections. */
+constexpr Millis SweepPeriod{1000};
+
+std::optional<Tcp::endpoint> endpointOf(const std::string &At) {
+  const size_t Colon = At.rfind(':');
+  Error ec;
+  const auto Ip = boost::asio::ip::make_address(At.substr(0, Colon), ec);
+  if (ec || Colon == std::string::npos)
+    return std::nullopt;
+  const auto Port = std::strtoul(At.c_str() + Colon + 1, nullptr, 10);
+  return Tcp::endpoint(Ip, static_cast<uint16_t>(Port));
+}
+
+ErrorKind kindOf(unsigned Status) {
+  if (Status == 408)
+    return ErrorKind::SlowCaller;
+  if (Status == 413)
+    return ErrorKind::TooLarge;
+  return ErrorKind::BadRequest;
+}
+
+CallerAnswer badRequest(unsigned Status) {
+  CallerAnswer Out;
+  Out.result(Status);
+  Out.set(http::field::content_type, "application/json");
+  Out.body() = errorBody({kindOf(Status), "", {}}, Ran::No, {});
+  return Out;
+}
+
+} // namespace
+
+Forwarder::Forwarder(const Settings &Config, const WirePort &Wire,
+                     TrafficMetrics &Timings)
+    : Config(Config), Shared(Wire, Timings), SweepTimer(Shared.Io) {
+  Shared.Pool.Options.Domain.Value = Config.Domain;
+  Shared.Pool.Options.FormerWeightsFor = std::max(
+      Millis(Config.WeightsChangeMillis) - BeginMargin, Millis{0});
+  Shared.Pool.Options.LapseGrace = Millis(Config.LapseGraceMillis);
+  Shared.Pool.Random ^= std::hash<std::string>{}(Config.Name) | 1U;
+  Shared.Repeats.Limits = {Config.RepeatRatio,
+                           static_cast<uint32_t>(Config.RepeatSlack),
+                           std::chrono::seconds(Config.RepeatWindowSeconds)};
+}
+
+Forwarder::~Forwarder() {
+  Shared.Io.stop();
+  if (Traffic.joinable())
+    Traffic.join();
+}
+
+SessionRules Forwarder::rulesFor(
+    std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
+        OnRequest) {
+  SessionRules Rules;
+  Rules.OnRequest = std::move(OnRequest);
+  Rules.OnBadRequest = badRequest;
+  Rules.Limits = [this] {
+    return Shared.Doc ? Shared.Doc->Limits : CallerLimits{};
+  };
+  Rules.Leaving = [this] { return Shared.Leaving.load(); };
+  return Rules;
+}
+
+bool Forwarder::start() {
+  const bool Listening =
+      listen(Config.RouteListen,
+             rulesFor([this](const auto &Session, CallerRequest Asked) {
+               std::make_shared<Exchange>(Shared, Session, std::move(Asked))
+                   ->start();
+             })) &&
+      listen(Config.ReadyListen,
+             rulesFor([this](const auto &Session, const CallerRequest &) {
+               answerReady(*Session);
+             })) &&
+      listen(Config.DirectoryListen,
+             rulesFor([this](const auto &Session, const CallerRequest &Asked) {
+               answerDirectory(*Session, Asked);
+             }));
+  if (!Listening)
+    return false;
+  sweep();
+  Traffic = std::thread([this] {
+    for (;;) {
+      try {
+        Shared.Io.run();
+        return;
+      } catch (const std::exception &Why) {
+        // One request failed in a way nobody thought of; the others go on.
+        logLine(LogPart::Requests, LogLevel::Error,
+                std::string("event=traffic_fault why=") + Why.what());
+      }
+    }
+  });
+  return true;
+}
+
+bool Forwarder::listen(const std::string &At, SessionRules Rules) {
+  if (At.empty())
+    return true;
+  const auto Where = endpointOf(At);
+  if (!Where)
+    return false;
+  Listener &One = Listeners.emplace_back(
+      Listener{Tcp::acceptor(Shared.Io), std::move(Rules),
+               boost::asio::steady_timer(Shared.Io)});
+  Error ec;
+  One.Accepting.open(Where->protocol(), ec);
+  if (!ec)
+    One.Accepting.set_option(Tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    One.Accepting.bind(*Where, ec);
+  if (!ec)
+    One.Accepting.listen(ListenBacklog, ec);
+  if (ec) {
+    logLine(LogPart::Main, LogLevel::Error,
+            "event=listen_failed at=" + At + " why=" + ec.message());
+    return false;
+  }
+  accept(One);
+  return true;
+}
+
+void Forwarder::accept(Listener &On) {
+  On.Accepting.async_accept([this, &On](const Error &ec, Tcp::socket Socket) {
+    if (ec == boost::asio::error::operation_aborted)
+      return;
+    if (!ec) {
+      std::make_shared<CallerSession>(std::move(Socket), On.Rules)->start();
+      accept(On);
+      return;
+    }
+    logLine(LogPart::Main, LogLevel::Warn,
+            "event=accept_failed why=" + ec.message());
+    On.Pause.expires_after(AcceptPause);
+    On.Pause.async_wait([this, &On](const Error &Ended) {
+      if (!Ended)
+        accept(On);
+    });
+  });
+}
+
+void Forwarder::sweep() {
+  Shared.Connections.sweep(Shared.Clock.now());
+  SweepTimer.expires_after(SweepPeriod);
+  SweepTimer.async_wait([this](const Error &ec) {
+    if (!ec)
+      sweep();
+  });
+}
+
+void Forwarder::follow(DocumentPtr Doc) {
+  boost::asio::post(Shared.Io, [this, Doc = std::move(Doc)] {
+    const TimePoint Now = Shared.Clock.now();
+    Shared.Doc = Doc;
+    Shared.DocSince = Now;
+    Shared.Index = makeRouteIndex(*Doc);
+    poolFollows(Shared.Pool, Doc, Now);
+  });
+}
+
+void Forwarder::told(std::vector<AgentNews> News) {
+  boost::asio::post(Shared.Io, [this, News = std::move(News)] {
+    const TimePoint Now = Shared.Clock.now();
+    for (const AgentNews &One : News)
+      agentTold(Shared.Pool, One, Now);
+  });
+}
+
+void Forwarder::fleet(FleetSnapshot Fleet) {
+  boost::asio::post(Shared.Io, [this, Fleet = std::move(Fleet)] {
+    listingAway(Shared.Pool, Fleet.ListingAway, Shared.Clock.now());
+    Shared.Pool.Entries =
+        static_cast<uint32_t>(std::max<size_t>(1, Fleet.Alive.size()));
+    Shared.Fleet = Fleet;
+  });
+}
+
+void Forwarder::answerReady(CallerSession &To) const {
+  CallerAnswer Out;
+  const bool Ready = Shared.Fleet.Ready && Shared.Doc && !Shared.Leaving;
+  Out.result(Ready ? http::status::ok : http::status::service_unavailable);
+  To.answer(std::move(Out));
+}
+
+void Forwarder::answerDirectory(CallerSession &To,
+                                const CallerRequest &Asked) const {
+  CallerAnswer Out;
+  const auto Question = Shared.Wire.directoryQuestion(
+      std::string_view(Asked.target().data(), Asked.target().size()));
+  if (!Question) {
+    Out.result(http::status::not_found);
+    To.answer(std::move(Out));
+    return;
+  }
+  const std::vector<Address> Entries =
+      directoryAnswer(Shared.Fleet.Alive, Shared.Doc.get(), Question->Domain,
+                      Question->Region);
+  // Without any address the caller asks the next entry.
+  Out.result(Entries.empty() ? http::status::service_unavailable
+                             : http::status::ok);
+  Out.set(http::field::content_type, "application/json");
+  Out.body() = Shared.Wire.directoryAnswer(Entries,
+                                           Millis(Config.AddressKeepMillis));
+  To.answer(std::move(Out));
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/forward/forwarder.h
@@ -0,0 +1,87 @@
+/** @file forwarder.h Listeners and thread of requests on routes. */
+
+#ifndef JACINTHPOND_ENTRY_FORWARD_FORWARDER_H
+#define JACINTHPOND_ENTRY_FORWARD_FORWARDER_H
+
+#include "forward/forward_context.h"
+#include "settings/settings_type.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <string>
+#include <thread>
+
+namespace jacinthpond {
+
+/** Answers callers on routes, readiness checks and the directory. */
+class Forwarder {
+public:
+  /**
+   * Sets up; nothing runs yet.
+   * @param Config Settings of the process.
+   * @param Wire How callers and back ends speak; outlives this.
+   * @param Timings Histograms; outlive this.
+   */
+  Forwarder(const Settings &Config, const WirePort &Wire,
+            TrafficMetrics &Timings);
+  /** Ends the thread. */
+  ~Forwarder();
+  Forwarder(const Forwarder &) = delete;
+  Forwarder &operator=(const Forwarder &) = delete;
+
+  /**
+   * Binds the listeners and starts the thread.
+   * @return False when an address cannot be had.
+   */
+  bool start();
+
+  /** A document came into force. @param Doc The document. */
+  void follow(DocumentPtr Doc);
+
+  /** Agents told of their back ends. @param News What they told. */
+  void told(std::vector<AgentNews> News);
+
+  /** The fleet changed. @param Fleet What is known of it. */
+  void fleet(FleetSnapshot Fleet);
+
+  /** Answers ask to close, and readiness is denied, from now on. */
+  void leave() { Shared.Leaving = true; }
+
+  /** Requests that come from now on are refused as not run. */
+  void refuseNew() { Shared.Refusing = true; }
+
+  /** Counts requests under way. @return Requests without a final answer. */
+  uint32_t open() const { return Shared.Open; }
+
+  /** Gives the counters. @return The counters. */
+  const ForwardCounters &counters() const { return Shared.Counters; }
+
+private:
+  /** One listening address with its rules. */
+  struct Listener {
+    boost::asio::ip::tcp::acceptor Accepting; ///< The socket.
+    SessionRules Rules;                       ///< What its sessions do.
+    boost::asio::steady_timer Pause;          ///< Before accepting again.
+  };
+
+  bool listen(const std::string &At, SessionRules Rules);
+  void accept(Listener &On);
+  void sweep();
+  SessionRules rulesFor(
+      std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
+          OnRequest);
+  void answerReady(CallerSession &To) const;
+  void answerDirectory(CallerSession &To, const CallerRequest &Asked) const;
+
+  const Settings &Config;
+  ForwardContext Shared;
+  std::list<Listener> Listeners;
+  boost::asio::steady_timer SweepTimer;
+  std::thread Traffic;
+};
+
+} // namespace jacinthpond
+
+#endif
--- /dev/null
+++ b/packages/entry/src/forward/socket_options.h
@@ -0,0 +1,35 @@
+/** @file socket_options.h Options of sockets that carry requests. */
+
+#ifndef JACINTHPOND_ENTRY_FORWARD_SOCKET_OPTIONS_H
+#define JACINTHPOND_ENTRY_FORWARD_SOCKET_OPTIONS_H
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <netinet/tcp.h>
+
+namespace jacinthpond {
+
+/**
+ * Time in milliseconds after which sent bytes that nobody acknowledges close a
+ * connection. A host without power or behind a partition answers nothing, and
+ * the kernel alone would wait for minutes.
+ */
+constexpr int UnacknowledgedMillis = 2500;
+
+/**
+ * Sends small pieces at once and notices a silent other end.
+ * @param Socket A connected socket; what it refuses is left as it is, since
+ *        both options only make failures show sooner.
+ */
+inline void setTrafficOptions(boost::asio::ip::tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  using UserTimeout =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_USER_TIMEOUT>;
+  Socket.set_option(UserTimeout(UnacknowledgedMillis), Ignored);
+}
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -7,6 +7,8 @@
 #include "http/http_backends.h"
 #include "log/log.h"
 #include "operator_commands.h"
+#include "platform/store_config.h"
+#include "platform/store_wire.h"
 #include "settings/settings_func.h"
 #include "threads/process.h"
 
@@ -25,16 +27,24 @@
   if (!Config)
     return ExitInvalid;
   setupLog(Config->Name, Config->LogLevel);
-  HttpConfig Service(Config->ConfigUrl);
+  const bool OnStore = Config->Platform == "store";
+  HttpConfig OwnService(Config->ConfigUrl);
+  StoreConfig Store(Config->ConfigUrl,
+                    {Config->DomainRegions, Config->AgentPort});
+  ConfigPort &Service = OnStore ? static_cast<ConfigPort &>(Store) : OwnService;
   HttpHosts Hosts(Config->HostsUrl);
-  EntryShell Host(*Config, Service,
-                  Config->HostsUrl.empty() ? nullptr : &Hosts);
+  const StoreWire Wire;
+  TrafficMetrics RouteTimings;
+  Forwarder Routes(*Config, Wire, RouteTimings);
+  EntryShell Host(*Config, Service, Config->HostsUrl.empty() ? nullptr : &Hosts,
+                  OnStore ? &Routes : nullptr);
   CallerApi Callers(*Config, Host);
   AdminApi Admin(*Config, Host);
+  const bool Routing = !OnStore || Routes.start();
   const std::string Peers = Host.start();
-  const std::string At = Callers.start();
+  const std::string At = Config->CallerListen.empty() ? "none" : Callers.start();
   const std::string AdminAt = Admin.start();
-  if (Peers.empty() || At.empty() || AdminAt.empty()) {
+  if (!Routing || Peers.empty() || At.empty() || AdminAt.empty()) {
     logLine(LogPart::Main, LogLevel::Error, "A listening address is taken.");
     return ExitFailed;
   }
--- a/packages/ports/src/engine_port.h
+++ b/packages/ports/src/engine_port.h
@@ -37,14 +37,22 @@
 
   /**
    * Stages one chunk of weights in the engine's memory.
-   * @param Chunk Digest of the chunk.
+   * @param Chunk Which chunk.
    * @param Bytes Its content.
    * @return Nothing, or Unreachable.
    */
-  virtual Result<void> stage(const Digest &Chunk, const std::string &Bytes) = 0;
+  virtual Result<void> stage(const ChunkRef &Chunk,
+                             const std::string &Bytes) = 0;
 
   /**
-   * Loads a staged set.
+   * Reads back what is staged in a chunk's place. The content is not trusted.
+   * @param Chunk Which chunk.
+   * @return Its bytes, NotFound, or Unreachable.
+   */
+  virtual Result<std::string> staged(const ChunkRef &Chunk) = 0;
+
+  /**
+   * Loads a staged set; returns when that is done.
    * @param Order What to load.
    * @return Nothing, or why the engine refused.
    */
--- a/packages/ports/src/platform_port.h
+++ b/packages/ports/src/platform_port.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHPOND_PORTS_PLATFORM_PORT_H
 #define JACINTHPOND_PORTS_PLATFORM_PORT_H
 
+#include "attempts/backend_type.h"
 #include "base/error_func.h"
 #include "base/ids_type.h"
 #include "base/time_type.h"
@@ -51,10 +52,18 @@
 
   /**
    * Fetches a chunk. The content is not trusted.
-   * @param Chunk Digest of the chunk.
+   * @param Chunk Which chunk.
    * @return Its bytes, or Unreachable.
    */
-  virtual Result<std::string> fetch(const Digest &Chunk) = 0;
+  virtual Result<std::string> fetch(const ChunkRef &Chunk) = 0;
+
+  /**
+   * Reads which chunks a version has, where the document does not say it. The
+   * list is not trusted: it may have been damaged on its way.
+   * @param Version Which version; its content and number do not count.
+   * @return The list, or Unreachable.
+   */
+  virtual Result<ChunkList> list(const ChunkRef &Version) = 0;
 };
 
 } // namespace jacinthpond
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -75,7 +75,7 @@
   read(document(5));
   joinAll(5);
   const std::vector<HostName> Order =
-      readerOrder(*State.View.InForce, DomainName{"d"});
+      readerOrder(State.View.InForce->Entries, DomainName{"d"});
   const auto Self = std::ranges::find(Order, HostName{"a"});
   const size_t Rank = static_cast<size_t>(Self - Order.begin());
   BOOST_TEST(isReader(State.View, State.Fleet) == (Rank < ReadersPerDomain));
--- a/tests/unit/link_subset_test.cpp
+++ b/tests/unit/link_subset_test.cpp
@@ -40,7 +40,7 @@
 
 BOOST_AUTO_TEST_CASE(ASmallFleetIsLinkedInFull) {
   const Document Doc = fleetOf(9, 19, 3);
-  BOOST_TEST(linkSubset(Doc, entry(Doc, 0)).size() == 8U + 19U);
+  BOOST_TEST(linkSubset(Doc, Doc.Entries, entry(Doc, 0)).size() == 8U + 19U);
 }
 
 // At the size of the plan every entry reaches every other over the links, and
@@ -50,7 +50,7 @@
   std::map<std::string, std::set<std::string>> Links;
   std::map<std::string, size_t> LinksOfWorker;
   for (size_t n = 0; n < Doc.Entries.size(); ++n) {
-    const auto Peers = linkSubset(Doc, entry(Doc, n));
+    const auto Peers = linkSubset(Doc, Doc.Entries, entry(Doc, n));
     BOOST_TEST(Peers.size() <= WorkersPerModel + 4 + 9);
     const std::string Self = Doc.Entries[n].Name.Value;
     for (const PeerAddress &Peer : Peers) {
