entry, agent: a place at the back end is asked of its agent

Cause: entries chose by lagging views; some workers queued while others stood idle, and p90 of the first event was 400 to 1250 ms. Ruled out: slow workers (busiest/mean 1.13 and the engine's own steps were even). Change: PlaceAsk, PlaceAnswer and PlaceDone between entry and agent; the agent's admission bounds what is at its worker; bytes still go past the agent. Half of the workers of a model on routes serve during a rollout.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -9,6 +9,7 @@
 #include "attempts/back_end_death_func.h"
 #include "attempts/idempotency_func.h"
 #include "attempts/keyed_attempt_func.h"
+#include "attempts/place_func.h"
 #include "base/overloaded.h"
 #include "base/rate_limit_func.h"
 #include "configuration/config_spread_func.h"
@@ -33,6 +34,9 @@
 
 /** Name of the platform on which requests go straight to back ends. */
 constexpr std::string_view StorePlatform = "store";
+/** Requests beyond its slots that a back end is given, so that the next one is
+ * there when one ends; it would stand idle for the way from an entry. */
+constexpr uint32_t SlotsAhead = 1;
 /** Wait before a list of chunks that could not be read is read again. */
 constexpr Millis ListRetry{300};
 /** Gap between two ticks that shows that this process was paused. */
@@ -57,11 +61,7 @@
 WorkerLoad loadOf(const AgentState &Agent) {
   WorkerLoad Load;
   Load.State = stateOf(Agent);
-  // On a platform whose callers' requests pass by the agent, only the back end
-  // itself knows its work.
-  Load.Running = Agent.Config.Platform == StorePlatform
-                     ? Agent.ReportedWork
-                     : Agent.Gate.Running + Agent.Gate.Lingering;
+  Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
   Load.KeyEpoch = Agent.Keys.Epoch;
@@ -130,6 +130,22 @@
   readList(Agent, Now, Out);
 }
 
+/** A listed back end says itself how much it works on at a time. */
+void followSlots(AgentState &Agent, const Document &Doc) {
+  const std::string &Self = Agent.Fleet.Self.Name.Value;
+  const auto it = std::ranges::find_if(
+      Doc.Servers,
+      [&](const BackEndServer &One) { return One.At.Value == Self; });
+  if (it == Doc.Servers.end() || it->Slots == 0)
+    return;
+  const uint32_t Bears = it->Slots + SlotsAhead;
+  if (Agent.Gate.Limits.Warm == Bears)
+    return;
+  // Its cold start is bounded by a rate, which entries share among them.
+  Agent.Gate.Limits.Warm = Agent.Gate.Limits.Cold = Bears;
+  Agent.Gate.Limit = Bears;
+}
+
 /** Takes what the document says of this host. */
 void followDocument(AgentState &Agent, TimePoint Now, Effects &Out) {
   const Document &Doc = *Agent.View.InForce;
@@ -141,6 +157,7 @@
     else if (Wanted != nullptr)
       wantWeights(Agent.Weights, *Wanted);
     planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
+    followSlots(Agent, Doc);
     for (const LinkId Link : followPeers(Agent, Out))
       agentLinkClosed(Agent, Link, Now);
   }
@@ -234,6 +251,8 @@
   linkClosed(Agent.Fleet, Link, Now);
   chunkPeerGone(Agent.Transfer, Link, Now);
   detachAttempts(Agent, Link, Now);
+  Effects None; // Nobody is left to be told.
+  detachPlaces(Agent, Link, Now, None);
 }
 
 void agentNoticePause(AgentState &Agent, TimePoint Now, Effects &Out) {
@@ -268,6 +287,13 @@
   std::visit(Overloaded{[&](const AttemptStart &Start) {
                           takeAttempt(Agent, Link, Start, Now, Out);
                         },
+                        [&](const PlaceAsk &Ask) {
+                          takePlaceAsk(Agent, Link, Ask, Now, Out);
+                        },
+                        [&](const PlaceDone &Done) {
+                          placeDone(Agent, Done, Now, Out);
+                          loadInTurn(Agent, Now, Out);
+                        },
                         [&](const AttemptCancel &Cancel) {
                           cancelAttempt(Agent, Cancel.Attempt, Now, Out);
                         },
@@ -377,10 +403,8 @@
                        OrdersEnded == Agent.Weights.OrdersGiven;
   if (Read.Value && Current)
     Agent.Weights.Loading = false;
-  if (Read.Value) {
-    Agent.ReportedWork = Read.Value->Running;
+  if (Read.Value)
     Agent.Weights.EngineBusy = Read.Value->Busy;
-  }
   const std::string Run = Read.Value ? Read.Value->Run : "";
   const bool Restarted = Run != Agent.Weights.EngineRun;
   Agent.Weights.EngineRun = Run;
@@ -509,6 +533,7 @@
   if (WasFresh && !viewIsFresh(Agent.Fleet))
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
+  sweepPlaces(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
   readList(Agent, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -41,6 +41,15 @@
   uint32_t ReadsSinceBroke = 0;      ///< States of the back end read since.
 };
 
+/** A place at the back end for a request that an entry sends there itself. */
+struct Place {
+  LinkId Link;         ///< Who asked.
+  TimePoint Since;     ///< When it was asked for, then when it was given.
+  TimePoint WaitUntil; ///< After that it is of no use.
+  bool Given = false;  ///< The request may be at the back end.
+  std::optional<TimePoint> LinkLost; ///< Since when nobody can speak of it.
+};
+
 /** Counters of an agent; read by metrics and status. */
 struct AgentCounters {
   uint64_t Started = 0;        ///< Attempts given to the back end.
@@ -64,13 +73,13 @@
   std::string BackEndRun;                ///< Last incarnation that answered.
   Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
+  std::map<AttemptId, Place> Places;     ///< Waiting and given.
   EndedAttempts Ended;                   ///< Attempts of the last while.
   KeyBook Keys;                          ///< Non-repeatable calls.
   ModelVersion Listing; ///< Version whose chunk list is being read; may be empty.
   std::optional<ChunkList> ListRead; ///< What the first reading gave.
   TimePoint NextListRead;            ///< Earliest time of the next reading.
   bool ListAsked = false;            ///< A reading is under way.
-  uint32_t ReportedWork = 0;         ///< Requests that the back end told last.
   uint32_t ToldWork = 0;  ///< Work in the last heartbeat before its time.
   bool Stopping = false;  ///< No new work is taken.
   AgentCounters Counters; ///< What happened so far.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -7,6 +7,7 @@
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
 #include "attempts/keyed_attempt_func.h"
+#include "attempts/place_func.h"
 #include "base/error_func.h"
 #include "base/hash_func.h"
 #include "configuration/document_func.h"
@@ -386,6 +387,10 @@
 
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out) {
   while (const auto Next = nextToRun(Agent.Gate)) {
+    if (Agent.Places.contains(*Next)) {
+      givePlace(Agent, *Next, Now, Out);
+      continue;
+    }
     Attempt &One = Agent.Attempts.at(*Next);
     if (Now < One.Deadline) {
       beginAttempt(Agent, One, Now, Out);
@@ -418,14 +423,16 @@
 void refuseWaiting(AgentState &Agent, ErrorKind Kind, Effects &Out) {
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
     stopWaiting(Agent.Gate, Which);
+    refusePlace(Agent, Which, {Kind, "", {}}, Out);
     failAttempt(Agent, Which, {Kind, "", {}}, Ran::No, Out);
   }
 }
 
 void refuseOverdue(AgentState &Agent, TimePoint Now, Effects &Out) {
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
-    if (Now < Agent.Attempts.at(Which).Deadline)
-      continue;
+    const auto it = Agent.Attempts.find(Which);
+    if (it == Agent.Attempts.end() || Now < it->second.Deadline)
+      continue; // Places are looked at by sweepPlaces().
     stopWaiting(Agent.Gate, Which);
     failAttempt(Agent, Which, {ErrorKind::Deadline, "waited too long", {}},
                 Ran::No, Out);
--- /dev/null
+++ b/packages/core/src/attempts/place.cpp
@@ -0,0 +1,163 @@
+/** @file place.cpp Places at a back end for requests that entries send. */
+
+#include "attempts/place_func.h"
+
+#include "admission/admission_func.h"
+#include "attempts/attempt_func.h"
+#include "weights/weights_func.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Priority of rank 0; later ranks come below it. */
+constexpr uint32_t FirstPriority = 100;
+/**
+ * How long a place stays taken after its link was lost. An entry that lives
+ * ends its requests within that time or asks anew; the back end ends those of
+ * one that died, whose connections are gone.
+ */
+constexpr Millis LostLinkKeep{2000};
+/** How long a place stays taken when its end was never told. */
+constexpr Millis ForgottenAfter{20000};
+
+void answer(LinkId Link, const AttemptId &Which, const Failure *Refusal,
+            Effects &Out) {
+  PlaceAnswer m;
+  m.Place = Which;
+  m.Given = Refusal == nullptr;
+  if (Refusal != nullptr) {
+    m.Why = Refusal->Kind;
+    m.RetryAfterMillis = static_cast<uint64_t>(Refusal->RetryAfter.count());
+  }
+  Out.push_back(SendMessage{Link, m});
+}
+
+/** Says why no place at all is given now, or nothing. */
+std::optional<ErrorKind> standingRefusal(const AgentState &Agent) {
+  if (agentIsLeaving(Agent))
+    return ErrorKind::Leaving;
+  if (!Agent.BackEndUp)
+    return ErrorKind::NoWorker;
+  // Whether its domain or version may be used is for the entry to say, which
+  // has the document as well; what cannot be served at all is known here.
+  if (Agent.Weights.Draining || Agent.Weights.Loading ||
+      Agent.Weights.EngineBusy || Agent.Weights.Loaded.Value.empty())
+    return ErrorKind::WeightsNotReady;
+  return std::nullopt;
+}
+
+Admittee admitteeOf(const AgentState &Agent, const PlaceAsk &m) {
+  Admittee One;
+  One.Who = {m.Place, m.Tenant, 1,
+             FirstPriority - std::min(m.Rank, FirstPriority)};
+  // The wait is bounded until the begin; the queue counts to the end.
+  One.Remaining =
+      Millis(static_cast<int64_t>(m.WaitMillis)) + Agent.Gate.ServiceTime;
+  return One;
+}
+
+} // namespace
+
+void takePlaceAsk(AgentState &Agent, LinkId Link, const PlaceAsk &m,
+                  TimePoint Now, Effects &Out) {
+  if (Agent.Places.contains(m.Place))
+    return; // Asked twice: the first answer counts.
+  if (const auto Standing = standingRefusal(Agent)) {
+    const Failure Why{*Standing, "", {}};
+    answer(Link, m.Place, &Why, Out);
+    return;
+  }
+  const AdmissionAnswer Admitted = askToRun(Agent.Gate, admitteeOf(Agent, m));
+  if (Admitted.PushedOut)
+    refusePlace(Agent, *Admitted.PushedOut,
+                {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
+  if (Admitted.May == Admitted::Refuse) {
+    const Failure Why{ErrorKind::Overloaded, "", Admitted.RetryAfter};
+    answer(Link, m.Place, &Why, Out);
+    return;
+  }
+  Place One;
+  One.Link = Link;
+  One.Since = Now;
+  One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
+  Agent.Places[m.Place] = One;
+  if (Admitted.May == Admitted::Run)
+    givePlace(Agent, m.Place, Now, Out);
+}
+
+void givePlace(AgentState &Agent, const AttemptId &Which, TimePoint Now,
+               Effects &Out) {
+  Place &One = Agent.Places.at(Which);
+  One.Given = true;
+  One.Since = Now;
+  ++Agent.Counters.Started;
+  answer(One.Link, Which, nullptr, Out);
+}
+
+void refusePlace(AgentState &Agent, const AttemptId &Which, const Failure &Why,
+                 Effects &Out) {
+  const auto it = Agent.Places.find(Which);
+  if (it == Agent.Places.end())
+    return;
+  ++Agent.Counters.Refused[Why.Kind];
+  answer(it->second.Link, Which, &Why, Out);
+  Agent.Places.erase(it);
+}
+
+void placeDone(AgentState &Agent, const PlaceDone &m, TimePoint Now,
+               Effects &Out) {
+  const auto it = Agent.Places.find(m.Place);
+  if (it == Agent.Places.end())
+    return;
+  const Place One = it->second;
+  Agent.Places.erase(it);
+  if (!One.Given) {
+    stopWaiting(Agent.Gate, m.Place);
+    return;
+  }
+  const RunEnd Broken = m.Sent ? RunEnd::CutOff : RunEnd::NotBegun;
+  runEnded(Agent.Gate, m.Place, m.Whole ? RunEnd::Whole : Broken,
+           Now - One.Since);
+  Agent.Counters.Completed += m.Whole ? 1 : 0;
+  runWaiting(Agent, Now, Out);
+}
+
+void detachPlaces(AgentState &Agent, LinkId Link, TimePoint Now, Effects &) {
+  for (auto it = Agent.Places.begin(); it != Agent.Places.end();) {
+    Place &One = it->second;
+    if (One.Link == Link && !One.Given) {
+      stopWaiting(Agent.Gate, it->first);
+      it = Agent.Places.erase(it);
+      continue;
+    }
+    if (One.Link == Link && !One.LinkLost)
+      One.LinkLost = Now;
+    ++it;
+  }
+}
+
+void sweepPlaces(AgentState &Agent, TimePoint Now, Effects &Out) {
+  std::vector<AttemptId> Over;
+  for (const auto &[Which, One] : Agent.Places) {
+    const bool Lost = One.LinkLost && Now - *One.LinkLost >= LostLinkKeep;
+    if (One.Given && (Lost || Now - One.Since >= ForgottenAfter))
+      Over.push_back(Which);
+  }
+  for (const AttemptId &Which : Over)
+    placeDone(Agent, {Which, false, true}, Now, Out);
+  std::vector<AttemptId> Late;
+  for (const auto &[Which, One] : Agent.Places)
+    if (!One.Given && Now >= One.WaitUntil)
+      Late.push_back(Which);
+  for (const AttemptId &Which : Late) {
+    stopWaiting(Agent.Gate, Which);
+    refusePlace(Agent, Which,
+                {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
+  }
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -46,7 +46,8 @@
   News.State = Link.Load.State;
   News.Busy = Link.Load.Running + Link.Load.Waiting;
   News.Weights = Link.Load.Weights;
-  News.Fresh = true;
+  News.Fresh = Link.Load.State != WorkerState::Leaving;
+  News.Link = Link.Link;
   return News;
 }
 
@@ -83,7 +84,7 @@
   }
   for (const auto &[Name, LoadAt] : Told.LoadAt)
     if (!Heard.contains(Name))
-      News.push_back({Address{Name.Value}, WorkerState::Empty, 0, {}, false});
+      News.push_back({Address{Name.Value}, WorkerState::Empty, 0, {}, false, {}});
   Told.LoadAt = std::move(Heard);
   return News;
 }
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -9,6 +9,10 @@
 
 namespace jacinthpond {
 
+bool hasAgent(const ServerView &View) {
+  return View.Agent && View.Agent->Fresh;
+}
+
 namespace {
 
 /** First time for which a back end that failed is left alone. */
@@ -59,6 +63,10 @@
 
 /** Requests at a back end, those of other entries as far as known. */
 double workAt(const ServerView &View, TimePoint Now) {
+  // An agent tells again in time; of others nothing is heard while nothing is
+  // sent to them, and what they told once would keep them from ever being used.
+  if (hasAgent(View))
+    return View.Open + View.OtherWork;
   const double Age =
       static_cast<double>(toMillis(Now - View.ToldAt).count()) /
       static_cast<double>(LoadHalfLife.count());
@@ -112,6 +120,7 @@
   const Document &Doc = *Pool.Doc;
   if (View.Listed.Service != Needs.Service || View.Listed.Draining ||
       Needs.Tried.contains(View.Listed.Id) ||
+      Needs.Full.contains(View.Listed.Id) ||
       Doc.DomainsOut.contains(View.Listed.Domain))
     return false;
   if (View.Vanished && Now >= Pool.ListingDoubtUntil)
@@ -241,8 +250,10 @@
     if (!usable(Pool, View, Needs, *Kind, Now) || Now < View.AvoidUntil)
       continue;
     ++Choice.Candidates;
-    if (workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From) ||
-        !coldAllows(Pool, View, *Kind, Now))
+    // An agent knows better than this entry whether there is room.
+    const bool Full = !hasAgent(View) && workAt(View, Now) + 1 >
+                                             roomOf(Pool, View, *Needs.From);
+    if (Full || !coldAllows(Pool, View, *Kind, Now))
       continue;
     const double Score = scoreOf(Pool, View, Now);
     if (Choice.Server != nullptr && Score >= Best)
@@ -256,11 +267,6 @@
     Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
     return Choice;
   }
-  const auto Wanted = Pool.Wanted.find(Kind->Model);
-  const bool MustBeNew = Wanted != Pool.Wanted.end() &&
-                         Now >= Wanted->second.FormerUntil;
-  if (MustBeNew)
-    Choice.Version = Wanted->second.Version;
   return Choice;
 }
 
@@ -343,6 +349,32 @@
   }
 }
 
+void agentSilent(ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  if (it != Pool.Servers.end() && it->second.Agent)
+    it->second.Agent->Fresh = false;
+}
+
+bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
+                 const ServerNeeds &Needs, TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  const Service *Kind =
+      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
+  return it != Pool.Servers.end() && Kind != nullptr &&
+         usable(Pool, it->second, Needs, *Kind, Now);
+}
+
+std::string versionToDemand(const ServerPool &Pool, const ServerNeeds &Needs,
+                            TimePoint Now) {
+  const Service *Kind =
+      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
+  const auto Wanted =
+      Kind == nullptr ? Pool.Wanted.end() : Pool.Wanted.find(Kind->Model);
+  const bool MustBeNew =
+      Wanted != Pool.Wanted.end() && Now >= Wanted->second.FormerUntil;
+  return MustBeNew ? Wanted->second.Version : "";
+}
+
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
   const auto it = Pool.Servers.find(Id);
   if (it != Pool.Servers.end())
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -42,6 +42,41 @@
 ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
                           TimePoint Now);
 
+/**
+ * Says whether an agent bounds the load of a back end.
+ * @param View The back end.
+ * @return True while the agent answers.
+ */
+bool hasAgent(const ServerView &View);
+
+/**
+ * An agent did not answer: its back end is used without it, until it speaks.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ */
+void agentSilent(ServerPool &Pool, const InstanceId &Id);
+
+/**
+ * Looks again before sending: news may have come while a place was waited for.
+ * @param Pool The state.
+ * @param Id Which back end.
+ * @param Needs What the request needs.
+ * @param Now Current time.
+ * @return Whether the back end may still get it.
+ */
+bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
+                 const ServerNeeds &Needs, TimePoint Now);
+
+/**
+ * Gives the version of weights that a request has to begin on.
+ * @param Pool The state.
+ * @param Needs What the request needs.
+ * @param Now Current time.
+ * @return The version; empty while the former one may still begin.
+ */
+std::string versionToDemand(const ServerPool &Pool, const ServerNeeds &Needs,
+                            TimePoint Now);
+
 /**
  * An attempt goes to a back end.
  * @param Pool State to change.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -22,6 +22,7 @@
   uint32_t Busy = 0;  ///< Requests that run or wait there.
   Digest Weights;     ///< What it has loaded; empty: nothing whole.
   bool Fresh = false; ///< The agent answers now.
+  LinkId Link;        ///< Link to the agent; valid while Fresh.
 };
 
 /** One back end as this entry sees it. */
@@ -74,6 +75,7 @@
   const Route *From = nullptr;           ///< Its route.
   const Tenant *Owner = nullptr;         ///< Its tenant; null: none.
   std::set<InstanceId> Tried;            ///< Not these again.
+  std::set<InstanceId> Full;             ///< Said to have no room just now.
   Digest Weights; ///< Only this set, to go on with an answer; empty: any.
 };
 
@@ -88,7 +90,6 @@
   const ServerView *Server = nullptr; ///< Chosen; null: none.
   PoolRefusal Why = PoolRefusal::NoneListed; ///< Meaningful without a server.
   Millis RetryAfter{0};  ///< When there may be room.
-  std::string Version;   ///< Version to demand of it; empty: any.
   uint32_t Candidates = 0; ///< Back ends that were compared.
 };
 
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -14,7 +14,8 @@
     MessageNames = {"hello",   "heartbeat", "pull",   "push",   "start",
                     "begun",   "frame",     "end",    "failed", "cancel",
                     "query",   "status",    "chunk?", "chunk",  "have",
-                    "suspect", "leaving", "entry"};
+                    "suspect", "leaving", "entry",   "place?", "place",
+                    "done"};
 
 } // namespace jacinthpond
 
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -21,6 +21,9 @@
 constexpr size_t MaxPredecessors = 2;
 /** Time without work in view after which a class counts as idle. */
 constexpr Millis IdleTime{3000};
+/** Share of the workers that serve routes in a rollout. Half: the time for a
+ * change of weights allows two turns, each as long as the longest answer. */
+constexpr double RouteServingShare = 0.5;
 /** Part of the serving share that is kept while a class is idle. */
 constexpr double IdleShareFactor = 0.5;
 /** Wait for one that does not answer, beyond the silence of its link. */
@@ -37,6 +40,13 @@
   for (const WorkClass &Class : Doc.Classes)
     if (Self != nullptr && servesClass(*Self, Class))
       Share = std::max(Share, Class.ServingShare);
+  const bool OnRoutes =
+      Self != nullptr &&
+      std::ranges::any_of(Doc.Services, [&](const Service &One) {
+        return One.Model == Self->Model;
+      });
+  if (OnRoutes)
+    Share = std::max(Share, RouteServingShare);
   const auto All = static_cast<double>(Agent.Transfer.Plan.Hosts.size());
   if (Idle)
     Share *= IdleShareFactor;
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -50,6 +50,27 @@
   v("limit", m.Limit);
 }
 
+template <typename V> void describe(V &v, PlaceAsk &m) {
+  v("place", m.Place);
+  v("tenant", m.Tenant);
+  v("rank", m.Rank);
+  v("wait", m.WaitMillis);
+}
+
+template <typename V> void describe(V &v, PlaceAnswer &m) {
+  v("place", m.Place);
+  v("given", m.Given);
+  v("why", m.Why);
+  v("retry_after", m.RetryAfterMillis);
+  describe(v, m.Load);
+}
+
+template <typename V> void describe(V &v, PlaceDone &m) {
+  v("place", m.Place);
+  v("whole", m.Whole);
+  v("sent", m.Sent);
+}
+
 template <typename V> void describe(V &v, Heartbeat &m) {
   v("seq", m.Sequence);
   v("run", m.Run);
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -212,12 +212,39 @@
   Address Callers;   ///< Where it takes callers.
 };
 
+/**
+ * Asks an agent for a place at its back end, for a request that the entry will
+ * send there itself.
+ */
+struct PlaceAsk {
+  AttemptId Place;         ///< Unique for ever.
+  TenantName Tenant;       ///< Whose request it is.
+  uint32_t Rank = 0;       ///< Urgency; 0 is first.
+  uint64_t WaitMillis = 0; ///< Longest wait that is of use.
+};
+
+/** Answer to PlaceAsk, at once or when its turn has come. */
+struct PlaceAnswer {
+  AttemptId Place;                      ///< Which place.
+  bool Given = false;                   ///< The request may be sent now.
+  ErrorKind Why = ErrorKind::Internal;  ///< Why not, when it is not given.
+  uint64_t RetryAfterMillis = 0;        ///< When there may be room.
+  LoadTold Load{};                      ///< Work at the sender.
+};
+
+/** The request that had a place, or waited for one, is over. */
+struct PlaceDone {
+  AttemptId Place;    ///< Which place.
+  bool Whole = false; ///< It was answered to its end.
+  bool Sent = false;  ///< It reached the back end.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
                  ChunkData, ChunkHave, SuspectNotice, LeavingNotice,
-                 EntrySeen>;
+                 EntrySeen, PlaceAsk, PlaceAnswer, PlaceDone>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -55,6 +55,11 @@
                });
              },
              [this](LinkId Link, Message m) {
+               if (const auto *Answer = std::get_if<PlaceAnswer>(&m)) {
+                 if (this->Routes != nullptr)
+                   this->Routes->placeAnswered(*Answer);
+                 return;
+               }
                post([this, Link, Kept = std::move(m)](TimePoint Now,
                                                       Effects &Out) {
                  entryMessage(State, Link, Kept, Now, Out);
@@ -68,7 +73,12 @@
                post([this, Link](TimePoint Now, Effects &Out) {
                  entryLinkClosed(State, Link, Now, Out);
                });
-             }}) {}
+             }}) {
+  if (Routes != nullptr)
+    Routes->sendThrough([this](LinkId Link, const Message &m) {
+      Links.send(Link, m);
+    });
+}
 
 EntryShell::~EntryShell() {
   {
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -20,6 +20,14 @@
 
 /** Longest wait for a connection: several times the way between regions. */
 constexpr Millis ConnectLimit{300};
+/** Agents asked at most for one request: who is told by three that they are full
+ * would seldom find room at a fourth. */
+constexpr uint32_t MaxAsks = 4;
+/** Part of a route's target for which a place is waited for. */
+constexpr double PlaceWaitPart = 0.6;
+/** Time in which an agent answers, beyond the wait that it was allowed: many
+ * times the way between regions. */
+constexpr Millis AgentAnswerTime{150};
 /** Connections tried at most for one request; none of them sends anything
  * unless it comes about. */
 constexpr uint32_t MaxTries = 5;
@@ -181,6 +189,10 @@
                      "no_attempt_left");
     return;
   }
+  if (Asks >= MaxAsks) {
+    endWithoutServer({ErrorKind::Overloaded, "no place", RoomIn}, "no_place");
+    return;
+  }
   const ServerChoice Choice = chooseServer(Shared.Pool, Needs, Now);
   if (Choice.Server == nullptr) {
     refusedBy(Choice);
@@ -197,23 +209,108 @@
       Shared.Counters.add(ForwardCount::Resumes);
   }
   logAttempt(*Choice.Server, Choice);
-  sendTo(*Choice.Server, Choice.Version);
+  At = Choice.Server->Listed.Id;
+  attemptOpened(Shared.Pool, At, Now);
+  if (hasAgent(*Choice.Server))
+    askPlace(*Choice.Server);
+  else
+    sendTo(*Choice.Server);
+}
+
+/**
+ * Time for which a place is worth waiting for: what is left of the target less
+ * the reading of the prompt. One that is late already takes what is free.
+ */
+Millis Exchange::usefulWait(TimePoint Now) const {
+  if (HeadSent)
+    return From->GapTarget;
+  const auto Useful = std::chrono::duration_cast<Duration>(
+      From->Target * PlaceWaitPart);
+  return toMillis(std::max(Arrived + Useful - Now, Duration{0}));
+}
+
+void Exchange::askPlace(const ServerView &Server) {
+  const TimePoint Now = Shared.Clock.now();
+  PlaceAsk Ask;
+  Ask.Place.Value = Shared.PlacePrefix + std::to_string(Shared.NextPlace++);
+  Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
+  Ask.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+  if (HeadSent) // A stream that broke off is waited for by its caller.
+    Ask.Rank = 0;
+  const Millis Wait = usefulWait(Now);
+  Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
+  PlaceId = Ask.Place;
+  PlaceLink = Server.Agent->Link;
+  Asking = true;
+  AskUntil = Now + Wait + AgentAnswerTime;
+  ++Asks;
+  Shared.Waiting[PlaceId] = weak_from_this();
+  Shared.SendToAgent(PlaceLink, Ask);
+  armTimer();
+}
+
+void Exchange::placeAnswered(const PlaceAnswer &Answer) {
+  const auto Self = shared_from_this();
+  const TimePoint Now = Shared.Clock.now();
+  if (!Session || !Asking || Answer.Place != PlaceId)
+    return;
+  Asking = false;
+  loadTold(Shared.Pool, At, Answer.Load.Busy, Now);
+  if (Answer.Given && mayStillUse(Shared.Pool, At, Needs, Now)) {
+    sendTo(Shared.Pool.Servers.at(At));
+    return;
+  }
+  if (!Answer.Given) {
+    PlaceId = {}; // The agent has forgotten it.
+    const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
+    if (Room.count() > 0)
+      RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
+  }
+  placeOver(AttemptEnd::Dropped);
+  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
+  Needs.Full.insert(At);
+  tryNext();
+}
+
+void Exchange::agentDidNotAnswer() {
+  const TimePoint Now = Shared.Clock.now();
+  agentSilent(Shared.Pool, At);
+  placeOver(AttemptEnd::Dropped);
+  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
+  Needs.Full.insert(At);
+  tryNext();
+}
+
+/** Gives a place back. */
+void Exchange::placeOver(AttemptEnd How) {
+  Asking = false;
+  if (PlaceId.Value.empty())
+    return;
+  Shared.Waiting.erase(PlaceId);
+  PlaceDone Done;
+  Done.Place = PlaceId;
+  Done.Whole = How == AttemptEnd::Answered;
+  Done.Sent = Call != nullptr && Call->sent();
+  Shared.SendToAgent(PlaceLink, Done);
+  PlaceId = {};
 }
 
 void Exchange::refusedBy(const ServerChoice &Choice) {
-  const bool Full = Choice.Why == PoolRefusal::AllFull;
+  const bool Full =
+      Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
   endWithoutServer({Full ? ErrorKind::Overloaded : ErrorKind::NoWorker,
-                    Needs.Service.Value, Choice.RetryAfter},
+                    Needs.Service.Value,
+                    RoomIn.count() > 0 ? RoomIn : Choice.RetryAfter},
                    Full ? "all_full" : "none_usable");
 }
 
-void Exchange::sendTo(const ServerView &Server, const std::string &Version) {
+void Exchange::sendTo(const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   const HeaderNames &Names = Shared.Wire.names();
   PassedOn Passed;
   Passed.Remaining = toMillis(Limit - Now);
   Passed.Server = Server.Listed.Id;
-  Passed.Version = Version;
+  Passed.Version = versionToDemand(Shared.Pool, Needs, Now);
   if (HeadSent) { // Goes on with the weights that began it.
     Passed.Version = fieldOf(Head, Names.WeightVersion);
     Passed.LastEventId = Events.LastId;
@@ -231,7 +328,6 @@
   // a new one: a round trip more, and no lost bookings.
   Plan.NewConnection = NewConnection || !canRepeat();
   Plan.NoBody = Asked.method() == http::verb::head;
-  At = Server.Listed.Id;
   Mode = AnswerMode::Waiting;
   Body.clear();
   dropPartialEvent(Events);
@@ -240,7 +336,6 @@
   ++Tries;
   ++Sent; // Taken back where no connection comes about.
   Places += (Places.empty() ? "" : ",") + At.Value;
-  attemptOpened(Shared.Pool, At, Now);
   Call = std::make_shared<BackEndCall>(Shared.Io, Shared.Connections,
                                        std::move(Plan), *this);
   armTimer();
@@ -423,7 +518,9 @@
 
 void Exchange::attemptOver(AttemptEnd How) {
   const TimePoint Now = Shared.Clock.now();
-  if (!Call)
+  const bool Open = Call != nullptr || Asking;
+  placeOver(How);
+  if (!Open)
     return;
   Call.reset();
   attemptClosed(Shared.Pool, At, How, Now - CallBegan, Now);
@@ -486,6 +583,8 @@
 void Exchange::armTimer() {
   const TimePoint Now = Shared.Clock.now();
   TimePoint Next = Limit;
+  if (Asking)
+    Next = std::min(Next, AskUntil);
   if (Call && canRepeat()) {
     constexpr Millis Soonest{20};
     const bool InStream = HeadSent;
@@ -510,7 +609,9 @@
     limitCame();
     return;
   }
-  if (Call && canRepeat() && silentTooLong(Now))
+  if (Asking && Now >= AskUntil)
+    agentDidNotAnswer();
+  else if (Call && canRepeat() && silentTooLong(Now))
     abandonSilent();
   if (Session)
     armTimer();
@@ -560,7 +661,7 @@
                   99999, toMillis(Now - Server.ToldAt).count())) +
               " candidates=" + std::to_string(Choice.Candidates) +
               " weights=" + logValue(Server.Weights.Value) +
-              " demand=" + logValue(Choice.Version));
+              " agent=" + (hasAgent(Server) ? "yes" : "no"));
 }
 
 void Exchange::logEnd(const char *Outcome, unsigned Status,
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -18,6 +18,7 @@
 /** One request; lives as long as its session works on it. */
 class Exchange final : public SessionWork,
                        public CallEvents,
+                       public PlaceWaiter,
                        public std::enable_shared_from_this<Exchange> {
 public:
   /**
@@ -36,6 +37,7 @@
   void start();
 
   void callerGone() override;
+  void placeAnswered(const PlaceAnswer &Answer) override;
   void callHead(const ResponseHead &Head) override;
   void callBody(std::string Bytes) override;
   void callEnded() override;
@@ -55,7 +57,11 @@
   void readDeadline();
   void tryNext();
   bool mayTryAgain();
-  void sendTo(const ServerView &Server, const std::string &Version);
+  void askPlace(const ServerView &Server);
+  Millis usefulWait(TimePoint Now) const;
+  void placeOver(AttemptEnd How);
+  void agentDidNotAnswer();
+  void sendTo(const ServerView &Server);
   void refusedBy(const ServerChoice &Choice);
   void attemptOver(AttemptEnd How);
   void answerBroke();
@@ -93,6 +99,12 @@
   AnswerMode Mode = AnswerMode::Waiting;
   ResponseHead Head;   ///< Of the answer under way.
   std::string Body;    ///< Of a whole answer, so far.
+  AttemptId PlaceId;   ///< Asked for or held; empty: none.
+  LinkId PlaceLink;    ///< Agent that was asked.
+  bool Asking = false; ///< Its answer is awaited.
+  TimePoint AskUntil;  ///< The agent is taken for silent after that.
+  uint32_t Asks = 0;   ///< Places asked for.
+  Millis RoomIn{0};    ///< Shortest time to room that an agent told.
   uint32_t Sent = 0;   ///< Attempts that reached a back end.
   uint32_t Tries = 0;  ///< Attempts, those without a connection included.
   bool NewConnection = false; ///< A kept connection turned out to be closed.
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -17,10 +17,25 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace jacinthpond {
 
+/** A request that waits for an agent's answer. */
+class PlaceWaiter {
+public:
+  virtual ~PlaceWaiter() = default;
+  /**
+   * The agent answered.
+   * @param Answer What it said.
+   */
+  virtual void placeAnswered(const PlaceAnswer &Answer) = 0;
+};
+
 /** State of the traffic thread; nothing else touches it while it runs. */
 struct ForwardContext {
   boost::asio::io_context Io{1};  ///< Runs on the traffic thread.
@@ -37,6 +52,10 @@
   std::atomic<bool> Refusing{false};   ///< No new request is taken any more.
   std::atomic<uint32_t> Open{0};       ///< Requests without a final answer.
   ForwardCounters Counters;            ///< What happened so far.
+  std::function<void(LinkId, const Message &)> SendToAgent; ///< From any thread.
+  std::string PlacePrefix;             ///< Makes places unique for ever.
+  uint64_t NextPlace = 1;              ///< Rest of the next place's name.
+  std::map<AttemptId, std::weak_ptr<PlaceWaiter>> Waiting; ///< By place.
   TrafficMetrics &Timings;             ///< Histograms.
 
   ForwardContext(const WirePort &Spoken, TrafficMetrics &Into)
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -6,6 +6,7 @@
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
+#include "threads/process.h"
 
 #include <boost/asio/post.hpp>
 
@@ -67,6 +68,8 @@
       Millis(Config.WeightsChangeMillis) - BeginMargin, Millis{0});
   Shared.Pool.Options.LapseGrace = Millis(Config.LapseGraceMillis);
   Shared.Pool.Random ^= std::hash<std::string>{}(Config.Name) | 1U;
+  Shared.PlacePrefix =
+      Config.Name + "/" + std::to_string(randomIncarnation()) + "/";
   Shared.Repeats.Limits = {Config.RepeatRatio,
                            static_cast<uint32_t>(Config.RepeatSlack),
                            std::chrono::seconds(Config.RepeatWindowSeconds)};
@@ -188,6 +191,16 @@
   });
 }
 
+void Forwarder::placeAnswered(const PlaceAnswer &Answer) {
+  boost::asio::post(Shared.Io, [this, Answer] {
+    const auto it = Shared.Waiting.find(Answer.Place);
+    const auto Waiter =
+        it == Shared.Waiting.end() ? nullptr : it->second.lock();
+    if (Waiter)
+      Waiter->placeAnswered(Answer);
+  });
+}
+
 void Forwarder::told(std::vector<AgentNews> News) {
   boost::asio::post(Shared.Io, [this, News = std::move(News)] {
     const TimePoint Now = Shared.Clock.now();
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -46,6 +46,17 @@
   /** The fleet changed. @param Fleet What is known of it. */
   void fleet(FleetSnapshot Fleet);
 
+  /**
+   * Names how messages reach agents.
+   * @param Send May be called from any thread.
+   */
+  void sendThrough(std::function<void(LinkId, const Message &)> Send) {
+    Shared.SendToAgent = std::move(Send);
+  }
+
+  /** An agent answered a request for a place. @param Answer What it said. */
+  void placeAnswered(const PlaceAnswer &Answer);
+
   /** Answers ask to close, and readiness is denied, from now on. */
   void leave() { Shared.Leaving = true; }
 
