agent, entry: prompts read one after the other, weights staged at the worker

Cause: prompts that came together paused all answers of a worker; requests waited at agents for longer than their target left; agents held two sets of weights in memory; chunks filled the links that answers share. Change: an agent owes reading time and gives places by it; a wait fits what is left of the target; chunks lie staged at the worker and are read back and checked before they are sent or loaded; three turns of loading, the first begins to drain while the last chunks come.

--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -23,6 +23,17 @@
   size_t MaxQueued = 256;        ///< Requests that wait for a thread.
 };
 
+/**
+ * Bounds of a listener for operators and monitoring: few connections, and each
+ * thread costs memory on small hosts.
+ * @return The bounds.
+ */
+inline ListenerLimits adminLimits() {
+  ListenerLimits Limits;
+  Limits.Threads = 2;
+  return Limits;
+}
+
 /**
  * Sets limits and error answers of a listener.
  * @param Server The listener.
--- a/packages/agent/src/agent_admin.cpp
+++ b/packages/agent/src/agent_admin.cpp
@@ -30,7 +30,7 @@
 
 AgentAdmin::AgentAdmin(const Settings &Config, AgentShell &Host)
     : At(Config.AdminListen), Host(Host),
-      Server(std::make_unique<GuardedServer>(ListenerLimits{})) {
+      Server(std::make_unique<GuardedServer>(adminLimits())) {
   Server->Get("/v1/health", [this](const auto &, auto &Answer) {
     Json Body;
     this->Host.inspect(
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -3,6 +3,7 @@
 #include "agent_shell.h"
 
 #include "base/overloaded.h"
+#include "base/hash_func.h"
 #include "log/log.h"
 #include "membership/departure_func.h"
 #include "threads/process.h"
@@ -36,7 +37,9 @@
     : Loop(Clock), Pauses(Clock.now(), Millis(Config.PauseGapMillis)),
       State(makeAgent(Config, Incarnation{randomIncarnation()}, Clock.now())),
       Beside(Beside), Runners(std::make_unique<httplib::ThreadPool>(
-                          static_cast<size_t>(Config.WarmLimit))),
+                          Config.Platform == "store"
+                              ? 1 // Requests go past the agent there.
+                              : static_cast<size_t>(Config.WarmLimit))),
       Fetchers(std::make_unique<httplib::ThreadPool>(FetchThreads)),
       Links({[this](LinkId Link) {
                post([this, Link](TimePoint Now, Effects &Out) {
@@ -149,6 +152,12 @@
                 readStaged(Chunks);
               });
             },
+            [this](const StageChunk &e) {
+              Fetchers->enqueue([this, Todo = e] { stageChunk(Todo); });
+            },
+            [this](const SendStaged &e) {
+              Fetchers->enqueue([this, Todo = e] { sendStaged(Todo); });
+            },
             [this](const LoadWeights &e) {
               Fetchers->enqueue(
                   [this, Load = e, Before = Pauses.pauses(Clock.now())] {
@@ -248,12 +257,55 @@
     if (Wrong > MaxWrongStaged || Ending)
       return;
     if (Wrong == 0)
-      post([this, Content = Chunk.Content, Came](TimePoint Now, Effects &Out) {
-        stagedRead(State, Content, Came, Now, Out);
+      post([this, Chunk](TimePoint Now, Effects &Out) {
+        agentStaged(State, Chunk, true, Now, Out);
       });
   }
 }
 
+void AgentShell::stageChunk(const StageChunk &Todo) {
+  const auto Done = outcomeOf([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(Beside.Engine->stage(Todo.Chunk, *Todo.Bytes));
+    return true;
+  });
+  post([this, Chunk = Todo.Chunk, Staged = Done.Value.has_value()](
+           TimePoint Now, Effects &Out) {
+    agentStaged(State, Chunk, Staged, Now, Out);
+  });
+}
+
+void AgentShell::sendStaged(const SendStaged &Todo) {
+  auto Read = outcomeOf([&] { return Beside.Engine->staged(Todo.Chunk); });
+  ChunkData Data;
+  Data.Chunk = Todo.Chunk.Content;
+  // What lies there may have been damaged since. An empty answer tells the
+  // peer to ask elsewhere.
+  if (Read.Value && sha256(*Read.Value) == Todo.Chunk.Content)
+    Data.Bytes = std::move(*Read.Value);
+  else
+    noteSpoilt(Todo.Chunk.Content);
+  Links.send(Todo.Link, Data);
+}
+
+void AgentShell::noteSpoilt(const Digest &Chunk) {
+  post([this, Chunk](TimePoint Now, Effects &Out) {
+    agentSpoilt(State, Chunk, Now, Out);
+  });
+}
+
+/** Looks at one chunk of a set that is about to be loaded: what lies staged is
+ * read back, since it may have been damaged since it came. */
+Result<void> AgentShell::prepareChunk(const ChunkRef &Chunk,
+                                      const ChunkBytes &Bytes) {
+  if (Bytes != nullptr)
+    return Beside.Engine->stage(Chunk, *Bytes);
+  const auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+  if (Read.Value && sha256(*Read.Value) == Chunk.Content)
+    return {};
+  noteSpoilt(Chunk.Content);
+  return fail(ErrorKind::WeightsNotReady, "a staged chunk is damaged");
+}
+
 void AgentShell::fetchChunk(const ChunkRef &Chunk) {
   ChunkBytes Bytes;
   if (Beside.Origin != nullptr) {
@@ -281,10 +333,9 @@
 void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
   const auto Done = outcomeOf([&]() -> Result<bool> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
-      BOOST_LEAF_CHECK(Beside.Engine->stage({Load.Order.Model,
-                                             Load.Order.Version, n,
-                                             Load.Order.Chunks[n], {}},
-                                            *Load.Chunks[n]));
+      BOOST_LEAF_CHECK(prepareChunk({Load.Order.Model, Load.Order.Version, n,
+                                     Load.Order.Chunks[n], {}},
+                                    Load.Chunks[n]));
     // A process that was paused wakes with an order that may be long out of
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -81,6 +81,10 @@
   void fetchChunk(const ChunkRef &Chunk);
   void readChunkList(const ChunkRef &Version);
   void readStaged(const std::vector<ChunkRef> &Chunks);
+  void stageChunk(const StageChunk &Todo);
+  void sendStaged(const SendStaged &Todo);
+  void noteSpoilt(const Digest &Chunk);
+  Result<void> prepareChunk(const ChunkRef &Chunk, const ChunkBytes &Bytes);
   void takeChunk(LinkId Link, ChunkData Data);
   void loadWeights(const LoadWeights &Load, uint64_t Before);
   void watchBackEnd();
--- a/packages/core/src/admission/admission.cpp
+++ b/packages/core/src/admission/admission.cpp
@@ -98,10 +98,10 @@
     turnCold(Gate);
 }
 
-AdmissionAnswer askToRun(Admission &Gate, const Admittee &One) {
+AdmissionAnswer askToRun(Admission &Gate, const Admittee &One, bool AtOnce) {
   if (One.Alone)
     return askToRunAlone(Gate, One.Who.Attempt);
-  if (Gate.Waiting.Size == 0 && mayStart(Gate)) {
+  if (AtOnce && Gate.Waiting.Size == 0 && mayStart(Gate)) {
     ++Gate.Running;
     return {Admitted::Run, Millis{0}, {}};
   }
--- a/packages/core/src/admission/admission_func.h
+++ b/packages/core/src/admission/admission_func.h
@@ -31,9 +31,11 @@
  * An attempt asks to run.
  * @param Gate State to change; the attempt counts as running or waiting.
  * @param One Who asks.
+ * @param AtOnce False: it waits although there is room, for another reason.
  * @return What it may do.
  */
-AdmissionAnswer askToRun(Admission &Gate, const Admittee &One);
+AdmissionAnswer askToRun(Admission &Gate, const Admittee &One,
+                         bool AtOnce = true);
 
 /** How a run ended, as far as the back end's load goes. */
 enum class RunEnd : uint8_t {
--- /dev/null
+++ b/packages/core/src/admission/reading.cpp
@@ -0,0 +1,37 @@
+/** @file reading.cpp Prompts that a back end has to read. */
+
+#include "admission/reading_func.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/**
+ * Reading that may be left when another prompt is given. Answers pause for the
+ * reading and for a pass of the engine, about 50 ms; together with one long
+ * prompt, 120 ms, that stays below pauses of 300 ms.
+ */
+constexpr Millis MostReadingLeft{90};
+
+} // namespace
+
+Duration readingLeft(const ReadingDebt &Debt, TimePoint Now) {
+  return std::max(Debt.Owed - (Now - Debt.At), Duration{0});
+}
+
+bool mayRead(const ReadingDebt &Debt, TimePoint Now) {
+  return readingLeft(Debt, Now) <= MostReadingLeft;
+}
+
+void addReading(ReadingDebt &Debt, uint32_t Tokens, TimePoint Now) {
+  if (Debt.TokensPerSecond <= 0)
+    return;
+  const std::chrono::duration<double> Takes(Tokens / Debt.TokensPerSecond);
+  Debt.Owed = readingLeft(Debt, Now) +
+              std::chrono::duration_cast<Duration>(Takes);
+  Debt.At = Now;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -138,6 +138,9 @@
       [&](const BackEndServer &One) { return One.At.Value == Self; });
   if (it == Doc.Servers.end() || it->Slots == 0)
     return;
+  const auto Kind = std::ranges::find(Doc.Services, it->Service, &Service::Name);
+  if (Kind != Doc.Services.end())
+    Agent.Reading.TokensPerSecond = Kind->ReadPerSecond;
   const uint32_t Bears = it->Slots + SlotsAhead;
   if (Agent.Gate.Limits.Warm == Bears)
     return;
@@ -236,6 +239,7 @@
   turnCold(Agent.Gate);
   Effects None; // Links are opened with the first tick.
   wantPeers(Agent.Fleet, seedPeers(Config), None);
+  Agent.Weights.AtEngine = Config.Platform == StorePlatform;
   Agent.Transfer = makeTransfer(Config);
   Agent.Keys = makeKeyBook(Now);
   Agent.Keys.Runs.insert(Run);
@@ -443,7 +447,7 @@
 
 void originAnswered(AgentState &Agent, const Digest &Chunk,
                     const CheckedChunk &Came, TimePoint Now, Effects &Out) {
-  chunkFromOrigin(Agent.Transfer, Agent.Weights, Chunk, Came, Now);
+  chunkFromOrigin(Agent.Transfer, Agent.Weights, Chunk, Came, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   refreshLoad(Agent);
@@ -480,9 +484,20 @@
   announceChange(Agent, Now, Out);
 }
 
-void stagedRead(AgentState &Agent, const Digest &Chunk,
-                const CheckedChunk &Came, TimePoint Now, Effects &Out) {
-  chunkFromStage(Agent.Transfer, Agent.Weights, Chunk, Came, Now);
+void agentStaged(AgentState &Agent, const ChunkRef &Chunk, bool Staged,
+                 TimePoint Now, Effects &Out) {
+  chunkStaged(Agent.Transfer, Agent.Weights, Chunk, Staged, Now);
+  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
+  refreshLoad(Agent);
+}
+
+void agentSpoilt(AgentState &Agent, const Digest &Chunk, TimePoint Now,
+                 Effects &Out) {
+  Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
+                        "Staged chunk " + Chunk.Value +
+                            " is damaged; it is fetched again."});
+  chunkSpoilt(Agent.Transfer, Agent.Weights, Chunk);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
 }
 
@@ -490,7 +505,7 @@
                    const CheckedChunk &Came, TimePoint Now, Effects &Out) {
   if (!linkHeard(Agent.Fleet, Link, Now))
     return;
-  chunkFromPeer(Agent.Transfer, Agent.Weights, Link, Chunk, Came, Now);
+  chunkFromPeer(Agent.Transfer, Agent.Weights, Link, Chunk, Came, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
   loadInTurn(Agent, Now, Out);
   refreshLoad(Agent);
@@ -534,6 +549,8 @@
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
   sweepPlaces(Agent, Now, Out);
+  if (Agent.Gate.Waiting.Size > 0) // Some may have waited for reading to end.
+    runWaiting(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
   readList(Agent, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
--- a/packages/core/src/attempts/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -143,15 +143,25 @@
                    const Outcome<ChunkList> &Read, TimePoint Now, Effects &Out);
 
 /**
- * A chunk was looked for at the engine's stage.
+ * A chunk was staged at the engine, or was found there.
  * @param Agent State to change.
- * @param Chunk Which chunk was looked for.
- * @param Came What lay there; may be nothing.
+ * @param Chunk Which chunk.
+ * @param Staged False when the engine did not take it.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void stagedRead(AgentState &Agent, const Digest &Chunk,
-                const CheckedChunk &Came, TimePoint Now, Effects &Out);
+void agentStaged(AgentState &Agent, const ChunkRef &Chunk, bool Staged,
+                 TimePoint Now, Effects &Out);
+
+/**
+ * A chunk that lay staged was read back and is damaged.
+ * @param Agent State to change.
+ * @param Chunk Its digest as published.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void agentSpoilt(AgentState &Agent, const Digest &Chunk, TimePoint Now,
+                 Effects &Out);
 
 /**
  * A peer answered a request for a chunk.
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_AGENT_TYPE_H
 
 #include "admission/admission_type.h"
+#include "admission/reading_type.h"
 #include "admission/quarantine_type.h"
 #include "attempts/ended_attempts_type.h"
 #include "attempts/idempotency_type.h"
@@ -46,6 +47,7 @@
   LinkId Link;         ///< Who asked.
   TimePoint Since;     ///< When it was asked for, then when it was given.
   TimePoint WaitUntil; ///< After that it is of no use.
+  uint32_t PromptTokens = 0; ///< What the back end reads for it.
   bool Given = false;  ///< The request may be at the back end.
   std::optional<TimePoint> LinkLost; ///< Since when nobody can speak of it.
 };
@@ -64,6 +66,7 @@
   Settings Config;                       ///< Settings of this process.
   ConfigView View;                       ///< Published configuration.
   Membership Fleet;                      ///< Links to entries and agents.
+  ReadingDebt Reading;                   ///< Prompts given, not read yet.
   Admission Gate;                        ///< Running and waiting work.
   WeightsState Weights;                  ///< Weights of the engine.
   TransferState Transfer;                ///< Exchange of chunks.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -3,6 +3,7 @@
 #include "attempts/attempt_func.h"
 
 #include "admission/admission_func.h"
+#include "admission/reading_func.h"
 #include "admission/quarantine_func.h"
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
@@ -386,7 +387,10 @@
 }
 
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out) {
-  while (const auto Next = nextToRun(Agent.Gate)) {
+  while (mayRead(Agent.Reading, Now)) {
+    const auto Next = nextToRun(Agent.Gate);
+    if (!Next)
+      return;
     if (Agent.Places.contains(*Next)) {
       givePlace(Agent, *Next, Now, Out);
       continue;
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -3,6 +3,7 @@
 #include "attempts/place_func.h"
 
 #include "admission/admission_func.h"
+#include "admission/reading_func.h"
 #include "attempts/attempt_func.h"
 #include "weights/weights_func.h"
 
@@ -24,10 +25,12 @@
 /** How long a place stays taken when its end was never told. */
 constexpr Millis ForgottenAfter{20000};
 
-void answer(LinkId Link, const AttemptId &Which, const Failure *Refusal,
-            Effects &Out) {
+void answer(const AgentState &Agent, LinkId Link, const AttemptId &Which,
+            const Failure *Refusal, TimePoint Now, Effects &Out) {
   PlaceAnswer m;
   m.Place = Which;
+  m.ReadingMillis =
+      static_cast<uint32_t>(toMillis(readingLeft(Agent.Reading, Now)).count());
   m.Given = Refusal == nullptr;
   if (Refusal != nullptr) {
     m.Why = Refusal->Kind;
@@ -68,22 +71,24 @@
     return; // Asked twice: the first answer counts.
   if (const auto Standing = standingRefusal(Agent)) {
     const Failure Why{*Standing, "", {}};
-    answer(Link, m.Place, &Why, Out);
+    answer(Agent, Link, m.Place, &Why, Now, Out);
     return;
   }
-  const AdmissionAnswer Admitted = askToRun(Agent.Gate, admitteeOf(Agent, m));
+  const AdmissionAnswer Admitted =
+      askToRun(Agent.Gate, admitteeOf(Agent, m), mayRead(Agent.Reading, Now));
   if (Admitted.PushedOut)
     refusePlace(Agent, *Admitted.PushedOut,
                 {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
   if (Admitted.May == Admitted::Refuse) {
     const Failure Why{ErrorKind::Overloaded, "", Admitted.RetryAfter};
-    answer(Link, m.Place, &Why, Out);
+    answer(Agent, Link, m.Place, &Why, Now, Out);
     return;
   }
   Place One;
   One.Link = Link;
   One.Since = Now;
   One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
+  One.PromptTokens = m.PromptTokens;
   Agent.Places[m.Place] = One;
   if (Admitted.May == Admitted::Run)
     givePlace(Agent, m.Place, Now, Out);
@@ -94,17 +99,19 @@
   Place &One = Agent.Places.at(Which);
   One.Given = true;
   One.Since = Now;
+  addReading(Agent.Reading, One.PromptTokens, Now);
   ++Agent.Counters.Started;
-  answer(One.Link, Which, nullptr, Out);
+  answer(Agent, One.Link, Which, nullptr, Now, Out);
 }
 
 void refusePlace(AgentState &Agent, const AttemptId &Which, const Failure &Why,
                  Effects &Out) {
+  const TimePoint Now = Agent.Fleet.LastTick;
   const auto it = Agent.Places.find(Which);
   if (it == Agent.Places.end())
     return;
   ++Agent.Counters.Refused[Why.Kind];
-  answer(it->second.Link, Which, &Why, Out);
+  answer(Agent, it->second.Link, Which, &Why, Now, Out);
   Agent.Places.erase(it);
 }
 
--- a/packages/core/src/base/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -95,10 +95,23 @@
 /** A chunk of weights in memory, never changed. */
 using ChunkBytes = std::shared_ptr<const std::string>;
 
+/** Stage one chunk at the engine, which keeps it from then on. */
+struct StageChunk {
+  ChunkRef Chunk;   ///< Which.
+  ChunkBytes Bytes; ///< Its content, checked.
+};
+
+/** Read a staged chunk back, check it and send it to a peer. */
+struct SendStaged {
+  LinkId Link;    ///< To whom.
+  ChunkRef Chunk; ///< Which.
+};
+
 /** Stage all chunks of a set and order the engine to load it. */
 struct LoadWeights {
   LoadOrder Order;                ///< The order.
-  std::vector<ChunkBytes> Chunks; ///< Contents, in the order's sequence.
+  std::vector<ChunkBytes> Chunks; ///< Contents, in the order's sequence; null
+                                  ///< where it lies staged at the engine.
 };
 
 /** Write a log line. */
@@ -111,6 +124,7 @@
 using Effect = std::variant<OpenLink, CloseLink, SendMessage, CallPart, CallEnd,
                             CallError, RunModel, RunService, CancelRun,
                             FetchFromOrigin, ReadChunkList, ReadStaged,
+                            StageChunk, SendStaged,
                             LoadWeights, LogNote>;
 
 /** Effects in the order in which they are carried out. */
--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -37,6 +37,7 @@
 constexpr size_t MaxDomains = 1000;
 constexpr size_t MaxTargets = 64;
 constexpr int64_t MaxAttemptsAllowed = 16;
+constexpr double MaxTokenRate = 1e9;
 constexpr int64_t MaxRouteWeight = 1000000;
 constexpr int64_t MaxConnectionsAllowed = 1000000;
 
@@ -204,6 +205,7 @@
   One.Model.Value = Reader.text("model", false);
   One.MaxConnections = static_cast<uint32_t>(
       Reader.number("max_connections", false, 0, 0, MaxConnectionsAllowed));
+  One.ReadPerSecond = Reader.real("read_tokens_per_second", 0, 0, MaxTokenRate);
   One.ColdPerSecond =
       Reader.real("cold_per_second", 0, 0, MaxConnectionsAllowed);
   return One;
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -118,6 +118,7 @@
   ServiceName Name;            ///< Unique.
   ModelName Model;             ///< Model it runs; empty for a plain service.
   uint32_t MaxConnections = 0; ///< Connections a back end bears; 0: unknown.
+  double ReadPerSecond = 0;    ///< Prompt tokens that a back end reads; 0: any.
   double ColdPerSecond = 0;    ///< Requests a cold back end bears; 0: any.
 
   bool operator==(const Service &) const = default;
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -28,6 +28,8 @@
 /** Requests by which one of another domain counts as busier, so that work
  * stays near only while near ones are no busier. */
 constexpr double FarPenalty = 0.4;
+/** Reading that counts as much as one request under way. */
+constexpr Millis ReadingAsRequest{25};
 /** Time after which a back end's word on its load counts half. */
 constexpr Millis LoadHalfLife{1500};
 /** Answers whose length is averaged. */
@@ -154,6 +156,10 @@
 
 double scoreOf(ServerPool &Pool, const ServerView &View, TimePoint Now) {
   double Score = workAt(View, Now) + randomPart(Pool);
+  const Duration Reading =
+      std::max(View.Reading - (Now - View.ToldAt), Duration{0});
+  Score += static_cast<double>(toMillis(Reading).count()) /
+           static_cast<double>(ReadingAsRequest.count());
   if (View.Listed.Domain != Pool.Options.Domain)
     Score += FarPenalty;
   Score += ErrorPenalty * std::max(0.0, View.ErrorShare - UsualErrors);
@@ -302,6 +308,22 @@
   return it != Pool.Servers.end() && it->second.LastHeard > Since;
 }
 
+void readingTold(ServerPool &Pool, const InstanceId &Id, Duration Reading) {
+  if (const auto it = Pool.Servers.find(Id); it != Pool.Servers.end())
+    it->second.Reading = Reading;
+}
+
+void firstPartCame(ServerPool &Pool, const ServiceName &Service,
+                   Duration Took) {
+  Duration &Usual = Pool.UsualFirst.try_emplace(Service, Took).first->second;
+  Usual = (Usual * TimeWeight + Took) / (TimeWeight + 1);
+}
+
+Duration usualFirst(const ServerPool &Pool, const ServiceName &Service) {
+  const auto it = Pool.UsualFirst.find(Service);
+  return it == Pool.UsualFirst.end() ? Duration{0} : it->second;
+}
+
 Digest weightsAt(const ServerPool &Pool, const InstanceId &Id) {
   const auto it = Pool.Servers.find(Id);
   return it == Pool.Servers.end() ? Digest{} : it->second.Weights;
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -31,6 +31,7 @@
   std::optional<TimePoint> Vanished; ///< Since when it is not listed.
   uint32_t Open = 0;                 ///< Attempts of this entry there.
   uint32_t OtherWork = 0; ///< Work of other entries, as told last.
+  Duration Reading{0};    ///< Prompts to be read there, as of ToldAt.
   TimePoint ToldAt;       ///< When OtherWork was told.
   std::optional<AgentNews> Agent; ///< Last word of its agent.
   Digest Weights;                 ///< What it has loaded, newest word.
@@ -64,6 +65,7 @@
   std::map<InstanceId, ServerView> Servers;      ///< By run.
   std::map<ModelName, WantedWeights> Wanted;     ///< By model.
   std::map<ServiceName, Duration> UsualTime;     ///< Length of an answer.
+  std::map<ServiceName, Duration> UsualFirst;    ///< Time to its first part.
   TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
   uint32_t Entries = 1;        ///< Live entries, this one included.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
--- a/packages/core/src/settings/settings_type.h
+++ b/packages/core/src/settings/settings_type.h
@@ -34,6 +34,7 @@
   int64_t WeightsChangeMillis = 0;
   int64_t LapseGraceMillis = 0;
   bool ServeCutOff = false;
+  double LinkMegabits = 0;
   double RepeatRatio = 0;
   int64_t RepeatSlack = 0;
   int64_t RepeatWindowSeconds = 0;
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -163,6 +163,11 @@
     SettingSpec{"uplink_bytes_per_second", &Settings::UplinkBytesPerSecond,
                 SettingOwner::Agent, false, "bytes/s", 0, int64_t{1} << 40, "0",
                 "Rate at which weights are sent to peers; 0: unlimited."},
+    SettingSpec{"link_mbps", &Settings::LinkMegabits, SettingOwner::Agent,
+                false, "Mbit/s", 0, 1000000, "0",
+                "Rate of this host's link, shared by weights and the back "
+                "end's answers; 0: not known. Bounds weights under way, so "
+                "that answers do not wait behind them."},
     SettingSpec{"across_bytes_per_second", &Settings::AcrossBytesPerSecond,
                 SettingOwner::Agent, false, "bytes/s", 0, int64_t{1} << 40, "0",
                 "Rate at which weights are sent to agents of other domains; "
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -21,9 +21,12 @@
 constexpr size_t MaxPredecessors = 2;
 /** Time without work in view after which a class counts as idle. */
 constexpr Millis IdleTime{3000};
-/** Share of the workers that serve routes in a rollout. Half: the time for a
- * change of weights allows two turns, each as long as the longest answer. */
-constexpr double RouteServingShare = 0.5;
+/** Share of the workers that serve routes in a rollout: the time for a change
+ * of weights allows three turns, each as long as the longest answers, when the
+ * first one begins to drain while the last chunks come. */
+constexpr double RouteServingShare = 0.66;
+/** Time before the set is whole at which draining begins. */
+constexpr Millis DrainAhead{1200};
 /** Part of the serving share that is kept while a class is idle. */
 constexpr double IdleShareFactor = 0.5;
 /** Wait for one that does not answer, beyond the silence of its link. */
@@ -87,6 +90,15 @@
           Link->Load.State == WorkerState::Serving);
 }
 
+/** Says whether the chunks that are missing come within a moment. */
+bool nearlyWhole(const TransferState &Transfer) {
+  if (Transfer.BytesPerSecond == 0 || Transfer.Digests.empty())
+    return false;
+  const uint64_t Left = Transfer.Missing.size() * Transfer.ChunkBytes;
+  return Left * 1000 / Transfer.BytesPerSecond <=
+         static_cast<uint64_t>(DrainAhead.count());
+}
+
 void beginRollout(RolloutState &Rollout, const Digest &Set) {
   Rollout.Set = Set;
   Rollout.Seen.clear();
@@ -194,12 +206,20 @@
     beginRollout(Agent.Rollout, Weights.Wanted.Set);
   const bool Turn = isTurnToLoad(Agent, Now);
   // One that serves nothing takes nothing away by loading at once.
-  if (!wholeSetHeld(Weights) || (mayServe(Weights) && !Turn))
+  const bool Near = Agent.Weights.AtEngine && nearlyWhole(Agent.Transfer);
+  if (!wholeSetHeld(Weights) && !Near) {
+    // The last chunks stay out: a worker that drains for nothing serves on.
+    Weights.Draining = false;
+    return;
+  }
+  if (mayServe(Weights) && !Turn)
     return;
   if (!Weights.Draining) {
     Weights.Draining = true;
     refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
   }
+  if (!wholeSetHeld(Weights))
+    return;
   // An agent that was paused or cut off knows that its view is old; another
   // may own the host by now. It orders nothing until it has asked its peers.
   // Runs that nobody waits for any more do not hold the order up.
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -20,6 +20,15 @@
 constexpr size_t MaxAskedOfPeer = 2;
 /** Chunks asked of all peers at a time. */
 constexpr size_t MaxAsked = 12;
+constexpr double BytesPerMegabit = 125000;
+/** Part of the own link that weights may use; answers of the back end share
+ * it, and would wait behind a full one. */
+constexpr double LinkPart = 0.85;
+/** Time that chunks under way may fill the own link: a request or an answer
+ * waits that long behind them at most. */
+constexpr double LinkFillSeconds = 0.13;
+/** Fewest chunks under way: one arrives while the next one is asked for. */
+constexpr double FewestAsked = 2;
 /** Chunks asked of the origin at a time. */
 constexpr size_t MaxDrawing = 2;
 /** Wait before a chunk that the origin failed to give is asked for again. */
@@ -118,6 +127,7 @@
   Transfer.Set = Weights.Wanted.Set;
   Transfer.Digests = Weights.Wanted.Chunks;
   Transfer.Version = versionRef(Weights.Wanted);
+  Transfer.ChunkBytes = Weights.Wanted.ChunkBytes;
   Transfer.Chunks.assign(Transfer.Digests.size(), {});
   Transfer.IndexOf.clear();
   Transfer.Missing.clear();
@@ -213,6 +223,16 @@
   Transfer.HeldChanged = true;
 }
 
+/** Chunks that may be under way to this host. */
+size_t mostAsked(const TransferState &Transfer) {
+  if (Transfer.Options.LinkBytesPerSecond <= 0 || Transfer.ChunkBytes == 0)
+    return MaxAsked;
+  const double Fit = LinkFillSeconds * Transfer.Options.LinkBytesPerSecond /
+                     static_cast<double>(Transfer.ChunkBytes);
+  return static_cast<size_t>(
+      std::clamp(Fit, FewestAsked, static_cast<double>(MaxAsked)));
+}
+
 void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
   size_t Open = 0;
   bool Room = false;
@@ -220,7 +240,8 @@
     Open += Peer.Asked.size();
     Room |= Peer.Asked.size() < MaxAskedOfPeer && Now >= Peer.AvoidUntil;
   }
-  if (!Room || Open >= MaxAsked)
+  const size_t Most = mostAsked(Transfer);
+  if (!Room || Open >= Most)
     return;
   for (const size_t n : wantedFromPeers(Transfer)) {
     LinkId Link;
@@ -234,7 +255,7 @@
     if (!Peer->SameDomain)
       noteComing(Transfer, n);
     Out.push_back(SendMessage{Link, ChunkRequest{Transfer.Digests[n]}});
-    if (++Open >= MaxAsked)
+    if (++Open >= Most)
       return;
   }
 }
@@ -377,9 +398,19 @@
   Transfer.RateSince = Now;
 }
 
-/** Takes a chunk that arrived; says whether it is now held. */
+/** Notes that a chunk is here to stay. */
+void holdChunk(TransferState &Transfer, WeightsState &Weights, size_t n,
+               const ChunkBytes &Bytes, TimePoint Now) {
+  Transfer.Missing.erase(n);
+  Weights.Held[Transfer.Digests[n]] = Bytes;
+  Transfer.HeldChanged = true;
+  noteSeen(Transfer, Transfer.Chunks[n], Now);
+}
+
+/** Takes a chunk that arrived; says whether it can be used. */
 bool takeChunk(TransferState &Transfer, WeightsState &Weights,
-               const Digest &Chunk, const CheckedChunk &Came, TimePoint Now) {
+               const Digest &Chunk, const CheckedChunk &Came, TimePoint Now,
+               Effects &Out) {
   const auto it = Transfer.IndexOf.find(Chunk);
   // The version may have changed while the chunk was on its way.
   if (it == Transfer.IndexOf.end())
@@ -392,14 +423,19 @@
     ++Transfer.Counters.BadChunks;
     return false;
   }
-  if (Transfer.Missing.erase(it->second) == 0) {
+  if (!Transfer.Missing.contains(it->second)) {
     ++Transfer.Counters.Repeated;
     return true;
   }
-  Weights.Held[Chunk] = Came.Bytes;
   Transfer.RateBytes += Came.Bytes->size();
-  Transfer.HeldChanged = true;
-  noteSeen(Transfer, Progress, Now);
+  if (Weights.AtEngine) {
+    // Two sets in the memory of each agent would be most of what the fleet
+    // uses; the engine has room for one beside its own anyway.
+    Progress.Asked = true;
+    Out.push_back(StageChunk{chunkRef(Transfer, it->second), Came.Bytes});
+    return true;
+  }
+  holdChunk(Transfer, Weights, it->second, Came.Bytes, Now);
   return true;
 }
 
@@ -408,9 +444,12 @@
 TransferState makeTransfer(const Settings &Config) {
   TransferState Transfer;
   Transfer.Options = {Config.WeightsFromPeers,
-                      Millis(Config.ChunkTakeoverMillis)};
+                      Millis(Config.ChunkTakeoverMillis),
+                      Config.LinkMegabits * BytesPerMegabit};
   Transfer.Uplink.BytesPerSecond =
-      static_cast<uint64_t>(Config.UplinkBytesPerSecond);
+      Config.UplinkBytesPerSecond > 0
+          ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
+          : static_cast<uint64_t>(LinkPart * Transfer.Options.LinkBytesPerSecond);
   Transfer.Across.BytesPerSecond =
       static_cast<uint64_t>(Config.AcrossBytesPerSecond);
   Transfer.Random = rendezvousScore("transfer", Config.Name) | 1U;
@@ -476,8 +515,8 @@
 }
 
 void chunkFromPeer(TransferState &Transfer, WeightsState &Weights, LinkId Link,
-                   const Digest &Chunk, const CheckedChunk &Came,
-                   TimePoint Now) {
+                   const Digest &Chunk, const CheckedChunk &Came, TimePoint Now,
+                   Effects &Out) {
   const auto it = Transfer.Peers.find(Link);
   if (it == Transfer.Peers.end())
     return;
@@ -486,7 +525,7 @@
   if (const auto Index = Transfer.IndexOf.find(Chunk);
       Index != Transfer.IndexOf.end())
     Peer.Asked.erase(Index->second);
-  if (!takeChunk(Transfer, Weights, Chunk, Came, Now)) {
+  if (!takeChunk(Transfer, Weights, Chunk, Came, Now, Out)) {
     avoidPeer(Transfer, Peer, Now);
     return;
   }
@@ -497,28 +536,37 @@
 
 void chunkFromOrigin(TransferState &Transfer, WeightsState &Weights,
                      const Digest &Chunk, const CheckedChunk &Came,
-                     TimePoint Now) {
+                     TimePoint Now, Effects &Out) {
   if (Transfer.Drawing > 0)
     --Transfer.Drawing;
-  if (takeChunk(Transfer, Weights, Chunk, Came, Now)) {
+  if (takeChunk(Transfer, Weights, Chunk, Came, Now, Out)) {
     Transfer.Counters.BytesFromOrigin += Came.Bytes ? Came.Bytes->size() : 0;
     return;
   }
   Transfer.Chunks[Transfer.IndexOf.at(Chunk)].RetryAt = Now + OriginRetry;
 }
 
-void chunkFromStage(TransferState &Transfer, WeightsState &Weights,
-                    const Digest &Chunk, const CheckedChunk &Came,
-                    TimePoint Now) {
-  if (Came.Bytes == nullptr || Came.Actual != Chunk)
+void chunkStaged(TransferState &Transfer, WeightsState &Weights,
+                 const ChunkRef &Chunk, bool Staged, TimePoint Now) {
+  const auto it = Transfer.IndexOf.find(Chunk.Content);
+  // Another version may be wanted by now.
+  if (it == Transfer.IndexOf.end() || Transfer.Version.Model != Chunk.Model ||
+      Transfer.Version.Version != Chunk.Version)
     return;
+  Transfer.Chunks[it->second].Asked = false;
+  if (Staged && Transfer.Missing.contains(it->second))
+    holdChunk(Transfer, Weights, it->second, nullptr, Now);
+}
+
+void chunkSpoilt(TransferState &Transfer, WeightsState &Weights,
+                 const Digest &Chunk) {
   const auto it = Transfer.IndexOf.find(Chunk);
-  // A request for it may be under way; its answer is then counted as repeated.
-  const bool Asked =
-      it != Transfer.IndexOf.end() && Transfer.Chunks[it->second].Asked;
-  takeChunk(Transfer, Weights, Chunk, Came, Now);
-  if (Asked)
-    Transfer.Chunks[it->second].Asked = true;
+  if (it == Transfer.IndexOf.end() || Weights.Held.erase(Chunk) == 0)
+    return;
+  ++Transfer.Counters.BadChunks;
+  Transfer.Missing.insert(it->second);
+  Transfer.Chunks[it->second].Asked = false;
+  Transfer.HeldChanged = true;
 }
 
 std::vector<ChunkRef> missingChunks(const TransferState &Transfer) {
--- a/packages/core/src/weights/transfer_func.h
+++ b/packages/core/src/weights/transfer_func.h
@@ -74,8 +74,8 @@
  * @param Now Current time.
  */
 void chunkFromPeer(TransferState &Transfer, WeightsState &Weights, LinkId Link,
-                   const Digest &Chunk, const CheckedChunk &Came,
-                   TimePoint Now);
+                   const Digest &Chunk, const CheckedChunk &Came, TimePoint Now,
+                   Effects &Out);
 
 /**
  * The origin's answer to a request arrived.
@@ -87,7 +87,7 @@
  */
 void chunkFromOrigin(TransferState &Transfer, WeightsState &Weights,
                      const Digest &Chunk, const CheckedChunk &Came,
-                     TimePoint Now);
+                     TimePoint Now, Effects &Out);
 
 /**
  * Asks for missing chunks, tells peers what is held and sends what the rate
@@ -101,16 +101,24 @@
                 TimePoint Now, Effects &Out);
 
 /**
- * Takes a chunk that lay staged at the engine.
+ * A chunk was staged at the engine, or was found there.
  * @param Transfer State to change.
  * @param Weights Held chunks.
- * @param Chunk Which chunk was looked for.
- * @param Came What lay there.
+ * @param Chunk Which chunk.
+ * @param Staged False when the engine did not take it.
  * @param Now Current time.
  */
-void chunkFromStage(TransferState &Transfer, WeightsState &Weights,
-                    const Digest &Chunk, const CheckedChunk &Came,
-                    TimePoint Now);
+void chunkStaged(TransferState &Transfer, WeightsState &Weights,
+                 const ChunkRef &Chunk, bool Staged, TimePoint Now);
+
+/**
+ * What lies staged of a chunk is damaged: it is fetched again.
+ * @param Transfer State to change.
+ * @param Weights Held chunks.
+ * @param Chunk Which chunk.
+ */
+void chunkSpoilt(TransferState &Transfer, WeightsState &Weights,
+                 const Digest &Chunk);
 
 /**
  * Names all chunks of the wanted set that are missing.
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -65,6 +65,7 @@
 struct TransferOptions {
   bool FromPeers = true; ///< False: everything from the origin.
   Millis TakeOver{1500}; ///< Wait of each further rank.
+  double LinkBytesPerSecond = 0; ///< Rate of the own link; 0: not known.
 };
 
 /** Counters of the exchange. */
@@ -85,6 +86,7 @@
   Digest Set;                              ///< The set that is exchanged.
   std::vector<Digest> Digests;             ///< Its chunks by index.
   ChunkRef Version;                        ///< Model, version and origin.
+  uint64_t ChunkBytes = 0;                 ///< Size of each chunk but the last.
   std::map<Digest, size_t> IndexOf;        ///< Index of each chunk.
   std::vector<ChunkProgress> Chunks;       ///< By index.
   std::set<size_t> Missing;                ///< Chunks that are not held.
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -37,21 +37,35 @@
   return Peer.SameDomain || rateAllows(Transfer.Across, Now);
 }
 
+ChunkRef stagedRef(const TransferState &Transfer, const Digest &Chunk) {
+  ChunkRef Ref = Transfer.Version;
+  Ref.Content = Chunk;
+  if (const auto it = Transfer.IndexOf.find(Chunk);
+      it != Transfer.IndexOf.end())
+    Ref.Number = it->second;
+  return Ref;
+}
+
 void sendChunk(TransferState &Transfer, const WeightsState &Weights,
                const Upload &One, Effects &Out) {
   ChunkPeer &Peer = Transfer.Peers.at(One.Link);
   --Peer.QueuedUploads;
   ChunkData Data;
   Data.Chunk = One.Chunk;
-  if (const auto it = Weights.Held.find(One.Chunk); it != Weights.Held.end())
+  const auto it = Weights.Held.find(One.Chunk);
+  const bool Staged = it != Weights.Held.end() && it->second == nullptr;
+  if (it != Weights.Held.end() && !Staged)
     Data.Bytes = *it->second;
-  const size_t Bytes = Data.Bytes.size();
+  const size_t Bytes = Staged ? Weights.Wanted.ChunkBytes : Data.Bytes.size();
   rateSpend(Transfer.Uplink, Bytes);
   if (!Peer.SameDomain)
     rateSpend(Transfer.Across, Bytes);
   Peer.BacklogBytes += Bytes;
   Transfer.Counters.BytesSent += Bytes;
-  Out.push_back(SendMessage{One.Link, std::move(Data)});
+  if (Staged)
+    Out.push_back(SendStaged{One.Link, stagedRef(Transfer, One.Chunk)});
+  else
+    Out.push_back(SendMessage{One.Link, std::move(Data)});
 }
 
 } // namespace
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -18,7 +18,9 @@
 struct WeightsState {
   ModelVersion Wanted;               ///< Published version; empty: none.
   std::vector<Digest> Before;        ///< Chunks of the set wanted before.
-  std::map<Digest, ChunkBytes> Held; ///< Checked chunks of these two sets.
+  std::map<Digest, ChunkBytes> Held; ///< Checked chunks of these two sets; null
+                                     ///< where they lie staged at the engine.
+  bool AtEngine = false; ///< Chunks lie at the engine and not in memory here.
   Digest Loaded;             ///< What the engine said last that it has loaded.
   std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
   bool Draining = false;     ///< No new work until the wanted set is loaded.
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -55,6 +55,7 @@
   v("tenant", m.Tenant);
   v("rank", m.Rank);
   v("wait", m.WaitMillis);
+  v("prompt", m.PromptTokens);
 }
 
 template <typename V> void describe(V &v, PlaceAnswer &m) {
@@ -62,6 +63,7 @@
   v("given", m.Given);
   v("why", m.Why);
   v("retry_after", m.RetryAfterMillis);
+  v("reading", m.ReadingMillis);
   describe(v, m.Load);
 }
 
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -221,6 +221,7 @@
   TenantName Tenant;       ///< Whose request it is.
   uint32_t Rank = 0;       ///< Urgency; 0 is first.
   uint64_t WaitMillis = 0; ///< Longest wait that is of use.
+  uint32_t PromptTokens = 0; ///< What the back end reads first; 0: not known.
 };
 
 /** Answer to PlaceAsk, at once or when its turn has come. */
@@ -229,6 +230,7 @@
   bool Given = false;                   ///< The request may be sent now.
   ErrorKind Why = ErrorKind::Internal;  ///< Why not, when it is not given.
   uint64_t RetryAfterMillis = 0;        ///< When there may be room.
+  uint32_t ReadingMillis = 0;           ///< Prompts given and not read yet.
   LoadTold Load{};                      ///< Work at the sender.
 };
 
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -79,7 +79,7 @@
 
 AdminApi::AdminApi(const Settings &Config, EntryShell &Host)
     : At(Config.AdminListen), Host(Host),
-      Server(std::make_unique<GuardedServer>(ListenerLimits{})) {
+      Server(std::make_unique<GuardedServer>(adminLimits())) {
   addOpenPaths();
   addView("/v1/status", statusJson, false);
   addView("/v1/domains", domainsJson, false);
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -23,8 +23,8 @@
 /** Agents asked at most for one request: who is told by three that they are full
  * would seldom find room at a fourth. */
 constexpr uint32_t MaxAsks = 4;
-/** Part of a route's target for which a place is waited for. */
-constexpr double PlaceWaitPart = 0.6;
+/** Part of the target that is kept for the way of answer and request. */
+constexpr Millis AnswerMargin{20};
 /** Time in which an agent answers, beyond the wait that it was allowed: many
  * times the way between regions. */
 constexpr Millis AgentAnswerTime{150};
@@ -219,14 +219,16 @@
 
 /**
  * Time for which a place is worth waiting for: what is left of the target less
- * the reading of the prompt. One that is late already takes what is free.
+ * the usual time to the first part of an answer. A request that waits longer is
+ * late in any case and makes those behind it late. One that is late already
+ * takes what is free.
  */
 Millis Exchange::usefulWait(TimePoint Now) const {
   if (HeadSent)
     return From->GapTarget;
-  const auto Useful = std::chrono::duration_cast<Duration>(
-      From->Target * PlaceWaitPart);
-  return toMillis(std::max(Arrived + Useful - Now, Duration{0}));
+  const Duration Usual = usualFirst(Shared.Pool, Needs.Service);
+  const Duration Left = Arrived + From->Target - Now - Usual - AnswerMargin;
+  return toMillis(std::max(Left, Duration{0}));
 }
 
 void Exchange::askPlace(const ServerView &Server) {
@@ -239,6 +241,8 @@
     Ask.Rank = 0;
   const Millis Wait = usefulWait(Now);
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
+  Ask.PromptTokens = Shared.Wire.promptTokens(
+      fieldOf(Asked, Shared.Wire.names().TokenCounts));
   PlaceId = Ask.Place;
   PlaceLink = Server.Agent->Link;
   Asking = true;
@@ -256,6 +260,7 @@
     return;
   Asking = false;
   loadTold(Shared.Pool, At, Answer.Load.Busy, Now);
+  readingTold(Shared.Pool, At, Millis(Answer.ReadingMillis));
   if (Answer.Given && mayStillUse(Shared.Pool, At, Needs, Now)) {
     sendTo(Shared.Pool.Servers.at(At));
     return;
@@ -407,6 +412,7 @@
   HeadSent = true;
   Needs.Weights = weightsAt(Shared.Pool, At);
   FirstByte = Shared.Clock.now();
+  firstPartCame(Shared.Pool, Needs.Service, *FirstByte - CallBegan);
   CallerAnswerHead Out;
   Out.result(Head.result());
   copyAnswerHeaders(Head, Out);
--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -26,6 +26,7 @@
   std::string NotExecuted;     ///< The back end did not run the request.
   std::string WeightVersion;   ///< Weights that began the answer.
   std::string Rank;            ///< Urgency for the back end; 0 is first.
+  std::string TokenCounts;     ///< Size of prompt and longest answer.
   std::string LastEventId;     ///< Last event that the caller has.
 };
 
@@ -76,6 +77,13 @@
    * @return Requests that run or wait there; nothing when unreadable.
    */
   virtual std::optional<uint32_t> busyOf(std::string_view Value) const = 0;
+
+  /**
+   * Reads the size of a prompt.
+   * @param Value Header value.
+   * @return Tokens; 0 when unreadable.
+   */
+  virtual uint32_t promptTokens(std::string_view Value) const = 0;
 };
 
 } // namespace jacinthpond
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -60,7 +60,7 @@
   }
   void give(LinkId Link, const std::string &Asked, const std::string &Came) {
     chunkFromPeer(Transfer, Weights, Link, sha256(Asked),
-                  checkChunk(content(Came)), Now);
+                  checkChunk(content(Came)), Now, Out);
   }
   /** Moves on by some time; gives the links that were asked. */
   std::vector<LinkId> asked(Millis Passed = Millis(0)) {
