agent: chunks come in parts that leave room for answers

Cause: a chunk of 49 KB fills a 9.4 Mbit/s link for 42 ms, and several were under way; first events waited 140 ms more while weights moved.

--- a/packages/adapters/threads/control_loop.cpp
+++ b/packages/adapters/threads/control_loop.cpp
@@ -24,7 +24,8 @@
   Done.get_future().wait();
 }
 
-void ControlLoop::run(Millis Period, const Task &Tick) {
+void ControlLoop::run(Millis Between, const Task &Tick) {
+  Period = Between;
   TimePoint NextTick = Clock.now();
   std::unique_lock Lock(Guard);
   while (!Stopped) {
--- a/packages/adapters/threads/control_loop.h
+++ b/packages/adapters/threads/control_loop.h
@@ -38,10 +38,16 @@
 
   /**
    * Runs tasks until stop().
-   * @param Period Time between two ticks.
+   * @param Between Time between two ticks.
    * @param Tick Called when a period has passed.
    */
-  void run(Millis Period, const Task &Tick);
+  void run(Millis Between, const Task &Tick);
+
+  /**
+   * Changes the time between two ticks; from the loop's own thread only.
+   * @param Next The time from the next tick on.
+   */
+  void setPeriod(Millis Next) { Period = Next; }
 
   /** Ends run() after the task under way; may be called from any thread. */
   void stop();
@@ -52,6 +58,7 @@
   std::condition_variable Changed;
   std::deque<Task> Tasks;
   bool Stopped = false;
+  Millis Period{0}; ///< Time between two ticks; the loop's own.
 };
 
 } // namespace jacinthpond
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -8,9 +8,11 @@
 #include "membership/departure_func.h"
 #include "threads/process.h"
 #include "weights/transfer_func.h"
+#include "weights/upload_func.h"
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace jacinthpond {
@@ -23,6 +25,10 @@
 constexpr Millis WatchPeriod{200};
 /** Threads that fetch and load weights. */
 constexpr size_t FetchThreads = 5;
+/** Chunks kept while peers ask for their parts: two peers, two chunks each. */
+constexpr size_t MostRecentlyRead = 4;
+/** Time between two looks while weights move, so that parts leave evenly. */
+constexpr Millis BusyTickPeriod{10};
 /** Chunks in a row that lie staged and are not wanted, after which the rest is
  * not looked at; single ones may have been damaged. */
 constexpr size_t MaxWrongStaged = 4;
@@ -94,6 +100,8 @@
         if (Peer.BacklogBytes > 0)
           linkBacklog(State, Link, Links.backlog(Link));
       agentTick(State, Now, Out);
+      const bool Moving = !State.Transfer.Uploads.empty();
+      Loop.setPeriod(Moving ? BusyTickPeriod : TickPeriod);
       tellLoad(State, Out);
       perform(std::move(Out));
     });
@@ -275,18 +283,34 @@
 }
 
 void AgentShell::sendStaged(const SendStaged &Todo) {
-  auto Read = outcomeOf([&] { return Beside.Engine->staged(Todo.Chunk); });
   ChunkData Data;
   Data.Chunk = Todo.Chunk.Content;
-  // What lies there may have been damaged since. An empty answer tells the
-  // peer to ask elsewhere.
-  if (Read.Value && sha256(*Read.Value) == Todo.Chunk.Content)
-    Data.Bytes = std::move(*Read.Value);
+  // An empty answer tells the peer to ask elsewhere.
+  if (const ChunkBytes Whole = readStagedChunk(Todo.Chunk))
+    takePart(*Whole, Todo.Offset, Todo.Length, Data);
   else
     noteSpoilt(Todo.Chunk.Content);
   Links.send(Todo.Link, Data);
 }
 
+/** Reads a staged chunk and checks it, since it may have been damaged. Peers
+ * ask for the parts of a chunk one after the other. */
+ChunkBytes AgentShell::readStagedChunk(const ChunkRef &Chunk) {
+  const std::lock_guard Lock(StagedGuard);
+  const auto it = std::ranges::find(RecentlyRead, Chunk.Content,
+                                    &std::pair<Digest, ChunkBytes>::first);
+  if (it != RecentlyRead.end())
+    return it->second;
+  auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+  if (!Read.Value || sha256(*Read.Value) != Chunk.Content)
+    return nullptr;
+  auto Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
+  RecentlyRead.emplace_back(Chunk.Content, Bytes);
+  if (RecentlyRead.size() > MostRecentlyRead)
+    RecentlyRead.pop_front();
+  return Bytes;
+}
+
 void AgentShell::noteSpoilt(const Digest &Chunk) {
   post([this, Chunk](TimePoint Now, Effects &Out) {
     agentSpoilt(State, Chunk, Now, Out);
@@ -320,6 +344,12 @@
 }
 
 void AgentShell::takeChunk(LinkId Link, ChunkData Data) {
+  if (Data.Bytes.empty() || Data.Bytes.size() < Data.Total) {
+    post([this, Link, Kept = std::move(Data)](TimePoint Now, Effects &Out) {
+      peerSentPart(State, Link, Kept, Now, Out);
+    });
+    return;
+  }
   ChunkBytes Bytes;
   if (!Data.Bytes.empty())
     Bytes = std::make_shared<const std::string>(std::move(Data.Bytes));
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -14,6 +14,7 @@
 #include "websocket/peer_links.h"
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -83,6 +84,7 @@
   void readStaged(const std::vector<ChunkRef> &Chunks);
   void stageChunk(const StageChunk &Todo);
   void sendStaged(const SendStaged &Todo);
+  ChunkBytes readStagedChunk(const ChunkRef &Chunk);
   void noteSpoilt(const Digest &Chunk);
   Result<void> prepareChunk(const ChunkRef &Chunk, const ChunkBytes &Bytes);
   void takeChunk(LinkId Link, ChunkData Data);
@@ -101,6 +103,8 @@
   std::mutex WatchGuard;                        ///< Guards OrdersEnded.
   std::condition_variable WatchNow;             ///< A load order ended.
   uint64_t OrdersEnded = 0;                     ///< Load orders that ended.
+  std::mutex StagedGuard; ///< Guards RecentlyRead.
+  std::deque<std::pair<Digest, ChunkBytes>> RecentlyRead; ///< Oldest first.
   std::mutex CancelGuard;                       ///< Guards Cancelled.
   std::set<AttemptId> Cancelled;                ///< Runs that are to end early.
   std::unique_ptr<httplib::ThreadPool> Runners; ///< Back end calls.
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -307,7 +307,7 @@
                         },
                         [&](const ChunkRequest &Asked) {
                           chunkRequested(Agent.Transfer, Agent.Weights, Link,
-                                         Asked.Chunk, Out);
+                                         Asked, Out);
                           serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
                         },
                         [&](const SuspectNotice &Notice) {
@@ -484,6 +484,20 @@
   announceChange(Agent, Now, Out);
 }
 
+void peerSentPart(AgentState &Agent, LinkId Link, const ChunkData &Data,
+                  TimePoint Now, Effects &Out) {
+  if (!linkHeard(Agent.Fleet, Link, Now))
+    return;
+  auto Whole = partFromPeer(Agent.Transfer, Link, Data, Now, Out);
+  if (!Whole)
+    return;
+  ChunkBytes Bytes;
+  if (!Whole->empty())
+    Bytes = std::make_shared<const std::string>(std::move(*Whole));
+  peerSentChunk(Agent, Link, Data.Chunk, checkChunk(std::move(Bytes)), Now,
+                Out);
+}
+
 void agentStaged(AgentState &Agent, const ChunkRef &Chunk, bool Staged,
                  TimePoint Now, Effects &Out) {
   chunkStaged(Agent.Transfer, Agent.Weights, Chunk, Staged, Now);
--- a/packages/core/src/attempts/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -175,6 +175,17 @@
 void peerSentChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
                    const CheckedChunk &Came, TimePoint Now, Effects &Out);
 
+/**
+ * A peer answered a request for a part of a chunk.
+ * @param Agent State to change.
+ * @param Link Over which link.
+ * @param Data The part.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void peerSentPart(AgentState &Agent, LinkId Link, const ChunkData &Data,
+                  TimePoint Now, Effects &Out);
+
 /**
  * A piece of an answer was sent; chunks for other domains make way for it.
  * @param Agent State to change.
--- a/packages/core/src/base/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -104,7 +104,9 @@
 /** Read a staged chunk back, check it and send it to a peer. */
 struct SendStaged {
   LinkId Link;    ///< To whom.
-  ChunkRef Chunk; ///< Which.
+  ChunkRef Chunk;      ///< Which.
+  uint64_t Offset = 0; ///< Where the part begins.
+  uint64_t Length = 0; ///< Its length; 0: to the end of the chunk.
 };
 
 /** Stage all chunks of a set and order the engine to load it. */
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -27,6 +27,10 @@
 /** Time that chunks under way may fill the own link: a request or an answer
  * waits that long behind them at most. */
 constexpr double LinkFillSeconds = 0.13;
+/** Size of a part of a chunk: some ms of a narrow link. */
+constexpr uint64_t PartBytes = 8192;
+/** Parts of one chunk under way: enough for the way between regions. */
+constexpr uint64_t PartsAhead = 2;
 /** Fewest chunks under way: one arrives while the next one is asked for. */
 constexpr double FewestAsked = 2;
 /** Chunks asked of the origin at a time. */
@@ -97,8 +101,10 @@
 
 /** Takes back what was asked of a peer, so that it is asked elsewhere. */
 void releaseAsked(TransferState &Transfer, ChunkPeer &Peer) {
-  for (const size_t n : Peer.Asked)
+  for (const size_t n : Peer.Asked) {
     Transfer.Chunks[n].Asked = Transfer.Chunks[n].Coming = false;
+    Transfer.Partial.erase(n);
+  }
   Peer.Asked.clear();
 }
 
@@ -131,6 +137,7 @@
   Transfer.Chunks.assign(Transfer.Digests.size(), {});
   Transfer.IndexOf.clear();
   Transfer.Missing.clear();
+  Transfer.Partial.clear();
   Transfer.DrawsFor.clear();
   Transfer.LastNews = Now;
   Transfer.HeldChanged = true;
@@ -233,6 +240,31 @@
       std::clamp(Fit, FewestAsked, static_cast<double>(MaxAsked)));
 }
 
+bool comesInParts(const TransferState &Transfer) {
+  return Transfer.Options.LinkBytesPerSecond > 0 && Transfer.ChunkBytes > 0;
+}
+
+/**
+ * Asks for the parts of a chunk that may be under way at a time. On a narrow
+ * link a whole chunk would fill it for as long as an answer may pause; parts
+ * leave room between them.
+ */
+void askParts(TransferState &Transfer, size_t n, LinkId Link, Effects &Out) {
+  if (!comesInParts(Transfer)) {
+    Out.push_back(SendMessage{Link, ChunkRequest{Transfer.Digests[n]}});
+    return;
+  }
+  PartialChunk &Part = Transfer.Partial[n];
+  if (Part.Link != Link)
+    Part = {Link, {}, 0};
+  while (Part.AskedUpTo < Transfer.ChunkBytes &&
+         Part.AskedUpTo < Part.Bytes.size() + PartsAhead * PartBytes) {
+    Out.push_back(SendMessage{
+        Link, ChunkRequest{Transfer.Digests[n], Part.AskedUpTo, PartBytes}});
+    Part.AskedUpTo += PartBytes;
+  }
+}
+
 void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
   size_t Open = 0;
   bool Room = false;
@@ -254,7 +286,7 @@
     Transfer.Chunks[n].Asked = true;
     if (!Peer->SameDomain)
       noteComing(Transfer, n);
-    Out.push_back(SendMessage{Link, ChunkRequest{Transfer.Digests[n]}});
+    askParts(Transfer, n, Link, Out);
     if (++Open >= Most)
       return;
   }
@@ -534,6 +566,31 @@
                    : Transfer.Counters.BytesAcross) += Bytes;
 }
 
+std::optional<std::string> partFromPeer(TransferState &Transfer, LinkId Link,
+                                        const ChunkData &Data, TimePoint Now,
+                                        Effects &Out) {
+  const auto Peer = Transfer.Peers.find(Link);
+  const auto Index = Transfer.IndexOf.find(Data.Chunk);
+  if (Data.Bytes.empty())
+    return std::string(); // Not held there: the peer is judged for the whole.
+  if (Peer == Transfer.Peers.end() || Index == Transfer.IndexOf.end())
+    return std::nullopt;
+  const auto it = Transfer.Partial.find(Index->second);
+  // A late part of a request that was given up, or is made elsewhere.
+  if (it == Transfer.Partial.end() || it->second.Link != Link ||
+      it->second.Bytes.size() != Data.Offset)
+    return std::nullopt;
+  Peer->second.LastData = Now;
+  it->second.Bytes += Data.Bytes;
+  if (it->second.Bytes.size() >= Data.Total) {
+    std::string Whole = std::move(it->second.Bytes);
+    Transfer.Partial.erase(it);
+    return Whole;
+  }
+  askParts(Transfer, Index->second, Link, Out);
+  return std::nullopt;
+}
+
 void chunkFromOrigin(TransferState &Transfer, WeightsState &Weights,
                      const Digest &Chunk, const CheckedChunk &Came,
                      TimePoint Now, Effects &Out) {
--- a/packages/core/src/weights/transfer_func.h
+++ b/packages/core/src/weights/transfer_func.h
@@ -100,6 +100,20 @@
 void moveChunks(TransferState &Transfer, const WeightsState &Weights,
                 TimePoint Now, Effects &Out);
 
+/**
+ * A part of a chunk came from a peer; the next one is asked for.
+ * @param Transfer State to change.
+ * @param Link Over which link.
+ * @param Data The part.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ * @return The whole chunk, unchecked, once its last part is in; empty when the
+ *         peer does not hold it.
+ */
+std::optional<std::string> partFromPeer(TransferState &Transfer, LinkId Link,
+                                        const ChunkData &Data, TimePoint Now,
+                                        Effects &Out);
+
 /**
  * A chunk was staged at the engine, or was found there.
  * @param Transfer State to change.
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -57,8 +57,17 @@
 
 /** A request of a peer that waits for the uplink. */
 struct Upload {
-  LinkId Link;  ///< Who asked.
-  Digest Chunk; ///< For what.
+  LinkId Link;         ///< Who asked.
+  Digest Chunk;        ///< For what.
+  uint64_t Offset = 0; ///< Where the part begins.
+  uint64_t Length = 0; ///< Its length; 0: to the end of the chunk.
+};
+
+/** A chunk that comes from a peer part by part. */
+struct PartialChunk {
+  LinkId Link;            ///< From whom.
+  std::string Bytes;      ///< Parts so far, in order.
+  uint64_t AskedUpTo = 0; ///< End of the last part that was asked for.
 };
 
 /** From the settings. */
@@ -90,6 +99,7 @@
   std::map<Digest, size_t> IndexOf;        ///< Index of each chunk.
   std::vector<ChunkProgress> Chunks;       ///< By index.
   std::set<size_t> Missing;                ///< Chunks that are not held.
+  std::map<size_t, PartialChunk> Partial;  ///< Chunks that come in parts.
   std::map<LinkId, ChunkPeer> Peers;       ///< Linked agents.
   std::map<HostName, Distrust> Distrusted; ///< Agents that failed.
   size_t Drawing = 0;                      ///< Chunks asked of the origin.
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -55,15 +55,18 @@
   const auto it = Weights.Held.find(One.Chunk);
   const bool Staged = it != Weights.Held.end() && it->second == nullptr;
   if (it != Weights.Held.end() && !Staged)
-    Data.Bytes = *it->second;
-  const size_t Bytes = Staged ? Weights.Wanted.ChunkBytes : Data.Bytes.size();
+    takePart(*it->second, One.Offset, One.Length, Data);
+  const size_t Whole = Weights.Wanted.ChunkBytes;
+  const size_t Part = One.Length == 0 ? Whole : std::min(One.Length, Whole);
+  const size_t Bytes = Staged ? Part : Data.Bytes.size();
   rateSpend(Transfer.Uplink, Bytes);
   if (!Peer.SameDomain)
     rateSpend(Transfer.Across, Bytes);
   Peer.BacklogBytes += Bytes;
   Transfer.Counters.BytesSent += Bytes;
   if (Staged)
-    Out.push_back(SendStaged{One.Link, stagedRef(Transfer, One.Chunk)});
+    Out.push_back(SendStaged{One.Link, stagedRef(Transfer, One.Chunk),
+                             One.Offset, One.Length});
   else
     Out.push_back(SendMessage{One.Link, std::move(Data)});
 }
@@ -71,18 +74,26 @@
 } // namespace
 
 void chunkRequested(TransferState &Transfer, const WeightsState &Weights,
-                    LinkId Link, const Digest &Chunk, Effects &Out) {
+                    LinkId Link, const ChunkRequest &Asked, Effects &Out) {
   const auto it = Transfer.Peers.find(Link);
   if (it == Transfer.Peers.end())
     return;
   // An empty answer tells the peer to ask elsewhere.
-  if (!Weights.Held.contains(Chunk) ||
+  if (!Weights.Held.contains(Asked.Chunk) ||
       it->second.QueuedUploads >= MaxQueuedOfPeer) {
-    Out.push_back(SendMessage{Link, ChunkData{Chunk, {}}});
+    Out.push_back(SendMessage{Link, ChunkData{Asked.Chunk, {}}});
     return;
   }
   ++it->second.QueuedUploads;
-  Transfer.Uploads.push_back({Link, Chunk});
+  Transfer.Uploads.push_back({Link, Asked.Chunk, Asked.Offset, Asked.Length});
+}
+
+void takePart(const std::string &Whole, uint64_t Offset, uint64_t Length,
+              ChunkData &Into) {
+  Into.Offset = std::min<uint64_t>(Offset, Whole.size());
+  Into.Total = Whole.size();
+  Into.Bytes = Whole.substr(Into.Offset, Length == 0 ? std::string::npos
+                                                     : Length);
 }
 
 void serveUploads(TransferState &Transfer, const WeightsState &Weights,
--- a/packages/core/src/weights/upload_func.h
+++ b/packages/core/src/weights/upload_func.h
@@ -13,11 +13,11 @@
  * @param Transfer State to change.
  * @param Weights Held chunks.
  * @param Link Over which link.
- * @param Chunk Which chunk.
+ * @param Asked Which part of which chunk.
  * @param Out Effects are appended.
  */
 void chunkRequested(TransferState &Transfer, const WeightsState &Weights,
-                    LinkId Link, const Digest &Chunk, Effects &Out);
+                    LinkId Link, const ChunkRequest &Asked, Effects &Out);
 
 /**
  * Sends the chunks that peers asked for, as far as the rates allow and the
@@ -30,6 +30,16 @@
 void serveUploads(TransferState &Transfer, const WeightsState &Weights,
                   TimePoint Now, Effects &Out);
 
+/**
+ * Cuts a part out of a chunk.
+ * @param Whole The chunk.
+ * @param Offset Where the part begins.
+ * @param Length Its length; 0: to the end of the chunk.
+ * @param Into Its bytes, offset and total are set.
+ */
+void takePart(const std::string &Whole, uint64_t Offset, uint64_t Length,
+              ChunkData &Into);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -155,11 +155,15 @@
 
 template <typename V> void describe(V &v, ChunkRequest &m) {
   v("chunk", m.Chunk);
+  v("offset", m.Offset);
+  v("length", m.Length);
 }
 
 template <typename V> void describe(V &v, ChunkData &m) {
   v("chunk", m.Chunk);
   v("bytes", m.Bytes);
+  v("offset", m.Offset);
+  v("total", m.Total);
 }
 
 template <typename V> void describe(V &v, ChunkHave &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -164,15 +164,19 @@
   Incarnation Run; ///< Incarnation whose memory says so; 0: none vouches.
 };
 
-/** Asks a peer agent for a chunk of weights. */
+/** Asks a peer agent for a part of a chunk of weights. */
 struct ChunkRequest {
-  Digest Chunk; ///< Which chunk.
+  Digest Chunk;        ///< Which chunk.
+  uint64_t Offset = 0; ///< Where the part begins.
+  uint64_t Length = 0; ///< Its length; 0: to the end of the chunk.
 };
 
 /** Answer to ChunkRequest; empty bytes: not held here. */
 struct ChunkData {
-  Digest Chunk;      ///< Which chunk.
-  std::string Bytes; ///< Its content, checked by the receiver.
+  Digest Chunk;        ///< Which chunk.
+  std::string Bytes;   ///< The part, checked by the receiver when all are in.
+  uint64_t Offset = 0; ///< Where the part begins.
+  uint64_t Total = 0;  ///< Size of the whole chunk.
 };
 
 /**
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -213,7 +213,7 @@
   One.Weights.Held[sha256("a")] = content("a");
   One.Transfer.Peers[PeerA].BacklogBytes = 5 << 20;
   for (int n = 0; n < 20; ++n)
-    chunkRequested(One.Transfer, One.Weights, PeerA, sha256("a"), One.Out);
+    chunkRequested(One.Transfer, One.Weights, PeerA, {sha256("a")}, One.Out);
   BOOST_TEST(One.Transfer.Uploads.size() == 8U);
   One.asked();
   BOOST_TEST(One.Transfer.Uploads.size() == 8U);
