agent: parts of a chunk may overtake each other

Cause: the sender reads staged parts on several threads; a second part that came before the first was dropped, and its chunk waited 4 s for the stall limit. Ruled out: lost messages (links keep their order) and a full upload queue. Change: parts are kept by their offset until all are in.

--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <optional>
 
 namespace jacinthpond {
@@ -255,10 +256,12 @@
     return;
   }
   PartialChunk &Part = Transfer.Partial[n];
-  if (Part.Link != Link)
-    Part = {Link, {}, 0};
+  if (Part.Link != Link) {
+    Part = {};
+    Part.Link = Link;
+  }
   while (Part.AskedUpTo < Transfer.ChunkBytes &&
-         Part.AskedUpTo < Part.Bytes.size() + PartsAhead * PartBytes) {
+         Part.AskedUpTo < Part.Received + PartsAhead * PartBytes) {
     Out.push_back(SendMessage{
         Link, ChunkRequest{Transfer.Digests[n], Part.AskedUpTo, PartBytes}});
     Part.AskedUpTo += PartBytes;
@@ -577,13 +580,19 @@
     return std::nullopt;
   const auto it = Transfer.Partial.find(Index->second);
   // A late part of a request that was given up, or is made elsewhere.
-  if (it == Transfer.Partial.end() || it->second.Link != Link ||
-      it->second.Bytes.size() != Data.Offset)
+  if (it == Transfer.Partial.end() || it->second.Link != Link)
     return std::nullopt;
   Peer->second.LastData = Now;
-  it->second.Bytes += Data.Bytes;
-  if (it->second.Bytes.size() >= Data.Total) {
-    std::string Whole = std::move(it->second.Bytes);
+  PartialChunk &Part = it->second;
+  // The sender reads parts on several threads, so they may overtake each other.
+  if (Part.Parts.emplace(Data.Offset, Data.Bytes).second)
+    Part.Received += Data.Bytes.size();
+  if (Part.Received >= Data.Total) {
+    const std::string Whole = std::accumulate(
+        Part.Parts.begin(), Part.Parts.end(), std::string(),
+        [](std::string Sum, const auto &Row) {
+          return std::move(Sum) + Row.second;
+        });
     Transfer.Partial.erase(it);
     return Whole;
   }
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -66,7 +66,8 @@
 /** A chunk that comes from a peer part by part. */
 struct PartialChunk {
   LinkId Link;            ///< From whom.
-  std::string Bytes;      ///< Parts so far, in order.
+  std::map<uint64_t, std::string> Parts; ///< Parts so far, by offset.
+  uint64_t Received = 0;  ///< Bytes in all parts.
   uint64_t AskedUpTo = 0; ///< End of the last part that was asked for.
 };
 
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -26,9 +26,9 @@
 constexpr Millis AcceptPause{50};
 /**
  * Part of the time for a change of weights that is kept free: news of it reach
- * entries within a second, and a request may wait at a back end for two.
+ * entries within half a second, and a request waits at a back end for as long.
  */
-constexpr Millis BeginMargin{3000};
+constexpr Millis BeginMargin{1200};
 /** Time between two looks for old idle connections. */
 constexpr Millis SweepPeriod{1000};
 
