--- /dev/null
+++ b/tests/unit/place_test.cpp
@@ -0,0 +1,198 @@
+/** @file place_test.cpp Places at a back end, given by its agent. */
+// Labels: routes admission
+
+#include "admission/reading_func.h"
+#include "attempts/agent_func.h"
+#include "attempts/place_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+
+using namespace jacinthpond;
+
+namespace {
+
+constexpr LinkId EntryA{1};
+constexpr LinkId EntryB{2};
+
+/** An agent beside a loaded worker with two places, one of them ahead. */
+struct OneAgent {
+  OneAgent() {
+    Settings Config;
+    Config.Name = "w:1";
+    Config.Platform = "store";
+    Config.EngineUrl = "http://127.0.0.1:1";
+    Config.WarmLimit = 2;
+    Config.ColdLimit = 2;
+    Config.QueueLimit = 2;
+    Agent = makeAgent(Config, Incarnation{1}, Now);
+    Agent.Fleet.LastTick = Now;
+    Agent.BackEndUp = true;
+    Agent.Weights.Loaded.Value = "m@1";
+    Agent.Weights.EngineRun = "run 1";
+    Agent.Gate.ServiceTime = Millis(100);
+  }
+
+  /** Asks for a place; gives the answer, if there is one at once. */
+  std::optional<PlaceAnswer> ask(const std::string &Id, Millis Wait,
+                                 uint32_t Prompt = 0, uint32_t Rank = 1,
+                                 LinkId Link = EntryA) {
+    Out.clear();
+    PlaceAsk m;
+    m.Place.Value = Id;
+    m.Tenant.Value = "t";
+    m.Rank = Rank;
+    m.WaitMillis = static_cast<uint64_t>(Wait.count());
+    m.PromptTokens = Prompt;
+    takePlaceAsk(Agent, Link, m, Now, Out);
+    return answered(Id);
+  }
+
+  void done(const std::string &Id, bool Whole = true, bool Sent = true) {
+    Out.clear();
+    placeDone(Agent, {{Id}, Whole, Sent}, Now, Out);
+  }
+
+  /** The answer about a place in the last effects. */
+  std::optional<PlaceAnswer> answered(const std::string &Id) const {
+    std::optional<PlaceAnswer> Found;
+    for (const Effect &One : Out)
+      if (const auto *Sent = std::get_if<SendMessage>(&One))
+        if (const auto *m = std::get_if<PlaceAnswer>(&Sent->Content))
+          if (m->Place.Value == Id)
+            Found = *m;
+    return Found;
+  }
+
+  bool given(const std::string &Id) const {
+    const auto Found = answered(Id);
+    return Found && Found->Given;
+  }
+
+  AgentState Agent;
+  TimePoint Now{std::chrono::hours(1)};
+  Effects Out;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(PlacesAreGivenUpToTheLimitAndThenInTurn) {
+  OneAgent One;
+  BOOST_TEST(One.ask("a", Millis(500))->Given);
+  BOOST_TEST(One.ask("b", Millis(500))->Given);
+  BOOST_TEST(!One.ask("c", Millis(500)).has_value());
+  One.done("a");
+  BOOST_TEST(One.given("c"));
+}
+
+BOOST_AUTO_TEST_CASE(OneThatCannotBeginInTimeIsRefusedAtOnce) {
+  // A caller whose stream had to begin within 0.4 s was held in a queue of
+  // 0.6 s, got its first event late and made all those behind it late too.
+  OneAgent One;
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  const auto Answer = One.ask("c", Millis(10));
+  BOOST_REQUIRE(Answer.has_value());
+  BOOST_TEST(!Answer->Given);
+  BOOST_CHECK(Answer->Why == ErrorKind::Overloaded);
+  BOOST_TEST(Answer->RetryAfterMillis > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(OneThatWaitedTooLongIsRefused) {
+  OneAgent One;
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  One.ask("c", Millis(200));
+  One.Now += Millis(201);
+  One.Out.clear();
+  sweepPlaces(One.Agent, One.Now, One.Out);
+  BOOST_REQUIRE(One.answered("c").has_value());
+  BOOST_TEST(!One.given("c"));
+  One.done("a");
+  BOOST_TEST(!One.answered("c").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(UrgentOnesGoFirst) {
+  OneAgent One;
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  One.ask("late", Millis(500), 0, 3);
+  One.ask("urgent", Millis(500), 0, 0);
+  One.done("a");
+  BOOST_TEST(One.given("urgent"));
+  BOOST_TEST(!One.given("late"));
+}
+
+BOOST_AUTO_TEST_CASE(PromptsAreReadOneAfterTheOther) {
+  // Three long prompts came to one worker at the same moment. All its answers
+  // paused for half a second, and their callers counted them as late.
+  OneAgent One;
+  One.Agent.Reading.TokensPerSecond = 10000;
+  BOOST_TEST(One.ask("a", Millis(500), 3000)->Given);
+  BOOST_TEST(!One.ask("b", Millis(500), 3000).has_value());
+  One.Now += Millis(100);
+  One.Out.clear();
+  agentTick(One.Agent, One.Now, One.Out);
+  BOOST_TEST(!One.given("b"));
+  One.Now += Millis(120);
+  One.Out.clear();
+  agentTick(One.Agent, One.Now, One.Out);
+  BOOST_TEST(One.given("b"));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerTellsWhatIsLeftToRead) {
+  OneAgent One;
+  One.Agent.Reading.TokensPerSecond = 10000;
+  BOOST_TEST(One.ask("a", Millis(500), 500)->ReadingMillis == 50U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryThatDiesLeavesItsPlacesAfterAWhile) {
+  // An entry was killed while it held all places of a worker. The worker ended
+  // its runs with their connections; its agent gave no place ever after.
+  OneAgent One;
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  detachPlaces(One.Agent, EntryA, One.Now, One.Out);
+  One.ask("c", Millis(5000), 0, 1, EntryB);
+  One.Now += Millis(1900);
+  One.Out.clear();
+  sweepPlaces(One.Agent, One.Now, One.Out);
+  BOOST_TEST(!One.given("c"));
+  One.Now += Millis(200);
+  sweepPlaces(One.Agent, One.Now, One.Out);
+  // The worker may be at the runs still, until its report says less.
+  EngineState Idle;
+  Idle.Run = "run 1";
+  Idle.Weights.Value = "m@1";
+  engineStateRead(One.Agent, {Idle, {}}, 0, One.Now, One.Out);
+  BOOST_TEST(One.given("c"));
+}
+
+BOOST_AUTO_TEST_CASE(AWithdrawnRequestTakesNoTurn) {
+  OneAgent One;
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  One.ask("c", Millis(500));
+  One.ask("d", Millis(500));
+  One.done("c", false, false);
+  One.done("a");
+  BOOST_TEST(One.given("d"));
+}
+
+BOOST_AUTO_TEST_CASE(ALoadingWorkerGivesNoPlace) {
+  OneAgent One;
+  One.Agent.Weights.Draining = true;
+  BOOST_CHECK(One.ask("a", Millis(500))->Why == ErrorKind::WeightsNotReady);
+  One.Agent.Weights.Draining = false;
+  One.Agent.Weights.EngineBusy = true;
+  BOOST_CHECK(One.ask("b", Millis(500))->Why == ErrorKind::WeightsNotReady);
+}
+
+BOOST_AUTO_TEST_CASE(AskedTwiceCountsOnce) {
+  OneAgent One;
+  One.ask("a", Millis(500));
+  BOOST_TEST(!One.ask("a", Millis(500)).has_value());
+  BOOST_TEST(One.Agent.Gate.Running == 1U);
+}
--- /dev/null
+++ b/tests/unit/server_pool_test.cpp
@@ -0,0 +1,267 @@
+/** @file server_pool_test.cpp Which back end gets a request. */
+// Labels: routes
+
+#include "forwarding/server_pool_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace jacinthpond;
+
+namespace {
+
+/** Three model workers and three plain back ends in two domains. */
+struct Pool {
+  Pool() {
+    From.Target = Millis(400);
+    From.Kind = RouteKind::Stream;
+    Service Model;
+    Model.Name.Value = "llm";
+    Model.Model.Value = "m";
+    Model.ColdPerSecond = 8;
+    Service Plain;
+    Plain.Name.Value = "plain";
+    Doc.Services = {Model, Plain};
+    for (int n = 0; n < 3; ++n) {
+      Doc.Servers.push_back(server("m" + std::to_string(n), "llm", n, "m@1"));
+      Doc.Servers.push_back(server("p" + std::to_string(n), "plain", n, ""));
+    }
+    want("1");
+    State.Options.Domain.Value = "d0";
+    follow();
+  }
+
+  static BackEndServer server(const std::string &Id, const std::string &Service,
+                              int n, const std::string &Weights) {
+    BackEndServer One;
+    One.Id.Value = Id;
+    One.Service.Value = Service;
+    One.At.Value = Id + ":1";
+    One.Domain.Value = "d" + std::to_string(n % 2);
+    One.Slots = 4;
+    One.Weights.Value = Weights;
+    return One;
+  }
+
+  void want(const std::string &Version) {
+    ModelVersion Wanted;
+    Wanted.Name.Value = "m";
+    Wanted.Version = Version;
+    Wanted.Set.Value = "m@" + Version;
+    Doc.Models = {Wanted};
+  }
+
+  void follow() {
+    poolFollows(State, std::make_shared<const Document>(Doc), Now);
+  }
+
+  ServerNeeds needs(const std::string &Service) const {
+    ServerNeeds Needs;
+    Needs.Service.Value = Service;
+    Needs.From = &From;
+    return Needs;
+  }
+
+  std::string choose(const std::string &Service) {
+    return chosen(needs(Service));
+  }
+
+  std::string chosen(const ServerNeeds &Needs) {
+    const ServerChoice Choice = chooseServer(State, Needs, Now);
+    return Choice.Server == nullptr ? "" : Choice.Server->Listed.Id.Value;
+  }
+
+  /** How often each is chosen in many tries. */
+  std::map<std::string, int> spread(const std::string &Service) {
+    std::map<std::string, int> Got;
+    for (int n = 0; n < 300; ++n)
+      ++Got[choose(Service)];
+    return Got;
+  }
+
+  Document Doc;
+  Route From;
+  ServerPool State;
+  TimePoint Now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ABusyBackEndIsPassedOver) {
+  Pool One;
+  for (int n = 0; n < 3; ++n)
+    attemptOpened(One.State, {"p0"}, One.Now);
+  BOOST_TEST(One.spread("plain")["p0"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AFullServiceIsRefusedWithATime) {
+  Pool One;
+  for (const char *Id : {"p0", "p1", "p2"})
+    for (int n = 0; n < 20; ++n)
+      attemptOpened(One.State, {Id}, One.Now);
+  const ServerChoice Choice =
+      chooseServer(One.State, One.needs("plain"), One.Now);
+  BOOST_TEST(Choice.Server == nullptr);
+  BOOST_CHECK(Choice.Why == PoolRefusal::AllFull);
+  BOOST_TEST(Choice.RetryAfter.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingBackEndGetsNothing) {
+  Pool One;
+  One.Doc.Servers[1].Draining = true; // p0
+  One.follow();
+  BOOST_TEST(One.spread("plain")["p0"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ADomainTakenOutGetsNothing) {
+  Pool One;
+  One.Doc.DomainsOut.insert({"d0"});
+  One.follow();
+  const auto Got = One.spread("plain");
+  BOOST_TEST(Got.size() == 1U);
+  BOOST_TEST(Got.contains("p1"));
+}
+
+BOOST_AUTO_TEST_CASE(AVanishedBackEndIsGoneAtOnce) {
+  Pool One;
+  attemptOpened(One.State, {"p0"}, One.Now);
+  std::erase_if(One.Doc.Servers,
+                [](const auto &Row) { return Row.Id.Value == "p0"; });
+  One.follow();
+  BOOST_TEST(One.spread("plain")["p0"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ServersThatLapsedAreUsedUntilTheListHasSettled) {
+  // The platform's store was away for six seconds; the servers' entries had
+  // lapsed meanwhile and were all missing when it came back. Every request was
+  // refused for two seconds, although all servers were well.
+  Pool One;
+  listingAway(One.State, true, One.Now);
+  One.Now += Millis(6000);
+  listingAway(One.State, false, One.Now);
+  const std::vector<BackEndServer> All = One.Doc.Servers;
+  One.Doc.Servers.clear();
+  One.follow();
+  BOOST_TEST(!One.choose("plain").empty());
+  One.Now += Millis(2000);
+  BOOST_TEST(!One.choose("plain").empty());
+  One.Now += Millis(300); // Still missing: gone.
+  BOOST_TEST(One.choose("plain").empty());
+  One.Doc.Servers = All;
+  One.follow();
+  BOOST_TEST(!One.choose("plain").empty());
+}
+
+BOOST_AUTO_TEST_CASE(FormerWeightsMayBeginForAWhileOnly) {
+  Pool One;
+  One.want("2");
+  One.follow();
+  BOOST_TEST(!One.choose("llm").empty());
+  BOOST_TEST(versionToDemand(One.State, One.needs("llm"), One.Now).empty());
+  One.Now += One.State.Options.FormerWeightsFor;
+  BOOST_TEST(One.choose("llm").empty());
+  BOOST_TEST(versionToDemand(One.State, One.needs("llm"), One.Now) == "2");
+  AgentNews News{Address{"m1:1"}, WorkerState::Serving, 0, {"m@2"}, true, {}};
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(One.choose("llm") == "m1");
+}
+
+BOOST_AUTO_TEST_CASE(AProcessThatStartsBeginsNothingOnFormerWeights) {
+  // An entry was killed and came back nine seconds after new weights were
+  // named. It took their naming for news and gave old workers requests.
+  Pool Old;
+  Old.want("2");
+  ServerPool Fresh;
+  Old.State = Fresh;
+  Old.follow();
+  BOOST_TEST(Old.choose("llm").empty());
+}
+
+BOOST_AUTO_TEST_CASE(AStreamGoesOnWithItsOwnWeights) {
+  Pool One;
+  One.Doc.Servers[0].Weights.Value = "m@2"; // m0
+  One.want("2");
+  One.follow();
+  ServerNeeds Needs = One.needs("llm");
+  Needs.Weights.Value = "m@2";
+  BOOST_TEST(One.chosen(Needs) == "m0");
+}
+
+BOOST_AUTO_TEST_CASE(ALoadingWorkerGetsNothing) {
+  Pool One;
+  agentTold(One.State,
+            {Address{"m0:1"}, WorkerState::Loading, 0, {"m@1"}, true, {}},
+            One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreachableBackEndIsLeftAloneForAWhile) {
+  Pool One;
+  attemptOpened(One.State, {"p0"}, One.Now);
+  attemptClosed(One.State, {"p0"}, AttemptEnd::Unreached, {}, One.Now);
+  BOOST_TEST(One.spread("plain")["p0"] == 0);
+  One.Now += Millis(400);
+  BOOST_TEST(One.spread("plain")["p0"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ABackEndThatFailsMostIsAvoided) {
+  // A back end failed half of its requests while its health check was good;
+  // it answered fast, so that more and more requests went to it.
+  Pool One;
+  for (int n = 0; n < 20; ++n) {
+    attemptOpened(One.State, {"p0"}, One.Now);
+    attemptClosed(One.State, {"p0"},
+                  n % 2 == 0 ? AttemptEnd::Error : AttemptEnd::Answered,
+                  Millis(5), One.Now);
+  }
+  BOOST_TEST(One.spread("plain")["p0"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ColdBackEndsShareTheirRateAmongEntries) {
+  Pool One;
+  One.State.Entries = 4;
+  for (BackEndServer &Row : One.Doc.Servers)
+    Row.ColdFor = Millis(3000);
+  for (BackEndServer &Row : One.Doc.Servers)
+    Row.Slots = 100;
+  One.follow();
+  int Sent = 0;
+  for (int n = 0; n < 50; ++n) {
+    const std::string Id = One.choose("llm");
+    if (Id.empty())
+      break;
+    attemptOpened(One.State, {Id}, One.Now);
+    ++Sent;
+  }
+  BOOST_TEST(Sent == 3); // 0.8 x 8 a second / 4 entries, each of three.
+  One.Now += Millis(3000);
+  BOOST_TEST(!One.choose("llm").empty());
+}
+
+BOOST_AUTO_TEST_CASE(RegionsBindRouteAndTenant) {
+  Pool One;
+  One.Doc.RegionOf = {{{"d0"}, {"r0"}}, {{"d1"}, {"r1"}}};
+  One.follow();
+  One.From.Regions = {{"r1"}};
+  BOOST_TEST(One.spread("plain").size() == 1U);
+  BOOST_TEST(One.choose("plain") == "p1");
+  Tenant Owner;
+  Owner.Regions = {{"r0"}};
+  ServerNeeds Needs = One.needs("plain");
+  Needs.Owner = &Owner;
+  BOOST_TEST(One.chosen(Needs).empty());
+}
+
+BOOST_AUTO_TEST_CASE(PromptsToBeReadCountAsLoad) {
+  Pool One;
+  for (const char *At : {"m0:1", "m1:1", "m2:1"})
+    agentTold(One.State,
+              {Address{At}, WorkerState::Serving, 0, {"m@1"}, true, {}},
+              One.Now);
+  readingTold(One.State, {"m0"}, Millis(300));
+  readingTold(One.State, {"m2"}, Millis(300));
+  const auto Got = One.spread("llm");
+  BOOST_TEST(Got.size() == 1U);
+  BOOST_TEST(Got.contains("m1"));
+}
