codec, entry, agent: documents compressed and gathered, smaller heap and buffers

Change: documents are compressed by zlib, changes within 120 ms are read and told together, the callers' own interface starts only where it listens, links read 2 KB at a time, the heap is one pool that gives memory back.

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/message_codec.h"
 
+#include "codec/text_compression.h"
 #include "base/cbor_reader.h"
 #include "base/hash_func.h"
 #include "table/error_table.h"
@@ -20,6 +21,14 @@
 
 namespace {
 
+/** Longest document that is expanded; parseDocument() has the same bound. */
+constexpr size_t MaxDocumentText = 8 << 20;
+/** Place of ConfigPush among the messages: a document is sent to every process
+ * for each change, and shrinks to a sixth. */
+constexpr size_t PushIndex = 3;
+static_assert(
+    std::is_same_v<std::variant_alternative_t<PushIndex, Message>, ConfigPush>);
+
 /** Number of values of an enumeration that may be sent; 0: not allowed. */
 template <typename Enum> constexpr uint64_t EnumSize = 0;
 template <> constexpr uint64_t EnumSize<Role> = 2;
@@ -156,6 +165,12 @@
       return fail(ErrorKind::Malformed,
                   "extra fields in message " +
                       std::string(MessageNames.at(Index)));
+    if constexpr (Index == PushIndex) {
+      auto Text = expandText(m.Text, MaxDocumentText);
+      if (!Text)
+        return fail(ErrorKind::Malformed, "document cannot be expanded");
+      m.Text = std::move(*Text);
+    }
     return Message(std::move(m));
   } else {
     return fail(ErrorKind::Malformed, "unknown message");
@@ -169,6 +184,8 @@
   Writer.List.push_back(m.index());
   std::visit(
       [&](auto Copy) { // describe() takes a mutable message for the reader.
+        if constexpr (std::is_same_v<decltype(Copy), ConfigPush>)
+          Copy.Text = compressText(Copy.Text);
         describe(Writer, Copy);
       },
       m);
--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -43,6 +45,14 @@
   return Read.Value;
 }
 
+void keepHeapSmall() {
+  constexpr int GiveBackAbove = 128 << 10;
+  constexpr int GrowBy = 32 << 10;
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, GiveBackAbove);
+  mallopt(M_TOP_PAD, GrowBy);
+}
+
 void blockStopSignals() {
   const sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -36,6 +36,13 @@
 std::optional<Settings> loadSettings(const std::string &Path,
                                      SettingOwner Program);
 
+/**
+ * Keeps the heap small: one pool for all threads, and what is freed is given
+ * back early. Hosts are small, and a process's threads allocate little at a
+ * time. Call before any thread starts.
+ */
+void keepHeapSmall();
+
 /** Blocks the stop signals; call before any thread starts. */
 void blockStopSignals();
 
--- a/packages/adapters/websocket/peer_node.cpp
+++ b/packages/adapters/websocket/peer_node.cpp
@@ -26,11 +26,17 @@
 /** Pending connections that the kernel keeps for us. */
 constexpr int ListenBacklog = 512;
 
+/** Bytes read from a link at a time. The library's 16 KiB a link would be
+ * most of the memory of an entry with links to hundreds of agents. */
+constexpr size_t LinkReadBytes = 2048;
+
 struct ServerConfig : websocketpp::config::asio {
+  static const size_t connection_read_buffer_size = LinkReadBytes; // NOLINT
   static const size_t max_message_size = MaxFrameBytes; // NOLINT
 };
 
 struct ClientConfig : websocketpp::config::asio_client {
+  static const size_t connection_read_buffer_size = LinkReadBytes; // NOLINT
   static const size_t max_message_size = MaxFrameBytes; // NOLINT
 };
 
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -87,6 +87,7 @@
 } // namespace jacinthpond
 
 int main(int Count, char **Arguments) {
+  jacinthpond::keepHeapSmall();
   jacinthpond::blockStopSignals();
   return jacinthpond::parseAndRun(Count, const_cast<const char **>(Arguments));
 }
--- a/packages/core/src/configuration/reader_rank.cpp
+++ b/packages/core/src/configuration/reader_rank.cpp
@@ -19,6 +19,9 @@
 constexpr Millis MaxWatch{2000};
 /** Time between two looks of an entry that is no reader. */
 constexpr Millis LookPeriod{200};
+/** Time for which changes are gathered after the service has answered; small
+ * against the seconds in which a change has to be in force. */
+constexpr Millis GatherTime{120};
 /** Shortest and longest mean wait after a read that brought nothing. */
 constexpr Millis MinBackoff{250};
 constexpr uint32_t MaxBackoffShift = 4;
@@ -47,6 +50,10 @@
 bool isReader(const ConfigView &View, const Membership &Fleet) {
   if (!View.InForce || !viewIsFresh(Fleet))
     return true;
+  // Where nobody in view is answered, it may be those that read who are cut off
+  // from the service, or turned away by it.
+  if (!anybodyAnswered(Fleet, Fleet.LastTick))
+    return true;
   size_t Before = 0;
   const std::vector<EntryHost> All = knownEntries(View.InForce.get(), Fleet);
   for (const HostName &Name : readerOrder(All, Fleet.Self.Domain)) {
@@ -70,7 +77,13 @@
   }
   const uint64_t Random =
       rendezvousScore(Fleet.Self.Name.Value, std::to_string(Salt));
-  Turn.Delay = backoff(Fleet.Joining.ReadFailures, Random);
+  // Servers register and load in crowds: what is published within a moment is
+  // read, and told to the whole fleet, together.
+  Turn.Delay = Fleet.Joining.ReadFailures > 0
+                   ? backoff(Fleet.Joining.ReadFailures, Random)
+                   : GatherTime;
+  if (!Fleet.Joining.ServiceAnswered && Fleet.Joining.ReadFailures == 0)
+    Turn.Delay = Millis{0};
   // The first read of a join must not wait for news; later ones must be
   // answered well within the time after which a silent service counts.
   if (Fleet.Joining.ServiceAnswered)
--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -13,19 +13,6 @@
 
 namespace {
 
-/** Says whether anybody in view was answered by the platform of late. */
-bool listingAway(const Membership &Fleet, TimePoint Now) {
-  const Join &Joining = Fleet.Joining;
-  const bool Own = Joining.ServiceHeard &&
-                   Now - *Joining.ServiceHeard <= Fleet.Times.CutOff;
-  const bool Others = std::ranges::any_of(Fleet.Links, [](const auto &Row) {
-    const PeerLink &Peer = Row.second;
-    return Peer.State == LinkState::Ready &&
-           Peer.Peer.Sender == Role::Entry && Peer.Service;
-  });
-  return !Own && !Others;
-}
-
 /** Names the entries with a working link that take callers. */
 std::set<HostName> linkedEntries(const Membership &Fleet) {
   std::set<HostName> Names;
@@ -60,7 +47,7 @@
       Entry.View.InForce != nullptr &&
       (viewIsFresh(Fleet) ||
        (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
-  Snapshot.ListingAway = listingAway(Fleet, Now);
+  Snapshot.ListingAway = !anybodyAnswered(Fleet, Now);
   const std::set<HostName> Linked = linkedEntries(Fleet);
   const bool SelfTakes = Snapshot.Ready && !Entry.Stopping;
   for (const EntryHost &Host : knownEntries(Entry.View.InForce.get(), Fleet))
--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -127,6 +127,16 @@
   return static_cast<size_t>(Reachable) * 2 > Fleet.Wanted.size();
 }
 
+bool anybodyAnswered(const Membership &Fleet, TimePoint Now) {
+  const auto &Heard = Fleet.Joining.ServiceHeard;
+  if (Heard && Now - *Heard <= Fleet.Times.CutOff)
+    return true;
+  return std::ranges::any_of(Fleet.Links, [](const auto &Row) {
+    const PeerLink &Peer = Row.second;
+    return isReady(Peer) && Peer.Peer.Sender == Role::Entry && Peer.Service;
+  });
+}
+
 void joinTick(const ConfigView &View, Membership &Fleet, TimePoint Now,
               Effects &Out) {
   Join &Joining = Fleet.Joining;
--- a/packages/core/src/membership/join_func.h
+++ b/packages/core/src/membership/join_func.h
@@ -56,6 +56,15 @@
 void joinTick(const ConfigView &View, Membership &Fleet, TimePoint Now,
               Effects &Out);
 
+/**
+ * Says whether the service has answered this process or an entry in view of
+ * late.
+ * @param Fleet The state.
+ * @param Now Current time.
+ * @return False when nobody seems to be answered.
+ */
+bool anybodyAnswered(const Membership &Fleet, TimePoint Now);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -13,6 +13,7 @@
 #include "threads/process.h"
 
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,11 +39,13 @@
   Forwarder Routes(*Config, Wire, RouteTimings);
   EntryShell Host(*Config, Service, Config->HostsUrl.empty() ? nullptr : &Hosts,
                   OnStore ? &Routes : nullptr);
-  CallerApi Callers(*Config, Host);
+  std::optional<CallerApi> Callers;
+  if (!Config->CallerListen.empty())
+    Callers.emplace(*Config, Host);
   AdminApi Admin(*Config, Host);
   const bool Routing = !OnStore || Routes.start();
   const std::string Peers = Host.start();
-  const std::string At = Config->CallerListen.empty() ? "none" : Callers.start();
+  const std::string At = Callers ? Callers->start() : "none";
   const std::string AdminAt = Admin.start();
   if (!Routing || Peers.empty() || At.empty() || AdminAt.empty()) {
     logLine(LogPart::Main, LogLevel::Error, "A listening address is taken.");
@@ -132,6 +135,7 @@
 } // namespace jacinthpond
 
 int main(int Count, char **Arguments) {
+  jacinthpond::keepHeapSmall();
   jacinthpond::blockStopSignals();
   return jacinthpond::parseAndRun(Count, const_cast<const char **>(Arguments));
 }
