agent: past documents are kept only where keys can have run

Cause: an agent kept 16 documents of 130 KB for keyed calls, on a platform without any class that has keys; found by its heap growing with each version. Ruled out: leaked messages (the heap stood still between versions) and chunks. Change: without keyed classes, and none kept before, a document is let go.

--- a/packages/core/src/attempts/idempotency.cpp
+++ b/packages/core/src/attempts/idempotency.cpp
@@ -192,6 +192,12 @@
     Book.Started = Now;
     return;
   }
+  // While no class has keys no home could have run one; a fleet whose servers
+  // come and go every second would keep dozens of documents for nothing.
+  const bool HasKeys = std::ranges::any_of(
+      Before->Classes, [](const WorkClass &One) { return !One.Repeatable; });
+  if (!HasKeys && Book.Lists.empty())
+    return;
   Book.Lists.push_back({Before, Now});
   if (Book.Lists.size() <= MaxPastLists)
     return;
