entry: each former version has its own time

Cause: when a version was overtaken while it spread, the one before it, which all workers still had, could not begin requests any more: 6 s of refusals. Ruled out: the origin, which was down as well; the old version needed nothing of it. Change: every former set may begin for as long as since the next one was named; the believed version is demanded once some former one is over; a refused caller is told a time within a third of what it has left.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -42,7 +42,9 @@
 constexpr double ColdPart = 0.8;
 /** Shortest and longest time that a refused caller is told to stay away. */
 constexpr Millis ShortestComeBack{150};
-constexpr Millis LongestComeBack{1500};
+constexpr Millis LongestComeBack{2500};
+/** Former sets that are remembered. */
+constexpr size_t MaxFormers = 8;
 /** How long a back end is left alone that was misjudged; news come sooner. */
 constexpr Millis MisjudgedAvoid{500};
 
@@ -113,7 +115,9 @@
   const auto it = Pool.Wanted.find(Kind.Model);
   if (it == Pool.Wanted.end() || View.Weights == it->second.Set)
     return true;
-  return View.Weights == it->second.Former && Now < it->second.FormerUntil;
+  const auto Former = std::ranges::find(it->second.Formers, View.Weights,
+                                        &FormerWeights::Set);
+  return Former != it->second.Formers.end() && Now < Former->Until;
 }
 
 /** Says whether a back end may get this request at all. */
@@ -169,6 +173,12 @@
 /** Time until one of so many back ends has room again, spread a little. */
 Millis timeToRoom(ServerPool &Pool, const ServerNeeds &Needs,
                   uint32_t Candidates) {
+  // Servers that are gone, or load weights, are back after seconds.
+  if (Candidates == 0)
+    return LongestComeBack / 2 +
+           Millis(static_cast<int64_t>(
+               randomPart(Pool) *
+               static_cast<double>(LongestComeBack.count()) / 2));
   // Each answer that ends makes room for one; callers that were refused
   // together come back apart.
   const Duration Usual = usualTime(Pool, Needs.Service);
@@ -206,10 +216,18 @@
     WantedWeights &Wanted = Pool.Wanted[Model.Name];
     if (Wanted.Set == Model.Set)
       continue;
-    // A process that starts does not know how long a version was wanted
-    // before: it begins nothing on an older one.
-    Wanted.Former = First ? Digest{} : Wanted.Set;
-    Wanted.FormerUntil = Now + Pool.Options.FormerWeightsFor;
+    // Each set has its own time from when the next one was named: a version
+    // that is overtaken while it spreads must not take the one before with it.
+    // A process that starts does not know how long a version was wanted: it
+    // begins nothing on an older one.
+    if (!First && !Wanted.Set.Value.empty())
+      Wanted.Formers.push_back({Wanted.Set, Wanted.Version,
+                                Now + Pool.Options.FormerWeightsFor});
+    std::erase_if(Wanted.Formers, [&](const FormerWeights &One) {
+      return One.Set == Model.Set;
+    });
+    if (Wanted.Formers.size() > MaxFormers)
+      Wanted.Formers.erase(Wanted.Formers.begin());
     Wanted.Set = Model.Set;
     Wanted.Version = Model.Version;
   }
@@ -267,12 +285,11 @@
     Choice.Server = &View;
     Best = Score;
   }
-  if (Choice.Server == nullptr) {
-    Choice.Why = Choice.Candidates > 0 ? PoolRefusal::AllFull
-                                       : PoolRefusal::NoneListed;
-    Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
+  if (Choice.Server != nullptr)
     return Choice;
-  }
+  Choice.Why = Choice.Candidates > 0 ? PoolRefusal::AllFull
+                                     : PoolRefusal::NoneListed;
+  Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
   return Choice;
 }
 
@@ -386,15 +403,25 @@
          usable(Pool, it->second, Needs, *Kind, Now);
 }
 
-std::string versionToDemand(const ServerPool &Pool, const ServerNeeds &Needs,
+std::string versionToDemand(const ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now) {
+  const auto View = Pool.Servers.find(Id);
   const Service *Kind =
-      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
+      View == Pool.Servers.end() || Pool.Doc == nullptr
+          ? nullptr
+          : findService(*Pool.Doc, View->second.Listed.Service);
   const auto Wanted =
       Kind == nullptr ? Pool.Wanted.end() : Pool.Wanted.find(Kind->Model);
-  const bool MustBeNew =
-      Wanted != Pool.Wanted.end() && Now >= Wanted->second.FormerUntil;
-  return MustBeNew ? Wanted->second.Version : "";
+  if (Wanted == Pool.Wanted.end())
+    return "";
+  const std::vector<FormerWeights> &Formers = Wanted->second.Formers;
+  const bool SomeOver = std::ranges::any_of(
+      Formers, [&](const FormerWeights &One) { return Now >= One.Until; });
+  if (!SomeOver && !Formers.empty())
+    return "";
+  const auto Former =
+      std::ranges::find(Formers, View->second.Weights, &FormerWeights::Set);
+  return Former == Formers.end() ? Wanted->second.Version : Former->Version;
 }
 
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -68,13 +68,15 @@
                  const ServerNeeds &Needs, TimePoint Now);
 
 /**
- * Gives the version of weights that a request has to begin on.
+ * Gives the version of weights to demand of a back end. What is believed of it
+ * may be old; once some former version may not begin requests any more, a back
+ * end that has another one than believed must refuse.
  * @param Pool The state.
- * @param Needs What the request needs.
+ * @param Id Which back end.
  * @param Now Current time.
- * @return The version; empty while the former one may still begin.
+ * @return The version; empty: any will do.
  */
-std::string versionToDemand(const ServerPool &Pool, const ServerNeeds &Needs,
+std::string versionToDemand(const ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now);
 
 /**
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -43,12 +43,18 @@
   std::deque<TimePoint> Starts;   ///< Attempts of the last second, when cold.
 };
 
-/** Wanted weights of one model, and since when. */
+/** Weights that were wanted before others, and may begin requests for a while. */
+struct FormerWeights {
+  Digest Set;          ///< Which set.
+  std::string Version; ///< Its version, as the publisher names it.
+  TimePoint Until;     ///< Until when it may begin requests.
+};
+
+/** Wanted weights of one model. */
 struct WantedWeights {
   Digest Set;          ///< Wanted set.
-  Digest Former;       ///< Set wanted before; empty: none that may be used.
-  std::string Version; ///< Version of Set, as the publisher names it.
-  TimePoint FormerUntil; ///< Until when Former may begin requests.
+  std::string Version; ///< Its version, as the publisher names it.
+  std::vector<FormerWeights> Formers; ///< Sets wanted before, oldest first.
 };
 
 /** Bounds and habits of the choice; from the settings. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -45,6 +45,8 @@
 constexpr double SlowGaps = 6.0;
 /** Bytes that may wait for a caller that reads slowly. */
 constexpr size_t MaxBacklog = 1 << 20;
+/** Part of the time left for which callers wait before they come back. */
+constexpr int PartToComeBack = 3;
 /** Largest answer that is held until it is whole. */
 constexpr size_t MaxWholeAnswer = 16 << 20;
 constexpr int64_t MostRemaining = int64_t{3600} * 1000;
@@ -115,9 +117,10 @@
   Id = fieldOf(Asked, Shared.Wire.names().AttemptId);
   Doc = Shared.Doc;
   Session->workedOnBy(shared_from_this());
+  readDeadline();
   if (!findRoute() || !checkCaller())
     return;
-  readDeadline();
+  Limit = std::min(Limit, Arrived + From->Timeout);
   Needs.Service = pickTarget(*From, Id);
   Needs.From = From;
   Needs.Owner = Owner;
@@ -160,11 +163,8 @@
 void Exchange::readDeadline() {
   const auto Told =
       numberIn(fieldOf(Asked, Shared.Wire.names().Remaining));
-  Millis Longest = From->Timeout;
-  if (Told)
-    Longest = std::min(
-        Longest, Millis(std::clamp(*Told, int64_t{0}, MostRemaining)));
-  Limit = Arrived + Longest;
+  Limit = Arrived + Millis(std::clamp(Told.value_or(MostRemaining), int64_t{0},
+                                      MostRemaining));
 }
 
 bool Exchange::attemptsLeft() const {
@@ -315,7 +315,7 @@
   PassedOn Passed;
   Passed.Remaining = toMillis(Limit - Now);
   Passed.Server = Server.Listed.Id;
-  Passed.Version = versionToDemand(Shared.Pool, Needs, Now);
+  Passed.Version = versionToDemand(Shared.Pool, At, Now);
   if (HeadSent) { // Goes on with the weights that began it.
     Passed.Version = fieldOf(Head, Names.WeightVersion);
     Passed.LastEventId = Events.LastId;
@@ -560,7 +560,11 @@
   CallerAnswer Out;
   Out.result(Status);
   Out.set(http::field::content_type, "application/json");
-  const Millis Again = retryAfter(Why);
+  // Callers wait for a part of the time they have left at most; one that is
+  // told to come back later than that would not come at all.
+  const Duration Left = std::max(Limit - Shared.Clock.now(), Duration{0});
+  const Millis Again =
+      std::min(retryAfter(Why), toMillis(Left / PartToComeBack));
   const bool Promises = Executed == Ran::No && (Status == 503 || Status == 429);
   if (Promises && Again.count() > 0)
     Out.set(http::field::retry_after, secondsText(Again));
