--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -164,6 +164,8 @@
 void Fleet::startProgram(const std::string &Name, const std::string &Program,
                          Json Settings) {
   const std::string Path = Folder + "/" + Name + ".json";
+  // Standard output is read up to the ready line only.
+  Settings["log_to"] = "stderr";
   std::ofstream(Path) << Settings.dump(2);
   std::vector<std::string> Arguments{"--settings", Path};
   if (Program == EntryProgram)
--- /dev/null
+++ b/bench/fleet/route_fleet.cpp
@@ -0,0 +1,252 @@
+/** @file route_fleet.cpp Processes on stand-ins of the users' platform. */
+
+#include "fleet/route_fleet.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace jacinthpond::fleet {
+
+namespace {
+
+const std::string EntryProgram = JACINTHPOND_ENTRY_PROGRAM;
+const std::string AgentProgram = JACINTHPOND_AGENT_PROGRAM;
+const std::string StandInProgram = JACINTHPOND_STANDIN_PROGRAM;
+
+/** Asks the kernel for a port that nothing uses now. */
+int freePort() {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  socklen_t Size = sizeof(At);
+  const bool Done =
+      ::bind(Socket, reinterpret_cast<sockaddr *>(&At), Size) == 0 &&
+      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&At), &Size) == 0;
+  ::close(Socket);
+  if (!Done)
+    throw std::runtime_error("no free port");
+  return ntohs(At.sin_port);
+}
+
+std::string domainOf(size_t n) { return n % 2 == 0 ? "z0" : "z1"; }
+
+/** Loopback address of a model worker and its agent. */
+std::string workerIp(size_t n) { return "127.0.1." + std::to_string(10 + n); }
+
+Json route(const std::string &Name, const std::string &Kind,
+           const std::string &Service) {
+  return {{"name", Name},
+          {"host", "h.example"},
+          {"prefix", "/" + Name + "/"},
+          {"kind", Kind},
+          {"timeout_ms", 4000},
+          {"target_latency_ms", 400},
+          {"gap_target_ms", 300},
+          {"priority", 1},
+          {"service", Service},
+          {"max_attempts", Kind == "non_idempotent" ? 1 : 2},
+          {"allow_anonymous", false},
+          {"resume_streams", Kind == "streaming"},
+          {"allowed_regions", Json::array()}};
+}
+
+Json firstConfig(const std::string &Origin) {
+  return {{"version", 1},
+          {"routes",
+           {route("write", "streaming", "llm"),
+            route("book", "non_idempotent", "plain"),
+            route("read", "idempotent", "plain")}},
+          {"services",
+           {{{"name", "llm"},
+             {"max_connections", 100},
+             {"cold_per_s", 50.0},
+             {"engine",
+              {{"read_per_s", 30000.0}, {"models", {{{"name", "trail"}}}}}}},
+            {{"name", "plain"}, {"max_connections", 100}},
+            {{"name", "weights"}, {"origin", Origin}}}},
+          {"limits",
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 100000},
+            {"header_timeout_ms", 1000},
+            {"idle_timeout_ms", 5000}}},
+          {"tenants",
+           {{{"name", "huts"}, {"api_keys", {"key-1", "key-2"}}},
+            {{"name", "clubs"}, {"api_keys", {"key-3"}}}}}};
+}
+
+} // namespace
+
+RouteFleet::RouteFleet(RoutePlan Wanted) : Plan(Wanted) {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "jp-routes-XXXXXX").string();
+  if (mkdtemp(Template.data()) == nullptr)
+    throw std::runtime_error("no folder for the fleet");
+  Folder = Template;
+  AgentPort = freePort();
+  startServer("store", {});
+  startServer("origin",
+              {{"chunks", Plan.Chunks}, {"chunk_bytes", Plan.ChunkBytes}});
+  Config = firstConfig(At.at("origin"));
+  for (size_t n = 0; n < Plan.PlainServers; ++n) {
+    const std::string Name = "plain-" + std::to_string(n);
+    startServer(Name, {{"id", Name}});
+    Registered[Name] = {{"service", "plain"},  {"address", At.at(Name)},
+                        {"zone", domainOf(n)}, {"slots", 4},
+                        {"state", "ready"},    {"sequence", 1}};
+    registerServer(Name);
+  }
+  for (size_t n = 0; n < Plan.Entries; ++n)
+    for (const char *Which : {"peers", "route", "ready", "directory"})
+      EntryAt[std::to_string(n) + "/" + Which] =
+          "127.0.0.1:" + std::to_string(freePort());
+  for (size_t n = 0; n < Plan.ModelWorkers; ++n)
+    addWorker();
+  publish();
+  for (size_t n = 0; n < Plan.Entries; ++n)
+    startEntry(n);
+}
+
+RouteFleet::~RouteFleet() {
+  Processes.clear();
+  std::error_code ec;
+  if (std::getenv("JACINTHPOND_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(Folder, ec);
+}
+
+void RouteFleet::startServer(const std::string &Name, const Json &Options) {
+  const std::string Kind =
+      Name == "store" || Name == "origin" ? "store" : "store-worker";
+  Processes[Name] = std::make_unique<ChildProcess>(
+      StandInProgram,
+      std::vector<std::string>{Name == "origin" ? "store-origin" : Kind, "0",
+                               Json(Options).is_null() ? "{}" : Options.dump()},
+      Folder + "/" + Name + ".log");
+  At[Name] = Processes.at(Name)->ready().at("at").get<std::string>();
+}
+
+void RouteFleet::addWorker() {
+  const size_t n = Models++;
+  const std::string Name = "model-" + std::to_string(n);
+  startServer(Name, {{"id", Name}, {"model", "trail"}, {"ip", workerIp(n)}});
+  Registered[Name] = {{"service", "llm"},    {"address", At.at(Name)},
+                      {"zone", domainOf(n)}, {"slots", 4},
+                      {"state", "ready"},    {"sequence", 1}};
+  registerServer(Name);
+  startAgent(n);
+}
+
+void RouteFleet::startAgent(size_t n) {
+  const std::string Worker = At.at("model-" + std::to_string(n));
+  const Json Settings = {
+      {"name", Worker},
+      {"domain", domainOf(n)},
+      {"platform", "store"},
+      {"engine_url", "http://" + Worker},
+      {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort)},
+      {"log_to", "stderr"},
+      {"chunk_takeover_ms", 300},
+      {"heartbeat_ms", 200}};
+  const std::string Name = "agent-" + std::to_string(n);
+  const std::string Path = Folder + "/" + Name + ".json";
+  std::ofstream(Path) << Settings.dump(2);
+  Processes[Name] = std::make_unique<ChildProcess>(
+      AgentProgram, std::vector<std::string>{"--settings", Path},
+      Folder + "/" + Name + ".log");
+}
+
+void RouteFleet::startEntry(size_t n) {
+  Json Settings = {{"name", "entry-" + std::to_string(n)},
+                   {"domain", domainOf(n)},
+                   {"platform", "store"},
+                   {"config_url", "http://" + At.at("store")},
+                   {"peer_listen", addressOf(n, "peers")},
+                   {"seed_peers", {addressOf(0, "peers")}},
+                   {"route_listen", addressOf(n, "route")},
+                   {"ready_listen", addressOf(n, "ready")},
+                   {"directory_listen", addressOf(n, "directory")},
+                   {"caller_listen", ""},
+                   {"domain_regions", {"z0=r0", "z1=r1"}},
+                   {"agent_port", AgentPort},
+                   {"serve_cut_off", true},
+                   {"leave_notice_ms", 600},
+                   {"join_wait_ms", 300},
+                   {"log_to", "stderr"},
+                   {"heartbeat_ms", 200}};
+  const std::string Name = "entry-" + std::to_string(n);
+  const std::string Path = Folder + "/" + Name + ".json";
+  std::ofstream(Path) << Settings.dump(2);
+  Processes[Name] = std::make_unique<ChildProcess>(
+      EntryProgram, std::vector<std::string>{"--settings", Path, "serve"},
+      Folder + "/" + Name + ".log");
+}
+
+bool RouteFleet::waitServing(std::chrono::milliseconds Limit) {
+  return waitFor(Limit, [&] {
+    for (size_t n = 0; n < Models; ++n)
+      if (look("model-" + std::to_string(n)).value("version", 0) == 0)
+        return false;
+    for (size_t n = 0; n < Plan.Entries; ++n) {
+      RouteAsk Write;
+      Write.Method = "POST";
+      Write.Path = "/write/1";
+      if (ask(n, Write).status != 200 || ask(n, {}).status != 200)
+        return false;
+    }
+    return true;
+  });
+}
+
+httplib::Response RouteFleet::ask(size_t Entry, const RouteAsk &What) const {
+  static std::atomic<uint64_t> Next{1};
+  httplib::Client Client("http://" + addressOf(Entry, "route"));
+  Client.set_read_timeout(std::chrono::seconds(10));
+  httplib::Request Sent;
+  Sent.method = What.Method;
+  Sent.path = What.Path;
+  Sent.body = What.Body;
+  Sent.set_header("Host", "h.example");
+  Sent.set_header("Authorization", "Bearer " + What.Key);
+  Sent.set_header("X-Jacinthpond-Attempt-Id",
+                  "attempt-" + std::to_string(Next++));
+  Sent.set_header("X-Jacinthpond-Deadline-Remaining-Ms",
+                  std::to_string(What.DeadlineMillis));
+  for (const auto &[Name, Value] : What.Headers)
+    Sent.set_header(Name, Value);
+  const httplib::Result Answer = Client.send(Sent);
+  return Answer ? *Answer : httplib::Response{};
+}
+
+void RouteFleet::publish() {
+  store({{"put", {{"op/config", Config.dump()}}}});
+  Config["version"] = Config["version"].get<int>() + 3;
+}
+
+void RouteFleet::registerServer(const std::string &Name) {
+  store({{"put", {{"servers/" + Name, Registered.at(Name).dump()}}}});
+}
+
+void RouteFleet::control(const std::string &Name, const Json &Changes) const {
+  httplib::Client Client("http://" + At.at(Name));
+  Client.Post("/control", Changes.dump(), "application/json");
+}
+
+Json RouteFleet::look(const std::string &Name) const {
+  httplib::Client Client("http://" + At.at(Name));
+  const httplib::Result Answer = Client.Get("/control");
+  const Json Value =
+      Answer ? Json::parse(Answer->body, nullptr, false) : Json::object();
+  return Value.is_object() ? Value : Json::object();
+}
+
+std::string RouteFleet::addressOf(size_t Entry,
+                                  const std::string &Which) const {
+  return EntryAt.at(std::to_string(Entry) + "/" + Which);
+}
+
+} // namespace jacinthpond::fleet
--- /dev/null
+++ b/bench/fleet/route_fleet.h
@@ -0,0 +1,126 @@
+/** @file route_fleet.h Processes on stand-ins of the users' platform. */
+
+#ifndef JACINTHPOND_BENCH_FLEET_ROUTE_FLEET_H
+#define JACINTHPOND_BENCH_FLEET_ROUTE_FLEET_H
+
+#include "fleet/process_runner.h"
+
+#include <httplib.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jacinthpond::fleet {
+
+/** What to start. */
+struct RoutePlan {
+  size_t Entries = 2;        ///< Entries, in two domains by turns.
+  size_t ModelWorkers = 2;   ///< Workers with agents, likewise.
+  size_t PlainServers = 2;   ///< Plain back ends, likewise.
+  size_t Chunks = 6;         ///< Chunks of a version of the model.
+  size_t ChunkBytes = 20000; ///< Size of each.
+};
+
+/** One request of a caller on a route. */
+struct RouteAsk {
+  std::string Method = "GET";   ///< HTTP method.
+  std::string Path = "/read/1"; ///< Path.
+  std::string Body = {};        ///< Content.
+  std::string Key = "key-1";    ///< API key.
+  int DeadlineMillis = 4000;    ///< Time that the caller waits.
+  std::map<std::string, std::string> Headers = {}; ///< Further ones.
+};
+
+/**
+ * Entries and agents with a store, an origin, model workers and plain back ends
+ * of the users' platform. Paths: /write/ (stream, resumable), /book/ (at most
+ * once), /read/ (idempotent).
+ */
+class RouteFleet {
+public:
+  /**
+   * Starts everything.
+   * @param Wanted What to start.
+   */
+  explicit RouteFleet(RoutePlan Wanted);
+  ~RouteFleet();
+  RouteFleet(const RouteFleet &) = delete;
+  RouteFleet &operator=(const RouteFleet &) = delete;
+
+  /**
+   * Waits until every entry is ready and sees all workers loaded.
+   * @param Limit Longest wait.
+   * @return Whether that came true.
+   */
+  bool waitServing(std::chrono::milliseconds Limit);
+
+  /**
+   * Sends a request.
+   * @param Entry Number of the entry.
+   * @param What The request.
+   * @return The answer; its status is -1 where none came.
+   */
+  httplib::Response ask(size_t Entry, const RouteAsk &What) const;
+
+  /** Publishes Config in the store. */
+  void publish();
+
+  /** Writes to the store. @param Changes As its /control takes them. */
+  void store(const Json &Changes) { control("store", Changes); }
+
+  /**
+   * Changes a stand-in.
+   * @param Name "store", "origin", "model-N" or "plain-N".
+   * @param Changes As its /control takes them.
+   */
+  void control(const std::string &Name, const Json &Changes) const;
+
+  /**
+   * Looks at a stand-in.
+   * @param Name Its name.
+   * @return What its /control tells.
+   */
+  Json look(const std::string &Name) const;
+
+  /** Enters a server in the store. @param Name "model-N" or "plain-N". */
+  void registerServer(const std::string &Name);
+
+  /** Starts one more model worker with its agent. */
+  void addWorker();
+
+  /**
+   * Gives a process to signal or kill.
+   * @param Name Name of a stand-in, "entry-N" or "agent-N".
+   * @return The process.
+   */
+  ChildProcess &process(const std::string &Name) { return *Processes.at(Name); }
+
+  /**
+   * Gives an address of an entry.
+   * @param Entry Number of the entry.
+   * @param Which "route", "ready" or "directory".
+   * @return "IP:port".
+   */
+  std::string addressOf(size_t Entry, const std::string &Which) const;
+
+  Json Config;       ///< The platform's configuration; see publish().
+  size_t Models = 0; ///< Model workers started.
+
+private:
+  void startServer(const std::string &Name, const Json &Options);
+  void startEntry(size_t n);
+  void startAgent(size_t n);
+
+  RoutePlan Plan;
+  std::string Folder;
+  int AgentPort = 0;
+  std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
+  std::map<std::string, std::string> At;      ///< Address of each stand-in.
+  std::map<std::string, Json> Registered;     ///< Entry of each server.
+  std::map<std::string, std::string> EntryAt; ///< "N/which": "IP:port".
+};
+
+} // namespace jacinthpond::fleet
+
+#endif
--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -2,9 +2,9 @@
 
 #include "codec/message_codec.h"
 
-#include "codec/text_compression.h"
 #include "base/cbor_reader.h"
 #include "base/hash_func.h"
+#include "codec/text_compression.h"
 #include "table/error_table.h"
 #include "table/message_table.h"
 #include "wire/message_fields.h"
--- a/packages/adapters/codec/text_compression.cpp
+++ b/packages/adapters/codec/text_compression.cpp
@@ -22,9 +22,9 @@
     return {};
   uLongf Size = compressBound(Text.size());
   std::string Bytes(Size, '\0');
-  const int Done =
-      compress2(reinterpret_cast<Bytef *>(Bytes.data()), &Size,
-                reinterpret_cast<const Bytef *>(Text.data()), Text.size(), Level);
+  const int Done = compress2(reinterpret_cast<Bytef *>(Bytes.data()), &Size,
+                             reinterpret_cast<const Bytef *>(Text.data()),
+                             Text.size(), Level);
   // It fails only without memory; an empty form is no text for the receiver.
   Bytes.resize(Done == Z_OK ? Size : 0);
   Bytes.shrink_to_fit();
@@ -37,8 +37,7 @@
   z_stream Stream{};
   if (inflateInit(&Stream) != Z_OK)
     return std::nullopt;
-  Stream.next_in =
-      reinterpret_cast<Bytef *>(const_cast<char *>(Bytes.data()));
+  Stream.next_in = reinterpret_cast<Bytef *>(const_cast<char *>(Bytes.data()));
   Stream.avail_in = static_cast<uInt>(Bytes.size());
   std::string Text;
   int Done = Z_OK;
--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -122,8 +122,8 @@
 Result<void> HttpEngine::stage(const ChunkRef &Chunk,
                                const std::string &Bytes) {
   httplib::Client Client = makeClient(Url, LongTimeout);
-  const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Content.Value, Bytes,
-                                            "application/octet-stream");
+  const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Content.Value,
+                                            Bytes, "application/octet-stream");
   return expectDone(Answer);
 }
 
--- a/packages/adapters/log/log.h
+++ b/packages/adapters/log/log.h
@@ -10,17 +10,24 @@
 namespace jacinthpond {
 
 /**
- * Sends all lines to standard error.
+ * Sends all lines to standard output, as fields "name=value", through a bounded
+ * queue that never holds up its callers.
  * @param Process Name of this process, in each line.
  * @param Level Name of the lowest level that is written.
+ * @param ToStandardError Whether they go to standard error instead.
  */
-void setupLog(const std::string &Process, const std::string &Level);
+void setupLog(const std::string &Process, const std::string &Level,
+              bool ToStandardError);
+
+/** Writes what is queued; no line may follow. */
+void endLog();
 
 /**
  * Writes one line.
  * @param Part Which part speaks.
  * @param Level How much it matters.
- * @param Text A short sentence; never a token or key of anybody.
+ * @param Text Fields that begin with "event=", or a short sentence; never a
+ *        token or key of anybody.
  */
 void logLine(LogPart Part, LogLevel Level, const std::string &Text);
 
--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -2,6 +2,8 @@
 
 #include "threads/process.h"
 
+#include "log/log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <malloc.h>
@@ -17,11 +19,15 @@
 
 namespace {
 
+/** Time between two looks at the settings file, in seconds. */
+constexpr time_t SettingsPollSeconds = 2;
+
 sigset_t stopSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   return Signals;
 }
 
@@ -60,10 +66,34 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStopSignal() {
+Told waitForSignal() {
   const sigset_t Signals = stopSignals();
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
+  const timespec Longest{SettingsPollSeconds, 0};
+  const int Signal = sigtimedwait(&Signals, nullptr, &Longest);
+  return Signal == SIGTERM || Signal == SIGINT ? Told::Stop : Told::Reload;
+}
+
+void waitForStop(const std::string &Path, SettingOwner Program,
+                 const std::function<void(const Settings &)> &Apply) {
+  const auto ReadText = [&] {
+    return outcomeOf([&] { return readFile(Path); }).Value.value_or("");
+  };
+  std::string InForce = ReadText();
+  while (waitForSignal() != Told::Stop) {
+    const std::string Text = ReadText();
+    if (Text == InForce || Text.empty())
+      continue;
+    InForce = Text;
+    const auto Read =
+        outcomeOf([&] { return parseSettings(Text, Path, Program); });
+    if (!Read.Value) {
+      logLine(LogPart::Main, LogLevel::Error,
+              "event=reload outcome=invalid why=\"" + Read.Why.Detail + "\"");
+      continue;
+    }
+    Apply(*Read.Value);
+    logLine(LogPart::Main, LogLevel::Info, "event=reload outcome=applied");
+  }
 }
 
 void exitCutOff() {
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -43,13 +43,31 @@
  */
 void keepHeapSmall();
 
-/** Blocks the stop signals; call before any thread starts. */
+/** Blocks the signals below; call before any thread starts. */
 void blockStopSignals();
 
+/** What a process is told from outside. */
+enum class Told : uint8_t {
+  Stop,  ///< SIGTERM or SIGINT.
+  Reload ///< SIGHUP, or the settings file may have changed without a signal.
+};
+
+/**
+ * Waits for a signal, and wakes up now and then since the settings file may
+ * change without one.
+ * @return What is to be done.
+ */
+Told waitForSignal();
+
 /**
- * Waits for SIGTERM or SIGINT.
+ * Waits for the stop signal. Whenever the settings file has changed, it is read
+ * and checked again; an invalid one changes nothing.
+ * @param Path The settings file.
+ * @param Program Whose settings.
+ * @param Apply Takes settings that were changed and are valid.
  */
-void waitForStopSignal();
+void waitForStop(const std::string &Path, SettingOwner Program,
+                 const std::function<void(const Settings &)> &Apply);
 
 /**
  * Ends the process at once with ExitCutOff. Work that a shutdown cut off still
--- a/packages/adapters/websocket/peer_node.cpp
+++ b/packages/adapters/websocket/peer_node.cpp
@@ -32,12 +32,12 @@
 
 struct ServerConfig : websocketpp::config::asio {
   static const size_t connection_read_buffer_size = LinkReadBytes; // NOLINT
-  static const size_t max_message_size = MaxFrameBytes; // NOLINT
+  static const size_t max_message_size = MaxFrameBytes;            // NOLINT
 };
 
 struct ClientConfig : websocketpp::config::asio_client {
   static const size_t connection_read_buffer_size = LinkReadBytes; // NOLINT
-  static const size_t max_message_size = MaxFrameBytes; // NOLINT
+  static const size_t max_message_size = MaxFrameBytes;            // NOLINT
 };
 
 using Server = websocketpp::server<ServerConfig>;
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -2,8 +2,8 @@
 
 #include "agent_shell.h"
 
-#include "base/overloaded.h"
 #include "base/hash_func.h"
+#include "base/overloaded.h"
 #include "log/log.h"
 #include "membership/departure_func.h"
 #include "threads/process.h"
@@ -42,10 +42,10 @@
 AgentShell::AgentShell(const Settings &Config, const BackEnds &Beside)
     : Loop(Clock), Pauses(Clock.now(), Millis(Config.PauseGapMillis)),
       State(makeAgent(Config, Incarnation{randomIncarnation()}, Clock.now())),
-      Beside(Beside), Runners(std::make_unique<httplib::ThreadPool>(
-                          Config.Platform == "store"
-                              ? 1 // Requests go past the agent there.
-                              : static_cast<size_t>(Config.WarmLimit))),
+      Beside(Beside),
+      Runners(std::make_unique<httplib::ThreadPool>(
+          Config.Platform == "store" ? 1 // Requests go past the agent there.
+                                     : static_cast<size_t>(Config.WarmLimit))),
       Fetchers(std::make_unique<httplib::ThreadPool>(FetchThreads)),
       Links({[this](LinkId Link) {
                post([this, Link](TimePoint Now, Effects &Out) {
@@ -151,14 +151,12 @@
               Fetchers->enqueue([this, Chunk = e.Chunk] { fetchChunk(Chunk); });
             },
             [this](const ReadChunkList &e) {
-              Fetchers->enqueue([this, Version = e.Version] {
-                readChunkList(Version);
-              });
+              Fetchers->enqueue(
+                  [this, Version = e.Version] { readChunkList(Version); });
             },
             [this](const ReadStaged &e) {
-              Fetchers->enqueue([this, Chunks = e.Chunks] {
-                readStaged(Chunks);
-              });
+              Fetchers->enqueue(
+                  [this, Chunks = e.Chunks] { readStaged(Chunks); });
             },
             [this](const StageChunk &e) {
               Fetchers->enqueue([this, Todo = e] { stageChunk(Todo); });
@@ -276,8 +274,8 @@
     BOOST_LEAF_CHECK(Beside.Engine->stage(Todo.Chunk, *Todo.Bytes));
     return true;
   });
-  post([this, Chunk = Todo.Chunk, Staged = Done.Value.has_value()](
-           TimePoint Now, Effects &Out) {
+  post([this, Chunk = Todo.Chunk,
+        Staged = Done.Value.has_value()](TimePoint Now, Effects &Out) {
     agentStaged(State, Chunk, Staged, Now, Out);
   });
 }
@@ -337,8 +335,8 @@
     if (Read.Value)
       Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
   }
-  post([this, Content = Chunk.Content,
-        Came = checkChunk(Bytes)](TimePoint Now, Effects &Out) {
+  post([this, Content = Chunk.Content, Came = checkChunk(Bytes)](TimePoint Now,
+                                                                 Effects &Out) {
     originAnswered(State, Content, Came, Now, Out);
   });
 }
@@ -363,9 +361,9 @@
 void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
   const auto Done = outcomeOf([&]() -> Result<bool> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
-      BOOST_LEAF_CHECK(prepareChunk({Load.Order.Model, Load.Order.Version, n,
-                                     Load.Order.Chunks[n], {}},
-                                    Load.Chunks[n]));
+      BOOST_LEAF_CHECK(prepareChunk(
+          {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
+          Load.Chunks[n]));
     // A process that was paused wakes with an order that may be long out of
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -100,12 +100,12 @@
   BackEnds Beside;
   TrafficMetrics Timings;
   std::atomic<bool> Ending{false};
-  std::mutex WatchGuard;                        ///< Guards OrdersEnded.
-  std::condition_variable WatchNow;             ///< A load order ended.
-  uint64_t OrdersEnded = 0;                     ///< Load orders that ended.
-  std::mutex StagedGuard; ///< Guards RecentlyRead.
+  std::mutex WatchGuard;            ///< Guards OrdersEnded.
+  std::condition_variable WatchNow; ///< A load order ended.
+  uint64_t OrdersEnded = 0;         ///< Load orders that ended.
+  std::mutex StagedGuard;           ///< Guards RecentlyRead.
   std::deque<std::pair<Digest, ChunkBytes>> RecentlyRead; ///< Oldest first.
-  std::mutex CancelGuard;                       ///< Guards Cancelled.
+  std::mutex CancelGuard;                                 ///< Guards Cancelled.
   std::set<AttemptId> Cancelled;                ///< Runs that are to end early.
   std::unique_ptr<httplib::ThreadPool> Runners; ///< Back end calls.
   std::unique_ptr<httplib::ThreadPool> Fetchers; ///< Weights.
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -23,7 +23,11 @@
   const auto Config = loadSettings(SettingsPath, SettingOwner::Agent);
   if (!Config)
     return ExitInvalid;
-  setupLog(Config->Name, Config->LogLevel);
+  setupLog(Config->Name, Config->LogLevel, Config->LogTo == "stderr");
+  logLine(LogPart::Main, LogLevel::Info,
+          std::string("event=start program=jacinthpond-agent version=\"") +
+              Version + "\" platform=" + Config->Platform +
+              " domain=" + Config->Domain);
   const bool OnStore = Config->Platform == "store";
   HttpEngine OwnEngine(Config->EngineUrl);
   StoreEngine Worker(Config->EngineUrl);
@@ -46,9 +50,14 @@
     return ExitFailed;
   }
   announceReady({{"peers", Peers}, {"admin", AdminAt}});
-  waitForStopSignal();
-  logLine(LogPart::Main, LogLevel::Info, "Shutting down.");
-  if (!Host.drain())
+  // Nothing that an agent is told may change while it runs.
+  waitForStop(SettingsPath, SettingOwner::Agent, [](const Settings &) {});
+  logLine(LogPart::Main, LogLevel::Info, "event=stop outcome=draining");
+  const bool Whole = Host.drain();
+  logLine(LogPart::Main, LogLevel::Info,
+          std::string("event=stop outcome=") + (Whole ? "drained" : "cut_off"));
+  endLog();
+  if (!Whole)
     exitCutOff();
   return ExitDone;
 }
--- a/packages/core/src/admission/reading.cpp
+++ b/packages/core/src/admission/reading.cpp
@@ -29,8 +29,8 @@
   if (Debt.TokensPerSecond <= 0)
     return;
   const std::chrono::duration<double> Takes(Tokens / Debt.TokensPerSecond);
-  Debt.Owed = readingLeft(Debt, Now) +
-              std::chrono::duration_cast<Duration>(Takes);
+  Debt.Owed =
+      readingLeft(Debt, Now) + std::chrono::duration_cast<Duration>(Takes);
   Debt.At = Now;
 }
 
--- a/packages/core/src/admission/reading_func.h
+++ b/packages/core/src/admission/reading_func.h
@@ -3,8 +3,8 @@
  * An engine reads prompts between the tokens of the answers that it writes.
  * When several long prompts come at the same moment, all answers under way
  * pause for as long as they take together, and every first token waits for the
- * last prompt. So prompts are given one after the other, and entries prefer back
- * ends with little to read.
+ * last prompt. So prompts are given one after the other, and entries prefer
+ * back ends with little to read.
  */
 
 #ifndef JACINTHPOND_CORE_READING_FUNC_H
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -110,8 +110,8 @@
   if (Wanted.Set.Value.empty() || Agent.ListAsked || Now < Agent.NextListRead)
     return;
   Agent.ListAsked = true;
-  Out.push_back(ReadChunkList{
-      {Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin}});
+  Out.push_back(
+      ReadChunkList{{Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin}});
 }
 
 /** Begins to read a list, unless that version is known or being read. */
@@ -133,12 +133,14 @@
 /** A listed back end says itself how much it works on at a time. */
 void followSlots(AgentState &Agent, const Document &Doc) {
   const std::string &Self = Agent.Fleet.Self.Name.Value;
-  const auto it = std::ranges::find_if(
-      Doc.Servers,
-      [&](const BackEndServer &One) { return One.At.Value == Self; });
+  const auto it =
+      std::ranges::find_if(Doc.Servers, [&](const BackEndServer &One) {
+        return One.At.Value == Self;
+      });
   if (it == Doc.Servers.end() || it->Slots == 0)
     return;
-  const auto Kind = std::ranges::find(Doc.Services, it->Service, &Service::Name);
+  const auto Kind =
+      std::ranges::find(Doc.Services, it->Service, &Service::Name);
   if (Kind != Doc.Services.end())
     Agent.Reading.TokensPerSecond = Kind->ReadPerSecond;
   const uint32_t Bears = it->Slots + SlotsAhead;
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -4,8 +4,8 @@
 #define JACINTHPOND_CORE_AGENT_TYPE_H
 
 #include "admission/admission_type.h"
-#include "admission/reading_type.h"
 #include "admission/quarantine_type.h"
+#include "admission/reading_type.h"
 #include "attempts/ended_attempts_type.h"
 #include "attempts/idempotency_type.h"
 #include "base/effect_type.h"
@@ -44,11 +44,13 @@
 
 /** A place at the back end for a request that an entry sends there itself. */
 struct Place {
-  LinkId Link;         ///< Who asked.
-  TimePoint Since;     ///< When it was asked for, then when it was given.
-  TimePoint WaitUntil; ///< After that it is of no use.
+  LinkId Link;               ///< Who asked.
+  RequestId Request;         ///< For logs.
+  TimePoint Asked;           ///< When it was asked for.
+  TimePoint Since;           ///< When it was asked for, then when it was given.
+  TimePoint WaitUntil;       ///< After that it is of no use.
   uint32_t PromptTokens = 0; ///< What the back end reads for it.
-  bool Given = false;  ///< The request may be at the back end.
+  bool Given = false;        ///< The request may be at the back end.
   std::optional<TimePoint> LinkLost; ///< Since when nobody can speak of it.
 };
 
@@ -79,7 +81,8 @@
   std::map<AttemptId, Place> Places;     ///< Waiting and given.
   EndedAttempts Ended;                   ///< Attempts of the last while.
   KeyBook Keys;                          ///< Non-repeatable calls.
-  ModelVersion Listing; ///< Version whose chunk list is being read; may be empty.
+  ModelVersion
+      Listing; ///< Version whose chunk list is being read; may be empty.
   std::optional<ChunkList> ListRead; ///< What the first reading gave.
   TimePoint NextListRead;            ///< Earliest time of the next reading.
   bool ListAsked = false;            ///< A reading is under way.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -3,8 +3,8 @@
 #include "attempts/attempt_func.h"
 
 #include "admission/admission_func.h"
-#include "admission/reading_func.h"
 #include "admission/quarantine_func.h"
+#include "admission/reading_func.h"
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
 #include "attempts/keyed_attempt_func.h"
--- a/packages/core/src/attempts/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -7,6 +7,7 @@
 #include "attempts/keyed_call_func.h"
 #include "base/overloaded.h"
 #include "configuration/config_spread_func.h"
+#include "configuration/config_view_func.h"
 #include "configuration/document_func.h"
 #include "configuration/reader_rank_func.h"
 #include "membership/departure_func.h"
@@ -29,10 +30,9 @@
   std::vector<PeerAddress> Peers;
   if (!viewIsFresh(Entry.Fleet))
     Peers = seedPeers(Entry.Config);
-  const std::vector<PeerAddress> Published =
-      linkSubset(*Entry.View.InForce,
-                 knownEntries(Entry.View.InForce.get(), Entry.Fleet),
-                 Entry.Fleet.Self);
+  const std::vector<PeerAddress> Published = linkSubset(
+      *Entry.View.InForce, knownEntries(Entry.View.InForce.get(), Entry.Fleet),
+      Entry.Fleet.Self);
   Peers.insert(Peers.end(), Published.begin(), Published.end());
   for (const LinkId Link : wantPeers(Entry.Fleet, Peers, Out))
     attemptsLost(Entry, Link, Now);
@@ -44,6 +44,32 @@
     attemptsLost(Entry, Link, Now);
 }
 
+/** Notes that the configuration service was lost or is back. */
+void noteService(const EntryState &Entry, const Outcome<std::string> &Read,
+                 TimePoint Now, Effects &Out) {
+  const Join &Joining = Entry.Fleet.Joining;
+  const bool WasLost = Joining.ReadFailures > 0;
+  if (Read.Value.has_value() == !WasLost)
+    return;
+  const std::string Silent =
+      Joining.ServiceHeard
+          ? std::to_string(toMillis(Now - *Joining.ServiceHeard).count())
+          : "-";
+  const std::string Version = std::to_string(versionInForce(Entry.View).Value);
+  if (!Read.Value)
+    Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
+                          "event=dependency_lost name=configuration_service "
+                          "why=\"" +
+                              Read.Why.Detail + "\" silent_ms=" + Silent +
+                              " version=" + Version});
+  else
+    Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
+                          "event=dependency_back name=configuration_service "
+                          "failures=" +
+                              std::to_string(Joining.ReadFailures) +
+                              " silent_ms=" + Silent + " version=" + Version});
+}
+
 /** Gives the peer of a link that was asked for and never came about. */
 std::optional<HostName> peerOpening(const Membership &Fleet, LinkId Link) {
   const auto it = Fleet.Links.find(Link);
@@ -137,6 +163,7 @@
 void entryLinkClosed(EntryState &Entry, LinkId Link, TimePoint Now,
                      Effects &Out) {
   const std::optional<HostName> Refused = peerOpening(Entry.Fleet, Link);
+  noteLinkLost(Entry.Fleet, Link, Now, Out);
   linkClosed(Entry.Fleet, Link, Now);
   attemptsLost(Entry, Link, Now);
   if (Refused)
@@ -184,6 +211,7 @@
 void entryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
                      TimePoint Began, TimePoint Now, Effects &Out) {
   noticePause(Entry, Now, Out);
+  noteService(Entry, Read, Now, Out);
   if (!Read.Value || Read.Value->empty()) {
     readEnded(Entry.Fleet, Read.Value.has_value(), true, Began, Now);
     return;
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -25,10 +25,12 @@
 /** How long a place stays taken when its end was never told. */
 constexpr Millis ForgottenAfter{20000};
 
-void answer(const AgentState &Agent, LinkId Link, const AttemptId &Which,
-            const Failure *Refusal, TimePoint Now, Effects &Out) {
+/** Answers, and notes what the answer was decided by. */
+void answer(const AgentState &Agent, LinkId Link, const PlaceAsk &Asked,
+            const Failure *Refusal, Duration Waited, TimePoint Now,
+            Effects &Out) {
   PlaceAnswer m;
-  m.Place = Which;
+  m.Place = Asked.Place;
   m.ReadingMillis =
       static_cast<uint32_t>(toMillis(readingLeft(Agent.Reading, Now)).count());
   m.Given = Refusal == nullptr;
@@ -37,6 +39,23 @@
     m.RetryAfterMillis = static_cast<uint64_t>(Refusal->RetryAfter.count());
   }
   Out.push_back(SendMessage{Link, m});
+  Out.push_back(LogNote{
+      LogPart::Admission, LogLevel::Info,
+      "event=place id=" + Asked.Request.Value + " place=" + Asked.Place.Value +
+          " outcome=" + (m.Given ? "given" : answerFor(m.Why).Name) +
+          " busy=" + std::to_string(Agent.Gate.Running + Agent.Gate.Lingering) +
+          " limit=" + std::to_string(Agent.Gate.Limit) +
+          " waiting=" + std::to_string(Agent.Gate.Waiting.Size) +
+          " reading_ms=" + std::to_string(m.ReadingMillis) +
+          " waited_ms=" + std::to_string(toMillis(Waited).count()) +
+          " weights=" + Agent.Weights.Loaded.Value});
+}
+
+PlaceAsk askOf(const AttemptId &Which, const Place &One) {
+  PlaceAsk Asked;
+  Asked.Place = Which;
+  Asked.Request = One.Request;
+  return Asked;
 }
 
 /** Says why no place at all is given now, or nothing. */
@@ -71,7 +90,7 @@
     return; // Asked twice: the first answer counts.
   if (const auto Standing = standingRefusal(Agent)) {
     const Failure Why{*Standing, "", {}};
-    answer(Agent, Link, m.Place, &Why, Now, Out);
+    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
     return;
   }
   const AdmissionAnswer Admitted =
@@ -81,12 +100,13 @@
                 {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
   if (Admitted.May == Admitted::Refuse) {
     const Failure Why{ErrorKind::Overloaded, "", Admitted.RetryAfter};
-    answer(Agent, Link, m.Place, &Why, Now, Out);
+    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
     return;
   }
   Place One;
   One.Link = Link;
-  One.Since = Now;
+  One.Request = m.Request;
+  One.Asked = One.Since = Now;
   One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
   One.PromptTokens = m.PromptTokens;
   Agent.Places[m.Place] = One;
@@ -101,7 +121,8 @@
   One.Since = Now;
   addReading(Agent.Reading, One.PromptTokens, Now);
   ++Agent.Counters.Started;
-  answer(Agent, One.Link, Which, nullptr, Now, Out);
+  answer(Agent, One.Link, askOf(Which, One), nullptr, Now - One.Asked, Now,
+         Out);
 }
 
 void refusePlace(AgentState &Agent, const AttemptId &Which, const Failure &Why,
@@ -111,7 +132,8 @@
   if (it == Agent.Places.end())
     return;
   ++Agent.Counters.Refused[Why.Kind];
-  answer(Agent, it->second.Link, Which, &Why, Now, Out);
+  const Place &One = it->second;
+  answer(Agent, One.Link, askOf(Which, One), &Why, Now - One.Asked, Now, Out);
   Agent.Places.erase(it);
 }
 
--- a/packages/core/src/base/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -103,7 +103,7 @@
 
 /** Read a staged chunk back, check it and send it to a peer. */
 struct SendStaged {
-  LinkId Link;    ///< To whom.
+  LinkId Link;         ///< To whom.
   ChunkRef Chunk;      ///< Which.
   uint64_t Offset = 0; ///< Where the part begins.
   uint64_t Length = 0; ///< Its length; 0: to the end of the chunk.
@@ -126,8 +126,7 @@
 using Effect = std::variant<OpenLink, CloseLink, SendMessage, CallPart, CallEnd,
                             CallError, RunModel, RunService, CancelRun,
                             FetchFromOrigin, ReadChunkList, ReadStaged,
-                            StageChunk, SendStaged,
-                            LoadWeights, LogNote>;
+                            StageChunk, SendStaged, LoadWeights, LogNote>;
 
 /** Effects in the order in which they are carried out. */
 using Effects = std::vector<Effect>;
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -104,9 +104,13 @@
     return Became;
   Fleet.Self.Version = versionInForce(View);
   Fleet.Self.ConfigDigest = digestInForce(View);
-  Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
-                        "Version " + std::to_string(Fleet.Self.Version.Value) +
-                            " in force."});
+  Out.push_back(LogNote{
+      LogPart::Config, LogLevel::Info,
+      "event=version_in_force version=" +
+          std::to_string(Fleet.Self.Version.Value) +
+          " servers=" + std::to_string(View.InForce->Servers.size()) +
+          " routes=" + std::to_string(View.InForce->Routes.size()) +
+          " domains_out=" + std::to_string(View.InForce->DomainsOut.size())});
   sendHeartbeats(Fleet, View, Now, Out);
   return Became;
 }
@@ -131,43 +135,40 @@
 
 FleetNews fleetMessage(ConfigView &View, Membership &Fleet, LinkId Link,
                        const Message &m, TimePoint Now, Effects &Out) {
-  return std::visit(Overloaded{[&](const Hello &Peer) {
-                                 helloHeard(Fleet, Link, Peer);
-                                 const bool NewEntry =
-                                     rosterHello(Fleet, Link, Peer, Now, Out);
-                                 compareDigests(View, Fleet, Peer.Version,
-                                                Peer.ConfigDigest, Out);
-                                 pullWhenBehind(View, Fleet, Now, Out);
-                                 return NewEntry ? FleetNews::NewEntry
-                                                 : FleetNews::Handled;
-                               },
-                               [&](const EntrySeen &Seen) {
-                                 return entrySeen(Fleet, Seen, Now, Out)
-                                            ? FleetNews::NewEntry
-                                            : FleetNews::Handled;
-                               },
-                               [&](const Heartbeat &Beat) {
-                                 heartbeatHeard(Fleet, Link, Beat, Now);
-                                 tellDeparture(Fleet, Link, Now, Out);
-                                 compareDigests(View, Fleet, Beat.Version,
-                                                Beat.ConfigDigest, Out);
-                                 pullWhenBehind(View, Fleet, Now, Out);
-                                 return FleetNews::Handled;
-                               },
-                               [&](const LeavingNotice &Notice) {
-                                 departureHeard(Fleet, Notice, Now, Out);
-                                 return FleetNews::Handled;
-                               },
-                               [&](const ConfigPull &Pull) {
-                                 answerPull(View, Fleet, Link, Pull, Out);
-                                 return FleetNews::Handled;
-                               },
-                               [&](const ConfigPush &Push) {
-                                 return takePush(View, Fleet, Link, Push, Now,
-                                                 Out);
-                               },
-                               [](const auto &) { return FleetNews::NotMine; }},
-                    m);
+  return std::visit(
+      Overloaded{
+          [&](const Hello &Peer) {
+            helloHeard(Fleet, Link, Peer);
+            noteLinkReady(Peer, Out);
+            const bool NewEntry = rosterHello(Fleet, Link, Peer, Now, Out);
+            compareDigests(View, Fleet, Peer.Version, Peer.ConfigDigest, Out);
+            pullWhenBehind(View, Fleet, Now, Out);
+            return NewEntry ? FleetNews::NewEntry : FleetNews::Handled;
+          },
+          [&](const EntrySeen &Seen) {
+            return entrySeen(Fleet, Seen, Now, Out) ? FleetNews::NewEntry
+                                                    : FleetNews::Handled;
+          },
+          [&](const Heartbeat &Beat) {
+            heartbeatHeard(Fleet, Link, Beat, Now);
+            tellDeparture(Fleet, Link, Now, Out);
+            compareDigests(View, Fleet, Beat.Version, Beat.ConfigDigest, Out);
+            pullWhenBehind(View, Fleet, Now, Out);
+            return FleetNews::Handled;
+          },
+          [&](const LeavingNotice &Notice) {
+            departureHeard(Fleet, Notice, Now, Out);
+            return FleetNews::Handled;
+          },
+          [&](const ConfigPull &Pull) {
+            answerPull(View, Fleet, Link, Pull, Out);
+            return FleetNews::Handled;
+          },
+          [&](const ConfigPush &Push) {
+            return takePush(View, Fleet, Link, Push, Now, Out);
+          },
+          [](const auto &) { return FleetNews::NotMine; }},
+      m);
 }
 
 std::vector<LinkId> fleetTick(const ConfigView &View, Membership &Fleet,
--- a/packages/core/src/configuration/config_spread_func.h
+++ b/packages/core/src/configuration/config_spread_func.h
@@ -17,10 +17,10 @@
 
 /** What a message between processes came to. */
 enum class FleetNews : uint8_t {
-  NotMine,    ///< The message is about something else.
-  Handled,    ///< Nothing more to do.
+  NotMine,     ///< The message is about something else.
+  Handled,     ///< Nothing more to do.
   NewDocument, ///< Another document came into force.
-  NewEntry    ///< An entry became known, or has moved.
+  NewEntry     ///< An entry became known, or has moved.
 };
 
 /**
--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -23,7 +23,8 @@
 constexpr int64_t MaxWeight = 1000;
 constexpr int64_t MaxChunkBytes = 8 << 20;
 constexpr int64_t MaxTotalBytes = int64_t{1} << 40;
-/** Largest document taken, in bytes: routes of a large fleet, and its workers. */
+/** Largest document taken, in bytes: routes of a large fleet, and its workers.
+ */
 constexpr size_t MaxDocumentBytes = 8 << 20;
 /** Longest lists; well above the size that the system is designed for. */
 constexpr size_t MaxClasses = 256;
@@ -324,8 +325,8 @@
   Doc.Routes = readList<Route>(Root, "routes", MaxRoutes, Faults, readRoute);
   Doc.Services =
       readList<Service>(Root, "services", MaxServices, Faults, readService);
-  Doc.Servers = readList<BackEndServer>(Root, "servers", MaxWorkers, Faults,
-                                        readServer);
+  Doc.Servers =
+      readList<BackEndServer>(Root, "servers", MaxWorkers, Faults, readServer);
   if (const Json *Limits = Root.object("limits")) {
     ObjectReader Row(*Limits, "limits", Faults);
     Doc.Limits = readLimits(Row);
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -96,12 +96,12 @@
 
 /** Where requests that are passed on unchanged go. */
 struct Route {
-  std::string Name;                 ///< For logs and metrics.
-  std::string Host;                 ///< Host header of its requests.
-  std::string Prefix;               ///< Begins and ends with a slash.
+  std::string Name;                       ///< For logs and metrics.
+  std::string Host;                       ///< Host header of its requests.
+  std::string Prefix;                     ///< Begins and ends with a slash.
   RouteKind Kind = RouteKind::AtMostOnce; ///< What may be repeated.
-  bool Resumable = false;           ///< A stream may go on elsewhere.
-  bool Anonymous = false;           ///< Callers need no API key.
+  bool Resumable = false;                 ///< A stream may go on elsewhere.
+  bool Anonymous = false;                 ///< Callers need no API key.
   uint32_t MaxAttempts = 1;         ///< Back ends that may get one request.
   Millis Timeout{0};                ///< Longest wait for the whole answer.
   Millis Target{0};                 ///< Wanted time to the first byte.
@@ -140,10 +140,10 @@
 
 /** Bounds on what callers send. */
 struct CallerLimits {
-  uint32_t MaxHeadBytes = 16384;  ///< Request line and headers.
+  uint32_t MaxHeadBytes = 16384;   ///< Request line and headers.
   uint32_t MaxBodyBytes = 4 << 20; ///< Body.
-  Millis HeadTimeout{3000};       ///< Time for the whole head to arrive.
-  Millis IdleTimeout{15000};      ///< Idle time of a kept connection.
+  Millis HeadTimeout{3000};        ///< Time for the whole head to arrive.
+  Millis IdleTimeout{15000};       ///< Idle time of a kept connection.
 
   bool operator==(const CallerLimits &) const = default;
 };
@@ -176,7 +176,7 @@
   std::vector<BackEndServer> Servers;        ///< Back ends of these services.
   CallerLimits Limits;                       ///< Of callers on routes.
   std::map<DomainName, RegionName> RegionOf; ///< Region of each domain.
-  Millis RetryHorizon{30000};       ///< Longest time a caller repeats a key.
+  Millis RetryHorizon{30000}; ///< Longest time a caller repeats a key.
 };
 
 /** Shared, never changed after it was accepted. */
--- a/packages/core/src/forwarding/event_stream.cpp
+++ b/packages/core/src/forwarding/event_stream.cpp
@@ -29,7 +29,8 @@
     Line.remove_prefix(Name.size());
     Line.remove_prefix(std::min(Line.find_first_not_of(' '), Line.size()));
     uint64_t n = 0;
-    const auto Read = std::from_chars(Line.data(), Line.data() + Line.size(), n);
+    const auto Read =
+        std::from_chars(Line.data(), Line.data() + Line.size(), n);
     if (Read.ec == std::errc{})
       return n;
   }
--- a/packages/core/src/forwarding/event_stream_type.h
+++ b/packages/core/src/forwarding/event_stream_type.h
@@ -14,7 +14,7 @@
 
 /** One stream on its way through; only whole events leave it. */
 struct EventStream {
-  std::string Partial; ///< Bytes of an event whose end has not come.
+  std::string Partial;            ///< Bytes of an event whose end has not come.
   std::optional<uint64_t> LastId; ///< Id of the last event that went through.
 };
 
--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -43,10 +43,9 @@
 FleetSnapshot fleetSnapshot(const EntryState &Entry, TimePoint Now) {
   FleetSnapshot Snapshot;
   const Membership &Fleet = Entry.Fleet;
-  Snapshot.Ready =
-      Entry.View.InForce != nullptr &&
-      (viewIsFresh(Fleet) ||
-       (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
+  Snapshot.Ready = Entry.View.InForce != nullptr &&
+                   (viewIsFresh(Fleet) ||
+                    (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
   Snapshot.ListingAway = !anybodyAnswered(Fleet, Now);
   const std::set<HostName> Linked = linkedEntries(Fleet);
   const bool SelfTakes = Snapshot.Ready && !Entry.Stopping;
@@ -71,7 +70,8 @@
   }
   for (const auto &[Name, LoadAt] : Told.LoadAt)
     if (!Heard.contains(Name))
-      News.push_back({Address{Name.Value}, WorkerState::Empty, 0, {}, false, {}});
+      News.push_back(
+          {Address{Name.Value}, WorkerState::Empty, 0, {}, false, {}});
   Told.LoadAt = std::move(Heard);
   return News;
 }
--- a/packages/core/src/forwarding/repeat_budget_type.h
+++ b/packages/core/src/forwarding/repeat_budget_type.h
@@ -17,9 +17,9 @@
 
 /** What the whole fleet may send again; from the settings. */
 struct RepeatLimits {
-  double Ratio = 0.2;     ///< Repeats for each first request.
-  uint32_t Slack = 100;   ///< Repeats in a window beyond the ratio.
-  Millis Window{10000};   ///< Length of the window.
+  double Ratio = 0.2;   ///< Repeats for each first request.
+  uint32_t Slack = 100; ///< Repeats in a window beyond the ratio.
+  Millis Window{10000}; ///< Length of the window.
 };
 
 /** Counts of one service in one window. */
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -71,9 +71,8 @@
   // sent to them, and what they told once would keep them from ever being used.
   if (hasAgent(View))
     return View.Open + View.OtherWork;
-  const double Age =
-      static_cast<double>(toMillis(Now - View.ToldAt).count()) /
-      static_cast<double>(LoadHalfLife.count());
+  const double Age = static_cast<double>(toMillis(Now - View.ToldAt).count()) /
+                     static_cast<double>(LoadHalfLife.count());
   return View.Open + View.OtherWork * std::exp2(-std::max(0.0, Age));
 }
 
@@ -115,8 +114,8 @@
   const auto it = Pool.Wanted.find(Kind.Model);
   if (it == Pool.Wanted.end() || View.Weights == it->second.Set)
     return true;
-  const auto Former = std::ranges::find(it->second.Formers, View.Weights,
-                                        &FormerWeights::Set);
+  const auto Former =
+      std::ranges::find(it->second.Formers, View.Weights, &FormerWeights::Set);
   return Former != it->second.Formers.end() && Now < Former->Until;
 }
 
@@ -135,10 +134,9 @@
       (Needs.Owner != nullptr &&
        !regionAllowed(Needs.Owner->Regions, Doc, View.Listed.Domain)))
     return false;
-  const bool Loading =
-      View.Agent && View.Agent->Fresh &&
-      (View.Agent->State == WorkerState::Loading ||
-       View.Agent->State == WorkerState::Empty);
+  const bool Loading = View.Agent && View.Agent->Fresh &&
+                       (View.Agent->State == WorkerState::Loading ||
+                        View.Agent->State == WorkerState::Empty);
   if (Loading && !Kind.Model.Value.empty())
     return false;
   return weightsFit(Pool, Kind, View, Needs.Weights, Now);
@@ -151,10 +149,8 @@
     return true;
   const double Share =
       ColdPart * Kind.ColdPerSecond / std::max(1U, Pool.Entries);
-  const auto Recent =
-      std::ranges::count_if(View.Starts, [&](const TimePoint At) {
-        return Now - At < Millis(1000);
-      });
+  const auto Recent = std::ranges::count_if(
+      View.Starts, [&](const TimePoint At) { return Now - At < Millis(1000); });
   return static_cast<double>(Recent) + 1 <= std::max(1.0, Share);
 }
 
@@ -177,14 +173,14 @@
   if (Candidates == 0)
     return LongestComeBack / 2 +
            Millis(static_cast<int64_t>(
-               randomPart(Pool) *
-               static_cast<double>(LongestComeBack.count()) / 2));
+               randomPart(Pool) * static_cast<double>(LongestComeBack.count()) /
+               2));
   // Each answer that ends makes room for one; callers that were refused
   // together come back apart.
   const Duration Usual = usualTime(Pool, Needs.Service);
   const Millis Mean = toMillis(Usual / std::max(1U, std::min(Candidates, 4U)));
-  const auto Spread = static_cast<int64_t>(
-      static_cast<double>(Mean.count()) * (0.75 + randomPart(Pool)));
+  const auto Spread = static_cast<int64_t>(static_cast<double>(Mean.count()) *
+                                           (0.75 + randomPart(Pool)));
   return std::clamp(Millis(Spread), ShortestComeBack, LongestComeBack);
 }
 
@@ -221,8 +217,8 @@
     // A process that starts does not know how long a version was wanted: it
     // begins nothing on an older one.
     if (!First && !Wanted.Set.Value.empty())
-      Wanted.Formers.push_back({Wanted.Set, Wanted.Version,
-                                Now + Pool.Options.FormerWeightsFor});
+      Wanted.Formers.push_back(
+          {Wanted.Set, Wanted.Version, Now + Pool.Options.FormerWeightsFor});
     std::erase_if(Wanted.Formers, [&](const FormerWeights &One) {
       return One.Set == Model.Set;
     });
@@ -275,8 +271,8 @@
       continue;
     ++Choice.Candidates;
     // An agent knows better than this entry whether there is room.
-    const bool Full = !hasAgent(View) && workAt(View, Now) + 1 >
-                                             roomOf(Pool, View, *Needs.From);
+    const bool Full = !hasAgent(View) &&
+                      workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From);
     if (Full || !coldAllows(Pool, View, *Kind, Now))
       continue;
     const double Score = scoreOf(Pool, View, Now);
@@ -287,8 +283,8 @@
   }
   if (Choice.Server != nullptr)
     return Choice;
-  Choice.Why = Choice.Candidates > 0 ? PoolRefusal::AllFull
-                                     : PoolRefusal::NoneListed;
+  Choice.Why =
+      Choice.Candidates > 0 ? PoolRefusal::AllFull : PoolRefusal::NoneListed;
   Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
   return Choice;
 }
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -136,8 +136,7 @@
  * @param Service Which service answered.
  * @param Took Time since the request was sent.
  */
-void firstPartCame(ServerPool &Pool, const ServiceName &Service,
-                   Duration Took);
+void firstPartCame(ServerPool &Pool, const ServiceName &Service, Duration Took);
 
 /**
  * Gives how long the first part of an answer usually takes.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -17,9 +17,9 @@
 
 /** What an agent says of the back end beside it. */
 struct AgentNews {
-  Address Server;     ///< Where that back end takes requests.
+  Address Server; ///< Where that back end takes requests.
   WorkerState State = WorkerState::Empty; ///< How far it is from serving.
-  uint32_t Busy = 0;  ///< Requests that run or wait there.
+  uint32_t Busy = 0;                      ///< Requests that run or wait there.
   Digest Weights;     ///< What it has loaded; empty: nothing whole.
   bool Fresh = false; ///< The agent answers now.
   LinkId Link;        ///< Link to the agent; valid while Fresh.
@@ -30,9 +30,9 @@
   BackEndServer Listed;              ///< What the document says.
   std::optional<TimePoint> Vanished; ///< Since when it is not listed.
   uint32_t Open = 0;                 ///< Attempts of this entry there.
-  uint32_t OtherWork = 0; ///< Work of other entries, as told last.
-  Duration Reading{0};    ///< Prompts to be read there, as of ToldAt.
-  TimePoint ToldAt;       ///< When OtherWork was told.
+  uint32_t OtherWork = 0;            ///< Work of other entries, as told last.
+  Duration Reading{0};            ///< Prompts to be read there, as of ToldAt.
+  TimePoint ToldAt;               ///< When OtherWork was told.
   std::optional<AgentNews> Agent; ///< Last word of its agent.
   Digest Weights;                 ///< What it has loaded, newest word.
   uint32_t Failures = 0;          ///< Attempts in a row that broke.
@@ -43,7 +43,8 @@
   std::deque<TimePoint> Starts;   ///< Attempts of the last second, when cold.
 };
 
-/** Weights that were wanted before others, and may begin requests for a while. */
+/** Weights that were wanted before others, and may begin requests for a while.
+ */
 struct FormerWeights {
   Digest Set;          ///< Which set.
   std::string Version; ///< Its version, as the publisher names it.
@@ -59,19 +60,19 @@
 
 /** Bounds and habits of the choice; from the settings. */
 struct PoolOptions {
-  DomainName Domain;            ///< Failure domain of this entry.
+  DomainName Domain;             ///< Failure domain of this entry.
   Millis FormerWeightsFor{5000}; ///< How long a former version may begin.
-  Millis LapseGrace{2200};      ///< Wait for servers to be listed again.
+  Millis LapseGrace{2200};       ///< Wait for servers to be listed again.
 };
 
 /** All back ends that routes lead to. */
 struct ServerPool {
-  PoolOptions Options;                           ///< From the settings.
-  DocumentPtr Doc;                               ///< Document in force.
-  std::map<InstanceId, ServerView> Servers;      ///< By run.
-  std::map<ModelName, WantedWeights> Wanted;     ///< By model.
-  std::map<ServiceName, Duration> UsualTime;     ///< Length of an answer.
-  std::map<ServiceName, Duration> UsualFirst;    ///< Time to its first part.
+  PoolOptions Options;                        ///< From the settings.
+  DocumentPtr Doc;                            ///< Document in force.
+  std::map<InstanceId, ServerView> Servers;   ///< By run.
+  std::map<ModelName, WantedWeights> Wanted;  ///< By model.
+  std::map<ServiceName, Duration> UsualTime;  ///< Length of an answer.
+  std::map<ServiceName, Duration> UsualFirst; ///< Time to its first part.
   TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
   uint32_t Entries = 1;        ///< Live entries, this one included.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
@@ -79,11 +80,11 @@
 
 /** What a request needs of a back end. */
 struct ServerNeeds {
-  ServiceName Service;                   ///< Which service.
-  const Route *From = nullptr;           ///< Its route.
-  const Tenant *Owner = nullptr;         ///< Its tenant; null: none.
-  std::set<InstanceId> Tried;            ///< Not these again.
-  std::set<InstanceId> Full;             ///< Said to have no room just now.
+  ServiceName Service;           ///< Which service.
+  const Route *From = nullptr;   ///< Its route.
+  const Tenant *Owner = nullptr; ///< Its tenant; null: none.
+  std::set<InstanceId> Tried;    ///< Not these again.
+  std::set<InstanceId> Full;     ///< Said to have no room just now.
   Digest Weights; ///< Only this set, to go on with an answer; empty: any.
 };
 
@@ -95,10 +96,10 @@
 
 /** A back end for one attempt, or why there is none. */
 struct ServerChoice {
-  const ServerView *Server = nullptr; ///< Chosen; null: none.
+  const ServerView *Server = nullptr;        ///< Chosen; null: none.
   PoolRefusal Why = PoolRefusal::NoneListed; ///< Meaningful without a server.
-  Millis RetryAfter{0};  ///< When there may be room.
-  uint32_t Candidates = 0; ///< Back ends that were compared.
+  Millis RetryAfter{0};                      ///< When there may be room.
+  uint32_t Candidates = 0;                   ///< Back ends that were compared.
 };
 
 /** How an attempt ended, as far as its back end goes. */
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -92,6 +92,28 @@
   Out.push_back(SendMessage{Link, Fleet.Self});
 }
 
+void noteLinkReady(const Hello &Peer, Effects &Out) {
+  Out.push_back(
+      LogNote{LogPart::Links, LogLevel::Info,
+              "event=dependency_back name=peer peer=" + Peer.Name.Value +
+                  " role=" + (Peer.Sender == Role::Entry ? "entry" : "agent") +
+                  " domain=" + Peer.Domain.Value +
+                  " version=" + std::to_string(Peer.Version.Value)});
+}
+
+void noteLinkLost(const Membership &Fleet, LinkId Link, TimePoint Now,
+                  Effects &Out) {
+  const auto it = Fleet.Links.find(Link);
+  if (it == Fleet.Links.end() || it->second.State != LinkState::Ready)
+    return;
+  const PeerLink &Peer = it->second;
+  Out.push_back(
+      LogNote{LogPart::Links, LogLevel::Info,
+              "event=dependency_lost name=peer peer=" + Peer.Peer.Name.Value +
+                  " silent_ms=" +
+                  std::to_string(toMillis(Now - Peer.LastHeard).count())});
+}
+
 void linkClosed(Membership &Fleet, LinkId Link, TimePoint Now) {
   forgetLink(Fleet, Link, Now);
 }
@@ -193,6 +215,7 @@
     if (Now - Peer.LastHeard > Fleet.Times.Silence)
       Silent.push_back(Link);
   for (const LinkId Link : Silent) {
+    noteLinkLost(Fleet, Link, Now, Out);
     forgetLink(Fleet, Link, Now);
     Out.push_back(CloseLink{Link});
   }
--- a/packages/core/src/membership/membership_func.h
+++ b/packages/core/src/membership/membership_func.h
@@ -28,6 +28,24 @@
                               const std::vector<PeerAddress> &Peers,
                               Effects &Out);
 
+/**
+ * Notes for the log that a peer named itself on a link.
+ * @param Peer What it said.
+ * @param Out Effects are appended.
+ */
+void noteLinkReady(const Hello &Peer, Effects &Out);
+
+/**
+ * Notes for the log that a link to a known peer is gone; to be called before it
+ * is forgotten.
+ * @param Fleet The state.
+ * @param Link Which link.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void noteLinkLost(const Membership &Fleet, LinkId Link, TimePoint Now,
+                  Effects &Out);
+
 /**
  * A link works: says hello.
  * @param Fleet State to change.
--- a/packages/core/src/routing/directory.cpp
+++ b/packages/core/src/routing/directory.cpp
@@ -30,9 +30,8 @@
                                      const Document *Doc,
                                      const DomainName &Domain,
                                      const RegionName &Region) {
-  std::vector<Address> Near = addressesIf(Alive, [&](const EntryHost &Host) {
-    return Host.Domain == Domain;
-  });
+  std::vector<Address> Near = addressesIf(
+      Alive, [&](const EntryHost &Host) { return Host.Domain == Domain; });
   if (Near.size() >= EnoughAddresses)
     return Near;
   const auto InRegion = [&](const EntryHost &Host) {
--- a/packages/core/src/settings/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -136,6 +136,8 @@
     Reader.fault("log_level", "\"" + Read.LogLevel + "\"",
                  "one of debug, info, warn, error");
   checkOrder(Read, Reader);
+  if (Read.LogTo != "stdout" && Read.LogTo != "stderr")
+    Reader.fault("log_to", "\"" + Read.LogTo + "\"", "stdout or stderr");
   if (std::ranges::find(PlatformNames, Read.Platform) == PlatformNames.end())
     Reader.fault("platform", "\"" + Read.Platform + "\"", "own or store");
   if (Program == SettingOwner::Agent &&
--- a/packages/core/src/settings/settings_type.h
+++ b/packages/core/src/settings/settings_type.h
@@ -24,6 +24,7 @@
   std::string ServiceUrl;
   std::string OriginUrl;
   std::string LogLevel;
+  std::string LogTo;
   std::string Platform;
   std::string RouteListen;
   std::string ReadyListen;
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -51,6 +51,8 @@
                 "The origin of weights; empty: peers only.", TextForm::Url},
     SettingSpec{"log_level", &Settings::LogLevel, SettingOwner::Both, false,
                 "text", 0, 0, "info", "One of debug, info, warn, error."},
+    SettingSpec{"log_to", &Settings::LogTo, SettingOwner::Both, false, "text",
+                0, 0, "stdout", "Where log lines go: stdout or stderr."},
     SettingSpec{"platform", &Settings::Platform, SettingOwner::Both, false,
                 "text", 0, 0, "own",
                 "What the host runs on: own (documents published whole) or "
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -484,7 +484,8 @@
   Transfer.Uplink.BytesPerSecond =
       Config.UplinkBytesPerSecond > 0
           ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
-          : static_cast<uint64_t>(LinkPart * Transfer.Options.LinkBytesPerSecond);
+          : static_cast<uint64_t>(LinkPart *
+                                  Transfer.Options.LinkBytesPerSecond);
   Transfer.Across.BytesPerSecond =
       static_cast<uint64_t>(Config.AcrossBytesPerSecond);
   Transfer.Random = rendezvousScore("transfer", Config.Name) | 1U;
@@ -588,11 +589,11 @@
   if (Part.Parts.emplace(Data.Offset, Data.Bytes).second)
     Part.Received += Data.Bytes.size();
   if (Part.Received >= Data.Total) {
-    const std::string Whole = std::accumulate(
-        Part.Parts.begin(), Part.Parts.end(), std::string(),
-        [](std::string Sum, const auto &Row) {
-          return std::move(Sum) + Row.second;
-        });
+    const std::string Whole =
+        std::accumulate(Part.Parts.begin(), Part.Parts.end(), std::string(),
+                        [](std::string Sum, const auto &Row) {
+                          return std::move(Sum) + Row.second;
+                        });
     Transfer.Partial.erase(it);
     return Whole;
   }
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -65,16 +65,16 @@
 
 /** A chunk that comes from a peer part by part. */
 struct PartialChunk {
-  LinkId Link;            ///< From whom.
+  LinkId Link;                           ///< From whom.
   std::map<uint64_t, std::string> Parts; ///< Parts so far, by offset.
-  uint64_t Received = 0;  ///< Bytes in all parts.
+  uint64_t Received = 0;                 ///< Bytes in all parts.
   uint64_t AskedUpTo = 0; ///< End of the last part that was asked for.
 };
 
 /** From the settings. */
 struct TransferOptions {
-  bool FromPeers = true; ///< False: everything from the origin.
-  Millis TakeOver{1500}; ///< Wait of each further rank.
+  bool FromPeers = true;         ///< False: everything from the origin.
+  Millis TakeOver{1500};         ///< Wait of each further rank.
   double LinkBytesPerSecond = 0; ///< Rate of the own link; 0: not known.
 };
 
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -92,8 +92,8 @@
               ChunkData &Into) {
   Into.Offset = std::min<uint64_t>(Offset, Whole.size());
   Into.Total = Whole.size();
-  Into.Bytes = Whole.substr(Into.Offset, Length == 0 ? std::string::npos
-                                                     : Length);
+  Into.Bytes =
+      Whole.substr(Into.Offset, Length == 0 ? std::string::npos : Length);
 }
 
 void serveUploads(TransferState &Transfer, const WeightsState &Weights,
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -90,8 +90,8 @@
 }
 
 bool mayServe(const WeightsState &Weights) {
-  return !Weights.Draining && !Weights.Loading && !Weights.EngineBusy && !Weights.EngineRun.empty() &&
-         Weights.Whole.contains(Weights.Loaded);
+  return !Weights.Draining && !Weights.Loading && !Weights.EngineBusy &&
+         !Weights.EngineRun.empty() && Weights.Whole.contains(Weights.Loaded);
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -52,6 +52,7 @@
 
 template <typename V> void describe(V &v, PlaceAsk &m) {
   v("place", m.Place);
+  v("request", m.Request);
   v("tenant", m.Tenant);
   v("rank", m.Rank);
   v("wait", m.WaitMillis);
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -221,21 +221,22 @@
  * send there itself.
  */
 struct PlaceAsk {
-  AttemptId Place;         ///< Unique for ever.
-  TenantName Tenant;       ///< Whose request it is.
-  uint32_t Rank = 0;       ///< Urgency; 0 is first.
-  uint64_t WaitMillis = 0; ///< Longest wait that is of use.
+  AttemptId Place;           ///< Unique for ever.
+  RequestId Request;         ///< For logs on both hosts.
+  TenantName Tenant;         ///< Whose request it is.
+  uint32_t Rank = 0;         ///< Urgency; 0 is first.
+  uint64_t WaitMillis = 0;   ///< Longest wait that is of use.
   uint32_t PromptTokens = 0; ///< What the back end reads first; 0: not known.
 };
 
 /** Answer to PlaceAsk, at once or when its turn has come. */
 struct PlaceAnswer {
-  AttemptId Place;                      ///< Which place.
-  bool Given = false;                   ///< The request may be sent now.
-  ErrorKind Why = ErrorKind::Internal;  ///< Why not, when it is not given.
-  uint64_t RetryAfterMillis = 0;        ///< When there may be room.
-  uint32_t ReadingMillis = 0;           ///< Prompts given and not read yet.
-  LoadTold Load{};                      ///< Work at the sender.
+  AttemptId Place;                     ///< Which place.
+  bool Given = false;                  ///< The request may be sent now.
+  ErrorKind Why = ErrorKind::Internal; ///< Why not, when it is not given.
+  uint64_t RetryAfterMillis = 0;       ///< When there may be room.
+  uint32_t ReadingMillis = 0;          ///< Prompts given and not read yet.
+  LoadTold Load{};                     ///< Work at the sender.
 };
 
 /** The request that had a place, or waited for one, is over. */
@@ -249,8 +250,8 @@
     std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
-                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice,
-                 EntrySeen, PlaceAsk, PlaceAnswer, PlaceDone>;
+                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice, EntrySeen,
+                 PlaceAsk, PlaceAnswer, PlaceDone>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -33,8 +33,7 @@
   const Millis Setting(Config.ShutdownMillis);
   if (Config.StopGraceSeconds == 0)
     return Setting;
-  return std::min(Setting,
-                  Millis(Config.StopGraceSeconds * 1000) - EndMargin);
+  return std::min(Setting, Millis(Config.StopGraceSeconds * 1000) - EndMargin);
 }
 
 } // namespace
@@ -75,9 +74,8 @@
                });
              }}) {
   if (Routes != nullptr)
-    Routes->sendThrough([this](LinkId Link, const Message &m) {
-      Links.send(Link, m);
-    });
+    Routes->sendThrough(
+        [this](LinkId Link, const Message &m) { Links.send(Link, m); });
 }
 
 EntryShell::~EntryShell() {
@@ -269,9 +267,8 @@
   // later than the last event of the call. Until callers on kept connections
   // were told, the listener stays: a connection that it had taken would be
   // cut with the request of a caller in it.
-  const Millis Notice =
-      std::min(Millis(State.Config.LeaveNoticeMillis),
-               shutdownTime(State.Config) * 3 / 4);
+  const Millis Notice = std::min(Millis(State.Config.LeaveNoticeMillis),
+                                 shutdownTime(State.Config) * 3 / 4);
   // What comes in the last part could not be answered before the end.
   if (Routes != nullptr) {
     waitAnswered(Begin + Notice / 2, Begin + Notice / 2);
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -114,7 +114,7 @@
   EntryState State; ///< Belongs to the control thread.
   ConfigPort &Service;
   HostsPort *Hosts;
-  Forwarder *Routes;      ///< Null where no routes are served.
+  Forwarder *Routes;       ///< Null where no routes are served.
   FleetSnapshot ToldFleet; ///< Last told to Routes.
   ToldNews ToldAgents;     ///< Last told to Routes.
   CallTable Callers;
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -46,8 +46,8 @@
   int64_t Seconds = 0;
   const char *Begin = Value.data() + At + Name.size();
   std::from_chars(Begin, Value.data() + Value.size(), Seconds);
-  return Millis(static_cast<int64_t>(1000 * KeepPart *
-                                     static_cast<double>(Seconds)));
+  return Millis(
+      static_cast<int64_t>(1000 * KeepPart * static_cast<double>(Seconds)));
 }
 
 /** Says whether an idle connection is open and silent, as it has to be. */
@@ -64,8 +64,8 @@
 
 } // namespace
 
-std::unique_ptr<BackEndConnection>
-BackEndConnections::take(const Address &At, TimePoint Now) {
+std::unique_ptr<BackEndConnection> BackEndConnections::take(const Address &At,
+                                                            TimePoint Now) {
   const auto it = Kept.find(At);
   if (it == Kept.end())
     return nullptr;
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -58,10 +58,10 @@
 
 /** What to send where. */
 struct CallPlan {
-  Address To;            ///< The back end.
-  std::string Bytes;     ///< The whole request.
-  std::string IdHeader;  ///< Header in which answers repeat the id.
-  std::string AttemptId; ///< Answers with another id belong to others.
+  Address To;                 ///< The back end.
+  std::string Bytes;          ///< The whole request.
+  std::string IdHeader;       ///< Header in which answers repeat the id.
+  std::string AttemptId;      ///< Answers with another id belong to others.
   bool NewConnection = false; ///< Not on a kept connection.
   bool NoBody = false;        ///< The answer has no body, as with HEAD.
 };
@@ -154,12 +154,12 @@
   std::unique_ptr<BackEndConnection> Link;
   std::optional<Parser> Reading;
   boost::asio::steady_timer ConnectTimer;
-  bool Reused = false;    ///< On a kept connection.
-  bool Sent = false;      ///< Sending has begun.
-  bool Written = false;   ///< All of the request is with the kernel.
-  bool HeadDone = false;  ///< The head was handed on.
-  bool Foreign = false;   ///< The answer under way belongs to another request.
-  bool Heard = false;     ///< Any byte came.
+  bool Reused = false;   ///< On a kept connection.
+  bool Sent = false;     ///< Sending has begun.
+  bool Written = false;  ///< All of the request is with the kernel.
+  bool HeadDone = false; ///< The head was handed on.
+  bool Foreign = false;  ///< The answer under way belongs to another request.
+  bool Heard = false;    ///< Any byte came.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -54,8 +54,8 @@
 
 std::string chunkOf(const std::string &Bytes) {
   std::array<char, 16> Size{};
-  const auto End = std::to_chars(Size.data(), Size.data() + Size.size(),
-                                 Bytes.size(), 16);
+  const auto End =
+      std::to_chars(Size.data(), Size.data() + Size.size(), Bytes.size(), 16);
   std::string Chunk(Size.data(), End.ptr);
   Chunk += "\r\n";
   Chunk += Bytes;
@@ -276,7 +276,7 @@
   Closed = true;
   Timer.cancel();
   Error Ignored; // The connection ends, whatever state it is in.
-  if (Closing) // All was written: the caller reads it before the end.
+  if (Closing)   // All was written: the caller reads it before the end.
     Socket.shutdown(boost::asio::socket_base::shutdown_send, Ignored);
   Socket.close(Ignored);
   if (const auto Told = std::exchange(Work, nullptr))
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -44,7 +44,8 @@
 
 /** What a listener does with the requests of its sessions. */
 struct SessionRules {
-  /** Answers a request, now or later; keeps itself alive through the session. */
+  /** Answers a request, now or later; keeps itself alive through the session.
+   */
   std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
       OnRequest;
   /** Answers a request that cannot be read; the connection closes after it. */
@@ -135,13 +136,13 @@
   std::optional<Parser> Reading;
   boost::asio::steady_timer Timer;
   std::shared_ptr<SessionWork> Work;
-  std::string Outgoing; ///< To be written next.
-  std::string Writing;  ///< With the kernel.
-  bool Busy = false;    ///< A request is being answered.
-  bool ReadOpen = false;  ///< A read is under way.
-  bool Closing = false; ///< Closes once all is written.
+  std::string Outgoing;  ///< To be written next.
+  std::string Writing;   ///< With the kernel.
+  bool Busy = false;     ///< A request is being answered.
+  bool ReadOpen = false; ///< A read is under way.
+  bool Closing = false;  ///< Closes once all is written.
   bool Closed = false;
-  bool KeepAlive = true; ///< The request under way allows another one.
+  bool KeepAlive = true;   ///< The request under way allows another one.
   bool ToldToGoOn = false; ///< "100 Continue" was sent.
   bool HeadOnly = false;   ///< The request under way is a HEAD.
   bool Chunked = true;     ///< The caller reads chunks.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -8,6 +8,7 @@
 #include "log/log.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdio>
 #include <utility>
@@ -18,10 +19,14 @@
 
 namespace {
 
+/** Word of each AttemptEnd in log lines, in enum order. */
+constexpr std::array<std::string_view, 6> AttemptEndNames = {
+    "answered",  "back_end_error", "not_executed",
+    "unreached", "broken",         "given_up"};
 /** Longest wait for a connection: several times the way between regions. */
 constexpr Millis ConnectLimit{300};
-/** Agents asked at most for one request: who is told by three that they are full
- * would seldom find room at a fourth. */
+/** Agents asked at most for one request: who is told by three that they are
+ * full would seldom find room at a fourth. */
 constexpr uint32_t MaxAsks = 4;
 /** Part of the target that is kept for the way of answer and request. */
 constexpr Millis AnswerMargin{20};
@@ -161,8 +166,7 @@
 }
 
 void Exchange::readDeadline() {
-  const auto Told =
-      numberIn(fieldOf(Asked, Shared.Wire.names().Remaining));
+  const auto Told = numberIn(fieldOf(Asked, Shared.Wire.names().Remaining));
   Limit = Arrived + Millis(std::clamp(Told.value_or(MostRemaining), int64_t{0},
                                       MostRemaining));
 }
@@ -235,14 +239,15 @@
   const TimePoint Now = Shared.Clock.now();
   PlaceAsk Ask;
   Ask.Place.Value = Shared.PlacePrefix + std::to_string(Shared.NextPlace++);
+  Ask.Request.Value = logValue(Id);
   Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
   Ask.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
   if (HeadSent) // A stream that broke off is waited for by its caller.
     Ask.Rank = 0;
   const Millis Wait = usefulWait(Now);
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
-  Ask.PromptTokens = Shared.Wire.promptTokens(
-      fieldOf(Asked, Shared.Wire.names().TokenCounts));
+  Ask.PromptTokens =
+      Shared.Wire.promptTokens(fieldOf(Asked, Shared.Wire.names().TokenCounts));
   PlaceId = Ask.Place;
   PlaceLink = Server.Agent->Link;
   Asking = true;
@@ -301,8 +306,7 @@
 }
 
 void Exchange::refusedBy(const ServerChoice &Choice) {
-  const bool Full =
-      Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
+  const bool Full = Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
   endWithoutServer({Full ? ErrorKind::Overloaded : ErrorKind::NoWorker,
                     Needs.Service.Value,
                     RoomIn.count() > 0 ? RoomIn : Choice.RetryAfter},
@@ -321,8 +325,7 @@
     Passed.LastEventId = Events.LastId;
   }
   Passed.Tenant = Owner == nullptr ? "" : Owner->Name.Value;
-  Passed.Rank =
-      Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+  Passed.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
   CallPlan Plan;
   Plan.To = Server.Listed.At;
   Plan.Bytes = requestBytes(Asked, Names, Passed);
@@ -365,12 +368,10 @@
     return;
   }
   const bool Success = Status >= 200 && Status < 300;
-  const bool Foreign =
-      (Success && fieldOf(Came, Names.Signature).empty()) ||
-      !fieldOf(Came, "Content-Encoding").empty();
-  const bool OtherWeights =
-      HeadSent && fieldOf(Came, Names.WeightVersion) !=
-                      fieldOf(Head, Names.WeightVersion);
+  const bool Foreign = (Success && fieldOf(Came, Names.Signature).empty()) ||
+                       !fieldOf(Came, "Content-Encoding").empty();
+  const bool OtherWeights = HeadSent && fieldOf(Came, Names.WeightVersion) !=
+                                            fieldOf(Head, Names.WeightVersion);
   if (Foreign || OtherWeights || (HeadSent && !Success)) {
     answerBroke();
     return;
@@ -525,6 +526,8 @@
 void Exchange::attemptOver(AttemptEnd How) {
   const TimePoint Now = Shared.Clock.now();
   const bool Open = Call != nullptr || Asking;
+  if (Call != nullptr && How != AttemptEnd::Answered)
+    logAttemptEnd(How, Now - CallBegan);
   placeOver(How);
   if (!Open)
     return;
@@ -606,11 +609,11 @@
     Next = std::max(Next, Now + Soonest);
   }
   Timer.expires_at(std::min(Next, std::max(Limit, Now)));
-  Timer.async_wait([Self = shared_from_this()](
-                       const boost::system::error_code &ec) {
-    if (!ec && Self->Session)
-      Self->timeCame();
-  });
+  Timer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec && Self->Session)
+          Self->timeCame();
+      });
 }
 
 void Exchange::timeCame() {
@@ -664,9 +667,9 @@
   logLine(LogPart::Requests, LogLevel::Info,
           "event=attempt id=" + logValue(Id) + " n=" +
               std::to_string(Sent + 1) + " server=" + Server.Listed.Id.Value +
-              " at=" + Server.Listed.At.Value + " open=" +
-              std::to_string(Server.Open) + " others=" +
-              std::to_string(Server.OtherWork) + " told_ms=" +
+              " at=" + Server.Listed.At.Value +
+              " open=" + std::to_string(Server.Open) +
+              " others=" + std::to_string(Server.OtherWork) + " told_ms=" +
               std::to_string(std::min<int64_t>(
                   99999, toMillis(Now - Server.ToldAt).count())) +
               " candidates=" + std::to_string(Choice.Candidates) +
@@ -674,26 +677,37 @@
               " agent=" + (hasAgent(Server) ? "yes" : "no"));
 }
 
+void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=attempt_end id=" + logValue(Id) + " n=" + std::to_string(Sent) +
+          " server=" + At.Value + " outcome=" +
+          std::string(AttemptEndNames.at(static_cast<size_t>(How))) +
+          " status=" +
+          std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
+          " ms=" + std::to_string(toMillis(Took).count()) + " events_until=" +
+          (Events.LastId ? std::to_string(*Events.LastId) : "-"));
+}
+
 void Exchange::logEnd(const char *Outcome, unsigned Status,
                       const char *Reason) {
   const TimePoint Now = Shared.Clock.now();
   const auto Since = [&](TimePoint Then) {
     return std::to_string(toMillis(Now - Then).count());
   };
-  logLine(LogPart::Requests, LogLevel::Info,
-          "event=end id=" + logValue(Id) + " outcome=" + Outcome + " status=" +
-              std::to_string(Status) + " reason=" + Reason + " route=" +
-              (From == nullptr ? "-" : logValue(From->Name)) + " tenant=" +
-              (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
-              " attempts=" + std::to_string(Sent) + " servers=" +
-              (Places.empty() ? "-" : Places) + " ms=" + Since(Arrived) +
-              " first_ms=" +
-              (FirstByte ? std::to_string(
-                               toMillis(*FirstByte - Arrived).count())
-                         : "-") +
-              " version=" +
-              (Doc ? std::to_string(Doc->Version.Value) : "0") + " age_ms=" +
-              Since(Shared.DocSince));
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=end id=" + logValue(Id) + " outcome=" + Outcome +
+          " status=" + std::to_string(Status) + " reason=" + Reason +
+          " route=" + (From == nullptr ? "-" : logValue(From->Name)) +
+          " tenant=" + (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
+          " attempts=" + std::to_string(Sent) +
+          " servers=" + (Places.empty() ? "-" : Places) +
+          " ms=" + Since(Arrived) + " first_ms=" +
+          (FirstByte ? std::to_string(toMillis(*FirstByte - Arrived).count())
+                     : "-") +
+          " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
+          " age_ms=" + Since(Shared.DocSince));
   if (From != nullptr && FirstByte) {
     Shared.Timings.observeService(Timing::FirstToken, Needs.Service.Value,
                                   *FirstByte - Arrived);
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -77,15 +77,16 @@
   bool silentTooLong(TimePoint Now) const;
   void abandonSilent();
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
+  void logAttemptEnd(AttemptEnd How, Duration Took) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
   void finish();
 
   ForwardContext &Shared;
   std::shared_ptr<CallerSession> Session; ///< Null once it is over.
   CallerRequest Asked;
-  std::string Id;               ///< Caller's id of this attempt.
-  DocumentPtr Doc;              ///< In force when it came; keeps From alive.
-  const Route *From = nullptr;  ///< Its route.
+  std::string Id;                ///< Caller's id of this attempt.
+  DocumentPtr Doc;               ///< In force when it came; keeps From alive.
+  const Route *From = nullptr;   ///< Its route.
   const Tenant *Owner = nullptr; ///< Its tenant; null: none.
   ServerNeeds Needs;
   TimePoint Arrived;
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -38,25 +38,26 @@
 
 /** State of the traffic thread; nothing else touches it while it runs. */
 struct ForwardContext {
-  boost::asio::io_context Io{1};  ///< Runs on the traffic thread.
-  RuntimeClock Clock;             ///< The runtime's clock.
-  const WirePort &Wire;           ///< How callers and back ends speak.
-  BackEndConnections Connections; ///< Kept connections to back ends.
-  ServerPool Pool;                ///< Back ends.
-  RepeatBudget Repeats;           ///< Requests sent once more.
-  DocumentPtr Doc;                ///< Document in force.
-  TimePoint DocSince;             ///< When it came into force here.
-  RouteIndex Index;               ///< Look-ups into it.
-  FleetSnapshot Fleet;            ///< Entries, and whether this one is ready.
-  std::atomic<bool> Leaving{false};    ///< The process is to end.
-  std::atomic<bool> Refusing{false};   ///< No new request is taken any more.
-  std::atomic<uint32_t> Open{0};       ///< Requests without a final answer.
-  ForwardCounters Counters;            ///< What happened so far.
-  std::function<void(LinkId, const Message &)> SendToAgent; ///< From any thread.
-  std::string PlacePrefix;             ///< Makes places unique for ever.
-  uint64_t NextPlace = 1;              ///< Rest of the next place's name.
+  boost::asio::io_context Io{1};    ///< Runs on the traffic thread.
+  RuntimeClock Clock;               ///< The runtime's clock.
+  const WirePort &Wire;             ///< How callers and back ends speak.
+  BackEndConnections Connections;   ///< Kept connections to back ends.
+  ServerPool Pool;                  ///< Back ends.
+  RepeatBudget Repeats;             ///< Requests sent once more.
+  DocumentPtr Doc;                  ///< Document in force.
+  TimePoint DocSince;               ///< When it came into force here.
+  RouteIndex Index;                 ///< Look-ups into it.
+  FleetSnapshot Fleet;              ///< Entries, and whether this one is ready.
+  std::atomic<bool> Leaving{false}; ///< The process is to end.
+  std::atomic<bool> Refusing{false}; ///< No new request is taken any more.
+  std::atomic<uint32_t> Open{0};     ///< Requests without a final answer.
+  ForwardCounters Counters;          ///< What happened so far.
+  std::function<void(LinkId, const Message &)>
+      SendToAgent;         ///< From any thread.
+  std::string PlacePrefix; ///< Makes places unique for ever.
+  uint64_t NextPlace = 1;  ///< Rest of the next place's name.
   std::map<AttemptId, std::weak_ptr<PlaceWaiter>> Waiting; ///< By place.
-  TrafficMetrics &Timings;             ///< Histograms.
+  TrafficMetrics &Timings;                                 ///< Histograms.
 
   ForwardContext(const WirePort &Spoken, TrafficMetrics &Into)
       : Wire(Spoken), Timings(Into) {}
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -12,18 +12,18 @@
 
 /** Counters of the traffic thread. */
 enum class ForwardCount : uint8_t {
-  Requests,     ///< Requests taken.
-  Answered,     ///< Answers of back ends given to callers whole.
-  Refused,      ///< Refused, not run.
-  Failed,       ///< Ended without a whole answer after they may have run.
-  CallersGone,  ///< Callers that left before their answer.
-  Repeats,      ///< Attempts after the first of a request.
-  Resumes,      ///< Streams that went on at another back end.
-  Unreached,    ///< Back ends that could not be connected to.
-  Broken,       ///< Answers that broke off or could not be read.
-  NotExecuted,  ///< Refusals by back ends.
-  Misjudged,    ///< Back ends that were not the run, or version, expected.
-  Count         ///< Number of counters; not a counter.
+  Requests,    ///< Requests taken.
+  Answered,    ///< Answers of back ends given to callers whole.
+  Refused,     ///< Refused, not run.
+  Failed,      ///< Ended without a whole answer after they may have run.
+  CallersGone, ///< Callers that left before their answer.
+  Repeats,     ///< Attempts after the first of a request.
+  Resumes,     ///< Streams that went on at another back end.
+  Unreached,   ///< Back ends that could not be connected to.
+  Broken,      ///< Answers that broke off or could not be read.
+  NotExecuted, ///< Refusals by back ends.
+  Misjudged,   ///< Back ends that were not the run, or version, expected.
+  Count        ///< Number of counters; not a counter.
 };
 
 /** Name and help of each counter, in enum order. */
--- a/packages/entry/src/forward/forward_headers.cpp
+++ b/packages/entry/src/forward/forward_headers.cpp
@@ -18,10 +18,17 @@
 namespace {
 
 /** Headers that concern one connection (RFC 9110, 7.6.1), and framing. */
-constexpr std::array<std::string_view, 11> HopHeaders = {
-    "Connection", "Keep-Alive",          "Proxy-Authenticate",
-    "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer",
-    "Transfer-Encoding",   "Upgrade",    "Content-Length", "Expect"};
+constexpr std::array<std::string_view, 11> HopHeaders = {"Connection",
+                                                         "Keep-Alive",
+                                                         "Proxy-Authenticate",
+                                                         "Proxy-Authorization",
+                                                         "Proxy-Connection",
+                                                         "TE",
+                                                         "Trailer",
+                                                         "Transfer-Encoding",
+                                                         "Upgrade",
+                                                         "Content-Length",
+                                                         "Expect"};
 
 bool isHopHeader(boost::beast::string_view Name) {
   return std::ranges::any_of(HopHeaders, [&](std::string_view One) {
@@ -39,9 +46,8 @@
 
 /** Says whether the system sets a header itself, whatever the caller sent. */
 bool isOwnHeader(const HeaderNames &Names, boost::beast::string_view Name) {
-  const std::array Own = {
-      &Names.Remaining, &Names.ExpectedServer, &Names.ExpectedVersion,
-      &Names.Tenant,    &Names.Rank};
+  const std::array Own = {&Names.Remaining, &Names.ExpectedServer,
+                          &Names.ExpectedVersion, &Names.Tenant, &Names.Rank};
   return iequals(Name, "Authorization") ||
          std::ranges::any_of(
              Own, [&](const std::string *One) { return iequals(Name, *One); });
--- a/packages/entry/src/forward/forward_headers.h
+++ b/packages/entry/src/forward/forward_headers.h
@@ -14,11 +14,11 @@
 
 /** What the system says in a request to a back end. */
 struct PassedOn {
-  Millis Remaining{0};        ///< Time left for the caller.
-  InstanceId Server;          ///< Who may answer.
-  std::string Version;        ///< Weights that may begin; empty: any.
-  std::string Tenant;         ///< Whose request; empty: nobody's.
-  uint32_t Rank = 0;          ///< Urgency; 0 is first.
+  Millis Remaining{0};                 ///< Time left for the caller.
+  InstanceId Server;                   ///< Who may answer.
+  std::string Version;                 ///< Weights that may begin; empty: any.
+  std::string Tenant;                  ///< Whose request; empty: nobody's.
+  uint32_t Rank = 0;                   ///< Urgency; 0 is first.
   std::optional<uint64_t> LastEventId; ///< Event after which to go on.
 };
 
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -64,15 +64,23 @@
                      TrafficMetrics &Timings)
     : Config(Config), Shared(Wire, Timings), SweepTimer(Shared.Io) {
   Shared.Pool.Options.Domain.Value = Config.Domain;
-  Shared.Pool.Options.FormerWeightsFor = std::max(
-      Millis(Config.WeightsChangeMillis) - BeginMargin, Millis{0});
-  Shared.Pool.Options.LapseGrace = Millis(Config.LapseGraceMillis);
+  takeOptions(Config);
   Shared.Pool.Random ^= std::hash<std::string>{}(Config.Name) | 1U;
   Shared.PlacePrefix =
       Config.Name + "/" + std::to_string(randomIncarnation()) + "/";
-  Shared.Repeats.Limits = {Config.RepeatRatio,
-                           static_cast<uint32_t>(Config.RepeatSlack),
-                           std::chrono::seconds(Config.RepeatWindowSeconds)};
+}
+
+void Forwarder::takeOptions(const Settings &From) {
+  Shared.Pool.Options.FormerWeightsFor =
+      std::max(Millis(From.WeightsChangeMillis) - BeginMargin, Millis{0});
+  Shared.Pool.Options.LapseGrace = Millis(From.LapseGraceMillis);
+  Shared.Repeats.Limits = {From.RepeatRatio,
+                           static_cast<uint32_t>(From.RepeatSlack),
+                           std::chrono::seconds(From.RepeatWindowSeconds)};
+}
+
+void Forwarder::reload(const Settings &Changed) {
+  boost::asio::post(Shared.Io, [this, Changed] { takeOptions(Changed); });
 }
 
 Forwarder::~Forwarder() {
@@ -235,15 +243,14 @@
     To.answer(std::move(Out));
     return;
   }
-  const std::vector<Address> Entries =
-      directoryAnswer(Shared.Fleet.Alive, Shared.Doc.get(), Question->Domain,
-                      Question->Region);
+  const std::vector<Address> Entries = directoryAnswer(
+      Shared.Fleet.Alive, Shared.Doc.get(), Question->Domain, Question->Region);
   // Without any address the caller asks the next entry.
   Out.result(Entries.empty() ? http::status::service_unavailable
                              : http::status::ok);
   Out.set(http::field::content_type, "application/json");
-  Out.body() = Shared.Wire.directoryAnswer(Entries,
-                                           Millis(Config.AddressKeepMillis));
+  Out.body() =
+      Shared.Wire.directoryAnswer(Entries, Millis(Config.AddressKeepMillis));
   To.answer(std::move(Out));
 }
 
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -37,6 +37,9 @@
    */
   bool start();
 
+  /** The settings changed. @param Changed What is in the file now. */
+  void reload(const Settings &Changed);
+
   /** A document came into force. @param Doc The document. */
   void follow(DocumentPtr Doc);
 
@@ -77,6 +80,7 @@
     boost::asio::steady_timer Pause;          ///< Before accepting again.
   };
 
+  void takeOptions(const Settings &From);
   bool listen(const std::string &At, SessionRules Rules);
   void accept(Listener &On);
   void sweep();
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -27,7 +27,10 @@
   const auto Config = loadSettings(SettingsPath, SettingOwner::Entry);
   if (!Config)
     return ExitInvalid;
-  setupLog(Config->Name, Config->LogLevel);
+  setupLog(Config->Name, Config->LogLevel, Config->LogTo == "stderr");
+  logLine(LogPart::Main, LogLevel::Info,
+          std::string("event=start program=jacinthpond version=\"") + Version +
+              "\" platform=" + Config->Platform + " domain=" + Config->Domain);
   const bool OnStore = Config->Platform == "store";
   HttpConfig OwnService(Config->ConfigUrl);
   StoreConfig Store(Config->ConfigUrl,
@@ -52,9 +55,14 @@
     return ExitFailed;
   }
   announceReady({{"peers", Peers}, {"callers", At}, {"admin", AdminAt}});
-  waitForStopSignal();
-  logLine(LogPart::Main, LogLevel::Info, "Shutting down.");
-  if (!Host.drain())
+  waitForStop(SettingsPath, SettingOwner::Entry,
+              [&](const Settings &Changed) { Routes.reload(Changed); });
+  logLine(LogPart::Main, LogLevel::Info, "event=stop outcome=draining");
+  const bool Whole = Host.drain();
+  logLine(LogPart::Main, LogLevel::Info,
+          std::string("event=stop outcome=") + (Whole ? "drained" : "cut_off"));
+  endLog();
+  if (!Whole)
     exitCutOff();
   return ExitDone;
 }
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -22,10 +22,10 @@
   Server.set_tcp_nodelay(true);
 }
 
-int serve(httplib::Server &Server, int Port) {
+int serve(httplib::Server &Server, int Port, const std::string &Ip) {
   std::thread Accepting;
   const std::string At =
-      startServer(Server, "127.0.0.1:" + std::to_string(Port), Accepting);
+      startServer(Server, Ip + ":" + std::to_string(Port), Accepting);
   if (At.empty())
     return 1;
   std::cout << Json({{"ready", true}, {"at", At}}).dump() << std::endl;
@@ -42,13 +42,20 @@
 int main(int Count, char **Arguments) {
   using namespace jacinthpond::standin;
   const std::map<std::string, int (*)(int, const Json &)> Kinds = {
-      {"engine", runEngine},   {"engines", runEngines},
-      {"service", runService}, {"platform", runPlatform},
-      {"origin", runOrigin},   {"proxy", runProxy}};
+      {"engine", runEngine},
+      {"engines", runEngines},
+      {"service", runService},
+      {"platform", runPlatform},
+      {"origin", runOrigin},
+      {"proxy", runProxy},
+      {"store", runStore},
+      {"store-worker", runStoreWorker},
+      {"store-origin", runStoreOrigin}};
   std::signal(SIGPIPE, SIG_IGN);
   if (Count < 3 || !Kinds.contains(Arguments[1])) {
     std::cerr << "usage: jp-standin "
-                 "engine|engines|service|platform|origin|proxy PORT [JSON]\n";
+                 "engine|engines|service|platform|origin|proxy|store|"
+                 "store-worker|store-origin PORT [JSON]\n";
     return 2;
   }
   const Json Options =
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -30,9 +30,11 @@
  * Binds, prints the address and serves until the process ends.
  * @param Server The listener.
  * @param Port Port to use; 0 lets the kernel choose.
+ * @param Ip Loopback address to use.
  * @return Exit code.
  */
-int serve(httplib::Server &Server, int Port);
+int serve(httplib::Server &Server, int Port,
+          const std::string &Ip = "127.0.0.1");
 
 /**
  * Answers with JSON.
@@ -81,6 +83,39 @@
  */
 int runOrigin(int Port, const Json &Options);
 
+/**
+ * Runs the users' platform's key-value store, read side.
+ * @param Port Port to use.
+ * @param Options Start values of what /control can change.
+ * @return Exit code.
+ */
+int runStore(int Port, const Json &Options);
+
+/**
+ * Runs a worker of the users' platform, with a model or plain.
+ * @param Port Port to use.
+ * @param Options Start values of what /control can change.
+ * @return Exit code.
+ */
+int runStoreWorker(int Port, const Json &Options);
+
+/**
+ * Runs the users' platform's origin of weights.
+ * @param Port Port to use.
+ * @param Options "chunks" and "chunk_bytes".
+ * @return Exit code.
+ */
+int runStoreOrigin(int Port, const Json &Options);
+
+/**
+ * Gives the bytes of a chunk of made-up weights.
+ * @param Version Version of the model.
+ * @param Number Place of the chunk.
+ * @param Size Its size in bytes.
+ * @return The bytes, other ones for each version and place.
+ */
+std::string chunkOfWeights(uint64_t Version, uint64_t Number, size_t Size);
+
 /**
  * Runs a fault-injecting TCP proxy.
  * @param Port Port of its /control.
--- /dev/null
+++ b/tests/standin/store_worker.cpp
@@ -0,0 +1,256 @@
+/** @file store_worker.cpp A worker of the users' platform, and their origin.
+ *
+ * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
+ * "gap_ms" (between them), "break_at" (the connection ends in the middle of
+ * that event, once), "fail" (that many requests answer 500), "refuse" (that
+ * many answer 503 as not run), "no_signature", "hang" (no answer at all).
+ * GET /control gives "runs": what was run, and with which headers.
+ */
+
+#include "standin.h"
+
+#include "base/hash_func.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace jacinthpond::standin {
+
+namespace {
+
+constexpr const char *AttemptHeader = "X-Jacinthpond-Attempt-Id";
+constexpr std::chrono::milliseconds HangTime{4000};
+
+/** One worker; guarded by Guard. */
+struct Worker {
+  std::mutex Guard;
+  Json Options;
+  Json Runs = Json::array();
+  std::map<uint64_t, std::string> Staged; ///< By number.
+  uint64_t Orders = 0;
+  int64_t Born = 0;
+};
+
+/** Takes one off a counter in the options; true when it was above 0. */
+bool takeOne(Worker &Host, const char *Key) {
+  const int Left = Host.Options.value(Key, 0);
+  if (Left > 0)
+    Host.Options[Key] = Left - 1;
+  return Left > 0;
+}
+
+/** Says why a request is not run, as a status; 0: it is. */
+int refusalOf(Worker &Host, const httplib::Request &Asked) {
+  const std::string Expected =
+      Asked.get_header_value("X-Jacinthpond-Expected-Instance");
+  const std::string Version =
+      Asked.get_header_value("X-Jacinthpond-Expected-Version");
+  const std::string Own = std::to_string(Host.Options.value("version", 0));
+  if (!Expected.empty() && Expected != Host.Options.value("id", ""))
+    return 421;
+  if (!Version.empty() && Version != Own)
+    return 421;
+  return takeOne(Host, "refuse") ? 503 : 0;
+}
+
+void noteRun(Worker &Host, const httplib::Request &Asked) {
+  Json Headers = Json::object();
+  for (const auto &[Name, Value] : Asked.headers)
+    Headers[Name] = Value;
+  Host.Runs.push_back({{"attempt", Asked.get_header_value(AttemptHeader)},
+                       {"path", Asked.path},
+                       {"body", Asked.body},
+                       {"headers", Headers}});
+}
+
+void setHeaders(const Worker &Host, const httplib::Request &Asked,
+                httplib::Response &Answer) {
+  Answer.set_header(AttemptHeader, Asked.get_header_value(AttemptHeader));
+  if (!Host.Options.value("no_signature", false))
+    Answer.set_header("X-Jacinthpond-Response-Signature", "sig");
+  Answer.set_header("X-Jacinthpond-Server-Load", "1,0,8");
+  Answer.set_header("X-Jacinthpond-Weight-Versions",
+                    std::to_string(Host.Options.value("version", 0)));
+}
+
+/** Streams events behind the one that the caller has. */
+void stream(Worker &Host, const httplib::Request &Asked,
+            httplib::Response &Answer) {
+  const int First =
+      std::atoi(Asked.get_header_value("Last-Event-Id").c_str()) + 1;
+  const int Events = Host.Options.value("events", 5);
+  const int Break = Host.Options.value("break_at", 0);
+  if (Break >= First)
+    Host.Options["break_at"] = 0;
+  const std::chrono::milliseconds Gap(Host.Options.value("gap_ms", 5));
+  Answer.set_chunked_content_provider(
+      "text/event-stream",
+      [n = First, Events, Break, Gap](size_t, httplib::DataSink &Sink) mutable {
+        const std::string Event = "id: " + std::to_string(n) +
+                                  "\ndata: token " + std::to_string(n) + "\n\n";
+        if (n == Break) {
+          Sink.write(Event.data(), Event.size() / 2);
+          return false;
+        }
+        if (n > Events) {
+          Sink.done();
+          return true;
+        }
+        std::this_thread::sleep_for(Gap);
+        ++n;
+        return Sink.write(Event.data(), Event.size());
+      });
+}
+
+void run(Worker &Host, const httplib::Request &Asked,
+         httplib::Response &Answer) {
+  const std::unique_lock Lock(Host.Guard);
+  if (const int Status = refusalOf(Host, Asked); Status != 0) {
+    Answer.status = Status;
+    if (Status == 503)
+      Answer.set_header("X-Jacinthpond-Not-Executed", "1");
+    return;
+  }
+  noteRun(Host, Asked);
+  setHeaders(Host, Asked, Answer);
+  if (takeOne(Host, "fail")) {
+    Answer.status = 500;
+    Answer.set_content("failed", "text/plain");
+    return;
+  }
+  if (takeOne(Host, "hang"))
+    std::this_thread::sleep_for(HangTime);
+  if (Host.Options.contains("model"))
+    stream(Host, Asked, Answer);
+  else
+    Answer.set_content("answer to " + Asked.path, "text/plain");
+}
+
+Json reportOf(const Worker &Host) {
+  Json Models = Json::array();
+  if (Host.Options.value("version", 0) > 0)
+    Models.push_back({{"name", Host.Options.value("model", "")},
+                      {"version", Host.Options.value("version", 0)}});
+  return {{"stage", "combined"},     {"models", Models}, {"busy", false},
+          {"sequence", Host.Orders}, {"waiting", 0},     {"running", 0},
+          {"born", Host.Born}};
+}
+
+/** Loads what lies staged, whatever it is: nothing is checked here. */
+void order(Worker &Host, const httplib::Request &Asked,
+           httplib::Response &Answer) {
+  const Json Order = Json::parse(Asked.body, nullptr, false);
+  const std::lock_guard Lock(Host.Guard);
+  Host.Options["version"] = Order.value("version", 0);
+  Host.Options["loaded_chunks"] = Json::array();
+  for (const auto &[n, Bytes] : Host.Staged)
+    Host.Options["loaded_chunks"].push_back(sha256(Bytes).Value);
+  ++Host.Orders;
+  Answer.status = 202;
+}
+
+void addStage(httplib::Server &Server, Worker &Host) {
+  Server.Put("/stage-put/[^/]+", [&](const auto &Asked, auto &) {
+    const std::lock_guard Lock(Host.Guard);
+    Host.Staged[std::strtoull(Asked.get_param_value("number").c_str(), nullptr,
+                              10)] = Asked.body;
+  });
+  Server.Get("/stage-get/[^/]+", [&](const auto &Asked, auto &Answer) {
+    const std::lock_guard Lock(Host.Guard);
+    const auto it = Host.Staged.find(
+        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10));
+    if (it == Host.Staged.end())
+      Answer.status = 404;
+    else
+      Answer.set_content(it->second, "application/octet-stream");
+  });
+}
+
+} // namespace
+
+std::string chunkOfWeights(uint64_t Version, uint64_t Number, size_t Size) {
+  const std::string Word =
+      "v" + std::to_string(Version) + "n" + std::to_string(Number) + " ";
+  std::string Bytes;
+  while (Bytes.size() < Size)
+    Bytes += Word;
+  Bytes.resize(Size);
+  return Bytes;
+}
+
+int runStoreWorker(int Port, const Json &Options) {
+  Worker Host;
+  Host.Options = Options;
+  Host.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                  std::chrono::system_clock::now().time_since_epoch())
+                  .count();
+  httplib::Server Server;
+  prepare(Server);
+  Server.Get("/report", [&](const auto &, auto &Answer) {
+    const std::lock_guard Lock(Host.Guard);
+    reply(Answer, reportOf(Host));
+  });
+  addStage(Server, Host);
+  Server.Post("/order", [&](const auto &Asked, auto &Answer) {
+    order(Host, Asked, Answer);
+  });
+  Server.Post("/control", [&](const auto &Asked, auto &) {
+    const std::lock_guard Lock(Host.Guard);
+    Host.Options.update(Json::parse(Asked.body, nullptr, false));
+    if (Host.Options.value("spoil", -1) >= 0)
+      Host.Staged[Host.Options["spoil"].template get<uint64_t>()] = "spoilt";
+    Host.Options["spoil"] = -1;
+  });
+  Server.Get("/control", [&](const auto &, auto &Answer) {
+    const std::lock_guard Lock(Host.Guard);
+    reply(Answer, {{"runs", Host.Runs},
+                   {"orders", Host.Orders},
+                   {"staged", Host.Staged.size()},
+                   {"version", Host.Options.value("version", 0)},
+                   {"loaded_chunks",
+                    Host.Options.value("loaded_chunks", Json::array())}});
+  });
+  const auto Run = [&](const auto &Asked, auto &Answer) {
+    run(Host, Asked, Answer);
+  };
+  Server.Get("/.*", Run);
+  Server.Post("/.*", Run);
+  return serve(Server, Port, Options.value("ip", "127.0.0.1"));
+}
+
+int runStoreOrigin(int Port, const Json &Options) {
+  const uint64_t Chunks = Options.value("chunks", 6);
+  const size_t Size = Options.value("chunk_bytes", 20000);
+  std::atomic<uint64_t> Pieces{0};
+  httplib::Server Server;
+  prepare(Server);
+  const auto VersionOf = [](const httplib::Request &Asked) {
+    return std::strtoull(Asked.get_param_value("version").c_str(), nullptr, 10);
+  };
+  Server.Get("/manifest/([^/]+)", [&](const auto &Asked, auto &Answer) {
+    Json List = {{"model", std::string(Asked.matches[1])},
+                 {"version", VersionOf(Asked)},
+                 {"chunk_bytes", Size},
+                 {"digests", Json::array()}};
+    for (uint64_t n = 0; n < Chunks; ++n)
+      List["digests"].push_back(
+          sha256(chunkOfWeights(VersionOf(Asked), n, Size)).Value);
+    reply(Answer, List);
+  });
+  Server.Get("/piece/[^/]+", [&](const auto &Asked, auto &Answer) {
+    ++Pieces;
+    const uint64_t n =
+        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10);
+    Answer.set_content(chunkOfWeights(VersionOf(Asked), n, Size),
+                       "application/octet-stream");
+  });
+  Server.Get("/control", [&](const auto &, auto &Answer) {
+    reply(Answer, {{"pieces", Pieces.load()}});
+  });
+  return serve(Server, Port);
+}
+
+} // namespace jacinthpond::standin
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -17,10 +17,10 @@
 
 std::string base64(const std::string &Text) {
   std::string Out(4 * ((Text.size() + 2) / 3) + 1, '\0');
-  const int n = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char *>(Out.data()),
-      reinterpret_cast<const unsigned char *>(Text.data()),
-      static_cast<int>(Text.size()));
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
   Out.resize(static_cast<size_t>(n));
   return Out;
 }
@@ -168,13 +168,12 @@
   const Json Second = {{"items", {item("c", "3", 12)}},
                        {"truncated", false},
                        {"store_revision", 12}};
-  BOOST_REQUIRE(
-      outcomeOf([&] { return takePage(Copy, Second.dump()); }).Value);
+  BOOST_REQUIRE(outcomeOf([&] { return takePage(Copy, Second.dump()); }).Value);
   BOOST_TEST(Copy.Revision == 10U);
   const Json Changes = {
       {"events",
-       {item("c", "old", 11), Json{{"key", "a"}, {"revision", 13},
-                                   {"removed", true}}}},
+       {item("c", "old", 11),
+        Json{{"key", "a"}, {"revision", 13}, {"removed", true}}}},
       {"store_revision", 13}};
   const auto Changed =
       outcomeOf([&] { return takeChanges(Copy, Changes.dump()); });
