--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -28,6 +28,9 @@
 /** Time that chunks under way may fill the own link: a request or an answer
  * waits that long behind them at most. */
 constexpr double LinkFillSeconds = 0.13;
+/** The same while the back end holds nothing: no answer waits behind chunks,
+ * and each second until it serves counts. */
+constexpr double IdleLinkFillSeconds = 0.3;
 /** Size of a part of a chunk: some ms of a narrow link. */
 constexpr uint64_t PartBytes = 8192;
 /** Parts of one chunk under way: enough for the way between regions. */
@@ -232,10 +235,12 @@
 }
 
 /** Chunks that may be under way to this host. */
-size_t mostAsked(const TransferState &Transfer) {
+size_t mostAsked(const TransferState &Transfer, const WeightsState &Weights) {
   if (Transfer.Options.LinkBytesPerSecond <= 0 || Transfer.ChunkBytes == 0)
     return MaxAsked;
-  const double Fit = LinkFillSeconds * Transfer.Options.LinkBytesPerSecond /
+  const double Seconds =
+      Weights.Loaded.Value.empty() ? IdleLinkFillSeconds : LinkFillSeconds;
+  const double Fit = Seconds * Transfer.Options.LinkBytesPerSecond /
                      static_cast<double>(Transfer.ChunkBytes);
   return static_cast<size_t>(
       std::clamp(Fit, FewestAsked, static_cast<double>(MaxAsked)));
@@ -268,14 +273,15 @@
   }
 }
 
-void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
+void askPeers(TransferState &Transfer, const WeightsState &Weights,
+              TimePoint Now, Effects &Out) {
   size_t Open = 0;
   bool Room = false;
   for (const auto &[Link, Peer] : Transfer.Peers) {
     Open += Peer.Asked.size();
     Room |= Peer.Asked.size() < MaxAskedOfPeer && Now >= Peer.AvoidUntil;
   }
-  const size_t Most = mostAsked(Transfer);
+  const size_t Most = mostAsked(Transfer, Weights);
   if (!Room || Open >= Most)
     return;
   for (const size_t n : wantedFromPeers(Transfer)) {
@@ -652,7 +658,7 @@
     return;
   dropStalled(Transfer, Now, Out);
   if (Transfer.Options.FromPeers)
-    askPeers(Transfer, Now, Out);
+    askPeers(Transfer, Weights, Now, Out);
   askOrigin(Transfer, Now, Out);
 }
 
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -226,7 +226,7 @@
 /** Looks at a head that came; false when another one follows at once. */
 bool BackEndCall::headCame() {
   const auto &Head = Reading->get();
-  const int Status = Head.result_int();
+  const unsigned Status = Head.result_int();
   if (Status < 200) {
     newParser();
     return false;
--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -235,7 +235,7 @@
   });
 }
 
-void CallerSession::send(std::string Bytes) {
+void CallerSession::send(const std::string &Bytes) {
   Outgoing += Bytes;
   flush();
 }
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -125,7 +125,7 @@
   void refuse(unsigned Status);
   void requestCame();
   void goOn(bool KeepAlive);
-  void send(std::string Bytes);
+  void send(const std::string &Bytes);
   void flush();
   void armTimer();
   void close();
