entry: an exchange's places and log lines apart, metrics of routes

Cause: exchange.cpp held seven hundred lines of four matters; counters and histograms of routes were kept and shown nowhere. Change: places, log lines, header values and what documents say of servers stand in files of their own; the platform's name is looked at in one function; the metrics page shows counters and timings of routes. No decision changes.

--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -102,7 +102,7 @@
     registerServer(Name);
   }
   for (size_t n = 0; n < Plan.Entries; ++n)
-    for (const char *Which : {"peers", "route", "ready", "directory"})
+    for (const char *Which : {"peers", "route", "ready", "directory", "admin"})
       EntryAt[std::to_string(n) + "/" + Which] =
           "127.0.0.1:" + std::to_string(freePort());
   for (size_t n = 0; n < Plan.ModelWorkers; ++n)
@@ -170,6 +170,7 @@
                    {"route_listen", addressOf(n, "route")},
                    {"ready_listen", addressOf(n, "ready")},
                    {"directory_listen", addressOf(n, "directory")},
+                   {"admin_listen", addressOf(n, "admin")},
                    {"caller_listen", ""},
                    {"domain_regions", {"z0=r0", "z1=r1"}},
                    {"agent_port", AgentPort},
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -99,7 +99,7 @@
   /**
    * Gives an address of an entry.
    * @param Entry Number of the entry.
-   * @param Which "route", "ready" or "directory".
+   * @param Which "route", "ready", "directory" or "admin".
    * @return "IP:port".
    */
   std::string addressOf(size_t Entry, const std::string &Which) const;
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -6,6 +6,7 @@
 #include "base/overloaded.h"
 #include "log/log.h"
 #include "membership/departure_func.h"
+#include "settings/settings_func.h"
 #include "threads/process.h"
 #include "weights/transfer_func.h"
 #include "weights/upload_func.h"
@@ -44,8 +45,8 @@
       State(makeAgent(Config, Incarnation{randomIncarnation()}, Clock.now())),
       Beside(Beside),
       Runners(std::make_unique<httplib::ThreadPool>(
-          Config.Platform == "store" ? 1 // Requests go past the agent there.
-                                     : static_cast<size_t>(Config.WarmLimit))),
+          runsOnStore(Config) ? 1 // Requests go past the agent there.
+                              : static_cast<size_t>(Config.WarmLimit))),
       Fetchers(std::make_unique<httplib::ThreadPool>(FetchThreads)),
       Links({[this](LinkId Link) {
                post([this, Link](TimePoint Now, Effects &Out) {
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -28,7 +28,7 @@
           std::string("event=start program=jacinthpond-agent version=\"") +
               Version + "\" platform=" + Config->Platform +
               " domain=" + Config->Domain);
-  const bool OnStore = Config->Platform == "store";
+  const bool OnStore = runsOnStore(*Config);
   HttpEngine OwnEngine(Config->EngineUrl);
   StoreEngine Worker(Config->EngineUrl);
   EnginePort &Engine = OnStore ? static_cast<EnginePort &>(Worker) : OwnEngine;
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -21,6 +21,7 @@
 #include "membership/pause_func.h"
 #include "membership/roster_func.h"
 #include "routing/load_view_func.h"
+#include "settings/settings_func.h"
 #include "weights/rollout_func.h"
 #include "weights/transfer_func.h"
 #include "weights/upload_func.h"
@@ -32,8 +33,6 @@
 
 namespace {
 
-/** Name of the platform on which requests go straight to back ends. */
-constexpr std::string_view StorePlatform = "store";
 /** Requests beyond its slots that a back end is given, so that the next one is
  * there when one ends; it would stand idle for the way from an entry. */
 constexpr uint32_t SlotsAhead = 1;
@@ -81,8 +80,7 @@
   // Entries that believe in room where there is none let requests wait in one
   // queue while another worker stands idle.
   const uint32_t Work = Agent.Fleet.Load.Running + Agent.Fleet.Load.Waiting;
-  const bool Moved = Work != Agent.ToldWork &&
-                     Agent.Config.Platform != StorePlatform &&
+  const bool Moved = Work != Agent.ToldWork && !runsOnStore(Agent.Config) &&
                      mayBeatEarly(Agent.Fleet, Now);
   if (Moved)
     Agent.ToldWork = Work;
@@ -241,7 +239,7 @@
   turnCold(Agent.Gate);
   Effects None; // Links are opened with the first tick.
   wantPeers(Agent.Fleet, seedPeers(Config), None);
-  Agent.Weights.AtEngine = Config.Platform == StorePlatform;
+  Agent.Weights.AtEngine = runsOnStore(Config);
   Agent.Transfer = makeTransfer(Config);
   Agent.Keys = makeKeyBook(Now);
   Agent.Keys.Runs.insert(Run);
--- /dev/null
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -0,0 +1,75 @@
+/** @file server_listing.cpp What documents say of back ends and weights. */
+
+#include "forwarding/server_pool_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Former sets that are remembered. */
+constexpr size_t MaxFormers = 8;
+void noteServers(ServerPool &Pool, TimePoint Now) {
+  std::set<InstanceId> Listed;
+  for (const BackEndServer &One : Pool.Doc->Servers) {
+    Listed.insert(One.Id);
+    const auto [it, New] = Pool.Servers.try_emplace(One.Id);
+    ServerView &View = it->second;
+    if (New || View.Listed.ColdFor != One.ColdFor)
+      View.ColdUntil = Now + One.ColdFor;
+    // An agent's word is newer than the list while its back end is the same.
+    if (New || View.Listed.Weights != One.Weights)
+      View.Weights = One.Weights;
+    View.Listed = One;
+    View.Vanished.reset();
+  }
+  for (auto &[Id, View] : Pool.Servers)
+    if (!Listed.contains(Id) && !View.Vanished)
+      View.Vanished = Now;
+  std::erase_if(Pool.Servers, [&](const auto &Row) {
+    const ServerView &View = Row.second;
+    return View.Vanished && View.Open == 0 && Now >= Pool.ListingDoubtUntil;
+  });
+}
+
+void noteWanted(ServerPool &Pool, bool First, TimePoint Now) {
+  for (const ModelVersion &Model : Pool.Doc->Models) {
+    WantedWeights &Wanted = Pool.Wanted[Model.Name];
+    if (Wanted.Set == Model.Set)
+      continue;
+    // Each set has its own time from when the next one was named: a version
+    // that is overtaken while it spreads must not take the one before with it.
+    // A process that starts does not know how long a version was wanted: it
+    // begins nothing on an older one.
+    if (!First && !Wanted.Set.Value.empty())
+      Wanted.Formers.push_back(
+          {Wanted.Set, Wanted.Version, Now + Pool.Options.FormerWeightsFor});
+    std::erase_if(Wanted.Formers, [&](const FormerWeights &One) {
+      return One.Set == Model.Set;
+    });
+    if (Wanted.Formers.size() > MaxFormers)
+      Wanted.Formers.erase(Wanted.Formers.begin());
+    Wanted.Set = Model.Set;
+    Wanted.Version = Model.Version;
+  }
+}
+
+} // namespace
+
+void poolFollows(ServerPool &Pool, const DocumentPtr &Doc, TimePoint Now) {
+  const bool First = Pool.Doc == nullptr;
+  Pool.Doc = Doc;
+  noteServers(Pool, Now);
+  noteWanted(Pool, First, Now);
+}
+
+void listingAway(ServerPool &Pool, bool Away, TimePoint Now) {
+  if (Away)
+    Pool.ListingDoubtUntil = TimePoint::max();
+  else if (Pool.ListingDoubtUntil == TimePoint::max())
+    Pool.ListingDoubtUntil = Now + Pool.Options.LapseGrace;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/settings/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -151,6 +151,10 @@
   return fail(ErrorKind::InvalidSettings, Faults.text());
 }
 
+bool runsOnStore(const Settings &Config) {
+  return Config.Platform == PlatformNames.back();
+}
+
 std::string describeSettings(SettingOwner Program) {
   std::string Text;
   for (const SettingSpec &Spec : SettingsTable) {
--- a/packages/core/src/settings/settings_func.h
+++ b/packages/core/src/settings/settings_func.h
@@ -36,6 +36,14 @@
  */
 std::string settingsPage();
 
+/**
+ * Says whether the process runs on a platform with a key-value store that lists
+ * servers, where entries send requests to back ends themselves.
+ * @param Config The settings.
+ * @return False on a platform that publishes documents whole.
+ */
+bool runsOnStore(const Settings &Config);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -103,6 +103,8 @@
       std::ranges::move(entryFamilies(Entry, Now), std::back_inserter(All));
     });
     addRefusals(All);
+    if (const Forwarder *Routes = Host.routes())
+      std::ranges::move(routeFamilies(*Routes), std::back_inserter(All));
     const DocumentPtr Doc = Host.document();
     Answer.set_content(
         metricsText(
--- a/packages/entry/src/entry_metrics.cpp
+++ b/packages/entry/src/entry_metrics.cpp
@@ -98,4 +98,17 @@
   return All;
 }
 
+MetricFamilies routeFamilies(const Forwarder &Routes) {
+  MetricFamilies All = Routes.timings().collect();
+  for (size_t n = 0; n < ForwardCounterTable.size(); ++n)
+    addFamily(All, MetricType::Counter,
+              {ForwardCounterTable.at(n).Name, ForwardCounterTable.at(n).Help},
+              one(static_cast<double>(
+                  Routes.counters().get(static_cast<ForwardCount>(n)))));
+  addFamily(All, MetricType::Gauge,
+            {"jacinthpond_route_open", "Requests on routes under way."},
+            one(Routes.open()));
+  return All;
+}
+
 } // namespace jacinthpond
--- a/packages/entry/src/entry_metrics.h
+++ b/packages/entry/src/entry_metrics.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_ENTRY_ENTRY_METRICS_H
 
 #include "attempts/entry_type.h"
+#include "forward/forwarder.h"
 #include "metrics/metrics_page.h"
 
 namespace jacinthpond {
@@ -16,6 +17,13 @@
  */
 MetricFamilies entryFamilies(const EntryState &Entry, TimePoint Now);
 
+/**
+ * Gathers what the traffic side of routes counted and timed.
+ * @param Routes The traffic side.
+ * @return Families for the page.
+ */
+MetricFamilies routeFamilies(const Forwarder &Routes);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/entry_shell.h
+++ b/packages/entry/src/entry_shell.h
@@ -85,6 +85,12 @@
    */
   TrafficMetrics &timings() { return Timings; }
 
+  /**
+   * Gives the traffic side of routes.
+   * @return Null where no routes are served.
+   */
+  const Forwarder *routes() const { return Routes; }
+
   /**
    * Ends gracefully: refuses new requests, waits for those in progress.
    * @return False when the time limit cut off requests.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -4,6 +4,8 @@
 #include "forward/exchange.h"
 
 #include "forward/forward_headers.h"
+#include "forward/header_fields.h"
+#include "forward/log_value.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -19,20 +21,11 @@
 
 namespace {
 
-/** Word of each AttemptEnd in log lines, in enum order. */
-constexpr std::array<std::string_view, 6> AttemptEndNames = {
-    "answered",  "back_end_error", "not_executed",
-    "unreached", "broken",         "given_up"};
 /** Longest wait for a connection: several times the way between regions. */
 constexpr Millis ConnectLimit{300};
 /** Agents asked at most for one request: who is told by three that they are
  * full would seldom find room at a fourth. */
 constexpr uint32_t MaxAsks = 4;
-/** Part of the target that is kept for the way of answer and request. */
-constexpr Millis AnswerMargin{20};
-/** Time in which an agent answers, beyond the wait that it was allowed: many
- * times the way between regions. */
-constexpr Millis AgentAnswerTime{150};
 /** Connections tried at most for one request; none of them sends anything
  * unless it comes about. */
 constexpr uint32_t MaxTries = 5;
@@ -56,22 +49,6 @@
 constexpr size_t MaxWholeAnswer = 16 << 20;
 constexpr int64_t MostRemaining = int64_t{3600} * 1000;
 
-std::string_view view(boost::beast::string_view Text) {
-  return {Text.data(), Text.size()};
-}
-
-std::string_view fieldOf(const http::fields &Fields, std::string_view Name) {
-  return view(Fields[boost::beast::string_view(Name.data(), Name.size())]);
-}
-
-std::optional<int64_t> numberIn(std::string_view Text) {
-  int64_t n = 0;
-  const auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), n);
-  if (Text.empty() || Read.ec != std::errc{})
-    return std::nullopt;
-  return n;
-}
-
 /** Chooses among the services of a route by their weights. */
 const ServiceName &pickTarget(const Route &From, std::string_view Id) {
   uint64_t Sum = 0;
@@ -97,15 +74,6 @@
   return Text.data();
 }
 
-/** Value in a log line: blanks and control characters would split it. */
-std::string logValue(std::string_view Text) {
-  constexpr size_t Longest = 64;
-  std::string Value(Text.substr(0, Longest));
-  std::ranges::replace_if(
-      Value, [](unsigned char c) { return c <= ' ' || c >= 127; }, '_');
-  return Value.empty() ? "-" : Value;
-}
-
 } // namespace
 
 Exchange::Exchange(ForwardContext &Shared,
@@ -221,90 +189,6 @@
     sendTo(*Choice.Server);
 }
 
-/**
- * Time for which a place is worth waiting for: what is left of the target less
- * the usual time to the first part of an answer. A request that waits longer is
- * late in any case and makes those behind it late. One that is late already
- * takes what is free.
- */
-Millis Exchange::usefulWait(TimePoint Now) const {
-  if (HeadSent)
-    return From->GapTarget;
-  const Duration Usual = usualFirst(Shared.Pool, Needs.Service);
-  const Duration Left = Arrived + From->Target - Now - Usual - AnswerMargin;
-  return toMillis(std::max(Left, Duration{0}));
-}
-
-void Exchange::askPlace(const ServerView &Server) {
-  const TimePoint Now = Shared.Clock.now();
-  PlaceAsk Ask;
-  Ask.Place.Value = Shared.PlacePrefix + std::to_string(Shared.NextPlace++);
-  Ask.Request.Value = logValue(Id);
-  Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
-  Ask.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
-  if (HeadSent) // A stream that broke off is waited for by its caller.
-    Ask.Rank = 0;
-  const Millis Wait = usefulWait(Now);
-  Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
-  Ask.PromptTokens =
-      Shared.Wire.promptTokens(fieldOf(Asked, Shared.Wire.names().TokenCounts));
-  PlaceId = Ask.Place;
-  PlaceLink = Server.Agent->Link;
-  Asking = true;
-  AskUntil = Now + Wait + AgentAnswerTime;
-  ++Asks;
-  Shared.Waiting[PlaceId] = weak_from_this();
-  Shared.SendToAgent(PlaceLink, Ask);
-  armTimer();
-}
-
-void Exchange::placeAnswered(const PlaceAnswer &Answer) {
-  const auto Self = shared_from_this();
-  const TimePoint Now = Shared.Clock.now();
-  if (!Session || !Asking || Answer.Place != PlaceId)
-    return;
-  Asking = false;
-  loadTold(Shared.Pool, At, Answer.Load.Busy, Now);
-  readingTold(Shared.Pool, At, Millis(Answer.ReadingMillis));
-  if (Answer.Given && mayStillUse(Shared.Pool, At, Needs, Now)) {
-    sendTo(Shared.Pool.Servers.at(At));
-    return;
-  }
-  if (!Answer.Given) {
-    PlaceId = {}; // The agent has forgotten it.
-    const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
-    if (Room.count() > 0)
-      RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
-  }
-  placeOver(AttemptEnd::Dropped);
-  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
-  Needs.Full.insert(At);
-  tryNext();
-}
-
-void Exchange::agentDidNotAnswer() {
-  const TimePoint Now = Shared.Clock.now();
-  agentSilent(Shared.Pool, At);
-  placeOver(AttemptEnd::Dropped);
-  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
-  Needs.Full.insert(At);
-  tryNext();
-}
-
-/** Gives a place back. */
-void Exchange::placeOver(AttemptEnd How) {
-  Asking = false;
-  if (PlaceId.Value.empty())
-    return;
-  Shared.Waiting.erase(PlaceId);
-  PlaceDone Done;
-  Done.Place = PlaceId;
-  Done.Whole = How == AttemptEnd::Answered;
-  Done.Sent = Call != nullptr && Call->sent();
-  Shared.SendToAgent(PlaceLink, Done);
-  PlaceId = {};
-}
-
 void Exchange::refusedBy(const ServerChoice &Choice) {
   const bool Full = Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
   endWithoutServer({Full ? ErrorKind::Overloaded : ErrorKind::NoWorker,
@@ -661,59 +545,4 @@
     endWith({ErrorKind::Overloaded, "time is up", {}}, Ran::No, "time_up");
 }
 
-void Exchange::logAttempt(const ServerView &Server,
-                          const ServerChoice &Choice) const {
-  const TimePoint Now = Shared.Clock.now();
-  logLine(LogPart::Requests, LogLevel::Info,
-          "event=attempt id=" + logValue(Id) + " n=" +
-              std::to_string(Sent + 1) + " server=" + Server.Listed.Id.Value +
-              " at=" + Server.Listed.At.Value +
-              " open=" + std::to_string(Server.Open) +
-              " others=" + std::to_string(Server.OtherWork) + " told_ms=" +
-              std::to_string(std::min<int64_t>(
-                  99999, toMillis(Now - Server.ToldAt).count())) +
-              " candidates=" + std::to_string(Choice.Candidates) +
-              " weights=" + logValue(Server.Weights.Value) +
-              " agent=" + (hasAgent(Server) ? "yes" : "no"));
-}
-
-void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
-  logLine(
-      LogPart::Requests, LogLevel::Info,
-      "event=attempt_end id=" + logValue(Id) + " n=" + std::to_string(Sent) +
-          " server=" + At.Value + " outcome=" +
-          std::string(AttemptEndNames.at(static_cast<size_t>(How))) +
-          " status=" +
-          std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
-          " ms=" + std::to_string(toMillis(Took).count()) + " events_until=" +
-          (Events.LastId ? std::to_string(*Events.LastId) : "-"));
-}
-
-void Exchange::logEnd(const char *Outcome, unsigned Status,
-                      const char *Reason) {
-  const TimePoint Now = Shared.Clock.now();
-  const auto Since = [&](TimePoint Then) {
-    return std::to_string(toMillis(Now - Then).count());
-  };
-  logLine(
-      LogPart::Requests, LogLevel::Info,
-      "event=end id=" + logValue(Id) + " outcome=" + Outcome +
-          " status=" + std::to_string(Status) + " reason=" + Reason +
-          " route=" + (From == nullptr ? "-" : logValue(From->Name)) +
-          " tenant=" + (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
-          " attempts=" + std::to_string(Sent) +
-          " servers=" + (Places.empty() ? "-" : Places) +
-          " ms=" + Since(Arrived) + " first_ms=" +
-          (FirstByte ? std::to_string(toMillis(*FirstByte - Arrived).count())
-                     : "-") +
-          " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
-          " age_ms=" + Since(Shared.DocSince));
-  if (From != nullptr && FirstByte) {
-    Shared.Timings.observeService(Timing::FirstToken, Needs.Service.Value,
-                                  *FirstByte - Arrived);
-    Shared.Timings.observeService(Timing::Whole, Needs.Service.Value,
-                                  Now - Arrived);
-  }
-}
-
 } // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -0,0 +1,79 @@
+/** @file exchange_log.cpp What is logged of a request on a route: one line for
+ * each attempt that is decided on, each that fails, and the end. Every line has
+ * the caller's id and the inputs of the decision with their age or version.
+ */
+
+#include "forward/exchange.h"
+#include "forward/log_value.h"
+#include "log/log.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Word of each AttemptEnd in log lines, in enum order. */
+constexpr std::array<std::string_view, 6> AttemptEndNames = {
+    "answered",  "back_end_error", "not_executed",
+    "unreached", "broken",         "given_up"};
+} // namespace
+
+void Exchange::logAttempt(const ServerView &Server,
+                          const ServerChoice &Choice) const {
+  const TimePoint Now = Shared.Clock.now();
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=attempt id=" + logValue(Id) + " n=" +
+              std::to_string(Sent + 1) + " server=" + Server.Listed.Id.Value +
+              " at=" + Server.Listed.At.Value +
+              " open=" + std::to_string(Server.Open) +
+              " others=" + std::to_string(Server.OtherWork) + " told_ms=" +
+              std::to_string(std::min<int64_t>(
+                  99999, toMillis(Now - Server.ToldAt).count())) +
+              " candidates=" + std::to_string(Choice.Candidates) +
+              " weights=" + logValue(Server.Weights.Value) +
+              " agent=" + (hasAgent(Server) ? "yes" : "no"));
+}
+
+void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=attempt_end id=" + logValue(Id) + " n=" + std::to_string(Sent) +
+          " server=" + At.Value + " outcome=" +
+          std::string(AttemptEndNames.at(static_cast<size_t>(How))) +
+          " status=" +
+          std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
+          " ms=" + std::to_string(toMillis(Took).count()) + " events_until=" +
+          (Events.LastId ? std::to_string(*Events.LastId) : "-"));
+}
+
+void Exchange::logEnd(const char *Outcome, unsigned Status,
+                      const char *Reason) {
+  const TimePoint Now = Shared.Clock.now();
+  const auto Since = [&](TimePoint Then) {
+    return std::to_string(toMillis(Now - Then).count());
+  };
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=end id=" + logValue(Id) + " outcome=" + Outcome +
+          " status=" + std::to_string(Status) + " reason=" + Reason +
+          " route=" + (From == nullptr ? "-" : logValue(From->Name)) +
+          " tenant=" + (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
+          " attempts=" + std::to_string(Sent) +
+          " servers=" + (Places.empty() ? "-" : Places) +
+          " ms=" + Since(Arrived) + " first_ms=" +
+          (FirstByte ? std::to_string(toMillis(*FirstByte - Arrived).count())
+                     : "-") +
+          " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
+          " age_ms=" + Since(Shared.DocSince));
+  if (From != nullptr && FirstByte) {
+    Shared.Timings.observeService(Timing::FirstToken, Needs.Service.Value,
+                                  *FirstByte - Arrived);
+    Shared.Timings.observeService(Timing::Whole, Needs.Service.Value,
+                                  Now - Arrived);
+  }
+}
+
+} // namespace jacinthpond
--- /dev/null
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -0,0 +1,104 @@
+/** @file exchange_place.cpp How a request gets a place at its back end. */
+
+#include "forward/exchange.h"
+#include "forward/header_fields.h"
+#include "forward/log_value.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Part of the target that is kept for the way of answer and request. */
+constexpr Millis AnswerMargin{20};
+/** Time in which an agent answers, beyond the wait that it was allowed: many
+ * times the way between regions. */
+constexpr Millis AgentAnswerTime{150};
+} // namespace
+
+/**
+ * Time for which a place is worth waiting for: what is left of the target less
+ * the usual time to the first part of an answer. A request that waits longer is
+ * late in any case and makes those behind it late. One that is late already
+ * takes what is free.
+ */
+Millis Exchange::usefulWait(TimePoint Now) const {
+  if (HeadSent)
+    return From->GapTarget;
+  const Duration Usual = usualFirst(Shared.Pool, Needs.Service);
+  const Duration Left = Arrived + From->Target - Now - Usual - AnswerMargin;
+  return toMillis(std::max(Left, Duration{0}));
+}
+
+void Exchange::askPlace(const ServerView &Server) {
+  const TimePoint Now = Shared.Clock.now();
+  PlaceAsk Ask;
+  Ask.Place.Value = Shared.PlacePrefix + std::to_string(Shared.NextPlace++);
+  Ask.Request.Value = logValue(Id);
+  Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
+  Ask.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+  if (HeadSent) // A stream that broke off is waited for by its caller.
+    Ask.Rank = 0;
+  const Millis Wait = usefulWait(Now);
+  Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
+  Ask.PromptTokens =
+      Shared.Wire.promptTokens(fieldOf(Asked, Shared.Wire.names().TokenCounts));
+  PlaceId = Ask.Place;
+  PlaceLink = Server.Agent->Link;
+  Asking = true;
+  AskUntil = Now + Wait + AgentAnswerTime;
+  ++Asks;
+  Shared.Waiting[PlaceId] = weak_from_this();
+  Shared.SendToAgent(PlaceLink, Ask);
+  armTimer();
+}
+
+void Exchange::placeAnswered(const PlaceAnswer &Answer) {
+  const auto Self = shared_from_this();
+  const TimePoint Now = Shared.Clock.now();
+  if (!Session || !Asking || Answer.Place != PlaceId)
+    return;
+  Asking = false;
+  loadTold(Shared.Pool, At, Answer.Load.Busy, Now);
+  readingTold(Shared.Pool, At, Millis(Answer.ReadingMillis));
+  if (Answer.Given && mayStillUse(Shared.Pool, At, Needs, Now)) {
+    sendTo(Shared.Pool.Servers.at(At));
+    return;
+  }
+  if (!Answer.Given) {
+    PlaceId = {}; // The agent has forgotten it.
+    const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
+    if (Room.count() > 0)
+      RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
+  }
+  placeOver(AttemptEnd::Dropped);
+  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
+  Needs.Full.insert(At);
+  tryNext();
+}
+
+void Exchange::agentDidNotAnswer() {
+  const TimePoint Now = Shared.Clock.now();
+  agentSilent(Shared.Pool, At);
+  placeOver(AttemptEnd::Dropped);
+  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
+  Needs.Full.insert(At);
+  tryNext();
+}
+
+/** Gives a place back. */
+void Exchange::placeOver(AttemptEnd How) {
+  Asking = false;
+  if (PlaceId.Value.empty())
+    return;
+  Shared.Waiting.erase(PlaceId);
+  PlaceDone Done;
+  Done.Place = PlaceId;
+  Done.Whole = How == AttemptEnd::Answered;
+  Done.Sent = Call != nullptr && Call->sent();
+  Shared.SendToAgent(PlaceLink, Done);
+  PlaceId = {};
+}
+
+} // namespace jacinthpond
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -66,6 +66,9 @@
   /** Requests that come from now on are refused as not run. */
   void refuseNew() { Shared.Refusing = true; }
 
+  /** Gives the histograms. @return The histograms. */
+  const TrafficMetrics &timings() const { return Shared.Timings; }
+
   /** Counts requests under way. @return Requests without a final answer. */
   uint32_t open() const { return Shared.Open; }
 
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -31,7 +31,7 @@
   logLine(LogPart::Main, LogLevel::Info,
           std::string("event=start program=jacinthpond version=\"") + Version +
               "\" platform=" + Config->Platform + " domain=" + Config->Domain);
-  const bool OnStore = Config->Platform == "store";
+  const bool OnStore = runsOnStore(*Config);
   HttpConfig OwnService(Config->ConfigUrl);
   StoreConfig Store(Config->ConfigUrl,
                     {Config->DomainRegions, Config->AgentPort});
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -241,6 +241,17 @@
   BOOST_TEST(Named(0)[0] == All.addressOf(0, "route"));
 }
 
+BOOST_AUTO_TEST_CASE(MetricsCountRoutes) {
+  BOOST_TEST(All.ask(0, {}).status == 200);
+  httplib::Client Admin("http://" + All.addressOf(0, "admin"));
+  const auto Page = Admin.Get("/metrics");
+  BOOST_REQUIRE(Page);
+  BOOST_TEST(Page->body.find("jacinthpond_route_answered_total") !=
+             std::string::npos);
+  BOOST_TEST(Page->body.find("jacinthpond_whole_answer_seconds_count{class="
+                             "\"plain\"}") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AStopFinishesWhatIsUnderWay) {
   for (const char *Name : {"model-0", "model-1"})
     All.control(Name, {{"gap_ms", 150}});
