--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -11,7 +11,7 @@
 
 namespace jacinthpond {
 
-/** Exit codes of both programs; documented in docs/OPERATING.md. */
+/** Exit codes of both programs; documented in docs/OPERATIONS.md. */
 enum ExitCode : int {
   ExitDone = 0,    ///< All went well; a graceful shutdown too.
   ExitFailed = 1,  ///< The request could not be carried out.
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -147,7 +147,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(EveryMetricIsDocumented) {
-  std::ifstream File(JACINTHPOND_SOURCE_FOLDER "/docs/OPERATING.md");
+  std::ifstream File(JACINTHPOND_SOURCE_FOLDER "/docs/OPERATIONS.md");
   const std::string Docs(std::istreambuf_iterator<char>(File), {});
   std::istringstream Pages(get("entry-0", "/metrics", "").Body +
                            get("agent-m0", "/metrics", "").Body);
