--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -64,13 +64,6 @@
   virtual std::string directoryAnswer(const std::vector<Address> &Entries,
                                       Millis Keep) const = 0;
 
-  /**
-   * Says whether a target asks whether this process is ready.
-   * @param Target Request target.
-   * @return True for that question.
-   */
-  virtual bool asksReady(std::string_view Target) const = 0;
-
   /**
    * Reads the load that a back end tells with an answer.
    * @param Value Header value.
