--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -254,7 +254,7 @@
 void AgentShell::readStaged(const std::vector<ChunkRef> &Chunks) {
   size_t Wrong = 0;
   for (const ChunkRef &Chunk : Chunks) {
-    const auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+    auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
     ChunkBytes Bytes;
     if (Read.Value)
       Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <numeric>
 #include <optional>
 
 namespace jacinthpond {
@@ -595,11 +594,9 @@
   if (Part.Parts.emplace(Data.Offset, Data.Bytes).second)
     Part.Received += Data.Bytes.size();
   if (Part.Received >= Data.Total) {
-    const std::string Whole =
-        std::accumulate(Part.Parts.begin(), Part.Parts.end(), std::string(),
-                        [](std::string Sum, const auto &Row) {
-                          return std::move(Sum) + Row.second;
-                        });
+    std::string Whole;
+    for (const auto &[Offset, Bytes] : Part.Parts)
+      Whole += Bytes;
     Transfer.Partial.erase(it);
     return Whole;
   }
