tests, agent: a route fleet serves when every entry sees every worker

Its logs show candidates=1: the entry had not heard yet that the second worker was loaded, so the broken stream had nowhere to go on; the fixture counted a fleet as serving when each entry was answered by any worker. Ruled out: a silent agent, the budget, the order of events. Change: the fixture waits until each entry sees all workers; the story and its checks are unchanged.

--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <thread>
 
 namespace jacinthpond::fleet {
 
@@ -19,6 +20,9 @@
 const std::string AgentProgram = JACINTHPOND_AGENT_PROGRAM;
 const std::string StandInProgram = JACINTHPOND_STANDIN_PROGRAM;
 
+/** Above the period of an entry's ticks, 50 ms. */
+constexpr std::chrono::milliseconds TickAndMore{150};
+
 /** Asks the kernel for a port that nothing uses now. */
 int freePort() {
   const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -187,8 +191,17 @@
       Folder + "/" + Name + ".log");
 }
 
+bool RouteFleet::seesAllWorkers(size_t Entry) const {
+  httplib::Client Client("http://" + addressOf(Entry, "admin"));
+  const httplib::Result Answer = Client.Get("/v1/health");
+  const Json Health =
+      Answer ? Json::parse(Answer->body, nullptr, false) : Json::object();
+  return Health.is_object() &&
+         Health.value("ready_workers", size_t{0}) >= Models;
+}
+
 bool RouteFleet::waitServing(std::chrono::milliseconds Limit) {
-  return waitFor(Limit, [&] {
+  const bool Serving = waitFor(Limit, [&] {
     for (size_t n = 0; n < Models; ++n)
       if (look("model-" + std::to_string(n)).value("version", 0) == 0)
         return false;
@@ -196,11 +209,15 @@
       RouteAsk Write;
       Write.Method = "POST";
       Write.Path = "/write/1";
-      if (ask(n, Write).status != 200 || ask(n, {}).status != 200)
+      if (!seesAllWorkers(n) || ask(n, Write).status != 200 ||
+          ask(n, {}).status != 200)
         return false;
     }
     return true;
   });
+  // An entry's traffic thread hears of workers at the next tick.
+  std::this_thread::sleep_for(TickAndMore);
+  return Serving;
 }
 
 httplib::Response RouteFleet::ask(size_t Entry, const RouteAsk &What) const {
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -109,6 +109,7 @@
 
 private:
   void startServer(const std::string &Name, const Json &Options);
+  bool seesAllWorkers(size_t Entry) const;
   void startEntry(size_t n);
   void startAgent(size_t n);
 
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -563,7 +563,8 @@
     refuseWaiting(Agent, ErrorKind::StaleView, Out);
   sweepAttempts(Agent, Now, Out);
   sweepPlaces(Agent, Now, Out);
-  if (Agent.Gate.Waiting.Size > 0) // Some may have waited for reading to end.
+  // Places may have waited for reading to end, which no message tells.
+  if (!Agent.Places.empty() && Agent.Gate.Waiting.Size > 0)
     runWaiting(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
   readList(Agent, Now, Out);
