entry, core: one piece of code where a reading of the change found two

Cause: the change wrote a generator of random numbers a second time, an address parser twice, the look-up of a back end nine times, the rank, the patience with a silent back end and the question for another one twice each; a session had two functions that nothing called. A place that was refused stayed in the list of those that wait, and kept the memory of its request. Change: one function each; an answer takes its place out of the list. No bound or decision changes.

--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -11,6 +11,7 @@
 
 /** Former sets that are remembered. */
 constexpr size_t MaxFormers = 8;
+
 void noteServers(ServerPool &Pool, TimePoint Now) {
   std::set<InstanceId> Listed;
   for (const BackEndServer &One : Pool.Doc->Servers) {
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "forwarding/server_pool_func.h"
 
-#include "configuration/document_func.h"
+#include "base/random_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -46,21 +46,41 @@
 /** How long a back end is left alone that was misjudged; news come sooner. */
 constexpr Millis MisjudgedAvoid{500};
 
-uint64_t nextRandom(ServerPool &Pool) {
-  Pool.Random ^= Pool.Random << 13U;
-  Pool.Random ^= Pool.Random >> 7U;
-  Pool.Random ^= Pool.Random << 17U;
-  return Pool.Random;
-}
-
 double randomPart(ServerPool &Pool) {
-  return static_cast<double>(nextRandom(Pool) >> 11U) /
+  return static_cast<double>(nextRandom(Pool.Random) >> 11U) /
          static_cast<double>(uint64_t{1} << 53U);
 }
 
-const Service *findService(const Document &Doc, const ServiceName &Name) {
-  const auto it = std::ranges::find(Doc.Services, Name, &Service::Name);
-  return it == Doc.Services.end() ? nullptr : &*it;
+/** Gives a service of the document in force; null when there is none. */
+const Service *findService(const ServerPool &Pool, const ServiceName &Name) {
+  if (Pool.Doc == nullptr)
+    return nullptr;
+  const auto it = std::ranges::find(Pool.Doc->Services, Name, &Service::Name);
+  return it == Pool.Doc->Services.end() ? nullptr : &*it;
+}
+
+/** Gives a back end; null when it is not known any more. */
+ServerView *findServer(ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  return it == Pool.Servers.end() ? nullptr : &it->second;
+}
+
+const ServerView *findServer(const ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  return it == Pool.Servers.end() ? nullptr : &it->second;
+}
+
+/** Takes what a back end told of all its work. */
+void noteWork(ServerView &View, uint32_t Busy, TimePoint Now) {
+  View.OtherWork = Busy > View.Open ? Busy - View.Open : 0;
+  View.ToldAt = Now;
+}
+
+/** Takes a time into the running mean of a service. */
+void learnTime(std::map<ServiceName, Duration> &Usual, const ServiceName &Name,
+               Duration Took) {
+  Duration &Mean = Usual.try_emplace(Name, Took).first->second;
+  Mean = (Mean * TimeWeight + Took) / (TimeWeight + 1);
 }
 
 /** Requests at a back end, those of other entries as far as known. */
@@ -132,9 +152,9 @@
       (Needs.Owner != nullptr &&
        !regionAllowed(Needs.Owner->Regions, Doc, View.Listed.Domain)))
     return false;
-  const bool Loading = View.Agent && View.Agent->Fresh &&
-                       (View.Agent->State == WorkerState::Loading ||
-                        View.Agent->State == WorkerState::Empty);
+  const bool Loading =
+      hasAgent(View) && (View.Agent->State == WorkerState::Loading ||
+                         View.Agent->State == WorkerState::Empty);
   if (Loading && !Kind.Model.Value.empty())
     return false;
   return weightsFit(Pool, Kind, View, Needs.Weights, Now);
@@ -191,8 +211,7 @@
     View.Agent = News;
     if (!News.Fresh)
       continue;
-    View.OtherWork = News.Busy > View.Open ? News.Busy - View.Open : 0;
-    View.ToldAt = Now;
+    noteWork(View, News.Busy, Now);
     View.Weights = News.Weights;
   }
 }
@@ -200,8 +219,7 @@
 ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
                           TimePoint Now) {
   ServerChoice Choice;
-  const Service *Kind =
-      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
+  const Service *Kind = findService(Pool, Needs.Service);
   if (Kind == nullptr)
     return Choice;
   double Best = 0;
@@ -229,10 +247,10 @@
 }
 
 void attemptOpened(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  if (it == Pool.Servers.end())
+  ServerView *Found = findServer(Pool, Id);
+  if (Found == nullptr)
     return;
-  ServerView &View = it->second;
+  ServerView &View = *Found;
   ++View.Open;
   while (!View.Starts.empty() && Now - View.Starts.front() > Millis(1000))
     View.Starts.pop_front();
@@ -242,33 +260,28 @@
 
 void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
               TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  if (it == Pool.Servers.end())
-    return;
-  ServerView &View = it->second;
-  View.OtherWork = Busy > View.Open ? Busy - View.Open : 0;
-  View.ToldAt = Now;
+  if (ServerView *View = findServer(Pool, Id))
+    noteWork(*View, Busy, Now);
 }
 
 void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  if (const auto it = Pool.Servers.find(Id); it != Pool.Servers.end())
-    it->second.LastHeard = Now;
+  if (ServerView *View = findServer(Pool, Id))
+    View->LastHeard = Now;
 }
 
 bool heardSince(const ServerPool &Pool, const InstanceId &Id, TimePoint Since) {
-  const auto it = Pool.Servers.find(Id);
-  return it != Pool.Servers.end() && it->second.LastHeard > Since;
+  const ServerView *View = findServer(Pool, Id);
+  return View != nullptr && View->LastHeard > Since;
 }
 
 void readingTold(ServerPool &Pool, const InstanceId &Id, Duration Reading) {
-  if (const auto it = Pool.Servers.find(Id); it != Pool.Servers.end())
-    it->second.Reading = Reading;
+  if (ServerView *View = findServer(Pool, Id))
+    View->Reading = Reading;
 }
 
 void firstPartCame(ServerPool &Pool, const ServiceName &Service,
                    Duration Took) {
-  Duration &Usual = Pool.UsualFirst.try_emplace(Service, Took).first->second;
-  Usual = (Usual * TimeWeight + Took) / (TimeWeight + 1);
+  learnTime(Pool.UsualFirst, Service, Took);
 }
 
 Duration usualFirst(const ServerPool &Pool, const ServiceName &Service) {
@@ -277,16 +290,16 @@
 }
 
 Digest weightsAt(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  return it == Pool.Servers.end() ? Digest{} : it->second.Weights;
+  const ServerView *View = findServer(Pool, Id);
+  return View == nullptr ? Digest{} : View->Weights;
 }
 
 void attemptClosed(ServerPool &Pool, const InstanceId &Id, AttemptEnd How,
                    Duration Took, TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  if (it == Pool.Servers.end())
+  ServerView *Found = findServer(Pool, Id);
+  if (Found == nullptr)
     return;
-  ServerView &View = it->second;
+  ServerView &View = *Found;
   if (View.Open > 0)
     --View.Open;
   switch (How) {
@@ -297,9 +310,7 @@
     View.ErrorShare += ErrorWeight * (Failed - View.ErrorShare);
     if (How == AttemptEnd::Error)
       return;
-    Duration &Usual =
-        Pool.UsualTime.try_emplace(View.Listed.Service, Took).first->second;
-    Usual = (Usual * TimeWeight + Took) / (TimeWeight + 1);
+    learnTime(Pool.UsualTime, View.Listed.Service, Took);
     return;
   }
   case AttemptEnd::Unreached:
@@ -324,27 +335,24 @@
 }
 
 void agentSilent(ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  if (it != Pool.Servers.end() && it->second.Agent)
-    it->second.Agent->Fresh = false;
+  ServerView *View = findServer(Pool, Id);
+  if (View != nullptr && View->Agent)
+    View->Agent->Fresh = false;
 }
 
 bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
                  const ServerNeeds &Needs, TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  const Service *Kind =
-      Pool.Doc == nullptr ? nullptr : findService(*Pool.Doc, Needs.Service);
-  return it != Pool.Servers.end() && Kind != nullptr &&
-         usable(Pool, it->second, Needs, *Kind, Now);
+  const ServerView *View = findServer(Pool, Id);
+  const Service *Kind = findService(Pool, Needs.Service);
+  return View != nullptr && Kind != nullptr &&
+         usable(Pool, *View, Needs, *Kind, Now);
 }
 
 std::string versionToDemand(const ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now) {
-  const auto View = Pool.Servers.find(Id);
+  const ServerView *View = findServer(Pool, Id);
   const Service *Kind =
-      View == Pool.Servers.end() || Pool.Doc == nullptr
-          ? nullptr
-          : findService(*Pool.Doc, View->second.Listed.Service);
+      View == nullptr ? nullptr : findService(Pool, View->Listed.Service);
   const auto Wanted =
       Kind == nullptr ? Pool.Wanted.end() : Pool.Wanted.find(Kind->Model);
   if (Wanted == Pool.Wanted.end())
@@ -355,14 +363,13 @@
   if (!SomeOver && !Formers.empty())
     return "";
   const auto Former =
-      std::ranges::find(Formers, View->second.Weights, &FormerWeights::Set);
+      std::ranges::find(Formers, View->Weights, &FormerWeights::Set);
   return Former == Formers.end() ? Wanted->second.Version : Former->Version;
 }
 
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  if (it != Pool.Servers.end())
-    it->second.AvoidUntil = Now + MisjudgedAvoid;
+  if (ServerView *View = findServer(Pool, Id))
+    View->AvoidUntil = Now + MisjudgedAvoid;
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -3,6 +3,7 @@
 #include "weights/transfer_func.h"
 
 #include "base/hash_func.h"
+#include "base/random_func.h"
 #include "base/rate_limit_func.h"
 #include "weights/chunk_plan_func.h"
 #include "weights/upload_func.h"
@@ -158,13 +159,6 @@
   }
 }
 
-uint64_t nextRandom(TransferState &Transfer) {
-  Transfer.Random ^= Transfer.Random << 13U;
-  Transfer.Random ^= Transfer.Random >> 7U;
-  Transfer.Random ^= Transfer.Random << 17U;
-  return Transfer.Random;
-}
-
 /** Says whether a chunk can be had from a linked peer that is trusted. */
 bool hasUsableHolder(const TransferState &Transfer, size_t n, bool NearOnly,
                      TimePoint Now) {
@@ -201,7 +195,7 @@
     const bool Better = Best == nullptr ||
                         Peer.Asked.size() < Best->Asked.size() ||
                         (Peer.Asked.size() == Best->Asked.size() &&
-                         nextRandom(Transfer) % 2 == 0);
+                         nextRandom(Transfer.Random) % 2 == 0);
     if (!Better)
       continue;
     Best = &Peer;
@@ -217,7 +211,7 @@
     const ChunkProgress &Chunk = Transfer.Chunks[n];
     if (Chunk.Asked || Chunk.HoldersHere + Chunk.HoldersOutside == 0)
       continue;
-    const uint64_t Tie = nextRandom(Transfer) & UINT32_MAX;
+    const uint64_t Tie = nextRandom(Transfer.Random) & UINT32_MAX;
     Keyed.emplace_back((uint64_t{Chunk.HoldersHere} << 32U) | Tie, n);
   }
   std::ranges::sort(Keyed);
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -108,14 +108,8 @@
 }
 
 void BackEndCall::connect(Millis Limit) {
-  const size_t Colon = Plan.To.Value.rfind(':');
-  Error ec;
-  const auto Ip =
-      boost::asio::ip::make_address(Plan.To.Value.substr(0, Colon), ec);
-  uint16_t Port = 0;
-  if (!ec && Colon != std::string::npos)
-    std::from_chars(Plan.To.Value.data() + Colon + 1,
-                    Plan.To.Value.data() + Plan.To.Value.size(), Port);
+  // A document holds valid addresses only; port 0 is never reached.
+  const Tcp::endpoint To = endpointOf(Plan.To.Value).value_or(Tcp::endpoint());
   Link = std::make_unique<BackEndConnection>(
       BackEndConnection{Tcp::socket(Io), {}, Plan.To, {}, {}});
   const auto Self = shared_from_this();
@@ -124,7 +118,7 @@
     if (!Expired && !Self->Sent)
       Self->failed(CallFailure::Unreached);
   });
-  Link->Socket.async_connect(Tcp::endpoint(Ip, Port), [Self](const Error &Bad) {
+  Link->Socket.async_connect(To, [Self](const Error &Bad) {
     if (Self->Events == nullptr)
       return;
     if (Bad) {
--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -262,12 +262,6 @@
       });
 }
 
-void CallerSession::closeWhenDone() {
-  KeepAlive = false;
-  if (idle())
-    close();
-}
-
 void CallerSession::abort() { close(); }
 
 void CallerSession::close() {
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -100,15 +100,6 @@
   /** Closes the connection at once: an answer under way stays visibly cut. */
   void abort();
 
-  /**
-   * Says whether nothing is under way.
-   * @return True between requests.
-   */
-  bool idle() const { return !Busy && Outgoing.empty() && Writing.empty(); }
-
-  /** Closes the connection when nothing is under way, else after the answer. */
-  void closeWhenDone();
-
   /**
    * Gives the bytes that wait for the caller.
    * @return How many.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -139,6 +139,11 @@
                                       MostRemaining));
 }
 
+/** Gives the urgency: a tenant's goes before its route's. */
+uint32_t Exchange::rank() const {
+  return Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+}
+
 bool Exchange::attemptsLeft() const {
   return Sent < From->MaxAttempts && Tries < MaxTries;
 }
@@ -209,7 +214,7 @@
     Passed.LastEventId = Events.LastId;
   }
   Passed.Tenant = Owner == nullptr ? "" : Owner->Name.Value;
-  Passed.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
+  Passed.Rank = rank();
   CallPlan Plan;
   Plan.To = Server.Listed.At;
   Plan.Bytes = requestBytes(Asked, Names, Passed);
@@ -339,16 +344,10 @@
   // A back end's error on work that may be repeated is often its own: another
   // one answers. When there is none the caller gets the error as it came.
   if (Failed && canRepeat() && attemptsLeft() &&
-      Limit - Now > Millis(From->Target.count() / 4)) {
-    ServerNeeds Other = Needs;
-    Other.Tried.insert(At);
-    const bool Somewhere =
-        chooseServer(Shared.Pool, Other, Now).Server != nullptr;
-    if (Somewhere && mayTryAgain()) {
-      Needs.Tried.insert(At);
-      tryNext();
-      return;
-    }
+      Limit - Now > Millis(From->Target.count() / 4) && couldGoElsewhere(Now)) {
+    Needs.Tried.insert(At);
+    tryNext();
+    return;
   }
   FirstByte = Now;
   CallerAnswer Out;
@@ -362,11 +361,14 @@
   To->answer(std::move(Out));
 }
 
-/** The budget is asked again when the attempt is made; here it is only felt
- * whether there is any, so that an answer in hand is not thrown away. */
-bool Exchange::mayTryAgain() {
-  return repeatsLeft(Shared.Repeats, Needs.Service, Shared.Pool.Entries,
-                     Shared.Clock.now());
+/** Says whether another back end would take the request. The budget is asked
+ * again when the attempt is made; here it is only felt whether there is any, so
+ * that what is in hand is not thrown away. */
+bool Exchange::couldGoElsewhere(TimePoint Now) {
+  ServerNeeds Other = Needs;
+  Other.Tried.insert(At);
+  return chooseServer(Shared.Pool, Other, Now).Server != nullptr &&
+         repeatsLeft(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now);
 }
 
 /** What came cannot be used, or stopped coming. */
@@ -484,10 +486,7 @@
     Next = std::min(Next, AskUntil);
   if (Call && canRepeat()) {
     constexpr Millis Soonest{20};
-    const bool InStream = HeadSent;
-    const auto Unit = InStream ? From->GapTarget : From->Target;
-    const auto Silent = std::chrono::duration_cast<Duration>(
-        Unit * (InStream ? SilentGaps : SilentTargets));
+    const Duration Silent = patience(false);
     // Later looks follow at the same distance until the slow limit is over.
     Next = std::min(Next, std::max(LastProgress + Silent, Now + Silent / 4));
     Next = std::max(Next, Now + Soonest);
@@ -508,34 +507,31 @@
   }
   if (Asking && Now >= AskUntil)
     agentDidNotAnswer();
-  else if (Call && canRepeat() && silentTooLong(Now))
-    abandonSilent();
+  else if (Call && canRepeat() && silentTooLong(Now) && couldGoElsewhere(Now))
+    answerBroke();
   if (Session)
     armTimer();
 }
 
+/**
+ * Gives how long a back end may be silent, before the first part of an answer
+ * or between two of them; 0 where the route names no target.
+ */
+Duration Exchange::patience(bool Alive) const {
+  const double Targets = Alive ? SlowTargets : SilentTargets;
+  const double Gaps = Alive ? SlowGaps : SilentGaps;
+  return std::chrono::duration_cast<Duration>(
+      HeadSent ? From->GapTarget * Gaps : From->Target * Targets);
+}
+
 /** Says whether a back end has been silent for longer than it may be. */
 bool Exchange::silentTooLong(TimePoint Now) const {
   if (!attemptsLeft())
     return false;
-  const Millis Unit = HeadSent ? From->GapTarget : From->Target;
-  if (Unit.count() == 0)
-    return false;
   const bool Alive =
       heardSince(Shared.Pool, At, std::max(CallBegan, LastProgress));
-  const double Silent = HeadSent ? SilentGaps : SilentTargets;
-  const double Slow = HeadSent ? SlowGaps : SlowTargets;
-  return Now - LastProgress >= Unit * (Alive ? Slow : Silent);
-}
-
-/** Sends the request elsewhere, if there is anywhere else. */
-void Exchange::abandonSilent() {
-  ServerNeeds Other = Needs;
-  Other.Tried.insert(At);
-  const TimePoint Now = Shared.Clock.now();
-  if (chooseServer(Shared.Pool, Other, Now).Server == nullptr || !mayTryAgain())
-    return;
-  answerBroke();
+  const Duration Longest = patience(Alive);
+  return Longest.count() > 0 && Now - LastProgress >= Longest;
 }
 
 void Exchange::limitCame() {
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -56,10 +56,11 @@
   bool checkCaller();
   void readDeadline();
   void tryNext();
-  bool mayTryAgain();
+  bool couldGoElsewhere(TimePoint Now);
   void askPlace(const ServerView &Server);
   Millis usefulWait(TimePoint Now) const;
   void placeOver(AttemptEnd How);
+  void askElsewhere();
   void agentDidNotAnswer();
   void sendTo(const ServerView &Server);
   void refusedBy(const ServerChoice &Choice);
@@ -74,8 +75,9 @@
   void armTimer();
   void timeCame();
   void limitCame();
+  uint32_t rank() const;
+  Duration patience(bool Alive) const;
   bool silentTooLong(TimePoint Now) const;
-  void abandonSilent();
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -15,6 +15,7 @@
 /** Time in which an agent answers, beyond the wait that it was allowed: many
  * times the way between regions. */
 constexpr Millis AgentAnswerTime{150};
+
 } // namespace
 
 /**
@@ -37,9 +38,8 @@
   Ask.Place.Value = Shared.PlacePrefix + std::to_string(Shared.NextPlace++);
   Ask.Request.Value = logValue(Id);
   Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
-  Ask.Rank = Owner != nullptr && Owner->Rank ? *Owner->Rank : From->Rank;
-  if (HeadSent) // A stream that broke off is waited for by its caller.
-    Ask.Rank = 0;
+  // A stream that broke off is waited for by its caller.
+  Ask.Rank = HeadSent ? 0 : rank();
   const Millis Wait = usefulWait(Now);
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
   Ask.PromptTokens =
@@ -72,17 +72,18 @@
     if (Room.count() > 0)
       RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
   }
-  placeOver(AttemptEnd::Dropped);
-  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
-  Needs.Full.insert(At);
-  tryNext();
+  askElsewhere();
 }
 
 void Exchange::agentDidNotAnswer() {
-  const TimePoint Now = Shared.Clock.now();
   agentSilent(Shared.Pool, At);
+  askElsewhere();
+}
+
+/** Gives up the place at this back end and looks for another one. */
+void Exchange::askElsewhere() {
   placeOver(AttemptEnd::Dropped);
-  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Now);
+  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Shared.Clock.now());
   Needs.Full.insert(At);
   tryNext();
 }
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "forward/forwarder.h"
 
 #include "forward/exchange.h"
+#include "forward/socket_options.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
@@ -32,16 +33,6 @@
 /** Time between two looks for old idle connections. */
 constexpr Millis SweepPeriod{1000};
 
-std::optional<Tcp::endpoint> endpointOf(const std::string &At) {
-  const size_t Colon = At.rfind(':');
-  Error ec;
-  const auto Ip = boost::asio::ip::make_address(At.substr(0, Colon), ec);
-  if (ec || Colon == std::string::npos)
-    return std::nullopt;
-  const auto Port = std::strtoul(At.c_str() + Colon + 1, nullptr, 10);
-  return Tcp::endpoint(Ip, static_cast<uint16_t>(Port));
-}
-
 ErrorKind kindOf(unsigned Status) {
   if (Status == 408)
     return ErrorKind::SlowCaller;
@@ -201,10 +192,10 @@
 
 void Forwarder::placeAnswered(const PlaceAnswer &Answer) {
   boost::asio::post(Shared.Io, [this, Answer] {
-    const auto it = Shared.Waiting.find(Answer.Place);
-    const auto Waiter =
-        it == Shared.Waiting.end() ? nullptr : it->second.lock();
-    if (Waiter)
+    // Taken out with its answer: one that is left would keep the memory of its
+    // request.
+    const auto Node = Shared.Waiting.extract(Answer.Place);
+    if (const auto Waiter = Node ? Node.mapped().lock() : nullptr)
       Waiter->placeAnswered(Answer);
   });
 }
--- a/packages/entry/src/forward/socket_options.h
+++ b/packages/entry/src/forward/socket_options.h
@@ -1,4 +1,4 @@
-/** @file socket_options.h Options of sockets that carry requests. */
+/** @file socket_options.h Addresses and options of sockets for requests. */
 
 #ifndef JACINTHPOND_ENTRY_FORWARD_SOCKET_OPTIONS_H
 #define JACINTHPOND_ENTRY_FORWARD_SOCKET_OPTIONS_H
@@ -7,8 +7,28 @@
 
 #include <netinet/tcp.h>
 
+#include <cstdlib>
+#include <optional>
+#include <string>
+
 namespace jacinthpond {
 
+/**
+ * Reads an address.
+ * @param At "IP:port".
+ * @return The endpoint; nothing when it is no such address.
+ */
+inline std::optional<boost::asio::ip::tcp::endpoint>
+endpointOf(const std::string &At) {
+  const size_t Colon = At.rfind(':');
+  boost::system::error_code ec;
+  const auto Ip = boost::asio::ip::make_address(At.substr(0, Colon), ec);
+  if (ec || Colon == std::string::npos)
+    return std::nullopt;
+  const auto Port = std::strtoul(At.c_str() + Colon + 1, nullptr, 10);
+  return boost::asio::ip::tcp::endpoint(Ip, static_cast<uint16_t>(Port));
+}
+
 /**
  * Time in milliseconds after which sent bytes that nobody acknowledges close a
  * connection. A host without power or behind a partition answers nothing, and
