tests: one base64 for the store stand-in and the document test

Cause: a reading of the change found the same function in both files. Change: it stands in tests/standin/base64.h. Assertions are unchanged. Conclusion: store_document_test and routes_test pass.

--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -5,10 +5,9 @@
  * long), "forget" (watches from before now answer 410).
  */
 
+#include "base64.h"
 #include "standin.h"
 
-#include <openssl/evp.h>
-
 #include <chrono>
 #include <condition_variable>
 #include <map>
@@ -34,16 +33,6 @@
   uint64_t Calls = 0;
 };
 
-std::string base64(const std::string &Text) {
-  std::string Out(4 * ((Text.size() + 2) / 3) + 1, '\0');
-  const int n =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  Out.resize(static_cast<size_t>(n));
-  return Out;
-}
-
 /** Lets a call fail or wait as /control says; true when it was answered. */
 bool misbehave(Store &Host, httplib::Response &Answer) {
   int Silent = 0;
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -1,30 +1,21 @@
 /** @file store_document_test.cpp The platform's items as a document. */
 // Labels: platform
 
+#include "../standin/base64.h"
 #include "configuration/document_func.h"
 #include "platform/store_document.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include <string>
 
 using namespace jacinthpond;
+using standin::base64;
 using Json = nlohmann::json;
 
 namespace {
 
-std::string base64(const std::string &Text) {
-  std::string Out(4 * ((Text.size() + 2) / 3) + 1, '\0');
-  const int n =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  Out.resize(static_cast<size_t>(n));
-  return Out;
-}
-
 Json item(const std::string &Key, const std::string &Value, uint64_t Revision) {
   return {{"key", Key},
           {"value", base64(Value)},
