http: one set-up for the clients of back ends and platform

Cause: http_backends.cpp and store_engine.cpp each had makeClient. Timeouts are the same as before. Left: store_config.cpp keeps one client for its long polls and sets only two of the timeouts; operator_commands.cpp talks to our own interface.

--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -3,6 +3,7 @@
 #include "http/http_backends.h"
 
 #include "http/event_parser.h"
+#include "http/http_client.h"
 #include "http/json_fields.h"
 
 #include <httplib.h>
@@ -25,16 +26,6 @@
 /** Longest wait for a load order or a chunk. */
 constexpr std::chrono::seconds LongTimeout{120};
 
-template <typename Length>
-httplib::Client makeClient(const std::string &Url, Length ReadTimeout) {
-  httplib::Client Client(Url);
-  Client.set_connection_timeout(ConnectTimeout);
-  Client.set_read_timeout(ReadTimeout);
-  Client.set_write_timeout(ReadTimeout);
-  Client.set_tcp_nodelay(true);
-  return Client;
-}
-
 /** A request counts as never sent only when no connection came about. */
 bool neverSent(httplib::Error Why) {
   return Why == httplib::Error::Connection ||
@@ -59,7 +50,7 @@
 
 Result<std::string> getText(const std::string &Url, const std::string &Path,
                             std::chrono::milliseconds Timeout) {
-  httplib::Client Client = makeClient(Url, Timeout);
+  httplib::Client Client = makeClient(Url, {ConnectTimeout, Timeout});
   const httplib::Result Answer = Client.Get(Path);
   if (!Answer)
     return fail(ErrorKind::Unreachable, httplib::to_string(Answer.error()));
@@ -77,7 +68,7 @@
 HttpEngine::generate(const EngineRequest &Request,
                      const std::function<bool(Digest)> &OnBegin,
                      const std::function<bool(std::string)> &OnToken) {
-  httplib::Client Client = makeClient(Url, StreamTimeout);
+  httplib::Client Client = makeClient(Url, {ConnectTimeout, StreamTimeout});
   EventParser Parser{OnBegin, OnToken, {}, {}, false};
   const Json Body = {{"attempt", Request.Attempt.Value},
                      {"body", Request.Body},
@@ -121,7 +112,7 @@
 
 Result<void> HttpEngine::stage(const ChunkRef &Chunk,
                                const std::string &Bytes) {
-  httplib::Client Client = makeClient(Url, LongTimeout);
+  httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
   const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Content.Value,
                                             Bytes, "application/octet-stream");
   return expectDone(Answer);
@@ -132,7 +123,7 @@
 }
 
 Result<void> HttpEngine::load(const LoadOrder &Order) {
-  httplib::Client Client = makeClient(Url, LongTimeout);
+  httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
   Json Body = {{"fence", Order.Fence.Value},
                {"set", Order.Set.Value},
                {"chunks", Json::array()}};
@@ -145,7 +136,7 @@
 
 Result<ServiceAnswer> HttpService::call(const ServiceCall &Call) {
   const auto Timeout = std::max(Call.Timeout, Millis{1});
-  httplib::Client Client = makeClient(Url, Timeout);
+  httplib::Client Client = makeClient(Url, {ConnectTimeout, Timeout});
   const httplib::Headers Headers = {{"X-Attempt", Call.Attempt.Value},
                                     {"Idempotency-Key", Call.Key.Value}};
   const httplib::Result Answer = Client.Post(
