--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -96,7 +96,22 @@
   }
 }
 
-void exitCutOff() {
+void beginLog(const std::string &Program, const Settings &Config) {
+  setupLog(Config.Name, Config.LogLevel, Config.LogTo == "stderr");
+  logLine(LogPart::Main, LogLevel::Info,
+          "event=start program=" + Program.substr(0, Program.find(' ')) +
+              " version=\"" + Program + "\" platform=" + Config.Platform +
+              " domain=" + Config.Domain);
+}
+
+void shutDown(const std::function<bool()> &Drain) {
+  logLine(LogPart::Main, LogLevel::Info, "event=stop outcome=draining");
+  const bool Whole = Drain();
+  logLine(LogPart::Main, LogLevel::Info,
+          std::string("event=stop outcome=") + (Whole ? "drained" : "cut_off"));
+  endLog();
+  if (Whole)
+    return;
   std::cerr.flush();
   std::_Exit(ExitCutOff);
 }
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -70,11 +70,20 @@
                  const std::function<void(const Settings &)> &Apply);
 
 /**
- * Ends the process at once with ExitCutOff. Work that a shutdown cut off still
- * holds threads; ending them in order would wait for that work after all and
- * the time limit of the shutdown would mean nothing.
+ * Begins the log and writes its first line.
+ * @param Program Name and version, with a space between them.
+ * @param Config Settings that say where lines go.
  */
-[[noreturn]] void exitCutOff();
+void beginLog(const std::string &Program, const Settings &Config);
+
+/**
+ * Shuts the program down, with a line before and after, and ends the log. After
+ * a shutdown that cut off work it ends the process at once with ExitCutOff: the
+ * work still holds threads; ending them in order would wait for it after all
+ * and the time limit of the shutdown would mean nothing.
+ * @param Drain Ends the work; tells whether none was cut off.
+ */
+void shutDown(const std::function<bool()> &Drain);
 
 /**
  * Makes a random incarnation.
--- a/packages/agent/src/main.cpp
+++ b/packages/agent/src/main.cpp
@@ -23,11 +23,7 @@
   const auto Config = loadSettings(SettingsPath, SettingOwner::Agent);
   if (!Config)
     return ExitInvalid;
-  setupLog(Config->Name, Config->LogLevel, Config->LogTo == "stderr");
-  logLine(LogPart::Main, LogLevel::Info,
-          std::string("event=start program=jacinthpond-agent version=\"") +
-              Version + "\" platform=" + Config->Platform +
-              " domain=" + Config->Domain);
+  beginLog(Version, *Config);
   const bool OnStore = runsOnStore(*Config);
   HttpEngine OwnEngine(Config->EngineUrl);
   StoreEngine Worker(Config->EngineUrl);
@@ -52,13 +48,7 @@
   announceReady({{"peers", Peers}, {"admin", AdminAt}});
   // Nothing that an agent is told may change while it runs.
   waitForStop(SettingsPath, SettingOwner::Agent, [](const Settings &) {});
-  logLine(LogPart::Main, LogLevel::Info, "event=stop outcome=draining");
-  const bool Whole = Host.drain();
-  logLine(LogPart::Main, LogLevel::Info,
-          std::string("event=stop outcome=") + (Whole ? "drained" : "cut_off"));
-  endLog();
-  if (!Whole)
-    exitCutOff();
+  shutDown([&] { return Host.drain(); });
   return ExitDone;
 }
 
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -27,10 +27,7 @@
   const auto Config = loadSettings(SettingsPath, SettingOwner::Entry);
   if (!Config)
     return ExitInvalid;
-  setupLog(Config->Name, Config->LogLevel, Config->LogTo == "stderr");
-  logLine(LogPart::Main, LogLevel::Info,
-          std::string("event=start program=jacinthpond version=\"") + Version +
-              "\" platform=" + Config->Platform + " domain=" + Config->Domain);
+  beginLog(Version, *Config);
   const bool OnStore = runsOnStore(*Config);
   HttpConfig OwnService(Config->ConfigUrl);
   StoreConfig Store(Config->ConfigUrl,
@@ -57,13 +54,7 @@
   announceReady({{"peers", Peers}, {"callers", At}, {"admin", AdminAt}});
   waitForStop(SettingsPath, SettingOwner::Entry,
               [&](const Settings &Changed) { Routes.reload(Changed); });
-  logLine(LogPart::Main, LogLevel::Info, "event=stop outcome=draining");
-  const bool Whole = Host.drain();
-  logLine(LogPart::Main, LogLevel::Info,
-          std::string("event=stop outcome=") + (Whole ? "drained" : "cut_off"));
-  endLog();
-  if (!Whole)
-    exitCutOff();
+  shutDown([&] { return Host.drain(); });
   return ExitDone;
 }
 
