http: a program whose address is taken ends instead of hanging

Cause: startServer returned before its thread accepted; httplib ignores a stop before that, so the join of the administration listener waited for ever. Seen as routes_test 'a process did not become ready' in a clean clone beside a second routes_test: entry-0 logged that its address was taken and then neither served nor ended. OPERATIONS promises exit code 1. Ruled out: load (the process was idle), the cut-off exit (never reached). Change: startServer returns once the listener accepts or has ended.

--- a/packages/adapters/http/http_server.cpp
+++ b/packages/adapters/http/http_server.cpp
@@ -6,6 +6,10 @@
 
 #include <sys/socket.h>
 
+#include <chrono>
+#include <future>
+#include <utility>
+
 namespace jacinthpond {
 
 using Json = nlohmann::json;
@@ -16,6 +20,8 @@
 constexpr time_t KeepAliveSeconds = 2;
 /** Connections that the kernel keeps until they are accepted. */
 constexpr int ListenBacklog = 1024;
+/** Time between two looks whether a new listener accepts. */
+constexpr std::chrono::milliseconds AcceptPoll{1};
 /** Requests on one connection before it is closed. */
 constexpr size_t KeepAliveRequests = 1000;
 
@@ -75,7 +81,18 @@
     return "";
   if (Port <= 0 || listen(Listening, ListenBacklog) != 0)
     return "";
-  Accepting = std::thread([&Server] { Server.listen_after_bind(); });
+  std::promise<void> Done;
+  const std::future<void> Ended = Done.get_future();
+  Accepting = std::thread([&Server, Done = std::move(Done)]() mutable {
+    Server.listen_after_bind();
+    Done.set_value();
+  });
+  // The library ignores a stop before its thread accepts; the thread would go
+  // on, and a program that ends since its next address is taken would wait for
+  // it for ever.
+  while (!Server.is_running() &&
+         Ended.wait_for(AcceptPoll) == std::future_status::timeout) {
+  }
   return Ip + ":" + std::to_string(Port);
 }
 
--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -42,7 +42,8 @@
 void setupServer(httplib::Server &Server, const ListenerLimits &Limits);
 
 /**
- * Binds a listener and accepts on a thread of its own.
+ * Binds a listener and accepts on a thread of its own; it may be stopped as
+ * soon as this returns.
  * @param Server The listener.
  * @param At "IP:port"; port 0 lets the kernel choose.
  * @param Accepting Set to the thread.
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -236,4 +236,24 @@
   BOOST_TEST(command({"status"}).Code == 2);
 }
 
+// An entry is started beside one that still holds its address for peers. It
+// wrote that the address is taken and then neither served nor ended, and
+// whatever supervises it took it for alive. Cause: its administration listener
+// was stopped before it accepted, which the HTTP library ignores.
+BOOST_AUTO_TEST_CASE(AnEntryWhoseAddressIsTakenEnds) {
+  const Json Settings = {{"name", "twin"},
+                         {"domain", "ridge"},
+                         {"config_url", "http://127.0.0.1:1"},
+                         {"peer_listen", All->address("entry-0", "peers")},
+                         {"caller_listen", ""},
+                         {"admin_listen", "127.0.0.1:0"},
+                         {"log_to", "stderr"}};
+  const Finished End = Fleet::runCommand(
+      {"--settings", All->writeFile("twin.json", Settings.dump()), "serve"});
+  BOOST_TEST(End.Code == 1, End.Output);
+  BOOST_TEST(End.Output.find("A listening address is taken.") !=
+                 std::string::npos,
+             End.Output);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,22 @@
+/** @file http_server_test.cpp Start and end of HTTP listeners. */
+// Labels: product
+
+#include "http/guarded_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthpond;
+
+// A program ended right after it began to listen, because another of its
+// addresses was taken. The HTTP library ignores a stop before its thread
+// accepts, so the listener went on and the program never ended.
+BOOST_AUTO_TEST_CASE(AListenerEndsRightAfterItsStart) {
+  constexpr int Rounds = 10;
+  for (int n = 0; n < Rounds; ++n) {
+    GuardedServer Server(adminLimits());
+    std::thread Accepting;
+    BOOST_REQUIRE(!startServer(Server, "127.0.0.1:0", Accepting).empty());
+    Server.finish(Accepting);
+    BOOST_TEST(!Accepting.joinable());
+  }
+}
