bench: ports of a route fleet stay reserved until its end

Cause: freePort closed its socket before the program bound the port, so a connection or another test could take it; one routes_test failed beside a second one. Change: PortReservation keeps the port bound without listening; programs bind it with SO_REUSEADDR.

--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -2,11 +2,8 @@
 
 #include "fleet/route_fleet.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <array>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -23,21 +20,6 @@
 /** Above the period of an entry's ticks, 50 ms. */
 constexpr std::chrono::milliseconds TickAndMore{150};
 
-/** Asks the kernel for a port that nothing uses now. */
-int freePort() {
-  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in At{};
-  At.sin_family = AF_INET;
-  socklen_t Size = sizeof(At);
-  const bool Done =
-      ::bind(Socket, reinterpret_cast<sockaddr *>(&At), Size) == 0 &&
-      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&At), &Size) == 0;
-  ::close(Socket);
-  if (!Done)
-    throw std::runtime_error("no free port");
-  return ntohs(At.sin_port);
-}
-
 std::string domainOf(size_t n) { return n % 2 == 0 ? "z0" : "z1"; }
 
 /** Loopback address of a model worker and its agent. */
@@ -92,7 +74,6 @@
   if (mkdtemp(Template.data()) == nullptr)
     throw std::runtime_error("no folder for the fleet");
   Folder = Template;
-  AgentPort = freePort();
   startServer("store", {});
   startServer("origin",
               {{"chunks", Plan.Chunks}, {"chunk_bytes", Plan.ChunkBytes}});
@@ -108,7 +89,7 @@
   for (size_t n = 0; n < Plan.Entries; ++n)
     for (const char *Which : {"peers", "route", "ready", "directory", "admin"})
       EntryAt[std::to_string(n) + "/" + Which] =
-          "127.0.0.1:" + std::to_string(freePort());
+          "127.0.0.1:" + std::to_string(Reserved.emplace_back().port());
   for (size_t n = 0; n < Plan.ModelWorkers; ++n)
     addWorker();
   publish();
@@ -152,7 +133,7 @@
       {"domain", domainOf(n)},
       {"platform", "store"},
       {"engine_url", "http://" + Worker},
-      {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort)},
+      {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort.port())},
       {"log_to", "stderr"},
       {"chunk_takeover_ms", 300},
       {"heartbeat_ms", 200}};
@@ -177,7 +158,7 @@
                    {"admin_listen", addressOf(n, "admin")},
                    {"caller_listen", ""},
                    {"domain_regions", {"z0=r0", "z1=r1"}},
-                   {"agent_port", AgentPort},
+                   {"agent_port", AgentPort.port()},
                    {"serve_cut_off", true},
                    {"leave_notice_ms", 600},
                    {"join_wait_ms", 300},
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -3,10 +3,12 @@
 #ifndef JACINTHPOND_BENCH_FLEET_ROUTE_FLEET_H
 #define JACINTHPOND_BENCH_FLEET_ROUTE_FLEET_H
 
+#include "fleet/port_reservation.h"
 #include "fleet/process_runner.h"
 
 #include <httplib.h>
 
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -115,7 +117,8 @@
 
   RoutePlan Plan;
   std::string Folder;
-  int AgentPort = 0;
+  PortReservation AgentPort;
+  std::list<PortReservation> Reserved; ///< Ports of the entries.
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
   std::map<std::string, std::string> At;      ///< Address of each stand-in.
   std::map<std::string, Json> Registered;     ///< Entry of each server.
