forwarding: an idle back end is looked for before a busy one is taken

Cause: first tokens came 100 to 150 ms late at back ends that still read other prompts (median 135 ms after the place with under 30 ms to read, 274 ms with 90), while at a third of reading load most back ends read nothing. An entry's news are 200 to 400 ms old, a prompt is read in 20 to 100 ms. Ruled out: waiting at the agent (0 ms for three quarters), slots (busy 12 of 17). Change: the first three asks for a place take only a back end that begins at once and has at most 15, 30, 60 ms to read; then as before.

--- a/packages/core/src/admission/admission.cpp
+++ b/packages/core/src/admission/admission.cpp
@@ -98,10 +98,14 @@
     turnCold(Gate);
 }
 
+bool runsAtOnce(const Admission &Gate) {
+  return Gate.Waiting.Size == 0 && mayStart(Gate);
+}
+
 AdmissionAnswer askToRun(Admission &Gate, const Admittee &One, bool AtOnce) {
   if (One.Alone)
     return askToRunAlone(Gate, One.Who.Attempt);
-  if (AtOnce && Gate.Waiting.Size == 0 && mayStart(Gate)) {
+  if (AtOnce && runsAtOnce(Gate)) {
     ++Gate.Running;
     return {Admitted::Run, Millis{0}, {}};
   }
--- a/packages/core/src/admission/admission_func.h
+++ b/packages/core/src/admission/admission_func.h
@@ -27,6 +27,13 @@
  */
 void backEndReported(Admission &Gate, uint32_t Running, bool Cold, bool Fresh);
 
+/**
+ * Says whether an attempt could run now, without waiting.
+ * @param Gate The state.
+ * @return True when there is room and nobody waits for it.
+ */
+bool runsAtOnce(const Admission &Gate);
+
 /**
  * An attempt asks to run.
  * @param Gate State to change; the attempt counts as running or waiting.
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -72,6 +72,14 @@
   return std::nullopt;
 }
 
+/** Says whether the back end is too busy for an entry that looks for an idle
+ * one. */
+bool isBusier(const AgentState &Agent, const PlaceAsk &m, TimePoint Now) {
+  return m.MostReadingMillis > 0 &&
+         (!runsAtOnce(Agent.Gate) ||
+          readingLeft(Agent.Reading, Now) > Millis(m.MostReadingMillis));
+}
+
 Admittee admitteeOf(const AgentState &Agent, const PlaceAsk &m) {
   Admittee One;
   One.Who = {m.Place, m.Tenant, 1,
@@ -93,6 +101,11 @@
     answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
     return;
   }
+  if (isBusier(Agent, m, Now)) {
+    const Failure Why{ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)};
+    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    return;
+  }
   const AdmissionAnswer Admitted =
       askToRun(Agent.Gate, admitteeOf(Agent, m), mayRead(Agent.Reading, Now));
   if (Admitted.PushedOut)
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -57,6 +57,7 @@
   v("rank", m.Rank);
   v("wait", m.WaitMillis);
   v("prompt", m.PromptTokens);
+  v("most_reading", m.MostReadingMillis);
 }
 
 template <typename V> void describe(V &v, PlaceAnswer &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -227,6 +227,9 @@
   uint32_t Rank = 0;         ///< Urgency; 0 is first.
   uint64_t WaitMillis = 0;   ///< Longest wait that is of use.
   uint32_t PromptTokens = 0; ///< What the back end reads first; 0: not known.
+  /** Refuse unless it can begin at once and no more than this is still to be
+   * read; 0: any, and it may wait. */
+  uint32_t MostReadingMillis = 0;
 };
 
 /** Answer to PlaceAsk, at once or when its turn has come. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -23,9 +23,6 @@
 
 /** Longest wait for a connection: several times the way between regions. */
 constexpr Millis ConnectLimit{300};
-/** Agents asked at most for one request: who is told by three that they are
- * full would seldom find room at a fourth. */
-constexpr uint32_t MaxAsks = 4;
 /** Connections tried at most for one request; none of them sends anything
  * unless it comes about. */
 constexpr uint32_t MaxTries = 5;
@@ -166,11 +163,13 @@
                      "no_attempt_left");
     return;
   }
-  if (Asks >= MaxAsks) {
+  if (!mayAskMore(Search)) {
     endWithoutServer({ErrorKind::Overloaded, "no place", RoomIn}, "no_place");
     return;
   }
-  const ServerChoice Choice = chooseServer(Shared.Pool, Needs, Now);
+  ServerChoice Choice = chooseServer(Shared.Pool, Needs, Now);
+  if (Choice.Server == nullptr && takeBusyOnes(Search, Needs))
+    Choice = chooseServer(Shared.Pool, Needs, Now);
   if (Choice.Server == nullptr) {
     refusedBy(Choice);
     return;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -6,6 +6,7 @@
 #include "base/error_func.h"
 #include "forward/forward_context.h"
 #include "forwarding/event_stream_func.h"
+#include "forwarding/place_search_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -60,7 +61,7 @@
   void askPlace(const ServerView &Server);
   Millis usefulWait(TimePoint Now) const;
   void placeOver(AttemptEnd How);
-  void askElsewhere();
+  void askElsewhere(bool OnlyBusy);
   void agentDidNotAnswer();
   void sendTo(const ServerView &Server);
   void refusedBy(const ServerChoice &Choice);
@@ -106,7 +107,7 @@
   LinkId PlaceLink;    ///< Agent that was asked.
   bool Asking = false; ///< Its answer is awaited.
   TimePoint AskUntil;  ///< The agent is taken for silent after that.
-  uint32_t Asks = 0;   ///< Places asked for.
+  PlaceSearch Search;  ///< Agents asked for a place.
   Millis RoomIn{0};    ///< Shortest time to room that an agent told.
   uint32_t Sent = 0;   ///< Attempts that reached a back end.
   uint32_t Tries = 0;  ///< Attempts, those without a connection included.
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -12,7 +12,7 @@
 
 /** Part of the target that is kept for the way of answer and request. */
 constexpr Millis AnswerMargin{20};
-/** Time in which an agent answers, beyond the wait that it was allowed: many
+/** Time in which an agent answers, beyond a wait that it was allowed: many
  * times the way between regions. */
 constexpr Millis AgentAnswerTime{150};
 
@@ -44,11 +44,15 @@
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
   Ask.PromptTokens =
       Shared.Wire.promptTokens(fieldOf(Asked, Shared.Wire.names().TokenCounts));
+  const Millis MostReading = mostReading(Search);
+  Ask.MostReadingMillis = static_cast<uint32_t>(MostReading.count());
+  placeAsked(Search);
+  AskUntil = Now + AgentAnswerTime;
+  if (MostReading.count() == 0)
+    AskUntil += Wait; // It may wait there.
   PlaceId = Ask.Place;
   PlaceLink = Server.Agent->Link;
   Asking = true;
-  AskUntil = Now + Wait + AgentAnswerTime;
-  ++Asks;
   Shared.Waiting[PlaceId] = weak_from_this();
   Shared.SendToAgent(PlaceLink, Ask);
   armTimer();
@@ -72,19 +76,19 @@
     if (Room.count() > 0)
       RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
   }
-  askElsewhere();
+  askElsewhere(Answer.Why == ErrorKind::Overloaded);
 }
 
 void Exchange::agentDidNotAnswer() {
   agentSilent(Shared.Pool, At);
-  askElsewhere();
+  askElsewhere(false);
 }
 
 /** Gives up the place at this back end and looks for another one. */
-void Exchange::askElsewhere() {
+void Exchange::askElsewhere(bool OnlyBusy) {
   placeOver(AttemptEnd::Dropped);
   attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Shared.Clock.now());
-  Needs.Full.insert(At);
+  placeRefused(Search, Needs, At, OnlyBusy);
   tryNext();
 }
 
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -38,7 +38,8 @@
   /** Asks for a place; gives the answer, if there is one at once. */
   std::optional<PlaceAnswer> ask(const std::string &Id, Millis Wait,
                                  uint32_t Prompt = 0, uint32_t Rank = 1,
-                                 LinkId Link = EntryA) {
+                                 LinkId Link = EntryA,
+                                 uint32_t MostReading = 0) {
     Out.clear();
     PlaceAsk m;
     m.Place.Value = Id;
@@ -46,6 +47,7 @@
     m.Rank = Rank;
     m.WaitMillis = static_cast<uint64_t>(Wait.count());
     m.PromptTokens = Prompt;
+    m.MostReadingMillis = MostReading;
     takePlaceAsk(Agent, Link, m, Now, Out);
     return answered(Id);
   }
@@ -196,3 +198,18 @@
   BOOST_TEST(!One.ask("a", Millis(500)).has_value());
   BOOST_TEST(One.Agent.Gate.Running == 1U);
 }
+
+// An entry looks for an idle back end first: one that has a prompt to read, or
+// work waiting, says so at once instead of letting the request wait.
+BOOST_AUTO_TEST_CASE(ABusyOneRefusesWhoLooksForAnIdleOne) {
+  OneAgent One;
+  One.Agent.Reading.TokensPerSecond = 1000;
+  BOOST_TEST(One.ask("a", Millis(500), 50, 1, EntryA, 20)->Given);
+  const auto Refused = One.ask("b", Millis(500), 50, 1, EntryA, 20);
+  BOOST_TEST(!Refused->Given);
+  BOOST_TEST((Refused->Why == ErrorKind::Overloaded));
+  BOOST_TEST(Refused->ReadingMillis == 50);
+  BOOST_TEST(One.ask("c", Millis(500), 50, 1, EntryA, 60)->Given);
+  BOOST_TEST(!One.ask("d", Millis(500)).has_value()); // Waits: two places.
+  BOOST_TEST(!One.ask("e", Millis(500), 0, 1, EntryA, 1000)->Given);
+}
