--- a/packages/core/src/forwarding/place_search.cpp
+++ b/packages/core/src/forwarding/place_search.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 /**
- * What a back end may have to read to be taken at the first asks. Half a usual
- * prompt, one, and two: the longer the search, the less is gained by another
- * ask, which costs a way to another region and back, 6 ms.
+ * What a back end may have to read to be taken at the first asks, from a
+ * fraction of a usual prompt up to one. The longer the search, the less is
+ * gained by another ask, which costs a way to another region and back, 6 ms.
  */
-constexpr std::array<Millis, 3> MostReadingByAsk = {Millis(15), Millis(30),
-                                                    Millis(60)};
+constexpr std::array<Millis, 5> MostReadingByAsk = {
+    Millis(5), Millis(10), Millis(20), Millis(40), Millis(60)};
 /** Agents asked at most: after the choosy asks, who is told by three that they
  * are full would seldom find room at a fourth. */
 constexpr uint32_t MaxAsks = MostReadingByAsk.size() + 3;
--- a/packages/core/src/forwarding/place_search_func.h
+++ b/packages/core/src/forwarding/place_search_func.h
@@ -4,7 +4,7 @@
  * read in 20 to 100 ms: what it believes about prompts that wait to be read is
  * always out of date. So it asks, and takes a busy back end only after it found
  * no idle one. A back end reads for about a third of its time at full load, so
- * that the second or third one that is asked is nearly always idle.
+ * that the third one that is asked is nearly always idle.
  */
 
 #ifndef JACINTHPOND_CORE_PLACE_SEARCH_FUNC_H
