--- a/packages/core/src/admission/admission.cpp
+++ b/packages/core/src/admission/admission.cpp
@@ -98,8 +98,9 @@
     turnCold(Gate);
 }
 
-bool runsAtOnce(const Admission &Gate) {
-  return Gate.Waiting.Size == 0 && mayStart(Gate);
+bool runsAtOnce(const Admission &Gate, uint32_t Kept) {
+  return Gate.Waiting.Size == 0 && mayStart(Gate) &&
+         busy(Gate) + Kept < Gate.Limit;
 }
 
 AdmissionAnswer askToRun(Admission &Gate, const Admittee &One, bool AtOnce) {
--- a/packages/core/src/admission/admission_func.h
+++ b/packages/core/src/admission/admission_func.h
@@ -30,9 +30,10 @@
 /**
  * Says whether an attempt could run now, without waiting.
  * @param Gate The state.
+ * @param Kept Places that are to stay free.
  * @return True when there is room and nobody waits for it.
  */
-bool runsAtOnce(const Admission &Gate);
+bool runsAtOnce(const Admission &Gate, uint32_t Kept = 0);
 
 /**
  * An attempt asks to run.
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -566,6 +566,7 @@
   // Places may have waited for reading to end, which no message tells.
   if (!Agent.Places.empty() && Agent.Gate.Waiting.Size > 0)
     runWaiting(Agent, Now, Out);
+  giveSparePlaces(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
   readList(Agent, Now, Out);
   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -16,6 +16,7 @@
 #include "weights/transfer_type.h"
 #include "weights/weights_type.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -79,6 +80,7 @@
   Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
   std::map<AttemptId, Place> Places;     ///< Waiting and given.
+  std::deque<AttemptId> SparePlaces;     ///< Those that wait for spare room.
   EndedAttempts Ended;                   ///< Attempts of the last while.
   KeyBook Keys;                          ///< Non-repeatable calls.
   ModelVersion
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -430,6 +430,8 @@
     refusePlace(Agent, Which, {Kind, "", {}}, Out);
     failAttempt(Agent, Which, {Kind, "", {}}, Ran::No, Out);
   }
+  for (const AttemptId &Which : std::exchange(Agent.SparePlaces, {}))
+    refusePlace(Agent, Which, {Kind, "", {}}, Out);
 }
 
 void refuseOverdue(AgentState &Agent, TimePoint Now, Effects &Out) {
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -25,6 +25,17 @@
 /** How long a place stays taken when its end was never told. */
 constexpr Millis ForgottenAfter{20000};
 
+/**
+ * Places that are kept free for requests on time when one that is late gets
+ * one: some come before the next answer ends.
+ */
+constexpr uint32_t KeptForOthers = 3;
+/** Reading beside which a late request holds up nobody. */
+constexpr Millis SpareReading{5};
+/** Late requests that wait at most; half of what usually runs ends in the time
+ * that they wait. */
+constexpr size_t MostSpareWaiting = 8;
+
 /** Answers, and notes what the answer was decided by. */
 void answer(const AgentState &Agent, LinkId Link, const PlaceAsk &Asked,
             const Failure *Refusal, Duration Waited, TimePoint Now,
@@ -72,6 +83,41 @@
   return std::nullopt;
 }
 
+void addPlace(AgentState &Agent, LinkId Link, const PlaceAsk &m,
+              TimePoint Now) {
+  Place One;
+  One.Link = Link;
+  One.Request = m.Request;
+  One.Asked = One.Since = Now;
+  One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
+  One.PromptTokens = m.PromptTokens;
+  Agent.Places[m.Place] = One;
+}
+
+/** Takes a place out of the queue in which it waits. */
+void stopWaitingForPlace(AgentState &Agent, const AttemptId &Which) {
+  stopWaiting(Agent.Gate, Which);
+  std::erase(Agent.SparePlaces, Which);
+}
+
+bool hasSpareRoom(const AgentState &Agent, TimePoint Now) {
+  return runsAtOnce(Agent.Gate, KeptForOthers) &&
+         readingLeft(Agent.Reading, Now) <= SpareReading;
+}
+
+/** Lets a late request wait for spare room, if it may come in time. */
+void takeSpareAsk(AgentState &Agent, LinkId Link, const PlaceAsk &m,
+                  TimePoint Now, Effects &Out) {
+  if (Agent.SparePlaces.size() >= MostSpareWaiting) {
+    const Failure Why{ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)};
+    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    return;
+  }
+  addPlace(Agent, Link, m, Now);
+  Agent.SparePlaces.push_back(m.Place);
+  giveSparePlaces(Agent, Now, Out);
+}
+
 /** Says whether the back end is too busy for an entry that looks for an idle
  * one. */
 bool isBusier(const AgentState &Agent, const PlaceAsk &m, TimePoint Now) {
@@ -101,6 +147,10 @@
     answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
     return;
   }
+  if (m.Spare) {
+    takeSpareAsk(Agent, Link, m, Now, Out);
+    return;
+  }
   if (isBusier(Agent, m, Now)) {
     const Failure Why{ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)};
     answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
@@ -116,17 +166,23 @@
     answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
     return;
   }
-  Place One;
-  One.Link = Link;
-  One.Request = m.Request;
-  One.Asked = One.Since = Now;
-  One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
-  One.PromptTokens = m.PromptTokens;
-  Agent.Places[m.Place] = One;
+  addPlace(Agent, Link, m, Now);
   if (Admitted.May == Admitted::Run)
     givePlace(Agent, m.Place, Now, Out);
 }
 
+void giveSparePlaces(AgentState &Agent, TimePoint Now, Effects &Out) {
+  while (!Agent.SparePlaces.empty() && hasSpareRoom(Agent, Now)) {
+    const AttemptId Which = Agent.SparePlaces.front();
+    Agent.SparePlaces.pop_front();
+    Admittee One;
+    One.Who.Attempt = Which;
+    if (askToRun(Agent.Gate, One, true).May != Admitted::Run)
+      return;
+    givePlace(Agent, Which, Now, Out);
+  }
+}
+
 void givePlace(AgentState &Agent, const AttemptId &Which, TimePoint Now,
                Effects &Out) {
   Place &One = Agent.Places.at(Which);
@@ -158,7 +214,7 @@
   const Place One = it->second;
   Agent.Places.erase(it);
   if (!One.Given) {
-    stopWaiting(Agent.Gate, m.Place);
+    stopWaitingForPlace(Agent, m.Place);
     return;
   }
   const RunEnd Broken = m.Sent ? RunEnd::CutOff : RunEnd::NotBegun;
@@ -166,13 +222,14 @@
            Now - One.Since);
   Agent.Counters.Completed += m.Whole ? 1 : 0;
   runWaiting(Agent, Now, Out);
+  giveSparePlaces(Agent, Now, Out);
 }
 
 void detachPlaces(AgentState &Agent, LinkId Link, TimePoint Now, Effects &) {
   for (auto it = Agent.Places.begin(); it != Agent.Places.end();) {
     Place &One = it->second;
     if (One.Link == Link && !One.Given) {
-      stopWaiting(Agent.Gate, it->first);
+      stopWaitingForPlace(Agent, it->first);
       it = Agent.Places.erase(it);
       continue;
     }
@@ -196,7 +253,7 @@
     if (!One.Given && Now >= One.WaitUntil)
       Late.push_back(Which);
   for (const AttemptId &Which : Late) {
-    stopWaiting(Agent.Gate, Which);
+    stopWaitingForPlace(Agent, Which);
     refusePlace(Agent, Which,
                 {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
   }
--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -36,6 +36,16 @@
 void placeDone(AgentState &Agent, const PlaceDone &m, TimePoint Now,
                Effects &Out);
 
+/**
+ * Gives places to requests that are late in any case, as far as no request on
+ * time is held up by them: in an overload those that come back would otherwise
+ * make fresh ones late as well.
+ * @param Agent State to change.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void giveSparePlaces(AgentState &Agent, TimePoint Now, Effects &Out);
+
 /**
  * Gives a place whose turn has come.
  * @param Agent State to change; the place counts as running already.
--- /dev/null
+++ b/packages/core/src/forwarding/caller_age_func.h
@@ -0,0 +1,38 @@
+/** @file caller_age_func.h How long callers have been trying.
+ *
+ * A caller that was refused and comes back tells only what is left of its time.
+ * It missed the target of its route while it was away, so a place does it no
+ * more good now than a second later, but it would make a fresh request late
+ * that could still be on time. Callers of a route begin with similar deadlines;
+ * what is missing of the shortest of them is the least time that one has been
+ * away.
+ */
+
+#ifndef JACINTHPOND_CORE_CALLER_AGE_FUNC_H
+#define JACINTHPOND_CORE_CALLER_AGE_FUNC_H
+
+#include "configuration/document_type.h"
+#include "forwarding/caller_age_type.h"
+
+namespace jacinthpond {
+
+/**
+ * Gives how long a caller has been trying already.
+ * @param Habits State to change: deadlines are learned.
+ * @param From The route of the request.
+ * @param Left Time that the caller has left.
+ * @return Its least age; 0 for one that may be here for the first time.
+ */
+Duration callerAge(CallerHabits &Habits, const Route &From, Duration Left);
+
+/**
+ * Gives how long a request that is late in any case may wait for a place that
+ * no request on time needs.
+ * @param Left Time that the caller has left.
+ * @return The time; a refusal after it still leaves time to come back.
+ */
+Millis lateWait(Duration Left);
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -58,6 +58,7 @@
   v("wait", m.WaitMillis);
   v("prompt", m.PromptTokens);
   v("most_reading", m.MostReadingMillis);
+  v("spare", m.Spare);
 }
 
 template <typename V> void describe(V &v, PlaceAnswer &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -230,6 +230,7 @@
   /** Refuse unless it can begin at once and no more than this is still to be
    * read; 0: any, and it may wait. */
   uint32_t MostReadingMillis = 0;
+  bool Spare = false; ///< Only a place that no request on time needs.
 };
 
 /** Answer to PlaceAsk, at once or when its turn has come. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -6,6 +6,7 @@
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
+#include "forwarding/caller_age_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -90,6 +91,7 @@
   readDeadline();
   if (!findRoute() || !checkCaller())
     return;
+  Age = callerAge(Shared.Callers, *From, Limit - Arrived);
   Limit = std::min(Limit, Arrived + From->Timeout);
   Needs.Service = pickTarget(*From, Id);
   Needs.From = From;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -60,6 +60,7 @@
   bool couldGoElsewhere(TimePoint Now);
   void askPlace(const ServerView &Server);
   Millis usefulWait(TimePoint Now) const;
+  bool isLate(TimePoint Now) const;
   void placeOver(AttemptEnd How);
   void askElsewhere(bool OnlyBusy);
   void agentDidNotAnswer();
@@ -93,6 +94,7 @@
   const Tenant *Owner = nullptr; ///< Its tenant; null: none.
   ServerNeeds Needs;
   TimePoint Arrived;
+  Duration Age{0}; ///< Time for which its caller had been trying.
   TimePoint Limit; ///< The caller's deadline or the route's timeout.
   boost::asio::steady_timer Timer;
 
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -32,6 +32,8 @@
               " others=" + std::to_string(Server.OtherWork) + " told_ms=" +
               std::to_string(std::min<int64_t>(
                   99999, toMillis(Now - Server.ToldAt).count())) +
+              " left_ms=" + std::to_string(toMillis(Limit - Now).count()) +
+              " caller_age_ms=" + std::to_string(toMillis(Age).count()) +
               " candidates=" + std::to_string(Choice.Candidates) +
               " weights=" + logValue(Server.Weights.Value) +
               " agent=" + (hasAgent(Server) ? "yes" : "no"));
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -3,6 +3,7 @@
 #include "forward/exchange.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
+#include "forwarding/caller_age_func.h"
 
 #include <algorithm>
 
@@ -21,17 +22,22 @@
 /**
  * Time for which a place is worth waiting for: what is left of the target less
  * the usual time to the first part of an answer. A request that waits longer is
- * late in any case and makes those behind it late. One that is late already
- * takes what is free.
+ * late in any case and makes those behind it late.
  */
 Millis Exchange::usefulWait(TimePoint Now) const {
   if (HeadSent)
     return From->GapTarget;
   const Duration Usual = usualFirst(Shared.Pool, Needs.Service);
-  const Duration Left = Arrived + From->Target - Now - Usual - AnswerMargin;
+  const Duration Left =
+      Arrived - Age + From->Target - Now - Usual - AnswerMargin;
   return toMillis(std::max(Left, Duration{0}));
 }
 
+/** Says whether the target is missed, whatever place is given. */
+bool Exchange::isLate(TimePoint Now) const {
+  return !HeadSent && usefulWait(Now).count() == 0;
+}
+
 void Exchange::askPlace(const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   PlaceAsk Ask;
@@ -40,7 +46,12 @@
   Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
   // A stream that broke off is waited for by its caller.
   Ask.Rank = HeadSent ? 0 : rank();
-  const Millis Wait = usefulWait(Now);
+  Millis Wait = usefulWait(Now);
+  if (isLate(Now)) {
+    Ask.Spare = true;
+    Wait = lateWait(Limit - Now);
+    takeBusyOnes(Search, Needs); // It need not begin at once.
+  }
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
   Ask.PromptTokens =
       Shared.Wire.promptTokens(fieldOf(Asked, Shared.Wire.names().TokenCounts));
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include "forward/back_end_call.h"
 #include "forward/caller_session.h"
 #include "forward/forward_counters.h"
+#include "forwarding/caller_age_type.h"
 #include "forwarding/fleet_snapshot_type.h"
 #include "forwarding/repeat_budget_func.h"
 #include "forwarding/route_match_func.h"
@@ -44,6 +45,7 @@
   BackEndConnections Connections;   ///< Kept connections to back ends.
   ServerPool Pool;                  ///< Back ends.
   RepeatBudget Repeats;             ///< Requests sent once more.
+  CallerHabits Callers;             ///< Deadlines that they begin with.
   DocumentPtr Doc;                  ///< Document in force.
   TimePoint DocSince;               ///< When it came into force here.
   RouteIndex Index;                 ///< Look-ups into it.
--- /dev/null
+++ b/tests/unit/caller_age_test.cpp
@@ -0,0 +1,61 @@
+/** @file caller_age_test.cpp Callers that come back are told from fresh ones.
+ */
+// Labels: routes admission
+
+#include "forwarding/caller_age_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthpond;
+
+namespace {
+
+Route streams() {
+  Route From;
+  From.Name = "r";
+  From.Timeout = Millis(6000);
+  return From;
+}
+
+/** Fresh callers, whose deadlines differ by a sixth. */
+void learn(CallerHabits &Habits, const Route &From) {
+  for (int n = 0; n < 100; ++n)
+    BOOST_TEST(callerAge(Habits, From, Millis(5100 + (n * 37) % 900)).count() ==
+               0);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OneThatWasAwayIsOlder) {
+  CallerHabits Habits;
+  const Route From = streams();
+  learn(Habits, From);
+  const Duration Age = callerAge(Habits, From, Millis(4000));
+  BOOST_TEST(toMillis(Age).count() > 500);
+  BOOST_TEST(toMillis(Age).count() <= 2000);
+}
+
+// A single caller with an endless deadline must not make all others look old:
+// no route keeps a request longer than its timeout.
+BOOST_AUTO_TEST_CASE(OneEndlessDeadlineChangesNothing) {
+  CallerHabits Habits;
+  const Route From = streams();
+  callerAge(Habits, From, std::chrono::hours(1));
+  learn(Habits, From);
+}
+
+// The operator gives a route a shorter timeout, or callers change their habits.
+BOOST_AUTO_TEST_CASE(FormerDeadlinesAreForgotten) {
+  CallerHabits Habits;
+  const Route From = streams();
+  learn(Habits, From);
+  for (int n = 0; n < 500; ++n)
+    callerAge(Habits, From, Millis(2000));
+  BOOST_TEST(callerAge(Habits, From, Millis(2000)).count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALateRequestKeepsTimeToComeBack) {
+  BOOST_TEST(lateWait(Millis(3000)).count() == 1000);
+  BOOST_TEST(lateWait(std::chrono::hours(1)).count() <= 2000);
+  BOOST_TEST(lateWait(Duration{-1}).count() == 0);
+}
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -38,8 +38,8 @@
   /** Asks for a place; gives the answer, if there is one at once. */
   std::optional<PlaceAnswer> ask(const std::string &Id, Millis Wait,
                                  uint32_t Prompt = 0, uint32_t Rank = 1,
-                                 LinkId Link = EntryA,
-                                 uint32_t MostReading = 0) {
+                                 LinkId Link = EntryA, uint32_t MostReading = 0,
+                                 bool Spare = false) {
     Out.clear();
     PlaceAsk m;
     m.Place.Value = Id;
@@ -48,6 +48,7 @@
     m.WaitMillis = static_cast<uint64_t>(Wait.count());
     m.PromptTokens = Prompt;
     m.MostReadingMillis = MostReading;
+    m.Spare = Spare;
     takePlaceAsk(Agent, Link, m, Now, Out);
     return answered(Id);
   }
@@ -213,3 +214,47 @@
   BOOST_TEST(!One.ask("d", Millis(500)).has_value()); // Waits: two places.
   BOOST_TEST(!One.ask("e", Millis(500), 0, 1, EntryA, 1000)->Given);
 }
+
+// In an overload refused callers come back. Each place that one of them takes
+// makes a fresh request late, which then comes back as well, so that nobody is
+// on time any more. Late ones take only what fresh ones leave.
+BOOST_AUTO_TEST_CASE(LateRequestsTakeOnlySpareRoom) {
+  OneAgent One;
+  One.Agent.Gate.Limits = {6, 6, 2, 8};
+  One.Agent.Gate.Limit = 6;
+  const auto AskLate = [&](const std::string &Id) {
+    return One.ask(Id, Millis(1000), 0, 1, EntryA, 0, true);
+  };
+  BOOST_TEST(One.ask("a", Millis(100))->Given);
+  BOOST_TEST(One.ask("b", Millis(100))->Given);
+  BOOST_TEST(AskLate("late 1")->Given); // Three places stay free.
+  BOOST_TEST(!AskLate("late 2").has_value());
+  BOOST_TEST(One.ask("c", Millis(100), 0, 1, EntryA, 60)->Given);
+  BOOST_TEST(One.ask("d", Millis(100))->Given);
+  One.done("a");
+  BOOST_TEST(!One.given("late 2"));
+  One.done("b");
+  One.done("c");
+  BOOST_TEST(One.given("late 2"));
+}
+
+BOOST_AUTO_TEST_CASE(ALateRequestWaitsNoLongerThanItSaid) {
+  OneAgent One;
+  BOOST_TEST(!One.ask("late", Millis(1000), 0, 1, EntryA, 0, true).has_value());
+  One.Now += Millis(1000);
+  One.Out.clear();
+  sweepPlaces(One.Agent, One.Now, One.Out);
+  BOOST_TEST(!One.answered("late")->Given);
+  BOOST_TEST(One.Agent.SparePlaces.empty());
+  BOOST_TEST(One.Agent.Places.empty());
+}
+
+// An agent that leaves or loads tells those that wait for spare room as well.
+BOOST_AUTO_TEST_CASE(LateRequestsAreRefusedWhenTheAgentStops) {
+  OneAgent One;
+  BOOST_TEST(!One.ask("late", Millis(1000), 0, 1, EntryA, 0, true).has_value());
+  One.Out.clear();
+  agentStop(One.Agent, One.Now, One.Out);
+  BOOST_TEST((One.answered("late")->Why == ErrorKind::Leaving));
+  BOOST_TEST(One.Agent.Places.empty());
+}
