weights: turns to load are waited for, uplinks send in short bursts

A worker gave up the one before it after rollout_patience_ms without progress, and none was seen: the one before held all chunks of the former set when it was looked at first. Ruled out: missing links (15 peers), an idle class. And: first tokens took 211 ms instead of 165 ms while chunks moved. Change: fewer than half of the chunks seen before mean a new set; a narrow link makes up for 0.03 s only and has 0.08 s of chunks under way. Log: event=drain_for_load.

--- a/packages/core/src/base/rate_limit.cpp
+++ b/packages/core/src/base/rate_limit.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/** Idle time that is made up for; longer than the period of decisions. */
-constexpr double BurstSeconds = 0.1;
 /** Part of the rate that live traffic cannot take. */
 constexpr double LeastShare = 0.1;
 /** Time over which live traffic is measured. */
@@ -38,7 +36,7 @@
   const std::chrono::duration<double> Passed = Now - Limit.Filled;
   Limit.Filled = Now;
   Limit.Tokens =
-      std::min(Limit.Tokens + Rate * Passed.count(), Rate * BurstSeconds);
+      std::min(Limit.Tokens + Rate * Passed.count(), Rate * Limit.BurstSeconds);
   return Limit.Tokens >= 0;
 }
 
--- a/packages/core/src/base/rate_limit_type.h
+++ b/packages/core/src/base/rate_limit_type.h
@@ -11,6 +11,8 @@
 
 /** Limits a flow of bytes to a mean rate. */
 struct RateLimit {
+  /** Idle time that is made up for; longer than the period of decisions. */
+  double BurstSeconds = 0.1;
   uint64_t BytesPerSecond = 0; ///< Mean rate; 0: unlimited.
   double Tokens = 0;           ///< Bytes that may go now; below 0: a debt.
   TimePoint Filled;            ///< When Tokens was brought up to date.
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -116,7 +116,9 @@
   if (Link == nullptr)
     return View;
   View.LastAnswered = Now;
-  if (Link->Load.ChunksHeld > View.MostHeld) {
+  // It held all of the set before until it heard of this one.
+  const bool Began = Link->Load.ChunksHeld < View.MostHeld / 2;
+  if (Began || Link->Load.ChunksHeld > View.MostHeld) {
     View.MostHeld = Link->Load.ChunksHeld;
     View.LastProgress = Now;
   }
@@ -216,6 +218,11 @@
     return;
   if (!Weights.Draining) {
     Weights.Draining = true;
+    Out.push_back(LogNote{
+        LogPart::Weights, LogLevel::Info,
+        "event=drain_for_load set=" + Weights.Wanted.Set.Value +
+            " busy=" + std::to_string(Agent.Gate.Running) +
+            " missing=" + std::to_string(Agent.Transfer.Missing.size())});
     refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
   }
   if (!wholeSetHeld(Weights))
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -26,9 +26,12 @@
 /** Part of the own link that weights may use; answers of the back end share
  * it, and would wait behind a full one. */
 constexpr double LinkPart = 0.75;
+/** Idle time of a narrow link that is made up for: answers wait that long
+ * behind chunks. Decisions come every 10 ms while chunks move. */
+constexpr double NarrowBurstSeconds = 0.03;
 /** Time that chunks under way may fill the own link: a request or an answer
  * waits that long behind them at most. */
-constexpr double LinkFillSeconds = 0.13;
+constexpr double LinkFillSeconds = 0.08;
 /** The same while the back end holds nothing: no answer waits behind chunks,
  * and each second until it serves counts. */
 constexpr double IdleLinkFillSeconds = 0.3;
@@ -627,6 +630,8 @@
           ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
           : static_cast<uint64_t>(LinkPart *
                                   Transfer.Options.LinkBytesPerSecond);
+  if (Transfer.Options.LinkBytesPerSecond > 0)
+    Transfer.Uplink.BurstSeconds = NarrowBurstSeconds;
   Transfer.Across.BytesPerSecond =
       static_cast<uint64_t>(Config.AcrossBytesPerSecond);
   Transfer.Random = rendezvousScore("transfer", Config.Name) | 1U;
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -199,3 +199,20 @@
   One.Agent.Fleet.Joining.Fresh = true;
   BOOST_TEST(One.loads());
 }
+
+// All workers of a model drain in the same second, and callers are refused. The
+// one before this one held all chunks of the set before; those that it fetches
+// of the new one looked like no progress, so that it was given up.
+BOOST_AUTO_TEST_CASE(ChunksOfTheSetBeforeDoNotHideProgress) {
+  constexpr uint32_t OfSetBefore = 48;
+  Waiting One(0.75);
+  One.before(0, One.Old, OfSetBefore);
+  One.before(1, One.Old, OfSetBefore);
+  BOOST_TEST(!One.loads());
+  for (uint32_t n = 0; n < 40; ++n) {
+    One.before(0, One.Old, n);
+    BOOST_TEST(!One.loads(Millis(2000)));
+  }
+  One.before(0, One.New, OfSetBefore);
+  BOOST_TEST(One.loads());
+}
