--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -25,9 +25,13 @@
 constexpr double UsualErrors = 0.25;
 /** Requests by which a back end that fails everything counts as busier. */
 constexpr double ErrorPenalty = 40;
-/** Requests by which one of another domain counts as busier, so that work
- * stays near only while near ones are no busier. */
-constexpr double FarPenalty = 0.4;
+/**
+ * Part of its slots by which a back end of another domain counts as busier. The
+ * way there costs bytes between regions and a round trip for each agent that is
+ * asked; busier ones write more slowly, so that work does go there before near
+ * ones are full.
+ */
+constexpr double FarPart = 0.35;
 /** Reading that counts as much as one request under way. */
 constexpr Millis ReadingAsRequest{25};
 /** Time after which a back end's word on its load counts half. */
@@ -179,7 +183,7 @@
   Score += static_cast<double>(toMillis(Reading).count()) /
            static_cast<double>(ReadingAsRequest.count());
   if (View.Listed.Domain != Pool.Options.Domain)
-    Score += FarPenalty;
+    Score += FarPart * static_cast<double>(View.Listed.Slots);
   Score += ErrorPenalty * std::max(0.0, View.ErrorShare - UsualErrors);
   return Score;
 }
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -286,3 +286,21 @@
   BOOST_TEST(Got.size() == 1U);
   BOOST_TEST(Got.contains("m1"));
 }
+
+// Answers crossed regions although a near back end could begin at once. Near
+// ones are preferred until they are clearly busier than the others.
+BOOST_AUTO_TEST_CASE(WorkStaysNearWhileNearOnesHaveRoom) {
+  Pool One;
+  One.Doc.Servers.clear();
+  for (int n = 0; n < 2; ++n) {
+    One.Doc.Servers.push_back(
+        Pool::server("p" + std::to_string(n), "plain", n, ""));
+    One.Doc.Servers.back().Slots = 20;
+  }
+  One.follow();
+  loadTold(One.State, {"p0"}, 5, One.Now);
+  loadTold(One.State, {"p1"}, 0, One.Now);
+  BOOST_TEST(One.choose("plain") == "p0");
+  loadTold(One.State, {"p0"}, 9, One.Now);
+  BOOST_TEST(One.choose("plain") == "p1");
+}
