weights: loads at once where nothing is served; an origin that is down is left alone; callers come back apart

Weighed and left: finishing an overtaken version first; it would bring 2 s where the origin fails in between and cost 1.5 s otherwise.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -155,6 +155,8 @@
   const Worker *Self = findWorker(Doc, Agent.Fleet.Self.Name);
   if (Self != nullptr && !Self->Model.Value.empty()) {
     const ModelVersion *Wanted = findModel(Doc, Self->Model);
+    if (Wanted != nullptr)
+      noteNewest(Agent.Weights, Wanted->Set, Now);
     if (Wanted != nullptr && !Wanted->Origin.Value.empty())
       wantList(Agent, *Wanted, Now, Out);
     else if (Wanted != nullptr)
@@ -416,7 +418,7 @@
     if (Agent.Weights.Loaded != Read.Value->Weights)
       Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
                             "Engine has set " + Read.Value->Weights.Value});
-    Agent.Weights.Loaded = Read.Value->Weights;
+    noteLoaded(Agent.Weights, Read.Value->Weights);
   }
   if (Agent.BackEndUp && !Read.Value)
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -81,8 +81,7 @@
                 "Time from the stop signal until the process is killed; 0: "
                 "not known."},
     SettingSpec{"weights_change_ms", &Settings::WeightsChangeMillis,
-                SettingOwner::Entry, false, "ms", 1000, MaxSettingMillis,
-                "8000",
+                SettingOwner::Both, false, "ms", 1000, MaxSettingMillis, "8000",
                 "Time after which nothing may begin on weights that were "
                 "replaced."},
     SettingSpec{"lapse_grace_ms", &Settings::LapseGraceMillis,
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -149,6 +149,20 @@
   return Leaving || Over ? Wait::GivenUp : Wait::Pending;
 }
 
+/**
+ * Says whether an order can do no harm although peers were not asked yet what
+ * is wanted: only this agent orders at an engine that its own host alone may
+ * command, and it serves nothing until then. After a start of everything all
+ * callers wait for these orders.
+ */
+bool hasNothingToLose(const AgentState &Agent) {
+  return Agent.Weights.AtEngine && Agent.Weights.Loaded.Value.empty();
+}
+
+bool mayOrder(const AgentState &Agent) {
+  return viewIsFresh(Agent.Fleet) || hasNothingToLose(Agent);
+}
+
 /**
  * Says whether it is this worker's turn. All workers before it are looked at
  * each time, so that the limits run while the chunks still come.
@@ -200,8 +214,7 @@
     dropFormerChunks(Weights);
   }
   const bool Needed = Weights.Loaded != Weights.Wanted.Set &&
-                      !Weights.Loading && Agent.BackEndUp &&
-                      viewIsFresh(Agent.Fleet);
+                      !Weights.Loading && Agent.BackEndUp && mayOrder(Agent);
   if (!Needed)
     return;
   if (Agent.Rollout.Set != Weights.Wanted.Set)
@@ -214,7 +227,11 @@
     Weights.Draining = false;
     return;
   }
-  if (mayServe(Weights) && !Turn)
+  // Where entries send requests themselves, none comes any more then.
+  const bool TooOld =
+      Weights.AtEngine &&
+      isTooOldToServe(Weights, formerWeightsTime(Agent.Config), Now);
+  if (mayServe(Weights) && !Turn && !TooOld)
     return;
   if (!Weights.Draining) {
     Weights.Draining = true;
@@ -230,8 +247,7 @@
   // An agent that was paused or cut off knows that its view is old; another
   // may own the host by now. It orders nothing until it has asked its peers.
   // Runs that nobody waits for any more do not hold the order up.
-  if (Agent.Gate.Running == 0 && Now >= Weights.NextOrder &&
-      viewIsFresh(Agent.Fleet))
+  if (Agent.Gate.Running == 0 && Now >= Weights.NextOrder && mayOrder(Agent))
     orderLoad(Weights, versionInForce(Agent.View), Out);
 }
 
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -294,15 +294,26 @@
          });
 }
 
+/** Says whether no answers share the own link: nothing is loaded, or nothing
+ * that requests may still begin on. */
+bool servesNothing(const TransferState &Transfer, const WeightsState &Weights,
+                   TimePoint Now) {
+  return Weights.Loaded.Value.empty() ||
+         (Weights.AtEngine &&
+          isTooOldToServe(Weights, Transfer.Options.FormerTime, Now));
+}
+
 /** Chunks that may be under way to this host. */
-size_t mostAsked(const TransferState &Transfer, const WeightsState &Weights) {
+size_t mostAsked(const TransferState &Transfer, const WeightsState &Weights,
+                 TimePoint Now) {
   if (Transfer.Options.LinkBytesPerSecond <= 0 || Transfer.ChunkBytes == 0)
     return MaxAsked;
   // Requests, their ends and answers would wait behind chunks.
   if (ownLinkIsSlow(Transfer))
     return 1;
-  const double Seconds =
-      Weights.Loaded.Value.empty() ? IdleLinkFillSeconds : LinkFillSeconds;
+  const double Seconds = servesNothing(Transfer, Weights, Now)
+                             ? IdleLinkFillSeconds
+                             : LinkFillSeconds;
   const double Fit = Seconds * Transfer.Options.LinkBytesPerSecond /
                      static_cast<double>(Transfer.ChunkBytes);
   return static_cast<size_t>(
@@ -340,7 +351,7 @@
     Open += Peer.Asked.size();
     Room |= Peer.Asked.size() < MaxAskedOfPeer && Now >= Peer.AvoidUntil;
   }
-  const size_t Most = mostAsked(Transfer, Weights);
+  const size_t Most = mostAsked(Transfer, Weights, Now);
   if (!Room || Open >= Most)
     return;
   for (const size_t n : wantedFromPeers(Transfer)) {
@@ -622,9 +633,9 @@
 
 TransferState makeTransfer(const Settings &Config) {
   TransferState Transfer;
-  Transfer.Options = {Config.WeightsFromPeers,
-                      Millis(Config.ChunkTakeoverMillis),
-                      Config.LinkMegabits * BytesPerMegabit};
+  Transfer.Options = {
+      Config.WeightsFromPeers, Millis(Config.ChunkTakeoverMillis),
+      Config.LinkMegabits * BytesPerMegabit, formerWeightsTime(Config)};
   Transfer.Uplink.BytesPerSecond =
       Config.UplinkBytesPerSecond > 0
           ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
@@ -755,6 +766,13 @@
     return;
   }
   Transfer.Chunks[Transfer.IndexOf.at(Chunk)].RetryAt = Now + OriginRetry;
+  // The origin may be down for everybody, so that nothing shows of the other
+  // drawers. Should each host stand in for all of them, the origin would have
+  // to send every chunk to every host when it is back.
+  Transfer.LastNews = Now;
+  Transfer.DrawsFor.clear();
+  if (Transfer.MostSeen)
+    Transfer.MostSeen = Now;
 }
 
 void chunkStaged(TransferState &Transfer, WeightsState &Weights,
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -17,6 +17,10 @@
 constexpr Millis OrderRetry{200};
 constexpr uint32_t MaxDoublings = 6;
 
+/** Part of the time for a change of weights in which nothing begins on former
+ * ones. */
+constexpr Millis BeginMargin{1200};
+
 /** Keeps the chunks of the wanted set and of the one before it. */
 void dropUnneeded(WeightsState &Weights) {
   std::set<Digest> Needed(Weights.Wanted.Chunks.begin(),
@@ -29,6 +33,37 @@
 
 } // namespace
 
+Millis formerWeightsTime(const Settings &Config) {
+  return std::max(Millis(Config.WeightsChangeMillis) - BeginMargin, Millis{0});
+}
+
+bool isTooOldToServe(const WeightsState &Weights, Millis FormerTime,
+                     TimePoint Now) {
+  return Weights.OutdatedSince && Now - *Weights.OutdatedSince >= FormerTime;
+}
+
+void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Now) {
+  if (Weights.Newest == Set)
+    return;
+  Weights.Newest = Set;
+  Weights.NewestSince = Now;
+  // One that was replaced before is not wanted for longer by another version.
+  if (Weights.Loaded == Set)
+    Weights.OutdatedSince.reset();
+  else if (!Weights.OutdatedSince && !Weights.Loaded.Value.empty())
+    Weights.OutdatedSince = Now;
+}
+
+void noteLoaded(WeightsState &Weights, const Digest &Set) {
+  if (Weights.Loaded == Set)
+    return;
+  Weights.Loaded = Set;
+  Weights.OutdatedSince.reset();
+  const bool Replaced = !Weights.Newest.Value.empty() && Set != Weights.Newest;
+  if (Replaced)
+    Weights.OutdatedSince = Weights.NewestSince;
+}
+
 void wantWeights(WeightsState &Weights, const ModelVersion &Wanted) {
   if (Weights.Wanted.Set == Wanted.Set)
     return;
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -3,10 +3,45 @@
 #ifndef JACINTHPOND_CORE_WEIGHTS_FUNC_H
 #define JACINTHPOND_CORE_WEIGHTS_FUNC_H
 
+#include "settings/settings_type.h"
 #include "weights/weights_type.h"
 
 namespace jacinthpond {
 
+/**
+ * Gives how long requests may begin on weights after others were named. News of
+ * it reach entries within half a second, and a request waits at a back end for
+ * as long; that much of the allowed time is kept free.
+ * @param Config The settings.
+ * @return The time.
+ */
+Millis formerWeightsTime(const Settings &Config);
+
+/**
+ * Says whether no request may begin any more on the weights that are loaded.
+ * @param Weights The state.
+ * @param FormerTime How long requests may begin on replaced weights.
+ * @param Now Current time.
+ * @return True once they were replaced that long ago.
+ */
+bool isTooOldToServe(const WeightsState &Weights, Millis FormerTime,
+                     TimePoint Now);
+
+/**
+ * A document names the newest set.
+ * @param Weights State to change.
+ * @param Set The set.
+ * @param Now Current time.
+ */
+void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Now);
+
+/**
+ * The engine has loaded a set.
+ * @param Weights State to change.
+ * @param Set The set; empty: nothing.
+ */
+void noteLoaded(WeightsState &Weights, const Digest &Set);
+
 /**
  * Follows the published version. The chunks of the version wanted until now
  * are kept beside its own until it is loaded, since it may be taken back; so
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -8,6 +8,7 @@
 #include "configuration/document_type.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,12 +21,15 @@
   std::vector<Digest> Before;        ///< Chunks of the set wanted before.
   std::map<Digest, ChunkBytes> Held; ///< Checked chunks of these two sets; null
                                      ///< where they lie staged at the engine.
-  bool AtEngine = false;   ///< Chunks lie at the engine and not in memory here.
-  Digest Loaded;           ///< What the engine said last that it has loaded.
-  std::string EngineRun;   ///< Incarnation of the engine; empty: silent.
-  bool Draining = false;   ///< No new work until the wanted set is loaded.
-  bool Loading = false;    ///< Ordered, and not read back since.
-  bool EngineBusy = false; ///< The engine carries out some order.
+  bool AtEngine = false; ///< Chunks lie at the engine and not in memory here.
+  Digest Loaded;         ///< What the engine said last that it has loaded.
+  Digest Newest;         ///< Set that the newest document names.
+  TimePoint NewestSince; ///< When it was heard of.
+  std::optional<TimePoint> OutdatedSince; ///< Since when Loaded is replaced.
+  std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
+  bool Draining = false;     ///< No new work until the wanted set is loaded.
+  bool Loading = false;      ///< Ordered, and not read back since.
+  bool EngineBusy = false;   ///< The engine carries out some order.
   uint64_t OrdersGiven = 0;  ///< Load orders that were sent.
   uint64_t OrdersEnded = 0;  ///< Load orders that the engine answered.
   std::set<Digest> Whole;    ///< Sets that were published, hence whole.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -7,6 +7,7 @@
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/come_back_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -41,8 +42,6 @@
 constexpr double SlowGaps = 6.0;
 /** Bytes that may wait for a caller that reads slowly. */
 constexpr size_t MaxBacklog = 1 << 20;
-/** Part of the time left for which callers wait before they come back. */
-constexpr int PartToComeBack = 3;
 /** Largest answer that is held until it is whole. */
 constexpr size_t MaxWholeAnswer = 16 << 20;
 constexpr int64_t MostRemaining = int64_t{3600} * 1000;
@@ -450,11 +449,8 @@
   CallerAnswer Out;
   Out.result(Status);
   Out.set(http::field::content_type, "application/json");
-  // Callers wait for a part of the time they have left at most; one that is
-  // told to come back later than that would not come at all.
-  const Duration Left = std::max(Limit - Shared.Clock.now(), Duration{0});
   const Millis Again =
-      std::min(retryAfter(Why), toMillis(Left / PartToComeBack));
+      comeBackAfter(Why, Limit - Shared.Clock.now(), Shared.Pool.Random);
   const bool Promises = Executed == Ran::No && (Status == 503 || Status == 429);
   if (Promises && Again.count() > 0)
     Out.set(http::field::retry_after, secondsText(Again));
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "log/log.h"
 #include "routing/directory_func.h"
 #include "threads/process.h"
+#include "weights/weights_func.h"
 
 #include <boost/asio/post.hpp>
 
@@ -25,11 +26,6 @@
 constexpr int ListenBacklog = 1024;
 /** Wait before accepting again when no descriptor is left. */
 constexpr Millis AcceptPause{50};
-/**
- * Part of the time for a change of weights that is kept free: news of it reach
- * entries within half a second, and a request waits at a back end for as long.
- */
-constexpr Millis BeginMargin{1200};
 /** Time between two looks for old idle connections. */
 constexpr Millis SweepPeriod{1000};
 
@@ -62,8 +58,7 @@
 }
 
 void Forwarder::takeOptions(const Settings &From) {
-  Shared.Pool.Options.FormerWeightsFor =
-      std::max(Millis(From.WeightsChangeMillis) - BeginMargin, Millis{0});
+  Shared.Pool.Options.FormerWeightsFor = formerWeightsTime(From);
   Shared.Pool.Options.LapseGrace = Millis(From.LapseGraceMillis);
   Shared.Repeats.Limits = {From.RepeatRatio,
                            static_cast<uint32_t>(From.RepeatSlack),
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -216,3 +216,42 @@
   One.before(0, One.New, OfSetBefore);
   BOOST_TEST(One.loads());
 }
+
+// Everything lost power. The weights lie staged, yet all callers wait another
+// half second for each agent to ask its peers what is wanted.
+BOOST_AUTO_TEST_CASE(AnEmptyEngineOfTheOwnHostLoadsAtOnce) {
+  Waiting One(0.0);
+  One.Agent.Fleet.Joining.Fresh = false;
+  One.Agent.Weights.AtEngine = true;
+  BOOST_TEST(!One.loads()); // It serves: what it has may be what is wanted.
+  One.reads("other run", Digest{}); // Restarted; the order goes out.
+  BOOST_TEST(One.Agent.Weights.Loading);
+}
+
+// Entries begin nothing any more on weights that were replaced long ago. A
+// worker that still waits for its turn to load would stand idle for seconds.
+BOOST_AUTO_TEST_CASE(WeightsThatNobodyUsesAreNotKeptForTheTurn) {
+  Waiting One(0.75);
+  One.Agent.Weights.AtEngine = true;
+  One.Agent.Config.WeightsChangeMillis = 8000;
+  One.before(0, One.Old);
+  One.before(1, One.Old);
+  noteNewest(One.Agent.Weights, One.New, One.Now);
+  BOOST_TEST(!One.loads(Millis(6500)));
+  BOOST_TEST(One.loads(Millis(500)));
+}
+
+// A version is overtaken before this worker has it: what it serves was replaced
+// when the first of both was named.
+BOOST_AUTO_TEST_CASE(AnotherVersionDoesNotExtendTheTimeOfAFormerOne) {
+  WeightsState Weights;
+  const TimePoint Start{Millis(1000)};
+  noteLoaded(Weights, Digest{"1"});
+  noteNewest(Weights, Digest{"2"}, Start);
+  noteNewest(Weights, Digest{"3"}, Start + Millis(2000));
+  BOOST_TEST((Weights.OutdatedSince == Start));
+  noteLoaded(Weights, Digest{"2"});
+  BOOST_TEST((Weights.OutdatedSince == Start + Millis(2000)));
+  noteLoaded(Weights, Digest{"3"});
+  BOOST_TEST(!Weights.OutdatedSince);
+}
--- a/tests/unit/slow_link_test.cpp
+++ b/tests/unit/slow_link_test.cpp
@@ -75,3 +75,26 @@
   BOOST_TEST(Waited >= 1000U);
   BOOST_TEST(Waited <= 2500U);
 }
+
+// The origin is down for some seconds. Each host took over all chunks from all
+// others one after the other, and when the origin came back it sent four copies
+// of everything, which took twice as long as one.
+BOOST_AUTO_TEST_CASE(AnOriginThatIsDownIsNotAskedForEverything) {
+  Host One;
+  const ModelVersion Model = version({"a", "b", "c", "d"});
+  One.want(Model);
+  const size_t Own = One.Transfer.Plan.Self;
+  size_t Draws = 0;
+  for (int n = 0; n < 100; ++n) { // Five seconds.
+    One.asked(Millis(50));
+    for (const Effect &Did : std::vector<Effect>(One.Out)) {
+      const auto *Fetch = std::get_if<FetchFromOrigin>(&Did);
+      if (Fetch == nullptr)
+        continue;
+      Draws += Fetch->Chunk.Number == Own ? 0 : 1;
+      chunkFromOrigin(One.Transfer, One.Weights, Fetch->Chunk.Content, {},
+                      One.Now, One.Out);
+    }
+  }
+  BOOST_TEST(Draws <= 5U);
+}
