--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -45,13 +45,12 @@
 
 /** A place at the back end for a request that an entry sends there itself. */
 struct Place {
-  LinkId Link;               ///< Who asked.
-  RequestId Request;         ///< For logs.
-  TimePoint Asked;           ///< When it was asked for.
-  TimePoint Since;           ///< When it was asked for, then when it was given.
-  TimePoint WaitUntil;       ///< After that it is of no use.
-  uint32_t PromptTokens = 0; ///< What the back end reads for it.
-  bool Given = false;        ///< The request may be at the back end.
+  LinkId Link;         ///< Who asked.
+  PlaceAsk Ask;        ///< What was asked.
+  TimePoint Asked;     ///< When it was asked for.
+  TimePoint Since;     ///< When it was asked for, then when it was given.
+  TimePoint WaitUntil; ///< After that it is of no use.
+  bool Given = false;  ///< The request may be at the back end.
   std::optional<TimePoint> LinkLost; ///< Since when nobody can speak of it.
 };
 
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -58,17 +58,12 @@
           " limit=" + std::to_string(Agent.Gate.Limit) +
           " waiting=" + std::to_string(Agent.Gate.Waiting.Size) +
           " reading_ms=" + std::to_string(m.ReadingMillis) +
+          " most_reading_ms=" + std::to_string(Asked.MostReadingMillis) +
+          " spare_only=" + (Asked.Spare ? "yes" : "no") +
           " waited_ms=" + std::to_string(toMillis(Waited).count()) +
           " weights=" + Agent.Weights.Loaded.Value});
 }
 
-PlaceAsk askOf(const AttemptId &Which, const Place &One) {
-  PlaceAsk Asked;
-  Asked.Place = Which;
-  Asked.Request = One.Request;
-  return Asked;
-}
-
 /** Says why no place at all is given now, or nothing. */
 std::optional<ErrorKind> standingRefusal(const AgentState &Agent) {
   if (agentIsLeaving(Agent))
@@ -87,10 +82,9 @@
               TimePoint Now) {
   Place One;
   One.Link = Link;
-  One.Request = m.Request;
+  One.Ask = m;
   One.Asked = One.Since = Now;
   One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
-  One.PromptTokens = m.PromptTokens;
   Agent.Places[m.Place] = One;
 }
 
@@ -188,10 +182,9 @@
   Place &One = Agent.Places.at(Which);
   One.Given = true;
   One.Since = Now;
-  addReading(Agent.Reading, One.PromptTokens, Now);
+  addReading(Agent.Reading, One.Ask.PromptTokens, Now);
   ++Agent.Counters.Started;
-  answer(Agent, One.Link, askOf(Which, One), nullptr, Now - One.Asked, Now,
-         Out);
+  answer(Agent, One.Link, One.Ask, nullptr, Now - One.Asked, Now, Out);
 }
 
 void refusePlace(AgentState &Agent, const AttemptId &Which, const Failure &Why,
@@ -202,7 +195,7 @@
     return;
   ++Agent.Counters.Refused[Why.Kind];
   const Place &One = it->second;
-  answer(Agent, One.Link, askOf(Which, One), &Why, Now - One.Asked, Now, Out);
+  answer(Agent, One.Link, One.Ask, &Why, Now - One.Asked, Now, Out);
   Agent.Places.erase(it);
 }
 
