agent, entry: small back ends and slow services take late requests; nothing begins while most answers stall

Found by reading the change: a back end with three places would never have taken a late request, and a service whose first parts usually come later than its target would have had late requests only.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -40,8 +40,6 @@
 constexpr Millis ListRetry{300};
 /** Gap between two ticks that shows that this process was paused. */
 constexpr Millis LongestTickGap{250};
-/** Answers in progress from which stalls are judged. */
-constexpr size_t FewestStalls = 2;
 
 /** Works out how far the back end is from serving. */
 WorkerState stateOf(const AgentState &Agent) {
@@ -198,16 +196,8 @@
 void noteStalls(AgentState &Agent, TimePoint Now, Effects &Out) {
   if (Now - Agent.Fleet.LastTick > LongestTickGap)
     return;
-  size_t Begun = 0;
-  size_t Stalled = 0;
-  for (const auto &[Id, One] : Agent.Attempts) {
-    if (One.LastToken == TimePoint{})
-      continue;
-    ++Begun;
-    Stalled += farOverWarm(Agent.Gate.Pace, Now - One.LastToken) ? 1 : 0;
-  }
-  const bool Most = Begun >= FewestStalls && Stalled * 2 > Begun;
-  if (!Most || Agent.Gate.Limit <= Agent.Gate.Limits.Cold)
+  if (!mostAnswersStall(Agent, Now) ||
+      Agent.Gate.Limit <= Agent.Gate.Limits.Cold)
     return;
   turnCold(Agent.Gate);
   Out.push_back(LogNote{LogPart::Admission, LogLevel::Warn,
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -5,6 +5,7 @@
 #include "admission/admission_func.h"
 #include "admission/quarantine_func.h"
 #include "admission/reading_func.h"
+#include "admission/token_pace_func.h"
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
 #include "attempts/keyed_attempt_func.h"
@@ -172,6 +173,9 @@
   return std::nullopt;
 }
 
+/** Answers in progress from which stalls are judged. */
+constexpr size_t FewestStalls = 2;
+
 /** Gives an attempt to the back end. */
 void beginAttempt(AgentState &Agent, Attempt &One, TimePoint Now,
                   Effects &Out) {
@@ -215,7 +219,8 @@
   }
   Admittee Asking = admitteeOf(Agent, m);
   Asking.Alone = Asking.Alone || Doubt == Suspicion::RunAlone;
-  const AdmissionAnswer Answer = askToRun(Agent.Gate, Asking);
+  const AdmissionAnswer Answer =
+      askToRun(Agent.Gate, Asking, !mostAnswersStall(Agent, Now));
   if (Answer.PushedOut)
     pushOut(Agent, *Answer.PushedOut, Out);
   if (Answer.May == Admitted::Refuse)
@@ -387,7 +392,9 @@
 }
 
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out) {
-  while (mayRead(Agent.Reading, Now)) {
+  // The next look at the back end goes on with it. A tick that would call it
+  // cold may come late, where this process itself gets little time.
+  while (mayRead(Agent.Reading, Now) && !mostAnswersStall(Agent, Now)) {
     const auto Next = nextToRun(Agent.Gate);
     if (!Next)
       return;
@@ -434,6 +441,18 @@
     refusePlace(Agent, Which, {Kind, "", {}}, Out);
 }
 
+bool mostAnswersStall(const AgentState &Agent, TimePoint Now) {
+  size_t Begun = 0;
+  size_t Stalled = 0;
+  for (const auto &[Id, One] : Agent.Attempts) {
+    if (One.LastToken == TimePoint{})
+      continue;
+    ++Begun;
+    Stalled += farOverWarm(Agent.Gate.Pace, Now - One.LastToken) ? 1 : 0;
+  }
+  return Begun >= FewestStalls && Stalled * 2 > Begun;
+}
+
 void refuseOverdue(AgentState &Agent, TimePoint Now, Effects &Out) {
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
     const auto it = Agent.Attempts.find(Which);
--- a/packages/core/src/attempts/attempt_func.h
+++ b/packages/core/src/attempts/attempt_func.h
@@ -132,6 +132,15 @@
  */
 void refuseWaiting(AgentState &Agent, ErrorKind Kind, Effects &Out);
 
+/**
+ * Says whether most answers that have begun have stopped coming, as those of a
+ * back end that turned cold do.
+ * @param Agent The state.
+ * @param Now Current time.
+ * @return True when their tokens are far later than a warm back end's.
+ */
+bool mostAnswersStall(const AgentState &Agent, TimePoint Now);
+
 /**
  * Refuses what waits past its deadline.
  * @param Agent State to change.
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -30,6 +30,8 @@
  * one: some come before the next answer ends.
  */
 constexpr uint32_t KeptForOthers = 3;
+/** A small back end keeps this part of its places at most. */
+constexpr uint32_t KeptPart = 4;
 /** Reading beside which a late request holds up nobody. */
 constexpr Millis SpareReading{5};
 /** Late requests that wait at most; half of what usually runs ends in the time
@@ -95,7 +97,8 @@
 }
 
 bool hasSpareRoom(const AgentState &Agent, TimePoint Now) {
-  return runsAtOnce(Agent.Gate, KeptForOthers) &&
+  const uint32_t Kept = std::min(KeptForOthers, Agent.Gate.Limit / KeptPart);
+  return runsAtOnce(Agent.Gate, Kept) &&
          readingLeft(Agent.Reading, Now) <= SpareReading;
 }
 
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -13,6 +13,8 @@
 
 /** Part of the target that is kept for the way of answer and request. */
 constexpr Millis AnswerMargin{20};
+/** Part of the target that the usual time to the first part may take. */
+constexpr int FirstPartShare = 2;
 /** Time in which an agent answers, beyond a wait that it was allowed: many
  * times the way between regions. */
 constexpr Millis AgentAnswerTime{150};
@@ -27,7 +29,9 @@
 Millis Exchange::usefulWait(TimePoint Now) const {
   if (HeadSent)
     return From->GapTarget;
-  const Duration Usual = usualFirst(Shared.Pool, Needs.Service);
+  // Where first parts usually come later than wanted, nobody would wait at all.
+  const Duration Usual = std::min<Duration>(
+      usualFirst(Shared.Pool, Needs.Service), From->Target / FirstPartShare);
   const Duration Left =
       Arrived - Age + From->Target - Now - Usual - AnswerMargin;
   return toMillis(std::max(Left, Duration{0}));
--- a/tests/unit/attempt_recovery_test.cpp
+++ b/tests/unit/attempt_recovery_test.cpp
@@ -205,3 +205,28 @@
   BOOST_TEST(Ended.Known.empty());
   BOOST_TEST(Ended.FrameBytes == 0U);
 }
+
+// An engine turns cold in the middle of its work. The agent gets little
+// processor time, so that the tick which would notice it comes late; meanwhile
+// each answer that ends lets another request begin, and keeps the engine cold.
+BOOST_AUTO_TEST_CASE(NothingBeginsWhileMostAnswersStall) {
+  Mesh All(1, 1, 0);
+  AgentState &Agent = All.Agents.begin()->second;
+  Agent.Gate.Limits.Warm = Agent.Gate.Limit = 8;
+  Agent.Gate.Pace.Warm = milliseconds(10);
+  for (int n = 0; n < 2; ++n) {
+    All.ask("e0", "reports");
+    const Engine Host{All};
+    Host.begin();
+    Host.token("a");
+  }
+  BOOST_TEST(All.Runs.size() == 2U);
+  All.Now += milliseconds(60);
+  All.ask("e0", "reports");
+  BOOST_TEST(All.Runs.size() == 2U);
+  const Engine Last{All};
+  Last.token("b");
+  Last.end(2);
+  All.pass(milliseconds(300));
+  BOOST_TEST(All.Runs.size() == 3U);
+}
