--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -6,6 +6,9 @@
 #include "base/random_func.h"
 #include "base/rate_limit_func.h"
 #include "weights/chunk_plan_func.h"
+#include "weights/chunk_progress_func.h"
+#include "weights/origin_draw_func.h"
+#include "weights/peer_pace_func.h"
 #include "weights/upload_func.h"
 #include "weights/weights_func.h"
 
@@ -41,60 +44,21 @@
 constexpr uint64_t PartsAhead = 2;
 /** Fewest chunks under way: one arrives while the next one is asked for. */
 constexpr double FewestAsked = 2;
-/** Chunks asked of the origin at a time. */
-constexpr size_t MaxDrawing = 2;
-/** Wait before a chunk that the origin failed to give is asked for again. */
-constexpr Millis OriginRetry{200};
-/** How long a peer is left alone after a stall; it may just be busy. */
-constexpr Millis StallAvoidTime{1000};
 /** How long a peer is left alone after its first bad chunk. */
 constexpr Millis AvoidTime{3000};
 constexpr uint32_t MaxDoublings = 5;
-/** Silence of a peer with requests open after which it counts as stalled. */
-constexpr Millis StallLimit{4000};
-/**
- * Times that a chunk alone on the own link takes, after which its sender counts
- * as slow: a peer that serves several others at a time is not slow yet.
- */
-constexpr double SlowChunkTimes = 10;
-/**
- * Ranks that a chunk waits longer where a linked agent said that it brings it.
- * That agent's request may stand in a queue; should it come to nothing, the
- * claim only delays the next rank.
- */
-constexpr size_t ClaimRanks = 4;
-/** The same for a chunk that another domain holds already: nothing stands in a
- * queue at the origin, and a second import costs one chunk. */
+/** Ranks that an import waits longer where a linked agent said that it brings
+ * the chunk; should that come to nothing, a second import costs one chunk. */
 constexpr size_t ImportClaimRanks = 2;
-/** Time for a lost link to come back before its host counts as gone. */
-constexpr Millis GoneTime{1000};
-/** Ranks before this host that are looked at one by one. */
-constexpr size_t MaxKnownRanks = 4;
 /** Time for links to come about after the start. */
 constexpr Millis SettleTime{400};
 /** Time over which the rate of arrival is measured. */
 constexpr Millis RateWindow{1000};
 /** Part of the chunks in view after which the rest counts as overdue soon. */
 constexpr double MostPart = 0.75;
-/** Ranks that take their turn for an overdue chunk in one takeover time. */
-constexpr size_t RanksWhenOverdue = 4;
-/** Weight of the usual time of a chunk against the last one's. */
-constexpr int OldTimeWeight = 3;
 /** Shortest time between two announcements. */
 constexpr Millis TellPeriod{50};
 
-bool hasBit(const std::vector<uint8_t> &Bits, size_t n) {
-  return n / 8 < Bits.size() && ((Bits[n / 8] >> (n % 8)) & 1U) != 0;
-}
-
-void setBit(std::vector<uint8_t> &Bits, size_t n) {
-  Bits[n / 8] |= static_cast<uint8_t>(1U << (n % 8));
-}
-
-bool holds(const ChunkPeer &Peer, const Digest &Set, size_t n) {
-  return Peer.Told.Set == Set && hasBit(Peer.Told.Held, n);
-}
-
 void noteSeen(TransferState &Transfer, ChunkProgress &Chunk, TimePoint Now) {
   if (Chunk.Seen)
     return;
@@ -126,18 +90,6 @@
   }
 }
 
-void releaseChunk(TransferState &Transfer, size_t n) {
-  Transfer.Chunks[n].Asked = Transfer.Chunks[n].Coming = false;
-  Transfer.Partial.erase(n);
-}
-
-/** Takes back what was asked of a peer, so that it is asked elsewhere. */
-void releaseAsked(TransferState &Transfer, ChunkPeer &Peer) {
-  for (const size_t n : Peer.Asked)
-    releaseChunk(Transfer, n);
-  Peer.Asked.clear();
-}
-
 /** Leaves a peer alone for a while, twice as long each time. */
 void avoidPeer(TransferState &Transfer, ChunkPeer &Peer, TimePoint Now) {
   Distrust &Known = Transfer.Distrusted[Peer.Name];
@@ -151,13 +103,6 @@
   return {Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin};
 }
 
-ChunkRef chunkRef(const TransferState &Transfer, size_t n) {
-  ChunkRef Ref = Transfer.Version;
-  Ref.Number = n;
-  Ref.Content = Transfer.Digests[n];
-  return Ref;
-}
-
 void beginSet(TransferState &Transfer, const WeightsState &Weights,
               TimePoint Now) {
   Transfer.Set = Weights.Wanted.Set;
@@ -189,16 +134,6 @@
   }
 }
 
-/** Says whether a chunk can be had from a linked peer that is trusted. */
-bool hasUsableHolder(const TransferState &Transfer, size_t n, bool NearOnly,
-                     TimePoint Now) {
-  return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
-    const ChunkPeer &Peer = Row.second;
-    return (Peer.SameDomain || !NearOnly) && Now >= Peer.AvoidUntil &&
-           holds(Peer, Transfer.Set, n);
-  });
-}
-
 /**
  * Says whether a chunk may be fetched from another domain: once it is seen
  * there and nobody near holds it, rank after rank.
@@ -213,12 +148,6 @@
          Transfer.Options.TakeOver * static_cast<int64_t>(Rank);
 }
 
-/** Time until one more chunk would come from a peer. */
-Duration expectedTime(const ChunkPeer &Peer) {
-  return std::max(Peer.ChunkTime, Duration{1}) *
-         static_cast<int64_t>(Peer.Asked.size() + 1);
-}
-
 /** Finds the peer from which a chunk would come soonest. */
 ChunkPeer *pickSource(TransferState &Transfer, size_t n, TimePoint Now,
                       LinkId &Link) {
@@ -256,44 +185,6 @@
   return Order;
 }
 
-/** The chunk is being brought into this domain; peers are told. */
-void noteComing(TransferState &Transfer, size_t n) {
-  Transfer.Chunks[n].Coming = true;
-  Transfer.HeldChanged = true;
-}
-
-bool comesInParts(const TransferState &Transfer) {
-  return Transfer.Options.LinkBytesPerSecond > 0 && Transfer.ChunkBytes > 0;
-}
-
-/** Time after which a chunk is asked for elsewhere; 0: there is no bound. */
-Duration slowLimit(const TransferState &Transfer) {
-  if (!comesInParts(Transfer))
-    return Duration{0};
-  const std::chrono::duration<double> Alone(
-      static_cast<double>(Transfer.ChunkBytes) /
-      Transfer.Options.LinkBytesPerSecond);
-  return std::chrono::duration_cast<Duration>(Alone * SlowChunkTimes);
-}
-
-/** Says whether chunks of a peer come as quickly as they should. */
-bool isFast(const TransferState &Transfer, const ChunkPeer &Peer) {
-  return Peer.ChunkTime.count() > 0 &&
-         Peer.ChunkTime * 2 <= slowLimit(Transfer);
-}
-
-/** Says whether chunks come slowly from everybody: the own link has become
- * narrower than the settings say. */
-bool ownLinkIsSlow(const TransferState &Transfer) {
-  const auto Known = [](const auto &Row) {
-    return Row.second.ChunkTime.count() > 0;
-  };
-  return comesInParts(Transfer) && std::ranges::any_of(Transfer.Peers, Known) &&
-         std::ranges::none_of(Transfer.Peers, [&](const auto &Row) {
-           return isFast(Transfer, Row.second);
-         });
-}
-
 /** Says whether no answers share the own link: nothing is loaded, or nothing
  * that requests may still begin on. */
 bool servesNothing(const TransferState &Transfer, const WeightsState &Weights,
@@ -372,161 +263,6 @@
   }
 }
 
-/** Position of the host that draws a chunk first. */
-size_t firstDrawer(const TransferState &Transfer, size_t n) {
-  return Transfer.Plan.Hosts.empty() ? 0 : n % Transfer.Plan.Hosts.size();
-}
-
-/** Says whether a host had a link to this one and lost it a while ago. */
-bool isGone(const TransferState &Transfer, const HostName &Name,
-            TimePoint Now) {
-  const auto it = Transfer.Gone.find(Name);
-  return it != Transfer.Gone.end() && Now - it->second >= GoneTime;
-}
-
-/**
- * This host's rank without those before it that are gone, which are seen by
- * their links, and without those that it stands in for already.
- */
-size_t ownDrawRank(const TransferState &Transfer, size_t n, TimePoint Now) {
-  const size_t Rank = drawRank(Transfer.Plan, n);
-  const size_t First = firstDrawer(Transfer, n);
-  if (Transfer.DrawsFor.contains(First))
-    return 0;
-  if (Rank > MaxKnownRanks)
-    return Rank;
-  size_t Alive = 0;
-  for (size_t Step = 0; Step < Rank; ++Step) {
-    const size_t At = (First + Step) % Transfer.Plan.Hosts.size();
-    Alive += isGone(Transfer, Transfer.Plan.Hosts[At].Name, Now) ? 0 : 1;
-  }
-  return Alive;
-}
-
-/**
- * Says whether a rank takes over a chunk that stays out although most others
- * are there. Whoever draws it has a link far narrower than the others', and all
- * hosts would wait for it; drawn twice it costs one chunk.
- */
-bool isOverdue(const TransferState &Transfer, size_t Rank, TimePoint Now) {
-  if (!Transfer.MostSeen)
-    return false;
-  return Now - *Transfer.MostSeen >=
-         Transfer.Options.TakeOver + Transfer.Options.TakeOver *
-                                         static_cast<int64_t>(Rank) /
-                                         static_cast<int64_t>(RanksWhenOverdue);
-}
-
-/**
- * Says whether this host draws a chunk from the origin. The first rank does
- * so at once, and so does the next one when it sees that the link of the first
- * is gone. A host may also be cut off from the origin, or too far away to be
- * seen: then no new chunk comes into view any more, and rank after rank takes
- * over. As long as new chunks do come, the origin is at work and the chunk may
- * be queued there. One that was seen is held by somebody and will come nearer.
- */
-bool mayDraw(const TransferState &Transfer, size_t n, TimePoint Now) {
-  if (!Transfer.Options.FromPeers)
-    return true;
-  if (!planned(Transfer.Plan) || Now < Transfer.SettledAt)
-    return false;
-  const ChunkProgress &Chunk = Transfer.Chunks[n];
-  const bool Claimed = Chunk.ComingHere + Chunk.ComingOutside > 0;
-  const size_t Rank = ownDrawRank(Transfer, n, Now) + (Chunk.Seen ? 1 : 0) +
-                      (Claimed ? ClaimRanks : 0);
-  const bool Quiet = Now - Transfer.LastNews >=
-                     Transfer.Options.TakeOver * static_cast<int64_t>(Rank);
-  return (Quiet || isOverdue(Transfer, Rank, Now)) &&
-         !hasUsableHolder(Transfer, n, false, Now);
-}
-
-void askOrigin(TransferState &Transfer, TimePoint Now, Effects &Out) {
-  for (const size_t n : Transfer.Missing) {
-    if (Transfer.Drawing >= MaxDrawing)
-      return;
-    ChunkProgress &Chunk = Transfer.Chunks[n];
-    if (Chunk.Asked || Now < Chunk.RetryAt || !mayDraw(Transfer, n, Now))
-      continue;
-    Chunk.Asked = true;
-    noteComing(Transfer, n);
-    ++Transfer.Drawing;
-    Out.push_back(FetchFromOrigin{chunkRef(Transfer, n)});
-    const size_t Rank = planned(Transfer.Plan) ? drawRank(Transfer.Plan, n) : 0;
-    if (Rank == 0 || !Transfer.Options.FromPeers)
-      continue;
-    // Its other chunks are drawn without another wait for each of them.
-    Transfer.DrawsFor.insert(firstDrawer(Transfer, n));
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
-                          "Drawing chunk " + std::to_string(n) + " as rank " +
-                              std::to_string(Rank) + "."});
-  }
-}
-
-/**
- * Leaves stalled peers alone. A peer that is frozen, or behind a link that
- * went silent, keeps requests open without end; the heartbeat notices only
- * some of these, and a peer may answer heartbeats while its uplink is stuck.
- */
-void dropStalled(TransferState &Transfer, TimePoint Now, Effects &Out) {
-  for (auto &[Link, Peer] : Transfer.Peers) {
-    if (Peer.Asked.empty() || Now - Peer.LastData < StallLimit)
-      continue;
-    ++Transfer.Counters.Stalls;
-    Peer.AvoidUntil = Now + StallAvoidTime;
-    releaseAsked(Transfer, Peer);
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
-                          "Chunks of " + Peer.Name.Value +
-                              " stay out; asking elsewhere."});
-  }
-}
-
-/** Says whether another peer holds a chunk and lately gave others quickly. */
-bool hasFasterHolder(const TransferState &Transfer, const ChunkPeer &Than,
-                     size_t n, TimePoint Now) {
-  return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
-    const ChunkPeer &Peer = Row.second;
-    return &Peer != &Than && Now >= Peer.AvoidUntil && isFast(Transfer, Peer) &&
-           holds(Peer, Transfer.Set, n);
-  });
-}
-
-/**
- * Asks elsewhere for chunks that trickle in. The link of a peer may have become
- * far narrower than the others'; it still answers, so that it does not count as
- * stalled, and the last chunks of all hosts would wait for it. Where everybody
- * is slow the own link is, and asking more would only fill it.
- */
-void passBySlowPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
-  const Duration Limit = slowLimit(Transfer);
-  if (Limit.count() == 0)
-    return;
-  for (auto &[Link, Peer] : Transfer.Peers) {
-    std::vector<size_t> Slow;
-    std::ranges::copy_if(Peer.Asked, std::back_inserter(Slow), [&](size_t n) {
-      return Now - Transfer.Chunks[n].AskedAt >= Limit &&
-             hasFasterHolder(Transfer, Peer, n, Now);
-    });
-    if (Slow.empty())
-      continue;
-    for (const size_t n : Slow) {
-      Peer.Asked.erase(n);
-      releaseChunk(Transfer, n);
-    }
-    Peer.ChunkTime = Limit;
-    Peer.AvoidUntil = Now + StallAvoidTime;
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
-                          "event=peer_slow peer=" + Peer.Name.Value +
-                              " chunks=" + std::to_string(Slow.size())});
-  }
-}
-
-void learnChunkTime(ChunkPeer &Peer, Duration Took) {
-  Peer.ChunkTime =
-      Peer.ChunkTime.count() == 0
-          ? Took
-          : (Peer.ChunkTime * OldTimeWeight + Took) / (OldTimeWeight + 1);
-}
-
 ChunkHave describeHeld(const TransferState &Transfer) {
   ChunkHave Have;
   Have.Set = Transfer.Set;
@@ -765,14 +501,7 @@
     Transfer.Counters.BytesFromOrigin += Came.Bytes ? Came.Bytes->size() : 0;
     return;
   }
-  Transfer.Chunks[Transfer.IndexOf.at(Chunk)].RetryAt = Now + OriginRetry;
-  // The origin may be down for everybody, so that nothing shows of the other
-  // drawers. Should each host stand in for all of them, the origin would have
-  // to send every chunk to every host when it is back.
-  Transfer.LastNews = Now;
-  Transfer.DrawsFor.clear();
-  if (Transfer.MostSeen)
-    Transfer.MostSeen = Now;
+  drawFailed(Transfer, Transfer.IndexOf.at(Chunk), Now);
 }
 
 void chunkStaged(TransferState &Transfer, WeightsState &Weights,
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -118,7 +118,7 @@
   std::map<HostName, TimePoint> Gone;      ///< Since when links are lost.
   std::set<size_t> DrawsFor;   ///< Positions of hosts that are stood in for.
   TimePoint SettledAt;         ///< Links may have come about by then.
-  TimePoint LastNews;          ///< A chunk was first seen.
+  TimePoint LastNews;          ///< A chunk was first seen, or a draw failed.
   TimePoint LastTold;          ///< Peers were told last.
   bool HeldChanged = false;    ///< Something is to be told.
   uint64_t Random = 1;         ///< Breaks ties; seeded by the name.
