--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -19,6 +19,12 @@
 constexpr std::array<std::string_view, 6> AttemptEndNames = {
     "answered",  "back_end_error", "not_executed",
     "unreached", "broken",         "given_up"};
+
+/** Id of the last event that the caller was sent. */
+std::string lastEvent(const EventStream &Events) {
+  return Events.LastId ? std::to_string(*Events.LastId) : "-";
+}
+
 } // namespace
 
 void Exchange::logAttempt(const ServerView &Server,
@@ -47,8 +53,8 @@
           std::string(AttemptEndNames.at(static_cast<size_t>(How))) +
           " status=" +
           std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
-          " ms=" + std::to_string(toMillis(Took).count()) + " events_until=" +
-          (Events.LastId ? std::to_string(*Events.LastId) : "-"));
+          " ms=" + std::to_string(toMillis(Took).count()) +
+          " events_until=" + lastEvent(Events));
 }
 
 void Exchange::logEnd(const char *Outcome, unsigned Status,
@@ -68,6 +74,7 @@
           " ms=" + Since(Arrived) + " first_ms=" +
           (FirstByte ? std::to_string(toMillis(*FirstByte - Arrived).count())
                      : "-") +
+          " events_until=" + lastEvent(Events) +
           " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
           " age_ms=" + Since(Shared.DocSince));
   if (From != nullptr && FirstByte) {
