--- a/packages/core/src/weights/peer_pace.cpp
+++ b/packages/core/src/weights/peer_pace.cpp
@@ -101,7 +101,8 @@
   const Duration Limit = slowLimit(Transfer);
   if (Limit.count() == 0)
     return;
-  for (auto &[Link, Peer] : Transfer.Peers) {
+  for (auto &Row : Transfer.Peers) {
+    ChunkPeer &Peer = Row.second;
     std::vector<size_t> Slow;
     std::ranges::copy_if(Peer.Asked, std::back_inserter(Slow), [&](size_t n) {
       return Now - Transfer.Chunks[n].AskedAt >= Limit &&
