--- a/packages/core/src/forwarding/caller_age.cpp
+++ b/packages/core/src/forwarding/caller_age.cpp
@@ -3,6 +3,8 @@
 #include "forwarding/caller_age_func.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace jacinthpond {
 
@@ -36,6 +38,14 @@
   return std::max(Shortest - Told, Duration{0});
 }
 
+void forgetOtherRoutes(CallerHabits &Habits, const Document &Doc) {
+  std::set<std::string_view> Names;
+  for (const Route &One : Doc.Routes)
+    Names.insert(One.Name);
+  std::erase_if(Habits.FirstDeadline,
+                [&](const auto &Row) { return !Names.contains(Row.first); });
+}
+
 Millis lateWait(Duration Left) {
   return std::clamp(toMillis(Left / LateWaitPart), Millis{0}, MostLateWait);
 }
--- a/packages/core/src/forwarding/caller_age_func.h
+++ b/packages/core/src/forwarding/caller_age_func.h
@@ -25,6 +25,13 @@
  */
 Duration callerAge(CallerHabits &Habits, const Route &From, Duration Left);
 
+/**
+ * Forgets routes that a document does not have; names change with it.
+ * @param Habits State to change.
+ * @param Doc The document in force.
+ */
+void forgetOtherRoutes(CallerHabits &Habits, const Document &Doc);
+
 /**
  * Gives how long a request that is late in any case may wait for a place that
  * no request on time needs.
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "forward/exchange.h"
 #include "forward/socket_options.h"
+#include "forwarding/caller_age_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
@@ -181,6 +182,7 @@
     Shared.Doc = Doc;
     Shared.DocSince = Now;
     Shared.Index = makeRouteIndex(*Doc);
+    forgetOtherRoutes(Shared.Callers, *Doc);
     poolFollows(Shared.Pool, Doc, Now);
   });
 }
--- a/tests/unit/caller_age_test.cpp
+++ b/tests/unit/caller_age_test.cpp
@@ -54,6 +54,19 @@
   BOOST_TEST(callerAge(Habits, From, Millis(2000)).count() == 0);
 }
 
+// Routes get new names with each change of the configuration; what was learned
+// of those that are gone must not stay in memory for ever.
+BOOST_AUTO_TEST_CASE(RoutesThatAreGoneAreForgotten) {
+  CallerHabits Habits;
+  Document Doc;
+  Doc.Routes.push_back(streams());
+  learn(Habits, Doc.Routes.front());
+  forgetOtherRoutes(Habits, Doc);
+  BOOST_TEST(Habits.FirstDeadline.size() == 1U);
+  forgetOtherRoutes(Habits, Document{});
+  BOOST_TEST(Habits.FirstDeadline.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ALateRequestKeepsTimeToComeBack) {
   BOOST_TEST(lateWait(Millis(3000)).count() == 1000);
   BOOST_TEST(lateWait(std::chrono::hours(1)).count() <= 2000);
