agent, weights, entry: one piece of code where a reading of the change found two

The refusal of a place that did not wait stood four times, beside a branch that could not be reached and would have lost a place; the check for chunks in parts stood twice; what makes weights too old to serve stood half in its function and half at both callers; the useful wait was worked out twice for each question. Two locks with nearly one name are told apart.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -272,7 +272,7 @@
 
 void AgentShell::stageChunk(const StageChunk &Todo) {
   const auto Done = outcomeOf([&]() -> Result<bool> {
-    const std::lock_guard Lock(StagingGuard);
+    const std::lock_guard Lock(LoadGuard);
     BOOST_LEAF_CHECK(Beside.Engine->stage(Todo.Chunk, *Todo.Bytes));
     return true;
   });
@@ -364,7 +364,7 @@
   const auto Done = outcomeOf([&]() -> Result<bool> {
     // The engine loads what lies staged when it takes the order. A chunk of the
     // next version that came in between would be loaded unchecked.
-    const std::lock_guard Lock(StagingGuard);
+    const std::lock_guard Lock(LoadGuard);
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
       BOOST_LEAF_CHECK(prepareChunk(
           {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -104,7 +104,7 @@
   std::condition_variable WatchNow; ///< A load order ended.
   uint64_t OrdersEnded = 0;         ///< Load orders that ended.
   std::mutex StagedGuard;           ///< Guards RecentlyRead.
-  std::mutex StagingGuard; ///< No chunk is staged between check and load.
+  std::mutex LoadGuard; ///< No chunk is staged between check and load.
   std::deque<std::pair<Digest, ChunkBytes>> RecentlyRead; ///< Oldest first.
   std::mutex CancelGuard;                                 ///< Guards Cancelled.
   std::set<AttemptId> Cancelled;                ///< Runs that are to end early.
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -66,6 +66,14 @@
           " weights=" + Agent.Weights.Loaded.Value});
 }
 
+/** Refuses one that did not wait. */
+void refuseAtOnce(const AgentState &Agent, LinkId Link, const PlaceAsk &m,
+                  ErrorKind Kind, Millis RetryAfter, TimePoint Now,
+                  Effects &Out) {
+  const Failure Why{Kind, "", RetryAfter};
+  answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+}
+
 /** Says why no place at all is given now, or nothing. */
 std::optional<ErrorKind> standingRefusal(const AgentState &Agent) {
   if (agentIsLeaving(Agent))
@@ -106,8 +114,8 @@
 void takeSpareAsk(AgentState &Agent, LinkId Link, const PlaceAsk &m,
                   TimePoint Now, Effects &Out) {
   if (Agent.SparePlaces.size() >= MostSpareWaiting) {
-    const Failure Why{ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)};
-    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    refuseAtOnce(Agent, Link, m, ErrorKind::Overloaded,
+                 timeToComeBack(Agent.Gate), Now, Out);
     return;
   }
   addPlace(Agent, Link, m, Now);
@@ -140,8 +148,7 @@
   if (Agent.Places.contains(m.Place))
     return; // Asked twice: the first answer counts.
   if (const auto Standing = standingRefusal(Agent)) {
-    const Failure Why{*Standing, "", {}};
-    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    refuseAtOnce(Agent, Link, m, *Standing, Millis{0}, Now, Out);
     return;
   }
   if (m.Spare) {
@@ -149,8 +156,8 @@
     return;
   }
   if (isBusier(Agent, m, Now)) {
-    const Failure Why{ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)};
-    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    refuseAtOnce(Agent, Link, m, ErrorKind::Overloaded,
+                 timeToComeBack(Agent.Gate), Now, Out);
     return;
   }
   const AdmissionAnswer Admitted =
@@ -159,8 +166,8 @@
     refusePlace(Agent, *Admitted.PushedOut,
                 {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
   if (Admitted.May == Admitted::Refuse) {
-    const Failure Why{ErrorKind::Overloaded, "", Admitted.RetryAfter};
-    answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
+    refuseAtOnce(Agent, Link, m, ErrorKind::Overloaded, Admitted.RetryAfter,
+                 Now, Out);
     return;
   }
   addPlace(Agent, Link, m, Now);
@@ -174,8 +181,7 @@
     Agent.SparePlaces.pop_front();
     Admittee One;
     One.Who.Attempt = Which;
-    if (askToRun(Agent.Gate, One, true).May != Admitted::Run)
-      return;
+    askToRun(Agent.Gate, One); // Runs: there is more room than it needs.
     givePlace(Agent, Which, Now, Out);
   }
 }
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -227,9 +227,7 @@
     Weights.Draining = false;
     return;
   }
-  // Where entries send requests themselves, none comes any more then.
   const bool TooOld =
-      Weights.AtEngine &&
       isTooOldToServe(Weights, formerWeightsTime(Agent.Config), Now);
   if (mayServe(Weights) && !Turn && !TooOld)
     return;
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -190,14 +190,13 @@
 bool servesNothing(const TransferState &Transfer, const WeightsState &Weights,
                    TimePoint Now) {
   return Weights.Loaded.Value.empty() ||
-         (Weights.AtEngine &&
-          isTooOldToServe(Weights, Transfer.Options.FormerTime, Now));
+         isTooOldToServe(Weights, Transfer.Options.FormerTime, Now);
 }
 
 /** Chunks that may be under way to this host. */
 size_t mostAsked(const TransferState &Transfer, const WeightsState &Weights,
                  TimePoint Now) {
-  if (Transfer.Options.LinkBytesPerSecond <= 0 || Transfer.ChunkBytes == 0)
+  if (!comesInParts(Transfer))
     return MaxAsked;
   // Requests, their ends and answers would wait behind chunks.
   if (ownLinkIsSlow(Transfer))
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -39,7 +39,8 @@
 
 bool isTooOldToServe(const WeightsState &Weights, Millis FormerTime,
                      TimePoint Now) {
-  return Weights.OutdatedSince && Now - *Weights.OutdatedSince >= FormerTime;
+  return Weights.AtEngine && Weights.OutdatedSince &&
+         Now - *Weights.OutdatedSince >= FormerTime;
 }
 
 void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Now) {
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -18,7 +18,8 @@
 Millis formerWeightsTime(const Settings &Config);
 
 /**
- * Says whether no request may begin any more on the weights that are loaded.
+ * Says whether no request may begin any more on the weights that are loaded,
+ * where entries send requests to the engine themselves.
  * @param Weights The state.
  * @param FormerTime How long requests may begin on replaced weights.
  * @param Now Current time.
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -60,7 +60,6 @@
   bool couldGoElsewhere(TimePoint Now);
   void askPlace(const ServerView &Server);
   Millis usefulWait(TimePoint Now) const;
-  bool isLate(TimePoint Now) const;
   void placeOver(AttemptEnd How);
   void askElsewhere(bool OnlyBusy);
   void agentDidNotAnswer();
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -37,11 +37,6 @@
   return toMillis(std::max(Left, Duration{0}));
 }
 
-/** Says whether the target is missed, whatever place is given. */
-bool Exchange::isLate(TimePoint Now) const {
-  return !HeadSent && usefulWait(Now).count() == 0;
-}
-
 void Exchange::askPlace(const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   PlaceAsk Ask;
@@ -51,7 +46,7 @@
   // A stream that broke off is waited for by its caller.
   Ask.Rank = HeadSent ? 0 : rank();
   Millis Wait = usefulWait(Now);
-  if (isLate(Now)) {
+  if (!HeadSent && Wait.count() == 0) { // Late, whatever place is given.
     Ask.Spare = true;
     Wait = lateWait(Limit - Now);
     takeBusyOnes(Search, Needs); // It need not begin at once.
