entry, agent: log lines tell since when weights are wanted and whether the view was fresh

A request that began on old weights could not be traced to the entry's belief: attempt said which weights a back end has and not which are wanted since when, place not for how long its weights are replaced, version_in_force not whether the process was out of touch. A line for each request leaves little room for lines about beliefs, so the lines about requests carry the age of the belief.

--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -63,7 +63,11 @@
           " most_reading_ms=" + std::to_string(Asked.MostReadingMillis) +
           " spare_only=" + (Asked.Spare ? "yes" : "no") +
           " waited_ms=" + std::to_string(toMillis(Waited).count()) +
-          " weights=" + Agent.Weights.Loaded.Value});
+          " weights=" + Agent.Weights.Loaded.Value + " replaced_ms=" +
+          (Agent.Weights.OutdatedSince
+               ? std::to_string(
+                     toMillis(Now - *Agent.Weights.OutdatedSince).count())
+               : "-")});
 }
 
 /** Refuses one that did not wait. */
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -110,7 +110,13 @@
           std::to_string(Fleet.Self.Version.Value) +
           " servers=" + std::to_string(View.InForce->Servers.size()) +
           " routes=" + std::to_string(View.InForce->Routes.size()) +
-          " domains_out=" + std::to_string(View.InForce->DomainsOut.size())});
+          " domains_out=" + std::to_string(View.InForce->DomainsOut.size()) +
+          " view=" + (viewIsFresh(Fleet) ? "fresh" : "joining") +
+          " contact_ms=" +
+          (Fleet.Joining.WasFresh
+               ? std::to_string(
+                     toMillis(Now - Fleet.Joining.LastContact).count())
+               : "-")});
   sendHeartbeats(Fleet, View, Now, Out);
   return Became;
 }
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -54,6 +54,7 @@
       Wanted.Formers.erase(Wanted.Formers.begin());
     Wanted.Set = Model.Set;
     Wanted.Version = Model.Version;
+    Wanted.Since = Now;
   }
 }
 
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -352,23 +352,28 @@
          usable(Pool, *View, Needs, *Kind, Now);
 }
 
+const WantedWeights *wantedAt(const ServerPool &Pool, const ServerView &View) {
+  const Service *Kind = findService(Pool, View.Listed.Service);
+  const auto it =
+      Kind == nullptr ? Pool.Wanted.end() : Pool.Wanted.find(Kind->Model);
+  return it == Pool.Wanted.end() ? nullptr : &it->second;
+}
+
 std::string versionToDemand(const ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now) {
   const ServerView *View = findServer(Pool, Id);
-  const Service *Kind =
-      View == nullptr ? nullptr : findService(Pool, View->Listed.Service);
-  const auto Wanted =
-      Kind == nullptr ? Pool.Wanted.end() : Pool.Wanted.find(Kind->Model);
-  if (Wanted == Pool.Wanted.end())
+  const WantedWeights *Wanted =
+      View == nullptr ? nullptr : wantedAt(Pool, *View);
+  if (Wanted == nullptr)
     return "";
-  const std::vector<FormerWeights> &Formers = Wanted->second.Formers;
+  const std::vector<FormerWeights> &Formers = Wanted->Formers;
   const bool SomeOver = std::ranges::any_of(
       Formers, [&](const FormerWeights &One) { return Now >= One.Until; });
   if (!SomeOver && !Formers.empty())
     return "";
   const auto Former =
       std::ranges::find(Formers, View->Weights, &FormerWeights::Set);
-  return Former == Formers.end() ? Wanted->second.Version : Former->Version;
+  return Former == Formers.end() ? Wanted->Version : Former->Version;
 }
 
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -79,6 +79,14 @@
 std::string versionToDemand(const ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now);
 
+/**
+ * Gives the weights that a back end's model should have, as far as is known.
+ * @param Pool The state.
+ * @param View Which back end.
+ * @return The wanted weights; null for a plain service.
+ */
+const WantedWeights *wantedAt(const ServerPool &Pool, const ServerView &View);
+
 /**
  * An attempt goes to a back end.
  * @param Pool State to change.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -55,6 +55,7 @@
 struct WantedWeights {
   Digest Set;          ///< Wanted set.
   std::string Version; ///< Its version, as the publisher names it.
+  TimePoint Since;     ///< Since when this process takes it for wanted.
   std::vector<FormerWeights> Formers; ///< Sets wanted before, oldest first.
 };
 
--- a/packages/core/src/membership/pause.cpp
+++ b/packages/core/src/membership/pause.cpp
@@ -28,10 +28,11 @@
   // is worth nothing, so nothing of it is read.
   if (Now - Fleet.LastTick <= Fleet.Times.PauseGap)
     return {};
-  Out.push_back(LogNote{
-      LogPart::Links, LogLevel::Warn,
-      "Paused for " + std::to_string(toMillis(Now - Fleet.LastTick).count()) +
-          " ms; all links are opened again."});
+  Out.push_back(
+      LogNote{LogPart::Links, LogLevel::Warn,
+              "event=paused ms=" +
+                  std::to_string(toMillis(Now - Fleet.LastTick).count()) +
+                  " links_dropped=" + std::to_string(Fleet.Links.size())});
   std::vector<LinkId> Dropped;
   for (const auto &[Link, Peer] : Fleet.Links) {
     Dropped.push_back(Link);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -20,6 +20,13 @@
     "answered",  "back_end_error", "not_executed",
     "unreached", "broken",         "given_up"};
 
+/** Milliseconds since a moment; capped where it lies before the start. */
+std::string ageOf(TimePoint Then, TimePoint Now) {
+  constexpr int64_t MostMillis = 999999;
+  return std::to_string(std::min(
+      MostMillis, toMillis(Now - std::max(Then, TimePoint{})).count()));
+}
+
 /** Id of the last event that the caller was sent. */
 std::string lastEvent(const EventStream &Events) {
   return Events.LastId ? std::to_string(*Events.LastId) : "-";
@@ -30,19 +37,22 @@
 void Exchange::logAttempt(const ServerView &Server,
                           const ServerChoice &Choice) const {
   const TimePoint Now = Shared.Clock.now();
-  logLine(LogPart::Requests, LogLevel::Info,
-          "event=attempt id=" + logValue(Id) + " n=" +
-              std::to_string(Sent + 1) + " server=" + Server.Listed.Id.Value +
-              " at=" + Server.Listed.At.Value +
-              " open=" + std::to_string(Server.Open) +
-              " others=" + std::to_string(Server.OtherWork) + " told_ms=" +
-              std::to_string(std::min<int64_t>(
-                  99999, toMillis(Now - Server.ToldAt).count())) +
-              " left_ms=" + std::to_string(toMillis(Limit - Now).count()) +
-              " caller_age_ms=" + std::to_string(toMillis(Age).count()) +
-              " candidates=" + std::to_string(Choice.Candidates) +
-              " weights=" + logValue(Server.Weights.Value) +
-              " agent=" + (hasAgent(Server) ? "yes" : "no"));
+  const WantedWeights *Wanted = wantedAt(Shared.Pool, Server);
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=attempt id=" + logValue(Id) + " n=" + std::to_string(Sent + 1) +
+          " server=" + Server.Listed.Id.Value + " at=" +
+          Server.Listed.At.Value + " open=" + std::to_string(Server.Open) +
+          " others=" + std::to_string(Server.OtherWork) +
+          " told_ms=" + ageOf(Server.ToldAt, Now) +
+          " left_ms=" + std::to_string(toMillis(Limit - Now).count()) +
+          " caller_age_ms=" + std::to_string(toMillis(Age).count()) +
+          " candidates=" + std::to_string(Choice.Candidates) +
+          " weights=" + logValue(Server.Weights.Value) +
+          " wanted=" + (Wanted == nullptr ? "-" : logValue(Wanted->Set.Value)) +
+          " wanted_ms=" +
+          (Wanted == nullptr ? "-" : ageOf(Wanted->Since, Now)) +
+          " agent=" + (hasAgent(Server) ? "yes" : "no"));
 }
 
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
