--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -136,6 +136,7 @@
       {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort.port())},
       {"log_to", "stderr"},
       {"chunk_takeover_ms", 300},
+      {"weights_change_ms", Plan.WeightsChangeMillis},
       {"heartbeat_ms", 200}};
   const std::string Name = "agent-" + std::to_string(n);
   const std::string Path = Folder + "/" + Name + ".json";
@@ -160,6 +161,7 @@
                    {"domain_regions", {"z0=r0", "z1=r1"}},
                    {"agent_port", AgentPort.port()},
                    {"serve_cut_off", true},
+                   {"weights_change_ms", Plan.WeightsChangeMillis},
                    {"leave_notice_ms", 600},
                    {"join_wait_ms", 300},
                    {"log_to", "stderr"},
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -17,11 +17,12 @@
 
 /** What to start. */
 struct RoutePlan {
-  size_t Entries = 2;        ///< Entries, in two domains by turns.
-  size_t ModelWorkers = 2;   ///< Workers with agents, likewise.
-  size_t PlainServers = 2;   ///< Plain back ends, likewise.
-  size_t Chunks = 6;         ///< Chunks of a version of the model.
-  size_t ChunkBytes = 20000; ///< Size of each.
+  size_t Entries = 2;             ///< Entries, in two domains by turns.
+  size_t ModelWorkers = 2;        ///< Workers with agents, likewise.
+  size_t PlainServers = 2;        ///< Plain back ends, likewise.
+  size_t Chunks = 6;              ///< Chunks of a version of the model.
+  size_t ChunkBytes = 20000;      ///< Size of each.
+  int WeightsChangeMillis = 8000; ///< Time for a change of weights.
 };
 
 /** One request of a caller on a route. */
--- /dev/null
+++ b/tests/integration/old_weights_test.cpp
@@ -0,0 +1,89 @@
+/** @file old_weights_test.cpp Until when requests begin on replaced weights. */
+// Labels: routes platform weights
+
+#include "fleet/route_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace jacinthpond::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto WeightsChange = 4000ms;
+/** Longer than the gap that shows a pause, and well below WeightsChange. */
+constexpr auto Pause = 2800ms;
+
+/** Workers that keep their version, since their agents are gone. */
+struct Stuck {
+  Stuck() : All(plan()) {
+    BOOST_REQUIRE(All.waitServing(30s));
+    All.process("agent-0").kill();
+    All.process("agent-1").kill();
+    BOOST_REQUIRE(
+        waitFor(5s, [&] { return write(0) == 200 && write(1) == 200; }));
+  }
+
+  static RoutePlan plan() {
+    RoutePlan Plan;
+    Plan.WeightsChangeMillis = WeightsChange.count();
+    return Plan;
+  }
+
+  int write(size_t Entry) const {
+    RouteAsk What;
+    What.Method = "POST";
+    What.Path = "/write/report";
+    What.Body = "prompt";
+    return All.ask(Entry, What).status;
+  }
+
+  size_t runs() const {
+    return All.look("model-0")["runs"].size() +
+           All.look("model-1")["runs"].size();
+  }
+
+  void publishVersion(int Version) {
+    Published = std::chrono::steady_clock::now();
+    const Json Item = {{"model", "trail"}, {"version", Version}};
+    All.store({{"put", {{"op/version/trail", Item.dump()}}}});
+  }
+
+  RouteFleet All;
+  std::chrono::steady_clock::time_point Published;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OldWeights, Stuck)
+
+BOOST_AUTO_TEST_CASE(TheyBeginForAWhileOnly) {
+  publishVersion(2);
+  std::this_thread::sleep_until(Published + WeightsChange / 4);
+  BOOST_TEST(write(0) == 200);
+  std::this_thread::sleep_until(Published + WeightsChange);
+  const size_t Before = runs();
+  BOOST_TEST(write(0) == 503);
+  BOOST_TEST(write(1) == 503);
+  BOOST_TEST(runs() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(APauseOfTheEntryDoesNotLengthenIt) {
+  // Callers got answers from weights that had been replaced for longer than
+  // is allowed. The entry had stood still while the new version was published;
+  // it heard of it on waking, and allowed the old one the whole time from then.
+  kill(All.process("entry-0").pid(), SIGSTOP);
+  publishVersion(2);
+  std::this_thread::sleep_until(Published + Pause);
+  kill(All.process("entry-0").pid(), SIGCONT);
+  std::this_thread::sleep_until(Published + WeightsChange);
+  const size_t Before = runs();
+  for (int n = 0; n < 5; ++n)
+    BOOST_TEST(write(0) == 503);
+  BOOST_TEST(runs() == Before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -4,6 +4,7 @@
 #include "admission/reading_func.h"
 #include "attempts/agent_func.h"
 #include "attempts/place_func.h"
+#include "weights/weights_func.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -270,3 +271,19 @@
   BOOST_TEST((One.answered("late")->Why == ErrorKind::Leaving));
   BOOST_TEST(One.Agent.Places.size() == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(NoPlaceIsGivenOnWeightsThatAreTooOld) {
+  // An entry that had stood still took a version for news and sent requests to
+  // a worker that still had the one before. Its agent knew for nine seconds
+  // that these weights were replaced, and gave every place that was asked for.
+  OneAgent One;
+  One.Agent.Config.WeightsChangeMillis = 8000;
+  One.Agent.Weights.AtEngine = true;
+  noteNewest(One.Agent.Weights, Digest{"m@2"}, One.Now);
+  BOOST_TEST(One.ask("soon", Millis(0))->Given);
+  One.Now += Millis(8000);
+  const auto Late = One.ask("late", Millis(0));
+  BOOST_REQUIRE(Late);
+  BOOST_TEST(!Late->Given);
+  BOOST_CHECK(Late->Why == ErrorKind::WeightsNotReady);
+}
