membership: the age of a document counts from when it may have been published

What callers saw: answers of weights that had been replaced for 8.7 to 9.1 s, where 8 are allowed. Cause: an entry that stood still while a version was published counted the time for which the former one may begin from when it heard, on waking. Shown by the record: both requests went through the two entries that had stood still from before the publication until 4.7 s after it, their places ended 6.8 s after they woke, and hearing, links and service were undisturbed elsewhere. Ruled out: a clock that stood still (the agent that slept measured its own pause), a restart (same incarnation in the places), the worker (it did what was asked). Change: each process keeps the last time at which nothing published could have escaped it, from words of the service or of peers that it answers; it does not advance in a pause, after a stall until old messages are read, while a peer is ahead, or before the view is fresh. A document counts as published no earlier than that; entries and agents count the bounds of weights from there. It costs a heartbeat of the peers at the most while in touch. old_weights_test failed before (five of five requests began) and passes.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -154,7 +154,8 @@
   if (Self != nullptr && !Self->Model.Value.empty()) {
     const ModelVersion *Wanted = findModel(Doc, Self->Model);
     if (Wanted != nullptr)
-      noteNewest(Agent.Weights, Wanted->Set, Now);
+      noteNewest(Agent.Weights, Wanted->Set,
+                 Agent.View.PublishedAfter.value_or(Now));
     if (Wanted != nullptr && !Wanted->Origin.Value.empty())
       wantList(Agent, *Wanted, Now, Out);
     else if (Wanted != nullptr)
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -102,6 +102,10 @@
                           "Two documents with one version; first one kept."});
   if (Became != OfferResult::Accepted)
     return Became;
+  // A process that stood still, or was out of touch, hears late of what was
+  // published meanwhile. Bounds that run from the publication would be longer
+  // by that time if they were counted from when it was heard.
+  View.PublishedAfter = Fleet.Joining.KnownCurrent;
   Fleet.Self.Version = versionInForce(View);
   Fleet.Self.ConfigDigest = digestInForce(View);
   Out.push_back(LogNote{
@@ -112,10 +116,9 @@
           " routes=" + std::to_string(View.InForce->Routes.size()) +
           " domains_out=" + std::to_string(View.InForce->DomainsOut.size()) +
           " view=" + (viewIsFresh(Fleet) ? "fresh" : "joining") +
-          " contact_ms=" +
-          (Fleet.Joining.WasFresh
-               ? std::to_string(
-                     toMillis(Now - Fleet.Joining.LastContact).count())
+          " at_most_ms=" +
+          (View.PublishedAfter
+               ? std::to_string(toMillis(Now - *View.PublishedAfter).count())
                : "-")});
   sendHeartbeats(Fleet, View, Now, Out);
   return Became;
@@ -179,6 +182,7 @@
 
 std::vector<LinkId> fleetTick(const ConfigView &View, Membership &Fleet,
                               TimePoint Now, Effects &Out) {
+  noteStall(Fleet, Now);
   const std::vector<LinkId> Silent = membershipTick(Fleet, View, Now, Out);
   departureTick(Fleet, Now, Out);
   rosterTick(Fleet, Now);
--- a/packages/core/src/configuration/config_view_type.h
+++ b/packages/core/src/configuration/config_view_type.h
@@ -6,6 +6,7 @@
 #include "base/time_type.h"
 #include "configuration/document_type.h"
 
+#include <optional>
 #include <string>
 
 namespace jacinthpond {
@@ -21,8 +22,11 @@
 
 /** The highest valid version ever seen; it never goes back. */
 struct ConfigView {
-  DocumentPtr InForce;     ///< Null until the first one is accepted.
-  TimePoint Since;         ///< When it came into force.
+  DocumentPtr InForce; ///< Null until the first one is accepted.
+  TimePoint Since;     ///< When it came into force.
+  /** No earlier than this was it published, as far as this process knows;
+   * nothing: not known. Between the two it may have stood still. */
+  std::optional<TimePoint> PublishedAfter;
   uint64_t Refused = 0;    ///< Invalid documents seen.
   uint64_t Conflicts = 0;  ///< Documents with a version taken already.
   std::string LastRefusal; ///< Faults of the last invalid document.
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -35,7 +35,7 @@
   });
 }
 
-void noteWanted(ServerPool &Pool, bool First, TimePoint Now) {
+void noteWanted(ServerPool &Pool, std::optional<TimePoint> PublishedAfter) {
   for (const ModelVersion &Model : Pool.Doc->Models) {
     WantedWeights &Wanted = Pool.Wanted[Model.Name];
     if (Wanted.Set == Model.Set)
@@ -43,10 +43,13 @@
     // Each set has its own time from when the next one was named: a version
     // that is overtaken while it spreads must not take the one before with it.
     // A process that starts does not know how long a version was wanted: it
-    // begins nothing on an older one.
-    if (!First && !Wanted.Set.Value.empty())
+    // begins nothing on an older one. One that stood still counts from before
+    // that; from when it heard, its requests would begin on the older one for
+    // as much longer as it stood still.
+    if (PublishedAfter && !Wanted.Set.Value.empty())
       Wanted.Formers.push_back(
-          {Wanted.Set, Wanted.Version, Now + Pool.Options.FormerWeightsFor});
+          {Wanted.Set, Wanted.Version,
+           *PublishedAfter + Pool.Options.FormerWeightsFor});
     std::erase_if(Wanted.Formers, [&](const FormerWeights &One) {
       return One.Set == Model.Set;
     });
@@ -54,17 +57,17 @@
       Wanted.Formers.erase(Wanted.Formers.begin());
     Wanted.Set = Model.Set;
     Wanted.Version = Model.Version;
-    Wanted.Since = Now;
+    Wanted.Since = PublishedAfter;
   }
 }
 
 } // namespace
 
-void poolFollows(ServerPool &Pool, const DocumentPtr &Doc, TimePoint Now) {
-  const bool First = Pool.Doc == nullptr;
+void poolFollows(ServerPool &Pool, const DocumentPtr &Doc,
+                 std::optional<TimePoint> PublishedAfter, TimePoint Now) {
   Pool.Doc = Doc;
   noteServers(Pool, Now);
-  noteWanted(Pool, First, Now);
+  noteWanted(Pool, PublishedAfter);
 }
 
 void listingAway(ServerPool &Pool, bool Away, TimePoint Now) {
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -11,9 +11,12 @@
  * Takes a document that came into force.
  * @param Pool State to change.
  * @param Doc The document.
+ * @param PublishedAfter Time before which it was not published; nothing: not
+ * known, and weights that it replaces begin no request.
  * @param Now Current time.
  */
-void poolFollows(ServerPool &Pool, const DocumentPtr &Doc, TimePoint Now);
+void poolFollows(ServerPool &Pool, const DocumentPtr &Doc,
+                 std::optional<TimePoint> PublishedAfter, TimePoint Now);
 
 /**
  * The platform's list went away or came back. Servers that live on may be
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -55,7 +55,8 @@
 struct WantedWeights {
   Digest Set;          ///< Wanted set.
   std::string Version; ///< Its version, as the publisher names it.
-  TimePoint Since;     ///< Since when this process takes it for wanted.
+  /** Not wanted before this, as far as is known; nothing: not known. */
+  std::optional<TimePoint> Since;
   std::vector<FormerWeights> Formers; ///< Sets wanted before, oldest first.
 };
 
--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -13,6 +13,11 @@
 
 /** Time between two questions to a peer that has not answered. */
 constexpr Millis ProbePeriod{300};
+/** Gap between two ticks, of 50 ms, after which what waits in the sockets may
+ * be old; what is decided by the age of news has a margin above it. */
+constexpr Millis StallGap{1000};
+/** Heartbeats of a peer after which the ones from before a stall are read. */
+constexpr int StallBeats = 2;
 
 bool isReady(const PeerLink &Link) { return Link.State == LinkState::Ready; }
 
@@ -69,6 +74,34 @@
   }
 }
 
+/** Gives the last word of one who tells of news at once; nothing: nobody does.
+ */
+std::optional<TimePoint> lastWord(const Membership &Fleet) {
+  std::optional<TimePoint> Last = Fleet.Joining.ServiceHeard;
+  const bool Agent = Fleet.Self.Sender == Role::Agent;
+  std::optional<TimePoint> OfAnyone;
+  for (const auto &[Id, Link] : Fleet.Links) {
+    if (!isReady(Link))
+      continue;
+    const bool Tells =
+        Link.Peer.Sender == Role::Entry && (Agent ? Link.Fresh : Link.Service);
+    OfAnyone = std::max(OfAnyone, std::optional(Link.LastHeard));
+    if (Tells)
+      Last = std::max(Last, std::optional(Link.LastHeard));
+  }
+  // A service that answers nobody publishes nothing.
+  return anybodyAnswered(Fleet, Fleet.LastTick) ? Last
+                                                : std::max(Last, OfAnyone);
+}
+
+/** Notes until when nothing published can have escaped this process. */
+void noteCurrent(const ConfigView &View, Membership &Fleet, TimePoint Now) {
+  if (Now < Fleet.Joining.DoubtUntil || peerIsAhead(View, Fleet))
+    return;
+  Fleet.Joining.KnownCurrent =
+      std::max(Fleet.Joining.KnownCurrent, lastWord(Fleet));
+}
+
 } // namespace
 
 bool viewIsFresh(const Membership &Fleet) { return Fleet.Joining.Fresh; }
@@ -127,6 +160,11 @@
   return static_cast<size_t>(Reachable) * 2 > Fleet.Wanted.size();
 }
 
+void noteStall(Membership &Fleet, TimePoint Now) {
+  if (Now - Fleet.LastTick > StallGap)
+    Fleet.Joining.DoubtUntil = Now + Fleet.Times.Heartbeat * StallBeats;
+}
+
 bool anybodyAnswered(const Membership &Fleet, TimePoint Now) {
   const auto &Heard = Fleet.Joining.ServiceHeard;
   if (Heard && Now - *Heard <= Fleet.Times.CutOff)
@@ -141,6 +179,7 @@
               Effects &Out) {
   Join &Joining = Fleet.Joining;
   if (Joining.Fresh) {
+    noteCurrent(View, Fleet, Now);
     if (inContact(Fleet, Now))
       Joining.LastContact = Now;
     if (Now - Joining.LastContact <= Fleet.Times.CutOff)
@@ -159,6 +198,7 @@
   Joining.WasFresh = true;
   Fleet.Self.Fresh = true;
   Joining.LastContact = Now;
+  noteCurrent(View, Fleet, Now);
   Out.push_back(LogNote{LogPart::Config, LogLevel::Info,
                         "View is fresh at version " +
                             std::to_string(versionInForce(View).Value) + "."});
--- a/packages/core/src/membership/join_func.h
+++ b/packages/core/src/membership/join_func.h
@@ -56,6 +56,14 @@
 void joinTick(const ConfigView &View, Membership &Fleet, TimePoint Now,
               Effects &Out);
 
+/**
+ * Notices that this process did not run for a moment, too short for a pause:
+ * what is read next was sent before it. Called before the tick is noted.
+ * @param Fleet State to change.
+ * @param Now Current time.
+ */
+void noteStall(Membership &Fleet, TimePoint Now);
+
 /**
  * Says whether the service has answered this process or an entry in view of
  * late.
--- a/packages/core/src/membership/join_type.h
+++ b/packages/core/src/membership/join_type.h
@@ -25,6 +25,10 @@
   std::optional<TimePoint> ServiceHeard; ///< Last answer of the service.
   TimePoint LastContact;                 ///< Last time that counted as contact.
   uint32_t ReadFailures = 0; ///< Reads in a row that brought nothing.
+  /** Last time at which anything published would have been heard of; nothing:
+   * not since the start. */
+  std::optional<TimePoint> KnownCurrent;
+  TimePoint DoubtUntil; ///< Till then messages may be from before a stall.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -43,16 +43,16 @@
          Now - *Weights.OutdatedSince >= FormerTime;
 }
 
-void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Now) {
+void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Since) {
   if (Weights.Newest == Set)
     return;
   Weights.Newest = Set;
-  Weights.NewestSince = Now;
+  Weights.NewestSince = Since;
   // One that was replaced before is not wanted for longer by another version.
   if (Weights.Loaded == Set)
     Weights.OutdatedSince.reset();
   else if (!Weights.OutdatedSince && !Weights.Loaded.Value.empty())
-    Weights.OutdatedSince = Now;
+    Weights.OutdatedSince = Since;
 }
 
 void noteLoaded(WeightsState &Weights, const Digest &Set) {
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -32,9 +32,9 @@
  * A document names the newest set.
  * @param Weights State to change.
  * @param Set The set.
- * @param Now Current time.
+ * @param Since Since when it may have been published.
  */
-void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Now);
+void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Since);
 
 /**
  * The engine has loaded a set.
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -24,7 +24,7 @@
   bool AtEngine = false; ///< Chunks lie at the engine and not in memory here.
   Digest Loaded;         ///< What the engine said last that it has loaded.
   Digest Newest;         ///< Set that the newest document names.
-  TimePoint NewestSince; ///< When it was heard of.
+  TimePoint NewestSince; ///< Since when it may have been published.
   std::optional<TimePoint> OutdatedSince; ///< Since when Loaded is replaced.
   std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
   bool Draining = false;     ///< No new work until the wanted set is loaded.
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -127,7 +127,7 @@
     return;
   Shown = State.View.InForce;
   if (Routes != nullptr)
-    Routes->follow(Shown);
+    Routes->follow(Shown, State.View.PublishedAfter);
 }
 
 /** Agents' words are gathered for a tick: each would wake the traffic thread.
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -51,7 +51,8 @@
           " weights=" + logValue(Server.Weights.Value) +
           " wanted=" + (Wanted == nullptr ? "-" : logValue(Wanted->Set.Value)) +
           " wanted_ms=" +
-          (Wanted == nullptr ? "-" : ageOf(Wanted->Since, Now)) +
+          (Wanted == nullptr || !Wanted->Since ? "-"
+                                               : ageOf(*Wanted->Since, Now)) +
           " agent=" + (hasAgent(Server) ? "yes" : "no"));
 }
 
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -176,14 +176,15 @@
   });
 }
 
-void Forwarder::follow(DocumentPtr Doc) {
-  boost::asio::post(Shared.Io, [this, Doc = std::move(Doc)] {
+void Forwarder::follow(DocumentPtr Doc,
+                       std::optional<TimePoint> PublishedAfter) {
+  boost::asio::post(Shared.Io, [this, Doc = std::move(Doc), PublishedAfter] {
     const TimePoint Now = Shared.Clock.now();
     Shared.Doc = Doc;
     Shared.DocSince = Now;
     Shared.Index = makeRouteIndex(*Doc);
     forgetOtherRoutes(Shared.Callers, *Doc);
-    poolFollows(Shared.Pool, Doc, Now);
+    poolFollows(Shared.Pool, Doc, PublishedAfter, Now);
   });
 }
 
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -40,8 +40,12 @@
   /** The settings changed. @param Changed What is in the file now. */
   void reload(const Settings &Changed);
 
-  /** A document came into force. @param Doc The document. */
-  void follow(DocumentPtr Doc);
+  /**
+   * A document came into force.
+   * @param Doc The document.
+   * @param PublishedAfter Time before which it was not published, if known.
+   */
+  void follow(DocumentPtr Doc, std::optional<TimePoint> PublishedAfter);
 
   /** Agents told of their back ends. @param News What they told. */
   void told(std::vector<AgentNews> News);
--- a/tests/integration/old_weights_test.cpp
+++ b/tests/integration/old_weights_test.cpp
@@ -75,6 +75,9 @@
   // Callers got answers from weights that had been replaced for longer than
   // is allowed. The entry had stood still while the new version was published;
   // it heard of it on waking, and allowed the old one the whole time from then.
+  // Agents had lost their heartbeats of that entry just before the publication,
+  // and gave it, and no other entry, places on the old version until that time
+  // after its waking was over.
   kill(All.process("entry-0").pid(), SIGSTOP);
   publishVersion(2);
   std::this_thread::sleep_until(Published + Pause);
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -52,8 +52,11 @@
     Doc.Models = {Wanted};
   }
 
-  void follow() {
-    poolFollows(State, std::make_shared<const Document>(Doc), Now);
+  void follow() { followSince(Now); }
+
+  void followSince(std::optional<TimePoint> PublishedAfter) {
+    poolFollows(State, std::make_shared<const Document>(Doc), PublishedAfter,
+                Now);
   }
 
   ServerNeeds needs(const std::string &Service) const {
@@ -195,10 +198,23 @@
   Old.want("2");
   ServerPool Fresh;
   Old.State = Fresh;
-  Old.follow();
+  Old.followSince(std::nullopt);
   BOOST_TEST(Old.choose("llm").empty());
 }
 
+BOOST_AUTO_TEST_CASE(FormerWeightsEndByWhenTheOthersWerePublished) {
+  // An entry stood still for five seconds while new weights were published.
+  // Counted from when it woke, the former ones would begin requests until five
+  // seconds after the bound.
+  Pool One;
+  One.want("2");
+  One.Now += Millis(4900);
+  One.followSince(One.Now - Millis(4900));
+  BOOST_TEST(!One.choose("llm").empty());
+  One.Now += Millis(100);
+  BOOST_TEST(One.choose("llm").empty());
+}
+
 BOOST_AUTO_TEST_CASE(AStreamGoesOnWithItsOwnWeights) {
   Pool One;
   One.Doc.Servers[0].Weights.Value = "m@2"; // m0
