agent: no place on weights that were replaced too long ago

What callers saw: the same answers of old weights. An agent that knew for nine seconds that its weights were replaced gave places to the one entry that believed otherwise. It left the choice to the entries, so that one mistaken entry was enough. It knows the same document and bound, so it refuses now, and refuses who waits when the time comes. Ruled out as the cause of the incident: entries decide first. Where an agent is silent the entry's own bound decides alone. place_test failed, passes.

--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -78,16 +78,25 @@
   answer(Agent, Link, m, &Why, Duration{0}, Now, Out);
 }
 
+/** Says whether what is loaded was replaced too long ago to begin anything. */
+bool weightsTooOld(const AgentState &Agent, TimePoint Now) {
+  return isTooOldToServe(Agent.Weights, formerWeightsTime(Agent.Config), Now);
+}
+
 /** Says why no place at all is given now, or nothing. */
-std::optional<ErrorKind> standingRefusal(const AgentState &Agent) {
+std::optional<ErrorKind> standingRefusal(const AgentState &Agent,
+                                         TimePoint Now) {
   if (agentIsLeaving(Agent))
     return ErrorKind::Leaving;
   if (!Agent.BackEndUp)
     return ErrorKind::NoWorker;
-  // Whether its domain or version may be used is for the entry to say, which
-  // has the document as well; what cannot be served at all is known here.
+  // Whether its domain may be used is for the entry to say, which has the
+  // document as well; what cannot be served at all is known here. So is when
+  // its weights were replaced: an entry that was out of touch may believe that
+  // they still begin requests.
   if (Agent.Weights.Draining || Agent.Weights.Loading ||
-      Agent.Weights.EngineBusy || Agent.Weights.Loaded.Value.empty())
+      Agent.Weights.EngineBusy || Agent.Weights.Loaded.Value.empty() ||
+      weightsTooOld(Agent, Now))
     return ErrorKind::WeightsNotReady;
   return std::nullopt;
 }
@@ -151,7 +160,7 @@
                   TimePoint Now, Effects &Out) {
   if (Agent.Places.contains(m.Place))
     return; // Asked twice: the first answer counts.
-  if (const auto Standing = standingRefusal(Agent)) {
+  if (const auto Standing = standingRefusal(Agent, Now)) {
     refuseAtOnce(Agent, Link, m, *Standing, Millis{0}, Now, Out);
     return;
   }
@@ -254,6 +263,8 @@
   }
   for (const AttemptId &Which : Over)
     placeDone(Agent, {Which, false, true}, Now, Out);
+  if (weightsTooOld(Agent, Now))
+    refuseWaiting(Agent, ErrorKind::WeightsNotReady, Out);
   std::vector<AttemptId> Late;
   for (const auto &[Which, One] : Agent.Places)
     if (!One.Given && Now >= One.WaitUntil)
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -287,3 +287,19 @@
   BOOST_TEST(!Late->Given);
   BOOST_CHECK(Late->Why == ErrorKind::WeightsNotReady);
 }
+
+BOOST_AUTO_TEST_CASE(WhoWaitsForWeightsThatBecomeTooOldIsRefused) {
+  OneAgent One;
+  One.Agent.Config.WeightsChangeMillis = 8000;
+  One.Agent.Weights.AtEngine = true;
+  noteNewest(One.Agent.Weights, Digest{"m@2"}, One.Now);
+  One.Now += Millis(6700);
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  BOOST_TEST(!One.ask("c", Millis(500)).has_value());
+  One.Now += Millis(100);
+  sweepPlaces(One.Agent, One.Now, One.Out);
+  const auto Answer = One.answered("c");
+  BOOST_REQUIRE(Answer);
+  BOOST_CHECK(Answer->Why == ErrorKind::WeightsNotReady);
+}
