--- a/packages/adapters/threads/control_loop.cpp
+++ b/packages/adapters/threads/control_loop.cpp
@@ -36,7 +36,7 @@
       NextTick = Clock.now() + Period;
     }
     if (Tasks.empty()) {
-      Changed.wait_until(Lock, NextTick);
+      Changed.wait_for(Lock, NextTick - Clock.now());
       continue;
     }
     const Task Work = std::move(Tasks.front());
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -488,7 +488,7 @@
     Next = std::min(Next, std::max(LastProgress + Silent, Now + Silent / 4));
     Next = std::max(Next, Now + Soonest);
   }
-  Timer.expires_at(std::min(Next, std::max(Limit, Now)));
+  Timer.expires_after(std::min(Next, std::max(Limit, Now)) - Now);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &ec) {
         if (!ec && Self->Session)
