routes: an answer does not go on with weights that are too old to begin

A stream that broke off was resumed on the weights that began it for as long as some worker had them, also after the time for a change of weights: a run that began on replaced weights. It ends as broken then, and its caller may resume on new ones.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -131,8 +131,8 @@
     return true;
   if (View.Weights.Value.empty())
     return false;
-  if (!Needed.Value.empty())
-    return View.Weights == Needed;
+  if (!Needed.Value.empty() && View.Weights != Needed)
+    return false;
   const auto it = Pool.Wanted.find(Kind.Model);
   if (it == Pool.Wanted.end() || View.Weights == it->second.Set)
     return true;
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -87,7 +87,8 @@
   const Tenant *Owner = nullptr; ///< Its tenant; null: none.
   std::set<InstanceId> Tried;    ///< Not these again.
   std::set<InstanceId> Full;     ///< Said to have no room just now.
-  Digest Weights; ///< Only this set, to go on with an answer; empty: any.
+  Digest Weights; ///< Only this set, to go on with an answer, as long as it
+                  ///< may begin requests; empty: any.
 };
 
 /** Why no back end was given. */
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -225,6 +225,20 @@
   BOOST_TEST(One.chosen(Needs) == "m0");
 }
 
+BOOST_AUTO_TEST_CASE(AStreamOnFormerWeightsGoesOnWhileTheyMayBegin) {
+  // A stream broke off twelve seconds after new weights were published, and
+  // went on at a worker that had not loaded them: work began on weights that
+  // were too old, only since it was the rest of an answer.
+  Pool One;
+  ServerNeeds Needs = One.needs("llm");
+  Needs.Weights.Value = "m@1";
+  One.want("2");
+  One.follow();
+  BOOST_TEST(!One.chosen(Needs).empty());
+  One.Now += One.State.Options.FormerWeightsFor;
+  BOOST_TEST(One.chosen(Needs).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ALoadingWorkerGetsNothing) {
   Pool One;
   agentTold(One.State,
