routes: an attempt is given up when its weights may begin nothing any more

A request was sent to a worker in time, its host stood still with the request in the socket, and on waking it began on weights that had been replaced 8.6 s ago, where 8 are allowed. The entry had gone on waiting: it leaves a silent worker only when another one is free, and while weights change none may be.

Ruled out: the start of the bound (sent before former weights ended), places of the agent (it stood still as well), going on with an answer (no head had been sent).

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -47,6 +47,10 @@
 /** Shortest and longest time that a refused caller is told to stay away. */
 constexpr Millis ShortestComeBack{150};
 constexpr Millis LongestComeBack{2500};
+/** Time for which a request that was sent in time may wait to begin on weights
+ * that were replaced; the way to the back end takes less than what is left of
+ * the margin after it. */
+constexpr Millis BeginWait{800};
 /** How long a back end is left alone that was misjudged; news come sooner. */
 constexpr Millis MisjudgedAvoid{500};
 
@@ -376,6 +380,20 @@
   return Former == Formers.end() ? Wanted->Version : Former->Version;
 }
 
+std::optional<TimePoint> mayBeginUntil(const ServerPool &Pool,
+                                       const InstanceId &Id) {
+  const ServerView *View = findServer(Pool, Id);
+  const WantedWeights *Wanted =
+      View == nullptr ? nullptr : wantedAt(Pool, *View);
+  if (Wanted == nullptr || View->Weights == Wanted->Set)
+    return std::nullopt;
+  const auto Former =
+      std::ranges::find(Wanted->Formers, View->Weights, &FormerWeights::Set);
+  if (Former == Wanted->Formers.end())
+    return std::nullopt;
+  return Former->Until + BeginWait;
+}
+
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
   if (ServerView *View = findServer(Pool, Id))
     View->AvoidUntil = Now + MisjudgedAvoid;
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -70,6 +70,15 @@
 bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
                  const ServerNeeds &Needs, TimePoint Now);
 
+/**
+ * Says until when a request that was sent to a back end may still begin there.
+ * @param Pool State.
+ * @param Id The back end.
+ * @return Time; nothing: its weights are wanted, or nothing is known of them.
+ */
+std::optional<TimePoint> mayBeginUntil(const ServerPool &Pool,
+                                       const InstanceId &Id);
+
 /**
  * Gives the version of weights to demand of a back end. What is believed of it
  * may be old; once some former version may not begin requests any more, a back
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -488,6 +488,8 @@
     Next = std::min(Next, std::max(LastProgress + Silent, Now + Silent / 4));
     Next = std::max(Next, Now + Soonest);
   }
+  if (const auto Begin = beginLimit())
+    Next = std::min(Next, std::max(*Begin, Now));
   Timer.expires_after(std::min(Next, std::max(Limit, Now)) - Now);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &ec) {
@@ -504,12 +506,27 @@
   }
   if (Asking && Now >= AskUntil)
     agentDidNotAnswer();
+  else if (const auto Begin = beginLimit(); Begin && Now >= *Begin)
+    answerBroke();
   else if (Call && canRepeat() && silentTooLong(Now) && couldGoElsewhere(Now))
     answerBroke();
   if (Session)
     armTimer();
 }
 
+/**
+ * Gives until when the back end may begin; nothing: there is no such time. One
+ * that stands still has the request in its sockets, and on waking begins it on
+ * the weights that it had, however long ago they were replaced. A connection
+ * that is closed by then shows it that nobody waits. Only a stream says that it
+ * has begun before it has ended.
+ */
+std::optional<TimePoint> Exchange::beginLimit() const {
+  if (!Call || Mode != AnswerMode::Waiting || From->Kind != RouteKind::Stream)
+    return std::nullopt;
+  return mayBeginUntil(Shared.Pool, At);
+}
+
 /**
  * Gives how long a back end may be silent, before the first part of an answer
  * or between two of them; 0 where the route names no target.
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -78,6 +78,7 @@
   void limitCame();
   uint32_t rank() const;
   Duration patience(bool Alive) const;
+  std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
--- a/tests/integration/old_weights_test.cpp
+++ b/tests/integration/old_weights_test.cpp
@@ -89,4 +89,19 @@
   BOOST_TEST(runs() == Before);
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatStandsStillIsNotWaitedFor) {
+  // The hosts of workers stood still. A request that had been sent to one in
+  // time lay in its sockets, and the entry went on waiting for it, since no
+  // other worker was free. It began on waking, on weights that had been
+  // replaced for longer than is allowed.
+  publishVersion(2);
+  std::this_thread::sleep_until(Published + WeightsChange / 2);
+  for (const char *Name : {"model-0", "model-1"})
+    kill(All.process(Name).pid(), SIGSTOP);
+  BOOST_TEST(write(0) != 200);
+  BOOST_TEST((std::chrono::steady_clock::now() < Published + WeightsChange));
+  for (const char *Name : {"model-0", "model-1"})
+    kill(All.process(Name).pid(), SIGCONT);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -239,6 +239,26 @@
   BOOST_TEST(One.chosen(Needs).empty());
 }
 
+BOOST_AUTO_TEST_CASE(WhatWasSentInTimeMayNotBeginForEver) {
+  // A worker stood still with a request in its sockets that had been sent in
+  // time. It woke and began it on weights that had been replaced 8.6 s ago.
+  Pool One;
+  const TimePoint Published = One.Now;
+  BOOST_TEST(!mayBeginUntil(One.State, {"m1"}));
+  One.want("2");
+  One.follow();
+  const auto Until = mayBeginUntil(One.State, {"m1"});
+  BOOST_REQUIRE(Until);
+  BOOST_TEST((*Until > Published + One.State.Options.FormerWeightsFor));
+  BOOST_TEST(
+      (*Until < Published + One.State.Options.FormerWeightsFor + Millis(1200)));
+  AgentNews News{Address{"m1:1"}, WorkerState::Serving, 0, {"m@2"}, true, {}};
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(!mayBeginUntil(One.State, {"m1"}));
+  BOOST_TEST(!mayBeginUntil(One.State, {"p1"}));
+  BOOST_TEST(!mayBeginUntil(One.State, {"gone"}));
+}
+
 BOOST_AUTO_TEST_CASE(ALoadingWorkerGetsNothing) {
   Pool One;
   agentTold(One.State,
