routes: a call that is given up resets its connection

While workers' hosts stood still for 4.5 s, entries gave up 9 to 31 requests whose callers left 2 s before the workers woke; on waking these read the requests all the same, since a closed socket still delivers what was written and ends in order. Now it is reset: unsent bytes are dropped and the worker sees that nobody waits.

Ruled out: entries that notice late (log: attempt ended at 8.795 s, caller left at 10.243 s, worker read it at 12.300 s), requests sent after the caller had left.

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -271,8 +271,14 @@
   Events = nullptr;
   ConnectTimer.cancel();
   Error Ignored; // The connection is given up, whatever state it is in.
-  if (Link)
-    Link->Socket.close(Ignored);
+  if (!Link)
+    return;
+  // Reset, not ended. A back end whose host stands still reads on waking what
+  // lies in its sockets, and a request with an orderly end behind it looks like
+  // one of a caller that still waits for the answer. A reset says that nobody
+  // does, and takes back what has not been sent yet.
+  Link->Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  Link->Socket.close(Ignored);
 }
 
 } // namespace jacinthpond
