--- /dev/null
+++ b/tests/unit/route_model.h
@@ -0,0 +1,1543 @@
+/** @file route_model.h Requests on routes through a whole fleet in one thread.
+ *
+ * Entries with their server pools and agents run as their shells run them; the
+ * store, the workers, the network and the callers are simulated, and the clock
+ * is moved from event to event. What the workers see is held against the rules;
+ * the product's own beliefs are not asked. How a request goes from try to try
+ * is written after forward/exchange.cpp, which needs sockets.
+ */
+
+#ifndef JACINTHPOND_TESTS_UNIT_ROUTE_MODEL_H
+#define JACINTHPOND_TESTS_UNIT_ROUTE_MODEL_H
+
+#include "attempts/agent_func.h"
+#include "attempts/entry_func.h"
+#include "base/hash_func.h"
+#include "base/overloaded.h"
+#include "base/random_func.h"
+#include "configuration/config_view_func.h"
+#include "configuration/document_func.h"
+#include "configuration/reader_rank_func.h"
+#include "forwarding/caller_age_func.h"
+#include "forwarding/fleet_snapshot_func.h"
+#include "forwarding/place_search_func.h"
+#include "forwarding/repeat_budget_func.h"
+#include "forwarding/route_match_func.h"
+#include "forwarding/server_pool_func.h"
+#include "platform/store_document.h"
+#include "settings/settings_func.h"
+#include "weights/transfer_func.h"
+#include "weights/weights_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace jacinthpond::model {
+
+using Json = nlohmann::json;
+
+/** Bounds that the simulated workers hold the fleet to. */
+constexpr Millis WeightsBound{8000};
+constexpr Millis ConfigBound{2000};
+constexpr Millis DomainBound{5000};
+/** Time without disturbance after which a process has to keep them. */
+constexpr Millis Contact{3000};
+/** Requests a second that a cold worker bears. */
+constexpr uint32_t ColdRate = 8;
+constexpr uint32_t RepeatSlack = 10;
+constexpr double RepeatRatio = 0.2;
+constexpr Millis RepeatWindow{10000};
+constexpr uint32_t MaxAttempts = 3;
+
+/** What happens to the fleet from outside. */
+enum class Trouble : uint8_t {
+  StandStill,   ///< A process does not run for a while.
+  HostStill,    ///< A worker and its agent do not run for a while.
+  Restart,      ///< A process ends and starts again after a while.
+  CutLink,      ///< Connections break and none come about for a while.
+  HoldLink,     ///< Nothing gets through for a while; nobody is told.
+  StoreAway,    ///< Nobody gets an answer of the store for a while.
+  StoreAwayFor, ///< One entry gets none.
+  NewWeights,   ///< The next version of the weights is named.
+  Drain,        ///< A worker drains, ends after a while and comes back.
+  WorkerEnds,   ///< A worker vanishes and starts again after a while.
+  DomainOut,    ///< A domain is taken out for a while.
+  KeyGone,      ///< A tenant's key is taken away, and comes back.
+  Count
+};
+
+constexpr std::array<const char *, static_cast<size_t>(Trouble::Count)>
+    TroubleNames = {"stand still",    "host still",  "restart",
+                    "cut link",       "hold link",   "store away",
+                    "store away for", "new weights", "drain",
+                    "worker ends",    "domain out",  "key gone"};
+
+/** One of them. */
+struct Incident {
+  Millis At{0};                       ///< Since the start of the day.
+  Trouble Kind = Trouble::NewWeights; ///< What happens.
+  std::string Who;                    ///< To whom; empty where it is plain.
+  std::string Other;                  ///< Other end of a link.
+  Millis Length{0};                   ///< How long.
+};
+
+inline std::string text(const Incident &One) {
+  std::string Line = std::to_string(One.At.count()) +
+                     " ms: " + TroubleNames.at(static_cast<size_t>(One.Kind));
+  for (const std::string &Part : {One.Who, One.Other})
+    Line += Part.empty() ? "" : " " + Part;
+  return Line + ", " + std::to_string(One.Length.count()) + " ms";
+}
+
+/** A broken rule. */
+struct Broken {
+  Millis At{0};     ///< When.
+  std::string Rule; ///< Which one, in a word.
+  std::string Text; ///< What the worker saw.
+};
+
+/** One of the two ends of a connection. */
+struct WireEnd {
+  std::string Who;   ///< Process.
+  uint64_t Life = 0; ///< Which run of it.
+  LinkId Link;       ///< Number of the link there.
+  bool Open = true;  ///< That end has not dropped it.
+};
+
+/** A connection between two processes. */
+struct Wire {
+  std::array<WireEnd, 2> Ends; ///< Opener first.
+  std::array<std::deque<std::optional<Message>>, 2>
+      Queues;                       ///< Towards an end; nothing: a close.
+  std::array<TimePoint, 2> LastDue; ///< Nothing overtakes.
+};
+
+/** A request of a caller at an entry. */
+struct Asked {
+  uint64_t Id = 0;             ///< Its attempt id.
+  TimePoint Sent;              ///< When the caller sent it.
+  TimePoint Limit;             ///< Its deadline.
+  DocumentPtr Doc;             ///< Document by which it is handled.
+  const Route *From = nullptr; ///< Its route.
+  ServerNeeds Needs;           ///< What it needs.
+  PlaceSearch Search;          ///< Agents asked.
+  InstanceId At;               ///< Back end of the try under way.
+  AttemptId Place;             ///< Place there; may be empty.
+  LinkId PlaceLink;            ///< Over which link it was asked for.
+  bool Asking = false;         ///< A place is waited for.
+  bool Calling = false;        ///< The back end has it.
+  bool Over = false;           ///< The caller has its answer.
+  bool MayHaveRun = false;     ///< Some try may have run.
+  uint32_t Tries = 0;          ///< Sends begun.
+  uint32_t Reached = 0;        ///< Sends that reached a back end.
+  uint64_t Turn = 0;           ///< Raised with each try; for late events.
+  TimePoint CallBegan;         ///< When the try was sent.
+};
+
+using AskedPtr = std::shared_ptr<Asked>;
+
+/** An entry or an agent. */
+struct Process {
+  std::string Name;                ///< Short name.
+  bool Alive = false;              ///< It has been started.
+  uint64_t Life = 0;               ///< Raised by each start and end.
+  TimePoint StillUntil;            ///< It does not run until then.
+  uint64_t Stills = 0;             ///< How often it stood still.
+  TimePoint CalmSince;             ///< End of its last disturbance.
+  std::optional<EntryState> Entry; ///< Control side of an entry.
+  std::optional<AgentState> Agent; ///< Control side of an agent.
+  ConfigVersion Highest;           ///< Newest version that it had.
+  // Traffic side of an entry.
+  DocumentPtr Doc;                       ///< Document it was given.
+  RouteIndex Index;                      ///< Look-ups into it.
+  ServerPool Pool;                       ///< Back ends.
+  FleetSnapshot Fleet;                   ///< What it was told of the fleet.
+  ToldNews Told;                         ///< What it was told of agents.
+  RepeatBudget Repeats;                  ///< Its repeats.
+  std::map<AttemptId, AskedPtr> Waiting; ///< Requests that ask for a place.
+  uint64_t Places = 0;                   ///< Places asked for.
+  // Its reader of the store.
+  uint64_t Reads = 0;        ///< Readings so far.
+  uint64_t Copied = 0;       ///< Revision of its copy; 0: none.
+  std::string LastDocument;  ///< What its copy stands for.
+  ConfigVersion LastVersion; ///< Since which revision.
+  // Beside an agent.
+  uint64_t OrdersEnded = 0; ///< Load orders that the worker answered.
+};
+
+/** A request on its way to a worker. */
+struct Passed {
+  AskedPtr Of;         ///< Which request.
+  uint64_t Turn = 0;   ///< Which try of it.
+  std::string Entry;   ///< Who sent it.
+  uint64_t Life = 0;   ///< Which run of the entry.
+  InstanceId Expected; ///< Run of the worker that is meant.
+  std::string Version; ///< Version demanded; empty: any.
+  TimePoint Sent;      ///< When it was sent.
+  bool First = true;   ///< First send of the request.
+};
+
+/** A worker, or a plain back end. */
+struct Server {
+  std::string Name;                  ///< Also the name of its agent.
+  std::string Address;               ///< Where it takes requests.
+  std::string Zone;                  ///< Failure domain.
+  bool Model = false;                ///< It has weights, and an agent.
+  bool Alive = false;                ///< It runs.
+  uint64_t Life = 0;                 ///< Raised by each start and end.
+  TimePoint StillUntil;              ///< It does not run until then.
+  InstanceId Id;                     ///< This run.
+  uint64_t Version = 0;              ///< Weights; 0: none.
+  bool Busy = false;                 ///< It carries out an order.
+  bool Draining = false;             ///< It says so.
+  TimePoint ColdUntil;               ///< Bears little until then.
+  uint32_t Running = 0;              ///< Requests.
+  std::set<std::string> Staged;      ///< Chunks.
+  std::deque<TimePoint> ColdStarts;  ///< Requests of the last second.
+  std::optional<TimePoint> LeaseEnd; ///< Its entry lapses then.
+};
+
+/** What is to be done at some time. */
+struct Step {
+  TimePoint At;               ///< When.
+  uint64_t Number = 0;        ///< Those of one time are done in this order.
+  std::function<void()> Work; ///< What.
+
+  bool operator>(const Step &Other) const {
+    return std::tie(At, Number) > std::tie(Other.At, Other.Number);
+  }
+};
+
+/** How a worker answers. */
+enum class Answer : uint8_t { Whole, Misdirected, NotRun, Broke, Unreached };
+
+/** The fleet and its surroundings. */
+struct Fleet {
+  // ---- Time and chance ------------------------------------------------------
+  explicit Fleet(uint64_t Seed) : Seed(Seed) {
+    addEntry("e0", "z0", 10);
+    addEntry("e1", "z1", 11);
+    addEntry("e2", "z0", 12);
+    addEntry("e3", "z0", 13);
+    for (int n = 0; n < 4; ++n)
+      addServer("w" + std::to_string(n), n % 2 == 0 ? "z0" : "z1", 20 + n,
+                true);
+    for (int n = 0; n < 2; ++n)
+      addServer("p" + std::to_string(n), n % 2 == 0 ? "z0" : "z1", 40 + n,
+                false);
+    NamedAt.push_back(Begin);
+    writeConfig(true);
+    for (auto &[Name, One] : Servers)
+      startServer(One, 1);
+    for (auto &[Name, One] : Processes)
+      start(One);
+    ask(0);
+  }
+
+  /**
+   * Draws a number. It depends on the purpose and the time alone, so that a
+   * schedule from which an incident is dropped goes on much as before.
+   */
+  uint64_t draw(std::string_view What, uint64_t Bound) const {
+    uint64_t State =
+        checksum64(What) ^ (Seed * 0x9e3779b97f4a7c15ULL) ^
+        (static_cast<uint64_t>(toMillis(Now.time_since_epoch()).count())
+         << 20U);
+    State |= State == 0 ? 1U : 0U;
+    for (int n = 0; n < 3; ++n)
+      nextRandom(State);
+    return (State * 0x2545f4914f6cdd1dULL >> 32U) % Bound;
+  }
+
+  Millis delay(std::string_view What, int Least, int Most) const {
+    const auto Bound = static_cast<uint64_t>(Most) + 1;
+    return Millis(Least) +
+           Millis(draw(What, Bound - static_cast<uint64_t>(Least)));
+  }
+
+  void at(TimePoint When, std::function<void()> Work) {
+    Agenda.push_back({std::max(When, Now), ++Steps, std::move(Work)});
+    std::ranges::push_heap(Agenda, std::greater<>{});
+  }
+
+  void after(Millis Wait, std::function<void()> Work) {
+    at(Now + Wait, std::move(Work));
+  }
+
+  /** Runs a step of a process; one that stands still does it on waking, in any
+   * order with what else waits. */
+  void in(Process &One, Millis Wait, std::function<void()> Work) {
+    after(Wait, [this, &One, Life = One.Life, Work = std::move(Work)] {
+      resume(One, Life, Work);
+    });
+  }
+
+  void resume(Process &One, uint64_t Life, const std::function<void()> &Work) {
+    if (!One.Alive || One.Life != Life)
+      return;
+    if (Now >= One.StillUntil) {
+      Work();
+      return;
+    }
+    const Millis Late = delay(One.Name + "/wake", 0, 40);
+    at(One.StillUntil + Late,
+       [this, &One, Life, Work] { resume(One, Life, Work); });
+  }
+
+  /** Lets time pass, until a rule is broken. */
+  void pass(Millis Length) {
+    const TimePoint End = Now + Length;
+    while (!Agenda.empty() && Agenda.front().At <= End && !Fault) {
+      std::ranges::pop_heap(Agenda, std::greater<>{});
+      const Step Next = std::move(Agenda.back());
+      Agenda.pop_back();
+      Now = Next.At;
+      Next.Work();
+    }
+    if (!Fault)
+      Now = End;
+  }
+
+  void breakRule(const std::string &Rule, const std::string &Text) {
+    if (!Fault)
+      Fault = Broken{sinceBegin(Now), Rule, Text};
+  }
+
+  Millis sinceBegin(TimePoint When) const { return toMillis(When - Begin); }
+
+  // ---- Disturbances ---------------------------------------------------------
+  static std::string pairOf(const std::string &A, const std::string &B) {
+    return std::min(A, B) + "-" + std::max(A, B);
+  }
+
+  bool isCut(const std::string &A, const std::string &B) const {
+    const auto it = CutUntil.find(pairOf(A, B));
+    return it != CutUntil.end() && Now < it->second;
+  }
+
+  /** Until when nothing gets through; the past when all does. */
+  TimePoint heldUntil(const std::string &A, const std::string &B) const {
+    const auto it = HeldUntil.find(pairOf(A, B));
+    return it == HeldUntil.end() ? TimePoint{} : it->second;
+  }
+
+  bool storeAway(const std::string &Who) const {
+    const auto it = AwayUntil.find(Who);
+    return Now < StoreBack || (it != AwayUntil.end() && Now < it->second);
+  }
+
+  void disturb(const std::string &Name, TimePoint Until) {
+    if (const auto it = Processes.find(Name); it != Processes.end())
+      it->second.CalmSince = std::max(it->second.CalmSince, Until);
+  }
+
+  /** Says whether a process has run, and been linked, for long enough. */
+  bool isCalm(const Process &One, TimePoint When) const {
+    return One.Alive && When - One.CalmSince >= Contact;
+  }
+
+  /** Since when neither store nor links were disturbed. */
+  TimePoint quietSince() const {
+    return std::max(LinksQuiet, StoreBack + Contact);
+  }
+
+  void happen(const Incident &One) {
+    const TimePoint End = Now + One.Length;
+    switch (One.Kind) {
+    case Trouble::StandStill:
+      standStill(One.Who, End);
+      return;
+    case Trouble::HostStill:
+      standStill(One.Who, End);
+      Servers.at(One.Who).StillUntil =
+          std::max(Servers.at(One.Who).StillUntil, End);
+      return;
+    case Trouble::Restart:
+      stop(Processes.at(One.Who));
+      disturb(One.Who, End);
+      at(End, [this, One] { start(Processes.at(One.Who)); });
+      return;
+    case Trouble::CutLink:
+      CutUntil[pairOf(One.Who, One.Other)] = End;
+      CutAt[pairOf(One.Who, One.Other)] = Now;
+      breakWires(One.Who, One.Other);
+      linkDisturbed(One, End);
+      return;
+    case Trouble::HoldLink:
+      HeldUntil[pairOf(One.Who, One.Other)] = End;
+      linkDisturbed(One, End);
+      return;
+    case Trouble::StoreAway:
+      StoreBack = std::max(StoreBack, End);
+      at(StoreBack, [this] { lapse(); });
+      return;
+    case Trouble::StoreAwayFor:
+      AwayUntil[One.Who] = End;
+      disturb(One.Who, End);
+      LinksQuiet = std::max(LinksQuiet, End);
+      return;
+    case Trouble::NewWeights:
+      nameWeights();
+      return;
+    case Trouble::Drain:
+      drain(Servers.at(One.Who), One.Length);
+      return;
+    case Trouble::WorkerEnds:
+      endServer(Servers.at(One.Who));
+      at(End, [this, One] { startServer(Servers.at(One.Who), 0); });
+      return;
+    case Trouble::DomainOut:
+      domainOut(One);
+      return;
+    case Trouble::KeyGone:
+      keyGone(One);
+      return;
+    case Trouble::Count:
+      return;
+    }
+  }
+
+  void standStill(const std::string &Who, TimePoint Until) {
+    Process &One = Processes.at(Who);
+    ++One.Stills;
+    One.StillUntil = std::max(One.StillUntil, Until);
+    disturb(Who, Until);
+  }
+
+  void linkDisturbed(const Incident &One, TimePoint Until) {
+    disturb(One.Who, Until);
+    disturb(One.Other, Until);
+    LinksQuiet = std::max(LinksQuiet, Until);
+  }
+
+  // ---- Store ----------------------------------------------------------------
+  void put(const std::string &Key, const std::string &Value) {
+    const auto it = Items.Items.find(Key);
+    if (it != Items.Items.end() && it->second.Value == Value)
+      return;
+    Items.Items[Key] = {Value, ++Items.Revision};
+  }
+
+  void erase(const std::string &Key) {
+    if (Items.Items.erase(Key) > 0)
+      ++Items.Revision;
+  }
+
+  /** The operator tries until the store answers. */
+  void whenStored(std::function<void()> Work) {
+    if (Now < StoreBack)
+      at(StoreBack, [this, Work = std::move(Work)] { whenStored(Work); });
+    else
+      Work();
+  }
+
+  void writeConfig(bool WithKey) {
+    const auto RouteOf = [](const char *Name, const char *Kind,
+                            const char *Service) {
+      return Json{{"name", Name},
+                  {"host", "h.example"},
+                  {"prefix", std::string("/") + Name + "/"},
+                  {"kind", Kind},
+                  {"timeout_ms", 3000},
+                  {"target_latency_ms", 300},
+                  {"max_attempts", MaxAttempts},
+                  {"service", Service}};
+    };
+    Json Keys = {"k0"};
+    if (WithKey)
+      Keys.push_back("k1");
+    const Json Config = {{"routes",
+                          {RouteOf("write", "idempotent", "llm"),
+                           RouteOf("chat", "non_idempotent", "llm"),
+                           RouteOf("book", "non_idempotent", "slots"),
+                           RouteOf("look", "idempotent", "slots")}},
+                         {"services",
+                          {{{"name", "llm"},
+                            {"max_connections", 100},
+                            {"cold_per_s", ColdRate},
+                            {"engine", {{"models", {{{"name", "trail"}}}}}}},
+                           {{"name", "slots"}, {"max_connections", 100}},
+                           {{"name", "weights"}, {"origin", "10.0.9.9:80"}}}},
+                         {"tenants", {{{"name", "huts"}, {"api_keys", Keys}}}}};
+    put("op/config", Config.dump());
+  }
+
+  void nameWeights() {
+    whenStored([this] {
+      NamedAt.push_back(Now);
+      put("op/version/trail",
+          Json{{"model", "trail"}, {"version", NamedAt.size()}}.dump());
+    });
+  }
+
+  void domainOut(const Incident &One) {
+    whenStored([this, One] {
+      put("op/evacuate/" + One.Who, "{}");
+      OutSince.try_emplace(One.Who, Now);
+      after(One.Length, [this, One] {
+        whenStored([this, One] {
+          erase("op/evacuate/" + One.Who);
+          OutSince.erase(One.Who);
+        });
+      });
+    });
+  }
+
+  void keyGone(const Incident &One) {
+    whenStored([this, One] {
+      writeConfig(false);
+      KeyGoneSince = Now;
+      after(One.Length, [this] {
+        whenStored([this] {
+          writeConfig(true);
+          KeyGoneSince.reset();
+        });
+      });
+    });
+  }
+
+  /** Gives what the store's items stand for. */
+  const std::string &documentNow() {
+    if (ShownRevision != Items.Revision)
+      ShownDocument = documentOf(Items, {{"z0=r", "z1=r"}, 7});
+    ShownRevision = Items.Revision;
+    return ShownDocument;
+  }
+
+  /** Entries of servers that did not renew them. */
+  void lapse() {
+    if (Now < StoreBack)
+      return;
+    for (auto &[Name, One] : Servers) {
+      if (!One.LeaseEnd || Now < *One.LeaseEnd)
+        continue;
+      One.LeaseEnd.reset();
+      erase("servers/" + One.Id.Value);
+      GoneSince.try_emplace(One.Id, Now);
+    }
+  }
+
+  /** A server tells the store of itself. */
+  void registerServer(Server &One) {
+    if (!One.Alive || Now < One.StillUntil || Now < StoreBack)
+      return;
+    Json Entry = {
+        {"service", One.Model ? "llm" : "slots"},
+        {"address", One.Address},
+        {"zone", One.Zone},
+        {"slots", 8},
+        {"state", One.Draining ? "draining" : "ready"},
+        {"born", One.Life},
+        {"cold_remaining_ms",
+         std::max<int64_t>(0, toMillis(One.ColdUntil - Now).count())}};
+    if (One.Model && One.Version > 0)
+      Entry["models"] = {{{"name", "trail"}, {"version", One.Version}}};
+    const std::string Key = "servers/" + One.Id.Value;
+    const auto it = Items.Items.find(Key);
+    // What is left of the cold time is told once.
+    if (it != Items.Items.end())
+      Entry["cold_remaining_ms"] =
+          Json::parse(it->second.Value)["cold_remaining_ms"];
+    put(Key, Entry.dump());
+    One.LeaseEnd = Now + Millis(3000);
+    if (!One.Draining)
+      GoneSince.erase(One.Id);
+    else
+      GoneSince.try_emplace(One.Id, Now);
+  }
+
+  // ---- Processes ------------------------------------------------------------
+  static Settings settingsOf(const std::string &Name, const std::string &Zone,
+                             bool Entry) {
+    Json File = {{"name", Name}, {"domain", Zone}, {"platform", "store"}};
+    File[Entry ? "config_url" : "engine_url"] = "http://10.0.9.1:80";
+    const auto Read = outcomeOf([&] {
+      return parseSettings(File.dump(), "model",
+                           Entry ? SettingOwner::Entry : SettingOwner::Agent);
+    });
+    if (!Read.Value)
+      throw std::runtime_error(Read.Why.Detail);
+    return *Read.Value;
+  }
+
+  void addEntry(const std::string &Name, const std::string &Zone, int n) {
+    Process &One = Processes[Name];
+    One.Name = Name;
+    Settings Config = settingsOf(Name, Zone, true);
+    const std::string Host = "10.0.0." + std::to_string(n);
+    Config.PeerListen = Host + ":5";
+    Config.RouteListen = Host + ":80";
+    Config.SeedPeers = {"10.0.0.10:5", "10.0.0.11:5"};
+    Config.ServeCutOff = true;
+    Config.RepeatRatio = RepeatRatio;
+    Config.RepeatSlack = RepeatSlack;
+    Config.RepeatWindowSeconds = RepeatWindow.count() / 1000;
+    Configs[Name] = Config;
+    NameAt[Config.PeerListen] = Name;
+  }
+
+  void addServer(const std::string &Name, const std::string &Zone, int n,
+                 bool Model) {
+    Server &One = Servers[Name];
+    One.Name = Name;
+    One.Zone = Zone;
+    One.Model = Model;
+    const std::string Host = "10.0.1." + std::to_string(n);
+    One.Address = Host + ":80";
+    ServerAt[One.Address] = Name;
+    if (!Model)
+      return;
+    Processes[Name].Name = Name;
+    Settings Config = settingsOf(One.Address, Zone, false);
+    Config.PeerListen = Host + ":7";
+    Config.WeightsFromPeers = false;
+    Configs[Name] = Config;
+    NameAt[Config.PeerListen] = Name;
+  }
+
+  void start(Process &One) {
+    const Settings &Config = Configs.at(One.Name);
+    const Incarnation Run{++Runs};
+    ++One.Life;
+    One.Alive = true;
+    One.CalmSince = std::max(One.CalmSince, Now);
+    One.Highest = {};
+    if (Servers.contains(One.Name)) {
+      One.Agent = makeAgent(Config, Run, Now);
+      One.OrdersEnded = 0;
+      in(One, delay(One.Name, 0, 50), [this, &One] { tickAgent(One); });
+      in(One, delay(One.Name, 0, 50), [this, &One] { watchEngine(One); });
+      return;
+    }
+    One.Entry = makeEntry(Config, Run, Now);
+    startTraffic(One, Config);
+    in(One, delay(One.Name, 0, 50), [this, &One] { tickEntry(One); });
+    readTurn(One);
+  }
+
+  void startTraffic(Process &One, const Settings &Config) const {
+    One.Pool = {};
+    One.Pool.Options = {{Config.Domain},
+                        formerWeightsTime(Config),
+                        Millis(Config.LapseGraceMillis)};
+    One.Pool.Random ^= draw(One.Name + "/random", 1U << 30U) | 1U;
+    One.Repeats = {};
+    One.Repeats.Limits = {RepeatRatio, RepeatSlack, RepeatWindow};
+    One.Doc = nullptr;
+    One.Index = {};
+    One.Fleet = {};
+    One.Told = {};
+    One.Waiting.clear();
+    One.Copied = 0;
+    One.LastDocument.clear();
+    One.LastVersion = {};
+  }
+
+  void stop(Process &One) {
+    if (!One.Alive)
+      return;
+    One.Alive = false;
+    ++One.Life;
+    for (Wire &Link : Wires)
+      for (const size_t n : {size_t{0}, size_t{1}})
+        if (Link.Ends.at(n).Open && Link.Ends.at(n).Who == One.Name) {
+          Link.Ends.at(n).Open = false;
+          enqueue(Link, 1 - n, std::nullopt);
+        }
+  }
+
+  void tickEntry(Process &One) {
+    Effects Out;
+    entryTick(*One.Entry, Now, Out);
+    showDocument(One);
+    tellRoutes(One);
+    perform(One, Out);
+    in(One, delay(One.Name, 45, 60), [this, &One] { tickEntry(One); });
+  }
+
+  void tickAgent(Process &One) {
+    Effects Out;
+    agentTick(*One.Agent, Now, Out);
+    finishAgent(One, Out);
+    in(One, delay(One.Name, 45, 60), [this, &One] { tickAgent(One); });
+  }
+
+  /** Ends a step of an agent, as its shell does. */
+  void finishAgent(Process &One, Effects &Out) {
+    tellLoad(*One.Agent, Out);
+    perform(One, Out);
+    checkVersion(One, versionInForce(One.Agent->View));
+  }
+
+  /** Runs a step of an agent that came about outside, as its shell does. */
+  template <typename Work>
+  void agentStep(Process &One, Millis Wait, Work Body) {
+    in(One, Wait, [this, &One, Body] {
+      Effects Out;
+      agentNoticePause(*One.Agent, Now, Out);
+      Body(*One.Agent, Out);
+      finishAgent(One, Out);
+    });
+  }
+
+  void checkVersion(Process &One, ConfigVersion Has) {
+    if (Has < One.Highest)
+      breakRule("back", One.Name + " went back from version " +
+                            std::to_string(One.Highest.Value) + " to " +
+                            std::to_string(Has.Value));
+    One.Highest = std::max(One.Highest, Has);
+  }
+
+  void showDocument(Process &One) {
+    const DocumentPtr &Doc = One.Entry->View.InForce;
+    if (One.Doc == Doc)
+      return;
+    checkVersion(One, versionInForce(One.Entry->View));
+    One.Doc = Doc;
+    One.Index = makeRouteIndex(*Doc);
+    poolFollows(One.Pool, Doc, Now);
+  }
+
+  void tellRoutes(Process &One) {
+    for (const AgentNews &News : newsOfAgents(*One.Entry, One.Told))
+      agentTold(One.Pool, News, Now);
+    One.Fleet = fleetSnapshot(*One.Entry, Now);
+    listingAway(One.Pool, One.Fleet.ListingAway, Now);
+    One.Pool.Entries =
+        static_cast<uint32_t>(std::max<size_t>(1, One.Fleet.Alive.size()));
+  }
+
+  // ---- Reading the store ----------------------------------------------------
+  void readTurn(Process &One) {
+    const ReadTurn Turn =
+        nextRead(One.Entry->View, One.Entry->Fleet, One.Reads++);
+    in(One, Turn.Delay, [this, &One, Turn] {
+      if (Turn.Reader)
+        read(One, Turn, Now, Now + Turn.Wait);
+      else
+        readTurn(One);
+    });
+  }
+
+  /** Waits at the store for a change; whether the reader runs is all one. */
+  void read(Process &One, const ReadTurn &Turn, TimePoint Began,
+            TimePoint Until) {
+    if (storeAway(One.Name)) {
+      readEnds(One, Began, delay(One.Name + "/away", 300, 1000),
+               {std::nullopt, {ErrorKind::Unreachable, "away", {}}});
+      return;
+    }
+    if (One.Copied > 0 && One.Copied == Items.Revision && Now < Until) {
+      after(Millis(20), [this, &One, Turn, Began, Until, Life = One.Life] {
+        if (One.Life == Life)
+          read(One, Turn, Began, Until);
+      });
+      return;
+    }
+    One.Copied = Items.Revision;
+    if (documentNow() != One.LastDocument) {
+      One.LastDocument = documentNow();
+      One.LastVersion.Value = Items.Revision;
+    }
+    const bool News = One.LastVersion > Turn.After && !One.LastDocument.empty();
+    readEnds(
+        One, Began, delay(One.Name + "/read", 5, 60),
+        {News ? withVersion(One.LastDocument, One.LastVersion.Value) : "", {}});
+  }
+
+  void readEnds(Process &One, TimePoint Began, Millis Wait,
+                const Outcome<std::string> &Read) {
+    in(One, Wait, [this, &One, Began, Read] {
+      Effects Out;
+      entryConfigRead(*One.Entry, Read, Began, Now, Out);
+      showDocument(One);
+      perform(One, Out);
+      readTurn(One);
+    });
+  }
+
+  // ---- Links ----------------------------------------------------------------
+  /** Time on the way; longer between domains, and often longer still. */
+  Millis onTheWay(const std::string &From, const std::string &To) const {
+    const std::string What = From + ">" + To;
+    return draw(What, 20) == 0 ? delay(What + "/late", 20, 120)
+                               : delay(What, 1, 12);
+  }
+
+  void open(Process &From, LinkId Link, const std::string &At) {
+    const auto it = NameAt.find(At);
+    Process *To = it == NameAt.end() ? nullptr : &Processes.at(it->second);
+    if (To == nullptr || !To->Alive || isCut(From.Name, To->Name)) {
+      in(From, Millis(5), [this, &From, Link] { closed(From, Link); });
+      return;
+    }
+    const TimePoint Held = heldUntil(From.Name, To->Name);
+    if (Now < Held) {
+      at(Held, [this, &From, Link, At, Life = From.Life] {
+        if (From.Alive && From.Life == Life)
+          open(From, Link, At);
+      });
+      return;
+    }
+    in(*To, onTheWay(From.Name, To->Name),
+       [this, &From, To, Link, Life = From.Life] {
+         if (!From.Alive || From.Life != Life || isCut(From.Name, To->Name))
+           return;
+         Wire &One = Wires.emplace_back();
+         One.Ends = {WireEnd{From.Name, From.Life, Link, true},
+                     WireEnd{To->Name, To->Life, LinkId{NextEnd++}, true}};
+         WireAt[{From.Name, Link}] = {&One, 0};
+         WireAt[{To->Name, One.Ends[1].Link}] = {&One, 1};
+         opened(*To, One.Ends[1].Link);
+         in(From, Millis(1), [this, &From, Link] { opened(From, Link); });
+       });
+  }
+
+  void opened(Process &One, LinkId Link) {
+    Effects Out;
+    if (One.Entry) {
+      entryLinkOpened(*One.Entry, Link, Now, Out);
+      showDocument(One);
+      perform(One, Out);
+      return;
+    }
+    agentNoticePause(*One.Agent, Now, Out);
+    agentLinkOpened(*One.Agent, Link, Now, Out);
+    finishAgent(One, Out);
+  }
+
+  void closed(Process &One, LinkId Link) {
+    Effects Out;
+    if (One.Entry) {
+      entryLinkClosed(*One.Entry, Link, Now, Out);
+      showDocument(One);
+      perform(One, Out);
+      return;
+    }
+    agentNoticePause(*One.Agent, Now, Out);
+    agentLinkClosed(*One.Agent, Link, Now);
+    finishAgent(One, Out);
+  }
+
+  /** Puts a message, or the close, on its way to an end. */
+  void enqueue(Wire &One, size_t To, std::optional<Message> m) {
+    TimePoint &Last = One.LastDue.at(To);
+    Last = std::max(
+        Last, Now + onTheWay(One.Ends.at(1 - To).Who, One.Ends.at(To).Who));
+    One.Queues.at(To).push_back(std::move(m));
+    at(Last, [this, &One, To] { arrive(One, To); });
+  }
+
+  void arrive(Wire &One, size_t To) {
+    WireEnd &End = One.Ends.at(To);
+    if (!End.Open || One.Queues.at(To).empty())
+      return;
+    const TimePoint Held = heldUntil(One.Ends[0].Who, One.Ends[1].Who);
+    if (Now < Held) {
+      at(Held, [this, &One, To] { arrive(One, To); });
+      return;
+    }
+    Process &Who = Processes.at(End.Who);
+    in(Who, Millis(0), [this, &One, &Who, To] { deliver(Who, One, To); });
+  }
+
+  void deliver(Process &Who, Wire &One, size_t To) {
+    WireEnd &End = One.Ends.at(To);
+    if (!End.Open || End.Life != Who.Life || One.Queues.at(To).empty())
+      return;
+    const std::optional<Message> m = std::move(One.Queues.at(To).front());
+    One.Queues.at(To).pop_front();
+    if (!m) {
+      End.Open = false;
+      closed(Who, End.Link);
+      return;
+    }
+    if (Who.Entry) {
+      if (const auto *Said = std::get_if<PlaceAnswer>(&*m)) {
+        placeAnswered(Who, *Said);
+        return;
+      }
+      Effects Out;
+      entryMessage(*Who.Entry, End.Link, *m, Now, Out);
+      showDocument(Who);
+      perform(Who, Out);
+      return;
+    }
+    Effects Out;
+    agentNoticePause(*Who.Agent, Now, Out);
+    agentMessage(*Who.Agent, End.Link, *m, Now, Out);
+    finishAgent(Who, Out);
+  }
+
+  void send(const Process &From, LinkId Link, const Message &m) {
+    const auto it = WireAt.find({From.Name, Link});
+    if (it == WireAt.end())
+      return;
+    const auto [One, n] = it->second;
+    if (One->Ends.at(n).Open && One->Ends.at(n).Life == From.Life)
+      enqueue(*One, 1 - n, m);
+  }
+
+  void drop(const Process &From, LinkId Link) {
+    const auto it = WireAt.find({From.Name, Link});
+    if (it == WireAt.end())
+      return;
+    const auto [One, n] = it->second;
+    if (!One->Ends.at(n).Open || One->Ends.at(n).Life != From.Life)
+      return;
+    One->Ends.at(n).Open = false;
+    enqueue(*One, 1 - n, std::nullopt);
+  }
+
+  /** Resets all connections between two hosts. */
+  void breakWires(const std::string &A, const std::string &B) {
+    for (Wire &One : Wires) {
+      if (pairOf(One.Ends[0].Who, One.Ends[1].Who) != pairOf(A, B))
+        continue;
+      for (size_t n = 0; n < One.Ends.size(); ++n) {
+        One.Queues.at(n).clear();
+        if (One.Ends.at(n).Open)
+          enqueue(One, n, std::nullopt);
+      }
+    }
+  }
+
+  void perform(Process &One, const Effects &Todo) {
+    for (const Effect &Each : Todo)
+      std::visit(
+          Overloaded{
+              [&](const OpenLink &e) { open(One, e.Link, e.To.Value); },
+              [&](const CloseLink &e) { drop(One, e.Link); },
+              [&](const SendMessage &e) { send(One, e.Link, e.Content); },
+              [&](const ReadChunkList &e) { giveList(One, e.Version); },
+              [&](const FetchFromOrigin &e) { giveChunk(One, e.Chunk); },
+              [&](const StageChunk &e) { stage(One, e.Chunk); },
+              [&](const ReadStaged &e) { giveStaged(One, e.Chunks); },
+              [&](const LoadWeights &e) { load(One, e.Order); },
+              [&](const LogNote &e) {
+                if (OnLog)
+                  OnLog(sinceBegin(Now), One.Name, e.Text);
+              },
+              [](const auto &) {
+                // What callers of the product's own interface get.
+              }},
+          Each);
+  }
+
+  // ---- Weights --------------------------------------------------------------
+  static std::string chunkOf(const std::string &Version) {
+    return "trail " + Version;
+  }
+
+  void giveList(Process &One, const ChunkRef &Version) {
+    const ChunkList List{{sha256(chunkOf(Version.Version))}, 100};
+    agentStep(One, delay(One.Name + "/list", 10, 60),
+              [this, Version, List](AgentState &Agent, Effects &Out) {
+                chunkListRead(Agent, Version, {List, {}}, Now, Out);
+              });
+  }
+
+  void giveChunk(Process &One, const ChunkRef &Chunk) {
+    const auto Bytes =
+        std::make_shared<const std::string>(chunkOf(Chunk.Version));
+    const Millis Wait = draw(One.Name + "/slow", 3) == 0
+                            ? delay(One.Name + "/origin", 3000, 14000)
+                            : delay(One.Name + "/origin", 200, 3000);
+    agentStep(One, Wait, [this, Chunk, Bytes](AgentState &Agent, Effects &Out) {
+      originAnswered(Agent, Chunk.Content, checkChunk(Bytes), Now, Out);
+    });
+  }
+
+  void stage(Process &One, const ChunkRef &Chunk) {
+    Server &Beside = Servers.at(One.Name);
+    const bool Done = Beside.Alive;
+    if (Done)
+      Beside.Staged.insert(Chunk.Content.Value);
+    agentStep(One, Millis(10),
+              [this, Chunk, Done](AgentState &Agent, Effects &Out) {
+                agentStaged(Agent, Chunk, Done, Now, Out);
+              });
+  }
+
+  void giveStaged(Process &One, const std::vector<ChunkRef> &Chunks) {
+    for (const ChunkRef &Chunk : Chunks)
+      if (Servers.at(One.Name).Staged.contains(Chunk.Content.Value))
+        agentStep(One, Millis(10),
+                  [this, Chunk](AgentState &Agent, Effects &Out) {
+                    agentStaged(Agent, Chunk, true, Now, Out);
+                  });
+  }
+
+  void load(Process &One, const LoadOrder &Order) {
+    in(One, Millis(15), [this, &One, Order, Stills = One.Stills] {
+      Server &Beside = Servers.at(One.Name);
+      const bool Staged =
+          std::ranges::all_of(Order.Chunks, [&](const Digest &Chunk) {
+            return Beside.Staged.contains(Chunk.Value);
+          });
+      if (One.Stills != Stills || !Beside.Alive || !Staged) {
+        orderOver(One, Failure{ErrorKind::StaleView, "", {}});
+        return;
+      }
+      Beside.Busy = true;
+      beginLoad(One, One.Life, Beside, Beside.Life, std::stoull(Order.Version));
+    });
+  }
+
+  /** A worker first ends what it runs. */
+  void beginLoad(Process &One, uint64_t Life, Server &Beside, uint64_t Run,
+                 uint64_t Version) {
+    if (Beside.Life != Run)
+      return;
+    if (Beside.Running > 0) {
+      after(Millis(20), [this, &One, Life, &Beside, Run, Version] {
+        beginLoad(One, Life, Beside, Run, Version);
+      });
+      return;
+    }
+    Beside.Version = 0;
+    after(delay(Beside.Name + "/load", 200, 900),
+          [this, &One, Life, &Beside, Run, Version] {
+            if (Beside.Life != Run)
+              return;
+            Beside.Version = Version;
+            Beside.Busy = false;
+            after(delay(Beside.Name + "/tell", 20, 400),
+                  [this, &Beside] { registerServer(Beside); });
+            if (One.Alive && One.Life == Life)
+              orderOver(One, std::nullopt);
+          });
+  }
+
+  void orderOver(Process &One, const std::optional<Failure> &Why) {
+    agentStep(One, Millis(20),
+              [this, &One, Why](AgentState &Agent, Effects &Out) {
+                loadEnded(Agent, Why, Now, Out);
+                ++One.OrdersEnded;
+              });
+  }
+
+  void watchEngine(Process &One) {
+    const Server &Beside = Servers.at(One.Name);
+    const uint64_t Orders = One.OrdersEnded;
+    Outcome<EngineState> Read{std::nullopt, {ErrorKind::Unreachable, "", {}}};
+    if (Beside.Alive && Now >= Beside.StillUntil) {
+      EngineState State;
+      State.Run = Beside.Id.Value;
+      if (Beside.Version > 0)
+        State.Weights = publishedSet({"trail"}, std::to_string(Beside.Version));
+      State.Running = Beside.Running;
+      State.Cold = Now < Beside.ColdUntil;
+      State.Busy = Beside.Busy;
+      Read = {State, {}};
+    }
+    agentStep(One, delay(One.Name + "/report", 2, 20),
+              [this, Read, Orders](AgentState &Agent, Effects &Out) {
+                engineStateRead(Agent, Read, Orders, Now, Out);
+              });
+    in(One, Millis(200), [this, &One] { watchEngine(One); });
+  }
+
+  // ---- Servers --------------------------------------------------------------
+  void startServer(Server &One, uint64_t Version) {
+    if (One.Alive)
+      return;
+    ++One.Life;
+    One.Alive = true;
+    One.Id.Value = One.Name + "." + std::to_string(One.Life);
+    One.Version = Version;
+    One.Busy = One.Draining = false;
+    One.Running = 0;
+    One.Staged.clear();
+    One.LeaseEnd.reset();
+    One.ColdStarts.clear();
+    One.ColdUntil = Version > 0 ? Now : Now + Millis(3000);
+    renew(One, One.Life);
+  }
+
+  void renew(Server &One, uint64_t Life) {
+    if (One.Life != Life || !One.Alive)
+      return;
+    registerServer(One);
+    at(std::max(One.StillUntil, Now + Millis(1000)),
+       [this, &One, Life] { renew(One, Life); });
+    after(Millis(3010), [this] { lapse(); });
+  }
+
+  /** Ends at once; its entry in the store lapses. */
+  void endServer(Server &One) {
+    if (!One.Alive)
+      return;
+    One.Alive = false;
+    ++One.Life;
+    One.Running = 0;
+    const std::string Key = "servers/" + One.Id.Value;
+    if (One.LeaseEnd)
+      at(*One.LeaseEnd, [this, Key, Id = One.Id] {
+        whenStored([this, Key, Id] {
+          erase(Key);
+          GoneSince.try_emplace(Id, Now);
+        });
+      });
+    One.LeaseEnd.reset();
+  }
+
+  void drain(Server &One, Millis Length) {
+    if (!One.Alive)
+      return;
+    One.Draining = true;
+    registerServer(One);
+    const uint64_t Life = One.Life;
+    after(Length, [this, &One, Life] {
+      if (One.Life != Life)
+        return;
+      endServer(One);
+      after(Millis(1500), [this, &One] { startServer(One, 0); });
+    });
+  }
+
+  // ---- A request at an entry ------------------------------------------------
+  /** Callers ask all entries by turns. */
+  void ask(uint64_t n) {
+    const std::string Name = "e" + std::to_string(n % 4);
+    Process &At = Processes.at(Name);
+    constexpr std::array<const char *, 4> Paths = {"/write/", "/chat/",
+                                                   "/book/", "/look/"};
+    // Most requests are for workers with weights.
+    const char *Path = Paths.at(draw("path", 5) % 4);
+    const std::string Key = draw("key", 3) == 0 ? "k1" : "k0";
+    if (At.Alive)
+      in(At, Millis(2), [this, &At, Path, Key, Sent = Now, n] {
+        takeRequest(At, Path, Key, Sent, n + 1);
+      });
+    after(delay("ask", 6, 26), [this, n] { ask(n + 1); });
+  }
+
+  void takeRequest(Process &At, const char *Path, const std::string &Key,
+                   TimePoint Sent, uint64_t Id) {
+    const auto One = std::make_shared<Asked>();
+    One->Id = Id;
+    One->Sent = Sent;
+    One->Doc = At.Doc;
+    if (At.Doc == nullptr || !At.Fleet.Ready)
+      return;
+    One->From = matchRoute(At.Index, "h.example", Path);
+    One->Needs.Owner = matchTenant(At.Index, "Bearer " + Key);
+    if (One->From == nullptr || One->Needs.Owner == nullptr)
+      return;
+    One->Limit = Now + std::min(One->From->Timeout, Millis(2000));
+    One->Needs.Service = One->From->Targets.front().Service;
+    One->Needs.From = One->From;
+    KeyOf[Id] = Key;
+    countFirst(At.Repeats, One->Needs.Service, Now);
+    Firsts[One->Needs.Service].push_back(Now);
+    in(At, toMillis(One->Limit - Now) + Millis(1), [this, &At, One] {
+      if (!One->Over)
+        limitCame(At, One);
+    });
+    tryNext(At, One);
+  }
+
+  static bool canRepeat(const Asked &One) {
+    return One.From->Kind == RouteKind::Idempotent;
+  }
+
+  static bool attemptsLeft(const Asked &One) {
+    return One.Reached < One.From->MaxAttempts && One.Tries < 5;
+  }
+
+  void tryNext(Process &At, const AskedPtr &One) {
+    if (One->Limit - Now < Millis(10)) {
+      limitCame(At, One);
+      return;
+    }
+    if (!attemptsLeft(*One) || !mayAskMore(One->Search)) {
+      end(At, One, !One->MayHaveRun);
+      return;
+    }
+    ServerChoice Choice = chooseServer(At.Pool, One->Needs, Now);
+    if (Choice.Server == nullptr && takeBusyOnes(One->Search, One->Needs))
+      Choice = chooseServer(At.Pool, One->Needs, Now);
+    if (Choice.Server == nullptr) {
+      end(At, One, !One->MayHaveRun);
+      return;
+    }
+    if (One->Reached > 0 &&
+        !mayRepeat(At.Repeats, One->Needs.Service, At.Pool.Entries, Now)) {
+      end(At, One, !One->MayHaveRun);
+      return;
+    }
+    One->At = Choice.Server->Listed.Id;
+    ++One->Turn;
+    attemptOpened(At.Pool, One->At, Now);
+    if (hasAgent(*Choice.Server))
+      askPlace(At, One, *Choice.Server);
+    else
+      sendTo(At, One, *Choice.Server);
+  }
+
+  void askPlace(Process &At, const AskedPtr &One, const ServerView &Server) {
+    PlaceAsk Ask;
+    Ask.Place.Value = At.Name + "/" + std::to_string(At.Life) + "/" +
+                      std::to_string(++At.Places);
+    const Duration Left = One->Sent + One->From->Target - Now;
+    Millis Wait = std::max(toMillis(Left), Millis(0));
+    if (Wait.count() == 0) {
+      Ask.Spare = true;
+      Wait = lateWait(One->Limit - Now);
+      takeBusyOnes(One->Search, One->Needs);
+    }
+    Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
+    const Millis MostReading = mostReading(One->Search);
+    Ask.MostReadingMillis = static_cast<uint32_t>(MostReading.count());
+    placeAsked(One->Search);
+    One->Place = Ask.Place;
+    One->PlaceLink = Server.Agent->Link;
+    One->Asking = true;
+    At.Waiting[One->Place] = One;
+    send(At, One->PlaceLink, Ask);
+    const Millis Until =
+        Millis(150) + (MostReading.count() == 0 ? Wait : Millis(0));
+    in(At, Until, [this, &At, One, Turn = One->Turn] {
+      if (One->Over || !One->Asking || One->Turn != Turn)
+        return;
+      agentSilent(At.Pool, One->At);
+      askElsewhere(At, One, false);
+    });
+  }
+
+  void placeAnswered(Process &At, const PlaceAnswer &Said) {
+    const auto Node = At.Waiting.extract(Said.Place);
+    if (!Node)
+      return;
+    const AskedPtr One = Node.mapped();
+    if (One->Over || !One->Asking || One->Place != Said.Place)
+      return;
+    One->Asking = false;
+    loadTold(At.Pool, One->At, Said.Load.Busy, Now);
+    if (Said.Given && mayStillUse(At.Pool, One->At, One->Needs, Now)) {
+      sendTo(At, One, At.Pool.Servers.at(One->At));
+      return;
+    }
+    if (!Said.Given)
+      One->Place = {};
+    askElsewhere(At, One, Said.Why == ErrorKind::Overloaded);
+  }
+
+  void askElsewhere(Process &At, const AskedPtr &One, bool OnlyBusy) {
+    placeOver(At, *One, false);
+    attemptClosed(At.Pool, One->At, AttemptEnd::Dropped, {}, Now);
+    placeRefused(One->Search, One->Needs, One->At, OnlyBusy);
+    tryNext(At, One);
+  }
+
+  void placeOver(Process &At, Asked &One, bool Whole) {
+    One.Asking = false;
+    if (One.Place.Value.empty())
+      return;
+    At.Waiting.erase(One.Place);
+    send(At, One.PlaceLink, PlaceDone{One.Place, Whole, One.Calling});
+    One.Place = {};
+  }
+
+  void sendTo(Process &At, const AskedPtr &One, const ServerView &Server) {
+    Passed Sent;
+    Sent.Of = One;
+    Sent.Turn = One->Turn;
+    Sent.Entry = At.Name;
+    Sent.Life = At.Life;
+    Sent.Expected = Server.Listed.Id;
+    Sent.Version = versionToDemand(At.Pool, One->At, Now);
+    Sent.Sent = Now;
+    Sent.First = One->Reached == 0;
+    One->CallBegan = Now;
+    One->Calling = true;
+    ++One->Tries;
+    ++One->Reached;
+    const std::string To = ServerAt.at(Server.Listed.At.Value);
+    connect(Sent, Servers.at(To));
+    if (canRepeat(*One))
+      in(At, One->From->Target * 2, [this, &At, One, Turn = One->Turn] {
+        if (!One->Over && One->Calling && One->Turn == Turn &&
+            attemptsLeft(*One) && couldGoElsewhere(At, *One))
+          answered(At, One, Answer::Broke);
+      });
+  }
+
+  bool couldGoElsewhere(Process &At, const Asked &One) const {
+    ServerNeeds Other = One.Needs;
+    Other.Tried.insert(One.At);
+    return chooseServer(At.Pool, Other, Now).Server != nullptr &&
+           repeatsLeft(At.Repeats, One.Needs.Service, At.Pool.Entries, Now);
+  }
+
+  void answered(Process &At, const AskedPtr &One, Answer How) {
+    One->Calling = How != Answer::Unreached;
+    const auto Over = [&](AttemptEnd End) {
+      placeOver(At, *One, How == Answer::Whole);
+      attemptClosed(At.Pool, One->At, End, Now - One->CallBegan, Now);
+      One->Calling = false;
+    };
+    switch (How) {
+    case Answer::Whole:
+      Over(AttemptEnd::Answered);
+      One->Over = true;
+      return;
+    case Answer::Misdirected:
+      serverMisjudged(At.Pool, One->At, Now);
+      [[fallthrough]];
+    case Answer::NotRun:
+      Over(AttemptEnd::Refused);
+      break;
+    case Answer::Unreached:
+      Over(AttemptEnd::Unreached);
+      --One->Reached;
+      break;
+    case Answer::Broke:
+      Over(AttemptEnd::Broken);
+      One->MayHaveRun = true;
+      break;
+    }
+    One->Needs.Tried.insert(One->At);
+    if (How == Answer::Broke && !canRepeat(*One))
+      end(At, One, false);
+    else
+      tryNext(At, One);
+  }
+
+  void limitCame(Process &At, const AskedPtr &One) {
+    end(At, One, !One->MayHaveRun && One->Reached == 0);
+  }
+
+  /** The caller is refused, which says that it did not run, or told nothing. */
+  void end(Process &At, const AskedPtr &One, bool NotRun) {
+    const bool Open = One->Calling || One->Asking;
+    placeOver(At, *One, false);
+    if (Open)
+      attemptClosed(At.Pool, One->At, AttemptEnd::Dropped, {}, Now);
+    One->Calling = false;
+    One->Over = true;
+    ++One->Turn;
+    if (!NotRun)
+      return;
+    Refused.insert(One->Id);
+    ++Refusals;
+    if (Begins.contains(One->Id))
+      breakRule("refused", "request " + std::to_string(One->Id) +
+                               " was refused as not run and had run");
+  }
+
+  // ---- A request at a worker ------------------------------------------------
+  void connect(const Passed &Sent, Server &To) {
+    if (isCut(Sent.Entry, To.Name) ||
+        heldUntil(Sent.Entry, To.Name) > Now + Millis(300)) {
+      reply(Sent, To, Answer::Unreached, Millis(300));
+      return;
+    }
+    const TimePoint Held = heldUntil(Sent.Entry, To.Name);
+    at(std::max(Held, Now) + onTheWay(Sent.Entry, To.Name + "/data"),
+       [this, Sent, &To] {
+         if (!To.Alive)
+           reply(Sent, To, Answer::Unreached, Millis(5));
+         else
+           reach(Sent, To, To.Life, Now);
+       });
+  }
+
+  /** A worker that stands still reads the request on waking. */
+  void reach(const Passed &Sent, Server &To, uint64_t Life, TimePoint Arrived) {
+    if (To.Life != Life) {
+      reply(Sent, To, Answer::Broke, Millis(5));
+      return;
+    }
+    if (Now < To.StillUntil) {
+      at(To.StillUntil + delay(To.Name + "/wake", 0, 20),
+         [this, Sent, &To, Life, Arrived] { reach(Sent, To, Life, Arrived); });
+      return;
+    }
+    noteArrival(Sent, To);
+    if (Sent.Expected != To.Id ||
+        (!Sent.Version.empty() && Sent.Version != std::to_string(To.Version))) {
+      reply(Sent, To, Answer::Misdirected, Millis(2));
+      return;
+    }
+    if ((To.Model && (To.Version == 0 || To.Busy)) || To.Running >= 16) {
+      reply(Sent, To, Answer::NotRun, Millis(2));
+      return;
+    }
+    begin(Sent, To, Arrived);
+    ++To.Running;
+    const Millis Length = draw(To.Name + "/long", 15) == 0
+                              ? delay(To.Name + "/run", 300, 1500)
+                              : delay(To.Name + "/run", 20, 150);
+    after(Length, [this, Sent, &To, Life] {
+      if (To.Life == Life && To.Running > 0)
+        --To.Running;
+      reply(Sent, To, To.Life == Life ? Answer::Whole : Answer::Broke,
+            Millis(0));
+    });
+  }
+
+  void reply(const Passed &Sent, const Server &From, Answer How, Millis Wait) {
+    Process &To = Processes.at(Sent.Entry);
+    const TimePoint Held = heldUntil(Sent.Entry, From.Name);
+    const Millis Way = onTheWay(From.Name + "/data", Sent.Entry);
+    const Millis Longer = toMillis(std::max(Held, Now) - Now);
+    after(Wait + Way + Longer, [this, Sent, How, &To, &From] {
+      const auto Cut = CutAt.find(pairOf(Sent.Entry, From.Name));
+      const bool Lost = Cut != CutAt.end() && Cut->second >= Sent.Sent &&
+                        How != Answer::Unreached;
+      in(To, Millis(0), [this, Sent, How, &To, Lost] {
+        const Asked &One = *Sent.Of;
+        if (To.Life != Sent.Life || One.Over || One.Turn != Sent.Turn ||
+            !One.Calling)
+          return;
+        answered(To, Sent.Of, Lost ? Answer::Broke : How);
+      });
+    });
+  }
+
+  // ---- Rules ----------------------------------------------------------------
+  std::string story(const Passed &Sent, const Server &To) const {
+    return "request " + std::to_string(Sent.Of->Id) + " of " + Sent.Entry +
+           " at " + To.Id.Value;
+  }
+
+  void noteArrival(const Passed &Sent, Server &To) {
+    const ServiceName &Service = Sent.Of->Needs.Service;
+    if (!Sent.First)
+      checkBudget(Service);
+    if (!To.Model || Now >= To.ColdUntil)
+      return;
+    To.ColdStarts.push_back(Now);
+    while (Now - To.ColdStarts.front() >= Millis(1000))
+      To.ColdStarts.pop_front();
+    if (To.ColdStarts.size() > ColdRate)
+      breakRule("cold", story(Sent, To) + " is the " +
+                            std::to_string(To.ColdStarts.size()) +
+                            "th in a second while cold");
+  }
+
+  void checkBudget(const ServiceName &Service) {
+    std::deque<TimePoint> &Again = Agains[Service];
+    Again.push_back(Now);
+    while (Now - Again.front() >= RepeatWindow)
+      Again.pop_front();
+    const auto Within = [&](TimePoint From) {
+      return static_cast<double>(
+          std::ranges::count_if(Firsts[Service], [&](const TimePoint When) {
+            return When >= From && When < From + RepeatWindow;
+          }));
+    };
+    const double Most =
+        std::max({Within(Now - RepeatWindow), Within(Now - RepeatWindow * 2),
+                  Within(Now - RepeatWindow * 3 / 2)});
+    if (static_cast<double>(Again.size()) > RepeatRatio * Most + RepeatSlack)
+      breakRule("budget", Service.Value + " got " +
+                              std::to_string(Again.size()) +
+                              " repeats in a window with " +
+                              std::to_string(Most) + " requests");
+  }
+
+  void begin(const Passed &Sent, const Server &To, TimePoint Arrived) {
+    const Asked &One = *Sent.Of;
+    const uint32_t Count = ++Begins[One.Id];
+    ++Started;
+    if (Count > 1 && !canRepeat(One))
+      breakRule("once", story(Sent, To) + " runs a second time");
+    if (Count > One.From->MaxAttempts)
+      breakRule("attempts", story(Sent, To) + " runs too often");
+    if (Refused.contains(One.Id))
+      breakRule("refused", story(Sent, To) + " runs after it was refused");
+    const Process &From = Processes.at(Sent.Entry);
+    if (From.Life != Sent.Life || !isCalm(From, Arrived) ||
+        !isCalm(From, Sent.Sent))
+      return;
+    checkWeights(Sent, To, Arrived);
+    checkPlace(Sent, To, Arrived);
+  }
+
+  void checkWeights(const Passed &Sent, const Server &To, TimePoint Arrived) {
+    if (!To.Model || To.Version >= NamedAt.size())
+      return;
+    const TimePoint Replaced = NamedAt.at(To.Version);
+    const TimePoint Since = std::max(Replaced, quietSince());
+    if (Arrived > Since + WeightsBound)
+      breakRule("weights",
+                story(Sent, To) + " begins on version " +
+                    std::to_string(To.Version) + ", replaced " +
+                    std::to_string(toMillis(Arrived - Replaced).count()) +
+                    " ms ago");
+  }
+
+  void checkPlace(const Passed &Sent, const Server &To, TimePoint Arrived) {
+    const auto Late = [&](std::optional<TimePoint> Since, TimePoint When,
+                          Millis Bound) {
+      return Since && When > std::max(*Since, quietSince()) + Bound;
+    };
+    const auto find = [](const auto &Map, const auto &Key) {
+      const auto it = Map.find(Key);
+      return it == Map.end() ? std::optional<TimePoint>{} : it->second;
+    };
+    if (Late(find(GoneSince, To.Id), Arrived, ConfigBound))
+      breakRule("drain", story(Sent, To) +
+                             " begins though it drains or is "
+                             "gone since " +
+                             std::to_string(
+                                 sinceBegin(*find(GoneSince, To.Id)).count()));
+    if (Late(find(OutSince, To.Zone), Arrived, DomainBound))
+      breakRule("domain", story(Sent, To) + " begins in a domain that is out");
+    if (KeyOf.at(Sent.Of->Id) == "k1" &&
+        Late(KeyGoneSince, Sent.Of->Sent, ConfigBound))
+      breakRule("key", story(Sent, To) + " begins with a key that is gone");
+  }
+
+  // ---- State ----------------------------------------------------------------
+  const TimePoint Begin{std::chrono::hours(1)};
+  TimePoint Now = Begin;
+  uint64_t Seed;
+  uint64_t Steps = 0, Runs = 0, NextEnd = FirstAcceptedLink;
+  std::vector<Step> Agenda; ///< A heap, the next step first.
+  std::map<std::string, Process> Processes;
+  std::map<std::string, Settings> Configs;
+  std::map<std::string, Server> Servers;
+  std::map<std::string, std::string> NameAt;   ///< Process at an address.
+  std::map<std::string, std::string> ServerAt; ///< Server at an address.
+  std::deque<Wire> Wires;
+  std::map<std::pair<std::string, LinkId>, std::pair<Wire *, size_t>> WireAt;
+  std::map<std::string, TimePoint> CutUntil, CutAt, HeldUntil, AwayUntil;
+  TimePoint StoreBack, LinksQuiet;
+  StoreItems Items;
+  uint64_t ShownRevision = 0;
+  std::string ShownDocument;
+  std::vector<TimePoint> NamedAt; ///< When each version was named; 1 first.
+  std::map<InstanceId, TimePoint> GoneSince;
+  std::map<std::string, TimePoint> OutSince;
+  std::optional<TimePoint> KeyGoneSince;
+  std::map<uint64_t, std::string> KeyOf;
+  std::map<uint64_t, uint32_t> Begins;
+  std::set<uint64_t> Refused;
+  std::map<ServiceName, std::vector<TimePoint>> Firsts;
+  std::map<ServiceName, std::deque<TimePoint>> Agains;
+  uint64_t Started = 0, Refusals = 0;
+  std::optional<Broken> Fault;
+  std::function<void(Millis, const std::string &, const std::string &)>
+      OnLog; ///< Hears the lines of all processes.
+};
+
+} // namespace jacinthpond::model
+
+#endif
--- /dev/null
+++ b/tests/unit/route_schedule.h
@@ -0,0 +1,172 @@
+/** @file route_schedule.h Days for the model of route_model.h, and their
+ * stories.
+ */
+
+#ifndef JACINTHPOND_TESTS_UNIT_ROUTE_SCHEDULE_H
+#define JACINTHPOND_TESTS_UNIT_ROUTE_SCHEDULE_H
+
+#include "route_model.h"
+
+#include <random>
+#include <sstream>
+
+namespace jacinthpond::model {
+
+/** A day: what happens, and when. */
+struct Schedule {
+  uint64_t Seed = 0;               ///< Draws delays and requests.
+  std::vector<Incident> Incidents; ///< In order of time.
+};
+
+/** Time before the first incident; everything is up by then. */
+constexpr Millis Settled{7000};
+/** Time from then in which incidents begin. */
+constexpr Millis Span{20000};
+/** Length of a day; what was named last is over by then. */
+constexpr Millis Day{42000};
+
+inline std::string text(const Schedule &One) {
+  std::ostringstream Out;
+  Out << "seed " << One.Seed << '\n';
+  for (const Incident &Each : One.Incidents)
+    Out << "  " << text(Each) << '\n';
+  return Out.str();
+}
+
+/** Draws one incident. */
+class IncidentMaker {
+public:
+  explicit IncidentMaker(uint64_t Seed) : Random(Seed) {}
+
+  size_t below(size_t Bound) { return Random() % Bound; }
+
+  Millis between(int Least, int Most) {
+    return Millis(
+        Least + static_cast<int>(below(static_cast<size_t>(Most - Least + 1))));
+  }
+
+  Incident draw(Trouble Kind) {
+    Incident One;
+    One.Kind = Kind;
+    One.At = Settled + between(0, static_cast<int>(Span.count()));
+    One.Length = between(200, 7000);
+    switch (Kind) {
+    case Trouble::StandStill:
+    case Trouble::Restart:
+      One.Who = below(3) > 0 ? entry() : worker();
+      break;
+    case Trouble::CutLink:
+    case Trouble::HoldLink:
+      One.Who = entry();
+      One.Other = below(2) == 0 ? worker() : entry();
+      if (One.Other == One.Who)
+        One.Other = worker();
+      break;
+    case Trouble::StoreAwayFor:
+      One.Who = entry();
+      break;
+    case Trouble::HostStill:
+      One.Who = worker();
+      break;
+    case Trouble::Drain:
+    case Trouble::WorkerEnds:
+      One.Who = below(2) == 0 ? worker() : "p" + std::to_string(below(2));
+      break;
+    case Trouble::DomainOut:
+      One.Who = "z" + std::to_string(below(2));
+      One.Length = between(1000, 12000);
+      break;
+    case Trouble::KeyGone:
+      One.Length = between(1000, 12000);
+      break;
+    default:
+      break;
+    }
+    return One;
+  }
+
+  /** Draws a process that does not run while something happens. */
+  Incident beside(const Incident &What) {
+    Incident One = draw(Trouble::StandStill);
+    One.At = std::max(What.At - between(0, 5000), Settled);
+    return One;
+  }
+
+private:
+  std::string entry() { return "e" + std::to_string(below(4)); }
+  std::string worker() { return "w" + std::to_string(below(4)); }
+
+  std::mt19937_64 Random;
+};
+
+/** Makes the day of a seed: new weights once to three times, and up to nine
+ * other incidents. */
+inline Schedule makeSchedule(uint64_t Seed) {
+  IncidentMaker Maker(Seed);
+  Schedule One;
+  One.Seed = Seed;
+  for (size_t n = 1 + Maker.below(3); n > 0; --n) {
+    One.Incidents.push_back(Maker.draw(Trouble::NewWeights));
+    if (Maker.below(3) == 0)
+      One.Incidents.push_back(Maker.beside(One.Incidents.back()));
+    // A second one soon after, before the first has reached any worker.
+    if (Maker.below(4) > 0)
+      continue;
+    Incident Next = Maker.draw(Trouble::NewWeights);
+    Next.At = One.Incidents.back().At;
+    Next.At += Maker.between(100, 4000);
+    One.Incidents.push_back(Next);
+  }
+  for (size_t n = Maker.below(10); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(static_cast<Trouble>(
+        Maker.below(static_cast<size_t>(Trouble::Count)))));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
+/** What a day came to. */
+struct DayEnd {
+  std::optional<Broken> Fault; ///< The rule that was broken first.
+  uint64_t Started = 0;        ///< Requests that workers began.
+  uint64_t Refusals = 0;       ///< Requests refused as not run.
+};
+
+inline DayEnd play(const Schedule &One, std::ostream *Log = nullptr) {
+  Fleet All(One.Seed);
+  if (Log != nullptr)
+    All.OnLog = [Log](Millis At, const std::string &Who,
+                      const std::string &Line) {
+      *Log << At.count() << ' ' << Who << ' ' << Line << '\n';
+    };
+  for (const Incident &Each : One.Incidents)
+    All.at(All.Begin + Each.At, [&All, Each] { All.happen(Each); });
+  All.pass(Day);
+  return {All.Fault, All.Started, All.Refusals};
+}
+
+/** Drops and shortens incidents while the same rule is still broken. */
+inline Schedule shrink(Schedule One, const std::string &Rule) {
+  const auto Breaks = [&](const Schedule &Tried) {
+    const DayEnd Came = play(Tried);
+    return Came.Fault && Came.Fault->Rule == Rule;
+  };
+  for (bool Smaller = true; Smaller;) {
+    Smaller = false;
+    for (size_t n = 0; n < One.Incidents.size();) {
+      Schedule Tried = One;
+      Tried.Incidents.erase(Tried.Incidents.begin() +
+                            static_cast<std::ptrdiff_t>(n));
+      if (!Breaks(Tried)) {
+        ++n;
+        continue;
+      }
+      One = std::move(Tried);
+      Smaller = true;
+    }
+  }
+  return One;
+}
+
+} // namespace jacinthpond::model
+
+#endif
