entry: one that lost its links still shares with the others

Cause: the rate that a cold back end bears is shared among the entries with a working link. An entry that stood still drops all links on waking and goes on serving; until they are back it took itself for the only one and sent the rate of the whole fleet.

Ruled out: rejects (421) that count as arrivals; only begun requests are counted.

The model also asks that back ends that are well are used.

--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -49,7 +49,13 @@
   Snapshot.ListingAway = !anybodyAnswered(Fleet, Now);
   const std::set<HostName> Linked = linkedEntries(Fleet);
   const bool SelfTakes = Snapshot.Ready && !Entry.Stopping;
-  for (const EntryHost &Host : knownEntries(Entry.View.InForce.get(), Fleet))
+  const std::vector<EntryHost> Known =
+      knownEntries(Entry.View.InForce.get(), Fleet);
+  // One that stood still, or is cut off, has no links for a while: what all
+  // entries share must not be taken for its own until then. An entry without a
+  // link is remembered long enough for that.
+  Snapshot.Sharers = static_cast<uint32_t>(std::max<size_t>(1, Known.size()));
+  for (const EntryHost &Host : Known)
     if (Linked.contains(Host.Name) ||
         (Host.Name == Fleet.Self.Name && SelfTakes))
       Snapshot.Alive.push_back(Host);
--- a/packages/core/src/forwarding/fleet_snapshot_type.h
+++ b/packages/core/src/forwarding/fleet_snapshot_type.h
@@ -6,6 +6,7 @@
 #include "configuration/document_type.h"
 #include "forwarding/server_pool_type.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -16,6 +17,7 @@
   bool Ready = false;           ///< This entry may pass requests on.
   bool ListingAway = false;     ///< Nobody can read the platform's list.
   std::vector<EntryHost> Alive; ///< Entries that take callers, self included.
+  uint32_t Sharers = 1; ///< Entries that may use the back ends, self included.
 
   bool operator==(const FleetSnapshot &) const = default;
 };
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -76,7 +76,7 @@
   std::map<ServiceName, Duration> UsualTime;  ///< Length of an answer.
   std::map<ServiceName, Duration> UsualFirst; ///< Time to its first part.
   TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
-  uint32_t Entries = 1;        ///< Live entries, this one included.
+  uint32_t Entries = 1;        ///< Entries that share, this one included.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
 };
 
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -209,8 +209,7 @@
 void Forwarder::fleet(FleetSnapshot Fleet) {
   boost::asio::post(Shared.Io, [this, Fleet = std::move(Fleet)] {
     listingAway(Shared.Pool, Fleet.ListingAway, Shared.Clock.now());
-    Shared.Pool.Entries =
-        static_cast<uint32_t>(std::max<size_t>(1, Fleet.Alive.size()));
+    Shared.Pool.Entries = Fleet.Sharers;
     Shared.Fleet = Fleet;
   });
 }
--- /dev/null
+++ b/tests/unit/fleet_snapshot_test.cpp
@@ -0,0 +1,33 @@
+/** @file fleet_snapshot_test.cpp What the traffic thread is told of the fleet.
+ */
+// Labels: routes membership
+
+#include "attempts/entry_func.h"
+#include "forwarding/fleet_snapshot_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthpond;
+
+BOOST_AUTO_TEST_CASE(AnEntryThatLostItsLinksStillSharesWithTheOthers) {
+  // An entry stood still while a worker started anew. It had dropped its links
+  // on waking and took itself for the only one: it sent the cold worker the
+  // rate of the whole fleet, beside what the others sent.
+  const TimePoint Now{std::chrono::hours(1)};
+  Settings Config;
+  Config.Name = "e0";
+  Config.Domain = "d";
+  Config.PeerListen = "10.0.0.1:5";
+  Config.RouteListen = "10.0.0.1:80";
+  EntryState Entry = makeEntry(Config, Incarnation{1}, Now);
+  BOOST_TEST(fleetSnapshot(Entry, Now).Sharers == 1U);
+  for (const char *Name : {"e1", "e2"}) {
+    EntryHost Host;
+    Host.Name.Value = Name;
+    Host.Domain.Value = "d";
+    Entry.Fleet.Roster[Host.Name] = {Host, Now};
+  }
+  const FleetSnapshot Snapshot = fleetSnapshot(Entry, Now);
+  BOOST_TEST(Snapshot.Alive.empty());
+  BOOST_TEST(Snapshot.Sharers == 3U);
+}
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -55,6 +55,11 @@
 constexpr Millis DomainBound{5000};
 /** Time without disturbance after which a process has to keep them. */
 constexpr Millis Contact{3000};
+/** Time after which an entry has to use a back end that is well. */
+constexpr Millis SoundFor{5000};
+/** A store that is away for less may not be missed, and the entries of servers
+ * that lapse then are taken for gone until they register again. */
+constexpr Millis SeenAway{4000};
 /** Requests a second that a cold worker bears. */
 constexpr uint32_t ColdRate = 8;
 constexpr uint32_t RepeatSlack = 10;
@@ -208,6 +213,7 @@
   std::set<std::string> Staged;      ///< Chunks.
   std::deque<TimePoint> ColdStarts;  ///< Requests of the last second.
   std::optional<TimePoint> LeaseEnd; ///< Its entry lapses then.
+  TimePoint SoundSince;              ///< Nothing was wrong with it since then.
 };
 
 /** What is to be done at some time. */
@@ -364,6 +370,7 @@
       standStill(One.Who, End);
       Servers.at(One.Who).StillUntil =
           std::max(Servers.at(One.Who).StillUntil, End);
+      unsound(Servers.at(One.Who), End);
       return;
     case Trouble::Restart:
       stop(Processes.at(One.Who));
@@ -382,6 +389,8 @@
       return;
     case Trouble::StoreAway:
       StoreBack = std::max(StoreBack, End);
+      if (One.Length < SeenAway)
+        ShortAway = std::max(ShortAway, End);
       at(StoreBack, [this] { lapse(); });
       return;
     case Trouble::StoreAwayFor:
@@ -417,6 +426,10 @@
     disturb(Who, Until);
   }
 
+  static void unsound(Server &One, TimePoint Until) {
+    One.SoundSince = std::max(One.SoundSince, Until);
+  }
+
   void linkDisturbed(const Incident &One, TimePoint Until) {
     disturb(One.Who, Until);
     disturb(One.Other, Until);
@@ -491,6 +504,9 @@
         whenStored([this, One] {
           erase("op/evacuate/" + One.Who);
           OutSince.erase(One.Who);
+          for (auto &[Name, Each] : Servers)
+            if (Each.Zone == One.Who)
+              unsound(Each, Now);
         });
       });
     });
@@ -716,8 +732,7 @@
       agentTold(One.Pool, News, Now);
     One.Fleet = fleetSnapshot(*One.Entry, Now);
     listingAway(One.Pool, One.Fleet.ListingAway, Now);
-    One.Pool.Entries =
-        static_cast<uint32_t>(std::max<size_t>(1, One.Fleet.Alive.size()));
+    One.Pool.Entries = One.Fleet.Sharers;
   }
 
   // ---- Reading the store ----------------------------------------------------
@@ -1015,6 +1030,7 @@
               return;
             Beside.Version = Version;
             Beside.Busy = false;
+            unsound(Beside, Now);
             after(delay(Beside.Name + "/tell", 20, 400),
                   [this, &Beside] { registerServer(Beside); });
             if (One.Alive && One.Life == Life)
@@ -1065,6 +1081,7 @@
     One.LeaseEnd.reset();
     One.ColdStarts.clear();
     One.ColdUntil = Version > 0 ? Now : Now + Millis(3000);
+    unsound(One, std::max(Now, StoreBack));
     renew(One, One.Life);
   }
 
@@ -1172,6 +1189,9 @@
     if (Choice.Server == nullptr && takeBusyOnes(One->Search, One->Needs))
       Choice = chooseServer(At.Pool, One->Needs, Now);
     if (Choice.Server == nullptr) {
+      if (Choice.Why == PoolRefusal::NoneListed && One->Needs.Full.empty() &&
+          One->Needs.Tried.empty())
+        checkUse(At, One->Needs.Service);
       end(At, One, !One->MayHaveRun);
       return;
     }
@@ -1506,6 +1526,30 @@
       breakRule("key", story(Sent, To) + " begins with a key that is gone");
   }
 
+  bool isSound(const Server &One) const {
+    return One.Alive && !One.Draining && !One.Busy &&
+           Now - One.SoundSince >= SoundFor && !OutSince.contains(One.Zone) &&
+           (!One.Model || One.Version == NamedAt.size());
+  }
+
+  /** An entry knows no back end that may be used at all. */
+  void checkUse(const Process &At, const ServiceName &Service) {
+    if (!isCalm(At, Now) || Now < LinksQuiet + Contact ||
+        Now < ShortAway + Contact)
+      return;
+    // One that it knows and leaves alone for a moment after failures is no
+    // matter of this rule.
+    const auto IsKnown = [&](const Server &One) {
+      const auto it = At.Pool.Servers.find(One.Id);
+      return it != At.Pool.Servers.end() && !it->second.Vanished;
+    };
+    for (const auto &[Name, One] : Servers)
+      if (One.Model == (Service.Value == "llm") && isSound(One) &&
+          !IsKnown(One))
+        breakRule("unused", At.Name + " knows no back end though " +
+                                One.Id.Value + " has been well for long");
+  }
+
   // ---- State ----------------------------------------------------------------
   const TimePoint Begin{std::chrono::hours(1)};
   TimePoint Now = Begin;
@@ -1520,7 +1564,7 @@
   std::deque<Wire> Wires;
   std::map<std::pair<std::string, LinkId>, std::pair<Wire *, size_t>> WireAt;
   std::map<std::string, TimePoint> CutUntil, CutAt, HeldUntil, AwayUntil;
-  TimePoint StoreBack, LinksQuiet;
+  TimePoint StoreBack, LinksQuiet, ShortAway;
   StoreItems Items;
   uint64_t ShownRevision = 0;
   std::string ShownDocument;
