platform: a list of servers that holds again is offered again

Cause: each reader of the store remembers the document that its copy stood for and the revision since which it did. The store came back without the entries of servers that had lapsed; one reader told the fleet of the empty list (version 21). The others read on a moment later, when the servers had registered again: their copies stood for the same document as before, of version 15, and offered nothing. No server was used until something else changed.

Ruled out: the wait of the readers after failures; they had read the new revision.

Change: a reader is told the digest of what is in force; where that is newer than what it offered last and is not the same document, and its copy is newer still, it offers the document with the copy's revision. The decision is a function, which the model runs as well.

--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -150,7 +150,8 @@
   return getText(Url, "/v1/run", ShortTimeout);
 }
 
-Result<std::string> HttpConfig::watch(ConfigVersion After, Millis Wait) {
+Result<std::string> HttpConfig::watch(ConfigVersion After, const Digest &,
+                                      Millis Wait) {
   const std::string Path = "/v1/config?after=" + std::to_string(After.Value) +
                            "&wait_ms=" + std::to_string(Wait.count());
   return getText(Url, Path, Wait + ShortTimeout);
--- a/packages/adapters/http/http_backends.h
+++ b/packages/adapters/http/http_backends.h
@@ -55,7 +55,8 @@
    * @param At "http://IP:port".
    */
   explicit HttpConfig(std::string At) : Url(std::move(At)) {}
-  Result<std::string> watch(ConfigVersion After, Millis Wait) override;
+  Result<std::string> watch(ConfigVersion After, const Digest &InForce,
+                            Millis Wait) override;
 
 private:
   std::string Url;
--- a/packages/core/src/configuration/reader_rank.cpp
+++ b/packages/core/src/configuration/reader_rank.cpp
@@ -71,6 +71,7 @@
   ReadTurn Turn;
   Turn.Reader = isReader(View, Fleet);
   Turn.After = versionInForce(View);
+  Turn.InForce = digestInForce(View);
   if (!Turn.Reader) {
     Turn.Delay = LookPeriod;
     return Turn;
--- a/packages/core/src/configuration/reader_rank_type.h
+++ b/packages/core/src/configuration/reader_rank_type.h
@@ -13,6 +13,7 @@
   bool Reader = false; ///< False: look again after Delay.
   Millis Delay{0};     ///< Wait before the read, or before the next look.
   ConfigVersion After; ///< Version in force.
+  Digest InForce;      ///< Digest of the document in force.
   Millis Wait{0};      ///< Longest wait of the watch.
 };
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -197,8 +197,8 @@
     if (!Turn->Reader)
       continue;
     const TimePoint Began = Clock.now();
-    const Outcome<std::string> Read =
-        outcomeOf([&] { return Service.watch(Turn->After, Turn->Wait); });
+    const Outcome<std::string> Read = outcomeOf(
+        [&] { return Service.watch(Turn->After, Turn->InForce, Turn->Wait); });
     post([this, Read, Began](TimePoint Now, Effects &Out) {
       entryConfigRead(State, Read, Began, Now, Out);
     });
--- a/packages/ports/src/platform_port.h
+++ b/packages/ports/src/platform_port.h
@@ -27,10 +27,12 @@
   /**
    * Reads the document, waiting for a newer one.
    * @param After Answer at once when the published version is another.
+   * @param InForce Digest of the document in force; empty: none.
    * @param Wait Longest wait; a wait counts as one call.
    * @return The text, empty when nothing changed, or Unreachable.
    */
-  virtual Result<std::string> watch(ConfigVersion After, Millis Wait) = 0;
+  virtual Result<std::string> watch(ConfigVersion After, const Digest &InForce,
+                                    Millis Wait) = 0;
 };
 
 /** The list of live and leaving hosts. */
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -175,10 +175,9 @@
   std::map<AttemptId, AskedPtr> Waiting; ///< Requests that ask for a place.
   uint64_t Places = 0;                   ///< Places asked for.
   // Its reader of the store.
-  uint64_t Reads = 0;        ///< Readings so far.
-  uint64_t Copied = 0;       ///< Revision of its copy; 0: none.
-  std::string LastDocument;  ///< What its copy stands for.
-  ConfigVersion LastVersion; ///< Since which revision.
+  uint64_t Reads = 0;  ///< Readings so far.
+  uint64_t Copied = 0; ///< Revision of its copy; 0: none.
+  LastPublished Last;  ///< What its copy stood for.
   // Beside an agent.
   uint64_t OrdersEnded = 0; ///< Load orders that the worker answered.
 };
@@ -213,6 +212,7 @@
   std::set<std::string> Staged;      ///< Chunks.
   std::deque<TimePoint> ColdStarts;  ///< Requests of the last second.
   std::optional<TimePoint> LeaseEnd; ///< Its entry lapses then.
+  TimePoint BackAt;                  ///< When it registers again after that.
   TimePoint SoundSince;              ///< Nothing was wrong with it since then.
 };
 
@@ -541,6 +541,7 @@
       if (!One.LeaseEnd || Now < *One.LeaseEnd)
         continue;
       One.LeaseEnd.reset();
+      One.BackAt = Now + delay(One.Name + "/back", 0, 1800);
       erase("servers/" + One.Id.Value);
       GoneSince.try_emplace(One.Id, Now);
     }
@@ -548,7 +549,8 @@
 
   /** A server tells the store of itself. */
   void registerServer(Server &One) {
-    if (!One.Alive || Now < One.StillUntil || Now < StoreBack)
+    if (!One.Alive || Now < One.StillUntil ||
+        Now < std::max(StoreBack, One.BackAt))
       return;
     Json Entry = {
         {"service", One.Model ? "llm" : "slots"},
@@ -658,8 +660,7 @@
     One.Told = {};
     One.Waiting.clear();
     One.Copied = 0;
-    One.LastDocument.clear();
-    One.LastVersion = {};
+    One.Last = {};
   }
 
   void stop(Process &One) {
@@ -763,14 +764,10 @@
       return;
     }
     One.Copied = Items.Revision;
-    if (documentNow() != One.LastDocument) {
-      One.LastDocument = documentNow();
-      One.LastVersion.Value = Items.Revision;
-    }
-    const bool News = One.LastVersion > Turn.After && !One.LastDocument.empty();
-    readEnds(
-        One, Began, delay(One.Name + "/read", 5, 60),
-        {News ? withVersion(One.LastDocument, One.LastVersion.Value) : "", {}});
+    readEnds(One, Began, delay(One.Name + "/read", 5, 60),
+             {documentToOffer(One.Last, documentNow(), Items.Revision,
+                              Turn.After, Turn.InForce),
+              {}});
   }
 
   void readEnds(Process &One, TimePoint Began, Millis Wait,
@@ -1089,7 +1086,8 @@
     if (One.Life != Life || !One.Alive)
       return;
     registerServer(One);
-    at(std::max(One.StillUntil, Now + Millis(1000)),
+    at(std::max(One.StillUntil,
+                One.BackAt > Now ? One.BackAt : Now + Millis(1000)),
        [this, &One, Life] { renew(One, Life); });
     after(Millis(3010), [this] { lapse(); });
   }
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -2,6 +2,7 @@
 // Labels: platform
 
 #include "../standin/base64.h"
+#include "base/hash_func.h"
 #include "configuration/document_func.h"
 #include "platform/store_document.h"
 
@@ -181,3 +182,35 @@
   BOOST_TEST(!outcomeOf([&] { return takeChanges(Copy, "{}"); }).Value);
   BOOST_TEST(Copy.Items.empty());
 }
+
+BOOST_AUTO_TEST_CASE(AStateThatHoldsAgainIsOfferedAgain) {
+  // The store came back without the entries of servers that had lapsed, and had
+  // them again a second later. One reader told the fleet of the list without
+  // servers; the other one had passed that over, took the whole list for the
+  // old one that it had brought before, and offered nothing: no server was used
+  // until something else changed.
+  Store One;
+  One.put("servers/a", server("10.0.0.1:80"));
+  const std::string Whole = documentOf(One.Items, {});
+  LastPublished Last;
+  BOOST_TEST(documentToOffer(Last, Whole, 7, {}, {}) == withVersion(Whole, 7));
+  const std::string Empty = documentOf(Store().Items, {});
+  const Digest InForce = sha256(withVersion(Empty, 8));
+  BOOST_TEST(documentToOffer(Last, Whole, 7, {8}, InForce).empty());
+  BOOST_TEST(documentToOffer(Last, Whole, 9, {8}, InForce) ==
+             withVersion(Whole, 9));
+  BOOST_TEST(documentToOffer(Last, Whole, 9, {9}, sha256(withVersion(Whole, 9)))
+                 .empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheSameDocumentIsNotOfferedTwice) {
+  // Changes that make no other document are read at different revisions; two
+  // readers that each took the other's version for news would spread the same
+  // document for ever.
+  const std::string Doc = documentOf(Store().Items, {});
+  LastPublished Last;
+  documentToOffer(Last, Doc, 7, {}, {});
+  const Digest InForce = sha256(withVersion(Doc, 8));
+  BOOST_TEST(documentToOffer(Last, Doc, 9, {8}, InForce).empty());
+  BOOST_TEST(documentToOffer(Last, Doc, 10, {8}, InForce).empty());
+}
