config: whoever is answered reads on until the readers are; no old answer vouches

When the service was back, an entry that read in their stead was answered first, told so, and by that was no reader any more: nobody read until a reader's wait was over.

Change: only entries that are answered count as readers before one's own rank; an answer to a read that began before a pause is no sign that the service answers.

The test ASilentReaderIsReplacedByTheNextRank expected readers before it to count without a word on the service; its peers say now that they are answered, and before that the entry has to read.

--- a/packages/core/src/configuration/reader_rank.cpp
+++ b/packages/core/src/configuration/reader_rank.cpp
@@ -60,7 +60,9 @@
     if (Name == Fleet.Self.Name)
       break;
     const PeerLink *Peer = readyLink(Fleet, Name);
-    if (Peer != nullptr && !Peer->Leaving)
+    // One that waits after failures, or is turned away, reads nothing: when the
+    // service answers again, whoever is answered first reads on until they do.
+    if (Peer != nullptr && !Peer->Leaving && Peer->Service)
       ++Before;
   }
   return Before < ReadersPerDomain;
@@ -101,10 +103,12 @@
   Joining.ReadFailures = Answered && Useful ? 0 : Joining.ReadFailures + 1;
   if (!Answered)
     return;
+  // An answer to a read begun before a pause tells of the time before it: it
+  // may have waited here while the service went away.
+  if (Began < Joining.Since)
+    return;
   Joining.ServiceHeard = Now;
-  // An answer to a read begun before a pause tells of the time before it.
-  if (Began >= Joining.Since)
-    Joining.ServiceAnswered = true;
+  Joining.ServiceAnswered = true;
 }
 
 } // namespace jacinthpond
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -72,8 +72,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(ASilentReaderIsReplacedByTheNextRank) {
+  // The service was away. Those that read were still waiting after failures
+  // when it was back; one that had read in their stead stopped as soon as it
+  // was answered, and for seconds nobody read at all.
   read(document(5));
   joinAll(5);
+  BOOST_TEST(isReader(State.View, State.Fleet));
+  for (const char *Name : {"b", "c", "e"}) {
+    Heartbeat Beat = beat(Name);
+    Beat.Service = true;
+    hear(Name, Beat);
+  }
   const std::vector<HostName> Order =
       readerOrder(State.View.InForce->Entries, DomainName{"d"});
   const auto Self = std::ranges::find(Order, HostName{"a"});
--- a/tests/unit/pause_test.cpp
+++ b/tests/unit/pause_test.cpp
@@ -54,6 +54,9 @@
   entryConfigRead(State, {std::string(), {}}, Now - std::chrono::seconds{20},
                   Now, Out); // Begun before the pause.
   BOOST_TEST(!State.Fleet.Joining.ServiceAnswered);
+  // It told all others that the service was there, which had gone away
+  // meanwhile; servers that lapsed then were taken for gone when it was back.
+  BOOST_TEST(!State.Fleet.Joining.ServiceHeard);
   joinAll(5);
   hear("w", beat("w"));
   BOOST_TEST(!ask());
