routes: a back end whose agent is silent gets little, and nothing on former weights

Cause: an entry whose ask for a place is not answered sends the request past the agent, up to all places that it believes in, whether or not the host runs. Change: nothing on former weights goes past a silent agent, whose worker cannot load anyway; other requests go one at a time until the back end has said something since the agent fell silent.

--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -136,7 +136,9 @@
       {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort.port())},
       {"log_to", "stderr"},
       {"chunk_takeover_ms", 300},
-      {"weights_change_ms", Plan.WeightsChangeMillis},
+      {"weights_change_ms", Plan.AgentWeightsMillis > 0
+                                ? Plan.AgentWeightsMillis
+                                : Plan.WeightsChangeMillis},
       {"heartbeat_ms", 200}};
   const std::string Name = "agent-" + std::to_string(n);
   const std::string Path = Folder + "/" + Name + ".json";
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -23,6 +23,7 @@
   size_t Chunks = 6;              ///< Chunks of a version of the model.
   size_t ChunkBytes = 20000;      ///< Size of each.
   int WeightsChangeMillis = 8000; ///< Time for a change of weights.
+  int AgentWeightsMillis = 0;     ///< The same for agents; 0: as for entries.
 };
 
 /** One request of a caller on a route. */
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -127,6 +127,19 @@
   return it != Doc.RegionOf.end() && Regions.contains(it->second);
 }
 
+/** Says whether a back end had an agent that says nothing any more. */
+bool lostAgent(const ServerView &View) { return View.Agent && !hasAgent(View); }
+
+/**
+ * Says whether nothing shows that a back end lives: its agent fell silent, and
+ * neither has said anything since. Its host may stand still, and what is sent
+ * there would begin whenever it wakes, long after its callers have left. One
+ * request is enough to find out.
+ */
+bool mayStandStill(const ServerView &View) {
+  return lostAgent(View) && View.LastHeard <= View.SilentSince;
+}
+
 /** Says whether the weights of a back end may begin, or go on with, a request.
  */
 bool weightsFit(const ServerPool &Pool, const Service &Kind,
@@ -140,6 +153,10 @@
   const auto it = Pool.Wanted.find(Kind.Model);
   if (it == Pool.Wanted.end() || View.Weights == it->second.Set)
     return true;
+  // With a silent agent the host may stand still: a request that is sent in
+  // time would begin on former weights whenever it wakes.
+  if (lostAgent(View))
+    return false;
   const auto Former =
       std::ranges::find(it->second.Formers, View.Weights, &FormerWeights::Set);
   return Former != it->second.Formers.end() && Now < Former->Until;
@@ -216,6 +233,8 @@
   for (auto &[Id, View] : Pool.Servers) {
     if (View.Listed.At != News.Server || View.Vanished)
       continue;
+    if (!News.Fresh && hasAgent(View))
+      View.SilentSince = Now;
     View.Agent = News;
     if (!News.Fresh)
       continue;
@@ -236,8 +255,10 @@
       continue;
     ++Choice.Candidates;
     // An agent knows better than this entry whether there is room.
-    const bool Full = !hasAgent(View) &&
-                      workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From);
+    const bool Full =
+        (!hasAgent(View) &&
+         workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From)) ||
+        (mayStandStill(View) && View.Open > 0);
     if (Full || !coldAllows(Pool, View, *Kind, Now))
       continue;
     const double Score = scoreOf(Pool, View, Now);
@@ -342,10 +363,12 @@
   }
 }
 
-void agentSilent(ServerPool &Pool, const InstanceId &Id) {
+void agentSilent(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
   ServerView *View = findServer(Pool, Id);
-  if (View != nullptr && View->Agent)
-    View->Agent->Fresh = false;
+  if (View == nullptr || !hasAgent(*View))
+    return;
+  View->Agent->Fresh = false;
+  View->SilentSince = Now;
 }
 
 bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -56,8 +56,9 @@
  * An agent did not answer: its back end is used without it, until it speaks.
  * @param Pool State to change.
  * @param Id Which back end.
+ * @param Now Current time.
  */
-void agentSilent(ServerPool &Pool, const InstanceId &Id);
+void agentSilent(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
 /**
  * Looks again before sending: news may have come while a place was waited for.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -34,6 +34,7 @@
   Duration Reading{0};            ///< Prompts to be read there, as of ToldAt.
   TimePoint ToldAt;               ///< When OtherWork was told.
   std::optional<AgentNews> Agent; ///< Last word of its agent.
+  TimePoint SilentSince;          ///< When the agent fell silent, if it has.
   Digest Weights;                 ///< What it has loaded, newest word.
   uint32_t Failures = 0;          ///< Attempts in a row that broke.
   TimePoint AvoidUntil;           ///< Left alone until then.
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -90,7 +90,7 @@
 }
 
 void Exchange::agentDidNotAnswer() {
-  agentSilent(Shared.Pool, At);
+  agentSilent(Shared.Pool, At, Shared.Clock.now());
   askElsewhere(false);
 }
 
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -259,6 +259,40 @@
   BOOST_TEST(!mayBeginUntil(One.State, {"gone"}));
 }
 
+BOOST_AUTO_TEST_CASE(FormerWeightsOfASilentAgentBeginNothing) {
+  // A worker's host stood still after new weights were published. Its agent did
+  // not answer, so entries sent requests past it; they lay there, and on waking
+  // the worker began them on weights that were too old.
+  Pool One;
+  One.want("2");
+  One.follow();
+  AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+  agentSilent(One.State, {"m0"}, One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ABackEndThatMayStandStillGetsOneRequestAtATime) {
+  // A worker's host stood still for five seconds. Its agent did not answer, so
+  // entries sent it request after request, up to all its places; the callers
+  // of all of them waited in vain.
+  Pool One;
+  AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
+  agentTold(One.State, News, One.Now);
+  agentSilent(One.State, {"m0"}, One.Now);
+  attemptOpened(One.State, {"m2"}, One.Now); // The other one that is near.
+  attemptOpened(One.State, {"m2"}, One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+  attemptOpened(One.State, {"m0"}, One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+  One.Now += Millis(200);
+  serverHeard(One.State, {"m0"}, One.Now); // Only its agent is gone.
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+}
+
 BOOST_AUTO_TEST_CASE(ALoadingWorkerGetsNothing) {
   Pool One;
   agentTold(One.State,
