membership: a pause is not taken for an outage of the list

An entry that woke had no links and had heard nobody, which looked like a list that is away: servers that had vanished meanwhile were used for the two seconds of grace that lapsed ones get after an outage.

--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -46,7 +46,9 @@
   Snapshot.Ready = Entry.View.InForce != nullptr &&
                    (viewIsFresh(Fleet) ||
                     (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
-  Snapshot.ListingAway = !anybodyAnswered(Fleet, Now);
+  // One that stood still has heard of nobody yet. Taken for an outage of the
+  // list, it would let servers that vanished meanwhile be used for a while.
+  Snapshot.ListingAway = viewIsFresh(Fleet) && !anybodyAnswered(Fleet, Now);
   const std::set<HostName> Linked = linkedEntries(Fleet);
   const bool SelfTakes = Snapshot.Ready && !Entry.Stopping;
   const std::vector<EntryHost> Known =
--- a/tests/unit/fleet_snapshot_test.cpp
+++ b/tests/unit/fleet_snapshot_test.cpp
@@ -2,6 +2,8 @@
  */
 // Labels: routes membership
 
+#include "one_entry.h"
+
 #include "attempts/entry_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 
@@ -31,3 +33,30 @@
   BOOST_TEST(Snapshot.Alive.empty());
   BOOST_TEST(Snapshot.Sharers == 3U);
 }
+
+BOOST_AUTO_TEST_CASE(APauseIsNoOutageOfTheList) {
+  // An entry stood still while a server vanished from the list. It woke with no
+  // links, took the list for away, and went on using the server for two
+  // seconds, as it does after an outage.
+  OneEntry One;
+  One.read(document(5));
+  One.joinAll(5);
+  BOOST_REQUIRE(One.fresh());
+  BOOST_TEST(!fleetSnapshot(One.State, One.Now).ListingAway);
+  One.Now += Millis(5000);
+  entryTick(One.State, One.Now, One.Out);
+  BOOST_TEST(!fleetSnapshot(One.State, One.Now).ListingAway);
+}
+
+BOOST_AUTO_TEST_CASE(AServiceThatAnswersNobodyIsAnOutageOfTheList) {
+  OneEntry One;
+  One.read(document(5));
+  One.joinAll(5);
+  for (int n = 0; n < 10; ++n) {
+    for (const char *Name : {"b", "c", "e", "w"})
+      One.hear(Name, One.beat(Name));
+    One.pass(Millis(500));
+  }
+  BOOST_REQUIRE(One.fresh());
+  BOOST_TEST(fleetSnapshot(One.State, One.Now).ListingAway);
+}
