weights: a set that is read back again keeps the time of its replacement

After an order that failed, the old set that the engine still has counted as replaced since the newest version was published, up to the time between two versions too late: the agent gave places on it, and did not load without waiting for its turn. Each set keeps the time at which its own successor was published, as entries do.

--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -17,6 +17,9 @@
 constexpr Millis OrderRetry{200};
 constexpr uint32_t MaxDoublings = 6;
 
+/** Sets whose replacement is remembered. */
+constexpr size_t MaxReplaced = 8;
+
 /** Part of the time for a change of weights in which nothing begins on former
  * ones. */
 constexpr Millis BeginMargin{1200};
@@ -46,13 +49,19 @@
 void noteNewest(WeightsState &Weights, const Digest &Set, TimePoint Since) {
   if (Weights.Newest == Set)
     return;
+  if (!Weights.Newest.Value.empty())
+    Weights.ReplacedAt[Weights.Newest] = Since;
+  Weights.ReplacedAt.erase(Set); // A version that was taken back is wanted.
+  if (Weights.ReplacedAt.size() > MaxReplaced)
+    Weights.ReplacedAt.erase(std::ranges::min_element(
+        Weights.ReplacedAt, {}, [](const auto &Row) { return Row.second; }));
   Weights.Newest = Set;
   Weights.NewestSince = Since;
   // One that was replaced before is not wanted for longer by another version.
   if (Weights.Loaded == Set)
     Weights.OutdatedSince.reset();
   else if (!Weights.OutdatedSince && !Weights.Loaded.Value.empty())
-    Weights.OutdatedSince = Since;
+    Weights.OutdatedSince = Weights.ReplacedAt[Weights.Loaded] = Since;
 }
 
 void noteLoaded(WeightsState &Weights, const Digest &Set) {
@@ -60,9 +69,14 @@
     return;
   Weights.Loaded = Set;
   Weights.OutdatedSince.reset();
-  const bool Replaced = !Weights.Newest.Value.empty() && Set != Weights.Newest;
-  if (Replaced)
-    Weights.OutdatedSince = Weights.NewestSince;
+  if (Weights.Newest.Value.empty() || Set.Value.empty() ||
+      Set == Weights.Newest)
+    return;
+  // After an order that failed an old set is read back. It has been replaced
+  // since its own successor was published, not since the newest one was.
+  const auto it = Weights.ReplacedAt.find(Set);
+  Weights.OutdatedSince =
+      it == Weights.ReplacedAt.end() ? Weights.NewestSince : it->second;
 }
 
 void wantWeights(WeightsState &Weights, const ModelVersion &Wanted) {
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -25,6 +25,7 @@
   Digest Loaded;         ///< What the engine said last that it has loaded.
   Digest Newest;         ///< Set that the newest document names.
   TimePoint NewestSince; ///< Since when it may have been published.
+  std::map<Digest, TimePoint> ReplacedAt; ///< When each set was replaced.
   std::optional<TimePoint> OutdatedSince; ///< Since when Loaded is replaced.
   std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
   bool Draining = false;     ///< No new work until the wanted set is loaded.
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -255,3 +255,18 @@
   noteLoaded(Weights, Digest{"3"});
   BOOST_TEST(!Weights.OutdatedSince);
 }
+
+// An order to load failed, since a staged chunk was damaged. The worker still
+// had weights that had been replaced twice, and its agent took them for
+// replaced since the second time: it gave places on them for longer than
+// entries ask.
+BOOST_AUTO_TEST_CASE(AnOrderThatFailsDoesNotExtendTheTimeOfWhatIsLoaded) {
+  WeightsState Weights;
+  const TimePoint Start{Millis(1000)};
+  noteLoaded(Weights, Digest{"1"});
+  noteNewest(Weights, Digest{"2"}, Start);
+  noteNewest(Weights, Digest{"3"}, Start + Millis(5000));
+  orderEnded(Weights, false, Start + Millis(6000));
+  noteLoaded(Weights, Digest{"1"});
+  BOOST_TEST((Weights.OutdatedSince == Start));
+}
