tests: chunks of the next version wait for the order of the one before

Users could get tokens made with weights that are partly the next version's: an engine loads what lies staged when it takes an order, and the next version's chunks were staged between check and order. The lock against that had no test. The stand-in of a worker now leaves an order unread for a while, tells of each load whether all that lay staged was of its version, and obeys 'expect'.

--- /dev/null
+++ b/tests/integration/load_order_test.cpp
@@ -0,0 +1,67 @@
+/** @file load_order_test.cpp An engine loads what was checked, and that alone.
+ */
+// Labels: weights platform
+
+#include "fleet/route_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace jacinthpond::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two workers that serve version 1. */
+struct Serving {
+  Serving() : All(RoutePlan{}) { BOOST_REQUIRE(All.waitServing(30s)); }
+
+  /** Names a version in the store. */
+  void name(int Version) {
+    const Json Named = {{"model", "trail"}, {"version", Version}};
+    All.store({{"put", {{"op/version/trail", Named.dump()}}}});
+  }
+
+  /** The first worker leaves its next order unread for a while; version 2 is
+   * named, and version 3 once the order for it lies there. */
+  void nameTwoVersions(int OrderWaitMillis) {
+    All.control("model-0", {{"order_wait_ms", OrderWaitMillis}});
+    name(2);
+    BOOST_REQUIRE(waitFor(20s, [&] {
+      return All.look("model-0").value("orders_waiting", 0) == 1;
+    }));
+    name(3);
+  }
+
+  bool allLoaded(int Version) const {
+    return All.look("model-0").value("version", 0) == Version &&
+           All.look("model-1").value("version", 0) == Version &&
+           All.look("model-0").value("orders_waiting", 0) == 0;
+  }
+
+  /** Loads of the first worker that took other bytes than their version's. */
+  size_t tornLoads() const {
+    const Json Loads = All.look("model-0")["loads"];
+    return static_cast<size_t>(std::ranges::count_if(
+        Loads, [](const Json &One) { return !One["whole"].get<bool>(); }));
+  }
+
+  RouteFleet All;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LoadOrders, Serving)
+
+BOOST_AUTO_TEST_CASE(ChunksOfTheNextVersionWaitForTheOrder) {
+  // Callers got tokens made with weights that were partly the next version's.
+  // An engine loads what lies staged when it takes an order. Version 3 was
+  // named while the order for version 2 stood at the engine, and its chunks
+  // were staged over those that had been checked.
+  nameTwoVersions(1200);
+  BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
+  BOOST_TEST(tornLoads() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -3,14 +3,19 @@
  * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
  * "gap_ms" (between them), "break_at" (the connection ends in the middle of
  * that event, once), "fail" (that many requests answer 500), "refuse" (that
- * many answer 503 as not run), "no_signature", "hang" (no answer at all).
- * GET /control gives "runs": what was run, and with which headers.
+ * many answer 503 as not run), "no_signature", "hang" (no answer at all),
+ * "order_wait_ms" (the next order is taken that much later, as the worker and
+ * what lies staged are by then).
+ * GET /control gives "runs": what was run, and with which headers; "loads":
+ * the version of each order that was taken, and whether all that lay staged
+ * was of it; "orders_waiting": orders that came and were not taken yet.
  */
 
 #include "standin.h"
 
 #include "base/hash_func.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <map>
@@ -31,6 +36,8 @@
   Json Runs = Json::array();
   std::map<uint64_t, std::string> Staged; ///< By number.
   uint64_t Orders = 0;
+  uint64_t OrdersWaiting = 0;
+  Json Loads = Json::array();
   int64_t Born = 0;
 };
 
@@ -139,15 +146,45 @@
           {"born", Host.Born}};
 }
 
+/** Says whether all that lies staged is of a version. */
+bool isOfVersion(const Worker &Host, uint64_t Version) {
+  return std::ranges::all_of(Host.Staged, [&](const auto &Row) {
+    return Row.second == chunkOfWeights(Version, Row.first, Row.second.size());
+  });
+}
+
+/** Lets the next order lie unread for a while, as a worker that stands still
+ * does. */
+void delayOrder(Worker &Host) {
+  std::chrono::milliseconds Wait{0};
+  {
+    const std::lock_guard Lock(Host.Guard);
+    Wait = std::chrono::milliseconds(Host.Options.value("order_wait_ms", 0));
+    Host.Options["order_wait_ms"] = 0;
+    ++Host.OrdersWaiting;
+  }
+  std::this_thread::sleep_for(Wait);
+  const std::lock_guard Lock(Host.Guard);
+  --Host.OrdersWaiting;
+}
+
 /** Loads what lies staged, whatever it is: nothing is checked here. */
 void order(Worker &Host, const httplib::Request &Asked,
            httplib::Response &Answer) {
+  delayOrder(Host);
   const Json Order = Json::parse(Asked.body, nullptr, false);
   const std::lock_guard Lock(Host.Guard);
-  Host.Options["version"] = Order.value("version", 0);
+  if (Order.value("expect", Host.Orders) != Host.Orders) {
+    Answer.status = 409;
+    return;
+  }
+  const auto Version = Order.value("version", uint64_t{0});
+  Host.Options["version"] = Version;
   Host.Options["loaded_chunks"] = Json::array();
   for (const auto &[n, Bytes] : Host.Staged)
     Host.Options["loaded_chunks"].push_back(sha256(Bytes).Value);
+  Host.Loads.push_back(
+      {{"version", Version}, {"whole", isOfVersion(Host, Version)}});
   ++Host.Orders;
   Answer.status = 202;
 }
@@ -208,6 +245,8 @@
     const std::lock_guard Lock(Host.Guard);
     reply(Answer, {{"runs", Host.Runs},
                    {"orders", Host.Orders},
+                   {"orders_waiting", Host.OrdersWaiting},
+                   {"loads", Host.Loads},
                    {"staged", Host.Staged.size()},
                    {"version", Host.Options.value("version", 0)},
                    {"loaded_chunks",
