--- a/tests/integration/load_order_test.cpp
+++ b/tests/integration/load_order_test.cpp
@@ -64,4 +64,13 @@
   BOOST_TEST(tornLoads() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(AnOrderWithoutAnAnswerMayBeTakenLater) {
+  // The same with an engine that stood still for longer than its agent waits
+  // for an answer. The agent took the order for failed and staged version 3;
+  // the engine woke, and took the order for version 2 with what lay there.
+  nameTwoVersions(2600);
+  BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
+  BOOST_TEST(tornLoads() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
