agent, platform: chunks come again once an order is taken; the last look is right before it

What users could see: new weights late at a host, and at all hosts that fetch chunks from it. The lock that keeps chunks of the next version away from an order was held until the engine had loaded, up to 15 s with long answers, and all threads that stage, read and send chunks waited for it. Besides, the worker's report was read between the check of the staged chunks and the order, which lengthened the time in which a chunk may turn bad unseen; and a repeated order went out without another look.

The engine port is told what to do right before an order is sent, each time, and that it was taken; the lock ends there, since the worker loads what lies staged when it accepts. Engines of the product's own interface check the set themselves and answer when it is loaded: nothing changes there.

--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -122,13 +122,15 @@
   return fail(ErrorKind::NotFound, "this engine gives nothing back");
 }
 
-Result<void> HttpEngine::load(const LoadOrder &Order) {
+Result<void> HttpEngine::load(const LoadOrder &Order, const LoadSteps &Steps) {
   httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
   Json Body = {{"fence", Order.Fence.Value},
                {"set", Order.Set.Value},
                {"chunks", Json::array()}};
   for (const Digest &Chunk : Order.Chunks)
     Body["chunks"].push_back(Chunk.Value);
+  BOOST_LEAF_CHECK(Steps.LastLook());
+  // This engine answers when it has loaded; Taken would come no sooner.
   const httplib::Result Answer =
       Client.Post("/v1/load", Body.dump(), "application/json");
   return expectDone(Answer);
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -361,10 +361,13 @@
 }
 
 void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
-  const auto Done = outcomeOf([&]() -> Result<bool> {
-    // The engine loads what lies staged when it takes the order. A chunk of the
-    // next version that came in between would be loaded unchecked.
-    const std::lock_guard Lock(LoadGuard);
+  // The engine loads what lies staged when it takes the order. A chunk of the
+  // next version that came in between would be loaded unchecked. Once the order
+  // is taken, chunks come again: the engine may work on long answers first.
+  std::unique_lock Lock(LoadGuard);
+  LoadSteps Steps;
+  Steps.Taken = [&] { Lock.unlock(); };
+  Steps.LastLook = [&]() -> Result<void> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
       BOOST_LEAF_CHECK(prepareChunk(
           {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
@@ -373,9 +376,14 @@
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
       return fail(ErrorKind::StaleView, "paused since the order was decided");
-    BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order));
+    return {};
+  };
+  const auto Done = outcomeOf([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order, Steps));
     return true;
   });
+  if (Lock.owns_lock())
+    Lock.unlock();
   std::optional<Failure> Why;
   if (!Done.Value)
     Why = Done.Why;
--- a/packages/ports/src/engine_port.h
+++ b/packages/ports/src/engine_port.h
@@ -11,6 +11,15 @@
 
 namespace jacinthpond {
 
+/** What happens around the order to load a set. */
+struct LoadSteps {
+  std::function<Result<void>()> LastLook; ///< Right before the order is sent,
+                                          ///< each time; should it fail, the
+                                          ///< order is not sent.
+  std::function<void()> Taken; ///< The engine took the order: what is staged
+                               ///< from now on is no part of it.
+};
+
 /** A model engine. All calls block and may be made from several threads. */
 class EnginePort {
 public:
@@ -54,9 +63,10 @@
   /**
    * Loads a staged set; returns when that is done.
    * @param Order What to load.
+   * @param Steps Called from this thread on the way.
    * @return Nothing, or why the engine refused.
    */
-  virtual Result<void> load(const LoadOrder &Order) = 0;
+  virtual Result<void> load(const LoadOrder &Order, const LoadSteps &Steps) = 0;
 };
 
 } // namespace jacinthpond
--- a/tests/integration/load_order_test.cpp
+++ b/tests/integration/load_order_test.cpp
@@ -73,4 +73,21 @@
   BOOST_TEST(tornLoads() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ChunksComeWhileTheEngineLoads) {
+  // New weights came late at a host and at all that fetch chunks from it. The
+  // engine had taken the order for the version before and was busy with it, and
+  // until it was done every chunk of the next one waited to be staged.
+  All.control("model-0", {{"load_ms", 4000}});
+  name(2);
+  BOOST_REQUIRE(waitFor(
+      20s, [&] { return All.look("model-0").value("version", 0) == 2; }));
+  name(3);
+  BOOST_TEST(waitFor(3s, [&] {
+    const Json Look = All.look("model-0");
+    return Look.value("busy", false) && Look.value("staged_of", 0) == 3;
+  }));
+  BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
+  BOOST_TEST(tornLoads() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -5,10 +5,11 @@
  * that event, once), "fail" (that many requests answer 500), "refuse" (that
  * many answer 503 as not run), "no_signature", "hang" (no answer at all),
  * "order_wait_ms" (the next order is taken that much later, as the worker and
- * what lies staged are by then).
+ * what lies staged are by then), "load_ms" (how long it is busy with an order).
  * GET /control gives "runs": what was run, and with which headers; "loads":
  * the version of each order that was taken, and whether all that lay staged
- * was of it; "orders_waiting": orders that came and were not taken yet.
+ * was of it; "orders_waiting": orders that came and were not taken yet; "busy";
+ * "staged_of": the version of all that lies staged, 0: of none.
  */
 
 #include "standin.h"
@@ -38,6 +39,7 @@
   uint64_t Orders = 0;
   uint64_t OrdersWaiting = 0;
   Json Loads = Json::array();
+  std::chrono::steady_clock::time_point BusyUntil;
   int64_t Born = 0;
 };
 
@@ -136,12 +138,16 @@
     Answer.set_content("answer to " + Asked.path, "text/plain");
 }
 
+bool isBusy(const Worker &Host) {
+  return std::chrono::steady_clock::now() < Host.BusyUntil;
+}
+
 Json reportOf(const Worker &Host) {
   Json Models = Json::array();
   if (Host.Options.value("version", 0) > 0)
     Models.push_back({{"name", Host.Options.value("model", "")},
                       {"version", Host.Options.value("version", 0)}});
-  return {{"stage", "combined"},     {"models", Models}, {"busy", false},
+  return {{"stage", "combined"},     {"models", Models}, {"busy", isBusy(Host)},
           {"sequence", Host.Orders}, {"waiting", 0},     {"running", 0},
           {"born", Host.Born}};
 }
@@ -153,6 +159,15 @@
   });
 }
 
+/** Says of which version all that lies staged is; 0: of none. */
+uint64_t stagedVersion(const Worker &Host) {
+  const uint64_t Loaded = Host.Options.value("version", uint64_t{0});
+  for (const uint64_t Version : {Loaded, Loaded + 1})
+    if (isOfVersion(Host, Version))
+      return Version;
+  return 0;
+}
+
 /** Lets the next order lie unread for a while, as a worker that stands still
  * does. */
 void delayOrder(Worker &Host) {
@@ -186,6 +201,8 @@
   Host.Loads.push_back(
       {{"version", Version}, {"whole", isOfVersion(Host, Version)}});
   ++Host.Orders;
+  Host.BusyUntil = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(Host.Options.value("load_ms", 0));
   Answer.status = 202;
 }
 
@@ -247,6 +264,8 @@
                    {"orders", Host.Orders},
                    {"orders_waiting", Host.OrdersWaiting},
                    {"loads", Host.Loads},
+                   {"busy", isBusy(Host)},
+                   {"staged_of", stagedVersion(Host)},
                    {"staged", Host.Staged.size()},
                    {"version", Host.Options.value("version", 0)},
                    {"loaded_chunks",
