agent: log lines tell when a set is wanted, was checked, and its order taken

Whether chunks of the next version were staged between the check of a set and its order could not be read from the logs: they told when a load was decided and when the engine had the set. Three lines a version and agent, as before at level info.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -365,8 +365,17 @@
   // next version that came in between would be loaded unchecked. Once the order
   // is taken, chunks come again: the engine may work on long answers first.
   std::unique_lock Lock(LoadGuard);
+  const TimePoint Began = Clock.now();
+  const auto Tell = [&](const char *Event) {
+    logLine(LogPart::Weights, LogLevel::Info,
+            std::string("event=") + Event + " set=" + Load.Order.Set.Value +
+                " ms=" + std::to_string(toMillis(Clock.now() - Began).count()));
+  };
   LoadSteps Steps;
-  Steps.Taken = [&] { Lock.unlock(); };
+  Steps.Taken = [&] {
+    Tell("order_taken");
+    Lock.unlock();
+  };
   Steps.LastLook = [&]() -> Result<void> {
     for (size_t n = 0; n < Load.Chunks.size(); ++n)
       BOOST_LEAF_CHECK(prepareChunk(
@@ -376,6 +385,7 @@
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
       return fail(ErrorKind::StaleView, "paused since the order was decided");
+    Tell("set_checked");
     return {};
   };
   const auto Done = outcomeOf([&]() -> Result<bool> {
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -91,6 +91,10 @@
 void wantVersion(AgentState &Agent, const ModelVersion &Wanted, TimePoint Now,
                  Effects &Out) {
   const bool New = Agent.Weights.Wanted.Set != Wanted.Set;
+  if (New)
+    Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
+                          "event=set_wanted set=" + Wanted.Set.Value +
+                              " loaded=" + Agent.Weights.Loaded.Value});
   wantWeights(Agent.Weights, Wanted);
   planTransfer(Agent.Transfer, Agent.Weights, *Agent.View.InForce,
                Agent.Fleet.Self.Name, Now);
