agent: an order waits for a look at the staged chunks that is short

What users could see: tokens made with damaged weights at a host that is far too slow. The agent reads all staged chunks back before an order; when that takes longer than a few seconds, the first may have turned bad before the last is read, and the order goes out.

A look that lasts over 1.5 s fails, and the order is tried again with the growing wait of failed orders. Weighed: reading only the oldest again, which never ends on such a host either. A host on which every look lasts that long loads nothing; it could not serve.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -33,6 +33,9 @@
 /** Chunks in a row that lie staged and are not wanted, after which the rest is
  * not looked at; single ones may have been damaged. */
 constexpr size_t MaxWrongStaged = 4;
+/** Longest look at the staged chunks before an order; well below the 3 s for
+ * which a chunk that turned bad is not held against its reader. */
+constexpr Millis LongestLook{1500};
 /** Longest wait for peers to take the last messages. */
 constexpr Millis FinishWait{1000};
 /** Time between two looks at the work in progress while draining. */
@@ -377,10 +380,18 @@
     Lock.unlock();
   };
   Steps.LastLook = [&]() -> Result<void> {
-    for (size_t n = 0; n < Load.Chunks.size(); ++n)
+    const TimePoint LookBegan = Clock.now();
+    for (size_t n = 0; n < Load.Chunks.size(); ++n) {
       BOOST_LEAF_CHECK(prepareChunk(
           {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
           Load.Chunks[n]));
+      // On a host that is far too slow the first chunk may have turned bad
+      // before the last one is read. The order is tried again later, on a look
+      // that says how things are; such a host could not serve anyway.
+      if (Load.Chunks[n] == nullptr && Clock.now() - LookBegan > LongestLook)
+        return fail(ErrorKind::WeightsNotReady,
+                    "staged chunks are read too slowly");
+    }
     // A process that was paused wakes with an order that may be long out of
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
--- a/tests/integration/load_order_test.cpp
+++ b/tests/integration/load_order_test.cpp
@@ -13,6 +13,13 @@
 
 namespace {
 
+/** Loads of the first worker that took other bytes than their version's. */
+size_t tornLoads(const RouteFleet &All) {
+  const Json Loads = All.look("model-0")["loads"];
+  return static_cast<size_t>(std::ranges::count_if(
+      Loads, [](const Json &One) { return !One["whole"].get<bool>(); }));
+}
+
 /** Two workers that serve version 1. */
 struct Serving {
   Serving() : All(RoutePlan{}) { BOOST_REQUIRE(All.waitServing(30s)); }
@@ -40,13 +47,6 @@
            All.look("model-0").value("orders_waiting", 0) == 0;
   }
 
-  /** Loads of the first worker that took other bytes than their version's. */
-  size_t tornLoads() const {
-    const Json Loads = All.look("model-0")["loads"];
-    return static_cast<size_t>(std::ranges::count_if(
-        Loads, [](const Json &One) { return !One["whole"].get<bool>(); }));
-  }
-
   RouteFleet All;
 };
 
@@ -61,7 +61,7 @@
   // were staged over those that had been checked.
   nameTwoVersions(1200);
   BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
-  BOOST_TEST(tornLoads() == 0U);
+  BOOST_TEST(tornLoads(All) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(AnOrderWithoutAnAnswerMayBeTakenLater) {
@@ -70,7 +70,7 @@
   // the engine woke, and took the order for version 2 with what lay there.
   nameTwoVersions(2600);
   BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
-  BOOST_TEST(tornLoads() == 0U);
+  BOOST_TEST(tornLoads(All) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(ChunksComeWhileTheEngineLoads) {
@@ -87,7 +87,26 @@
     return Look.value("busy", false) && Look.value("staged_of", 0) == 3;
   }));
   BOOST_TEST(waitFor(20s, [&] { return allLoaded(3); }));
-  BOOST_TEST(tornLoads() == 0U);
+  BOOST_TEST(tornLoads(All) == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(AChunkThatTurnsBadDuringALongLookIsNotLoaded) {
+  // Callers got tokens made with damaged weights of a host that was far too
+  // slow. Its agent took over four seconds to read the staged chunks back; the
+  // first turned bad as soon as it had been read, and the order went out when
+  // the last one was found good.
+  RoutePlan Plan;
+  Plan.ModelWorkers = 1;
+  RouteFleet All(Plan);
+  BOOST_REQUIRE(All.waitServing(30s));
+  All.control("model-0",
+              {{"slow_reads", 14}, {"read_ms", 700}, {"rot_after_read", true}});
+  const Json Named = {{"model", "trail"}, {"version", 2}};
+  All.store({{"put", {{"op/version/trail", Named.dump()}}}});
+  BOOST_TEST(waitFor(
+      40s, [&] { return All.look("model-0").value("version", 0) == 2; }));
+  BOOST_TEST(tornLoads(All) == 0U);
+  BOOST_TEST(!All.look("model-0").value("rot_after_read", true));
+}
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -5,11 +5,15 @@
  * that event, once), "fail" (that many requests answer 500), "refuse" (that
  * many answer 503 as not run), "no_signature", "hang" (no answer at all),
  * "order_wait_ms" (the next order is taken that much later, as the worker and
- * what lies staged are by then), "load_ms" (how long it is busy with an order).
+ * what lies staged are by then), "load_ms" (how long it is busy with an order),
+ * "slow_reads" (that many staged chunks are read back in "read_ms" each),
+ * "rot_after_read" (once all that lies staged is of the next version, chunk 0
+ * turns bad when it has been read back).
  * GET /control gives "runs": what was run, and with which headers; "loads":
  * the version of each order that was taken, and whether all that lay staged
  * was of it; "orders_waiting": orders that came and were not taken yet; "busy";
- * "staged_of": the version of all that lies staged, 0: of none.
+ * "staged_of": the version of all that lies staged, 0: of none;
+ * "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
@@ -206,6 +210,15 @@
   Answer.status = 202;
 }
 
+void rotAfterRead(Worker &Host, uint64_t Number) {
+  const uint64_t Next = Host.Options.value("version", uint64_t{0}) + 1;
+  if (Number != 0 || !Host.Options.value("rot_after_read", false) ||
+      stagedVersion(Host) != Next)
+    return;
+  Host.Options["rot_after_read"] = false;
+  Host.Staged[Number] = "spoilt";
+}
+
 void addStage(httplib::Server &Server, Worker &Host) {
   Server.Put("/stage-put/[^/]+", [&](const auto &Asked, auto &) {
     const std::lock_guard Lock(Host.Guard);
@@ -213,13 +226,20 @@
                               10)] = Asked.body;
   });
   Server.Get("/stage-get/[^/]+", [&](const auto &Asked, auto &Answer) {
-    const std::lock_guard Lock(Host.Guard);
-    const auto it = Host.Staged.find(
-        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10));
-    if (it == Host.Staged.end())
+    std::unique_lock Lock(Host.Guard);
+    const auto Number =
+        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10);
+    const auto it = Host.Staged.find(Number);
+    if (it == Host.Staged.end()) {
       Answer.status = 404;
-    else
-      Answer.set_content(it->second, "application/octet-stream");
+      return;
+    }
+    Answer.set_content(it->second, "application/octet-stream");
+    rotAfterRead(Host, Number);
+    const std::chrono::milliseconds Time(
+        takeOne(Host, "slow_reads") ? Host.Options.value("read_ms", 0) : 0);
+    Lock.unlock();
+    std::this_thread::sleep_for(Time);
   });
 }
 
@@ -260,16 +280,18 @@
   });
   Server.Get("/control", [&](const auto &, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
-    reply(Answer, {{"runs", Host.Runs},
-                   {"orders", Host.Orders},
-                   {"orders_waiting", Host.OrdersWaiting},
-                   {"loads", Host.Loads},
-                   {"busy", isBusy(Host)},
-                   {"staged_of", stagedVersion(Host)},
-                   {"staged", Host.Staged.size()},
-                   {"version", Host.Options.value("version", 0)},
-                   {"loaded_chunks",
-                    Host.Options.value("loaded_chunks", Json::array())}});
+    reply(Answer,
+          {{"runs", Host.Runs},
+           {"orders", Host.Orders},
+           {"orders_waiting", Host.OrdersWaiting},
+           {"loads", Host.Loads},
+           {"busy", isBusy(Host)},
+           {"rot_after_read", Host.Options.value("rot_after_read", false)},
+           {"staged_of", stagedVersion(Host)},
+           {"staged", Host.Staged.size()},
+           {"version", Host.Options.value("version", 0)},
+           {"loaded_chunks",
+            Host.Options.value("loaded_chunks", Json::array())}});
   });
   const auto Run = [&](const auto &Asked, auto &Answer) {
     run(Host, Asked, Answer);
