--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -33,6 +33,9 @@
 /** Chunks in a row that lie staged and are not wanted, after which the rest is
  * not looked at; single ones may have been damaged. */
 constexpr size_t MaxWrongStaged = 4;
+/** Longest look at the staged chunks before an order; well below the 3 s for
+ * which a chunk that turned bad is not held against its reader. */
+constexpr Millis LongestLook{1500};
 /** Longest wait for peers to take the last messages. */
 constexpr Millis FinishWait{1000};
 /** Time between two looks at the work in progress while draining. */
@@ -361,21 +364,47 @@
 }
 
 void AgentShell::loadWeights(const LoadWeights &Load, uint64_t Before) {
-  const auto Done = outcomeOf([&]() -> Result<bool> {
-    // The engine loads what lies staged when it takes the order. A chunk of the
-    // next version that came in between would be loaded unchecked.
-    const std::lock_guard Lock(LoadGuard);
-    for (size_t n = 0; n < Load.Chunks.size(); ++n)
+  // The engine loads what lies staged when it takes the order. A chunk of the
+  // next version that came in between would be loaded unchecked. Once the order
+  // is taken, chunks come again: the engine may work on long answers first.
+  std::unique_lock Lock(LoadGuard);
+  const TimePoint Began = Clock.now();
+  const auto Tell = [&](const char *Event) {
+    logLine(LogPart::Weights, LogLevel::Info,
+            std::string("event=") + Event + " set=" + Load.Order.Set.Value +
+                " ms=" + std::to_string(toMillis(Clock.now() - Began).count()));
+  };
+  LoadSteps Steps;
+  Steps.Taken = [&] {
+    Tell("order_taken");
+    Lock.unlock();
+  };
+  Steps.LastLook = [&]() -> Result<void> {
+    const TimePoint LookBegan = Clock.now();
+    for (size_t n = 0; n < Load.Chunks.size(); ++n) {
       BOOST_LEAF_CHECK(prepareChunk(
           {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
           Load.Chunks[n]));
+      // On a host that is far too slow the first chunk may have turned bad
+      // before the last one is read. The order is tried again later, on a look
+      // that says how things are; such a host could not serve anyway.
+      if (Load.Chunks[n] == nullptr && Clock.now() - LookBegan > LongestLook)
+        return fail(ErrorKind::WeightsNotReady,
+                    "staged chunks are read too slowly");
+    }
     // A process that was paused wakes with an order that may be long out of
     // date, while another agent owns the host; some engines would obey it.
     if (Pauses.pauses(Clock.now()) != Before)
       return fail(ErrorKind::StaleView, "paused since the order was decided");
-    BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order));
+    Tell("set_checked");
+    return {};
+  };
+  const auto Done = outcomeOf([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(Beside.Engine->load(Load.Order, Steps));
     return true;
   });
+  if (Lock.owns_lock())
+    Lock.unlock();
   std::optional<Failure> Why;
   if (!Done.Value)
     Why = Done.Why;
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -3,14 +3,24 @@
  * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
  * "gap_ms" (between them), "break_at" (the connection ends in the middle of
  * that event, once), "fail" (that many requests answer 500), "refuse" (that
- * many answer 503 as not run), "no_signature", "hang" (no answer at all).
- * GET /control gives "runs": what was run, and with which headers.
+ * many answer 503 as not run), "no_signature", "hang" (no answer at all),
+ * "order_wait_ms" (the next order is taken that much later, as the worker and
+ * what lies staged are by then), "load_ms" (how long it is busy with an order),
+ * "slow_reads" (that many staged chunks are read back in "read_ms" each),
+ * "rot_after_read" (once all that lies staged is of the next version, chunk 0
+ * turns bad when it has been read back).
+ * GET /control gives "runs": what was run, and with which headers; "loads":
+ * the version of each order that was taken, and whether all that lay staged
+ * was of it; "orders_waiting": orders that came and were not taken yet; "busy";
+ * "staged_of": the version of all that lies staged, 0: of none;
+ * "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
 
 #include "base/hash_func.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <map>
@@ -31,6 +41,9 @@
   Json Runs = Json::array();
   std::map<uint64_t, std::string> Staged; ///< By number.
   uint64_t Orders = 0;
+  uint64_t OrdersWaiting = 0;
+  Json Loads = Json::array();
+  std::chrono::steady_clock::time_point BusyUntil;
   int64_t Born = 0;
 };
 
@@ -129,29 +142,83 @@
     Answer.set_content("answer to " + Asked.path, "text/plain");
 }
 
+bool isBusy(const Worker &Host) {
+  return std::chrono::steady_clock::now() < Host.BusyUntil;
+}
+
 Json reportOf(const Worker &Host) {
   Json Models = Json::array();
   if (Host.Options.value("version", 0) > 0)
     Models.push_back({{"name", Host.Options.value("model", "")},
                       {"version", Host.Options.value("version", 0)}});
-  return {{"stage", "combined"},     {"models", Models}, {"busy", false},
+  return {{"stage", "combined"},     {"models", Models}, {"busy", isBusy(Host)},
           {"sequence", Host.Orders}, {"waiting", 0},     {"running", 0},
           {"born", Host.Born}};
 }
 
+/** Says whether all that lies staged is of a version. */
+bool isOfVersion(const Worker &Host, uint64_t Version) {
+  return std::ranges::all_of(Host.Staged, [&](const auto &Row) {
+    return Row.second == chunkOfWeights(Version, Row.first, Row.second.size());
+  });
+}
+
+/** Says of which version all that lies staged is; 0: of none. */
+uint64_t stagedVersion(const Worker &Host) {
+  const uint64_t Loaded = Host.Options.value("version", uint64_t{0});
+  for (const uint64_t Version : {Loaded, Loaded + 1})
+    if (isOfVersion(Host, Version))
+      return Version;
+  return 0;
+}
+
+/** Lets the next order lie unread for a while, as a worker that stands still
+ * does. */
+void delayOrder(Worker &Host) {
+  std::chrono::milliseconds Wait{0};
+  {
+    const std::lock_guard Lock(Host.Guard);
+    Wait = std::chrono::milliseconds(Host.Options.value("order_wait_ms", 0));
+    Host.Options["order_wait_ms"] = 0;
+    ++Host.OrdersWaiting;
+  }
+  std::this_thread::sleep_for(Wait);
+  const std::lock_guard Lock(Host.Guard);
+  --Host.OrdersWaiting;
+}
+
 /** Loads what lies staged, whatever it is: nothing is checked here. */
 void order(Worker &Host, const httplib::Request &Asked,
            httplib::Response &Answer) {
+  delayOrder(Host);
   const Json Order = Json::parse(Asked.body, nullptr, false);
   const std::lock_guard Lock(Host.Guard);
-  Host.Options["version"] = Order.value("version", 0);
+  if (Order.value("expect", Host.Orders) != Host.Orders) {
+    Answer.status = 409;
+    return;
+  }
+  const auto Version = Order.value("version", uint64_t{0});
+  Host.Options["version"] = Version;
   Host.Options["loaded_chunks"] = Json::array();
   for (const auto &[n, Bytes] : Host.Staged)
     Host.Options["loaded_chunks"].push_back(sha256(Bytes).Value);
+  Host.Loads.push_back(
+      {{"version", Version}, {"whole", isOfVersion(Host, Version)}});
   ++Host.Orders;
+  Host.BusyUntil = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(Host.Options.value("load_ms", 0));
   Answer.status = 202;
 }
 
+void rotAfterRead(Worker &Host, uint64_t Number) {
+  const uint64_t Next = Host.Options.value("version", uint64_t{0}) + 1;
+  if (Number != 0 || !Host.Options.value("rot_after_read", false) ||
+      stagedVersion(Host) != Next)
+    return;
+  Host.Options["rot_after_read"] = false;
+  Host.Staged[Number] = "spoilt";
+}
+
 void addStage(httplib::Server &Server, Worker &Host) {
   Server.Put("/stage-put/[^/]+", [&](const auto &Asked, auto &) {
     const std::lock_guard Lock(Host.Guard);
@@ -159,13 +226,20 @@
                               10)] = Asked.body;
   });
   Server.Get("/stage-get/[^/]+", [&](const auto &Asked, auto &Answer) {
-    const std::lock_guard Lock(Host.Guard);
-    const auto it = Host.Staged.find(
-        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10));
-    if (it == Host.Staged.end())
+    std::unique_lock Lock(Host.Guard);
+    const auto Number =
+        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10);
+    const auto it = Host.Staged.find(Number);
+    if (it == Host.Staged.end()) {
       Answer.status = 404;
-    else
-      Answer.set_content(it->second, "application/octet-stream");
+      return;
+    }
+    Answer.set_content(it->second, "application/octet-stream");
+    rotAfterRead(Host, Number);
+    const std::chrono::milliseconds Time(
+        takeOne(Host, "slow_reads") ? Host.Options.value("read_ms", 0) : 0);
+    Lock.unlock();
+    std::this_thread::sleep_for(Time);
   });
 }
 
@@ -206,12 +280,18 @@
   });
   Server.Get("/control", [&](const auto &, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
-    reply(Answer, {{"runs", Host.Runs},
-                   {"orders", Host.Orders},
-                   {"staged", Host.Staged.size()},
-                   {"version", Host.Options.value("version", 0)},
-                   {"loaded_chunks",
-                    Host.Options.value("loaded_chunks", Json::array())}});
+    reply(Answer,
+          {{"runs", Host.Runs},
+           {"orders", Host.Orders},
+           {"orders_waiting", Host.OrdersWaiting},
+           {"loads", Host.Loads},
+           {"busy", isBusy(Host)},
+           {"rot_after_read", Host.Options.value("rot_after_read", false)},
+           {"staged_of", stagedVersion(Host)},
+           {"staged", Host.Staged.size()},
+           {"version", Host.Options.value("version", 0)},
+           {"loaded_chunks",
+            Host.Options.value("loaded_chunks", Json::array())}});
   });
   const auto Run = [&](const auto &Asked, auto &Answer) {
     run(Host, Asked, Answer);
