agent: the first slow token shows that the other answers are silent

What users saw: nothing in the records yet. Only a tick, every 50 ms, draws the conclusion. A tick that comes just after the first slow tokens finds no answer silent, and until 32 gaps are seen each answer that ends lets another request begin.

Cause: a token was noted before anybody looked whether the other answers are silent.

Change: a token that comes far too late is taken as a look at all answers, before it counts as a fresh one. The guard against pauses of the agent itself holds.

Figures: TheFirstSlowTokenShowsThatTheOthersAreSilent failed before (17 runs begun, 16 allowed; limit 16, not 2) and passes.

The other three unit tests pass with and without this; they pin what an agent can know: UntilATokenIsLateEndedAnswersAreReplaced, ATryOfALargerLimitEndsWithTheFirstLateTokens, AfterAPauseOfTheAgentSlowTokensShowNothing. The first two fail when silent answers no longer hold up starts.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -179,10 +179,27 @@
                  it->second.Peer.Domain == Agent.Fleet.Self.Domain);
 }
 
+/** Turns cold when most answers have stopped coming. */
+void noteStalls(AgentState &Agent, TimePoint Now, Effects &Out) {
+  if (Now - Agent.Fleet.LastTick > LongestTickGap)
+    return;
+  if (!mostAnswersStall(Agent, Now) ||
+      Agent.Gate.Limit <= Agent.Gate.Limits.Cold)
+    return;
+  turnCold(Agent.Gate);
+  Out.push_back(LogNote{LogPart::Admission, LogLevel::Warn,
+                        "Most answers stall: back end is cold."});
+}
+
 /** Watches the time between tokens for a back end that turned cold. */
 void notePace(AgentState &Agent, Attempt &One, TimePoint Now, Effects &Out) {
   const bool First = One.LastToken == TimePoint{};
   const Duration Gap = Now - One.LastToken;
+  // Slow tokens of all answers come at about the same time, and a tick just
+  // after them finds no answer silent. The first of them comes while the others
+  // still are.
+  if (!First && farOverWarm(Agent.Gate.Pace, Gap))
+    noteStalls(Agent, Now, Out);
   One.LastToken = Now;
   // After a pause of this process all gaps are long, whatever the back end
   // did; the missed ticks show it.
@@ -193,18 +210,6 @@
                           "Tokens come far too slowly: back end is cold."});
 }
 
-/** Turns cold when most answers have stopped coming. */
-void noteStalls(AgentState &Agent, TimePoint Now, Effects &Out) {
-  if (Now - Agent.Fleet.LastTick > LongestTickGap)
-    return;
-  if (!mostAnswersStall(Agent, Now) ||
-      Agent.Gate.Limit <= Agent.Gate.Limits.Cold)
-    return;
-  turnCold(Agent.Gate);
-  Out.push_back(LogNote{LogPart::Admission, LogLevel::Warn,
-                        "Most answers stall: back end is cold."});
-}
-
 /** True when the back end may have died in the middle of a run. */
 bool brokeOff(const Outcome<EngineEnd> &End) {
   return !End.Value && (End.Why.Kind == ErrorKind::OutcomeUnknown ||
--- a/tests/unit/attempt_recovery_test.cpp
+++ b/tests/unit/attempt_recovery_test.cpp
@@ -230,3 +230,130 @@
   All.pass(milliseconds(300));
   BOOST_TEST(All.Runs.size() == 3U);
 }
+
+// An engine turns cold and says nothing of it. Answers whose last token was
+// already under way end in time, and others take their places: nothing is late
+// yet. From the moment on at which most answers are silent for longer than a
+// warm engine's tokens take, nothing more begins.
+BOOST_AUTO_TEST_CASE(UntilATokenIsLateEndedAnswersAreReplaced) {
+  constexpr size_t Running = 16;
+  constexpr size_t Waiting = 8;
+  constexpr size_t InTime = 6;
+  Mesh All(1, 1, 0);
+  AgentState &Agent = All.Agents.begin()->second;
+  Agent.Gate.Limits.Warm = Agent.Gate.Limit = Running;
+  Agent.Gate.Pace.Warm = milliseconds(10);
+  std::vector<Engine> Hosts;
+  for (size_t n = 0; n < Running; ++n) {
+    All.ask("e0", "reports", "", "", std::to_string(n));
+    Hosts.push_back(Engine{All});
+    Hosts.back().begin();
+    Hosts.back().token("a");
+  }
+  for (size_t n = 0; n < Waiting; ++n)
+    All.ask("e0", "reports", "", "", "w" + std::to_string(n));
+  BOOST_REQUIRE(All.Runs.size() == Running);
+  All.Now += milliseconds(12);
+  for (size_t n = 0; n < InTime; ++n)
+    Hosts[n].end(1);
+  BOOST_TEST(All.Runs.size() == Running + InTime);
+  All.Now += milliseconds(29);
+  for (size_t n = InTime; n < InTime + 2; ++n)
+    Hosts[n].end(1);
+  BOOST_TEST(All.Runs.size() == Running + InTime);
+}
+
+// A cold engine completed enough for a try whether it bears twice as much. It
+// does not, and each token takes ten times as long. One answer of before is at
+// its last token and ends so late that the try shows in nothing else yet;
+// another takes its place. From the first late tokens on nothing begins.
+BOOST_AUTO_TEST_CASE(ATryOfALargerLimitEndsWithTheFirstLateTokens) {
+  constexpr uint32_t Cold = 2;
+  Mesh All(1, 1, 0);
+  AgentState &Agent = All.Agents.begin()->second;
+  Agent.Gate.Limits = {16, Cold, 32, 8};
+  Agent.Gate.Limit = Cold;
+  Agent.Gate.Pace.Warm = milliseconds(10);
+  auto Ask = [&, n = 0]() mutable {
+    All.ask("e0", "reports", "", "", std::to_string(n++));
+  };
+  Ask();
+  const Engine Older{All};
+  Older.begin();
+  Older.token("a");
+  for (uint32_t n = 0; n < Agent.Gate.Limits.WarmAfter; ++n) {
+    Ask();
+    const Engine Host{All};
+    Host.begin();
+    Host.token("a");
+    Host.end(1);
+  }
+  BOOST_REQUIRE(Agent.Gate.Limit == 2 * Cold);
+  std::vector<Engine> Tried;
+  for (uint32_t n = 1; n < 2 * Cold; ++n) {
+    Ask();
+    Tried.push_back(Engine{All});
+    Tried.back().begin();
+  }
+  for (uint32_t n = 0; n < Cold; ++n)
+    Ask();
+  const size_t Before = All.Runs.size();
+  All.Now += milliseconds(100);
+  Older.token("b");
+  Older.end(2);
+  BOOST_TEST(All.Runs.size() == Before + 1);
+  for (const Engine &One : Tried)
+    One.token("a");
+  All.Now += milliseconds(41);
+  Tried.front().end(1);
+  BOOST_TEST(All.Runs.size() == Before + 1);
+}
+
+// An engine turns cold between two looks at it, and its first slow tokens come
+// just before the second look. By then most answers have a fresh token and look
+// well again, and until enough gaps are seen each answer that ends lets another
+// request begin.
+BOOST_AUTO_TEST_CASE(TheFirstSlowTokenShowsThatTheOthersAreSilent) {
+  constexpr size_t Running = 16;
+  Mesh All(1, 1, 0);
+  AgentState &Agent = All.Agents.begin()->second;
+  Agent.Gate.Limits = {Running, 2, 32, 8};
+  Agent.Gate.Limit = Running;
+  Agent.Gate.Pace.Warm = milliseconds(10);
+  std::vector<Engine> Hosts;
+  for (size_t n = 0; n < Running; ++n) {
+    All.ask("e0", "reports", "", "", std::to_string(n));
+    Hosts.push_back(Engine{All});
+    Hosts.back().begin();
+    Hosts.back().token("a");
+  }
+  All.ask("e0", "reports", "", "", "waits");
+  BOOST_REQUIRE(All.Runs.size() == Running);
+  All.Now += milliseconds(100);
+  for (const Engine &One : Hosts)
+    One.token("b");
+  Hosts.front().end(2);
+  BOOST_TEST(All.Runs.size() == Running);
+  BOOST_TEST(Agent.Gate.Limit == 2U);
+}
+
+// The agent itself got no time for a while. All tokens come late then, though
+// the engine made them in time, and its limit must not fall.
+BOOST_AUTO_TEST_CASE(AfterAPauseOfTheAgentSlowTokensShowNothing) {
+  Mesh All(1, 1, 0);
+  AgentState &Agent = All.Agents.begin()->second;
+  Agent.Gate.Limits = {16, 2, 32, 8};
+  Agent.Gate.Limit = 16;
+  Agent.Gate.Pace.Warm = milliseconds(10);
+  std::vector<Engine> Hosts;
+  for (size_t n = 0; n < 4; ++n) {
+    All.ask("e0", "reports", "", "", std::to_string(n));
+    Hosts.push_back(Engine{All});
+    Hosts.back().begin();
+    Hosts.back().token("a");
+  }
+  All.Now += milliseconds(400);
+  for (const Engine &One : Hosts)
+    One.token("b");
+  BOOST_TEST(Agent.Gate.Limit == 16U);
+}
