settings: a key that stands twice is refused by its name, a folder with a reason

What users saw: (1) a settings file that names a key twice was taken, and the process ran on one of the two values without a word. (2) A folder given as settings file ended the program with code 3 and no word at all.

Cause: (1) the JSON library keeps one of two equal keys. (2) A folder opens like a file; the iterator that read it threw at the first byte, past every message.

Change: the parser can say which keys stand twice, and settings refuse them next to all other faults of the file; a reload refuses them too, as it uses the same function. A file is read in a way that tells of a failure, and every "cannot be read" names the system's reason. Exit code 3 as for other bad settings files, and 1 for "check", as for a document that is not there.

Not changed: a published document that names a key twice is taken as before. Refusing it would let processes of two versions judge one document differently.

--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -8,12 +8,14 @@
 
 #include <malloc.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <random>
+#include <system_error>
 
 namespace jacinthpond {
 
@@ -34,10 +36,23 @@
 } // namespace
 
 Result<std::string> readFile(const std::string &Path) {
+  const auto Unreadable = [&] {
+    const std::string Why = std::generic_category().message(errno);
+    return fail(ErrorKind::NotFound, Path + ": cannot be read: " + Why);
+  };
+  errno = 0;
   std::ifstream File(Path, std::ios::binary);
   if (!File)
-    return fail(ErrorKind::NotFound, Path + ": cannot be read");
-  return std::string(std::istreambuf_iterator<char>(File), {});
+    return Unreadable();
+  // A folder opens like a file and fails at the first byte. An iterator over
+  // the stream's buffer would throw then, and nobody would learn why.
+  std::string Text;
+  std::array<char, 4096> Part{};
+  while (File.read(Part.data(), Part.size()) || File.gcount() > 0)
+    Text.append(Part.data(), static_cast<size_t>(File.gcount()));
+  if (File.bad())
+    return Unreadable();
+  return Text;
 }
 
 std::optional<Settings> loadSettings(const std::string &Path,
--- a/packages/core/src/base/json_reader.cpp
+++ b/packages/core/src/base/json_reader.cpp
@@ -54,6 +54,26 @@
   return Row.back();
 }
 
+/** Finds keys that stand twice in one object, of which JSON keeps one. */
+class TwinFinder {
+public:
+  explicit TwinFinder(std::set<std::string> &Into) : Twins(Into) {}
+
+  void note(Json::parse_event_t Event, const Json &Value) {
+    if (Event == Json::parse_event_t::object_start)
+      Open.emplace_back();
+    else if (Event == Json::parse_event_t::object_end)
+      Open.pop_back();
+    else if (Event == Json::parse_event_t::key &&
+             !Open.back().insert(Value.get<std::string>()).second)
+      Twins.insert(Value.get<std::string>());
+  }
+
+private:
+  std::set<std::string> &Twins;
+  std::vector<std::set<std::string>> Open; ///< Keys of the objects around.
+};
+
 } // namespace
 
 void FaultList::add(const std::string &Path, const std::string &Found,
@@ -69,10 +89,15 @@
 }
 
 Result<Json> parseJson(std::string_view Text, const std::string &What,
-                       ErrorKind Kind) {
+                       ErrorKind Kind, std::set<std::string> *Twins) {
   bool TooDeep = false;
-  const auto KeepShallow = [&](int Depth, Json::parse_event_t, Json &) {
+  std::set<std::string> Unasked;
+  TwinFinder Finder(Twins == nullptr ? Unasked : *Twins);
+  const auto KeepShallow = [&](int Depth, Json::parse_event_t Event,
+                               Json &Value) {
     TooDeep = TooDeep || Depth > MaxDepth;
+    if (Twins != nullptr && !TooDeep)
+      Finder.note(Event, Value);
     return !TooDeep;
   };
   try {
--- a/packages/core/src/base/json_reader.h
+++ b/packages/core/src/base/json_reader.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,10 +45,13 @@
  * @param Text Not trusted.
  * @param What Name of the text in the fault.
  * @param Kind Kind of the fault.
+ * @param Twins Gets the keys that stand twice in one object, each once; null:
+ *   nobody asks.
  * @return The value, or where the text is no JSON or nests too deeply.
  */
 Result<nlohmann::json> parseJson(std::string_view Text, const std::string &What,
-                                 ErrorKind Kind);
+                                 ErrorKind Kind,
+                                 std::set<std::string> *Twins = nullptr);
 
 /**
  * Says whether a text is a SHA-256 digest.
--- a/packages/core/src/settings/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <set>
 
 namespace jacinthpond {
 
@@ -124,10 +125,14 @@
 Result<Settings> parseSettings(std::string_view Text,
                                const std::string &FileName,
                                SettingOwner Program) {
-  BOOST_LEAF_AUTO(Value, parseJson(Text, FileName, ErrorKind::InvalidSettings));
+  std::set<std::string> Twins;
+  BOOST_LEAF_AUTO(
+      Value, parseJson(Text, FileName, ErrorKind::InvalidSettings, &Twins));
   Settings Read;
   FaultList Faults;
   ObjectReader Reader(Value, "", Faults);
+  for (const std::string &Key : Twins)
+    Reader.fault(Key.c_str(), "the key twice", "once, as only one would count");
   for (const SettingSpec &Spec : SettingsTable)
     if (belongsTo(Spec, Program))
       std::visit(SettingReader{Reader, Spec, Read}, Spec.Field);
--- a/tests/integration/admin_test.cpp
+++ b/tests/integration/admin_test.cpp
@@ -222,7 +222,9 @@
       {{"check"}, 2, "needs one FILE"},
       {{"serve"}, 2, "--settings FILE is missing"},
       {{"serve", "--settings", "/nothing/here"}, 3, "cannot be read"},
+      {{"serve", "--settings", "/tmp"}, 3, "/tmp: cannot be read"},
       {{"check", "/nothing/here"}, 1, "cannot be read"},
+      {{"check", "/tmp"}, 1, "/tmp: cannot be read"},
       {{"check", Bad}, 3, "did you mean \"classes\""},
       {{"serve", "--settings", Bad}, 3, "name: found nothing"},
   };
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -5,6 +5,7 @@
 #include "configuration/document_func.h"
 #include "settings/settings_func.h"
 #include "table/settings_table.h"
+#include "threads/process.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -111,6 +112,48 @@
                  .find("\"secret\"") == std::string::npos);
 }
 
+// An operator adds a setting to a long file that holds it already, further up.
+// JSON keeps one of the two without a word, and the process runs on a value
+// that the operator believes to have replaced.
+BOOST_AUTO_TEST_CASE(AKeyThatStandsTwiceIsRefusedByName) {
+  const std::string Engine = R"(, "engine_url": "http://127.0.0.1:80")";
+  check({{Engine + R"(, "warm_limit": 8, "warm_limit": 9)",
+          "f.json: warm_limit: found the key twice"},
+         {Engine + R"(, "warm_limit": 8, "warm_limit": 8)",
+          "f.json: warm_limit: found the key twice"},
+         {Engine + R"(, "warm_limit": 8, "warm_limit": 9, "warm_limit": 7)",
+          "f.json: warm_limit: found the key twice"},
+         {Engine + R"(, "warm_limit": 8, "cold_limit": 2)", ""},
+         {R"(, "name": "b")", "f.json: name: found the key twice"}},
+        faultsOfAgent);
+  // With the other faults, so that one look at the file mends them all.
+  const std::string All = faultsOfAgent(
+      Engine + R"(, "name": "b", "domain": "e", "heartbeat_ms": 1)");
+  BOOST_TEST(All.find("name: found the key twice") != std::string::npos, All);
+  BOOST_TEST(All.find("domain: found the key twice") != std::string::npos, All);
+  BOOST_TEST(All.find("heartbeat_ms: found 1") != std::string::npos, All);
+  // Objects side by side may each have the key.
+  BOOST_TEST(faultsOfDocument(R"(, "tenants": [{"name": "a"}, {"name": "b"}])")
+                 .empty());
+}
+
+// A folder is given as settings file, such as the one that holds it. It opens
+// like a file and fails at the first byte.
+BOOST_AUTO_TEST_CASE(AFolderIsNoSettingsFile) {
+  const auto Read =
+      outcomeOf([&] { return readFile(JACINTHPOND_SOURCE_FOLDER "/docs"); });
+  BOOST_TEST(!Read.Value);
+  BOOST_TEST((Read.Why.Kind == ErrorKind::NotFound));
+  BOOST_TEST(Read.Why.Detail == JACINTHPOND_SOURCE_FOLDER
+             "/docs: cannot be read: Is a directory");
+  const auto Missing = outcomeOf([&] { return readFile("/nothing/here"); });
+  BOOST_TEST(Missing.Why.Detail ==
+             "/nothing/here: cannot be read: No such file or directory");
+  const auto Page = outcomeOf(
+      [&] { return readFile(JACINTHPOND_SOURCE_FOLDER "/docs/SETTINGS.md"); });
+  BOOST_TEST(Page.Value.value_or("") == settingsPage());
+}
+
 // Story: a document of nested brackets is published, or sent to /v1/check. It
 // is valid JSON; printing it for the fault recurses once a bracket, and every
 // process that reads it would crash on its stack at the same time.
