entry: a token given in place of a refused one is another one

What users would see: a booking is refused as not run, with a new home token as the contract says. The caller goes on with the new token and is refused "refused before" each time, for as long as the token lasts.

Cause: a home tells tokens apart by their texts, and a token's text was made of class, configuration version and homes only. With one home the new text is always the old one; with several it is whenever the same order comes up.

Ruled out: a second chance to run. The home's record is by key, so a try that comes late with the old token follows the run under the new one or gets its answer.

Change: the number that held the configuration version, which nobody reads, holds one that differs between entries and between calls. Form and length limit of a token are as before, so processes of both versions read each other's tokens.

Found while looking why a leaving entry does not know whether bookings ran.

--- a/packages/core/src/attempts/home_token.cpp
+++ b/packages/core/src/attempts/home_token.cpp
@@ -89,7 +89,7 @@
   for (const TokenHome &Home : Token.Homes)
     Homes.push_back({Home.Name.Value, Home.Run.Value, Home.Epoch});
   const std::vector<uint8_t> Packed =
-      Json::to_cbor({Token.Class.Value, Token.Version.Value, Homes});
+      Json::to_cbor({Token.Class.Value, Token.Serial, Homes});
   const std::string Bytes(Packed.begin(), Packed.end());
   return toHex(Bytes) + checksum(Bytes);
 }
@@ -113,7 +113,7 @@
   if (!Right || !readHomes(Value[2], Token))
     return Bad();
   Token.Class.Value = Value[0].get<std::string>();
-  Token.Version.Value = Value[1].get<uint64_t>();
+  Token.Serial = Value[1].get<uint64_t>();
   return Token;
 }
 
--- a/packages/core/src/attempts/home_token_type.h
+++ b/packages/core/src/attempts/home_token_type.h
@@ -5,6 +5,7 @@
 
 #include "base/ids_type.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace jacinthpond {
@@ -23,7 +24,7 @@
  */
 struct HomeToken {
   ClassName Class;              ///< Class of work.
-  ConfigVersion Version;        ///< Configuration that it was made from.
+  uint64_t Serial = 0;          ///< Makes its text another one.
   std::vector<TokenHome> Homes; ///< Never empty.
 };
 
--- a/packages/core/src/attempts/keyed_call.cpp
+++ b/packages/core/src/attempts/keyed_call.cpp
@@ -60,7 +60,9 @@
   Names.resize(std::min(Names.size(), MaxTokenHomes));
   HomeToken Token;
   Token.Class = Class;
-  Token.Version = Doc.Version;
+  // A home that refused a key tells tokens apart by their texts. One of equal
+  // text in place of the refused one would be refused for as long as it lasts.
+  Token.Serial = Entry.Fleet.Self.Run.Value + Entry.Counters.Calls;
   for (const HostName &Name : Names) {
     const PeerLink *Link = readyLink(Entry.Fleet, Name);
     Token.Homes.push_back({Name, Link->Peer.Run, Link->Load.KeyEpoch});
--- a/tests/unit/keyed_interleavings_test.cpp
+++ b/tests/unit/keyed_interleavings_test.cpp
@@ -306,3 +306,27 @@
   BOOST_TEST(Book.Records.empty());
   BOOST_TEST(Book.AnswerBytes == 0U);
 }
+
+// The only home of a key has no room for it. The caller is told "not run" and
+// gets another token, whose text is that of the old one: the key is refused as
+// "refused before" for as long as the token lasts.
+BOOST_AUTO_TEST_CASE(ATokenGivenForARefusedKeyIsAnotherOne) {
+  Mesh All{1, 0, 1};
+  All.SlowServices = {"s0"};
+  AgentState &Home = All.Agents.at("s0");
+  Home.Gate.Limits = {1, 1, 0, 1};
+  Home.Gate.Limit = 1;
+  const std::string Token =
+      makeHomeToken(All.Entries.at("e0"), ClassName{"bookings"});
+  All.ask("e0", "bookings", "first", Token);
+  BOOST_REQUIRE(All.Records.size() == 1U);
+  const uint64_t Refused = All.ask("e0", "bookings", "k", Token);
+  BOOST_TEST((All.Finals[Refused].Executed == Ran::No));
+  BOOST_TEST(All.Finals[Refused].Token != Token);
+  All.SlowServices.clear();
+  All.answer("s0", All.Records.front().second.Attempt);
+  const uint64_t Again =
+      All.ask("e0", "bookings", "k", All.Finals[Refused].Token);
+  BOOST_TEST(All.Finals[Again].Whole);
+  BOOST_TEST(All.Records.size() == 2U);
+}
