entry: a leaving entry asks the home whether a booking ran

Cause: such an entry refuses at once. "Not run" is said of the key, and an earlier try may have come through another entry; only the key's home knows. The entry has its links during the whole stop and did not ask.

Ruled out: requests that were under way when the stop began; they are finished as before. Letting the booking run through the leaving entry was weighed: callers would learn later to go elsewhere, and the last would be cut with its listener.

Change: a leaving entry sends the booking to its home with no time left. A home takes that as "not to run": it answers what ran, follows what runs, and else bars the key under this token and says "not run"; the caller gets a new token and other addresses. Asked for one second at most, within `leave_notice_ms`, and not without a token, as the home would then bar the key for seconds. A home of an earlier version runs such a booking and the caller gets its answer. No message changed.

--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -153,6 +153,9 @@
                                          const AttemptStart &m) {
   if (agentIsLeaving(Agent))
     return ErrorKind::Leaving;
+  // It is not to run: an entry that leaves asks whether its key did.
+  if (m.RemainingMillis == 0)
+    return ErrorKind::Deadline;
   if (!Agent.View.InForce || !viewIsFresh(Agent.Fleet))
     return ErrorKind::StaleView;
   const Document &Doc = *Agent.View.InForce;
--- a/packages/core/src/attempts/call.cpp
+++ b/packages/core/src/attempts/call.cpp
@@ -116,7 +116,7 @@
   m.Class = One.Asked.Class;
   m.Tenant = One.Asked.Tenant;
   m.Body = One.Asked.Body;
-  m.RemainingMillis = remainingFor(One, Now);
+  m.RemainingMillis = One.OnlyAsked ? 0 : remainingFor(One, Now);
   m.Key = One.Asked.Key;
   m.Token = One.Asked.Token;
   m.ResumeOn = One.Weights;
@@ -176,6 +176,11 @@
 void startKeyed(EntryState &Entry, Call &One, TimePoint Now, Effects &Out) {
   const HostName Home = homeOfCall(Entry, One);
   const PeerLink *Link = readyLink(Entry.Fleet, Home);
+  if (Link == nullptr && One.OnlyAsked) {
+    endCallWithError(Entry, One.Asked.Call, {ErrorKind::Leaving, "", {}},
+                     Ran::No, Out);
+    return;
+  }
   if (Link == nullptr) {
     if (!One.HomeSought)
       One.HomeSought = Now;
@@ -331,7 +336,9 @@
     return;
   }
   One->HomeSaidNo = m.Executed == Ran::No && isKeyed(Entry, *One);
-  const Failure Why{m.Kind, m.Detail,
+  const bool Refused = One->OnlyAsked && m.Kind != ErrorKind::KeyConflict &&
+                       m.Kind != ErrorKind::OutcomeUnknown;
+  const Failure Why{Refused ? ErrorKind::Leaving : m.Kind, m.Detail,
                     Millis(static_cast<int64_t>(m.RetryAfterMillis))};
   retryOrEnd(Entry, *One, Why, m.Executed, Now, Out);
 }
@@ -417,9 +424,11 @@
     if (Sent && !One.Attempt.Lost)
       Out.push_back(
           SendMessage{One.Attempt.Link, AttemptCancel{One.Attempt.Id}});
-    const Failure Why{Sent ? ErrorKind::OutcomeUnknown : ErrorKind::Deadline,
-                      "deadline passed",
-                      {}};
+    Failure Why{Sent ? ErrorKind::OutcomeUnknown : ErrorKind::Deadline,
+                "deadline passed",
+                {}};
+    if (One.OnlyAsked)
+      Why = {ErrorKind::Leaving, "the key's home did not answer", {}};
     endCallWithError(Entry, Id, Why, Sent ? Ran::Unknown : Ran::No, Out);
   }
 }
--- a/packages/core/src/attempts/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -25,6 +25,9 @@
 
 namespace {
 
+/** Longest wait for a home that is asked about a booking. */
+constexpr Millis LongestAsking{1000};
+
 /** Keeps links to the agents and entries that the document calls for. */
 void followDocument(EntryState &Entry, TimePoint Now, Effects &Out) {
   std::vector<PeerAddress> Peers;
@@ -82,6 +85,22 @@
   return Peer->first;
 }
 
+/**
+ * Says whether the home of a booking that is refused for leaving is asked about
+ * it. The entry alone cannot know whether an earlier try of the key ran, and
+ * would leave the caller with a booking to look up. Without a token the home
+ * would bar the key for seconds, and the caller could not go on elsewhere.
+ */
+bool mayAskHome(const EntryState &Entry, const CallRequest &Asked,
+                TimePoint Now) {
+  if (Now >= Entry.AskHomesUntil || !Entry.View.InForce ||
+      !viewIsFresh(Entry.Fleet))
+    return false;
+  const WorkClass *Class = findClass(*Entry.View.InForce, Asked.Class);
+  return Class != nullptr && !Class->Repeatable && !Asked.Key.Value.empty() &&
+         !Asked.Token.empty() && tokenFits(Asked.Token, Asked.Class);
+}
+
 } // namespace
 
 EntryState makeEntry(const Settings &Config, Incarnation Run, TimePoint Now) {
@@ -101,7 +120,8 @@
   One.Asked = Asked;
   One.Arrived = Now;
   Call &Kept = Entry.Calls[Asked.Call] = One;
-  if (Entry.Stopping) {
+  Kept.OnlyAsked = Entry.Stopping && mayAskHome(Entry, Asked, Now);
+  if (Entry.Stopping && !Kept.OnlyAsked) {
     endCallWithError(Entry, Asked.Call, {ErrorKind::Leaving, "", {}}, Ran::No,
                      Out);
     return;
@@ -140,6 +160,9 @@
   const Millis Wanted =
       Asked.Deadline.count() > 0 ? std::min(Asked.Deadline, Longest) : Longest;
   Kept.Deadline = Now + Wanted;
+  if (Kept.OnlyAsked)
+    Kept.Deadline = std::min(
+        {Kept.Deadline, Now + Duration(LongestAsking), Entry.AskHomesUntil});
   startAttempt(Entry, Kept, Now, Out);
 }
 
@@ -247,8 +270,9 @@
   endLostAttempts(Entry, Now, Out);
 }
 
-void entryStop(EntryState &Entry, TimePoint Now, Effects &Out) {
+void entryStop(EntryState &Entry, TimePoint Now, Millis Asking, Effects &Out) {
   Entry.Stopping = true;
+  Entry.AskHomesUntil = Now + Asking;
   Entry.Fleet.Leaving = true;
   sendHeartbeats(Entry.Fleet, Entry.View, Now, Out);
 }
--- a/packages/core/src/attempts/entry_func.h
+++ b/packages/core/src/attempts/entry_func.h
@@ -99,9 +99,10 @@
  * The process is to end gracefully: new requests are refused, peers are told.
  * @param Entry State to change.
  * @param Now Current time.
+ * @param Asking How long homes are asked about the bookings that are refused.
  * @param Out Effects are appended.
  */
-void entryStop(EntryState &Entry, TimePoint Now, Effects &Out);
+void entryStop(EntryState &Entry, TimePoint Now, Millis Asking, Effects &Out);
 
 /**
  * The time limit of a graceful shutdown has passed: every request gets its
--- a/packages/core/src/attempts/entry_type.h
+++ b/packages/core/src/attempts/entry_type.h
@@ -56,6 +56,7 @@
   Ran Executed = Ran::No;      ///< Whether any ended attempt ran.
   bool HomeSaidNo = false;     ///< The home vouches that the key did not run.
   std::optional<TimePoint> HomeSought; ///< Since when its home is waited for.
+  bool OnlyAsked = false; ///< Not to run: its home says whether the key did.
 };
 
 /** Counters of an entry; read by metrics and status. */
@@ -80,6 +81,7 @@
   Quarantine Suspects;                  ///< Requests that were at a death.
   RetryBudget Retries;                  ///< Retries that may still be made.
   bool Stopping = false;                ///< No new requests are taken.
+  TimePoint AskHomesUntil;              ///< While stopping.
   EntryCounters Counters;               ///< What happened so far.
 };
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -260,7 +260,6 @@
   Leaving = true;
   if (Routes != nullptr)
     Routes->leave();
-  post([this](TimePoint Now, Effects &Out) { entryStop(State, Now, Out); });
   const TimePoint Begin = Clock.now();
   const TimePoint Limit = Begin + shutdownTime(State.Config);
   // A channel is closed when its answer was written to the caller's socket,
@@ -269,6 +268,9 @@
   // cut with the request of a caller in it.
   const Millis Notice = std::min(Millis(State.Config.LeaveNoticeMillis),
                                  shutdownTime(State.Config) * 3 / 4);
+  post([this, Notice](TimePoint Now, Effects &Out) {
+    entryStop(State, Now, Notice, Out);
+  });
   // What comes in the last part could not be answered before the end.
   if (Routes != nullptr) {
     waitAnswered(Begin + Notice / 2, Begin + Notice / 2);
