agent: a shutdown ends before the host kills the process

What users saw: `stop_grace_s` is described for both programs and set for agents by deploy/agent.json.in, but an agent's shutdown went on for `shutdown_ms` (30 s). A host that kills after a few seconds cut its work off without a log line or an exit code.

Cause: only entries looked at the setting.

Change: one function says how long a shutdown may wait, for both programs; each leaves what it needs to end (0.6 s, and 1 s more for an agent's last messages). For an entry nothing changes, except with a time so short that nothing was left: it waits for a quarter of it. The settings page says what the setting does.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -35,6 +35,9 @@
 constexpr size_t MaxWrongStaged = 4;
 /** Longest wait for peers to take the last messages. */
 constexpr Millis FinishWait{1000};
+/** Part of the grace time that is kept for ending, before the process is
+ * killed: the last messages, and threads that end. */
+constexpr Millis EndMargin = FinishWait + Millis(600);
 /** Time between two looks at the work in progress while draining. */
 constexpr Millis DrainPoll{20};
 
@@ -420,7 +423,7 @@
 
 bool AgentShell::drain() {
   post([this](TimePoint Now, Effects &Out) { agentStop(State, Now, Out); });
-  const TimePoint Limit = Clock.now() + Millis(State.Config.ShutdownMillis);
+  const TimePoint Limit = Clock.now() + shutdownTime(State.Config, EndMargin);
   size_t Open = 0;
   bool Known = false;
   do {
--- a/packages/core/src/settings/settings.cpp
+++ b/packages/core/src/settings/settings.cpp
@@ -160,6 +160,14 @@
   return Config.Platform == PlatformNames.back();
 }
 
+Millis shutdownTime(const Settings &Config, Millis ToEnd) {
+  const Millis Setting(Config.ShutdownMillis);
+  if (Config.StopGraceSeconds == 0)
+    return Setting;
+  const Millis Grace(Config.StopGraceSeconds * 1000);
+  return std::min(Setting, std::max(Grace - ToEnd, Grace / 4));
+}
+
 std::string describeSettings(SettingOwner Program) {
   std::string Text;
   for (const SettingSpec &Spec : SettingsTable) {
--- a/packages/core/src/settings/settings_func.h
+++ b/packages/core/src/settings/settings_func.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_SETTINGS_FUNC_H
 
 #include "base/error_func.h"
+#include "base/time_type.h"
 #include "settings/settings_type.h"
 
 #include <string>
@@ -44,6 +45,15 @@
  */
 bool runsOnStore(const Settings &Config);
 
+/**
+ * Works out how long a shutdown may wait for work in progress: as long as the
+ * setting says, and no longer than the host leaves the process.
+ * @param Config The settings.
+ * @param ToEnd What ending takes after that.
+ * @return The time; at least a quarter of what the host leaves.
+ */
+Millis shutdownTime(const Settings &Config, Millis ToEnd);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -78,8 +78,8 @@
                 "Peer port of every agent, where no document says it."},
     SettingSpec{"stop_grace_s", &Settings::StopGraceSeconds, SettingOwner::Both,
                 false, "s", 0, 3600, "0",
-                "Time from the stop signal until the process is killed; 0: "
-                "not known."},
+                "Time from the stop signal until the process is killed, which "
+                "a shutdown does not outlast; 0: not known."},
     SettingSpec{"weights_change_ms", &Settings::WeightsChangeMillis,
                 SettingOwner::Both, false, "ms", 1000, MaxSettingMillis, "8000",
                 "Time after which nothing may begin on weights that were "
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -5,6 +5,7 @@
 #include "base/overloaded.h"
 #include "configuration/reader_rank_func.h"
 #include "log/log.h"
+#include "settings/settings_func.h"
 #include "threads/process.h"
 
 #include <future>
@@ -28,14 +29,6 @@
  * killed. */
 constexpr Millis EndMargin{600};
 
-/** Longest shutdown: the setting's, and no longer than the host allows. */
-Millis shutdownTime(const Settings &Config) {
-  const Millis Setting(Config.ShutdownMillis);
-  if (Config.StopGraceSeconds == 0)
-    return Setting;
-  return std::min(Setting, Millis(Config.StopGraceSeconds * 1000) - EndMargin);
-}
-
 } // namespace
 
 EntryShell::EntryShell(const Settings &Config, ConfigPort &Service,
@@ -261,13 +254,14 @@
   if (Routes != nullptr)
     Routes->leave();
   const TimePoint Begin = Clock.now();
-  const TimePoint Limit = Begin + shutdownTime(State.Config);
+  const Millis Longest = shutdownTime(State.Config, EndMargin);
+  const TimePoint Limit = Begin + Longest;
   // A channel is closed when its answer was written to the caller's socket,
   // later than the last event of the call. Until callers on kept connections
   // were told, the listener stays: a connection that it had taken would be
   // cut with the request of a caller in it.
-  const Millis Notice = std::min(Millis(State.Config.LeaveNoticeMillis),
-                                 shutdownTime(State.Config) * 3 / 4);
+  const Millis Notice =
+      std::min(Millis(State.Config.LeaveNoticeMillis), Longest * 3 / 4);
   post([this, Notice](TimePoint Now, Effects &Out) {
     entryStop(State, Now, Notice, Out);
   });
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -182,3 +182,30 @@
   Caller.join();
   BOOST_TEST(Stream.Body.find("event: error") != std::string::npos);
 }
+
+// An agent is stopped while an answer streams that takes longer than the host
+// leaves it. The host killed it then, in the middle of its work: no peer was
+// told and no log line says what was cut off. Its settings tell it the time.
+BOOST_AUTO_TEST_CASE(AnAgentEndsBeforeItsHostKillsIt) {
+  FleetPlan Plan;
+  Plan.ModelWorkers = 1;
+  Plan.AgentSettings = {{"stop_grace_s", 3}};
+  Small Fleet(Plan);
+  Answer Stream;
+  std::jthread Caller([&] {
+    Ask Long;
+    Long.Body["max_tokens"] = 2000;
+    Long.Stream = true;
+    Stream = Fleet.All.ask(0, Long);
+  });
+  BOOST_REQUIRE(Fleet.streamRuns(0));
+  BOOST_REQUIRE(
+      waitFor(5s, [&] { return Fleet.All.look("engine-0")["running"] == 1; }));
+  Fleet.All.process("agent-m0").signal(SIGTERM);
+  const auto Code = Fleet.All.process("agent-m0").waitExit(3s);
+  BOOST_TEST(Code.value_or(-1) == 4);
+  BOOST_TEST(Fleet.All.logOf("agent-m0").find("Shutdown cut off 1 attempts.") !=
+             std::string::npos);
+  Caller.join();
+  BOOST_TEST(Stream.Body.find("event: error") != std::string::npos);
+}
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -154,6 +154,20 @@
   BOOST_TEST(Page.Value.value_or("") == settingsPage());
 }
 
+BOOST_AUTO_TEST_CASE(AShutdownEndsBeforeTheHostEndsIt) {
+  Settings Config;
+  Config.ShutdownMillis = 30000;
+  const Millis ToEnd{600};
+  BOOST_TEST(shutdownTime(Config, ToEnd).count() == 30000);
+  Config.StopGraceSeconds = 5;
+  BOOST_TEST(shutdownTime(Config, ToEnd).count() == 4400);
+  Config.ShutdownMillis = 300;
+  BOOST_TEST(shutdownTime(Config, ToEnd).count() == 300);
+  Config.ShutdownMillis = 30000;
+  Config.StopGraceSeconds = 1;
+  BOOST_TEST(shutdownTime(Config, Millis(1600)).count() == 250);
+}
+
 // Story: a document of nested brackets is published, or sent to /v1/check. It
 // is valid JSON; printing it for the fault recurses once a bracket, and every
 // process that reads it would crash on its stack at the same time.
