routes: entries share the idle connections that a back end bears

What users would see: a plain service tells `max_connections`, the number that a back end accepts from all callers before it resets others; the document was read and the number not used. Each entry kept up to 24 idle connections to a back end, 216 from nine entries.

Cause: the bound on kept connections was one constant for all services.

Ruled out: removing the number.

Change: an entry keeps its share of half of that number, and never more than the 24 of before; where it is not told, 24 as before. The other half is left for requests under way, which places and slots bound. Nothing is kept where the share is below one, as with 390 entries.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -50,6 +50,12 @@
 /** How long a back end is left alone that was misjudged; news come sooner. */
 constexpr Millis MisjudgedAvoid{500};
 
+/** Idle connections to one back end that an entry keeps at most. */
+constexpr size_t MostKept = 24;
+/** One in so many of the connections that a back end bears may stand idle; the
+ * others are left for requests under way. */
+constexpr uint32_t KeptPart = 2;
+
 double randomPart(ServerPool &Pool) {
   return static_cast<double>(nextRandom(Pool.Random) >> 11U) /
          static_cast<double>(uint64_t{1} << 53U);
@@ -381,4 +387,13 @@
     View->AvoidUntil = Now + MisjudgedAvoid;
 }
 
+size_t connectionsToKeep(const ServerPool &Pool, const ServiceName &Service) {
+  const auto *Kind = findService(Pool, Service);
+  if (Kind == nullptr || Kind->MaxConnections == 0)
+    return MostKept;
+  const uint32_t Share =
+      Kind->MaxConnections / KeptPart / std::max(1U, Pool.Entries);
+  return std::min<size_t>(MostKept, Share);
+}
+
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -177,6 +177,16 @@
  */
 void serverMisjudged(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
+/**
+ * Says how many idle connections to each back end of a service are kept. A back
+ * end bears a number of them from all entries together and resets those beyond,
+ * whoever's request is on them.
+ * @param Pool The state.
+ * @param Service Which service.
+ * @return How many this entry keeps at most.
+ */
+size_t connectionsToKeep(const ServerPool &Pool, const ServiceName &Service);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -30,8 +30,6 @@
 /** Part of the idle time that a back end tells which is made use of: what is
  * sent at the end of it would cross the back end's close. */
 constexpr double KeepPart = 0.5;
-/** Kept connections to one back end. */
-constexpr size_t MaxKept = 24;
 
 /** Reads "timeout=N" of a Keep-Alive header. */
 Millis keepTime(const ResponseHead &Head) {
@@ -78,9 +76,10 @@
   return nullptr;
 }
 
-void BackEndConnections::keep(std::unique_ptr<BackEndConnection> Idle) {
+void BackEndConnections::keep(std::unique_ptr<BackEndConnection> Idle,
+                              size_t Most) {
   auto &Row = Kept[Idle->At];
-  if (Row.size() < MaxKept && Idle->KeepFor.count() > 0)
+  if (Row.size() < Most && Idle->KeepFor.count() > 0)
     Row.push_back(std::move(Idle));
 }
 
@@ -253,7 +252,7 @@
   // not sent whole would be read into the next one.
   if (Written && Link->Buffer.size() == 0 && Link->KeepFor.count() > 0) {
     Link->IdleSince = RuntimeClock().now();
-    Kept.keep(std::move(Link));
+    Kept.keep(std::move(Link), Plan.MostKept);
   }
   Link.reset();
   Told->callEnded();
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -43,8 +43,9 @@
   /**
    * Keeps a connection after a whole answer.
    * @param Idle The connection.
+   * @param Most Connections kept to the same back end.
    */
-  void keep(std::unique_ptr<BackEndConnection> Idle);
+  void keep(std::unique_ptr<BackEndConnection> Idle, size_t Most);
 
   /**
    * Closes connections that have been idle for too long.
@@ -64,6 +65,7 @@
   std::string AttemptId;      ///< Answers with another id belong to others.
   bool NewConnection = false; ///< Not on a kept connection.
   bool NoBody = false;        ///< The answer has no body, as with HEAD.
+  size_t MostKept = 0;        ///< Idle connections to keep to that back end.
 };
 
 /** Why a call has no whole answer. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -225,6 +225,7 @@
   // a new one: a round trip more, and no lost bookings.
   Plan.NewConnection = NewConnection || !canRepeat();
   Plan.NoBody = Asked.method() == http::verb::head;
+  Plan.MostKept = connectionsToKeep(Shared.Pool, Server.Listed.Service);
   Mode = AnswerMode::Waiting;
   Body.clear();
   dropPartialEvent(Events);
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -334,3 +334,21 @@
   loadTold(One.State, {"p0"}, 9, One.Now);
   BOOST_TEST(One.choose("plain") == "p1");
 }
+
+// A back end bears 110 connections from all entries together and resets those
+// beyond. Nine entries that keep 24 each, as after a peak, hold 216.
+BOOST_AUTO_TEST_CASE(EntriesShareTheIdleConnectionsThatABackEndBears) {
+  Pool One;
+  const ServiceName Plain{"plain"};
+  BOOST_TEST(connectionsToKeep(One.State, Plain) == 24U); // Not known.
+  One.Doc.Services.back().MaxConnections = 110;
+  One.follow();
+  One.State.Entries = 9;
+  BOOST_TEST(connectionsToKeep(One.State, Plain) == 6U);
+  One.State.Entries = 1;
+  BOOST_TEST(connectionsToKeep(One.State, Plain) == 24U);
+  for (const uint32_t Entries : {1U, 3U, 8U, 9U, 55U, 390U}) {
+    One.State.Entries = Entries;
+    BOOST_TEST(connectionsToKeep(One.State, Plain) * Entries <= 55U);
+  }
+}
