bench: a seeded soak of the routes, with failures from outside

Random failures were injected into the product's own interface only. The routes of the users' platform had tests of single failures; none that overlap, none at random. Links between entries have no proxy: an entry tells its peers the address that it listens on.

--- a/bench/chaos/chaos.cpp
+++ b/bench/chaos/chaos.cpp
@@ -1,4 +1,6 @@
 /** @file chaos.cpp Program jp-chaos: random failures against all promises.
+ *
+ * With --routes, the fleet serves the routes of the users' platform; else:
  *
  * Callers ask without pause while processes are killed, paused and stopped,
  * links cut, lost, frozen and corrupted, the platform is down or stale, and
@@ -10,6 +12,7 @@
 #include "chaos/callers.h"
 #include "chaos/checks.h"
 #include "chaos/faults.h"
+#include "chaos/route_soak.h"
 
 #include <popt.h>
 
@@ -107,25 +110,44 @@
   return Broken.empty() ? 0 : 1;
 }
 
+int runRoutes(const SoakPlan &Plan) {
+  const Json Result = soakRoutes(Plan);
+  const bool Held = Result["violations"].empty();
+  std::cout << Result.dump(Held ? -1 : 1) << std::endl;
+  return Held ? 0 : 1;
+}
+
 int parseAndRun(int Count, const char **Arguments) {
   long long Seed = 1;
   int Seconds = 20;
   int Minutes = 0;
+  int Routes = 0;
+  int Entries = 3;
+  int Servers = 3;
   const std::vector<poptOption> Options = {
       {"seed", 0, POPT_ARG_LONGLONG, &Seed, 0, "Seed of all choices", "N"},
       {"seconds", 0, POPT_ARG_INT, &Seconds, 0, "Length of the run", "N"},
       {"minutes", 0, POPT_ARG_INT, &Minutes, 0, "Length of the run", "M"},
+      {"routes", 0, POPT_ARG_NONE, &Routes, 0, "Serve routes", nullptr},
+      {"entries", 0, POPT_ARG_INT, &Entries, 0, "Entries, with routes", "N"},
+      {"servers", 0, POPT_ARG_INT, &Servers, 0,
+       "Model workers, and as many plain back ends, with routes", "N"},
       POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
       poptGetContext("jp-chaos", Count, Arguments, Options.data(), 0),
       poptFreeContext);
   const int rc = poptGetNextOpt(Context.get());
-  if (rc < -1 || poptPeekArg(Context.get()) != nullptr) {
+  if (rc < -1 || poptPeekArg(Context.get()) != nullptr || Entries < 1 ||
+      Servers < 1) {
     std::cerr << "jp-chaos: not understood; see --help\n";
     return 2;
   }
   const auto Length = Minutes > 0 ? std::chrono::minutes(Minutes)
                                   : std::chrono::seconds(Seconds);
+  if (Routes != 0)
+    return runRoutes(
+        {static_cast<uint64_t>(Seed), Length, static_cast<size_t>(Entries),
+         static_cast<size_t>(Servers), static_cast<size_t>(Servers)});
   return run(static_cast<uint64_t>(Seed), Length);
 }
 
--- a/bench/chaos/faults.cpp
+++ b/bench/chaos/faults.cpp
@@ -2,7 +2,6 @@
 
 #include "chaos/faults.h"
 
-#include <algorithm>
 #include <csignal>
 
 namespace jacinthpond::chaos {
@@ -42,29 +41,17 @@
   return From[Random() % From.size()];
 }
 
-bool Faults::isFaulty(const std::string &Target) const {
-  return std::ranges::any_of(
-      Heals, [&](const Heal &One) { return One.Target == Target; });
-}
-
 void Faults::healLater(const std::string &Target,
                        std::function<void()> Action) {
   const auto Length = std::chrono::milliseconds(
       MinFaultMillis +
       static_cast<int>(Random() % (MaxFaultMillis - MinFaultMillis)));
-  Heals.push_back({Clock::now() + Length, std::move(Action), Target});
+  Failing.later(Target, Length, std::move(Action));
 }
 
 void Faults::step() {
   watchDomain();
-  std::vector<Heal> Due;
-  const auto Later =
-      std::partition(Heals.begin(), Heals.end(),
-                     [](const Heal &One) { return One.Due > Clock::now(); });
-  std::move(Later, Heals.end(), std::back_inserter(Due));
-  Heals.erase(Later, Heals.end());
-  for (const Heal &One : Due)
-    One.Action();
+  Failing.runDue();
   switch (Random() % 12) {
   case 0:
     return killProcess(pick(Agents));
@@ -217,9 +204,7 @@
 }
 
 void Faults::healAll() {
-  for (const Heal &One : Heals)
-    One.Action();
-  Heals.clear();
+  Failing.runAll();
   Out.clear();
   Fleet.Document["domains_out"] = Json::array();
   Fleet.publish();
--- a/bench/chaos/faults.h
+++ b/bench/chaos/faults.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHPOND_BENCH_CHAOS_FAULTS_H
 #define JACINTHPOND_BENCH_CHAOS_FAULTS_H
 
+#include "chaos/heals.h"
 #include "fleet/fleet.h"
 
 #include <chrono>
@@ -15,8 +16,6 @@
 
 namespace jacinthpond::chaos {
 
-using Clock = std::chrono::steady_clock;
-
 /** Brings about failures and heals them. Used by the main thread only. */
 class Faults {
 public:
@@ -38,13 +37,6 @@
   std::vector<std::string> Violations; ///< Promises seen broken on the way.
 
 private:
-  /** What undoes a failure, and when. */
-  struct Heal {
-    Clock::time_point Due;        ///< When.
-    std::function<void()> Action; ///< What.
-    std::string Target;           ///< Whose failure it is.
-  };
-
   /** A domain that is out, with the work its workers had then. */
   struct DomainOut {
     std::string Name;                      ///< Which.
@@ -63,13 +55,15 @@
   void returnDomain();
   void watchDomain();
   void healLater(const std::string &Target, std::function<void()> Action);
-  bool isFaulty(const std::string &Target) const;
+  bool isFaulty(const std::string &Target) const {
+    return Failing.isFaulty(Target);
+  }
   std::map<std::string, size_t> recordsOf(const std::string &Domain) const;
   const std::string &pick(const std::vector<std::string> &From);
 
   fleet::Fleet &Fleet;
   std::mt19937_64 Random;
-  std::vector<Heal> Heals;
+  Heals Failing;
   std::vector<std::string> Entries;
   std::vector<std::string> Agents;
   std::vector<std::string> Proxies;
--- /dev/null
+++ b/bench/chaos/route_faults.cpp
@@ -0,0 +1,448 @@
+/** @file route_faults.cpp Random failures of a fleet that serves routes. */
+
+#include "chaos/route_faults.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <stdexcept>
+
+namespace jacinthpond::chaos {
+
+using fleet::Json;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Bounds of how long a failure lasts. */
+constexpr int MinFaultMillis = 100;
+constexpr int MaxFaultMillis = 4000;
+/** Longest pause of a process; longer than any gap that shows a pause. */
+constexpr int MaxPauseMillis = 7000;
+/** Bounds of the usual time between two failures. */
+constexpr int MinPaceMillis = 250;
+constexpr int MaxPaceMillis = 1500;
+/** Longest graceful end: the routes' timeout, the notice to callers, and room
+ * for a busy machine. */
+constexpr auto StopLimit = 8s;
+constexpr auto StopPoll = 100ms;
+/** Longest time from the stop signal to the kill, where one follows. */
+constexpr int MaxGraceMillis = 600;
+/** Time after which the list lets go of a server that vanished. */
+constexpr auto LapseTime = 1000ms;
+/** Kinds of failures that a run has at least. */
+constexpr size_t MinKinds = 4;
+/** Every so many seeds, a run has all kinds. */
+constexpr uint64_t AllKindsEvery = 4;
+/** Every so many seeds, a run spares no entry. */
+constexpr uint64_t SpareNoneEvery = 3;
+
+std::string zoneOf(const std::string &Zone) { return "zone " + Zone; }
+
+std::vector<std::string> numbered(const std::string &Kind, size_t Count) {
+  std::vector<std::string> Names;
+  for (size_t n = 0; n < Count; ++n)
+    Names.push_back(Kind + std::to_string(n));
+  return Names;
+}
+
+void append(std::vector<std::string> &To,
+            const std::vector<std::string> &From) {
+  To.insert(To.end(), From.begin(), From.end());
+}
+
+} // namespace
+
+RouteFaults::RouteFaults(fleet::RouteFleet &All, const fleet::RoutePlan &Plan,
+                         uint64_t Seed, RouteHistory &Into)
+    : Fleet(All), History(Into), Random(Seed),
+      Entries(numbered("entry-", Plan.Entries)),
+      Agents(numbered("agent-", Plan.ModelWorkers)),
+      ServerNames(numbered("model-", Plan.ModelWorkers)), Start(Clock::now()),
+      Next(Start) {
+  append(ServerNames, numbered("plain-", Plan.PlainServers));
+  append(Links, numbered("link-agent-", Plan.ModelWorkers));
+  append(Links, numbered("link-store-", Plan.Entries));
+  for (const std::string &Name : ServerNames) {
+    Links.push_back("link-" + Name);
+    Servers[Name].Id = Name;
+  }
+  std::vector<Kind> Kinds = {
+      &RouteFaults::killProcess, &RouteFaults::pauseProcess,
+      &RouteFaults::stopProcess, &RouteFaults::reloadProcess,
+      &RouteFaults::pauseServer, &RouteFaults::faultLink,
+      &RouteFaults::faultStore,  &RouteFaults::faultServer,
+      &RouteFaults::newVersion,  &RouteFaults::drainServer,
+      &RouteFaults::loseServer,  &RouteFaults::takeZoneOut,
+      &RouteFaults::takeKeyAway, &RouteFaults::takeRouteAway};
+  std::ranges::shuffle(Kinds, Random);
+  const size_t Some = MinKinds + Random() % (Kinds.size() - MinKinds);
+  Kinds.resize(Seed % AllKindsEvery == 0 ? Kinds.size() : Some);
+  Enabled = std::move(Kinds);
+  Pace = between(MinPaceMillis, MaxPaceMillis);
+  // An entry that is never disturbed shows the bounds that disturbed ones
+  // rarely are calm for long enough to show.
+  if (Seed % SpareNoneEvery != 0)
+    Entries.erase(Entries.begin() +
+                  static_cast<std::ptrdiff_t>(Random() % Entries.size()));
+  publishRoute(false);
+}
+
+void RouteFaults::note(const std::string &What) {
+  const auto Time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - Start);
+  Log.push_back(std::to_string(Time.count()) + " ms: " + What);
+}
+
+std::chrono::milliseconds RouteFaults::between(int Least, int Most) {
+  return std::chrono::milliseconds(
+      Least +
+      static_cast<int>(Random() % static_cast<uint64_t>(Most - Least + 1)));
+}
+
+const std::string &RouteFaults::pick(const std::vector<std::string> &From) {
+  return From[Random() % From.size()];
+}
+
+const std::string &RouteFaults::pickProcess() {
+  return Random() % 3 == 0 || Entries.empty() ? pick(Agents) : pick(Entries);
+}
+
+void RouteFaults::step() {
+  Failing.runDue();
+  if (Clock::now() < Next)
+    return;
+  Next = Clock::now() + Pace / 2 + between(0, static_cast<int>(Pace.count()));
+  (this->*Enabled[Random() % Enabled.size()])();
+}
+
+void RouteFaults::restart(const std::string &Name) {
+  note("start " + Name);
+  try {
+    Fleet.restart(Name);
+  } catch (const std::runtime_error &Error) {
+    Broken.push_back(Name + " did not start: " + Error.what());
+  }
+  Ending.erase(Name);
+  History.Harm.end(Name);
+  History.Harm.end(Name + " stop");
+}
+
+void RouteFaults::killProcess() {
+  const std::string Name = pickProcess();
+  if (Failing.isFaulty(Name))
+    return;
+  ++Injected["kill"];
+  note("kill " + Name);
+  History.Harm.begin(Name);
+  Ending.insert(Name);
+  Fleet.process(Name).kill();
+  Failing.later(Name, between(MinFaultMillis, MaxFaultMillis),
+                [this, Name] { restart(Name); });
+}
+
+void RouteFaults::pauseProcess() {
+  const std::string Name = pickProcess();
+  if (Failing.isFaulty(Name))
+    return;
+  ++Injected["pause"];
+  note("pause " + Name);
+  History.Harm.begin(Name);
+  Fleet.process(Name).signal(SIGSTOP);
+  const bool Killed = Random() % 4 == 0;
+  Failing.later(Name, between(MinFaultMillis, MaxPauseMillis),
+                [this, Name, Killed] {
+                  if (Killed) {
+                    Ending.insert(Name);
+                    return restart(Name);
+                  }
+                  note("continue " + Name);
+                  Fleet.process(Name).signal(SIGCONT);
+                  History.Harm.end(Name);
+                });
+}
+
+void RouteFaults::stopProcess() {
+  const std::string Name = pickProcess();
+  if (Failing.isFaulty(Name))
+    return;
+  const bool Killed = Random() % 4 == 0;
+  ++Injected[Killed ? "stop and kill" : "stop"];
+  note("stop " + Name);
+  History.Harm.begin(Name + " stop");
+  Ending.insert(Name);
+  Fleet.process(Name).signal(SIGTERM);
+  if (!Killed)
+    return awaitStop(Name, Clock::now() + StopLimit);
+  Failing.later(Name, between(0, MaxGraceMillis), [this, Name] {
+    History.Harm.begin(Name);
+    restart(Name);
+  });
+}
+
+void RouteFaults::awaitStop(const std::string &Name, Clock::time_point Limit) {
+  const auto Code = Fleet.process(Name).waitExit(0ms);
+  if (!Code && Clock::now() < Limit)
+    return Failing.later(Name, StopPoll,
+                         [this, Name, Limit] { awaitStop(Name, Limit); });
+  if (Code != 0) {
+    note(Name + " ended badly");
+    Broken.push_back(Name + " did not end gracefully, code " +
+                     (Code ? std::to_string(*Code) : "none"));
+  }
+  Failing.later(Name, between(MinFaultMillis, MaxFaultMillis),
+                [this, Name] { restart(Name); });
+}
+
+void RouteFaults::reloadProcess() {
+  const std::string Name = pickProcess();
+  if (Ending.contains(Name))
+    return;
+  ++Injected["reload"];
+  note("reload " + Name);
+  for (int n = 0; n < 3; ++n)
+    Fleet.process(Name).signal(SIGHUP);
+}
+
+void RouteFaults::pauseServer() {
+  const std::string Name = pick(ServerNames);
+  if (Failing.isFaulty(Name))
+    return;
+  ++Injected["pause server"];
+  note("pause " + Name);
+  History.Harm.begin(Name);
+  Fleet.process(Name).signal(SIGSTOP);
+  Failing.later(Name, between(MinFaultMillis, MaxFaultMillis), [this, Name] {
+    note("continue " + Name);
+    Fleet.process(Name).signal(SIGCONT);
+    History.Harm.end(Name);
+  });
+}
+
+void RouteFaults::faultLink() {
+  static const std::vector<Json> Kinds = {{{"cut", true}},
+                                          {{"reset", true}},
+                                          {{"lose", true}},
+                                          {{"mode", "freeze"}},
+                                          {{"mode", "freeze_up"}},
+                                          {{"mode", "freeze_down"}},
+                                          {{"mode", "refuse"}, {"cut", true}},
+                                          {{"delay_ms", 100}},
+                                          {{"bytes_per_second", 20000}}};
+  const std::string Name = pick(Links);
+  if (Failing.isFaulty(Name))
+    return;
+  const Json &What = Kinds[Random() % Kinds.size()];
+  ++Injected["link"];
+  note(Name + " " + What.dump());
+  History.Harm.begin(Name);
+  Fleet.control(Name, What);
+  Failing.later(Name, between(MinFaultMillis, MaxPauseMillis), [this, Name] {
+    note(Name + " passes");
+    Fleet.control(Name,
+                  {{"mode", "pass"}, {"delay_ms", 0}, {"bytes_per_second", 0}});
+    History.Harm.end(Name);
+  });
+}
+
+void RouteFaults::faultStore() {
+  static const std::vector<Json> Kinds = {{{"status", 503}},
+                                          {{"silent_ms", 600}},
+                                          {{"silent_ms", 5000}},
+                                          {{"forget", true}}};
+  if (Failing.isFaulty("store"))
+    return;
+  const Json &What = Kinds[Random() % Kinds.size()];
+  ++Injected["store"];
+  note("store " + What.dump());
+  History.Harm.begin("store");
+  Fleet.store(What);
+  Failing.later("store", between(MinFaultMillis, MaxFaultMillis), [this] {
+    note("store serves");
+    Fleet.store({{"status", 0}, {"silent_ms", 0}});
+    History.Harm.end("store");
+  });
+}
+
+void RouteFaults::faultServer() {
+  static const std::vector<Json> Kinds = {{{"fail", 4}},
+                                          {{"refuse", 6}},
+                                          {{"break_at", 4}},
+                                          {{"hang", 1}},
+                                          {{"no_signature", true}}};
+  const std::string Name = pick(ServerNames);
+  if (Failing.isFaulty(Name))
+    return;
+  const Json &What = Kinds[Random() % Kinds.size()];
+  ++Injected["server"];
+  note(Name + " " + What.dump());
+  History.Harm.begin(Name);
+  Fleet.control(Name, What);
+  Failing.later(Name, between(MinFaultMillis, MaxFaultMillis), [this, Name] {
+    note(Name + " behaves");
+    Fleet.control(Name, {{"fail", 0},
+                         {"refuse", 0},
+                         {"break_at", 0},
+                         {"hang", 0},
+                         {"no_signature", false}});
+    History.Harm.end(Name);
+  });
+}
+
+void RouteFaults::publishVersion() {
+  ++Version;
+  note("version " + std::to_string(Version));
+  const Json Item = {{"model", "trail"}, {"version", Version}};
+  Fleet.store({{"put", {{"op/version/trail", Item.dump()}}}});
+  History.Versions.push_back({Version, Clock::now()});
+}
+
+void RouteFaults::newVersion() {
+  if (Failing.isFaulty("version"))
+    return;
+  ++Injected["version"];
+  publishVersion();
+  const bool Overtaken = Random() % 3 == 0;
+  Failing.later("version", between(MinFaultMillis, MaxFaultMillis),
+                [this, Overtaken] {
+                  if (Overtaken)
+                    publishVersion();
+                });
+}
+
+void RouteFaults::removeServer(const std::string &Name) {
+  const std::string Id = Servers.at(Name).Id;
+  note("remove " + Id);
+  const auto Sent = Clock::now();
+  Fleet.store({{"remove", {"servers/" + Id}}});
+  History.Config.change("server " + Id, false, Sent, Clock::now());
+  Failing.later("servers", between(MinFaultMillis, MaxFaultMillis),
+                [this, Name] { returnServer(Name); });
+}
+
+void RouteFaults::returnServer(const std::string &Name) {
+  Server &One = Servers.at(Name);
+  One.Id = Name + "." + std::to_string(++One.Incarnation);
+  note("enter " + One.Id);
+  Fleet.control(Name, {{"id", One.Id}, {"restart", true}});
+  Fleet.control("link-" + Name, {{"mode", "pass"}});
+  Fleet.enterServer(Name, One.Id, "ready");
+  History.Harm.end(Name);
+  History.Harm.end("link-" + Name);
+}
+
+void RouteFaults::drainServer() {
+  if (Failing.isFaulty("servers"))
+    return;
+  const std::string Name = pick(ServerNames);
+  const std::string Id = Servers.at(Name).Id;
+  ++Injected["drain"];
+  note("drain " + Id);
+  const auto Sent = Clock::now();
+  Fleet.enterServer(Name, Id, "draining");
+  History.Config.change("server " + Id, false, Sent, Clock::now());
+  Failing.later("servers", between(MinFaultMillis, MaxFaultMillis),
+                [this, Name] {
+                  History.Harm.begin(Name);
+                  removeServer(Name);
+                });
+}
+
+void RouteFaults::loseServer() {
+  const std::string Name = pick(ServerNames);
+  if (Failing.isFaulty("servers") || Failing.isFaulty(Name) ||
+      Failing.isFaulty("link-" + Name))
+    return;
+  ++Injected["server lost"];
+  note("lose " + Servers.at(Name).Id);
+  History.Harm.begin(Name);
+  History.Harm.begin("link-" + Name);
+  Fleet.control("link-" + Name, {{"mode", "refuse"}, {"reset", true}});
+  Failing.later("servers", LapseTime, [this, Name] { removeServer(Name); });
+}
+
+void RouteFaults::takeZoneOut() {
+  if (Failing.isFaulty("zone"))
+    return;
+  const std::string Zone = Random() % 2 == 0 ? "z0" : "z1";
+  ++Injected["zone"];
+  note("out " + Zone);
+  const auto Sent = Clock::now();
+  Fleet.store({{"put", {{"op/evacuate/" + Zone, "{}"}}}});
+  History.Config.change(zoneOf(Zone), false, Sent, Clock::now());
+  Failing.later("zone", between(MinFaultMillis, 2 * MaxPauseMillis),
+                [this, Zone] {
+                  note("in " + Zone);
+                  const auto Sent = Clock::now();
+                  Fleet.store({{"remove", {"op/evacuate/" + Zone}}});
+                  History.Config.change(zoneOf(Zone), true, Sent, Clock::now());
+                });
+}
+
+void RouteFaults::publishKeys(bool All) {
+  note(All ? "key-2 back" : "key-2 away");
+  Json Keys = {"key-1"};
+  if (All)
+    Keys.push_back("key-2");
+  Fleet.Config["tenants"][0]["api_keys"] = Keys;
+  const auto Sent = Clock::now();
+  Fleet.publish();
+  History.Config.change("key key-2", All, Sent, Clock::now());
+}
+
+void RouteFaults::takeKeyAway() {
+  if (Failing.isFaulty("key"))
+    return;
+  ++Injected["key"];
+  publishKeys(false);
+  Failing.later("key", between(MinFaultMillis, MaxPauseMillis),
+                [this] { publishKeys(true); });
+}
+
+void RouteFaults::publishRoute(bool There) {
+  note(There ? "route /extra/ there" : "route /extra/ gone");
+  Json &Routes = Fleet.Config["routes"];
+  if (There) {
+    Json Extra = Routes.back(); // The reads.
+    Extra["name"] = "extra";
+    Extra["prefix"] = "/extra/";
+    Routes.push_back(Extra);
+  } else if (Routes.back()["name"] == "extra") {
+    Routes.erase(Routes.size() - 1);
+  }
+  const auto Sent = Clock::now();
+  Fleet.publish();
+  History.Config.change("route extra", There, Sent, Clock::now());
+}
+
+void RouteFaults::takeRouteAway() {
+  if (Failing.isFaulty("route"))
+    return;
+  ++Injected["route"];
+  publishRoute(true);
+  Failing.later("route", between(MinFaultMillis, 2 * MaxPauseMillis),
+                [this] { publishRoute(false); });
+}
+
+void RouteFaults::lookForExits() {
+  std::vector<std::string> All = Agents;
+  append(All, Entries);
+  for (const std::string &Name : All) {
+    if (Ending.contains(Name))
+      continue;
+    if (const auto Code = Fleet.process(Name).waitExit(0ms)) {
+      note(Name + " ended by itself");
+      Broken.push_back(Name + " ended by itself, code " +
+                       std::to_string(*Code));
+      History.Harm.begin(Name);
+      restart(Name);
+    }
+  }
+}
+
+void RouteFaults::healAll() {
+  note("heal all");
+  Failing.runAll();
+}
+
+} // namespace jacinthpond::chaos
--- /dev/null
+++ b/bench/chaos/route_faults.h
@@ -0,0 +1,104 @@
+/** @file route_faults.h Random failures of a fleet that serves routes. */
+
+#ifndef JACINTHPOND_BENCH_CHAOS_ROUTE_FAULTS_H
+#define JACINTHPOND_BENCH_CHAOS_ROUTE_FAULTS_H
+
+#include "chaos/heals.h"
+#include "chaos/route_history.h"
+#include "fleet/route_fleet.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jacinthpond::chaos {
+
+/**
+ * Brings about failures and changes, and heals them. A seed chooses some kinds
+ * of them and their pace, so that runs differ in more than the order: what a
+ * rare fault does shows only where the common ones are left out. Used by the
+ * main thread only.
+ */
+class RouteFaults {
+public:
+  /**
+   * Sets up; nothing fails yet.
+   * @param All The fleet; outlives this object.
+   * @param Plan What it consists of.
+   * @param Seed Of all choices.
+   * @param Into Where it notes what it does; outlives this object.
+   */
+  RouteFaults(fleet::RouteFleet &All, const fleet::RoutePlan &Plan,
+              uint64_t Seed, RouteHistory &Into);
+
+  /** Heals what is due; when it is time, brings about one failure more. */
+  void step();
+
+  /** Heals everything and allows everything again. */
+  void healAll();
+
+  /** Notes processes that ended by themselves. */
+  void lookForExits();
+
+  std::map<std::string, int> Injected; ///< How often each kind came.
+  std::vector<std::string> Log;        ///< Each failure, with its time.
+  std::vector<std::string> Broken;     ///< Processes that did not behave.
+
+private:
+  using Kind = void (RouteFaults::*)();
+
+  /** A back end in the store's list. */
+  struct Server {
+    std::string Id;      ///< Its id there.
+    int Incarnation = 0; ///< Times that it came back.
+  };
+
+  void killProcess();
+  void pauseProcess();
+  void stopProcess();
+  void reloadProcess();
+  void pauseServer();
+  void faultLink();
+  void faultStore();
+  void faultServer();
+  void newVersion();
+  void drainServer();
+  void loseServer();
+  void takeZoneOut();
+  void takeKeyAway();
+  void takeRouteAway();
+
+  void publishVersion();
+  void awaitStop(const std::string &Name, Clock::time_point Limit);
+  void restart(const std::string &Name);
+  void removeServer(const std::string &Name);
+  void returnServer(const std::string &Name);
+  void publishKeys(bool All);
+  void publishRoute(bool There);
+  void note(const std::string &What);
+  std::chrono::milliseconds between(int Least, int Most);
+  const std::string &pick(const std::vector<std::string> &From);
+  const std::string &pickProcess();
+
+  fleet::RouteFleet &Fleet;
+  RouteHistory &History;
+  std::mt19937_64 Random;
+  Heals Failing;
+  std::vector<std::string> Entries; ///< Those that may be disturbed.
+  std::vector<std::string> Agents;
+  std::vector<std::string> Links;
+  std::vector<std::string> ServerNames;
+  std::map<std::string, Server> Servers;
+  std::set<std::string> Ending; ///< Processes that were told to end.
+  std::vector<Kind> Enabled;
+  std::chrono::milliseconds Pace{0};
+  Clock::time_point Start;
+  Clock::time_point Next;
+  int Version = 1;
+};
+
+} // namespace jacinthpond::chaos
+
+#endif
--- /dev/null
+++ b/bench/chaos/route_soak.cpp
@@ -0,0 +1,112 @@
+/** @file route_soak.cpp Random failures of a fleet that serves routes. */
+
+#include "chaos/route_soak.h"
+
+#include "chaos/route_callers.h"
+#include "chaos/route_checks.h"
+#include "chaos/route_faults.h"
+#include "fleet/route_fleet.h"
+
+#include <thread>
+
+namespace jacinthpond::chaos {
+
+using fleet::Json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto ReadyLimit = 30s;
+/** Time until everything is served again once the failures are over. */
+constexpr auto RecoveryLimit = 12s;
+constexpr auto StepPeriod = 25ms;
+constexpr auto LookPeriod = 500ms;
+/** Time in which work that nobody waits for any more could still begin. */
+constexpr auto AfterTime = 1s;
+/** Violations that the result repeats; the rest is only counted. */
+constexpr size_t MaxShown = 20;
+
+fleet::RoutePlan fleetPlan(const SoakPlan &Wanted) {
+  fleet::RoutePlan Plan;
+  Plan.Entries = Wanted.Entries;
+  Plan.ModelWorkers = Wanted.Models;
+  Plan.PlainServers = Wanted.Plains;
+  Plan.WeightsChangeMillis = 5000;
+  Plan.Proxies = true;
+  Plan.WorkerOptions = {
+      {"tell", true}, {"events", StreamEvents}, {"gap_ms", 30}};
+  return Plan;
+}
+
+std::vector<std::string> entryAddresses(const fleet::RouteFleet &All,
+                                        size_t Entries) {
+  std::vector<std::string> At;
+  for (size_t n = 0; n < Entries; ++n)
+    At.push_back(All.addressOf(n, "route"));
+  return At;
+}
+
+/** Lets time pass, with failures, while everything is watched. */
+void runFaults(RouteFaults &Chaos, RouteChecks &Checks,
+               std::chrono::seconds Length) {
+  const auto End = Clock::now() + Length;
+  auto NextLook = Clock::now();
+  while (Clock::now() < End) {
+    Chaos.step();
+    Chaos.lookForExits();
+    if (Clock::now() >= NextLook) {
+      Checks.look();
+      NextLook = Clock::now() + LookPeriod;
+    }
+    std::this_thread::sleep_for(StepPeriod);
+  }
+}
+
+Json resultOf(const SoakPlan &Plan, const RouteFaults &Chaos,
+              const RouteChecks &Checks) {
+  Json Statuses = Json::object();
+  for (const auto &[Status, Count] : Checks.Statuses)
+    Statuses[std::to_string(Status)] = Count;
+  std::vector<std::string> Broken = Chaos.Broken;
+  Broken.insert(Broken.end(), Checks.Broken.begin(), Checks.Broken.end());
+  Json Result = {{"routes", Plan.Seed},        {"seconds", Plan.Length.count()},
+                 {"injected", Chaos.Injected}, {"statuses", Statuses},
+                 {"judged", Checks.Judged},    {"broken", Broken.size()}};
+  Broken.resize(std::min(Broken.size(), MaxShown));
+  Result["violations"] = Broken;
+  return Result;
+}
+
+} // namespace
+
+Json soakRoutes(const SoakPlan &Plan) {
+  const fleet::RoutePlan Planned = fleetPlan(Plan);
+  fleet::RouteFleet All(Planned);
+  if (!All.waitServing(ReadyLimit))
+    return {{"violations", {"the fleet did not come up"}},
+            {"logs", All.keepFolder()}};
+  RouteLedger Seen;
+  RouteHistory History;
+  RouteChecks Checks(All, Planned, Seen, History);
+  RouteFaults Chaos(All, Planned, Plan.Seed, History);
+  {
+    const RouteCallers Asking(entryAddresses(All, Plan.Entries), Plan.Seed,
+                              Seen);
+    runFaults(Chaos, Checks, Plan.Length);
+    Chaos.healAll();
+    if (!All.waitServing(RecoveryLimit))
+      Checks.Broken.emplace_back("not everything is served again");
+    Checks.look();
+  }
+  std::this_thread::sleep_for(AfterTime);
+  Chaos.lookForExits();
+  Checks.finish();
+  Json Result = resultOf(Plan, Chaos, Checks);
+  if (!Result["violations"].empty()) {
+    Result["faults"] = Chaos.Log;
+    Result["logs"] = All.keepFolder();
+  }
+  return Result;
+}
+
+} // namespace jacinthpond::chaos
--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -25,6 +25,9 @@
 /** Loopback address of a model worker and its agent. */
 std::string workerIp(size_t n) { return "127.0.1." + std::to_string(10 + n); }
 
+/** Loopback address of an agent that is reached through a proxy. */
+std::string hiddenIp(size_t n) { return "127.0.2." + std::to_string(10 + n); }
+
 Json route(const std::string &Name, const std::string &Kind,
            const std::string &Service) {
   return {{"name", Name},
@@ -74,16 +77,19 @@
   if (mkdtemp(Template.data()) == nullptr)
     throw std::runtime_error("no folder for the fleet");
   Folder = Template;
-  startServer("store", {});
+  startServer("store", Json::object());
   startServer("origin",
               {{"chunks", Plan.Chunks}, {"chunk_bytes", Plan.ChunkBytes}});
   Config = firstConfig(At.at("origin"));
   for (size_t n = 0; n < Plan.PlainServers; ++n) {
     const std::string Name = "plain-" + std::to_string(n);
     startServer(Name, {{"id", Name}});
-    Registered[Name] = {{"service", "plain"},  {"address", At.at(Name)},
-                        {"zone", domainOf(n)}, {"slots", 4},
-                        {"state", "ready"},    {"sequence", 1}};
+    Registered[Name] = {{"service", "plain"},
+                        {"address", linkTo(Name, At.at(Name), "127.0.0.1")},
+                        {"zone", domainOf(n)},
+                        {"slots", 4},
+                        {"state", "ready"},
+                        {"sequence", 1}};
     registerServer(Name);
   }
   for (size_t n = 0; n < Plan.Entries; ++n)
@@ -100,57 +106,90 @@
 RouteFleet::~RouteFleet() {
   Processes.clear();
   std::error_code ec;
-  if (std::getenv("JACINTHPOND_KEEP_LOGS") == nullptr)
+  if (!Kept && std::getenv("JACINTHPOND_KEEP_LOGS") == nullptr)
     std::filesystem::remove_all(Folder, ec);
 }
 
-void RouteFleet::startServer(const std::string &Name, const Json &Options) {
-  const std::string Kind =
-      Name == "store" || Name == "origin" ? "store" : "store-worker";
+void RouteFleet::startServer(const std::string &Name, Json Options) {
+  std::string Kind = "store-worker";
+  if (Name == "store" || Name == "origin")
+    Kind = Name == "origin" ? "store-origin" : "store";
+  else if (Name.starts_with("link-"))
+    Kind = "proxy";
+  else
+    Options.update(Plan.WorkerOptions);
   Processes[Name] = std::make_unique<ChildProcess>(
-      StandInProgram,
-      std::vector<std::string>{Name == "origin" ? "store-origin" : Kind, "0",
-                               Json(Options).is_null() ? "{}" : Options.dump()},
+      StandInProgram, std::vector<std::string>{Kind, "0", Options.dump()},
       Folder + "/" + Name + ".log");
   At[Name] = Processes.at(Name)->ready().at("at").get<std::string>();
 }
 
+std::string RouteFleet::linkTo(const std::string &Name,
+                               const std::string &Target, const std::string &Ip,
+                               int Port) {
+  if (!Plan.Proxies)
+    return Target;
+  const std::string Link = "link-" + Name;
+  startServer(Link, {{"target", Target}, {"ip", Ip}, {"port", Port}});
+  return Processes.at(Link)->ready().at("proxy").get<std::string>();
+}
+
+void RouteFleet::startProgram(const std::string &Name) {
+  const bool Entry = Name.starts_with("entry-");
+  std::vector<std::string> Arguments{"--settings",
+                                     Folder + "/" + Name + ".json"};
+  if (Entry)
+    Arguments.emplace_back("serve");
+  Processes[Name] =
+      std::make_unique<ChildProcess>(Entry ? EntryProgram : AgentProgram,
+                                     Arguments, Folder + "/" + Name + ".log");
+}
+
+void RouteFleet::restart(const std::string &Name) {
+  Processes.at(Name)->kill();
+  startProgram(Name);
+}
+
 void RouteFleet::addWorker() {
   const size_t n = Models++;
   const std::string Name = "model-" + std::to_string(n);
   startServer(Name, {{"id", Name}, {"model", "trail"}, {"ip", workerIp(n)}});
-  Registered[Name] = {{"service", "llm"},    {"address", At.at(Name)},
-                      {"zone", domainOf(n)}, {"slots", 4},
-                      {"state", "ready"},    {"sequence", 1}};
+  Registered[Name] = {{"service", "llm"},
+                      {"address", linkTo(Name, At.at(Name), workerIp(n))},
+                      {"zone", domainOf(n)},
+                      {"slots", 4},
+                      {"state", "ready"},
+                      {"sequence", 1}};
   registerServer(Name);
   startAgent(n);
 }
 
 void RouteFleet::startAgent(size_t n) {
-  const std::string Worker = At.at("model-" + std::to_string(n));
-  const Json Settings = {
-      {"name", Worker},
-      {"domain", domainOf(n)},
-      {"platform", "store"},
-      {"engine_url", "http://" + Worker},
-      {"peer_listen", workerIp(n) + ":" + std::to_string(AgentPort.port())},
-      {"log_to", "stderr"},
-      {"chunk_takeover_ms", 300},
-      {"weights_change_ms", Plan.WeightsChangeMillis},
-      {"heartbeat_ms", 200}};
+  const std::string Worker = "model-" + std::to_string(n);
   const std::string Name = "agent-" + std::to_string(n);
-  const std::string Path = Folder + "/" + Name + ".json";
-  std::ofstream(Path) << Settings.dump(2);
-  Processes[Name] = std::make_unique<ChildProcess>(
-      AgentProgram, std::vector<std::string>{"--settings", Path},
-      Folder + "/" + Name + ".log");
+  const std::string Listen = (Plan.Proxies ? hiddenIp(n) : workerIp(n)) + ":" +
+                             std::to_string(AgentPort.port());
+  linkTo(Name, Listen, workerIp(n), AgentPort.port());
+  const Json Settings = {{"name", Registered.at(Worker).at("address")},
+                         {"domain", domainOf(n)},
+                         {"platform", "store"},
+                         {"engine_url", "http://" + At.at(Worker)},
+                         {"peer_listen", Listen},
+                         {"log_to", "stderr"},
+                         {"chunk_takeover_ms", 300},
+                         {"weights_change_ms", Plan.WeightsChangeMillis},
+                         {"heartbeat_ms", 200}};
+  std::ofstream(Folder + "/" + Name + ".json") << Settings.dump(2);
+  startProgram(Name);
 }
 
 void RouteFleet::startEntry(size_t n) {
+  const std::string Store =
+      linkTo("store-" + std::to_string(n), At.at("store"), "127.0.0.1");
   Json Settings = {{"name", "entry-" + std::to_string(n)},
                    {"domain", domainOf(n)},
                    {"platform", "store"},
-                   {"config_url", "http://" + At.at("store")},
+                   {"config_url", "http://" + Store},
                    {"peer_listen", addressOf(n, "peers")},
                    {"seed_peers", {addressOf(0, "peers")}},
                    {"route_listen", addressOf(n, "route")},
@@ -167,11 +206,8 @@
                    {"log_to", "stderr"},
                    {"heartbeat_ms", 200}};
   const std::string Name = "entry-" + std::to_string(n);
-  const std::string Path = Folder + "/" + Name + ".json";
-  std::ofstream(Path) << Settings.dump(2);
-  Processes[Name] = std::make_unique<ChildProcess>(
-      EntryProgram, std::vector<std::string>{"--settings", Path, "serve"},
-      Folder + "/" + Name + ".log");
+  std::ofstream(Folder + "/" + Name + ".json") << Settings.dump(2);
+  startProgram(Name);
 }
 
 bool RouteFleet::seesAllWorkers(size_t Entry) const {
@@ -229,7 +265,14 @@
 }
 
 void RouteFleet::registerServer(const std::string &Name) {
-  store({{"put", {{"servers/" + Name, Registered.at(Name).dump()}}}});
+  enterServer(Name, Name, "ready");
+}
+
+void RouteFleet::enterServer(const std::string &Name, const std::string &Id,
+                             const std::string &State) {
+  Json Item = Registered.at(Name);
+  Item["state"] = State;
+  store({{"put", {{"servers/" + Id, Item.dump()}}}});
 }
 
 void RouteFleet::control(const std::string &Name, const Json &Changes) const {
@@ -237,9 +280,10 @@
   Client.Post("/control", Changes.dump(), "application/json");
 }
 
-Json RouteFleet::look(const std::string &Name) const {
+Json RouteFleet::lookAt(const std::string &Name,
+                        const std::string &Path) const {
   httplib::Client Client("http://" + At.at(Name));
-  const httplib::Result Answer = Client.Get("/control");
+  const httplib::Result Answer = Client.Get(Path);
   const Json Value =
       Answer ? Json::parse(Answer->body, nullptr, false) : Json::object();
   return Value.is_object() ? Value : Json::object();
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -23,6 +23,8 @@
   size_t Chunks = 6;              ///< Chunks of a version of the model.
   size_t ChunkBytes = 20000;      ///< Size of each.
   int WeightsChangeMillis = 8000; ///< Time for a change of weights.
+  bool Proxies = false; ///< Links to stores, agents and servers have proxies.
+  Json WorkerOptions = Json::object(); ///< For every worker and plain server.
 };
 
 /** One request of a caller on a route. */
@@ -74,7 +76,8 @@
 
   /**
    * Changes a stand-in.
-   * @param Name "store", "origin", "model-N" or "plain-N".
+   * @param Name "store", "origin", "model-N", "plain-N", or where there are
+   * proxies "link-model-N", "link-plain-N", "link-agent-N", "link-store-N".
    * @param Changes As its /control takes them.
    */
   void control(const std::string &Name, const Json &Changes) const;
@@ -84,11 +87,39 @@
    * @param Name Its name.
    * @return What its /control tells.
    */
-  Json look(const std::string &Name) const;
+  Json look(const std::string &Name) const { return lookAt(Name, "/control"); }
+
+  /**
+   * Gives runs that a worker noted.
+   * @param Name "model-N" or "plain-N".
+   * @param From Number of the first one wanted.
+   * @return The runs; null when it did not answer.
+   */
+  Json runsFrom(const std::string &Name, size_t From) const {
+    return lookAt(Name, "/control?from=" + std::to_string(From))["runs"];
+  }
 
   /** Enters a server in the store. @param Name "model-N" or "plain-N". */
   void registerServer(const std::string &Name);
 
+  /**
+   * Enters a server under an id.
+   * @param Name "model-N" or "plain-N".
+   * @param Id Its id; a server that was started anew has another one.
+   * @param State "ready" or "draining".
+   */
+  void enterServer(const std::string &Name, const std::string &Id,
+                   const std::string &State);
+
+  /** Starts a process that has ended again, as it was. @param Name Its name. */
+  void restart(const std::string &Name);
+
+  /** Keeps settings and logs beyond the end. @return Their folder. */
+  const std::string &keepFolder() {
+    Kept = true;
+    return Folder;
+  }
+
   /** Starts one more model worker with its agent. */
   void addWorker();
 
@@ -111,12 +142,17 @@
   size_t Models = 0; ///< Model workers started.
 
 private:
-  void startServer(const std::string &Name, const Json &Options);
+  void startServer(const std::string &Name, Json Options);
   bool seesAllWorkers(size_t Entry) const;
   void startEntry(size_t n);
   void startAgent(size_t n);
+  void startProgram(const std::string &Name);
+  std::string linkTo(const std::string &Name, const std::string &Target,
+                     const std::string &Ip, int Port = 0);
+  Json lookAt(const std::string &Name, const std::string &Path) const;
 
   RoutePlan Plan;
+  bool Kept = false;
   std::string Folder;
   PortReservation AgentPort;
   std::list<PortReservation> Reserved; ///< Ports of the entries.
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -1,9 +1,11 @@
 /** @file proxy.cpp A TCP proxy that injects faults.
  *
- * /control takes: "mode" ("pass", "freeze": bytes wait, "refuse": new
- * connections are closed), "delay_ms", "bytes_per_second", "corrupt_every"
- * (flips a bit in every n-th block), "cut": true (closes all connections),
- * "lose": true (all connections of now go silent for good; new ones work).
+ * /control takes: "mode" ("pass", "freeze": bytes wait, "freeze_up" and
+ * "freeze_down": only those to or from the target, "refuse": new connections
+ * are closed), "delay_ms", "bytes_per_second", "corrupt_every" (flips a bit in
+ * every n-th block), "cut": true (closes all connections), "reset": true (the
+ * same, without the polite end), "lose": true (all connections of now go silent
+ * for good; new ones work). Start values name the address too: "ip", "port".
  */
 
 #include "standin.h"
@@ -34,12 +36,14 @@
 struct Faults {
   std::mutex Guard;
   Json Options;
-  std::atomic<bool> Frozen{false};
+  std::atomic<bool> FrozenUp{false};   ///< To the target.
+  std::atomic<bool> FrozenDown{false}; ///< From the target.
   std::atomic<bool> Refusing{false};
   std::atomic<int> DelayMillis{0};
   std::atomic<uint64_t> BytesPerSecond{0};
   std::atomic<uint64_t> CorruptEvery{0};
   std::atomic<uint64_t> CutBefore{0};  ///< Connections below are closed.
+  std::atomic<bool> Resetting{false};  ///< The last cut was a reset.
   std::atomic<uint64_t> LoseBefore{0}; ///< Connections below are silent.
   std::atomic<uint64_t> Blocks{0};
   std::atomic<uint64_t> Connections{0};
@@ -74,11 +78,32 @@
   return poll(&One, 1, PollMillis) > 0;
 }
 
+/** Lets the close of a socket be a reset. */
+void resetOnClose(int Socket) {
+  const linger AtOnce{1, 0};
+  setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof(AtOnce));
+}
+
+/** Ends a connection for both directions. */
+void end(Faults &Now, Pair &Both) {
+  Both.Over = true;
+  if (Now.Resetting && Both.Number < Now.CutBefore) {
+    // The close of the last reference resets; a shutdown would end politely.
+    resetOnClose(Both.Client);
+    resetOnClose(Both.Server);
+    return;
+  }
+  shutdown(Both.Client, SHUT_RDWR);
+  shutdown(Both.Server, SHUT_RDWR);
+}
+
 /** Relays one direction until an end is closed or the connection is cut. */
 void relay(Faults &Now, const std::shared_ptr<Pair> &Both, int From, int To) {
+  const std::atomic<bool> &Frozen =
+      From == Both->Client ? Now.FrozenUp : Now.FrozenDown;
   std::array<char, BlockBytes> buf{};
   while (!Both->Over && Both->Number >= Now.CutBefore) {
-    const bool Silent = Both->Number < Now.LoseBefore || Now.Frozen;
+    const bool Silent = Both->Number < Now.LoseBefore || Frozen;
     if (Silent) {
       std::this_thread::sleep_for(std::chrono::milliseconds(PollMillis));
       continue;
@@ -100,9 +125,7 @@
     if (!sendAll(To, buf.data(), n))
       break;
   }
-  Both->Over = true;
-  shutdown(Both->Client, SHUT_RDWR);
-  shutdown(Both->Server, SHUT_RDWR);
+  end(Now, *Both);
 }
 
 void handle(Faults &Now, int Client) {
@@ -132,25 +155,27 @@
   const std::lock_guard Lock(Now.Guard);
   Now.Options.update(Value);
   const std::string Mode = Now.Options.value("mode", "pass");
-  Now.Frozen = Mode == "freeze";
+  Now.FrozenUp = Mode == "freeze" || Mode == "freeze_up";
+  Now.FrozenDown = Mode == "freeze" || Mode == "freeze_down";
   Now.Refusing = Mode == "refuse";
   Now.DelayMillis = Now.Options.value("delay_ms", 0);
   Now.BytesPerSecond = Now.Options.value("bytes_per_second", uint64_t{0});
   Now.CorruptEvery = Now.Options.value("corrupt_every", uint64_t{0});
-  if (Value.value("cut", false))
+  Now.Resetting = Value.value("reset", false);
+  if (Value.value("cut", false) || Now.Resetting)
     Now.CutBefore = Now.Connections + 1;
   if (Value.value("lose", false))
     Now.LoseBefore = Now.Connections + 1;
 }
 
-int listenOnLoopback(int Port, int &Bound) {
+int listenOn(const std::string &Ip, int Port, int &Bound) {
   const int Socket = socket(AF_INET, SOCK_STREAM, 0);
   const int One = 1;
   setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   sockaddr_in At{};
   At.sin_family = AF_INET;
   At.sin_port = htons(static_cast<uint16_t>(Port));
-  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, Ip.c_str(), &At.sin_addr);
   socklen_t n = sizeof(At);
   if (bind(Socket, reinterpret_cast<sockaddr *>(&At), n) != 0 ||
       listen(Socket, 512) != 0)
@@ -175,10 +200,11 @@
       htons(static_cast<uint16_t>(std::atoi(Target.c_str() + Colon + 1)));
   inet_pton(AF_INET, Target.substr(0, Colon).c_str(), &Now.Target.sin_addr);
   int Bound = 0;
-  const int Listening = listenOnLoopback(Options.value("port", 0), Bound);
+  const std::string Ip = Options.value("ip", "127.0.0.1");
+  const int Listening = listenOn(Ip, Options.value("port", 0), Bound);
   if (Listening < 0)
     return 1;
-  std::cout << Json({{"proxy", "127.0.0.1:" + std::to_string(Bound)}}).dump()
+  std::cout << Json({{"proxy", Ip + ":" + std::to_string(Bound)}}).dump()
             << std::endl;
   std::thread([&Now, Listening] {
     for (;;) {
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -3,19 +3,24 @@
  * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
  * "gap_ms" (between them), "break_at" (the connection ends in the middle of
  * that event, once), "fail" (that many requests answer 500), "refuse" (that
- * many answer 503 as not run), "no_signature", "hang" (no answer at all).
- * GET /control gives "runs": what was run, and with which headers.
+ * many answer 503 as not run), "no_signature", "hang" (no answer at all),
+ * "tell" (answers and events say whose and what of they are), "restart" (the
+ * memory is lost, what is staged and the record of runs are kept).
+ * GET /control gives "runs": what was run, when (on the machine's steady
+ * clock), with which headers; "from" in the query leaves out the first ones.
  */
 
 #include "standin.h"
 
 #include "base/hash_func.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace jacinthpond::standin {
 
@@ -34,6 +39,12 @@
   int64_t Born = 0;
 };
 
+int64_t millisOfDay() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /** Takes one off a counter in the options; true when it was above 0. */
 bool takeOne(Worker &Host, const char *Key) {
   const int Left = Host.Options.value(Key, 0);
@@ -53,6 +64,8 @@
     return 421;
   if (!Version.empty() && Version != Own)
     return 421;
+  if (Host.Options.contains("model") && Own == "0")
+    return 421; // Nothing is loaded.
   return takeOne(Host, "refuse") ? 503 : 0;
 }
 
@@ -60,7 +73,13 @@
   Json Headers = Json::object();
   for (const auto &[Name, Value] : Asked.headers)
     Headers[Name] = Value;
+  const std::chrono::duration<double, std::milli> Now =
+      std::chrono::steady_clock::now().time_since_epoch();
   Host.Runs.push_back({{"attempt", Asked.get_header_value(AttemptHeader)},
+                       {"at_ms", Now.count()},
+                       {"id", Host.Options.value("id", "")},
+                       {"version", Host.Options.value("version", 0)},
+                       {"method", Asked.method},
                        {"path", Asked.path},
                        {"body", Asked.body},
                        {"headers", Headers}});
@@ -76,6 +95,14 @@
                     std::to_string(Host.Options.value("version", 0)));
 }
 
+/** What answers say of the request that they are for, where that is wanted. */
+std::string tellOf(const Worker &Host, const httplib::Request &Asked) {
+  if (!Host.Options.value("tell", false))
+    return "";
+  return " of " + Asked.body + " on " +
+         std::to_string(Host.Options.value("version", 0));
+}
+
 /** Streams events behind the one that the caller has. */
 void stream(Worker &Host, const httplib::Request &Asked,
             httplib::Response &Answer) {
@@ -88,9 +115,11 @@
   const std::chrono::milliseconds Gap(Host.Options.value("gap_ms", 5));
   Answer.set_chunked_content_provider(
       "text/event-stream",
-      [n = First, Events, Break, Gap](size_t, httplib::DataSink &Sink) mutable {
+      [n = First, Events, Break, Gap,
+       Tell = tellOf(Host, Asked)](size_t, httplib::DataSink &Sink) mutable {
         const std::string Event = "id: " + std::to_string(n) +
-                                  "\ndata: token " + std::to_string(n) + "\n\n";
+                                  "\ndata: token " + std::to_string(n) + Tell +
+                                  "\n\n";
         if (n == Break) {
           Sink.write(Event.data(), Event.size() / 2);
           return false;
@@ -126,7 +155,16 @@
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
   else
-    Answer.set_content("answer to " + Asked.path, "text/plain");
+    Answer.set_content("answer to " + Asked.path + tellOf(Host, Asked),
+                       "text/plain");
+}
+
+/** Starts the worker anew, as far as others can see. */
+void restart(Worker &Host) {
+  Host.Born = millisOfDay();
+  Host.Orders = 0;
+  Host.Options["version"] = 0;
+  Host.Options["restart"] = false;
 }
 
 Json reportOf(const Worker &Host) {
@@ -184,9 +222,7 @@
 int runStoreWorker(int Port, const Json &Options) {
   Worker Host;
   Host.Options = Options;
-  Host.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                  std::chrono::system_clock::now().time_since_epoch())
-                  .count();
+  Host.Born = millisOfDay();
   httplib::Server Server;
   prepare(Server);
   Server.Get("/report", [&](const auto &, auto &Answer) {
@@ -203,10 +239,18 @@
     if (Host.Options.value("spoil", -1) >= 0)
       Host.Staged[Host.Options["spoil"].template get<uint64_t>()] = "spoilt";
     Host.Options["spoil"] = -1;
+    if (Host.Options.value("restart", false))
+      restart(Host);
   });
-  Server.Get("/control", [&](const auto &, auto &Answer) {
+  Server.Get("/control", [&](const auto &Asked, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
-    reply(Answer, {{"runs", Host.Runs},
+    const size_t From =
+        std::strtoull(Asked.get_param_value("from").c_str(), nullptr, 10);
+    const size_t First = std::min(From, Host.Runs.size());
+    const Json Runs(std::vector<Json>(Host.Runs.begin() +
+                                          static_cast<std::ptrdiff_t>(First),
+                                      Host.Runs.end()));
+    reply(Answer, {{"runs", Runs},
                    {"orders", Host.Orders},
                    {"staged", Host.Staged.size()},
                    {"version", Host.Options.value("version", 0)},
