--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace jacinthpond::fleet {
 
@@ -71,7 +72,7 @@
 
 } // namespace
 
-RouteFleet::RouteFleet(RoutePlan Wanted) : Plan(Wanted) {
+RouteFleet::RouteFleet(RoutePlan Wanted) : Plan(std::move(Wanted)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "jp-routes-XXXXXX").string();
   if (mkdtemp(Template.data()) == nullptr)
