bench: the soak changes what an entry doesn't see, and takes the origin away

Workers had new weights a second after they were named, so that requests never came near the bound for old ones. The origin goes away for longer than that bound now, and changes are published while an entry stands still or is cut off from the store.

--- a/bench/chaos/heals.cpp
+++ b/bench/chaos/heals.cpp
@@ -31,10 +31,11 @@
 }
 
 void Heals::runAll() {
+  // One by one: an action sees what has not been undone yet.
   while (!Waiting.empty()) {
-    const std::vector<Heal> All = std::exchange(Waiting, {});
-    for (const Heal &One : All)
-      One.Action();
+    const Heal One = std::move(Waiting.front());
+    Waiting.erase(Waiting.begin());
+    One.Action();
   }
 }
 
--- a/bench/chaos/route_callers.cpp
+++ b/bench/chaos/route_callers.cpp
@@ -68,8 +68,10 @@
   for (size_t n = 0; n < ThreadsEach; ++n) {
     Start('r', n, &RouteCallers::read);
     Start('b', n, &RouteCallers::book);
-    Start('w', n, &RouteCallers::write);
   }
+  // Streams take longer.
+  for (size_t n = 0; n < 2 * ThreadsEach; ++n)
+    Start('w', n, &RouteCallers::write);
 }
 
 RouteCallers::~RouteCallers() {
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -19,13 +19,17 @@
 constexpr int MaxFaultMillis = 4000;
 /** Longest pause of a process; longer than any gap that shows a pause. */
 constexpr int MaxPauseMillis = 7000;
+/** Longest failure of the origin; beyond the time for a change of weights, so
+ * that workers still have the former ones when nothing may begin on them. */
+constexpr int MaxOriginMillis = 12000;
 /** Bounds of the usual time between two failures. */
-constexpr int MinPaceMillis = 250;
-constexpr int MaxPaceMillis = 1500;
+constexpr int MinPaceMillis = 150;
+constexpr int MaxPaceMillis = 1000;
 /** Longest graceful end: the routes' timeout, the notice to callers, and room
  * for a busy machine. */
 constexpr auto StopLimit = 8s;
 constexpr auto StopPoll = 100ms;
+constexpr auto ReturnPoll = 100ms;
 /** Longest time from the stop signal to the kill, where one follows. */
 constexpr int MaxGraceMillis = 600;
 /** Time after which the list lets go of a server that vanished. */
@@ -141,8 +145,9 @@
                 [this, Name] { restart(Name); });
 }
 
-void RouteFaults::pauseProcess() {
-  const std::string Name = pickProcess();
+void RouteFaults::pauseProcess() { pause(pickProcess()); }
+
+void RouteFaults::pause(const std::string &Name) {
   if (Failing.isFaulty(Name))
     return;
   ++Injected["pause"];
@@ -181,7 +186,7 @@
 }
 
 void RouteFaults::awaitStop(const std::string &Name, Clock::time_point Limit) {
-  const auto Code = Fleet.process(Name).waitExit(0ms);
+  const auto Code = Fleet.process(Name).waitExit(10ms);
   if (!Code && Clock::now() < Limit)
     return Failing.later(Name, StopPoll,
                          [this, Name, Limit] { awaitStop(Name, Limit); });
@@ -229,10 +234,12 @@
                                           {{"mode", "refuse"}, {"cut", true}},
                                           {{"delay_ms", 100}},
                                           {{"bytes_per_second", 20000}}};
-  const std::string Name = pick(Links);
+  fault(pick(Links), Kinds[Random() % Kinds.size()]);
+}
+
+void RouteFaults::fault(const std::string &Name, const Json &What) {
   if (Failing.isFaulty(Name))
     return;
-  const Json &What = Kinds[Random() % Kinds.size()];
   ++Injected["link"];
   note(Name + " " + What.dump());
   History.Harm.begin(Name);
@@ -264,6 +271,18 @@
   });
 }
 
+void RouteFaults::faultOrigin() {
+  if (Failing.isFaulty("origin"))
+    return;
+  ++Injected["origin"];
+  note("origin away");
+  Fleet.control("origin", {{"status", 503}});
+  Failing.later("origin", between(MinFaultMillis, MaxOriginMillis), [this] {
+    note("origin serves");
+    Fleet.control("origin", {{"status", 0}});
+  });
+}
+
 void RouteFaults::faultServer() {
   static const std::vector<Json> Kinds = {{{"fail", 4}},
                                           {{"refuse", 6}},
@@ -301,6 +320,8 @@
   if (Failing.isFaulty("version"))
     return;
   ++Injected["version"];
+  if (Random() % 2 == 0)
+    faultOrigin();
   publishVersion();
   const bool Overtaken = Random() % 3 == 0;
   Failing.later("version", between(MinFaultMillis, MaxFaultMillis),
@@ -321,6 +342,9 @@
 }
 
 void RouteFaults::returnServer(const std::string &Name) {
+  if (Failing.isFaulty(Name)) // It may stand still, and hear nothing.
+    return Failing.later("servers", ReturnPoll,
+                         [this, Name] { returnServer(Name); });
   Server &One = Servers.at(Name);
   One.Id = Name + "." + std::to_string(++One.Incarnation);
   note("enter " + One.Id);
@@ -424,6 +448,22 @@
                 [this] { publishRoute(false); });
 }
 
+void RouteFaults::changeUnseen() {
+  static const std::array<Kind, 6> Changes = {
+      &RouteFaults::newVersion,  &RouteFaults::newVersion,
+      &RouteFaults::drainServer, &RouteFaults::takeZoneOut,
+      &RouteFaults::takeKeyAway, &RouteFaults::takeRouteAway};
+  if (Entries.empty())
+    return;
+  const std::string Name = pick(Entries);
+  if (Random() % 3 == 0)
+    fault("link-store-" + Name.substr(Name.rfind('-') + 1),
+          {{"mode", "freeze"}});
+  else
+    pause(Name);
+  (this->*Changes.at(Random() % Changes.size()))();
+}
+
 void RouteFaults::lookForExits() {
   std::vector<std::string> All = Agents;
   append(All, Entries);
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -57,11 +57,14 @@
 
   void killProcess();
   void pauseProcess();
+  void pause(const std::string &Name);
   void stopProcess();
   void reloadProcess();
   void pauseServer();
   void faultLink();
+  void fault(const std::string &Link, const fleet::Json &What);
   void faultStore();
+  void faultOrigin();
   void faultServer();
   void newVersion();
   void drainServer();
@@ -69,6 +72,7 @@
   void takeZoneOut();
   void takeKeyAway();
   void takeRouteAway();
+  void changeUnseen();
 
   void publishVersion();
   void awaitStop(const std::string &Name, Clock::time_point Limit);
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -136,7 +136,7 @@
 
 void run(Worker &Host, const httplib::Request &Asked,
          httplib::Response &Answer) {
-  const std::unique_lock Lock(Host.Guard);
+  std::unique_lock Lock(Host.Guard);
   if (const int Status = refusalOf(Host, Asked); Status != 0) {
     Answer.status = Status;
     if (Status == 503)
@@ -150,8 +150,11 @@
     Answer.set_content("failed", "text/plain");
     return;
   }
-  if (takeOne(Host, "hang"))
+  if (takeOne(Host, "hang")) {
+    Lock.unlock();
     std::this_thread::sleep_for(HangTime);
+    Lock.lock();
+  }
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
   else
@@ -269,8 +272,19 @@
   const uint64_t Chunks = Options.value("chunks", 6);
   const size_t Size = Options.value("chunk_bytes", 20000);
   std::atomic<uint64_t> Pieces{0};
+  std::atomic<int> Status{0};
   httplib::Server Server;
   prepare(Server);
+  // /control takes "status": every call but this one answers that instead.
+  Server.Post("/control", [&](const auto &Asked, auto &) {
+    Status = Json::parse(Asked.body, nullptr, false).value("status", 0);
+  });
+  Server.set_pre_routing_handler([&](const auto &Asked, auto &Answer) {
+    if (Status == 0 || Asked.path == "/control")
+      return httplib::Server::HandlerResponse::Unhandled;
+    Answer.status = Status;
+    return httplib::Server::HandlerResponse::Handled;
+  });
   const auto VersionOf = [](const httplib::Request &Asked) {
     return std::strtoull(Asked.get_param_value("version").c_str(), nullptr, 10);
   };
