--- a/bench/chaos/chaos.cpp
+++ b/bench/chaos/chaos.cpp
@@ -150,7 +150,8 @@
   if (Routes != 0)
     return runRoutes(
         {static_cast<uint64_t>(Seed), Length, static_cast<size_t>(Entries),
-         static_cast<size_t>(Servers), static_cast<size_t>(Servers)});
+         static_cast<size_t>(Servers), static_cast<size_t>(Servers),
+         Only == nullptr ? "" : Only});
   return run(static_cast<uint64_t>(Seed), Length);
 }
 
