--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -8,11 +8,14 @@
  * what lies staged are by then), "load_ms" (how long it is busy with an order),
  * "slow_reads" (that many staged chunks are read back in "read_ms" each),
  * "rot_after_read" (once all that lies staged is of the next version, chunk 0
- * turns bad when it has been read back).
- * GET /control gives "runs": what was run, and with which headers; "loads":
- * the version of each order that was taken, and whether all that lay staged
- * was of it; "orders_waiting": orders that came and were not taken yet; "busy";
- * "staged_of": the version of all that lies staged, 0: of none;
+ * turns bad when it has been read back), "tell" (answers and events say whose
+ * and what of they are), "restart" (the memory is lost, what is staged and the
+ * record of runs are kept).
+ * GET /control gives "runs": what was run, when (on the machine's steady
+ * clock), with which headers; "from" in the query leaves out the first ones;
+ * "loads": the version of each order that was taken, and whether all that lay
+ * staged was of it; "orders_waiting": orders that came and were not taken yet;
+ * "busy"; "staged_of": the version of all that lies staged, 0: of none;
  * "rot_after_read": that is still to come.
  */
 
@@ -26,6 +29,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace jacinthpond::standin {
 
@@ -47,6 +51,12 @@
   int64_t Born = 0;
 };
 
+int64_t millisOfDay() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /** Takes one off a counter in the options; true when it was above 0. */
 bool takeOne(Worker &Host, const char *Key) {
   const int Left = Host.Options.value(Key, 0);
@@ -66,6 +76,8 @@
     return 421;
   if (!Version.empty() && Version != Own)
     return 421;
+  if (Host.Options.contains("model") && Own == "0")
+    return 421; // Nothing is loaded.
   return takeOne(Host, "refuse") ? 503 : 0;
 }
 
@@ -73,7 +85,13 @@
   Json Headers = Json::object();
   for (const auto &[Name, Value] : Asked.headers)
     Headers[Name] = Value;
+  const std::chrono::duration<double, std::milli> Now =
+      std::chrono::steady_clock::now().time_since_epoch();
   Host.Runs.push_back({{"attempt", Asked.get_header_value(AttemptHeader)},
+                       {"at_ms", Now.count()},
+                       {"id", Host.Options.value("id", "")},
+                       {"version", Host.Options.value("version", 0)},
+                       {"method", Asked.method},
                        {"path", Asked.path},
                        {"body", Asked.body},
                        {"headers", Headers}});
@@ -89,6 +107,14 @@
                     std::to_string(Host.Options.value("version", 0)));
 }
 
+/** What answers say of the request that they are for, where that is wanted. */
+std::string tellOf(const Worker &Host, const httplib::Request &Asked) {
+  if (!Host.Options.value("tell", false))
+    return "";
+  return " of " + Asked.body + " on " +
+         std::to_string(Host.Options.value("version", 0));
+}
+
 /** Streams events behind the one that the caller has. */
 void stream(Worker &Host, const httplib::Request &Asked,
             httplib::Response &Answer) {
@@ -101,9 +127,11 @@
   const std::chrono::milliseconds Gap(Host.Options.value("gap_ms", 5));
   Answer.set_chunked_content_provider(
       "text/event-stream",
-      [n = First, Events, Break, Gap](size_t, httplib::DataSink &Sink) mutable {
+      [n = First, Events, Break, Gap,
+       Tell = tellOf(Host, Asked)](size_t, httplib::DataSink &Sink) mutable {
         const std::string Event = "id: " + std::to_string(n) +
-                                  "\ndata: token " + std::to_string(n) + "\n\n";
+                                  "\ndata: token " + std::to_string(n) + Tell +
+                                  "\n\n";
         if (n == Break) {
           Sink.write(Event.data(), Event.size() / 2);
           return false;
@@ -120,7 +148,7 @@
 
 void run(Worker &Host, const httplib::Request &Asked,
          httplib::Response &Answer) {
-  const std::unique_lock Lock(Host.Guard);
+  std::unique_lock Lock(Host.Guard);
   if (const int Status = refusalOf(Host, Asked); Status != 0) {
     Answer.status = Status;
     if (Status == 503)
@@ -134,12 +162,24 @@
     Answer.set_content("failed", "text/plain");
     return;
   }
-  if (takeOne(Host, "hang"))
+  if (takeOne(Host, "hang")) {
+    Lock.unlock();
     std::this_thread::sleep_for(HangTime);
+    Lock.lock();
+  }
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
   else
-    Answer.set_content("answer to " + Asked.path, "text/plain");
+    Answer.set_content("answer to " + Asked.path + tellOf(Host, Asked),
+                       "text/plain");
+}
+
+/** Starts the worker anew, as far as others can see. */
+void restart(Worker &Host) {
+  Host.Born = millisOfDay();
+  Host.Orders = 0;
+  Host.Options["version"] = 0;
+  Host.Options["restart"] = false;
 }
 
 bool isBusy(const Worker &Host) {
@@ -258,9 +298,7 @@
 int runStoreWorker(int Port, const Json &Options) {
   Worker Host;
   Host.Options = Options;
-  Host.Born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                  std::chrono::system_clock::now().time_since_epoch())
-                  .count();
+  Host.Born = millisOfDay();
   httplib::Server Server;
   prepare(Server);
   Server.Get("/report", [&](const auto &, auto &Answer) {
@@ -277,11 +315,19 @@
     if (Host.Options.value("spoil", -1) >= 0)
       Host.Staged[Host.Options["spoil"].template get<uint64_t>()] = "spoilt";
     Host.Options["spoil"] = -1;
+    if (Host.Options.value("restart", false))
+      restart(Host);
   });
-  Server.Get("/control", [&](const auto &, auto &Answer) {
+  Server.Get("/control", [&](const auto &Asked, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
+    const size_t From =
+        std::strtoull(Asked.get_param_value("from").c_str(), nullptr, 10);
+    const size_t First = std::min(From, Host.Runs.size());
+    const Json Runs(std::vector<Json>(Host.Runs.begin() +
+                                          static_cast<std::ptrdiff_t>(First),
+                                      Host.Runs.end()));
     reply(Answer,
-          {{"runs", Host.Runs},
+          {{"runs", Runs},
            {"orders", Host.Orders},
            {"orders_waiting", Host.OrdersWaiting},
            {"loads", Host.Loads},
@@ -305,8 +351,19 @@
   const uint64_t Chunks = Options.value("chunks", 6);
   const size_t Size = Options.value("chunk_bytes", 20000);
   std::atomic<uint64_t> Pieces{0};
+  std::atomic<int> Status{0};
   httplib::Server Server;
   prepare(Server);
+  // /control takes "status": every call but this one answers that instead.
+  Server.Post("/control", [&](const auto &Asked, auto &) {
+    Status = Json::parse(Asked.body, nullptr, false).value("status", 0);
+  });
+  Server.set_pre_routing_handler([&](const auto &Asked, auto &Answer) {
+    if (Status == 0 || Asked.path == "/control")
+      return httplib::Server::HandlerResponse::Unhandled;
+    Answer.status = Status;
+    return httplib::Server::HandlerResponse::Handled;
+  });
   const auto VersionOf = [](const httplib::Request &Asked) {
     return std::strtoull(Asked.get_param_value("version").c_str(), nullptr, 10);
   };
