--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -505,11 +505,12 @@
     limitCame();
     return;
   }
+  const auto Begin = beginLimit();
+  const bool TooLate = Begin && Now >= *Begin;
   if (Asking && Now >= AskUntil)
     agentDidNotAnswer();
-  else if (const auto Begin = beginLimit(); Begin && Now >= *Begin)
-    answerBroke();
-  else if (Call && canRepeat() && silentTooLong(Now) && couldGoElsewhere(Now))
+  else if (TooLate ||
+           (Call && canRepeat() && silentTooLong(Now) && couldGoElsewhere(Now)))
     answerBroke();
   if (Session)
     armTimer();
