--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -104,7 +104,8 @@
       {"route", &RouteFaults::takeRouteAway},
       {"unseen", &RouteFaults::changeUnseen}};
   for (const auto &[Name, One] : Table)
-    if (Only.empty() || Only.find(Name) != std::string::npos)
+    if (Only.empty() ||
+        ("," + Only + ",").find("," + Name + ",") != std::string::npos)
       Enabled.push_back(One);
   if (!Only.empty() || Seed % AllKindsEvery == 0)
     return;
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -28,8 +28,8 @@
    * @param All The fleet; outlives this object.
    * @param Plan What it consists of.
    * @param Seed Of all choices.
-   * @param Only Names of the kinds of failures, in a row; empty: the seed
-   * chooses.
+   * @param Only Names of the kinds of failures, with commas between them;
+   * empty: the seed chooses.
    * @param Into Where it notes what it does; outlives this object.
    */
   RouteFaults(fleet::RouteFleet &All, const fleet::RoutePlan &Plan,
