--- a/packages/core/src/base/time_type.h
+++ b/packages/core/src/base/time_type.h
@@ -7,7 +7,11 @@
 
 namespace jacinthpond {
 
-/** A point on the monotonic clock of one process; never sent to another. */
+/**
+ * A point on the clock of one process, which never goes back; never sent to
+ * another process. The programs' clock is RuntimeClock, which also counts the
+ * time for which a host is suspended: compare it with no other one.
+ */
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 using Millis = std::chrono::milliseconds;
--- a/packages/core/src/configuration/config_view_type.h
+++ b/packages/core/src/configuration/config_view_type.h
@@ -24,8 +24,8 @@
 struct ConfigView {
   DocumentPtr InForce; ///< Null until the first one is accepted.
   TimePoint Since;     ///< When it came into force.
-  /** No earlier than this was it published, as far as this process knows;
-   * nothing: not known. Between the two it may have stood still. */
+  /** It was not published before this; nothing: not known. Earlier than Since
+   * by as long as this process was out of touch. */
   std::optional<TimePoint> PublishedAfter;
   uint64_t Refused = 0;    ///< Invalid documents seen.
   uint64_t Conflicts = 0;  ///< Documents with a version taken already.
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -57,7 +57,7 @@
       Wanted.Formers.erase(Wanted.Formers.begin());
     Wanted.Set = Model.Set;
     Wanted.Version = Model.Version;
-    Wanted.Since = PublishedAfter;
+    Wanted.PublishedAfter = PublishedAfter;
   }
 }
 
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -56,8 +56,8 @@
 struct WantedWeights {
   Digest Set;          ///< Wanted set.
   std::string Version; ///< Its version, as the publisher names it.
-  /** Not wanted before this, as far as is known; nothing: not known. */
-  std::optional<TimePoint> Since;
+  /** Its document was not published before this; nothing: not known. */
+  std::optional<TimePoint> PublishedAfter;
   std::vector<FormerWeights> Formers; ///< Sets wanted before, oldest first.
 };
 
--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -14,7 +14,8 @@
 /** Time between two questions to a peer that has not answered. */
 constexpr Millis ProbePeriod{300};
 /** Gap between two ticks, of 50 ms, after which what waits in the sockets may
- * be old; what is decided by the age of news has a margin above it. */
+ * be old. BeginMargin in weights.cpp, the margin of what is decided by the age
+ * of news, has to be longer. */
 constexpr Millis StallGap{1000};
 /** Heartbeats of a peer after which the ones from before a stall are read. */
 constexpr int StallBeats = 2;
@@ -74,8 +75,8 @@
   }
 }
 
-/** Gives the last word of one who tells of news at once; nothing: nobody does.
- */
+/** Gives when the service, or a peer who would tell of news at once, was heard
+ * last; nothing: neither is there. */
 std::optional<TimePoint> lastWord(const Membership &Fleet) {
   std::optional<TimePoint> Last = Fleet.Joining.ServiceHeard;
   const bool Agent = Fleet.Self.Sender == Role::Agent;
@@ -89,7 +90,8 @@
     if (Tells)
       Last = std::max(Last, std::optional(Link.LastHeard));
   }
-  // A service that answers nobody publishes nothing.
+  // A service that answers nobody publishes nothing: the time for which it is
+  // away must not count as age of what it publishes next.
   return anybodyAnswered(Fleet, Fleet.LastTick) ? Last
                                                 : std::max(Last, OfAnyone);
 }
--- a/packages/core/src/membership/join_type.h
+++ b/packages/core/src/membership/join_type.h
@@ -28,7 +28,8 @@
   /** Last time at which anything published would have been heard of; nothing:
    * not since the start. */
   std::optional<TimePoint> KnownCurrent;
-  TimePoint DoubtUntil; ///< Till then messages may be from before a stall.
+  TimePoint DoubtUntil; ///< Till then what is heard may be from before a
+                        ///< stall, and does not move KnownCurrent.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -21,7 +21,7 @@
 constexpr size_t MaxReplaced = 8;
 
 /** Part of the time for a change of weights in which nothing begins on former
- * ones. */
+ * ones. Has to be longer than StallGap in join.cpp. */
 constexpr Millis BeginMargin{1200};
 
 /** Keeps the chunks of the wanted set and of the one before it. */
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -9,9 +9,10 @@
 namespace jacinthpond {
 
 /**
- * Gives how long requests may begin on weights after others were named. News of
- * it reach entries within half a second, and a request waits at a back end for
- * as long; that much of the allowed time is kept free.
+ * Gives how long requests may begin on weights after others were published. The
+ * rest of the allowed time is for what a process cannot know (stalls that are
+ * too short to be noticed, see StallGap in join.cpp) and for requests that wait
+ * at a back end.
  * @param Config The settings.
  * @return The time.
  */
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -24,7 +24,7 @@
   bool AtEngine = false; ///< Chunks lie at the engine and not in memory here.
   Digest Loaded;         ///< What the engine said last that it has loaded.
   Digest Newest;         ///< Set that the newest document names.
-  TimePoint NewestSince; ///< Since when it may have been published.
+  TimePoint NewestSince; ///< It was not published before this.
   std::map<Digest, TimePoint> ReplacedAt; ///< When each set was replaced.
   std::optional<TimePoint> OutdatedSince; ///< Since when Loaded is replaced.
   std::string EngineRun;     ///< Incarnation of the engine; empty: silent.
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -20,7 +20,7 @@
     "answered",  "back_end_error", "not_executed",
     "unreached", "broken",         "given_up"};
 
-/** Milliseconds since a moment; capped where it lies before the start. */
+/** Milliseconds since a moment; one that never was is the longest ago. */
 std::string ageOf(TimePoint Then, TimePoint Now) {
   constexpr int64_t MostMillis = 999999;
   return std::to_string(std::min(
@@ -51,8 +51,9 @@
           " weights=" + logValue(Server.Weights.Value) +
           " wanted=" + (Wanted == nullptr ? "-" : logValue(Wanted->Set.Value)) +
           " wanted_ms=" +
-          (Wanted == nullptr || !Wanted->Since ? "-"
-                                               : ageOf(*Wanted->Since, Now)) +
+          (Wanted == nullptr || !Wanted->PublishedAfter
+               ? "-"
+               : ageOf(*Wanted->PublishedAfter, Now)) +
           " agent=" + (hasAgent(Server) ? "yes" : "no"));
 }
 
