--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -126,6 +126,17 @@
   BOOST_TEST(Got.contains("p1"));
 }
 
+BOOST_AUTO_TEST_CASE(NewsWhileAPlaceIsWaitedForCount) {
+  // A request waited for a place while its back end's domain was taken out, and
+  // would have been sent there when its turn came.
+  Pool One;
+  BOOST_TEST(mayStillUse(One.State, {"p0"}, One.needs("plain"), One.Now));
+  One.Doc.DomainsOut.insert({"d0"});
+  One.follow();
+  BOOST_TEST(!mayStillUse(One.State, {"p0"}, One.needs("plain"), One.Now));
+  BOOST_TEST(mayStillUse(One.State, {"p1"}, One.needs("plain"), One.Now));
+}
+
 BOOST_AUTO_TEST_CASE(AVanishedBackEndIsGoneAtOnce) {
   Pool One;
   attemptOpened(One.State, {"p0"}, One.Now);
