routes: former weights are looked up in one place

Whether weights may begin, which version to demand, and until when a request may begin each searched the sets that were wanted before in its own way. One function does now. That the wanted set is not among them holds already, where they are noted, so its extra check is gone. Behaviour is the same.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -146,6 +146,13 @@
   return lostAgent(View) && View.LastHeard <= View.SilentSince;
 }
 
+/** Finds a set among those that were wanted before; null: it is none. */
+const FormerWeights *findFormer(const WantedWeights &Wanted,
+                                const Digest &Set) {
+  const auto it = std::ranges::find(Wanted.Formers, Set, &FormerWeights::Set);
+  return it == Wanted.Formers.end() ? nullptr : &*it;
+}
+
 /** Says whether the weights of a back end may begin, or go on with, a request.
  */
 bool weightsFit(const ServerPool &Pool, const Service &Kind,
@@ -163,9 +170,8 @@
   // time would begin on former weights whenever it wakes.
   if (lostAgent(View))
     return false;
-  const auto Former =
-      std::ranges::find(it->second.Formers, View.Weights, &FormerWeights::Set);
-  return Former != it->second.Formers.end() && Now < Former->Until;
+  const FormerWeights *Former = findFormer(it->second, View.Weights);
+  return Former != nullptr && Now < Former->Until;
 }
 
 /** Says whether a back end may get this request at all. */
@@ -404,9 +410,8 @@
       Formers, [&](const FormerWeights &One) { return Now >= One.Until; });
   if (!SomeOver && !Formers.empty())
     return "";
-  const auto Former =
-      std::ranges::find(Formers, View->Weights, &FormerWeights::Set);
-  return Former == Formers.end() ? Wanted->Version : Former->Version;
+  const FormerWeights *Former = findFormer(*Wanted, View->Weights);
+  return Former == nullptr ? Wanted->Version : Former->Version;
 }
 
 std::optional<TimePoint> mayBeginUntil(const ServerPool &Pool,
@@ -420,11 +425,8 @@
   // The agent of a back end that stands still says that it has no weights. On
   // waking it has those with which the request was sent.
   const Digest &Has = View->Weights.Value.empty() ? SentOn : View->Weights;
-  if (Has == Wanted->Set)
-    return std::nullopt;
-  const auto Former =
-      std::ranges::find(Wanted->Formers, Has, &FormerWeights::Set);
-  if (Former == Wanted->Formers.end())
+  const FormerWeights *Former = findFormer(*Wanted, Has);
+  if (Former == nullptr) // Wanted, or not known.
     return std::nullopt;
   return Former->Until + BeginWait;
 }
