routes: refused asks for a place use up no rate of a cold back end

Cause: after a loss of power all workers are cold. Change: an ask that ends without a place gives its start back.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -209,6 +209,12 @@
   return static_cast<double>(Recent) + 1 <= std::max(1.0, Share);
 }
 
+/** Forgets what began more than a second ago. */
+void dropOldStarts(ServerView &View, TimePoint Now) {
+  while (!View.Starts.empty() && Now - View.Starts.front() > Millis(1000))
+    View.Starts.pop_front();
+}
+
 double scoreOf(ServerPool &Pool, const ServerView &View, TimePoint Now) {
   double Score = workAt(View, Now) + randomPart(Pool);
   const Duration Reading =
@@ -293,8 +299,7 @@
     return;
   ServerView &View = *Found;
   ++View.Open;
-  while (!View.Starts.empty() && Now - View.Starts.front() > Millis(1000))
-    View.Starts.pop_front();
+  dropOldStarts(View, Now);
   if (Now < View.ColdUntil)
     View.Starts.push_back(Now);
 }
@@ -372,6 +377,13 @@
     return;
   case AttemptEnd::Dropped:
     return;
+  case AttemptEnd::NotSent:
+    // Each request asks several agents. Counted as load of a cold back end,
+    // the refused ones would use up its rate while it has next to nothing.
+    dropOldStarts(View, Now);
+    if (!View.Starts.empty())
+      View.Starts.pop_front(); // Which one it was matters little.
+    return;
   }
 }
 
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -113,7 +113,8 @@
   Refused,   ///< It said that it did not run it.
   Unreached, ///< No connection came about.
   Broken,    ///< It broke off, or sent what cannot be read.
-  Dropped    ///< Given up here; says nothing about the back end.
+  Dropped,   ///< Given up here; says nothing about the back end.
+  NotSent    ///< Its agent gave no place: the back end never heard of it.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -413,14 +413,16 @@
 
 void Exchange::attemptOver(AttemptEnd How) {
   const TimePoint Now = Shared.Clock.now();
-  const bool Open = Call != nullptr || Asking;
-  if (Call != nullptr && How != AttemptEnd::Answered)
+  const bool WasSent = Call != nullptr;
+  const bool Open = WasSent || Asking;
+  if (WasSent && How != AttemptEnd::Answered)
     logAttemptEnd(How, Now - CallBegan);
   placeOver(How);
   if (!Open)
     return;
   Call.reset();
-  attemptClosed(Shared.Pool, At, How, Now - CallBegan, Now);
+  attemptClosed(Shared.Pool, At, WasSent ? How : AttemptEnd::NotSent,
+                Now - CallBegan, Now);
 }
 
 /** No back end can take it: it is refused, unless it may have run. */
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -16,9 +16,9 @@
 namespace {
 
 /** Word of each AttemptEnd in log lines, in enum order. */
-constexpr std::array<std::string_view, 6> AttemptEndNames = {
-    "answered",  "back_end_error", "not_executed",
-    "unreached", "broken",         "given_up"};
+constexpr std::array<std::string_view, 7> AttemptEndNames = {
+    "answered", "back_end_error", "not_executed", "unreached",
+    "broken",   "given_up",       "not_sent"};
 
 /** Milliseconds since a moment; one that never was is the longest ago. */
 std::string ageOf(TimePoint Then, TimePoint Now) {
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -97,7 +97,7 @@
 /** Gives up the place at this back end and looks for another one. */
 void Exchange::askElsewhere(bool OnlyBusy) {
   placeOver(AttemptEnd::Dropped);
-  attemptClosed(Shared.Pool, At, AttemptEnd::Dropped, {}, Shared.Clock.now());
+  attemptClosed(Shared.Pool, At, AttemptEnd::NotSent, {}, Shared.Clock.now());
   placeRefused(Search, Needs, At, OnlyBusy);
   tryNext();
 }
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -1266,7 +1266,7 @@
 
   void askElsewhere(Process &At, const AskedPtr &One, bool OnlyBusy) {
     placeOver(At, *One, false);
-    attemptClosed(At.Pool, One->At, AttemptEnd::Dropped, {}, Now);
+    attemptClosed(At.Pool, One->At, AttemptEnd::NotSent, {}, Now);
     placeRefused(One->Search, One->Needs, One->At, OnlyBusy);
     tryNext(At, One);
   }
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -359,6 +359,22 @@
   BOOST_TEST(!One.choose("llm").empty());
 }
 
+BOOST_AUTO_TEST_CASE(RefusedAsksUseUpNoColdRate) {
+  // After a loss of power all workers are cold and idle. Each request asked a
+  // few agents for an idle one, the refused asks counted as requests that were
+  // sent, and soon everybody was turned away from workers with nothing to do.
+  Pool One;
+  for (BackEndServer &Row : One.Doc.Servers)
+    Row.ColdFor = Millis(3000);
+  One.follow();
+  for (int n = 0; n < 50; ++n) {
+    const std::string Id = One.choose("llm");
+    BOOST_TEST_REQUIRE(!Id.empty());
+    attemptOpened(One.State, {Id}, One.Now);
+    attemptClosed(One.State, {Id}, AttemptEnd::NotSent, {}, One.Now);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RegionsBindRouteAndTenant) {
   Pool One;
   One.Doc.RegionOf = {{{"d0"}, {"r0"}}, {{"d1"}, {"r1"}}};
