--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+/** Time beyond the wait of a new process for its peers in which its view
+ * becomes fresh: they start with it, and some of them answer on a second try.
+ */
+constexpr Millis JoinSlack{300};
+
 /** Names the entries with a working link that take callers. */
 std::set<HostName> linkedEntries(const Membership &Fleet) {
   std::set<HostName> Names;
@@ -40,12 +45,17 @@
 
 } // namespace
 
+TimePoint joinedBy(TimePoint Since, Millis JoinWait) {
+  return Since + JoinWait + JoinSlack;
+}
+
 FleetSnapshot fleetSnapshot(const EntryState &Entry, TimePoint Now) {
   FleetSnapshot Snapshot;
   const Membership &Fleet = Entry.Fleet;
   Snapshot.Ready = Entry.View.InForce != nullptr &&
                    (viewIsFresh(Fleet) ||
                     (Entry.Config.ServeCutOff && Fleet.Joining.WasFresh));
+  Snapshot.ReadyBy = joinedBy(Fleet.Joining.Since, Fleet.Times.JoinWait);
   // One that stood still has heard of nobody yet. Taken for an outage of the
   // list, it would let servers that vanished meanwhile be used for a while.
   Snapshot.ListingAway = viewIsFresh(Fleet) && !anybodyAnswered(Fleet, Now);
--- a/packages/core/src/forwarding/fleet_snapshot_func.h
+++ b/packages/core/src/forwarding/fleet_snapshot_func.h
@@ -8,6 +8,14 @@
 
 namespace jacinthpond {
 
+/**
+ * Gives until when a process that joins the fleet usually has a fresh view.
+ * @param Since When it began to join.
+ * @param JoinWait Its longest wait for peers.
+ * @return The time.
+ */
+TimePoint joinedBy(TimePoint Since, Millis JoinWait);
+
 /**
  * Sums up the fleet.
  * @param Entry The state.
--- a/packages/core/src/forwarding/fleet_snapshot_type.h
+++ b/packages/core/src/forwarding/fleet_snapshot_type.h
@@ -15,6 +15,7 @@
 /** What the control thread tells the traffic thread of the fleet. */
 struct FleetSnapshot {
   bool Ready = false;           ///< This entry may pass requests on.
+  TimePoint ReadyBy;            ///< Until then it may become ready.
   bool ListingAway = false;     ///< Nobody can read the platform's list.
   std::vector<EntryHost> Alive; ///< Entries that take callers, self included.
   uint32_t Sharers = 1; ///< Entries that may use the back ends, self included.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -45,6 +45,9 @@
 /** Largest answer that is held until it is whole. */
 constexpr size_t MaxWholeAnswer = 16 << 20;
 constexpr int64_t MostRemaining = int64_t{3600} * 1000;
+/** Requests that wait until a new entry has a view of the fleet; their bodies
+ * are held meanwhile. */
+constexpr size_t MostHeld = 256;
 
 /** Chooses among the services of a route by their weights. */
 const ServiceName &pickTarget(const Route &From, std::string_view Id) {
@@ -85,9 +88,44 @@
 void Exchange::start() {
   Shared.Counters.add(ForwardCount::Requests);
   Id = fieldOf(Asked, Shared.Wire.names().AttemptId);
-  Doc = Shared.Doc;
   Session->workedOnBy(shared_from_this());
   readDeadline();
+  if (waitForView())
+    return;
+  begin();
+}
+
+/**
+ * Holds a request that came while this entry joins the fleet. After a restart
+ * of all entries the callers whose connections broke come at once, within the
+ * quarter of a second that a view takes. They have one more try: refused, they
+ * would be gone, while their back ends are idle.
+ */
+bool Exchange::waitForView() {
+  if (hasView() || Shared.Refusing ||
+      Shared.Clock.now() >= std::min(Shared.Fleet.ReadyBy, Limit) ||
+      Shared.Held.size() >= MostHeld)
+    return false;
+  HeldForView = true;
+  Shared.Held.push_back(weak_from_this());
+  armTimer();
+  return true;
+}
+
+void Exchange::viewCame() {
+  if (!Session || !HeldForView)
+    return;
+  HeldForView = false;
+  begin();
+}
+
+bool Exchange::hasView() const {
+  return Shared.Doc != nullptr && Shared.Fleet.Ready;
+}
+
+/** Sends the request on, or refuses it. */
+void Exchange::begin() {
+  Doc = Shared.Doc;
   if (!findRoute() || !checkCaller())
     return;
   Age = callerAge(Shared.Callers, *From, Limit - Arrived);
@@ -104,7 +142,7 @@
 }
 
 bool Exchange::findRoute() {
-  if (Doc == nullptr || !Shared.Fleet.Ready) {
+  if (!hasView()) {
     endWith({ErrorKind::StaleView, "no configuration yet", {}}, Ran::No,
             "no_configuration");
     return false;
@@ -483,6 +521,8 @@
 void Exchange::armTimer() {
   const TimePoint Now = Shared.Clock.now();
   TimePoint Next = Limit;
+  if (HeldForView)
+    Next = std::min(Next, Shared.Fleet.ReadyBy);
   if (Asking)
     Next = std::min(Next, AskUntil);
   if (Call && canRepeat()) {
@@ -504,6 +544,10 @@
 
 void Exchange::timeCame() {
   const TimePoint Now = Shared.Clock.now();
+  if (HeldForView) { // It did not come in time: refused.
+    viewCame();
+    return;
+  }
   if (Now >= Limit) {
     limitCame();
     return;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -20,6 +20,7 @@
 class Exchange final : public SessionWork,
                        public CallEvents,
                        public PlaceWaiter,
+                       public ViewWaiter,
                        public std::enable_shared_from_this<Exchange> {
 public:
   /**
@@ -39,6 +40,7 @@
 
   void callerGone() override;
   void placeAnswered(const PlaceAnswer &Answer) override;
+  void viewCame() override;
   void callHead(const ResponseHead &Head) override;
   void callBody(std::string Bytes) override;
   void callEnded() override;
@@ -53,6 +55,9 @@
     Events   ///< Passed on event by event.
   };
 
+  bool hasView() const;
+  bool waitForView();
+  void begin();
   bool findRoute();
   bool checkCaller();
   void readDeadline();
@@ -104,16 +109,17 @@
   Digest SentOn;          ///< Weights there when it was sent; empty: no model.
   TimePoint LastProgress; ///< Last byte of the answer, or CallBegan.
   AnswerMode Mode = AnswerMode::Waiting;
-  ResponseHead Head;   ///< Of the answer under way.
-  std::string Body;    ///< Of a whole answer, so far.
-  AttemptId PlaceId;   ///< Asked for or held; empty: none.
-  LinkId PlaceLink;    ///< Agent that was asked.
-  bool Asking = false; ///< Its answer is awaited.
-  TimePoint AskUntil;  ///< The agent is taken for silent after that.
-  PlaceSearch Search;  ///< Agents asked for a place.
-  Millis RoomIn{0};    ///< Shortest time to room that an agent told.
-  uint32_t Sent = 0;   ///< Attempts that reached a back end.
-  uint32_t Tries = 0;  ///< Attempts, those without a connection included.
+  ResponseHead Head;        ///< Of the answer under way.
+  std::string Body;         ///< Of a whole answer, so far.
+  AttemptId PlaceId;        ///< Asked for or held; empty: none.
+  LinkId PlaceLink;         ///< Agent that was asked.
+  bool Asking = false;      ///< Its answer is awaited.
+  TimePoint AskUntil;       ///< The agent is taken for silent after that.
+  PlaceSearch Search;       ///< Agents asked for a place.
+  Millis RoomIn{0};         ///< Shortest time to room that an agent told.
+  uint32_t Sent = 0;        ///< Attempts that reached a back end.
+  uint32_t Tries = 0;       ///< Attempts, those without a connection included.
+  bool HeldForView = false; ///< Waits until this entry is ready.
   bool NewConnection = false; ///< A kept connection turned out to be closed.
   bool MayHaveRun = false;    ///< Some attempt may have been executed.
   bool HeadSent = false;      ///< The caller has the head of a stream.
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -37,6 +37,14 @@
   virtual void placeAnswered(const PlaceAnswer &Answer) = 0;
 };
 
+/** A request that waits until this entry may pass requests on. */
+class ViewWaiter {
+public:
+  virtual ~ViewWaiter() = default;
+  /** The entry is ready. */
+  virtual void viewCame() = 0;
+};
+
 /** State of the traffic thread; nothing else touches it while it runs. */
 struct ForwardContext {
   boost::asio::io_context Io{1};    ///< Runs on the traffic thread.
@@ -59,7 +67,8 @@
   std::string PlacePrefix; ///< Makes places unique for ever.
   uint64_t NextPlace = 1;  ///< Rest of the next place's name.
   std::map<AttemptId, std::weak_ptr<PlaceWaiter>> Waiting; ///< By place.
-  TrafficMetrics &Timings;                                 ///< Histograms.
+  std::vector<std::weak_ptr<ViewWaiter>> Held; ///< Came before the view.
+  TrafficMetrics &Timings;                     ///< Histograms.
 
   ForwardContext(const WirePort &Spoken, TrafficMetrics &Into)
       : Wire(Spoken), Timings(Into) {}
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "forward/exchange.h"
 #include "forward/socket_options.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/fleet_snapshot_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
@@ -90,6 +91,8 @@
 }
 
 bool Forwarder::start() {
+  Shared.Fleet.ReadyBy =
+      joinedBy(Shared.Clock.now(), Millis(Config.JoinWaitMillis));
   const bool Listening =
       listen(Config.RouteListen,
              rulesFor([this](const auto &Session, CallerRequest Asked) {
@@ -185,9 +188,18 @@
     Shared.Index = makeRouteIndex(*Doc);
     forgetOtherRoutes(Shared.Callers, *Doc);
     poolFollows(Shared.Pool, Doc, PublishedAfter, Now);
+    letHeldGoOn();
   });
 }
 
+void Forwarder::letHeldGoOn() {
+  if (!Shared.Fleet.Ready || Shared.Doc == nullptr)
+    return;
+  for (const auto &One : std::exchange(Shared.Held, {}))
+    if (const auto Waiter = One.lock())
+      Waiter->viewCame();
+}
+
 void Forwarder::placeAnswered(const PlaceAnswer &Answer) {
   boost::asio::post(Shared.Io, [this, Answer] {
     // Taken out with its answer: one that is left would keep the memory of its
@@ -211,6 +223,7 @@
     listingAway(Shared.Pool, Fleet.ListingAway, Shared.Clock.now());
     Shared.Pool.Entries = Fleet.Sharers;
     Shared.Fleet = Fleet;
+    letHeldGoOn();
   });
 }
 
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -91,6 +91,7 @@
   bool listen(const std::string &At, SessionRules Rules);
   void accept(Listener &On);
   void sweep();
+  void letHeldGoOn();
   SessionRules rulesFor(
       std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
           OnRequest);
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -270,4 +270,17 @@
   BOOST_TEST((Code && *Code == 0));
 }
 
+BOOST_AUTO_TEST_CASE(CallersThatComeWhileAnEntryJoinsAreHeld) {
+  // An entry was killed and started again. Its callers came back as soon as it
+  // listened, before it had a view of the fleet; refused, they had no try left.
+  All.process("entry-0").kill();
+  All.restart("entry-0");
+  httplib::Response First;
+  BOOST_TEST(waitFor(10s, [&] {
+    First = All.ask(0, write());
+    return First.status != -1;
+  }));
+  BOOST_TEST(First.status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet_snapshot_test.cpp
+++ b/tests/unit/fleet_snapshot_test.cpp
@@ -48,6 +48,22 @@
   BOOST_TEST(!fleetSnapshot(One.State, One.Now).ListingAway);
 }
 
+BOOST_AUTO_TEST_CASE(AStartingEntrySaysUntilWhenItMayBecomeReady) {
+  // All entries were killed and started again. Their callers came back while
+  // they joined the fleet, were refused for want of a view, and had no try left
+  // 0.2 s later, when every back end was idle. A request is held until then,
+  // and not for an entry that finds nobody.
+  OneEntry One;
+  const FleetSnapshot Starting = fleetSnapshot(One.State, One.Now);
+  BOOST_TEST(!Starting.Ready);
+  BOOST_TEST((Starting.ReadyBy > One.Now));
+  One.Now += Millis(3000);
+  entryTick(One.State, One.Now, One.Out);
+  const FleetSnapshot Alone = fleetSnapshot(One.State, One.Now);
+  BOOST_TEST(!Alone.Ready);
+  BOOST_TEST((Alone.ReadyBy < One.Now));
+}
+
 BOOST_AUTO_TEST_CASE(AServiceThatAnswersNobodyIsAnOutageOfTheList) {
   OneEntry One;
   One.read(document(5));
