places: an agent allows for the time to the first part

Cause: an entry let a request wait until its target less the usual time to a first part, half the target at most. Change: the agent learns that rest from what entries saw (with the end of a place) and lets a request wait only as long as its own prompt and that rest leave time. Where all first parts come late, places are still given while there is room.

--- a/packages/core/src/admission/reading.cpp
+++ b/packages/core/src/admission/reading.cpp
@@ -25,12 +25,15 @@
   return readingLeft(Debt, Now) <= MostReadingLeft;
 }
 
-void addReading(ReadingDebt &Debt, uint32_t Tokens, TimePoint Now) {
+Duration readingTime(const ReadingDebt &Debt, uint32_t Tokens) {
   if (Debt.TokensPerSecond <= 0)
-    return;
-  const std::chrono::duration<double> Takes(Tokens / Debt.TokensPerSecond);
-  Debt.Owed =
-      readingLeft(Debt, Now) + std::chrono::duration_cast<Duration>(Takes);
+    return Duration{0};
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Tokens / Debt.TokensPerSecond));
+}
+
+void addReading(ReadingDebt &Debt, uint32_t Tokens, TimePoint Now) {
+  Debt.Owed = readingLeft(Debt, Now) + readingTime(Debt, Tokens);
   Debt.At = Now;
 }
 
--- a/packages/core/src/admission/reading_func.h
+++ b/packages/core/src/admission/reading_func.h
@@ -32,6 +32,14 @@
  */
 bool mayRead(const ReadingDebt &Debt, TimePoint Now);
 
+/**
+ * Gives the time that one prompt takes.
+ * @param Debt The state.
+ * @param Tokens Its size.
+ * @return The time; 0 where the rate is not known.
+ */
+Duration readingTime(const ReadingDebt &Debt, uint32_t Tokens);
+
 /**
  * A prompt was given.
  * @param Debt State to change.
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_AGENT_TYPE_H
 
 #include "admission/admission_type.h"
+#include "admission/first_part_type.h"
 #include "admission/quarantine_type.h"
 #include "admission/reading_type.h"
 #include "attempts/ended_attempts_type.h"
@@ -51,6 +52,7 @@
   TimePoint Since;     ///< When it was asked for, then when it was given.
   TimePoint WaitUntil; ///< After that it is of no use.
   bool Given = false;  ///< The request may be at the back end.
+  Duration Reading{0}; ///< Prompts to be read when it was given.
   std::optional<TimePoint> LinkLost; ///< Since when nobody can speak of it.
 };
 
@@ -69,6 +71,7 @@
   ConfigView View;                       ///< Published configuration.
   Membership Fleet;                      ///< Links to entries and agents.
   ReadingDebt Reading;                   ///< Prompts given, not read yet.
+  FirstPartTime FirstPart;               ///< How long first parts take.
   Admission Gate;                        ///< Running and waiting work.
   WeightsState Weights;                  ///< Weights of the engine.
   TransferState Transfer;                ///< Exchange of chunks.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -402,7 +402,7 @@
     if (!Next)
       return;
     if (Agent.Places.contains(*Next)) {
-      givePlace(Agent, *Next, Now, Out);
+      givePlaceInTime(Agent, *Next, Now, Out);
       continue;
     }
     Attempt &One = Agent.Attempts.at(*Next);
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -3,6 +3,7 @@
 #include "attempts/place_func.h"
 
 #include "admission/admission_func.h"
+#include "admission/first_part_func.h"
 #include "admission/reading_func.h"
 #include "attempts/attempt_func.h"
 #include "weights/weights_func.h"
@@ -101,13 +102,29 @@
   return std::nullopt;
 }
 
+Millis millis(uint64_t Count) { return Millis(static_cast<int64_t>(Count)); }
+
+/**
+ * Gives how long a request may wait for a place and still have its first part
+ * in time. One that is given a place later is late, and makes those behind it
+ * late too, while fresh ones could still be on time.
+ */
+Duration usefulWait(const AgentState &Agent, const PlaceAsk &m) {
+  const Duration Longest = millis(m.WaitMillis);
+  if (m.FirstPartMillis == 0)
+    return Longest;
+  const Duration Takes = firstPartAfter(
+      Agent.FirstPart, readingTime(Agent.Reading, m.PromptTokens));
+  return std::clamp(millis(m.FirstPartMillis) - Takes, Duration{0}, Longest);
+}
+
 void addPlace(AgentState &Agent, LinkId Link, const PlaceAsk &m,
-              TimePoint Now) {
+              Duration MayWait, TimePoint Now) {
   Place One;
   One.Link = Link;
   One.Ask = m;
   One.Asked = One.Since = Now;
-  One.WaitUntil = Now + Millis(static_cast<int64_t>(m.WaitMillis));
+  One.WaitUntil = Now + MayWait;
   Agent.Places[m.Place] = One;
 }
 
@@ -131,7 +148,7 @@
                  timeToComeBack(Agent.Gate), Now, Out);
     return;
   }
-  addPlace(Agent, Link, m, Now);
+  addPlace(Agent, Link, m, millis(m.WaitMillis), Now);
   Agent.SparePlaces.push_back(m.Place);
   giveSparePlaces(Agent, Now, Out);
 }
@@ -144,13 +161,13 @@
           readingLeft(Agent.Reading, Now) > Millis(m.MostReadingMillis));
 }
 
-Admittee admitteeOf(const AgentState &Agent, const PlaceAsk &m) {
+Admittee admitteeOf(const AgentState &Agent, const PlaceAsk &m,
+                    Duration MayWait) {
   Admittee One;
   One.Who = {m.Place, m.Tenant, 1,
              FirstPriority - std::min(m.Rank, FirstPriority)};
   // The wait is bounded until the begin; the queue counts to the end.
-  One.Remaining =
-      Millis(static_cast<int64_t>(m.WaitMillis)) + Agent.Gate.ServiceTime;
+  One.Remaining = MayWait + Agent.Gate.ServiceTime;
   return One;
 }
 
@@ -173,8 +190,9 @@
                  timeToComeBack(Agent.Gate), Now, Out);
     return;
   }
-  const AdmissionAnswer Admitted =
-      askToRun(Agent.Gate, admitteeOf(Agent, m), mayRead(Agent.Reading, Now));
+  const Duration MayWait = usefulWait(Agent, m);
+  const AdmissionAnswer Admitted = askToRun(
+      Agent.Gate, admitteeOf(Agent, m, MayWait), mayRead(Agent.Reading, Now));
   if (Admitted.PushedOut)
     refusePlace(Agent, *Admitted.PushedOut,
                 {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
@@ -183,7 +201,7 @@
                  Now, Out);
     return;
   }
-  addPlace(Agent, Link, m, Now);
+  addPlace(Agent, Link, m, MayWait, Now);
   if (Admitted.May == Admitted::Run)
     givePlace(Agent, m.Place, Now, Out);
 }
@@ -199,12 +217,26 @@
   }
 }
 
+void givePlaceInTime(AgentState &Agent, const AttemptId &Which, TimePoint Now,
+                     Effects &Out) {
+  const Place &One = Agent.Places.at(Which);
+  // Its own prompt is allowed for in the wait, those before it are not.
+  if (Now + readingLeft(Agent.Reading, Now) <= One.WaitUntil) {
+    givePlace(Agent, Which, Now, Out);
+    return;
+  }
+  runEnded(Agent.Gate, Which, RunEnd::NotBegun, {});
+  refusePlace(Agent, Which,
+              {ErrorKind::Overloaded, "", timeToComeBack(Agent.Gate)}, Out);
+}
+
 void givePlace(AgentState &Agent, const AttemptId &Which, TimePoint Now,
                Effects &Out) {
   Place &One = Agent.Places.at(Which);
   One.Given = true;
   One.Since = Now;
   addReading(Agent.Reading, One.Ask.PromptTokens, Now);
+  One.Reading = readingLeft(Agent.Reading, Now);
   ++Agent.Counters.Started;
   answer(Agent, One.Link, One.Ask, nullptr, Now - One.Asked, Now, Out);
 }
@@ -232,6 +264,8 @@
     stopWaitingForPlace(Agent, m.Place);
     return;
   }
+  if (m.FirstPartMillis > 0)
+    firstPartSeen(Agent.FirstPart, millis(m.FirstPartMillis), One.Reading);
   const RunEnd Broken = m.Sent ? RunEnd::CutOff : RunEnd::NotBegun;
   runEnded(Agent.Gate, m.Place, m.Whole ? RunEnd::Whole : Broken,
            Now - One.Since);
--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -47,7 +47,18 @@
 void giveSparePlaces(AgentState &Agent, TimePoint Now, Effects &Out);
 
 /**
- * Gives a place whose turn has come.
+ * Gives a place whose turn has come, or refuses it where its answer would be
+ * late by now: the turn is of more use to the next one.
+ * @param Agent State to change; the place counts as running already.
+ * @param Which The place.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void givePlaceInTime(AgentState &Agent, const AttemptId &Which, TimePoint Now,
+                     Effects &Out);
+
+/**
+ * Gives a place.
  * @param Agent State to change; the place counts as running already.
  * @param Which The place.
  * @param Now Current time.
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -325,16 +325,6 @@
     View->Reading = Reading;
 }
 
-void firstPartCame(ServerPool &Pool, const ServiceName &Service,
-                   Duration Took) {
-  learnTime(Pool.UsualFirst, Service, Took);
-}
-
-Duration usualFirst(const ServerPool &Pool, const ServiceName &Service) {
-  const auto it = Pool.UsualFirst.find(Service);
-  return it == Pool.UsualFirst.end() ? Duration{0} : it->second;
-}
-
 Digest weightsAt(const ServerPool &Pool, const InstanceId &Id) {
   const ServerView *View = findServer(Pool, Id);
   return View == nullptr ? Digest{} : View->Weights;
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -153,22 +153,6 @@
  */
 void readingTold(ServerPool &Pool, const InstanceId &Id, Duration Reading);
 
-/**
- * The first part of an answer came.
- * @param Pool State to change.
- * @param Service Which service answered.
- * @param Took Time since the request was sent.
- */
-void firstPartCame(ServerPool &Pool, const ServiceName &Service, Duration Took);
-
-/**
- * Gives how long the first part of an answer usually takes.
- * @param Pool The state.
- * @param Service Which service.
- * @return The time; 0 before any answer came.
- */
-Duration usualFirst(const ServerPool &Pool, const ServiceName &Service);
-
 /**
  * An attempt ended.
  * @param Pool State to change.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -70,12 +70,11 @@
 
 /** All back ends that routes lead to. */
 struct ServerPool {
-  PoolOptions Options;                        ///< From the settings.
-  DocumentPtr Doc;                            ///< Document in force.
-  std::map<InstanceId, ServerView> Servers;   ///< By run.
-  std::map<ModelName, WantedWeights> Wanted;  ///< By model.
-  std::map<ServiceName, Duration> UsualTime;  ///< Length of an answer.
-  std::map<ServiceName, Duration> UsualFirst; ///< Time to its first part.
+  PoolOptions Options;                       ///< From the settings.
+  DocumentPtr Doc;                           ///< Document in force.
+  std::map<InstanceId, ServerView> Servers;  ///< By run.
+  std::map<ModelName, WantedWeights> Wanted; ///< By model.
+  std::map<ServiceName, Duration> UsualTime; ///< Length of an answer.
   TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
   uint32_t Entries = 1;        ///< Entries that share, this one included.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -56,6 +56,7 @@
   v("tenant", m.Tenant);
   v("rank", m.Rank);
   v("wait", m.WaitMillis);
+  v("first_part", m.FirstPartMillis);
   v("prompt", m.PromptTokens);
   v("most_reading", m.MostReadingMillis);
   v("spare", m.Spare);
@@ -74,6 +75,7 @@
   v("place", m.Place);
   v("whole", m.Whole);
   v("sent", m.Sent);
+  v("first_part", m.FirstPartMillis);
 }
 
 template <typename V> void describe(V &v, Heartbeat &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -221,11 +221,14 @@
  * send there itself.
  */
 struct PlaceAsk {
-  AttemptId Place;           ///< Unique for ever.
-  RequestId Request;         ///< For logs on both hosts.
-  TenantName Tenant;         ///< Whose request it is.
-  uint32_t Rank = 0;         ///< Urgency; 0 is first.
-  uint64_t WaitMillis = 0;   ///< Longest wait that is of use.
+  AttemptId Place;         ///< Unique for ever.
+  RequestId Request;       ///< For logs on both hosts.
+  TenantName Tenant;       ///< Whose request it is.
+  uint32_t Rank = 0;       ///< Urgency; 0 is first.
+  uint64_t WaitMillis = 0; ///< Longest wait that is of use.
+  /** Time in which the first part of the answer is wanted; 0: it need not come
+   * by a set time. The agent knows how long it takes and allows for it. */
+  uint64_t FirstPartMillis = 0;
   uint32_t PromptTokens = 0; ///< What the back end reads first; 0: not known.
   /** Refuse unless it can begin at once and no more than this is still to be
    * read; 0: any, and it may wait. */
@@ -245,9 +248,11 @@
 
 /** The request that had a place, or waited for one, is over. */
 struct PlaceDone {
-  AttemptId Place;    ///< Which place.
-  bool Whole = false; ///< It was answered to its end.
-  bool Sent = false;  ///< It reached the back end.
+  AttemptId Place;              ///< Which place.
+  bool Whole = false;           ///< It was answered to its end.
+  bool Sent = false;            ///< It reached the back end.
+  uint64_t FirstPartMillis = 0; ///< Time from the place to the first part of
+                                ///< the answer; 0: not known.
 };
 
 using Message =
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -342,7 +342,6 @@
   HeadSent = true;
   Needs.Weights = weightsAt(Shared.Pool, At);
   FirstByte = Shared.Clock.now();
-  firstPartCame(Shared.Pool, Needs.Service, *FirstByte - CallBegan);
   CallerAnswerHead Out;
   Out.result(Head.result());
   copyAnswerHeaders(Head, Out);
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -64,7 +64,7 @@
   void tryNext();
   bool couldGoElsewhere(TimePoint Now);
   void askPlace(const ServerView &Server);
-  Millis usefulWait(TimePoint Now) const;
+  Millis firstPartWithin(TimePoint Now) const;
   void placeOver(AttemptEnd How);
   void askElsewhere(bool OnlyBusy);
   void agentDidNotAnswer();
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -13,27 +13,15 @@
 
 /** Part of the target that is kept for the way of answer and request. */
 constexpr Millis AnswerMargin{20};
-/** Part of the target that the usual time to the first part may take. */
-constexpr int FirstPartShare = 2;
 /** Time in which an agent answers, beyond a wait that it was allowed: many
  * times the way between regions. */
 constexpr Millis AgentAnswerTime{150};
 
 } // namespace
 
-/**
- * Time for which a place is worth waiting for: what is left of the target less
- * the usual time to the first part of an answer. A request that waits longer is
- * late in any case and makes those behind it late.
- */
-Millis Exchange::usefulWait(TimePoint Now) const {
-  if (HeadSent)
-    return From->GapTarget;
-  // Where first parts usually come later than wanted, nobody would wait at all.
-  const Duration Usual = std::min<Duration>(
-      usualFirst(Shared.Pool, Needs.Service), From->Target / FirstPartShare);
-  const Duration Left =
-      Arrived - Age + From->Target - Now - Usual - AnswerMargin;
+/** Time in which the first part of the answer has to leave its back end. */
+Millis Exchange::firstPartWithin(TimePoint Now) const {
+  const Duration Left = Arrived - Age + From->Target - Now - AnswerMargin;
   return toMillis(std::max(Left, Duration{0}));
 }
 
@@ -45,7 +33,9 @@
   Ask.Tenant = Owner == nullptr ? TenantName{} : Owner->Name;
   // A stream that broke off is waited for by its caller.
   Ask.Rank = HeadSent ? 0 : rank();
-  Millis Wait = usefulWait(Now);
+  Millis Wait = HeadSent ? From->GapTarget : firstPartWithin(Now);
+  if (!HeadSent)
+    Ask.FirstPartMillis = static_cast<uint64_t>(Wait.count());
   if (!HeadSent && Wait.count() == 0) { // Late, whatever place is given.
     Ask.Spare = true;
     Wait = lateWait(Limit - Now);
@@ -112,6 +102,9 @@
   Done.Place = PlaceId;
   Done.Whole = How == AttemptEnd::Answered;
   Done.Sent = Call != nullptr && Call->sent();
+  if (FirstByte && *FirstByte >= CallBegan)
+    Done.FirstPartMillis =
+        static_cast<uint64_t>(toMillis(*FirstByte - CallBegan).count());
   Shared.SendToAgent(PlaceLink, Done);
   PlaceId = {};
 }
--- a/tests/unit/fleet_snapshot_test.cpp
+++ b/tests/unit/fleet_snapshot_test.cpp
@@ -57,8 +57,7 @@
   const FleetSnapshot Starting = fleetSnapshot(One.State, One.Now);
   BOOST_TEST(!Starting.Ready);
   BOOST_TEST((Starting.ReadyBy > One.Now));
-  One.Now += Millis(3000);
-  entryTick(One.State, One.Now, One.Out);
+  One.pass(Millis(3000));
   const FleetSnapshot Alone = fleetSnapshot(One.State, One.Now);
   BOOST_TEST(!Alone.Ready);
   BOOST_TEST((Alone.ReadyBy < One.Now));
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -1,6 +1,7 @@
 /** @file place_test.cpp Places at a back end, given by its agent. */
 // Labels: routes admission
 
+#include "admission/first_part_func.h"
 #include "admission/reading_func.h"
 #include "attempts/agent_func.h"
 #include "attempts/place_func.h"
@@ -303,3 +304,64 @@
   BOOST_REQUIRE(Answer);
   BOOST_CHECK(Answer->Why == ErrorKind::WeightsNotReady);
 }
+
+/** A request whose first part is wanted within a time. */
+PlaceAsk wantedWithin(const std::string &Id, Millis Time, uint32_t Prompt) {
+  PlaceAsk m;
+  m.Place.Value = Id;
+  m.Tenant.Value = "t";
+  m.WaitMillis = m.FirstPartMillis = static_cast<uint64_t>(Time.count());
+  m.PromptTokens = Prompt;
+  return m;
+}
+
+BOOST_AUTO_TEST_CASE(WhoWouldBeLateIsNotLetWait) {
+  // More callers came than all workers could serve. Each waited until just
+  // before its target for a place at a full engine, which then took another
+  // quarter of a second to its first token: a third of all answers were late,
+  // and fresh requests that could have been on time were refused meanwhile.
+  OneAgent One;
+  One.Agent.Reading.TokensPerSecond = 10000;
+  for (int n = 0; n < 50; ++n)
+    firstPartSeen(One.Agent.FirstPart, Millis(220), Millis(0));
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  One.Out.clear();
+  // 220 ms beside 150 ms of its own prompt leave no time for a wait.
+  takePlaceAsk(One.Agent, EntryA, wantedWithin("long", Millis(380), 1500),
+               One.Now, One.Out);
+  BOOST_REQUIRE(One.answered("long"));
+  BOOST_TEST(!One.given("long"));
+  One.Out.clear();
+  takePlaceAsk(One.Agent, EntryA, wantedWithin("short", Millis(380), 100),
+               One.Now, One.Out);
+  BOOST_TEST(!One.answered("short")); // Waits for 150 ms.
+  One.done("a");
+  BOOST_TEST(One.given("short"));
+}
+
+BOOST_AUTO_TEST_CASE(ATurnIsNotSpentOnWhoIsLateByNow) {
+  OneAgent One;
+  for (int n = 0; n < 50; ++n)
+    firstPartSeen(One.Agent.FirstPart, Millis(220), Millis(0));
+  One.ask("a", Millis(500));
+  One.ask("b", Millis(500));
+  takePlaceAsk(One.Agent, EntryA, wantedWithin("c", Millis(380), 0), One.Now,
+               One.Out);
+  One.Now += Millis(170); // 220 ms later it would be late.
+  One.done("a");
+  BOOST_REQUIRE(One.answered("c"));
+  BOOST_TEST(!One.given("c"));
+  BOOST_TEST(One.Agent.Gate.Running == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WhereAllFirstPartsComeLatePlacesAreGivenWhileThereIsRoom) {
+  // A route may want its first part sooner than its back ends ever give it. A
+  // late answer is better than none, as long as nobody has to wait for it.
+  OneAgent One;
+  for (int n = 0; n < 50; ++n)
+    firstPartSeen(One.Agent.FirstPart, Millis(900), Millis(0));
+  takePlaceAsk(One.Agent, EntryA, wantedWithin("a", Millis(380), 0), One.Now,
+               One.Out);
+  BOOST_TEST(One.given("a"));
+}
