routes: refused callers come back when they can be told from fresh ones

Cause: in a shortage callers were told to come back after 0.15 to 0.4 s. Deadlines of fresh callers differ by a sixth (5.1 to 6.0 s here), so that such a caller passed for a fresh one and took a place from one that could still be on time.

--- a/packages/core/src/forwarding/caller_age.cpp
+++ b/packages/core/src/forwarding/caller_age.cpp
@@ -38,6 +38,14 @@
   return std::max(Shortest - Told, Duration{0});
 }
 
+Duration awayToBeKnown(const CallerHabits &Habits, const Route &From) {
+  const auto it = Habits.FirstDeadline.find(From.Name);
+  if (it == Habits.FirstDeadline.end())
+    return Duration{0};
+  return std::chrono::duration_cast<Duration>(it->second *
+                                              (1 - FirstDeadlinePart));
+}
+
 void forgetOtherRoutes(CallerHabits &Habits, const Document &Doc) {
   std::set<std::string_view> Names;
   for (const Route &One : Doc.Routes)
--- a/packages/core/src/forwarding/caller_age_func.h
+++ b/packages/core/src/forwarding/caller_age_func.h
@@ -25,6 +25,16 @@
  */
 Duration callerAge(CallerHabits &Habits, const Route &From, Duration Left);
 
+/**
+ * Gives how long a refused caller has to stay away to be known for one when it
+ * comes back. Sooner it would pass for a fresh one and take the place of one
+ * that can still be on time, while itself it is late in any case.
+ * @param Habits The state.
+ * @param From The route of the request.
+ * @return The time; 0 where nothing is known.
+ */
+Duration awayToBeKnown(const CallerHabits &Habits, const Route &From);
+
 /**
  * Forgets routes that a document does not have; names change with it.
  * @param Habits State to change.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -463,8 +463,11 @@
 }
 
 /** No back end can take it: it is refused, unless it may have run. */
-void Exchange::endWithoutServer(const Failure &Why, const char *Reason) {
+void Exchange::endWithoutServer(Failure Why, const char *Reason) {
   if (!MayHaveRun) {
+    if (Why.Kind == ErrorKind::Overloaded)
+      Why.RetryAfter = std::max(retryAfter(Why),
+                                toMillis(awayToBeKnown(Shared.Callers, *From)));
     endWith(Why, Ran::No, Reason);
     return;
   }
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -77,7 +77,7 @@
   bool canRepeat() const;
   bool attemptsLeft() const;
   void endWith(const Failure &Why, Ran Executed, const char *Reason);
-  void endWithoutServer(const Failure &Why, const char *Reason);
+  void endWithoutServer(Failure Why, const char *Reason);
   void armTimer();
   void timeCame();
   void limitCame();
--- a/tests/unit/caller_age_test.cpp
+++ b/tests/unit/caller_age_test.cpp
@@ -72,3 +72,18 @@
   BOOST_TEST(lateWait(std::chrono::hours(1)).count() <= 2000);
   BOOST_TEST(lateWait(Duration{-1}).count() == 0);
 }
+
+BOOST_AUTO_TEST_CASE(WhoWasSentAwayForThatLongIsKnownWhenItComesBack) {
+  // More callers came than could be served. Refused ones came back after 0.2 s,
+  // passed for fresh ones, since callers' deadlines differ by a sixth, and took
+  // the places of others that could still be on time; they themselves were
+  // late.
+  CallerHabits Habits;
+  const Route From = streams();
+  BOOST_TEST((awayToBeKnown(Habits, From) == Duration{0}));
+  learn(Habits, From);
+  const Duration Away = awayToBeKnown(Habits, From);
+  BOOST_TEST((Away > Millis(1000) && Away < Millis(1300)));
+  BOOST_TEST((callerAge(Habits, From, Millis(5999) - Away) >= Duration{0}));
+  BOOST_TEST((callerAge(Habits, From, Millis(5900) - Away) > Duration{0}));
+}
