routes: agents that do not answer asks in time are asked last

Cause: three hosts' links fell to a twentieth for 7 s. Change: an ask may take an eighth of the route's target, 25 to 150 ms, and an agent that lets two in a row pass is asked last, twice as long each time.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -25,6 +25,8 @@
 constexpr double UsualErrors = 0.25;
 /** Requests by which a back end that fails everything counts as busier. */
 constexpr double ErrorPenalty = 40;
+/** The same while its agent does not answer asks in time. */
+constexpr double SlowPenalty = 40;
 /**
  * Part of its slots by which a back end of another domain counts as busier. The
  * way there costs bytes between regions and a round trip for each agent that is
@@ -224,6 +226,8 @@
   if (View.Listed.Domain != Pool.Options.Domain)
     Score += FarPart * static_cast<double>(View.Listed.Slots);
   Score += ErrorPenalty * std::max(0.0, View.ErrorShare - UsualErrors);
+  if (Now < View.SlowUntil)
+    Score += SlowPenalty;
   return Score;
 }
 
@@ -321,8 +325,11 @@
 }
 
 void readingTold(ServerPool &Pool, const InstanceId &Id, Duration Reading) {
-  if (ServerView *View = findServer(Pool, Id))
-    View->Reading = Reading;
+  ServerView *View = findServer(Pool, Id);
+  if (View == nullptr)
+    return;
+  View->Reading = Reading;
+  View->SlowAsks = 0;
 }
 
 Digest weightsAt(const ServerPool &Pool, const InstanceId &Id) {
@@ -383,6 +390,14 @@
     return;
   View->Agent->Fresh = false;
   View->SilentSince = Now;
+  // Behind a link that became narrow heartbeats still get through, and little
+  // work makes the back end look idle: each request would lose the time of an
+  // ask there. One ask may have been lost. Ranked last and not left out: the
+  // narrow link may be our own.
+  const uint32_t Doublings = std::min(View->SlowAsks, MaxAvoidDoublings);
+  if (View->SlowAsks > 0)
+    View->SlowUntil = Now + FirstAvoid * (1U << Doublings) / 2;
+  ++View->SlowAsks;
 }
 
 bool mayStillUse(const ServerPool &Pool, const InstanceId &Id,
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -53,7 +53,8 @@
 bool hasAgent(const ServerView &View);
 
 /**
- * An agent did not answer: its back end is used without it, until it speaks.
+ * An agent did not answer an ask in time: its back end is used without it,
+ * until it speaks. Where that happens again, it is asked last for a while.
  * @param Pool State to change.
  * @param Id Which back end.
  * @param Now Current time.
@@ -146,7 +147,7 @@
 Digest weightsAt(const ServerPool &Pool, const InstanceId &Id);
 
 /**
- * An agent told how much its back end has to read.
+ * An agent answered an ask, and told how much its back end has to read.
  * @param Pool State to change.
  * @param Id Which back end.
  * @param Reading Time that the reading takes.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -38,6 +38,8 @@
   Digest Weights;                 ///< What it has loaded, newest word.
   uint32_t Failures = 0;          ///< Attempts in a row that broke.
   TimePoint AvoidUntil;           ///< Left alone until then.
+  uint32_t SlowAsks = 0;          ///< Asks in a row without a timely answer.
+  TimePoint SlowUntil;            ///< Its agent is asked last until then.
   double ErrorShare = 0;          ///< Answers that were errors, weighed.
   TimePoint LastHeard;            ///< Last byte of any answer of it.
   TimePoint ColdUntil;            ///< Bears little until then.
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -13,9 +13,13 @@
 
 /** Part of the target that is kept for the way of answer and request. */
 constexpr Millis AnswerMargin{20};
-/** Time in which an agent answers, beyond a wait that it was allowed: many
- * times the way between regions. */
-constexpr Millis AgentAnswerTime{150};
+/** Part of the target in which an agent answers, beyond a wait that it was
+ * allowed; another one can be asked in what is left. */
+constexpr int AgentAnswerPart = 8;
+/** Bounds of that time: many times the way between regions, and long enough for
+ * one packet that is sent again. */
+constexpr Millis LeastAnswerTime{25};
+constexpr Millis MostAnswerTime{150};
 
 } // namespace
 
@@ -47,7 +51,8 @@
   const Millis MostReading = mostReading(Search);
   Ask.MostReadingMillis = static_cast<uint32_t>(MostReading.count());
   placeAsked(Search);
-  AskUntil = Now + AgentAnswerTime;
+  AskUntil = Now + std::clamp(From->Target / AgentAnswerPart, LeastAnswerTime,
+                              MostAnswerTime);
   if (MostReading.count() == 0)
     AskUntil += Wait; // It may wait there.
   PlaceId = Ask.Place;
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -375,6 +375,51 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnAgentBehindANarrowLinkIsAskedLast) {
+  // The links of three hosts became narrow. Asks for places there went
+  // unanswered, heartbeats still came, and with little to do the three looked
+  // idle: nearly every request asked them first and lost its time on it.
+  Pool One;
+  for (const char *Id : {"m0", "m1", "m2"})
+    agentTold(
+        One.State,
+        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
+        One.Now);
+  const auto Beats = [&] {
+    agentTold(One.State, {{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
+              One.Now);
+  };
+  const auto Unanswered = [&] {
+    agentSilent(One.State, {"m0"}, One.Now);
+    Beats();
+  };
+  Unanswered();
+  BOOST_TEST(One.spread("llm")["m0"] > 0); // That may have been lost.
+  Unanswered();
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+  One.Now += Millis(300);
+  BOOST_TEST(One.spread("llm")["m0"] > 0); // Tried once more.
+  Unanswered();
+  One.Now += Millis(500); // Twice as long this time.
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+  readingTold(One.State, {"m0"}, Duration{0}); // It answered one.
+  One.Now += Millis(100);
+  Unanswered();
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryWhoseOwnLinkIsNarrowStillChooses) {
+  Pool One;
+  for (const char *Id : {"m0", "m1", "m2"}) {
+    agentTold(
+        One.State,
+        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
+        One.Now);
+    agentSilent(One.State, {Id}, One.Now);
+  }
+  BOOST_TEST(!One.choose("llm").empty());
+}
+
 BOOST_AUTO_TEST_CASE(RegionsBindRouteAndTenant) {
   Pool One;
   One.Doc.RegionOf = {{{"d0"}, {"r0"}}, {{"d1"}, {"r1"}}};
