--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -18,16 +18,31 @@
 
 /** Time after which a pull counts as lost and another peer is asked. */
 constexpr Millis PullTimeout{1000};
+/** Time for which a peer of the own domain is waited for, before a document is
+ * pulled over a link between regions: a few ways there and back. */
+constexpr Millis NearPullWait{100};
 
-/** Gives the peer to pull from: any of those with the highest version. */
-const PeerLink *newestPeer(const ConfigView &View, const Membership &Fleet) {
+bool isAhead(const ConfigView &View, const PeerLink &Peer) {
+  return Peer.State == LinkState::Ready && !Peer.PushRefused &&
+         Peer.Version > versionInForce(View);
+}
+
+bool isNear(const Membership &Fleet, const PeerLink &Peer) {
+  return Peer.Peer.Domain == Fleet.Self.Domain;
+}
+
+/**
+ * Gives the peer to pull from: any of those with the highest version.
+ * @param NearOnly Only those of the own domain.
+ */
+const PeerLink *newestPeer(const ConfigView &View, const Membership &Fleet,
+                           bool NearOnly) {
   const PeerLink *Best = nullptr;
   uint64_t BestScore = 0;
   const std::string Key =
       Fleet.Self.Name.Value + "/" + std::to_string(Fleet.Pull.Sent);
   for (const auto &[Link, Peer] : Fleet.Links) {
-    if (Peer.State != LinkState::Ready || Peer.PushRefused ||
-        Peer.Version <= versionInForce(View))
+    if (!isAhead(View, Peer) || (NearOnly && !isNear(Fleet, Peer)))
       continue;
     const uint64_t Score = rendezvousScore(Key, Peer.Peer.Name.Value);
     const bool Better = Best == nullptr || Peer.Version > Best->Version ||
@@ -40,6 +55,26 @@
   return Best;
 }
 
+/**
+ * Gives the peer to pull from now. Each domain has readers of the service, so
+ * that a document is usually to be had near, and needs to cross to each domain
+ * only once.
+ */
+const PeerLink *peerToPullFrom(const ConfigView &View, Membership &Fleet,
+                               TimePoint Now) {
+  const PeerLink *Any = newestPeer(View, Fleet, false);
+  if (Any == nullptr) {
+    Fleet.Pull.BehindSince.reset();
+    return nullptr;
+  }
+  if (!Fleet.Pull.BehindSince)
+    Fleet.Pull.BehindSince = Now;
+  if (const PeerLink *Near = newestPeer(View, Fleet, true))
+    return Near;
+  const bool Waited = Now - *Fleet.Pull.BehindSince >= NearPullWait;
+  return Waited || !viewIsFresh(Fleet) ? Any : nullptr;
+}
+
 /** Raises an alarm when a peer has another document of the same version. */
 void compareDigests(const ConfigView &View, Membership &Fleet,
                     ConfigVersion Theirs, const Digest &TheirDigest,
@@ -106,6 +141,7 @@
   // published meanwhile. Bounds that run from the publication would be longer
   // by that time if they were counted from when it was heard.
   View.PublishedAfter = Fleet.Joining.KnownCurrent;
+  Fleet.Pull.BehindSince.reset();
   Fleet.Self.Version = versionInForce(View);
   Fleet.Self.ConfigDigest = digestInForce(View);
   Out.push_back(LogNote{
@@ -120,7 +156,12 @@
           (View.PublishedAfter
                ? std::to_string(toMillis(Now - *View.PublishedAfter).count())
                : "-")});
-  sendHeartbeats(Fleet, View, Now, Out);
+  // Entries tell everybody at once. What an agent adds is for its own domain;
+  // all agents telling all others would be most bytes between regions.
+  if (Fleet.Self.Sender == Role::Agent)
+    sendHeartbeatsNear(Fleet, View, Now, Out);
+  else
+    sendHeartbeats(Fleet, View, Now, Out);
   return Became;
 }
 
@@ -133,7 +174,7 @@
                         Now - Fleet.Pull.At < PullTimeout;
   if (UnderWay)
     return;
-  const PeerLink *Peer = newestPeer(View, Fleet);
+  const PeerLink *Peer = peerToPullFrom(View, Fleet, Now);
   if (Peer == nullptr)
     return;
   Fleet.Pull.Link = Peer->Link;
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -154,6 +154,25 @@
   Beat.Load.Weights = {};
 }
 
+static void sendHeartbeat(const Membership &Fleet, PeerLink &To,
+                          const ConfigView &Config, TimePoint Now,
+                          Effects &Out) {
+  if (To.State == LinkState::Opening)
+    return;
+  const auto &Heard = Fleet.Joining.ServiceHeard;
+  Heartbeat Beat;
+  Beat.Sequence = ++To.SentHeartbeats;
+  Beat.Run = Fleet.Self.Run;
+  Beat.Version = versionInForce(Config);
+  Beat.ConfigDigest = digestInForce(Config);
+  Beat.Leaving = Fleet.Leaving;
+  Beat.Fresh = Fleet.Joining.Fresh;
+  Beat.Service = Heard && Now - *Heard <= Fleet.Times.CutOff;
+  Beat.Load = Fleet.Load;
+  leaveOutDigests(Beat, To);
+  Out.push_back(SendMessage{To.Link, Beat});
+}
+
 void heartbeatHeard(Membership &Fleet, LinkId Link, const Heartbeat &Beat,
                     TimePoint Now) {
   const auto it = Fleet.Links.find(Link);
@@ -182,23 +201,15 @@
 void sendHeartbeats(Membership &Fleet, const ConfigView &Config, TimePoint Now,
                     Effects &Out) {
   Fleet.LastHeartbeat = Now;
-  const auto &Heard = Fleet.Joining.ServiceHeard;
-  const bool Service = Heard && Now - *Heard <= Fleet.Times.CutOff;
-  for (auto &[Link, Peer] : Fleet.Links) {
-    if (Peer.State == LinkState::Opening)
-      continue;
-    Heartbeat Beat;
-    Beat.Sequence = ++Peer.SentHeartbeats;
-    Beat.Run = Fleet.Self.Run;
-    Beat.Version = versionInForce(Config);
-    Beat.ConfigDigest = digestInForce(Config);
-    Beat.Leaving = Fleet.Leaving;
-    Beat.Fresh = Fleet.Joining.Fresh;
-    Beat.Service = Service;
-    Beat.Load = Fleet.Load;
-    leaveOutDigests(Beat, Peer);
-    Out.push_back(SendMessage{Link, Beat});
-  }
+  for (auto &[Link, Peer] : Fleet.Links)
+    sendHeartbeat(Fleet, Peer, Config, Now, Out);
+}
+
+void sendHeartbeatsNear(Membership &Fleet, const ConfigView &Config,
+                        TimePoint Now, Effects &Out) {
+  for (auto &[Link, Peer] : Fleet.Links)
+    if (Peer.Peer.Domain == Fleet.Self.Domain)
+      sendHeartbeat(Fleet, Peer, Config, Now, Out);
 }
 
 bool mayBeatEarly(const Membership &Fleet, TimePoint Now) {
--- a/packages/core/src/membership/membership_func.h
+++ b/packages/core/src/membership/membership_func.h
@@ -101,6 +101,16 @@
 std::vector<LinkId> membershipTick(Membership &Fleet, const ConfigView &Config,
                                    TimePoint Now, Effects &Out);
 
+/**
+ * Sends a heartbeat at once over each link to a peer of the own domain.
+ * @param Fleet State to change.
+ * @param Config What heartbeats say is in force.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void sendHeartbeatsNear(Membership &Fleet, const ConfigView &Config,
+                        TimePoint Now, Effects &Out);
+
 /**
  * Sends a heartbeat over every ready link at once.
  * @param Fleet State to change.
--- a/packages/core/src/membership/membership_type.h
+++ b/packages/core/src/membership/membership_type.h
@@ -73,6 +73,7 @@
   std::optional<LinkId> Link; ///< Where it was sent.
   TimePoint At;               ///< When.
   uint64_t Sent = 0;          ///< Pulls so far; varies the choice of a peer.
+  std::optional<TimePoint> BehindSince; ///< Since when a peer has a newer one.
 };
 
 /** Which run of a host leaves; run 0 means the host, whatever runs. */
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -71,6 +71,39 @@
   BOOST_TEST(pullsSent() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ADocumentIsPulledFromTheOwnDomainFirst) {
+  // Documents were most of the bytes between regions: each process pulled from
+  // whoever told it first, and that was as often a peer of another region.
+  read(document(5));
+  joinAll(5);
+  BOOST_REQUIRE(fresh());
+  State.Fleet.Links.at(linkOf("b")).Peer.Domain.Value = "far";
+  Out.clear();
+  Heartbeat Beat = beat("b");
+  Beat.Version.Value = 6;
+  hear("b", Beat);
+  BOOST_TEST(pullsSent() == 0U);
+  pass(Millis{50});
+  Heartbeat Near = beat("c");
+  Near.Version.Value = 6;
+  hear("c", Near);
+  BOOST_TEST(pullsSent() == 1U);
+  BOOST_TEST((State.Fleet.Pull.Link == linkOf("c")));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutANearPeerADocumentComesFromFar) {
+  read(document(5));
+  joinAll(5);
+  State.Fleet.Links.at(linkOf("b")).Peer.Domain.Value = "far";
+  Out.clear();
+  Heartbeat Beat = beat("b");
+  Beat.Version.Value = 6;
+  hear("b", Beat);
+  pass(Millis{150});
+  BOOST_TEST(pullsSent() == 1U);
+  BOOST_TEST((State.Fleet.Pull.Link == linkOf("b")));
+}
+
 BOOST_AUTO_TEST_CASE(ASilentReaderIsReplacedByTheNextRank) {
   // The service was away. Those that read were still waiting after failures
   // when it was back; one that had read in their stead stopped as soon as it
--- a/tests/unit/one_entry.h
+++ b/tests/unit/one_entry.h
@@ -65,6 +65,7 @@
     Peer.Sender = Name == "w" ? Role::Agent : Role::Entry;
     Peer.Run.Value = 11;
     Peer.Name.Value = Name;
+    Peer.Domain.Value = "d"; // As document() says.
     Peer.Version.Value = Version;
     Peer.Fresh = Fresh;
     entryMessage(State, Link, Peer, Now, Out);
