weights: a few agents of a domain read a chunk list and tell it

Cause: every agent read the list of a new version twice from the origin. Change: the first two agents of each domain read at once and tell their domain, the others wait 0.4 s to be told. A list that is told before its document is kept. How lists are learnt stands in a file of its own.

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <type_traits>
 
 namespace jacinthpond {
@@ -39,6 +40,31 @@
 constexpr uint64_t
     EnumSize<ErrorKind> = static_cast<uint64_t>(ErrorKind::Count);
 
+/** Stands between digests, which are letters and digits. */
+constexpr char DigestEnd = '\n';
+
+/** Puts digests into one field: a list in the list of a message would have to
+ * be bounded on its own. */
+std::string joinDigests(const std::vector<Digest> &All) {
+  return std::accumulate(All.begin(), All.end(), std::string(),
+                         [](std::string Sum, const Digest &One) {
+                           return std::move(Sum) + One.Value + DigestEnd;
+                         });
+}
+
+/** Takes digests out of one field; false when it ends in the middle of one. */
+bool splitDigests(const std::string &Text, std::vector<Digest> &Into) {
+  Into.clear();
+  for (size_t Begin = 0; Begin < Text.size();) {
+    const size_t End = Text.find(DigestEnd, Begin);
+    if (End == std::string::npos)
+      return false;
+    Into.push_back({Text.substr(Begin, End - Begin)});
+    Begin = End + 1;
+  }
+  return true;
+}
+
 /** Visitor that writes each field behind the one before. */
 struct FieldWriter {
   Json List = Json::array(); ///< The message so far.
@@ -52,6 +78,8 @@
       List.push_back(Json::binary({Field.begin(), Field.end()}));
     else if constexpr (std::is_same_v<T, std::vector<uint8_t>>)
       List.push_back(Json::binary(Field));
+    else if constexpr (std::is_same_v<T, std::vector<Digest>>)
+      (*this)(Name, joinDigests(Field));
     else
       List.push_back(Field);
   }
@@ -88,6 +116,11 @@
     return true;
   }
 
+  static bool read(const Json &Value, std::vector<Digest> &Field) {
+    std::string Text;
+    return read(Value, Text) && splitDigests(Text, Field);
+  }
+
   static bool read(const Json &Value, bool &Field) {
     if (!Value.is_boolean())
       return false;
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -7,6 +7,7 @@
 #include "admission/token_pace_func.h"
 #include "attempts/attempt_func.h"
 #include "attempts/back_end_death_func.h"
+#include "attempts/chunk_list_func.h"
 #include "attempts/idempotency_func.h"
 #include "attempts/keyed_attempt_func.h"
 #include "attempts/place_func.h"
@@ -36,8 +37,6 @@
 /** Requests beyond its slots that a back end is given, so that the next one is
  * there when one ends; it would stand idle for the way from an entry. */
 constexpr uint32_t SlotsAhead = 1;
-/** Wait before a list of chunks that could not be read is read again. */
-constexpr Millis ListRetry{300};
 /** Gap between two ticks that shows that this process was paused. */
 constexpr Millis LongestTickGap{250};
 
@@ -87,49 +86,6 @@
     sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
 }
 
-/** Follows a version whose chunks are known, and looks what lies staged. */
-void wantVersion(AgentState &Agent, const ModelVersion &Wanted, TimePoint Now,
-                 Effects &Out) {
-  const bool New = Agent.Weights.Wanted.Set != Wanted.Set;
-  if (New)
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
-                          "event=set_wanted set=" + Wanted.Set.Value +
-                              " loaded=" + Agent.Weights.Loaded.Value});
-  wantWeights(Agent.Weights, Wanted);
-  planTransfer(Agent.Transfer, Agent.Weights, *Agent.View.InForce,
-               Agent.Fleet.Self.Name, Now);
-  // An agent that was started again beside a loaded engine need not fetch what
-  // lies there, and others can fetch it from here.
-  if (New && !Agent.Config.EngineUrl.empty() && !Wanted.Origin.Value.empty())
-    Out.push_back(ReadStaged{missingChunks(Agent.Transfer)});
-}
-
-/** Reads the chunk list of a version whose document does not hold it. */
-void readList(AgentState &Agent, TimePoint Now, Effects &Out) {
-  const ModelVersion &Wanted = Agent.Listing;
-  if (Wanted.Set.Value.empty() || Agent.ListAsked || Now < Agent.NextListRead)
-    return;
-  Agent.ListAsked = true;
-  Out.push_back(
-      ReadChunkList{{Wanted.Name, Wanted.Version, 0, {}, Wanted.Origin}});
-}
-
-/** Begins to read a list, unless that version is known or being read. */
-void wantList(AgentState &Agent, const ModelVersion &Wanted, TimePoint Now,
-              Effects &Out) {
-  if (Agent.Weights.Wanted.Set == Wanted.Set) {
-    Agent.Listing = {};
-    return;
-  }
-  if (Agent.Listing.Set == Wanted.Set)
-    return;
-  Agent.Listing = Wanted;
-  Agent.ListRead.reset();
-  Agent.NextListRead = Now;
-  Agent.ListAsked = false;
-  readList(Agent, Now, Out);
-}
-
 /** A listed back end says itself how much it works on at a time. */
 void followSlots(AgentState &Agent, const Document &Doc) {
   const std::string &Self = Agent.Fleet.Self.Name.Value;
@@ -161,7 +117,7 @@
       noteNewest(Agent.Weights, Wanted->Set,
                  Agent.View.PublishedAfter.value_or(Now));
     if (Wanted != nullptr && !Wanted->Origin.Value.empty())
-      wantList(Agent, *Wanted, Now, Out);
+      followVersion(Agent, *Wanted, Now, Out);
     else if (Wanted != nullptr)
       wantWeights(Agent.Weights, *Wanted);
     planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
@@ -308,6 +264,10 @@
                           chunkHaveHeard(Agent.Transfer, Link, Have, Now);
                           moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
                         },
+                        [&](const ChunkListTold &List) {
+                          if (listTold(Agent, Link, List, Now, Out))
+                            announceChange(Agent, Now, Out);
+                        },
                         [&](const ChunkRequest &Asked) {
                           chunkRequested(Agent.Transfer, Agent.Weights, Link,
                                          Asked, Out);
@@ -459,32 +419,8 @@
 void chunkListRead(AgentState &Agent, const ChunkRef &Version,
                    const Outcome<ChunkList> &Read, TimePoint Now,
                    Effects &Out) {
-  const ModelVersion &Wanted = Agent.Listing;
-  if (Wanted.Name != Version.Model || Wanted.Version != Version.Version)
-    return; // Another version is wanted by now.
-  Agent.ListAsked = false;
-  if (!Read.Value || Read.Value->Chunks.empty()) {
-    Agent.NextListRead = Now + ListRetry;
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
-                          "Chunk list of version " + Version.Version +
-                              " not read: " + Read.Why.Detail});
-    return;
-  }
-  // The list may be damaged on its way, and nothing vouches for it: it counts
-  // once two readings agree.
-  if (Agent.ListRead != Read.Value) {
-    Agent.ListRead = Read.Value;
-    readList(Agent, Now, Out);
-    return;
-  }
-  ModelVersion Known = Wanted;
-  Known.Chunks = Read.Value->Chunks;
-  Known.ChunkBytes = Read.Value->ChunkBytes;
-  Known.TotalBytes = Known.ChunkBytes * Known.Chunks.size();
-  Agent.Listing = {};
-  wantVersion(Agent, Known, Now, Out);
-  moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
-  announceChange(Agent, Now, Out);
+  if (listRead(Agent, Version, Read, Now, Out))
+    announceChange(Agent, Now, Out);
 }
 
 void peerSentPart(AgentState &Agent, LinkId Link, const ChunkData &Data,
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -89,8 +89,9 @@
   ModelVersion
       Listing; ///< Version whose chunk list is being read; may be empty.
   std::optional<ChunkList> ListRead; ///< What the first reading gave.
-  TimePoint NextListRead;            ///< Earliest time of the next reading.
-  bool ListAsked = false;            ///< A reading is under way.
+  ChunkListTold LastTold; ///< List that an agent told last; may be empty.
+  TimePoint NextListRead; ///< Earliest time of the next reading.
+  bool ListAsked = false; ///< A reading is under way.
   uint32_t ToldWork = 0;  ///< Work in the last heartbeat before its time.
   bool Stopping = false;  ///< No new work is taken.
   AgentCounters Counters; ///< What happened so far.
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -11,10 +11,11 @@
 namespace jacinthpond {
 
 constexpr std::array<std::string_view, std::variant_size_v<Message>>
-    MessageNames = {
-        "hello", "heartbeat", "pull",    "push",  "start",  "begun",  "frame",
-        "end",   "failed",    "cancel",  "query", "status", "chunk?", "chunk",
-        "have",  "suspect",   "leaving", "entry", "place?", "place",  "done"};
+    MessageNames = {"hello",   "heartbeat", "pull",   "push",   "start",
+                    "begun",   "frame",     "end",    "failed", "cancel",
+                    "query",   "status",    "chunk?", "chunk",  "have",
+                    "suspect", "leaving",   "entry",  "place?", "place",
+                    "done",    "list"};
 
 } // namespace jacinthpond
 
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -177,6 +177,13 @@
   v("coming", m.Coming);
 }
 
+template <typename V> void describe(V &v, ChunkListTold &m) {
+  v("model", m.Model);
+  v("version", m.Version);
+  v("chunk_bytes", m.ChunkBytes);
+  v("chunks", m.Chunks);
+}
+
 template <typename V> void describe(V &v, SuspectNotice &m) {
   v("fingerprint", m.Fingerprint);
   v("death", m.DeathId);
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -189,6 +189,17 @@
   std::vector<uint8_t> Coming; ///< Asked of the origin or another domain.
 };
 
+/**
+ * Tells an agent of the own domain of what chunks a version is made, so that it
+ * need not read the list from the origin.
+ */
+struct ChunkListTold {
+  ModelName Model;            ///< Which model.
+  std::string Version;        ///< Which version of it.
+  uint64_t ChunkBytes = 0;    ///< Size of each chunk but the last.
+  std::vector<Digest> Chunks; ///< Its chunks, in order.
+};
+
 /** Tells that a request was running when a back end died. */
 struct SuspectNotice {
   Digest Fingerprint;     ///< Digest of tenant, class and body.
@@ -260,7 +271,7 @@
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
                  ChunkData, ChunkHave, SuspectNotice, LeavingNotice, EntrySeen,
-                 PlaceAsk, PlaceAnswer, PlaceDone>;
+                 PlaceAsk, PlaceAnswer, PlaceDone, ChunkListTold>;
 
 } // namespace jacinthpond
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -68,3 +68,14 @@
     BOOST_TEST(!Read.Value);
   }
 }
+
+BOOST_AUTO_TEST_CASE(AListOfChunksComesBackAsItWas) {
+  ChunkListTold Told;
+  Told.Model.Value = "m";
+  Told.ChunkBytes = 32768;
+  for (int n = 0; n < 64; ++n)
+    Told.Chunks.push_back(sha256(std::to_string(n)));
+  const Message Back =
+      *outcomeOf([&] { return decodeMessage(encodeMessage(Told)); }).Value;
+  BOOST_TEST((std::get<ChunkListTold>(Back).Chunks == Told.Chunks));
+}
