agent: a worker of 15 slots has all its places

Cause: an agent takes the places of its worker from the list unless the warm limit is the same already. 15 slots and one ahead are the 16 of the settings, so that the cold limit, 2, stayed in force. Change: both limits are compared. The new test fails without it (2 != 16).

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -100,7 +100,8 @@
   if (Kind != Doc.Services.end())
     Agent.Reading.TokensPerSecond = Kind->ReadPerSecond;
   const uint32_t Bears = it->Slots + SlotsAhead;
-  if (Agent.Gate.Limits.Warm == Bears)
+  // Both: the limits of a cold start in the settings may be the same by chance.
+  if (Agent.Gate.Limits.Warm == Bears && Agent.Gate.Limits.Cold == Bears)
     return;
   // Its cold start is bounded by a rate, which entries share among them.
   Agent.Gate.Limits.Warm = Agent.Gate.Limits.Cold = Bears;
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -385,3 +385,35 @@
   One.done("a");
   BOOST_TEST(AskLate("late 3")->Given);
 }
+
+BOOST_AUTO_TEST_CASE(AWorkerHasThePlacesThatItIsListedWith) {
+  // Workers of 15 slots were given two requests at a time: 16 places happened
+  // to be the limit of a warm engine in the settings, so that the limit of a
+  // cold one stayed in force.
+  Settings Config;
+  Config.Name = "10.0.0.1:9";
+  Config.Platform = "store";
+  Config.EngineUrl = "http://127.0.0.1:1";
+  Config.WarmLimit = 16;
+  Config.ColdLimit = 2;
+  TimePoint Now{std::chrono::hours(1)};
+  Effects Out;
+  AgentState Agent = makeAgent(Config, Incarnation{1}, Now);
+  agentLinkOpened(Agent, EntryA, Now, Out);
+  Agent.Fleet.Links[EntryA].State = LinkState::Ready;
+  const std::string Digest(64, 'a');
+  const ConfigPush Push{
+      R"({"version": 1,
+          "models": [{"name": "m", "version": "1", "chunk_bytes": 1,
+                      "total_bytes": 1, "chunks": [")" +
+          Digest + R"("]}],
+          "workers": [{"name": "10.0.0.1:9", "domain": "d", "agent": "10.0.0.1:1",
+                       "model": "m"}],
+          "services": [{"name": "s", "model": "m"}],
+          "servers": [{"id": "i", "service": "s", "at": "10.0.0.1:9", "domain": "d",
+                       "slots": 15}]})",
+      true};
+  agentMessage(Agent, EntryA, Push, Now, Out);
+  BOOST_TEST_REQUIRE(Agent.View.InForce.get(), Agent.View.LastRefusal);
+  BOOST_TEST(Agent.Gate.Limit == 16U);
+}
