--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -35,9 +35,6 @@
 /** Time that chunks under way may fill the own link: a request or an answer
  * waits that long behind them at most. */
 constexpr double LinkFillSeconds = 0.08;
-/** The same while the back end holds nothing: no answer waits behind chunks,
- * and each second until it serves counts. */
-constexpr double IdleLinkFillSeconds = 0.3;
 /** Size of a part of a chunk: some ms of a narrow link. */
 constexpr uint64_t PartBytes = 8192;
 /** Parts of one chunk under way: enough for the way between regions. */
@@ -185,26 +182,14 @@
   return Order;
 }
 
-/** Says whether no answers share the own link: nothing is loaded, or nothing
- * that requests may still begin on. */
-bool servesNothing(const TransferState &Transfer, const WeightsState &Weights,
-                   TimePoint Now) {
-  return Weights.Loaded.Value.empty() ||
-         isTooOldToServe(Weights, Transfer.Options.FormerTime, Now);
-}
-
 /** Chunks that may be under way to this host. */
-size_t mostAsked(const TransferState &Transfer, const WeightsState &Weights,
-                 TimePoint Now) {
+size_t mostAsked(const TransferState &Transfer) {
   if (!comesInParts(Transfer))
     return MaxAsked;
   // Requests, their ends and answers would wait behind chunks.
   if (ownLinkIsSlow(Transfer))
     return 1;
-  const double Seconds = servesNothing(Transfer, Weights, Now)
-                             ? IdleLinkFillSeconds
-                             : LinkFillSeconds;
-  const double Fit = Seconds * Transfer.Options.LinkBytesPerSecond /
+  const double Fit = LinkFillSeconds * Transfer.Options.LinkBytesPerSecond /
                      static_cast<double>(Transfer.ChunkBytes);
   return static_cast<size_t>(
       std::clamp(Fit, FewestAsked, static_cast<double>(MaxAsked)));
@@ -233,15 +218,14 @@
   }
 }
 
-void askPeers(TransferState &Transfer, const WeightsState &Weights,
-              TimePoint Now, Effects &Out) {
+void askPeers(TransferState &Transfer, TimePoint Now, Effects &Out) {
   size_t Open = 0;
   bool Room = false;
   for (const auto &[Link, Peer] : Transfer.Peers) {
     Open += Peer.Asked.size();
     Room |= Peer.Asked.size() < MaxAskedOfPeer && Now >= Peer.AvoidUntil;
   }
-  const size_t Most = mostAsked(Transfer, Weights, Now);
+  const size_t Most = mostAsked(Transfer);
   if (!Room || Open >= Most)
     return;
   for (const size_t n : wantedFromPeers(Transfer)) {
@@ -368,9 +352,9 @@
 
 TransferState makeTransfer(const Settings &Config) {
   TransferState Transfer;
-  Transfer.Options = {
-      Config.WeightsFromPeers, Millis(Config.ChunkTakeoverMillis),
-      Config.LinkMegabits * BytesPerMegabit, formerWeightsTime(Config)};
+  Transfer.Options = {Config.WeightsFromPeers,
+                      Millis(Config.ChunkTakeoverMillis),
+                      Config.LinkMegabits * BytesPerMegabit};
   Transfer.Uplink.BytesPerSecond =
       Config.UplinkBytesPerSecond > 0
           ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
@@ -544,7 +528,7 @@
   dropStalled(Transfer, Now, Out);
   passBySlowPeers(Transfer, Now, Out);
   if (Transfer.Options.FromPeers)
-    askPeers(Transfer, Weights, Now, Out);
+    askPeers(Transfer, Now, Out);
   askOrigin(Transfer, Now, Out);
 }
 
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -79,7 +79,6 @@
   bool FromPeers = true;         ///< False: everything from the origin.
   Millis TakeOver{1500};         ///< Wait of each further rank.
   double LinkBytesPerSecond = 0; ///< Rate of the own link; 0: not known.
-  Millis FormerTime{0}; ///< How long replaced weights may begin requests.
 };
 
 /** Counters of the exchange. */
