--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -104,6 +104,7 @@
     return false;
   HeldForView = true;
   Shared.Held.push_back(weak_from_this());
+  logHeld();
   armTimer();
   return true;
 }
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -85,6 +85,7 @@
   Duration patience(bool Alive) const;
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
+  void logHeld() const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -34,6 +34,15 @@
 
 } // namespace
 
+void Exchange::logHeld() const {
+  const Duration Longest = Shared.Fleet.ReadyBy - Shared.Clock.now();
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=held id=" + logValue(Id) +
+              " document=" + (Shared.Doc == nullptr ? "no" : "yes") +
+              " longest_ms=" + std::to_string(toMillis(Longest).count()) +
+              " held=" + std::to_string(Shared.Held.size()));
+}
+
 void Exchange::logAttempt(const ServerView &Server,
                           const ServerChoice &Choice) const {
   const TimePoint Now = Shared.Clock.now();
