--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -22,11 +22,6 @@
  * pulled over a link between regions: a few ways there and back. */
 constexpr Millis NearPullWait{100};
 
-bool isAhead(const ConfigView &View, const PeerLink &Peer) {
-  return Peer.State == LinkState::Ready && !Peer.PushRefused &&
-         Peer.Version > versionInForce(View);
-}
-
 bool isNear(const Membership &Fleet, const PeerLink &Peer) {
   return Peer.Peer.Domain == Fleet.Self.Domain;
 }
--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -24,11 +24,8 @@
 
 /** True when a reachable peer has a version that is not in force here. */
 bool peerIsAhead(const ConfigView &View, const Membership &Fleet) {
-  return std::ranges::any_of(Fleet.Links, [&](const auto &Row) {
-    const PeerLink &Peer = Row.second;
-    return isReady(Peer) && !Peer.PushRefused &&
-           Peer.Version > versionInForce(View);
-  });
+  return std::ranges::any_of(
+      Fleet.Links, [&](const auto &Row) { return isAhead(View, Row.second); });
 }
 
 bool freshPeerAnswered(const Membership &Fleet) {
@@ -106,6 +103,11 @@
 
 } // namespace
 
+bool isAhead(const ConfigView &View, const PeerLink &Peer) {
+  return isReady(Peer) && !Peer.PushRefused &&
+         Peer.Version > versionInForce(View);
+}
+
 bool viewIsFresh(const Membership &Fleet) { return Fleet.Joining.Fresh; }
 
 Membership makeMembership(const Settings &Config, Role Sender, Incarnation Run,
--- a/packages/core/src/membership/join_func.h
+++ b/packages/core/src/membership/join_func.h
@@ -21,6 +21,14 @@
 Membership makeMembership(const Settings &Config, Role Sender, Incarnation Run,
                           TimePoint Now);
 
+/**
+ * Says whether a peer can give a version that is not in force here.
+ * @param View The configuration.
+ * @param Peer The link to it.
+ * @return False too for one whose document was refused.
+ */
+bool isAhead(const ConfigView &View, const PeerLink &Peer);
+
 /**
  * Says whether new work may be taken and given on the present view.
  * @param Fleet The state.
