routes: a stream is ended before its caller abandons it

Callers saw nothing for 2.4 s and left. The entry took the deadline that a request tells (6 s) for the time that its caller waits, so it held the request on: for an answer of a worker that stood still, or for a place.

Cause: callers of streams abandon one after a silence of two seconds, four targets or eight gaps, whichever is longest, also before the first event. The entry did not know that time.

Change: a route has its callers' longest silence, reckoned in platform/; an exchange ends by then, less the way to the caller. One that has not run is refused with a time to come back, one that may have run gets 504; a stream that broke off is cut. Waits for a place are measured against the same time.

--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -183,6 +183,8 @@
   One.Target = Millis(Reader.number("target_ms", false, 0, 0, MaxMillis));
   One.GapTarget =
       Millis(Reader.number("gap_target_ms", false, 0, 0, MaxMillis));
+  One.LongestSilence =
+      Millis(Reader.number("longest_silence_ms", false, 0, 0, MaxMillis));
   One.Rank =
       static_cast<uint32_t>(Reader.number("rank", false, 0, 0, MaxPriority));
   One.Regions = idSet<RegionName>(Reader.texts("regions"));
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -7,6 +7,7 @@
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/caller_wait_func.h"
 #include "forwarding/come_back_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
@@ -75,7 +76,7 @@
 Exchange::Exchange(ForwardContext &Shared,
                    std::shared_ptr<CallerSession> Session, CallerRequest Asked)
     : Shared(Shared), Session(std::move(Session)), Asked(std::move(Asked)),
-      Arrived(Shared.Clock.now()), Timer(Shared.Io) {
+      Arrived(Shared.Clock.now()), LastGiven(Arrived), Timer(Shared.Io) {
   ++Shared.Open;
 }
 
@@ -190,7 +191,7 @@
 
 void Exchange::tryNext() {
   const TimePoint Now = Shared.Clock.now();
-  if (Limit - Now < LeastRemaining) {
+  if (neededBy() - Now < LeastRemaining) {
     limitCame();
     return;
   }
@@ -350,7 +351,7 @@
 
 void Exchange::armTimer() {
   const TimePoint Now = Shared.Clock.now();
-  TimePoint Next = Limit;
+  TimePoint Next = neededBy();
   if (HeldForView)
     Next = std::min(Next, Shared.Fleet.ReadyBy);
   if (Asking)
@@ -364,7 +365,7 @@
   }
   if (const auto Begin = beginLimit())
     Next = std::min(Next, std::max(*Begin, Now));
-  Timer.expires_after(std::min(Next, std::max(Limit, Now)) - Now);
+  Timer.expires_after(std::min(Next, std::max(neededBy(), Now)) - Now);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &ec) {
         if (!ec && Self->Session)
@@ -378,7 +379,7 @@
     viewCame();
     return;
   }
-  if (Now >= Limit) {
+  if (Now >= neededBy()) {
     limitCame();
     return;
   }
@@ -393,6 +394,11 @@
     armTimer();
 }
 
+/** Gives until when the caller has to hear something. */
+TimePoint Exchange::neededBy() const {
+  return From == nullptr ? Limit : answerNeededBy(*From, Limit, LastGiven);
+}
+
 /**
  * Gives until when the back end may begin; nothing: there is no such time. One
  * that stands still has the request in its sockets, and on waking begins it on
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -83,6 +83,7 @@
   void limitCame();
   uint32_t rank() const;
   Duration patience(bool Alive) const;
+  TimePoint neededBy() const;
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
   void logHeld() const;
@@ -102,6 +103,7 @@
   TimePoint Arrived;
   Duration Age{0}; ///< Time for which its caller had been trying.
   TimePoint Limit; ///< The caller's deadline or the route's timeout.
+  TimePoint LastGiven; ///< When it came, or its caller was sent a part last.
   boost::asio::steady_timer Timer;
 
   std::shared_ptr<BackEndCall> Call; ///< Attempt under way; may be null.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -69,6 +69,7 @@
     if (!HeadSent)
       beginEvents();
     Session->sendBody(Whole);
+    LastGiven = LastProgress;
   }
   if (Verdict != EventVerdict::Good)
     answerBroke();
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -42,7 +42,7 @@
     Ask.FirstPartMillis = static_cast<uint64_t>(Wait.count());
   if (!HeadSent && Wait.count() == 0) { // Late, whatever place is given.
     Ask.Spare = true;
-    Wait = lateWait(Limit - Now);
+    Wait = lateWait(neededBy() - Now);
     takeBusyOnes(Search, Needs); // It need not begin at once.
   }
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -105,6 +105,16 @@
   }
 }
 
+// Guards against streams that are held until their callers have left.
+BOOST_AUTO_TEST_CASE(AStreamThatDoesNotBeginIsEndedBeforeItsCallerLeaves) {
+  for (const char *Name : {"model-0", "model-1"})
+    All.control(Name, {{"hang", 1}});
+  const auto Begin = std::chrono::steady_clock::now();
+  const httplib::Response Answer = All.ask(0, write());
+  BOOST_TEST(Answer.status == 504);
+  BOOST_TEST((std::chrono::steady_clock::now() - Begin < 2400ms));
+}
+
 BOOST_AUTO_TEST_CASE(AnErrorOfABackEndIsTriedElsewhere) {
   All.control("plain-0", {{"fail", 1}});
   for (int n = 0; n < 12; ++n)
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -91,6 +91,8 @@
   BOOST_CHECK(Doc->Routes[0].Kind == RouteKind::Stream);
   BOOST_TEST(Doc->Routes[0].Resumable);
   BOOST_TEST(Doc->Routes[0].MaxAttempts == 2U);
+  BOOST_TEST((Doc->Routes[0].LongestSilence == Millis(2400)));
+  BOOST_TEST((Doc->Routes[1].LongestSilence == Millis(0)));
   BOOST_CHECK(Doc->Routes[1].Kind == RouteKind::AtMostOnce);
   BOOST_TEST(Doc->Routes[1].Targets.size() == 2U);
   BOOST_TEST(Doc->Routes[1].Regions.contains({"r"}));
