routes: a host that stands still is told from a slow engine by its agent

Callers whose request lay at a worker when its host stood still waited 2.4 s and left (GONE); the run that woke later was only the echo of it.

Cause: the entry learned too late that the host stood still.

Change: while a request is silent for longer than most first parts take (as observed at that service), or a stream for its wanted gap, the host's agent is asked on its open link and answers at once, however busy the engine is. Without any sign for 250 ms the request goes on elsewhere, if there is a place to be had and budget, and nothing new goes there until the host is heard. A link that is closed says that the host runs, one that ends in silence that it does not. A slow engine moves no request, since its agent answers. A process that got no processor itself asks anew. The limits that remain are counted from the last sign of the worker, not from whether it gave one since the request came.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -248,43 +248,47 @@
   }
   if (News != FleetNews::NotMine)
     return;
-  std::visit(Overloaded{[&](const AttemptStart &Start) {
-                          takeAttempt(Agent, Link, Start, Now, Out);
-                        },
-                        [&](const PlaceAsk &Ask) {
-                          takePlaceAsk(Agent, Link, Ask, Now, Out);
-                        },
-                        [&](const PlaceDone &Done) {
-                          placeDone(Agent, Done, Now, Out);
-                          loadInTurn(Agent, Now, Out);
-                        },
-                        [&](const AttemptCancel &Cancel) {
-                          cancelAttempt(Agent, Cancel.Attempt, Now, Out);
-                        },
-                        [&](const ChunkHave &Have) {
-                          chunkHaveHeard(Agent.Transfer, Link, Have, Now);
-                          moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
-                        },
-                        [&](const ChunkListTold &List) {
-                          if (listTold(Agent, Link, List, Now, Out))
-                            announceChange(Agent, Now, Out);
-                        },
-                        [&](const ChunkRequest &Asked) {
-                          chunkRequested(Agent.Transfer, Agent.Weights, Link,
-                                         Asked, Out);
-                          serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
-                        },
-                        [&](const SuspectNotice &Notice) {
-                          agentSuspect(Agent, Notice, Now, Out);
-                        },
-                        [&](const AttemptQuery &Query) {
-                          queryAttempt(Agent, Link, Query, Now, Out);
-                        },
-                        [](const auto &) {
-                          // Meant for entries; an agent that gets one has
-                          // nothing to do.
-                        }},
-             m);
+  std::visit(
+      Overloaded{[&](const AttemptStart &Start) {
+                   takeAttempt(Agent, Link, Start, Now, Out);
+                 },
+                 [&](const PlaceAsk &Ask) {
+                   takePlaceAsk(Agent, Link, Ask, Now, Out);
+                 },
+                 [&](const PlaceDone &Done) {
+                   placeDone(Agent, Done, Now, Out);
+                   loadInTurn(Agent, Now, Out);
+                 },
+                 [&](const AttemptCancel &Cancel) {
+                   cancelAttempt(Agent, Cancel.Attempt, Now, Out);
+                 },
+                 [&](const ChunkHave &Have) {
+                   chunkHaveHeard(Agent.Transfer, Link, Have, Now);
+                   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+                 },
+                 [&](const ChunkListTold &List) {
+                   if (listTold(Agent, Link, List, Now, Out))
+                     announceChange(Agent, Now, Out);
+                 },
+                 [&](const ChunkRequest &Asked) {
+                   chunkRequested(Agent.Transfer, Agent.Weights, Link, Asked,
+                                  Out);
+                   serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
+                 },
+                 [&](const SuspectNotice &Notice) {
+                   agentSuspect(Agent, Notice, Now, Out);
+                 },
+                 [&](const AttemptQuery &Query) {
+                   queryAttempt(Agent, Link, Query, Now, Out);
+                 },
+                 [&](const Ping &Asked) {
+                   Out.push_back(SendMessage{Link, Pong{Asked.Sequence}});
+                 },
+                 [](const auto &) {
+                   // Meant for entries; an agent that gets one has
+                   // nothing to do.
+                 }},
+      m);
 }
 
 void engineBegan(AgentState &Agent, const AttemptId &Which,
--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -88,8 +88,13 @@
   }
   for (const auto &[Name, LoadAt] : Told.LoadAt)
     if (!Heard.contains(Name))
-      News.push_back(
-          {Address{Name.Value}, WorkerState::Empty, 0, {}, false, {}});
+      News.push_back({Address{Name.Value},
+                      WorkerState::Empty,
+                      0,
+                      {},
+                      false,
+                      {},
+                      Entry.Fleet.Silent.contains(Name)});
   Told.LoadAt = std::move(Heard);
   return News;
 }
--- /dev/null
+++ b/packages/core/src/forwarding/liveness.cpp
@@ -0,0 +1,59 @@
+/** @file liveness.cpp Whether the host of a back end runs. */
+
+#include "forwarding/liveness_func.h"
+
+namespace jacinthpond {
+
+namespace {
+
+/** Wait for an answer: the way between regions and back, with one packet that
+ * is sent again. */
+constexpr Millis LivenessWait{250};
+
+} // namespace
+
+bool hostAsked(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
+  const auto it = Pool.Servers.find(Id);
+  if (it == Pool.Servers.end())
+    return false;
+  ServerView &View = it->second;
+  if (!View.Agent || View.Agent->Link == LinkId{} || View.Unanswered)
+    return false;
+  View.Unanswered = Now;
+  return true;
+}
+
+void hostHeard(ServerPool &Pool, LinkId Link) {
+  for (auto &[Id, View] : Pool.Servers)
+    if (View.Agent && View.Agent->Link == Link)
+      View.Unanswered.reset();
+}
+
+void forgetQuestion(ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  if (it != Pool.Servers.end())
+    it->second.Unanswered.reset();
+}
+
+std::optional<TimePoint> standsStillFrom(const ServerPool &Pool,
+                                         const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  if (it == Pool.Servers.end() || !it->second.Unanswered)
+    return std::nullopt;
+  return *it->second.Unanswered + LivenessWait;
+}
+
+bool standsStill(const ServerView &View, TimePoint Now) {
+  return View.Unanswered && Now - *View.Unanswered >= LivenessWait;
+}
+
+void agentLinkEnded(ServerView &View, bool Silent, TimePoint Now) {
+  // The host of an agent that was killed closes its connections, and the back
+  // end there goes on.
+  if (!Silent)
+    View.Unanswered.reset();
+  else if (!View.Unanswered)
+    View.Unanswered = Now - LivenessWait;
+}
+
+} // namespace jacinthpond
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -2,7 +2,9 @@
 
 #include "forwarding/server_pool_func.h"
 
+#include "admission/first_part_func.h"
 #include "base/random_func.h"
+#include "forwarding/liveness_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -226,7 +228,8 @@
   if (View.Listed.Domain != Pool.Options.Domain)
     Score += FarPart * static_cast<double>(View.Listed.Slots);
   Score += ErrorPenalty * std::max(0.0, View.ErrorShare - UsualErrors);
-  if (Now < View.SlowUntil)
+  const bool Doubtful = View.Unanswered && !hasAgent(View);
+  if (Now < View.SlowUntil || Doubtful)
     Score += SlowPenalty;
   return Score;
 }
@@ -258,22 +261,24 @@
     if (!News.Fresh && hasAgent(View))
       View.SilentSince = Now;
     View.Agent = News;
-    if (!News.Fresh)
+    if (!News.Fresh) {
+      agentLinkEnded(View, News.Silent, Now);
       continue;
+    }
+    View.Unanswered.reset();
     noteWork(View, News.Busy, Now);
     View.Weights = News.Weights;
   }
 }
 
-ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
-                          TimePoint Now) {
+/** Compares the back ends whose hosts stand still, or those of all others. */
+static ServerChoice bestOf(ServerPool &Pool, const ServerNeeds &Needs,
+                           const Service &Kind, bool Still, TimePoint Now) {
   ServerChoice Choice;
-  const Service *Kind = findService(Pool, Needs.Service);
-  if (Kind == nullptr)
-    return Choice;
   double Best = 0;
   for (const auto &[Id, View] : Pool.Servers) {
-    if (!usable(Pool, View, Needs, *Kind, Now) || Now < View.AvoidUntil)
+    if (standsStill(View, Now) != Still ||
+        !usable(Pool, View, Needs, Kind, Now) || Now < View.AvoidUntil)
       continue;
     ++Choice.Candidates;
     // An agent knows better than this entry whether there is room.
@@ -281,7 +286,7 @@
         (!hasAgent(View) &&
          workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From)) ||
         (mayStandStill(View) && View.Open > 0);
-    if (Full || !coldAllows(Pool, View, *Kind, Now))
+    if (Full || !coldAllows(Pool, View, Kind, Now))
       continue;
     const double Score = scoreOf(Pool, View, Now);
     if (Choice.Server != nullptr && Score >= Best)
@@ -289,6 +294,20 @@
     Choice.Server = &View;
     Best = Score;
   }
+  return Choice;
+}
+
+ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
+                          TimePoint Now) {
+  const Service *Kind = findService(Pool, Needs.Service);
+  if (Kind == nullptr)
+    return {};
+  ServerChoice Choice = bestOf(Pool, Needs, *Kind, false, Now);
+  // Where all of them seem to stand still, this entry may be the one that
+  // hears nothing.
+  const bool First = Needs.Tried.empty() && Needs.Full.empty();
+  if (Choice.Candidates == 0 && First)
+    Choice = bestOf(Pool, Needs, *Kind, true, Now);
   if (Choice.Server != nullptr)
     return Choice;
   Choice.Why =
@@ -315,13 +334,28 @@
 }
 
 void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  if (ServerView *View = findServer(Pool, Id))
-    View->LastHeard = Now;
+  ServerView *View = findServer(Pool, Id);
+  if (View == nullptr)
+    return;
+  View->LastHeard = Now;
+  View->Unanswered.reset();
 }
 
-bool heardSince(const ServerPool &Pool, const InstanceId &Id, TimePoint Since) {
+TimePoint lastHeard(const ServerPool &Pool, const InstanceId &Id) {
   const ServerView *View = findServer(Pool, Id);
-  return View != nullptr && View->LastHeard > Since;
+  return View == nullptr ? TimePoint{} : View->LastHeard;
+}
+
+void firstPartCame(ServerPool &Pool, const ServiceName &Service,
+                   Duration Took) {
+  firstPartSeen(Pool.FirstParts[Service], Took, Duration{0});
+}
+
+Duration usualFirstPart(const ServerPool &Pool, const ServiceName &Service,
+                        Duration Otherwise) {
+  const auto it = Pool.FirstParts.find(Service);
+  return it == Pool.FirstParts.end() ? Otherwise
+                                     : firstPartAfter(it->second, Duration{0});
 }
 
 void readingTold(ServerPool &Pool, const InstanceId &Id, Duration Reading) {
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -130,13 +130,30 @@
 void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
 /**
- * Says whether a back end answered anybody here since some time.
+ * Gives when a back end answered anybody here last.
  * @param Pool The state.
  * @param Id Which back end.
- * @param Since From when on.
- * @return True when a byte came later than that.
+ * @return Time of the last byte.
  */
-bool heardSince(const ServerPool &Pool, const InstanceId &Id, TimePoint Since);
+TimePoint lastHeard(const ServerPool &Pool, const InstanceId &Id);
+
+/**
+ * The first part of an answer came.
+ * @param Pool State to change.
+ * @param Service Whose answer.
+ * @param Took Time since the request was sent.
+ */
+void firstPartCame(ServerPool &Pool, const ServiceName &Service, Duration Took);
+
+/**
+ * Gives the time in which most first parts of answers come.
+ * @param Pool The state.
+ * @param Service Whose answers.
+ * @param Otherwise What to give while none has been seen.
+ * @return The time since the request was sent.
+ */
+Duration usualFirstPart(const ServerPool &Pool, const ServiceName &Service,
+                        Duration Otherwise);
 
 /**
  * Gives the weights that a back end is believed to have.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHPOND_CORE_SERVER_POOL_TYPE_H
 #define JACINTHPOND_CORE_SERVER_POOL_TYPE_H
 
+#include "admission/first_part_type.h"
 #include "configuration/document_type.h"
 #include "wire/message_type.h"
 
@@ -20,9 +21,10 @@
   Address Server; ///< Where that back end takes requests.
   WorkerState State = WorkerState::Empty; ///< How far it is from serving.
   uint32_t Busy = 0;                      ///< Requests that run or wait there.
-  Digest Weights;     ///< What it has loaded; empty: nothing whole.
-  bool Fresh = false; ///< The agent answers now.
-  LinkId Link;        ///< Link to the agent; valid while Fresh.
+  Digest Weights;      ///< What it has loaded; empty: nothing whole.
+  bool Fresh = false;  ///< The agent answers now.
+  LinkId Link;         ///< Link to the agent; 0: none.
+  bool Silent = false; ///< Its link ended in silence, it was not closed.
 };
 
 /** One back end as this entry sees it. */
@@ -42,8 +44,10 @@
   TimePoint SlowUntil;            ///< Its agent is asked last until then.
   double ErrorShare = 0;          ///< Answers that were errors, weighed.
   TimePoint LastHeard;            ///< Last byte of any answer of it.
-  TimePoint ColdUntil;            ///< Bears little until then.
-  std::deque<TimePoint> Starts;   ///< Attempts of the last second, when cold.
+  /** Its host was asked for a sign of life then and has given none since. */
+  std::optional<TimePoint> Unanswered;
+  TimePoint ColdUntil;          ///< Bears little until then.
+  std::deque<TimePoint> Starts; ///< Attempts of the last second, when cold.
 };
 
 /** Weights that were wanted before others, and may begin requests for a while.
@@ -72,11 +76,12 @@
 
 /** All back ends that routes lead to. */
 struct ServerPool {
-  PoolOptions Options;                       ///< From the settings.
-  DocumentPtr Doc;                           ///< Document in force.
-  std::map<InstanceId, ServerView> Servers;  ///< By run.
-  std::map<ModelName, WantedWeights> Wanted; ///< By model.
-  std::map<ServiceName, Duration> UsualTime; ///< Length of an answer.
+  PoolOptions Options;                             ///< From the settings.
+  DocumentPtr Doc;                                 ///< Document in force.
+  std::map<InstanceId, ServerView> Servers;        ///< By run.
+  std::map<ModelName, WantedWeights> Wanted;       ///< By model.
+  std::map<ServiceName, Duration> UsualTime;       ///< Length of an answer.
+  std::map<ServiceName, FirstPartTime> FirstParts; ///< Time to its first part.
   TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
   uint32_t Entries = 1;        ///< Entries that share, this one included.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -37,6 +37,13 @@
   Wanted.NextTry = Now + Fleet.Times.Reconnect * Factor;
 }
 
+/** A peer that ends closes its link; one that stands still says nothing. */
+void noteSilent(Membership &Fleet, LinkId Link) {
+  const auto it = Fleet.Links.find(Link);
+  if (it != Fleet.Links.end() && it->second.State == LinkState::Ready)
+    Fleet.Silent.insert(it->second.Peer.Name);
+}
+
 void openWanted(Membership &Fleet, TimePoint Now, Effects &Out) {
   for (auto &[Name, Peer] : Fleet.Wanted) {
     if (Peer.Link || Now < Peer.NextTry)
@@ -74,6 +81,9 @@
       Dropped.push_back(*Peer.Link);
   }
   Fleet.Wanted = std::move(Next);
+  std::erase_if(Fleet.Silent, [&](const HostName &Name) {
+    return !Fleet.Wanted.contains(Name);
+  });
   for (const LinkId Link : Dropped) {
     Fleet.Links.erase(Link);
     Out.push_back(CloseLink{Link});
@@ -122,6 +132,7 @@
   const auto it = Fleet.Links.find(Link);
   if (it == Fleet.Links.end())
     return;
+  Fleet.Silent.erase(Peer.Name);
   it->second.State = LinkState::Ready;
   it->second.Peer = Peer;
   it->second.Version = Peer.Version;
@@ -227,6 +238,7 @@
       Silent.push_back(Link);
   for (const LinkId Link : Silent) {
     noteLinkLost(Fleet, Link, Now, Out);
+    noteSilent(Fleet, Link);
     forgetLink(Fleet, Link, Now);
     Out.push_back(CloseLink{Link});
   }
--- a/packages/core/src/membership/membership_type.h
+++ b/packages/core/src/membership/membership_type.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace jacinthpond {
 
@@ -105,6 +106,7 @@
   Digest AlarmedDigest;                      ///< Conflict that was logged last.
   WorkerLoad Load;                           ///< Own load; agents only.
   std::map<HostName, KnownEntry> Roster; ///< Entries that told of themselves.
+  std::set<HostName> Silent; ///< Peers whose last link ended in silence.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -184,6 +184,10 @@
   v("chunks", m.Chunks);
 }
 
+template <typename V> void describe(V &v, Ping &m) { v("seq", m.Sequence); }
+
+template <typename V> void describe(V &v, Pong &m) { v("seq", m.Sequence); }
+
 template <typename V> void describe(V &v, SuspectNotice &m) {
   v("fingerprint", m.Fingerprint);
   v("death", m.DeathId);
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -266,12 +266,22 @@
                                 ///< the answer; 0: not known.
 };
 
+/** Asks whether the host of an agent runs; answered at once. */
+struct Ping {
+  uint64_t Sequence = 0; ///< Comes back with the answer.
+};
+
+/** Answer to Ping. */
+struct Pong {
+  uint64_t Sequence = 0; ///< Of the Ping.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
                  ChunkData, ChunkHave, SuspectNotice, LeavingNotice, EntrySeen,
-                 PlaceAsk, PlaceAnswer, PlaceDone, ChunkListTold>;
+                 PlaceAsk, PlaceAnswer, PlaceDone, ChunkListTold, Ping, Pong>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -49,7 +49,12 @@
              [this](LinkId Link, Message m) {
                if (const auto *Answer = std::get_if<PlaceAnswer>(&m)) {
                  if (this->Routes != nullptr)
-                   this->Routes->placeAnswered(*Answer);
+                   this->Routes->placeAnswered(Link, *Answer);
+                 return;
+               }
+               if (std::holds_alternative<Pong>(m)) {
+                 if (this->Routes != nullptr)
+                   this->Routes->hostAnswered(Link);
                  return;
                }
                post([this, Link, Kept = std::move(m)](TimePoint Now,
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -9,6 +9,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/caller_wait_func.h"
 #include "forwarding/come_back_func.h"
+#include "forwarding/liveness_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -33,14 +34,19 @@
 constexpr Millis LeastRemaining{10};
 /**
  * Silence, in targets of the route, after which a request that may be repeated
- * goes elsewhere. The shorter one counts where nothing at all was heard of the
- * back end, the longer one where it answers others: it is only slow.
+ * goes elsewhere. The shorter one is for a back end of which nothing at all is
+ * heard, the longer one for one that answers others: it is only slow.
  */
 constexpr double SilentTargets = 2.0;
 constexpr double SlowTargets = 4.5;
 /** The same between two events, in wanted gaps. */
 constexpr double SilentGaps = 3.0;
 constexpr double SlowGaps = 6.0;
+/** Time between two looks at a back end that is silent for long. */
+constexpr Millis SoonestLook{20};
+constexpr Millis LookAgain{50};
+/** Delay of a timer by which this process got no processor. */
+constexpr Millis OwnStall{100};
 constexpr int64_t MostRemaining = int64_t{3600} * 1000;
 /** Requests that wait until a new entry has a view of the fleet; their bodies
  * are held meanwhile. */
@@ -356,16 +362,15 @@
     Next = std::min(Next, Shared.Fleet.ReadyBy);
   if (Asking)
     Next = std::min(Next, AskUntil);
-  if (Call && canRepeat()) {
-    constexpr Millis Soonest{20};
-    const Duration Silent = patience(false);
-    // Later looks follow at the same distance until the slow limit is over.
-    Next = std::min(Next, std::max(LastProgress + Silent, Now + Silent / 4));
-    Next = std::max(Next, Now + Soonest);
-  }
+  if (Call && canRepeat())
+    Next = std::min(Next, nextLook(Now));
+  const auto Still = standsStillFrom(Shared.Pool, At);
+  if ((Asking || Call) && Still && *Still > Now)
+    Next = std::min(Next, *Still);
   if (const auto Begin = beginLimit())
     Next = std::min(Next, std::max(*Begin, Now));
-  Timer.expires_after(std::min(Next, std::max(neededBy(), Now)) - Now);
+  LookAt = std::min(Next, std::max(neededBy(), Now));
+  Timer.expires_after(LookAt - Now);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &ec) {
         if (!ec && Self->Session)
@@ -373,8 +378,46 @@
       });
 }
 
+/** Gives when to look next whether an answer still comes. */
+TimePoint Exchange::nextLook(TimePoint Now) const {
+  const Duration Silent = patience(false);
+  // Later looks follow at the same distance until the slow limit is over.
+  TimePoint Next = std::max(LastProgress + Silent, Now + Silent / 4);
+  if (!PlaceId.Value.empty()) // Its agent can be asked.
+    Next = std::min(
+        Next, std::max(LastProgress + quietBeforeQuestion(), Now + LookAgain));
+  return std::max(Next, Now + SoonestLook);
+}
+
+/** Gives the silence after which the host is asked for a sign of life. */
+Duration Exchange::quietBeforeQuestion() const {
+  if (HeadSent && From->GapTarget.count() > 0)
+    return From->GapTarget;
+  return std::min<Duration>(
+      From->Target, usualFirstPart(Shared.Pool, Needs.Service, From->Target));
+}
+
+/** Asks a host whose back end has been silent whether it runs. */
+void Exchange::askForSign(TimePoint Now) {
+  const bool Quiet = Now - LastProgress >= quietBeforeQuestion();
+  if (Quiet && !PlaceId.Value.empty() && hostAsked(Shared.Pool, At, Now))
+    Shared.SendToAgent(PlaceLink, Ping{});
+}
+
+/** Answers may lie here unread when this process got no processor. */
+void Exchange::noteOwnStall(TimePoint Now) {
+  if (Now - LookAt > OwnStall)
+    forgetQuestion(Shared.Pool, At);
+}
+
+bool Exchange::hostStandsStill(TimePoint Now) const {
+  const auto Still = standsStillFrom(Shared.Pool, At);
+  return Still && Now >= *Still;
+}
+
 void Exchange::timeCame() {
   const TimePoint Now = Shared.Clock.now();
+  noteOwnStall(Now);
   if (HeldForView) { // It did not come in time: refused.
     viewCame();
     return;
@@ -385,11 +428,13 @@
   }
   const auto Begin = beginLimit();
   const bool TooLate = Begin && Now >= *Begin;
-  if (Asking && Now >= AskUntil)
+  if (Asking && (Now >= AskUntil || hostStandsStill(Now)))
     agentDidNotAnswer();
   else if (TooLate ||
            (Call && canRepeat() && silentTooLong(Now) && couldGoElsewhere(Now)))
     answerBroke();
+  else if (Call && canRepeat())
+    askForSign(Now);
   if (Session)
     armTimer();
 }
@@ -427,10 +472,13 @@
 bool Exchange::silentTooLong(TimePoint Now) const {
   if (!attemptsLeft())
     return false;
-  const bool Alive =
-      heardSince(Shared.Pool, At, std::max(CallBegan, LastProgress));
-  const Duration Longest = patience(Alive);
-  return Longest.count() > 0 && Now - LastProgress >= Longest;
+  const Duration Quiet = Now - LastProgress;
+  if (hostStandsStill(Now) && Quiet >= quietBeforeQuestion())
+    return true;
+  const Duration ServerQuiet =
+      Now - std::max(LastProgress, lastHeard(Shared.Pool, At));
+  return patience(false).count() > 0 &&
+         (ServerQuiet >= patience(false) || Quiet >= patience(true));
 }
 
 void Exchange::limitCame() {
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -84,6 +84,11 @@
   uint32_t rank() const;
   Duration patience(bool Alive) const;
   TimePoint neededBy() const;
+  TimePoint nextLook(TimePoint Now) const;
+  Duration quietBeforeQuestion() const;
+  void askForSign(TimePoint Now);
+  void noteOwnStall(TimePoint Now);
+  bool hostStandsStill(TimePoint Now) const;
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
   void logHeld() const;
@@ -101,10 +106,11 @@
   const Tenant *Owner = nullptr; ///< Its tenant; null: none.
   ServerNeeds Needs;
   TimePoint Arrived;
-  Duration Age{0}; ///< Time for which its caller had been trying.
-  TimePoint Limit; ///< The caller's deadline or the route's timeout.
+  Duration Age{0};     ///< Time for which its caller had been trying.
+  TimePoint Limit;     ///< The caller's deadline or the route's timeout.
   TimePoint LastGiven; ///< When it came, or its caller was sent a part last.
   boost::asio::steady_timer Timer;
+  TimePoint LookAt; ///< When the timer should fire.
 
   std::shared_ptr<BackEndCall> Call; ///< Attempt under way; may be null.
   InstanceId At;                     ///< Where it is.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -82,6 +82,7 @@
   HeadSent = true;
   Needs.Weights = weightsAt(Shared.Pool, At);
   FirstByte = Shared.Clock.now();
+  firstPartCame(Shared.Pool, Needs.Service, *FirstByte - CallBegan);
   CallerAnswerHead Out;
   Out.result(Head.result());
   copyAnswerHeaders(Head, Out);
@@ -152,6 +153,8 @@
 
 /** What came cannot be used, or stopped coming. */
 void Exchange::answerBroke() {
+  if (hostStandsStill(Shared.Clock.now()))
+    Shared.Counters.add(ForwardCount::StoodStill);
   if (Call)
     Call->cancel();
   callFailed(CallFailure::Broken);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -5,6 +5,7 @@
 
 #include "forward/exchange.h"
 #include "forward/log_value.h"
+#include "forwarding/liveness_func.h"
 #include "log/log.h"
 
 #include <algorithm>
@@ -67,6 +68,8 @@
 }
 
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
+  const TimePoint Now = Shared.Clock.now();
+  const auto Still = standsStillFrom(Shared.Pool, At);
   logLine(
       LogPart::Requests, LogLevel::Info,
       "event=attempt_end id=" + logValue(Id) + " n=" + std::to_string(Sent) +
@@ -75,6 +78,8 @@
           " status=" +
           std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
           " ms=" + std::to_string(toMillis(Took).count()) +
+          " heard_ms=" + ageOf(lastHeard(Shared.Pool, At), Now) +
+          " unanswered_ms=" + (Still ? ageOf(*Still, Now) : std::string("-")) +
           " events_until=" + lastEvent(Events));
 }
 
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -4,6 +4,7 @@
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/liveness_func.h"
 
 #include <algorithm>
 
@@ -60,6 +61,9 @@
   Asking = true;
   Shared.Waiting[PlaceId] = weak_from_this();
   Shared.SendToAgent(PlaceLink, Ask);
+  const bool First = hostAsked(Shared.Pool, At, Now);
+  if (First && (Ask.Spare || MostReading.count() == 0))
+    Shared.SendToAgent(PlaceLink, Ping{}); // The place may take a while.
   armTimer();
 }
 
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -23,6 +23,7 @@
   Broken,      ///< Answers that broke off or could not be read.
   NotExecuted, ///< Refusals by back ends.
   Misjudged,   ///< Back ends that were not the run, or version, expected.
+  StoodStill,  ///< Attempts given up since their host gave no sign of life.
   Count        ///< Number of counters; not a counter.
 };
 
@@ -54,6 +55,8 @@
          "Attempts that a back end refused."},
         {"jacinthpond_back_end_misjudged_total",
          "Attempts at a back end that was another run or version."},
+        {"jacinthpond_back_end_stood_still_total",
+         "Attempts given up since their host gave no sign of life."},
     }};
 
 /** Safe to read from any thread. */
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -6,6 +6,7 @@
 #include "forward/socket_options.h"
 #include "forwarding/caller_age_func.h"
 #include "forwarding/fleet_snapshot_func.h"
+#include "forwarding/liveness_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
@@ -200,8 +201,13 @@
       Waiter->viewCame();
 }
 
-void Forwarder::placeAnswered(const PlaceAnswer &Answer) {
-  boost::asio::post(Shared.Io, [this, Answer] {
+void Forwarder::hostAnswered(LinkId Link) {
+  boost::asio::post(Shared.Io, [this, Link] { hostHeard(Shared.Pool, Link); });
+}
+
+void Forwarder::placeAnswered(LinkId Link, const PlaceAnswer &Answer) {
+  boost::asio::post(Shared.Io, [this, Link, Answer] {
+    hostHeard(Shared.Pool, Link);
     // Taken out with its answer: one that is left would keep the memory of its
     // request.
     const auto Node = Shared.Waiting.extract(Answer.Place);
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -61,8 +61,15 @@
     Shared.SendToAgent = std::move(Send);
   }
 
-  /** An agent answered a request for a place. @param Answer What it said. */
-  void placeAnswered(const PlaceAnswer &Answer);
+  /**
+   * An agent answered a request for a place.
+   * @param Link The link to it.
+   * @param Answer What it said.
+   */
+  void placeAnswered(LinkId Link, const PlaceAnswer &Answer);
+
+  /** An agent said that its host runs. @param Link The link to it. */
+  void hostAnswered(LinkId Link);
 
   /** Answers ask to close, and readiness is denied, from now on. */
   void leave() { Shared.Leaving = true; }
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <thread>
 #include <vector>
 
@@ -115,6 +116,31 @@
   BOOST_TEST((std::chrono::steady_clock::now() - Begin < 2400ms));
 }
 
+// Guards against streams that wait at a host that stands still until their
+// callers leave; they go on at another one within two wanted gaps or so.
+BOOST_AUTO_TEST_CASE(StreamsLeaveAHostThatStandsStill) {
+  for (const char *Name : {"model-0", "model-1"})
+    All.control(Name, {{"gap_ms", 150}});
+  std::vector<httplib::Response> Answers(4);
+  std::vector<std::jthread> Callers;
+  for (httplib::Response &Into : Answers)
+    Callers.emplace_back([&] { Into = All.ask(0, write()); });
+  BOOST_REQUIRE(waitFor(5s, [&] {
+    return !All.look("model-0")["runs"].empty() &&
+           !All.look("model-1")["runs"].empty();
+  }));
+  for (const char *Name : {"model-0", "agent-0"})
+    All.process(Name).signal(SIGSTOP);
+  const auto Begin = std::chrono::steady_clock::now();
+  Callers.clear();
+  const auto Took = std::chrono::steady_clock::now() - Begin;
+  for (const char *Name : {"model-0", "agent-0"})
+    All.process(Name).signal(SIGCONT);
+  for (const httplib::Response &Answer : Answers)
+    BOOST_TEST(Answer.body == events(1, 5));
+  BOOST_TEST((Took < 1700ms));
+}
+
 BOOST_AUTO_TEST_CASE(AnErrorOfABackEndIsTriedElsewhere) {
   All.control("plain-0", {{"fail", 1}});
   for (int n = 0; n < 12; ++n)
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -417,3 +417,17 @@
   BOOST_TEST_REQUIRE(Agent.View.InForce.get(), Agent.View.LastRefusal);
   BOOST_TEST(Agent.Gate.Limit == 16U);
 }
+
+// Guards against a busy worker that is taken for one whose host stands still.
+BOOST_AUTO_TEST_CASE(AFullAgentAnswersAPingAtOnce) {
+  OneAgent One;
+  One.limit(1);
+  BOOST_TEST(One.ask("a", Millis(0))->Given);
+  One.Agent.Fleet.Links[EntryA].State = LinkState::Ready;
+  One.Out.clear();
+  agentMessage(One.Agent, EntryA, Ping{3}, One.Now, One.Out);
+  BOOST_REQUIRE(One.Out.size() == 1U);
+  const auto &Sent = std::get<SendMessage>(One.Out.front());
+  BOOST_TEST((Sent.Link == EntryA));
+  BOOST_TEST(std::get<Pong>(Sent.Content).Sequence == 3U);
+}
