routes: a traffic thread that runs late says so

Times of a request begin when it is read. A thread that gets no processor, or is blocked, reads it late, and no line showed it: an answer that its caller saw 831 ms after its deadline had event=end ms=2529 in the log, which was taken for a close that came late. A timer now looks every 250 ms; a delay of 0.2 s or more is a line (event=stalled) and counted.

--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -24,6 +24,7 @@
   NotExecuted, ///< Refusals by back ends.
   Misjudged,   ///< Back ends that were not the run, or version, expected.
   StoodStill,  ///< Attempts given up since their host gave no sign of life.
+  Stalls,      ///< Times at which the traffic thread ran late.
   Count        ///< Number of counters; not a counter.
 };
 
@@ -57,6 +58,8 @@
          "Attempts at a back end that was another run or version."},
         {"jacinthpond_back_end_stood_still_total",
          "Attempts given up since their host gave no sign of life."},
+        {"jacinthpond_traffic_stalls_total",
+         "Times at which the traffic thread ran late by 0.2 s or more."},
     }};
 
 /** Safe to read from any thread. */
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -31,6 +31,10 @@
 constexpr Millis AcceptPause{50};
 /** Time between two looks for old idle connections. */
 constexpr Millis SweepPeriod{1000};
+/** Time between two looks whether the thread runs in time, and the delay that
+ * is worth a line. */
+constexpr Millis StallPeriod{250};
+constexpr Millis LongStall{200};
 
 ErrorKind kindOf(unsigned Status) {
   if (Status == 408)
@@ -52,7 +56,8 @@
 
 Forwarder::Forwarder(const Settings &Config, const WirePort &Wire,
                      TrafficMetrics &Timings)
-    : Config(Config), Shared(Wire, Timings), SweepTimer(Shared.Io) {
+    : Config(Config), Shared(Wire, Timings), SweepTimer(Shared.Io),
+      StallTimer(Shared.Io) {
   Shared.Pool.Options.Domain.Value = Config.Domain;
   takeOptions(Config);
   Shared.Pool.Random ^= std::hash<std::string>{}(Config.Name) | 1U;
@@ -111,6 +116,7 @@
   if (!Listening)
     return false;
   sweep();
+  watchStalls();
   Traffic = std::thread([this] {
     for (;;) {
       try {
@@ -180,6 +186,25 @@
   });
 }
 
+/** A thread that gets no processor reads requests late, and no line of theirs
+ * shows it: their times begin when they are read. */
+void Forwarder::watchStalls() {
+  const TimePoint Due = Shared.Clock.now() + StallPeriod;
+  StallTimer.expires_after(StallPeriod);
+  StallTimer.async_wait([this, Due](const Error &ec) {
+    if (ec)
+      return;
+    const Millis Late = toMillis(Shared.Clock.now() - Due);
+    if (Late >= LongStall) {
+      Shared.Counters.add(ForwardCount::Stalls);
+      logLine(LogPart::Requests, LogLevel::Warn,
+              "event=stalled thread=traffic ms=" +
+                  std::to_string(Late.count()));
+    }
+    watchStalls();
+  });
+}
+
 void Forwarder::follow(DocumentPtr Doc,
                        std::optional<TimePoint> PublishedAfter) {
   boost::asio::post(Shared.Io, [this, Doc = std::move(Doc), PublishedAfter] {
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -98,6 +98,7 @@
   bool listen(const std::string &At, SessionRules Rules);
   void accept(Listener &On);
   void sweep();
+  void watchStalls();
   void letHeldGoOn();
   SessionRules rulesFor(
       std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
@@ -109,6 +110,7 @@
   ForwardContext Shared;
   std::list<Listener> Listeners;
   boost::asio::steady_timer SweepTimer;
+  boost::asio::steady_timer StallTimer;
   std::thread Traffic;
 };
 
