quarantine: peers are told of a broken run at once, not when it is judged

Cause: an agent whose engine dies holds the broken run until two states were read, and told nobody meanwhile. It counts as one running request; a cold worker bears two, so that the next entry, which has heard of that load, sends an equal request to another worker, and so on: one engine for each entry whose request comes after the news of the load and before the verdict. When all requests come in the same millisecond all choose the same worker, which is why it was seen only beside load.

Change: peers are told of the run when it breaks; the verdict confirms or withdraws it. A withdrawn one gets no say in a later death of the same engine: ids count them.

What stays open: equal requests that are already at different engines when the first of them dies. Nothing known tells them from harmless ones.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -331,7 +331,7 @@
     ranWhole(Agent, it->second, Now, Out);
     finishAttempt(Agent, Which, 200, Out);
   } else if (Known && !it->second.Cancelled && brokeOff(End)) {
-    runBrokeOff(Agent, Which, End.Why);
+    runBrokeOff(Agent, Which, End.Why, Now, Out);
   } else if (Known) {
     const bool NeverSent = End.Why.Kind == ErrorKind::Unreachable && !End.Value;
     Failure Why = End.Why;
--- a/packages/core/src/attempts/back_end_death.cpp
+++ b/packages/core/src/attempts/back_end_death.cpp
@@ -42,21 +42,40 @@
   return All;
 }
 
+/** Tells all peers that a request may have killed the back end. */
+void tellSuspect(AgentState &Agent, Attempt &One, TimePoint Now, Effects &Out) {
+  if (One.BreakId.empty())
+    One.BreakId = Agent.Fleet.Self.Name.Value + "/" + Agent.BackEndRun + "/" +
+                  std::to_string(Agent.BreaksWithdrawn);
+  SuspectNotice Notice;
+  Notice.Fingerprint = fingerprintOf(One.Asked);
+  Notice.DeathId = One.BreakId;
+  Notice.Alone = One.RanAlone;
+  if (noteSuspect(Agent.Suspects, Notice, Now))
+    spreadNotice(Agent.Fleet, Notice, {}, Out);
+}
+
+/** The back end lives: a connection broke, and the request is no suspect. */
+void withdrawSuspect(AgentState &Agent, const Attempt &One, TimePoint Now,
+                     Effects &Out) {
+  if (One.BreakId.empty())
+    return;
+  // A later death of the same back end has another id: this one is cleared.
+  ++Agent.BreaksWithdrawn;
+  const SuspectNotice Notice{fingerprintOf(One.Asked), One.BreakId, 0, false,
+                             true};
+  if (noteSuspect(Agent.Suspects, Notice, Now))
+    spreadNotice(Agent.Fleet, Notice, {}, Out);
+}
+
 void declareDeath(AgentState &Agent, const std::vector<AttemptId> &Lost,
                   TimePoint Now, Effects &Out) {
   Out.push_back(LogNote{LogPart::Admission, LogLevel::Error,
                         "Back end died with " + std::to_string(Lost.size()) +
                             " requests."});
-  for (const AttemptId &Which : Lost) {
-    const Attempt &One = Agent.Attempts.at(Which);
-    SuspectNotice Notice;
-    Notice.Fingerprint = fingerprintOf(One.Asked);
-    Notice.DeathId = Agent.Fleet.Self.Name.Value + "/" + Agent.BackEndRun;
-    Notice.Alone = One.RanAlone;
-    // Told before the failure: an entry that tries again knows it by then.
-    if (noteSuspect(Agent.Suspects, Notice, Now))
-      spreadNotice(Agent.Fleet, Notice, {}, Out);
-  }
+  // Told before the failure: an entry that tries again knows it by then.
+  for (const AttemptId &Which : Lost)
+    tellSuspect(Agent, Agent.Attempts.at(Which), Now, Out);
   for (const AttemptId &Which : Lost)
     failAttempt(Agent, Which, {ErrorKind::OutcomeUnknown, "back end died", {}},
                 Ran::Unknown, Out);
@@ -64,11 +83,13 @@
 
 } // namespace
 
-void runBrokeOff(AgentState &Agent, const AttemptId &Which,
-                 const Failure &Why) {
+void runBrokeOff(AgentState &Agent, const AttemptId &Which, const Failure &Why,
+                 TimePoint Now, Effects &Out) {
   Attempt &One = Agent.Attempts.at(Which);
   One.Broke = Why;
   One.ReadsSinceBroke = 0;
+  if (!Agent.BackEndRun.empty())
+    tellSuspect(Agent, One, Now, Out);
 }
 
 void judgeBrokenRuns(AgentState &Agent, const std::string &Run, TimePoint Now,
@@ -86,6 +107,7 @@
     if (++One.ReadsSinceBroke < AliveReads)
       continue;
     const Failure Why = *One.Broke;
+    withdrawSuspect(Agent, One, Now, Out);
     failAttempt(Agent, Which, Why, Ran::Unknown, Out);
   }
 }
--- a/packages/core/src/attempts/back_end_death_func.h
+++ b/packages/core/src/attempts/back_end_death_func.h
@@ -10,16 +10,21 @@
 
 /**
  * A run broke off. Whether the back end died with it shows only in its next
- * states, so that the attempt is held until then.
+ * states, so that the attempt is held until then. Peers are told at once: equal
+ * requests that come meanwhile could each kill another back end.
  * @param Agent State to change.
  * @param Which The attempt.
  * @param Why How it broke off.
+ * @param Now Current time.
+ * @param Out Effects are appended.
  */
-void runBrokeOff(AgentState &Agent, const AttemptId &Which, const Failure &Why);
+void runBrokeOff(AgentState &Agent, const AttemptId &Which, const Failure &Why,
+                 TimePoint Now, Effects &Out);
 
 /**
  * The back end's state was read: decides on runs that broke off. When it died,
- * what ran is told to all peers as suspect and then failed.
+ * what ran is told to all peers as suspect and then failed; when it lives, what
+ * was told is withdrawn.
  * @param Agent State to change.
  * @param Run Incarnation read; empty when it gave none.
  * @param Now Current time.
