routing: equal requests reach two workers at most while they are under way

Cause: a request whose prefix is warm at a busy worker went to the less busy of two taken by hash of a counter, so that copies which came through several entries went to as many workers before the first engine died. Cold workers bear two requests: one copy was enough to send the next elsewhere.

Change: the choice beside the warm worker follows from the whole request. All entries choose the same two, whatever they know; a suspect goes to the same two in a fixed order, so that it finds its copies. It is still the less busy of two, and different requests spread as before; near workers are not preferred for what does not fit at the warm one any more.

--- a/packages/core/src/routing/routing.cpp
+++ b/packages/core/src/routing/routing.cpp
@@ -44,13 +44,28 @@
   return Sum / static_cast<double>(Candidates.size());
 }
 
-size_t firstRank(const std::vector<Candidate> &Candidates,
-                 std::string_view Key) {
-  const auto it =
-      std::ranges::max_element(Candidates, {}, [&](const Candidate &One) {
-        return rendezvousScore(Key, One.Name.Value);
-      });
-  return static_cast<size_t>(it - Candidates.begin());
+constexpr size_t Nobody = SIZE_MAX;
+
+/** The candidate that a key ranks first, of all others than one. */
+size_t firstRank(const std::vector<Candidate> &Candidates, std::string_view Key,
+                 size_t Except = Nobody) {
+  size_t First = Nobody;
+  uint64_t Best = 0;
+  for (size_t n = 0; n < Candidates.size(); ++n) {
+    const uint64_t Score = rendezvousScore(Key, Candidates[n].Name.Value);
+    if (n == Except || (First != Nobody && Score <= Best))
+      continue;
+    First = n;
+    Best = Score;
+  }
+  return First;
+}
+
+/** Says whether the worker where a prefix is warm may get one more. */
+bool fitsWarm(const std::vector<Candidate> &Candidates, size_t Warm) {
+  const double Bound =
+      std::max(AffinityLoadFactor * meanLoad(Candidates), AffinityFreeLoad);
+  return relativeLoad(Candidates[Warm]) <= Bound;
 }
 
 /** One of the first Count indices of Order, by hash. */
@@ -88,14 +103,26 @@
     return 0;
   if (!AffinityKey.empty()) {
     const size_t Warm = firstRank(Candidates, AffinityKey);
-    const double Bound =
-        std::max(AffinityLoadFactor * meanLoad(Candidates), AffinityFreeLoad);
-    if (relativeLoad(Candidates[Warm]) <= Bound)
+    if (fitsWarm(Candidates, Warm))
       return Warm;
   }
   return lessBusyOfTwo(Candidates, Salt);
 }
 
+size_t chooseForPrompt(const std::vector<Candidate> &Candidates,
+                       std::string_view AffinityKey,
+                       std::string_view RequestKey) {
+  if (Candidates.empty())
+    return 0;
+  const size_t Warm = firstRank(Candidates, AffinityKey);
+  if (fitsWarm(Candidates, Warm) || Candidates.size() == 1)
+    return Warm;
+  const size_t Other = firstRank(Candidates, RequestKey, Warm);
+  return relativeLoad(Candidates[Other]) < relativeLoad(Candidates[Warm])
+             ? Other
+             : Warm;
+}
+
 size_t chooseAtRandom(const std::vector<Candidate> &Candidates, uint64_t Salt) {
   return Candidates.empty()
              ? 0
--- a/packages/core/src/routing/routing_func.h
+++ b/packages/core/src/routing/routing_func.h
@@ -21,6 +21,21 @@
 size_t chooseWorker(const std::vector<Candidate> &Candidates,
                     std::string_view AffinityKey, uint64_t Salt);
 
+/**
+ * Chooses a worker for a model: the one where the prefix is warm unless it is
+ * much busier than its peers, else the less busy of it and the one that the
+ * whole request ranks first. Equal requests so reach two workers, whichever
+ * entries they come through and whatever these know: one that kills its engine
+ * costs no third one while its copies are under way.
+ * @param Candidates Workers that may be taken; not changed.
+ * @param AffinityKey Equal for requests that share a prompt prefix.
+ * @param RequestKey Equal for equal requests only.
+ * @return Index into Candidates; Candidates.size() when there is none.
+ */
+size_t chooseForPrompt(const std::vector<Candidate> &Candidates,
+                       std::string_view AffinityKey,
+                       std::string_view RequestKey);
+
 /**
  * Chooses any worker: the naive way, to measure against.
  * @param Candidates Workers that may be taken; not changed.
--- a/packages/core/src/routing/worker_choice.cpp
+++ b/packages/core/src/routing/worker_choice.cpp
@@ -45,11 +45,25 @@
 }
 
 /**
- * The place of a suspect. Two entries that try it again at the same time send
- * it to the same worker, so that it can cost no more than that one.
+ * The place of a suspect: one of the two to which it goes before it is one, in
+ * a fixed order. Its copies are there already, if they are anywhere.
  */
-size_t placeOfSuspect(const std::vector<Candidate> &Choice,
-                      const Digest &Fingerprint) {
+size_t placeOfSuspect(const EntryState &Entry, const WorkClass &Class,
+                      const Call &One, const std::vector<Candidate> &Choice) {
+  const std::string Affinity = affinityKey(One);
+  const std::vector<const Worker *> Listed =
+      workersOf(*Entry.View.InForce, Class);
+  const auto Warm = std::ranges::max_element(Listed, {}, [&](const Worker *w) {
+    return rendezvousScore(Affinity, w->Name.Value);
+  });
+  const auto First =
+      Warm == Listed.end()
+          ? Choice.end()
+          : std::ranges::find(Choice, (*Warm)->Name, &Candidate::Name);
+  if (First != Choice.end())
+    return static_cast<size_t>(First - Choice.begin());
+  const Digest Fingerprint =
+      fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body);
   const auto it =
       std::ranges::max_element(Choice, {}, [&](const Candidate &Each) {
         return rendezvousScore(Fingerprint.Value, Each.Name.Value);
@@ -79,16 +93,16 @@
                  const Call &One, const std::vector<Candidate> &Choice,
                  TimePoint Now) {
   if (suspicionOf(Entry, One, Now) == Suspicion::RunAlone)
-    return placeOfSuspect(
-        Choice,
-        fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body));
-  const std::string Affinity =
-      Class.Kind == BackEndKind::Model ? affinityKey(One) : "";
+    return placeOfSuspect(Entry, Class, One, Choice);
   // Entries started together count alike; their choices must still differ.
   const uint64_t Salt = Entry.Fleet.Self.Run.Value + Entry.NextAttempt;
   if (Entry.Config.RandomRouting)
     return chooseAtRandom(Choice, Salt);
-  return chooseWorker(Choice, Affinity, Salt);
+  if (Class.Kind != BackEndKind::Model)
+    return chooseWorker(Choice, "", Salt);
+  const Digest Fingerprint =
+      fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body);
+  return chooseForPrompt(Choice, affinityKey(One), Fingerprint.Value);
 }
 
 Suspicion suspicionOf(const EntryState &Entry, const Call &One, TimePoint Now) {
--- a/tests/integration/poison_request_test.cpp
+++ b/tests/integration/poison_request_test.cpp
@@ -51,6 +51,14 @@
     BOOST_TEST(Why["error"].value("retry_after_ms", 0) > 1000);
   }
 
+  /** Logs of all agents, for a failure. */
+  std::string logs() const {
+    std::string Text;
+    for (size_t n = 0; n < Workers; ++n)
+      Text += All.logOf("agent-m" + std::to_string(n));
+    return Text;
+  }
+
   Fleet All;
 };
 
@@ -88,6 +96,7 @@
   All.askTogether(Entries, [&](size_t n) { return poison(n); });
   for (size_t n = 0; n < Entries; ++n)
     checkRefused(n);
+  BOOST_TEST_INFO(logs());
   BOOST_TEST(deaths() <= 2U);
 }
 
--- a/tests/unit/poison_spread_test.cpp
+++ b/tests/unit/poison_spread_test.cpp
@@ -22,24 +22,19 @@
     pass(Millis(1000));
   }
 
-  /** Engines that began such a request. */
-  std::set<std::string> hit() const {
-    std::set<std::string> Names;
-    for (const auto &[Name, Request] : Runs)
-      Names.insert(Name);
-    return Names;
+  /** Engines that began such a request alive; each dies of it. */
+  std::set<std::string> hit() {
+    for (; Begun.size() < Runs.size();)
+      Begun.push_back(Dying.insert(Runs[Begun.size()].first).second);
+    return Dying;
   }
 
-  /** Ends what was given to engines; those that lived die of it. */
+  /** Tells agents how the runs ended that were given to engines. */
   void endRuns() {
-    for (; Ended < Runs.size(); ++Ended) {
-      const auto [Name, Request] = Runs[Ended];
-      const bool Lived = Engines.insert(Name).second;
-      end(Name, Request.Attempt,
-          Lived ? ErrorKind::OutcomeUnknown : ErrorKind::Unreachable);
-      if (!Lived)
-        Runs.erase(Runs.begin() + static_cast<ptrdiff_t>(Ended--));
-    }
+    hit();
+    for (; Ended < Begun.size(); ++Ended)
+      end(Runs[Ended].first, Runs[Ended].second.Attempt,
+          Begun[Ended] ? ErrorKind::OutcomeUnknown : ErrorKind::Unreachable);
   }
 
   void end(const std::string &Name, const AttemptId &Which, ErrorKind Why) {
@@ -52,7 +47,7 @@
   /** Agents read the state of their engines. */
   void readStates() {
     for (auto &[Name, Agent] : Agents) {
-      if (!Engines.contains(Name)) {
+      if (!hit().contains(Name)) {
         warm(Name);
         continue;
       }
@@ -73,8 +68,9 @@
     }
   }
 
-  size_t Ended = 0;              ///< Runs whose end was told.
-  std::set<std::string> Engines; ///< Those that died.
+  size_t Ended = 0;            ///< Runs whose end was told.
+  std::vector<bool> Begun;     ///< For each run, whether its engine lived.
+  std::set<std::string> Dying; ///< Engines that such a request reached.
 };
 
 } // namespace
@@ -95,18 +91,28 @@
   BOOST_TEST((Finals.at(Last).Kind == ErrorKind::Quarantined));
 }
 
+// Guards against a third death: copies of a request are at many workers before
+// the first of them kills its engine.
+BOOST_FIXTURE_TEST_CASE(EqualRequestsUnderWayReachTwoWorkers, ColdMesh) {
+  for (const char *Entry : {"e0", "e1", "e2", "e3"}) {
+    ask(Entry, "reports", "", "", Poison);
+    pass(Millis(50));
+  }
+  settle();
+  BOOST_TEST(hit().size() <= 2U);
+}
+
 // Guards against innocent requests that stay suspect after a lost connection.
 BOOST_FIXTURE_TEST_CASE(AConnectionThatBreaksIsNoDeath, ColdMesh) {
   for (int n = 0; n < 3; ++n) {
     ask("e0", "reports", "", "", Poison);
-    const auto [Name, Request] = Runs.at(Ended);
-    Ended = Runs.size();
+    const auto [Name, Request] = Runs.back();
     end(Name, Request.Attempt, ErrorKind::OutcomeUnknown);
     for (int Reads = 0; Reads < 4; ++Reads) {
-      readStates();
+      for (const auto &[Each, Agent] : Agents)
+        warm(Each);
       pass(Millis(100));
     }
-    Ended = Runs.size();
   }
   for (const auto &[Name, Entry] : Entries)
     BOOST_TEST((suspicionOf(Entry.Suspects,
