quarantine: a silent engine's runs are suspect before what waits goes elsewhere

Evidence, the agents' lines of three such runs, all alike: eight equal requests at m4, which dies; all eight wait at m1 to run alone; m1 logs "Back end is silent" and refuses seven as not run (cold_start); they go to m5, which knows of one death, and one runs there; 0.2 s later m1 declares its death. The state of the engine was read before the end of the run's connection was seen, so nothing had broken yet and nobody was told.

Change: when an engine gives no state, what runs there is told as suspect before anything is refused; the next good state of the same run withdraws it.

ASilentEngineIsSuspectBeforeItsRunsBreak fails without it (3 engines).

--- a/packages/core/src/attempts/back_end_death.cpp
+++ b/packages/core/src/attempts/back_end_death.cpp
@@ -92,9 +92,30 @@
     tellSuspect(Agent, One, Now, Out);
 }
 
+/**
+ * A back end that gives no state may have died of what runs there, though no
+ * run has broken off yet. What waits is refused and goes elsewhere: peers have
+ * to know by then.
+ */
+static void suspectWhileSilent(AgentState &Agent, const std::string &Run,
+                               TimePoint Now, Effects &Out) {
+  for (auto &[Id, One] : Agent.Attempts) {
+    if (One.State != AttemptKnown::Running || One.Broke)
+      continue;
+    if (Run.empty()) {
+      tellSuspect(Agent, One, Now, Out);
+    } else if (Run == Agent.BackEndRun) {
+      withdrawSuspect(Agent, One, Now, Out);
+      One.BreakId.clear();
+    }
+  }
+}
+
 void judgeBrokenRuns(AgentState &Agent, const std::string &Run, TimePoint Now,
                      Effects &Out) {
   const bool Known = !Agent.BackEndRun.empty();
+  if (Known)
+    suspectWhileSilent(Agent, Run, Now, Out);
   const bool Replaced = Known && !Run.empty() && Run != Agent.BackEndRun;
   const bool Dead = Known && Run != Agent.BackEndRun;
   if (Dead)
--- a/tests/unit/poison_spread_test.cpp
+++ b/tests/unit/poison_spread_test.cpp
@@ -102,6 +102,19 @@
   BOOST_TEST(hit().size() <= 2U);
 }
 
+// Guards against a third death: an engine gives no state any more, what waits
+// there goes elsewhere, and the end of its run is seen only after that.
+BOOST_FIXTURE_TEST_CASE(ASilentEngineIsSuspectBeforeItsRunsBreak, ColdMesh) {
+  for (const char *Entry : {"e0", "e1", "e2", "e3"})
+    ask(Entry, "reports", "", "", Poison);
+  for (int n = 0; n < 20; ++n) {
+    readStates();
+    pass(Millis(100));
+    endRuns();
+  }
+  BOOST_TEST(hit().size() <= 2U);
+}
+
 // Guards against innocent requests that stay suspect after a lost connection.
 BOOST_FIXTURE_TEST_CASE(AConnectionThatBreaksIsNoDeath, ColdMesh) {
   for (int n = 0; n < 3; ++n) {
