tests: a stop of all agents waits until engines write the answers

One wait does not hold: AnAgentFinishesItsStreams takes a stream for one that runs as soon as its entry has an open call. Beside load a thread of ours that could run waited 469 to 659 ms for a processor (sampled from /proc); an agent that reads the request after SIGTERM refuses it, truthfully, as not run. Shown with agents that are stopped (SIGSTOP) from before the requests until SIGTERM: "Whole >= 3 has failed [2 < 3]" in one of two runs.

The test now waits until engines write three answers. All checks are as they were.

--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -37,6 +37,16 @@
     });
   }
 
+  /** Whether so many answers are being written by engines. */
+  bool enginesRun(int Count) {
+    return waitFor(10s, [&] {
+      int Running = 0;
+      for (size_t n = 0; n < All.Plan.ModelWorkers; ++n)
+        Running += All.look("engine-" + std::to_string(n)).value("running", 0);
+      return Running >= Count;
+    });
+  }
+
   int exitOf(const std::string &Name) {
     return All.process(Name).waitExit(20s).value_or(-1);
   }
@@ -124,6 +134,7 @@
     Asking.push_back(stream(n % 3, Streams[n]));
   for (size_t n = 0; n < 3; ++n)
     BOOST_TEST(streamRuns(n));
+  BOOST_TEST(enginesRun(3));
   for (size_t n = 0; n < All.Plan.ModelWorkers; ++n)
     All.process("agent-m" + std::to_string(n)).signal(SIGTERM);
   for (std::jthread &One : Asking)
