--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -123,6 +123,7 @@
     All.control(Name, {{"gap_ms", 150}});
   std::vector<httplib::Response> Answers(4);
   std::vector<std::jthread> Callers;
+  Callers.reserve(Answers.size());
   for (httplib::Response &Into : Answers)
     Callers.emplace_back([&] { Into = All.ask(0, write()); });
   BOOST_REQUIRE(waitFor(5s, [&] {
