routes: a worker whose agent stays away is tried again after a while

A link that ends in silence marks the worker's host as standing still until its agent speaks. An agent that ended while its host was cut off never would, and the worker, though well, would get no request any more. After 10 s single requests find out, ranked last, as they did before.

AfterAWhileSingleRequestsFindOut failed without it. Found by reading.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -171,6 +171,10 @@
                           "Tokens come far too slowly: back end is cold."});
 }
 
+void answerPing(LinkId Link, const Ping &m, Effects &Out) {
+  Out.push_back(SendMessage{Link, Pong{m.Sequence}});
+}
+
 /** True when the back end may have died in the middle of a run. */
 bool brokeOff(const Outcome<EngineEnd> &End) {
   return !End.Value && (End.Why.Kind == ErrorKind::OutcomeUnknown ||
@@ -248,47 +252,44 @@
   }
   if (News != FleetNews::NotMine)
     return;
-  std::visit(
-      Overloaded{[&](const AttemptStart &Start) {
-                   takeAttempt(Agent, Link, Start, Now, Out);
-                 },
-                 [&](const PlaceAsk &Ask) {
-                   takePlaceAsk(Agent, Link, Ask, Now, Out);
-                 },
-                 [&](const PlaceDone &Done) {
-                   placeDone(Agent, Done, Now, Out);
-                   loadInTurn(Agent, Now, Out);
-                 },
-                 [&](const AttemptCancel &Cancel) {
-                   cancelAttempt(Agent, Cancel.Attempt, Now, Out);
-                 },
-                 [&](const ChunkHave &Have) {
-                   chunkHaveHeard(Agent.Transfer, Link, Have, Now);
-                   moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
-                 },
-                 [&](const ChunkListTold &List) {
-                   if (listTold(Agent, Link, List, Now, Out))
-                     announceChange(Agent, Now, Out);
-                 },
-                 [&](const ChunkRequest &Asked) {
-                   chunkRequested(Agent.Transfer, Agent.Weights, Link, Asked,
-                                  Out);
-                   serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
-                 },
-                 [&](const SuspectNotice &Notice) {
-                   agentSuspect(Agent, Notice, Now, Out);
-                 },
-                 [&](const AttemptQuery &Query) {
-                   queryAttempt(Agent, Link, Query, Now, Out);
-                 },
-                 [&](const Ping &Asked) {
-                   Out.push_back(SendMessage{Link, Pong{Asked.Sequence}});
-                 },
-                 [](const auto &) {
-                   // Meant for entries; an agent that gets one has
-                   // nothing to do.
-                 }},
-      m);
+  std::visit(Overloaded{[&](const AttemptStart &Start) {
+                          takeAttempt(Agent, Link, Start, Now, Out);
+                        },
+                        [&](const PlaceAsk &Ask) {
+                          takePlaceAsk(Agent, Link, Ask, Now, Out);
+                        },
+                        [&](const PlaceDone &Done) {
+                          placeDone(Agent, Done, Now, Out);
+                          loadInTurn(Agent, Now, Out);
+                        },
+                        [&](const AttemptCancel &Cancel) {
+                          cancelAttempt(Agent, Cancel.Attempt, Now, Out);
+                        },
+                        [&](const ChunkHave &Have) {
+                          chunkHaveHeard(Agent.Transfer, Link, Have, Now);
+                          moveChunks(Agent.Transfer, Agent.Weights, Now, Out);
+                        },
+                        [&](const ChunkListTold &List) {
+                          if (listTold(Agent, Link, List, Now, Out))
+                            announceChange(Agent, Now, Out);
+                        },
+                        [&](const ChunkRequest &Asked) {
+                          chunkRequested(Agent.Transfer, Agent.Weights, Link,
+                                         Asked, Out);
+                          serveUploads(Agent.Transfer, Agent.Weights, Now, Out);
+                        },
+                        [&](const SuspectNotice &Notice) {
+                          agentSuspect(Agent, Notice, Now, Out);
+                        },
+                        [&](const AttemptQuery &Query) {
+                          queryAttempt(Agent, Link, Query, Now, Out);
+                        },
+                        [&](const Ping &m) { answerPing(Link, m, Out); },
+                        [](const auto &) {
+                          // Meant for entries; an agent that gets one has
+                          // nothing to do.
+                        }},
+             m);
 }
 
 void engineBegan(AgentState &Agent, const AttemptId &Which,
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -42,7 +42,7 @@
   bool RanAlone = false;             ///< Nothing else ran beside it.
   std::optional<Failure> Broke;      ///< It broke off; being judged.
   uint32_t ReadsSinceBroke = 0;      ///< States of the back end read since.
-  std::string BreakId; ///< Death that peers were told of; empty: none.
+  std::string BreakId;               ///< Death told to peers; empty: none.
 };
 
 /** A place at the back end for a request that an entry sends there itself. */
@@ -68,20 +68,20 @@
 
 /** All state of an agent, owned by its control thread. */
 struct AgentState {
-  Settings Config;              ///< Settings of this process.
-  ConfigView View;              ///< Published configuration.
-  Membership Fleet;             ///< Links to entries and agents.
-  ReadingDebt Reading;          ///< Prompts given, not read yet.
-  FirstPartTime FirstPart;      ///< How long first parts take.
-  Admission Gate;               ///< Running and waiting work.
-  WeightsState Weights;         ///< Weights of the engine.
-  TransferState Transfer;       ///< Exchange of chunks.
-  RolloutState Rollout;         ///< Waiting for the turn to load.
-  bool BackEndUp = false;       ///< The back end answers.
-  uint64_t BreaksWithdrawn = 0; ///< Broken runs that were no death after all.
-  std::string ServiceRun;       ///< Incarnation of the plain service.
-  std::string BackEndRun;       ///< Last incarnation that answered.
-  Quarantine Suspects;          ///< Requests that were at a death.
+  Settings Config;                       ///< Settings of this process.
+  ConfigView View;                       ///< Published configuration.
+  Membership Fleet;                      ///< Links to entries and agents.
+  ReadingDebt Reading;                   ///< Prompts given, not read yet.
+  FirstPartTime FirstPart;               ///< How long first parts take.
+  Admission Gate;                        ///< Running and waiting work.
+  WeightsState Weights;                  ///< Weights of the engine.
+  TransferState Transfer;                ///< Exchange of chunks.
+  RolloutState Rollout;                  ///< Waiting for the turn to load.
+  bool BackEndUp = false;                ///< The back end answers.
+  uint64_t BreaksWithdrawn = 0;          ///< Broken runs that were no death.
+  std::string ServiceRun;                ///< Incarnation of the plain service.
+  std::string BackEndRun;                ///< Last incarnation that answered.
+  Quarantine Suspects;                   ///< Requests that were at a death.
   std::map<AttemptId, Attempt> Attempts; ///< Waiting and running.
   std::map<AttemptId, Place> Places;     ///< Waiting and given.
   std::deque<AttemptId> SparePlaces;     ///< Those that wait for spare room.
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -102,13 +102,11 @@
   RouteKind Kind = RouteKind::AtMostOnce; ///< What may be repeated.
   bool Resumable = false;                 ///< A stream may go on elsewhere.
   bool Anonymous = false;                 ///< Callers need no API key.
-  uint32_t MaxAttempts = 1; ///< Back ends that may get one request.
-  Millis Timeout{0};        ///< Longest wait for the whole answer.
-  Millis Target{0};         ///< Wanted time to the first byte.
-  Millis GapTarget{0};      ///< Longest wanted gap between events.
-  /** Callers abandon a stream after such a silence, also before its first
-   * event; 0: they wait until their deadline. */
-  Millis LongestSilence{0};
+  uint32_t MaxAttempts = 1;         ///< Back ends that may get one request.
+  Millis Timeout{0};                ///< Longest wait for the whole answer.
+  Millis Target{0};                 ///< Wanted time to the first byte.
+  Millis GapTarget{0};              ///< Longest wanted gap between events.
+  Millis LongestSilence{0};         ///< Callers leave a stream then; 0: never.
   uint32_t Rank = 0;                ///< Urgency; 0 is first.
   std::vector<RouteTarget> Targets; ///< Services, at least one.
   std::set<RegionName> Regions;     ///< Where it may run; empty: anywhere.
--- a/packages/core/src/forwarding/liveness.cpp
+++ b/packages/core/src/forwarding/liveness.cpp
@@ -9,6 +9,9 @@
 /** Wait for an answer: the way between regions and back, with one packet that
  * is sent again. */
 constexpr Millis LivenessWait{250};
+/** After so long the agent may have ended while nobody could hear of it, and
+ * the back end may live: single requests find out. */
+constexpr Millis LongestStandstill{10000};
 
 } // namespace
 
@@ -44,7 +47,10 @@
 }
 
 bool standsStill(const ServerView &View, TimePoint Now) {
-  return View.Unanswered && Now - *View.Unanswered >= LivenessWait;
+  if (!View.Unanswered)
+    return false;
+  const Duration Silent = Now - *View.Unanswered;
+  return Silent >= LivenessWait && Silent < LongestStandstill;
 }
 
 void agentLinkEnded(ServerView &View, bool Silent, TimePoint Now) {
--- a/packages/core/src/forwarding/liveness_func.h
+++ b/packages/core/src/forwarding/liveness_func.h
@@ -50,7 +50,7 @@
  * Says whether a back end counts as standing still.
  * @param View The back end.
  * @param Now Current time.
- * @return True when its host left a question without an answer.
+ * @return True when its host left a question without an answer, for a while.
  */
 bool standsStill(const ServerView &View, TimePoint Now);
 
--- a/tests/unit/liveness_test.cpp
+++ b/tests/unit/liveness_test.cpp
@@ -145,6 +145,21 @@
   BOOST_TEST(All.isChosen("m0"));
 }
 
+// Guards against a worker that is left alone for ever, since its agent ended
+// while its host was cut off.
+BOOST_AUTO_TEST_CASE(AfterAWhileSingleRequestsFindOut) {
+  Hosts All;
+  All.linkEnded("m0", true);
+  All.linkEnded("m1", false);
+  All.Now += Millis(9000);
+  BOOST_TEST(!All.isChosen("m0"));
+  All.Now += Millis(2000);
+  attemptOpened(All.Pool, {"m1"}, All.Now); // One at a time there, too.
+  BOOST_TEST(All.isChosen("m0"));
+  attemptOpened(All.Pool, {"m0"}, All.Now);
+  BOOST_TEST(!All.isChosen("m0"));
+}
+
 // Guards against an entry that refuses everything since it hears of nobody.
 BOOST_AUTO_TEST_CASE(WhereAllSeemToStandStillOneIsTried) {
   Hosts All;
