bench: the soak outlives a write to a process that was just killed

The programs and the stand-ins ignore that signal; the soak did not. Seen once; that the write was one to a killed process is likely, not traced.

--- a/bench/chaos/chaos.cpp
+++ b/bench/chaos/chaos.cpp
@@ -16,6 +16,7 @@
 
 #include <popt.h>
 
+#include <csignal>
 #include <iostream>
 #include <memory>
 
@@ -160,6 +161,8 @@
 } // namespace jacinthpond::chaos
 
 int main(int Count, char **Arguments) {
+  // Processes are killed while they are being written to.
+  std::signal(SIGPIPE, SIG_IGN);
   return jacinthpond::chaos::parseAndRun(Count,
                                          const_cast<const char **>(Arguments));
 }
