--- a/packages/core/src/routing/routing.cpp
+++ b/packages/core/src/routing/routing.cpp
@@ -111,13 +111,13 @@
 
 size_t chooseForPrompt(const std::vector<Candidate> &Candidates,
                        std::string_view AffinityKey,
-                       std::string_view RequestKey) {
+                       const std::function<std::string()> &RequestKey) {
   if (Candidates.empty())
     return 0;
   const size_t Warm = firstRank(Candidates, AffinityKey);
   if (fitsWarm(Candidates, Warm) || Candidates.size() == 1)
     return Warm;
-  const size_t Other = firstRank(Candidates, RequestKey, Warm);
+  const size_t Other = firstRank(Candidates, RequestKey(), Warm);
   return relativeLoad(Candidates[Other]) < relativeLoad(Candidates[Warm])
              ? Other
              : Warm;
--- a/packages/core/src/routing/routing_func.h
+++ b/packages/core/src/routing/routing_func.h
@@ -5,6 +5,8 @@
 
 #include "routing/routing_type.h"
 
+#include <functional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -29,12 +31,13 @@
  * costs no third one while its copies are under way.
  * @param Candidates Workers that may be taken; not changed.
  * @param AffinityKey Equal for requests that share a prompt prefix.
- * @param RequestKey Equal for equal requests only.
+ * @param RequestKey Gives a key that is equal for equal requests only; called
+ * only where it is needed.
  * @return Index into Candidates; Candidates.size() when there is none.
  */
 size_t chooseForPrompt(const std::vector<Candidate> &Candidates,
                        std::string_view AffinityKey,
-                       std::string_view RequestKey);
+                       const std::function<std::string()> &RequestKey);
 
 /**
  * Chooses any worker: the naive way, to measure against.
--- a/packages/core/src/routing/worker_choice.cpp
+++ b/packages/core/src/routing/worker_choice.cpp
@@ -100,9 +100,10 @@
     return chooseAtRandom(Choice, Salt);
   if (Class.Kind != BackEndKind::Model)
     return chooseWorker(Choice, "", Salt);
-  const Digest Fingerprint =
-      fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body);
-  return chooseForPrompt(Choice, affinityKey(One), Fingerprint.Value);
+  return chooseForPrompt(Choice, affinityKey(One), [&] {
+    return fingerprintOf(One.Asked.Tenant, One.Asked.Class, One.Asked.Body)
+        .Value;
+  });
 }
 
 Suspicion suspicionOf(const EntryState &Entry, const Call &One, TimePoint Now) {
