entry, agent: what a back end's own rate limit is, and who heard of it

The logs of the incident could not tell whether an entry knew the limit: no line kept the field. Entries now read it, log it when it changes (event=rate_limit with the field as it came), show it with its age in event=attempt, and tell the agent of the back end, which shows it in event=place. An unreadable value is logged and ignored. Nothing is decided by it yet.

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <type_traits>
@@ -80,6 +81,8 @@
       List.push_back(Json::binary(Field));
     else if constexpr (std::is_same_v<T, std::vector<Digest>>)
       (*this)(Name, joinDigests(Field));
+    else if constexpr (std::is_same_v<T, std::optional<double>>)
+      List.push_back(Field ? Json(*Field) : Json());
     else
       List.push_back(Field);
   }
@@ -121,6 +124,17 @@
     return read(Value, Text) && splitDigests(Text, Field);
   }
 
+  /** Reads a rate or nothing; not below 0, and finite. */
+  static bool read(const Json &Value, std::optional<double> &Field) {
+    Field.reset();
+    if (Value.is_null())
+      return true;
+    if (!Value.is_number())
+      return false;
+    Field = Value.get<double>();
+    return std::isfinite(*Field) && *Field >= 0;
+  }
+
   static bool read(const Json &Value, bool &Field) {
     if (!Value.is_boolean())
       return false;
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -262,6 +262,9 @@
                           placeDone(Agent, Done, Now, Out);
                           loadInTurn(Agent, Now, Out);
                         },
+                        [&](const RateHeard &Heard) {
+                          placeRateHeard(Agent, Heard, Now, Out);
+                        },
                         [&](const AttemptCancel &Cancel) {
                           cancelAttempt(Agent, Cancel.Attempt, Now, Out);
                         },
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -7,6 +7,7 @@
 #include "admission/first_part_type.h"
 #include "admission/quarantine_type.h"
 #include "admission/reading_type.h"
+#include "admission/server_rate_type.h"
 #include "attempts/ended_attempts_type.h"
 #include "attempts/idempotency_type.h"
 #include "base/effect_type.h"
@@ -74,6 +75,7 @@
   ReadingDebt Reading;                   ///< Prompts given, not read yet.
   FirstPartTime FirstPart;               ///< How long first parts take.
   Admission Gate;                        ///< Running and waiting work.
+  ServerRate Rate;                       ///< Limit of the back end itself.
   WeightsState Weights;                  ///< Weights of the engine.
   TransferState Transfer;                ///< Exchange of chunks.
   RolloutState Rollout;                  ///< Waiting for the turn to load.
--- a/packages/core/src/attempts/backend_type.h
+++ b/packages/core/src/attempts/backend_type.h
@@ -7,6 +7,7 @@
 #include "base/time_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,11 +15,12 @@
 
 /** What an engine reports of itself; lags behind what it does. */
 struct EngineState {
-  std::string Run;      ///< Changes when the engine restarts.
-  Digest Weights;       ///< Digest of the loaded set; empty: none.
-  uint32_t Running = 0; ///< Requests in its batch.
-  bool Cold = false;    ///< Its caches are cold.
-  bool Busy = false;    ///< It carries out a load order.
+  std::string Run;                 ///< Changes when the engine restarts.
+  Digest Weights;                  ///< Digest of the loaded set; empty: none.
+  uint32_t Running = 0;            ///< Requests in its batch.
+  bool Cold = false;               ///< Its caches are cold.
+  bool Busy = false;               ///< It carries out a load order.
+  std::optional<double> PerSecond; ///< Rate limit that it names, if any.
 };
 
 /** One chunk of one version of a model. */
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -5,6 +5,7 @@
 #include "admission/admission_func.h"
 #include "admission/first_part_func.h"
 #include "admission/reading_func.h"
+#include "admission/server_rate_func.h"
 #include "attempts/attempt_func.h"
 #include "weights/weights_func.h"
 
@@ -64,6 +65,7 @@
           " most_reading_ms=" + std::to_string(Asked.MostReadingMillis) +
           " spare_only=" + (Asked.Spare ? "yes" : "no") +
           " waited_ms=" + std::to_string(toMillis(Waited).count()) +
+          " rate=" + rateText(Agent.Rate) +
           " weights=" + Agent.Weights.Loaded.Value + " replaced_ms=" +
           (Agent.Weights.OutdatedSince
                ? std::to_string(
@@ -280,6 +282,28 @@
   giveSparePlaces(Agent, Now, Out);
 }
 
+void placeRateHeard(AgentState &Agent, const RateHeard &m, TimePoint Now,
+                    Effects &Out) {
+  if (m.PerSecond) {
+    const TimePoint HeardAt = Now - millis(m.AgeMillis);
+    noteRateChange(Agent, rateNamed(Agent.Rate, *m.PerSecond, HeardAt), "entry",
+                   Out);
+    return;
+  }
+  const auto it = Agent.Places.find(m.Place);
+  if (it != Agent.Places.end() && it->second.Given)
+    noteRateChange(Agent, rateNotNamed(Agent.Rate, it->second.Since), "entry",
+                   Out);
+}
+
+void noteRateChange(const AgentState &Agent, RateChange Change,
+                    const char *From, Effects &Out) {
+  if (Change != RateChange::None)
+    Out.push_back(LogNote{LogPart::Admission, LogLevel::Info,
+                          "event=rate_limit from=" + std::string(From) +
+                              " per_second=" + rateText(Agent.Rate)});
+}
+
 void detachPlaces(AgentState &Agent, LinkId Link, TimePoint Now, Effects &) {
   for (auto it = Agent.Places.begin(); it != Agent.Places.end();) {
     Place &One = it->second;
--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -36,6 +36,26 @@
 void placeDone(AgentState &Agent, const PlaceDone &m, TimePoint Now,
                Effects &Out);
 
+/**
+ * An entry told what an answer said of the rate limit of the back end.
+ * @param Agent State to change.
+ * @param m What it told.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void placeRateHeard(AgentState &Agent, const RateHeard &m, TimePoint Now,
+                    Effects &Out);
+
+/**
+ * Logs what became known of the rate limit of the back end.
+ * @param Agent The state.
+ * @param Change What became known.
+ * @param From Who said it: "entry" or "report".
+ * @param Out Effects are appended.
+ */
+void noteRateChange(const AgentState &Agent, RateChange Change,
+                    const char *From, Effects &Out);
+
 /**
  * Gives places to requests that are late in any case, as far as no request on
  * time is held up by them: in an overload those that come back would otherwise
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/server_pool_func.h"
 
 #include "admission/first_part_func.h"
+#include "admission/server_rate_func.h"
 #include "base/random_func.h"
 #include "forwarding/liveness_func.h"
 
@@ -333,6 +334,21 @@
     noteWork(*View, Busy, Now);
 }
 
+bool isRateLimited(const ServerPool &Pool, const InstanceId &Id) {
+  const ServerView *View = findServer(Pool, Id);
+  return View != nullptr && View->Rate.PerSecond.has_value();
+}
+
+RateChange rateHeard(ServerPool &Pool, const InstanceId &Id,
+                     std::optional<double> PerSecond, TimePoint SentAt,
+                     TimePoint Now) {
+  ServerView *View = findServer(Pool, Id);
+  if (View == nullptr)
+    return RateChange::None;
+  return PerSecond ? rateNamed(View->Rate, *PerSecond, Now)
+                   : rateNotNamed(View->Rate, SentAt);
+}
+
 void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
   ServerView *View = findServer(Pool, Id);
   if (View == nullptr)
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -121,6 +121,27 @@
 void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
               TimePoint Now);
 
+/**
+ * An answer of a back end said what rate it takes.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param PerSecond Limit that it named; nothing: it named none.
+ * @param SentAt When the request was sent.
+ * @param Now Current time.
+ * @return What is known otherwise than before.
+ */
+RateChange rateHeard(ServerPool &Pool, const InstanceId &Id,
+                     std::optional<double> PerSecond, TimePoint SentAt,
+                     TimePoint Now);
+
+/**
+ * Says whether a rate limit of a back end is known.
+ * @param Pool The state.
+ * @param Id Which back end.
+ * @return True while one is.
+ */
+bool isRateLimited(const ServerPool &Pool, const InstanceId &Id);
+
 /**
  * Any part of an answer came from a back end.
  * @param Pool State to change.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_CORE_SERVER_POOL_TYPE_H
 
 #include "admission/first_part_type.h"
+#include "admission/server_rate_type.h"
 #include "configuration/document_type.h"
 #include "wire/message_type.h"
 
@@ -46,6 +47,7 @@
   TimePoint LastHeard;            ///< Last byte of any answer of it.
   /** Its host was asked for a sign of life then and has given none since. */
   std::optional<TimePoint> Unanswered;
+  ServerRate Rate;              ///< Limit that it sets for itself.
   TimePoint ColdUntil;          ///< Bears little until then.
   std::deque<TimePoint> Starts; ///< Attempts of the last second, when cold.
 };
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -15,7 +15,7 @@
                     "begun",   "frame",     "end",    "failed", "cancel",
                     "query",   "status",    "chunk?", "chunk",  "have",
                     "suspect", "leaving",   "entry",  "place?", "place",
-                    "done",    "list"};
+                    "done",    "list",      "ping",   "pong",   "rate"};
 
 } // namespace jacinthpond
 
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -35,6 +35,7 @@
   v("running", m.Running);
   v("waiting", m.Waiting);
   v("limit", m.Limit);
+  v("per_second", m.PerSecond);
   v("key_epoch", m.KeyEpoch);
   v("weights", m.Weights);
   v("held", m.ChunksHeld);
@@ -184,6 +185,12 @@
   v("chunks", m.Chunks);
 }
 
+template <typename V> void describe(V &v, RateHeard &m) {
+  v("place", m.Place);
+  v("per_second", m.PerSecond);
+  v("age", m.AgeMillis);
+}
+
 template <typename V> void describe(V &v, Ping &m) { v("seq", m.Sequence); }
 
 template <typename V> void describe(V &v, Pong &m) { v("seq", m.Sequence); }
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -50,6 +50,7 @@
   uint32_t Running = 0;                   ///< Requests in the back end.
   uint32_t Waiting = 0;                   ///< Requests in the agent's queue.
   uint32_t Limit = 0;                     ///< Running work allowed now.
+  std::optional<double> PerSecond;        ///< Rate limit of the back end.
   uint64_t KeyEpoch = 0;        ///< Stretch of memory that home tokens name.
   Digest Weights;               ///< Digest of the loaded weights.
   uint32_t ChunksHeld = 0;      ///< Chunks of the wanted set that are here.
@@ -266,6 +267,16 @@
                                 ///< the answer; 0: not known.
 };
 
+/**
+ * Tells the agent of a back end what an answer said of the rate limit that the
+ * back end sets for itself.
+ */
+struct RateHeard {
+  AttemptId Place;                 ///< Place of the request; may be empty.
+  std::optional<double> PerSecond; ///< Limit; nothing: the answer named none.
+  uint64_t AgeMillis = 0;          ///< How long ago the answer came.
+};
+
 /** Asks whether the host of an agent runs; answered at once. */
 struct Ping {
   uint64_t Sequence = 0; ///< Comes back with the answer.
@@ -281,7 +292,8 @@
                  AttemptBegun, AnswerFrame, AnswerEnd, AttemptFailed,
                  AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
                  ChunkData, ChunkHave, SuspectNotice, LeavingNotice, EntrySeen,
-                 PlaceAsk, PlaceAnswer, PlaceDone, ChunkListTold, Ping, Pong>;
+                 PlaceAsk, PlaceAnswer, PlaceDone, ChunkListTold, Ping, Pong,
+                 RateHeard>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -91,7 +91,10 @@
   bool hostStandsStill(TimePoint Now) const;
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
+  void noteRate(const ResponseHead &Came, bool Refusal);
+  void tellRate(std::optional<double> PerSecond);
   void logHeld() const;
+  void logRate(RateChange Change, std::string_view Came) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -4,7 +4,10 @@
 
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
+#include "forward/log_value.h"
+#include "log/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jacinthpond {
@@ -18,6 +21,45 @@
 
 } // namespace
 
+/**
+ * Takes the rate limit that a back end names. A refusal without one says
+ * nothing: it may come from a part of the back end that names none.
+ */
+void Exchange::noteRate(const ResponseHead &Came, bool Refusal) {
+  const TimePoint Now = Shared.Clock.now();
+  const auto &Names = Shared.Wire.names().RateLimits;
+  const auto it = std::ranges::find_if(
+      Names, [&](const std::string &Name) { return Came.count(Name) > 0; });
+  if (it == Names.end()) {
+    if (!Refusal && isRateLimited(Shared.Pool, At)) {
+      tellRate(std::nullopt);
+      logRate(rateHeard(Shared.Pool, At, std::nullopt, CallBegan, Now), "");
+    }
+    return;
+  }
+  const std::string_view Value = fieldOf(Came, *it);
+  const auto PerSecond =
+      Came.count(*it) == 1 ? Shared.Wire.rateLimitOf(Value) : std::nullopt;
+  if (PerSecond) {
+    tellRate(PerSecond);
+    logRate(rateHeard(Shared.Pool, At, PerSecond, CallBegan, Now),
+            *it + ":" + std::string(Value));
+  } else {
+    logLine(LogPart::Requests, LogLevel::Warn,
+            "event=rate_limit_unreadable id=" + logValue(Id) +
+                " server=" + At.Value + " field=" + logValue(*it) + " value=" +
+                logValue(Value) + " times=" + std::to_string(Came.count(*it)));
+  }
+}
+
+/** Tells the agent of the back end, which gives the places there. */
+void Exchange::tellRate(std::optional<double> PerSecond) {
+  const auto it = Shared.Pool.Servers.find(At);
+  if (it != Shared.Pool.Servers.end() && hasAgent(it->second))
+    Shared.SendToAgent(it->second.Agent->Link,
+                       RateHeard{PlaceId, PerSecond, 0});
+}
+
 void Exchange::callHead(const ResponseHead &Came) {
   const TimePoint Now = Shared.Clock.now();
   const HeaderNames &Names = Shared.Wire.names();
@@ -26,8 +68,11 @@
   if (const auto Busy = Shared.Wire.busyOf(fieldOf(Came, Names.Load)))
     loadTold(Shared.Pool, At, *Busy, Now);
   const unsigned Status = Came.result_int();
-  const bool Misdirected = Status == 421;
-  if (Misdirected || !fieldOf(Came, Names.NotExecuted).empty()) {
+  const bool Misdirected = Status == 421; // Another one may hold the address.
+  const bool NotRun = !fieldOf(Came, Names.NotExecuted).empty();
+  if (!Misdirected)
+    noteRate(Came, NotRun);
+  if (Misdirected || NotRun) {
     if (Misdirected) {
       serverMisjudged(Shared.Pool, At, Now);
       Shared.Counters.add(ForwardCount::Misjudged);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -4,6 +4,8 @@
  */
 
 #include "forward/exchange.h"
+
+#include "admission/server_rate_func.h"
 #include "forward/log_value.h"
 #include "forwarding/liveness_func.h"
 #include "log/log.h"
@@ -64,7 +66,21 @@
           (Wanted == nullptr || !Wanted->PublishedAfter
                ? "-"
                : ageOf(*Wanted->PublishedAfter, Now)) +
-          " agent=" + (hasAgent(Server) ? "yes" : "no"));
+          " agent=" + (hasAgent(Server) ? "yes" : "no") +
+          " rate=" + rateText(Server.Rate) + " rate_ms=" +
+          (Server.Rate.PerSecond ? ageOf(Server.Rate.NamedAt, Now) : "-"));
+}
+
+void Exchange::logRate(RateChange Change, std::string_view Came) const {
+  if (Change == RateChange::None)
+    return;
+  const auto it = Shared.Pool.Servers.find(At);
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=rate_limit id=" + logValue(Id) + " server=" + At.Value +
+          " per_second=" +
+          (it == Shared.Pool.Servers.end() ? "-" : rateText(it->second.Rate)) +
+          " field=" + logValue(Came));
 }
 
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -28,6 +28,8 @@
   std::string Rank;            ///< Urgency for the back end; 0 is first.
   std::string TokenCounts;     ///< Size of prompt and longest answer.
   std::string LastEventId;     ///< Last event that the caller has.
+  /** Requests a second that the answering back end takes; any of these. */
+  std::vector<std::string> RateLimits;
 };
 
 /** Who asks which entries to use. */
@@ -71,6 +73,13 @@
    */
   virtual std::optional<uint32_t> busyOf(std::string_view Value) const = 0;
 
+  /**
+   * Reads the rate limit that a back end sets for itself.
+   * @param Value Header value.
+   * @return Requests a second, 0 or more; nothing when unreadable.
+   */
+  virtual std::optional<double> rateLimitOf(std::string_view Value) const = 0;
+
   /**
    * Reads the size of a prompt.
    * @param Value Header value.
