--- /dev/null
+++ b/tests/integration/rate_limit_test.cpp
@@ -0,0 +1,162 @@
+/** @file rate_limit_test.cpp Back ends that limit their rate themselves. */
+// Labels: routes platform
+
+#include "fleet/route_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <iterator>
+#include <thread>
+#include <vector>
+
+using namespace jacinthpond::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr double PerSecond = 2.5;
+constexpr auto Window = 4s;
+/** One and a half times the limit in a window, and five more. */
+constexpr size_t MostInWindow = 20;
+/** Time in which every entry hears of a limit or of its end. */
+constexpr auto HearTime = 1500ms;
+constexpr size_t Entries = 3;
+constexpr size_t CallersOfAnEntry = 2;
+
+RouteAsk write() {
+  RouteAsk What;
+  What.Method = "POST";
+  What.Path = "/write/report";
+  What.Body = "prompt";
+  return What;
+}
+
+/** Callers at all entries who ask without a pause worth mentioning. */
+class SteadyCallers {
+public:
+  SteadyCallers(const RouteFleet &Of, const RouteAsk &What) {
+    for (size_t n = 0; n < Entries * CallersOfAnEntry; ++n)
+      Callers.emplace_back([this, &Of, What, n](const std::stop_token &Stop) {
+        while (!Stop.stop_requested()) {
+          ++Asked;
+          Served += Of.ask(n % Entries, What).status == 200 ? 1 : 0;
+          std::this_thread::sleep_for(40ms);
+        }
+      });
+  }
+
+  std::atomic<int> Asked{0};
+  std::atomic<int> Served{0};
+
+private:
+  std::vector<std::jthread> Callers; ///< Last: joined before the counts go.
+};
+
+struct Limited {
+  Limited() : All(plan()) { BOOST_REQUIRE(All.waitServing(30s)); }
+
+  static RoutePlan plan() {
+    RoutePlan Plan;
+    Plan.Entries = Entries;
+    return Plan;
+  }
+
+  /** When a back end began what it ran, in order. */
+  std::vector<Clock::time_point> runsAt(const std::string &Name) const {
+    std::vector<Clock::time_point> Times;
+    const Json Runs = All.runsFrom(Name, 0);
+    for (const Json &Run : Runs) {
+      const std::chrono::duration<double, std::milli> At(
+          Run["at_ms"].get<double>());
+      Times.emplace_back(std::chrono::duration_cast<Clock::duration>(At));
+    }
+    return Times;
+  }
+
+  size_t runsBetween(const std::string &Name, Clock::time_point From,
+                     Clock::time_point To) const {
+    const auto Times = runsAt(Name);
+    return static_cast<size_t>(std::ranges::count_if(
+        Times, [&](auto At) { return At >= From && At < To; }));
+  }
+
+  /** Most runs in any window that begins after a moment. */
+  size_t mostInWindow(const std::string &Name, Clock::time_point From) const {
+    const auto Times = runsAt(Name);
+    size_t Most = 0;
+    for (auto it = std::ranges::lower_bound(Times, From); it != Times.end();
+         ++it)
+      Most = std::max<size_t>(
+          Most,
+          static_cast<size_t>(
+              std::ranges::lower_bound(it, Times.end(), *it + Window) - it));
+    return Most;
+  }
+
+  /** Lets a back end limit its rate for a while; gives when all know it. */
+  Clock::time_point limitFor(const std::string &Name,
+                             std::chrono::seconds Length) const {
+    All.control(Name, {{"rate_limit", std::to_string(PerSecond)}});
+    const auto Known = Clock::now() + HearTime;
+    std::this_thread::sleep_until(Known + Length);
+    return Known;
+  }
+
+  RouteFleet All;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RateLimits, Limited)
+
+// Guards against a worker that gets more than its own rate limit allows, summed
+// over entries that all know of it.
+BOOST_AUTO_TEST_CASE(AWorkerGetsWhatItsLimitAllows) {
+  const SteadyCallers Calling(All, write());
+  const auto Known = limitFor("model-0", 6s);
+  BOOST_TEST(mostInWindow("model-0", Known) <= MostInWindow);
+  // What it does not take goes to the other one.
+  BOOST_TEST(Calling.Served >= Calling.Asked - 10);
+}
+
+// Guards against a limit that is kept although the worker has lifted it.
+BOOST_AUTO_TEST_CASE(AWorkerThatLiftsItsLimitGetsItsShareAgain) {
+  const SteadyCallers Calling(All, write());
+  const auto Before = Clock::now();
+  std::this_thread::sleep_for(2s);
+  const size_t Usual = runsBetween("model-0", Before, Before + 2s);
+  limitFor("model-0", 2s);
+  All.control("model-0", {{"rate_limit", ""}});
+  const auto Lifted = Clock::now() + HearTime;
+  std::this_thread::sleep_until(Lifted + 2s);
+  BOOST_TEST(runsBetween("model-0", Lifted, Lifted + 2s) >= Usual / 2);
+}
+
+// Guards against entries that each keep the limit alone where no agent counts
+// for them.
+BOOST_AUTO_TEST_CASE(APlainServiceGetsWhatItsLimitAllows) {
+  const SteadyCallers Calling(All, {});
+  const auto Known = limitFor("plain-0", 6s);
+  BOOST_TEST(mostInWindow("plain-0", Known) <= MostInWindow);
+  BOOST_TEST(Calling.Served >= Calling.Asked - 10);
+}
+
+// Guards against a limit that is forgotten with the agent that kept it.
+BOOST_AUTO_TEST_CASE(ALimitOutlivesTheAgent) {
+  const SteadyCallers Calling(All, write());
+  All.control("model-0", {{"rate_limit", std::to_string(PerSecond)}});
+  std::this_thread::sleep_for(HearTime);
+  const auto Known = Clock::now();
+  All.process("agent-0").kill();
+  std::this_thread::sleep_for(3s);
+  All.restart("agent-0");
+  std::this_thread::sleep_for(4s);
+  BOOST_TEST(mostInWindow("model-0", Known) <= MostInWindow);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -1,22 +1,22 @@
 /** @file store_worker.cpp A worker of the users' platform, and their origin.
  *
  * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
- * "gap_ms" (between them), "break_at" (the connection ends in the middle of
- * that event, once), "fail" (that many requests answer 500), "refuse" (that
- * many answer 503 as not run), "no_signature", "hang" (no answer at all),
- * "order_wait_ms" (the next order is taken that much later, as the worker and
- * what lies staged are by then), "load_ms" (how long it is busy with an order),
- * "slow_reads" (that many staged chunks are read back in "read_ms" each),
- * "rot_after_read" (once all that lies staged is of the next version, chunk 0
- * turns bad when it has been read back), "tell" (answers and events say whose
- * and what of they are), "restart" (the memory is lost, what is staged and the
- * record of runs are kept).
- * GET /control gives "runs": what was run, when (on the machine's steady
- * clock), with which headers; "from" in the query leaves out the first ones;
- * "loads": the version of each order that was taken, and whether all that lay
- * staged was of it; "orders_waiting": orders that came and were not taken yet;
- * "busy"; "staged_of": the version of all that lies staged, 0: of none;
- * "rot_after_read": that is still to come.
+ * "rate_limit" (a text: answers name it as their limit of requests a second;
+ * empty: none), "gap_ms" (between events), "break_at" (the connection ends in
+ * the middle of that event, once), "fail" (that many requests answer 500),
+ * "refuse" (that many answer 503 as not run), "no_signature", "hang" (no answer
+ * at all), "order_wait_ms" (the next order is taken that much later, as the
+ * worker and what lies staged are by then), "load_ms" (how long it is busy with
+ * an order), "slow_reads" (that many staged chunks are read back in "read_ms"
+ * each), "rot_after_read" (once all that lies staged is of the next version,
+ * chunk 0 turns bad when it has been read back), "tell" (answers and events say
+ * whose and what of they are), "restart" (the memory is lost, what is staged
+ * and the record of runs are kept). GET /control gives "runs": what was run,
+ * when (on the machine's steady clock), with which headers; "from" in the query
+ * leaves out the first ones; "loads": the version of each order that was taken,
+ * and whether all that lay staged was of it; "orders_waiting": orders that came
+ * and were not taken yet; "busy"; "staged_of": the version of all that lies
+ * staged, 0: of none; "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
@@ -102,6 +102,9 @@
   Answer.set_header(AttemptHeader, Asked.get_header_value(AttemptHeader));
   if (!Host.Options.value("no_signature", false))
     Answer.set_header("X-Jacinthpond-Response-Signature", "sig");
+  const std::string Limit = Host.Options.value("rate_limit", "");
+  if (!Limit.empty())
+    Answer.set_header("Server-Limit", Limit);
   Answer.set_header("X-Jacinthpond-Server-Load", "1,0,8");
   Answer.set_header("X-Jacinthpond-Weight-Versions",
                     std::to_string(Host.Options.value("version", 0)));
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -64,6 +64,13 @@
 constexpr Millis SeenAway{6000};
 /** Requests a second that a cold worker bears. */
 constexpr uint32_t ColdRate = 8;
+/** What a worker with a rate limit of its own bears in a window: so many times
+ * the limit, and a few requests more. */
+constexpr Millis RateWindow{4000};
+constexpr double RateOvershoot = 1.5;
+constexpr double RateSlack = 5;
+/** Time after an entry heard of a limit from which its requests count. */
+constexpr Millis RateHeardFor{500};
 constexpr uint32_t RepeatSlack = 10;
 constexpr double RepeatRatio = 0.2;
 constexpr Millis RepeatWindow{10000};
@@ -83,14 +90,19 @@
   WorkerEnds,   ///< A worker vanishes and starts again after a while.
   DomainOut,    ///< A domain is taken out for a while.
   KeyGone,      ///< A tenant's key is taken away, and comes back.
+  RateLimit,    ///< A worker or plain back end limits its rate for a while.
   Count
 };
 
+/** Kinds that the days without rate limits are drawn from. */
+constexpr auto KindsWithoutRates = static_cast<size_t>(Trouble::RateLimit);
+
 constexpr std::array<const char *, static_cast<size_t>(Trouble::Count)>
     TroubleNames = {"stand still",    "host still",  "restart",
                     "cut link",       "hold link",   "store away",
                     "store away for", "new weights", "drain",
-                    "worker ends",    "domain out",  "key gone"};
+                    "worker ends",    "domain out",  "key gone",
+                    "rate limit"};
 
 /** One of them. */
 struct Incident {
@@ -99,6 +111,7 @@
   std::string Who;                    ///< To whom; empty where it is plain.
   std::string Other;                  ///< Other end of a link.
   Millis Length{0};                   ///< How long.
+  double PerSecond = 0;               ///< Of a rate limit.
 };
 
 inline std::string text(const Incident &One) {
@@ -106,6 +119,8 @@
                      " ms: " + TroubleNames.at(static_cast<size_t>(One.Kind));
   for (const std::string &Part : {One.Who, One.Other})
     Line += Part.empty() ? "" : " " + Part;
+  if (One.Kind == Trouble::RateLimit)
+    Line += " " + std::to_string(One.PerSecond) + " a second";
   return Line + ", " + std::to_string(One.Length.count()) + " ms";
 }
 
@@ -200,21 +215,26 @@
 
 /** A worker, or a plain back end. */
 struct Server {
-  std::string Name;                  ///< Also the name of its agent.
-  std::string Address;               ///< Where it takes requests.
-  std::string Zone;                  ///< Failure domain.
-  bool Model = false;                ///< It has weights, and an agent.
-  bool Alive = false;                ///< It runs.
-  uint64_t Life = 0;                 ///< Raised by each start and end.
-  TimePoint StillUntil;              ///< It does not run until then.
-  InstanceId Id;                     ///< This run.
-  uint64_t Version = 0;              ///< Weights; 0: none.
-  bool Busy = false;                 ///< It carries out an order.
-  bool Draining = false;             ///< It says so.
-  TimePoint ColdUntil;               ///< Bears little until then.
-  uint32_t Running = 0;              ///< Requests.
-  std::set<std::string> Staged;      ///< Chunks.
-  std::deque<TimePoint> ColdStarts;  ///< Requests of the last second.
+  std::string Name;                 ///< Also the name of its agent.
+  std::string Address;              ///< Where it takes requests.
+  std::string Zone;                 ///< Failure domain.
+  bool Model = false;               ///< It has weights, and an agent.
+  bool Alive = false;               ///< It runs.
+  uint64_t Life = 0;                ///< Raised by each start and end.
+  TimePoint StillUntil;             ///< It does not run until then.
+  InstanceId Id;                    ///< This run.
+  uint64_t Version = 0;             ///< Weights; 0: none.
+  bool Busy = false;                ///< It carries out an order.
+  bool Draining = false;            ///< It says so.
+  TimePoint ColdUntil;              ///< Bears little until then.
+  uint32_t Running = 0;             ///< Requests.
+  std::set<std::string> Staged;     ///< Chunks.
+  std::deque<TimePoint> ColdStarts; ///< Requests of the last second.
+  std::optional<double> Limit;      ///< Requests a second that it takes.
+  bool Reports = false;             ///< Its reports name the limit as well.
+  TimePoint LimitSince;             ///< When that limit was set.
+  std::map<std::string, TimePoint> ToldOfLimit; ///< Entries that heard of it.
+  std::deque<TimePoint> Limited;     ///< Requests of them in the last window.
   std::optional<TimePoint> LeaseEnd; ///< Its entry lapses then.
   TimePoint BackAt;                  ///< When it registers again after that.
   TimePoint SoundSince;              ///< Nothing was wrong with it since then.
@@ -422,11 +442,27 @@
     case Trouble::KeyGone:
       keyGone(One);
       return;
+    case Trouble::RateLimit:
+      limitRate(Servers.at(One.Who), One.PerSecond, One.Length);
+      return;
     case Trouble::Count:
       return;
     }
   }
 
+  void limitRate(Server &One, double PerSecond, Millis Length) {
+    One.Limit = PerSecond;
+    One.LimitSince = Now;
+    One.ToldOfLimit.clear();
+    One.Limited.clear();
+    after(Length, [this, &One, Since = Now, Life = One.Life] {
+      if (One.Life != Life || One.LimitSince != Since)
+        return;
+      One.Limit.reset();
+      unsound(One, Now);
+    });
+  }
+
   void standStill(const std::string &Who, TimePoint Until) {
     Process &One = Processes.at(Who);
     ++One.Stills;
@@ -622,6 +658,7 @@
     One.Name = Name;
     One.Zone = Zone;
     One.Model = Model;
+    One.Reports = n % 4 > 1;
     const std::string Host = "10.0.1." + std::to_string(n);
     One.Address = Host + ":80";
     ServerAt[One.Address] = Name;
@@ -1064,6 +1101,8 @@
       State.Running = Beside.Running;
       State.Cold = Now < Beside.ColdUntil;
       State.Busy = Beside.Busy;
+      if (Beside.Reports)
+        State.PerSecond = Beside.Limit;
       Read = {State, {}};
     }
     agentStep(One, delay(One.Name + "/report", 2, 20),
@@ -1086,6 +1125,7 @@
     One.Staged.clear();
     One.LeaseEnd.reset();
     One.ColdStarts.clear();
+    One.Limit.reset();
     One.ColdUntil = Version > 0 ? Now : Now + Millis(3000);
     unsound(One, std::max(Now, StoreBack));
     renew(One, One.Life);
@@ -1364,6 +1404,19 @@
       tryNext(At, One);
   }
 
+  /** An answer names the limit of its worker, or none. */
+  void hearRate(Process &At, const AskedPtr &One, Server &From, uint64_t Life,
+                std::optional<double> Limit, bool Refusal) {
+    if (Limit && From.Life == Life)
+      From.ToldOfLimit.try_emplace(At.Name, Now);
+    if (!Limit && (Refusal || !isRateLimited(At.Pool, One->At)))
+      return;
+    const auto it = At.Pool.Servers.find(One->At);
+    if (it != At.Pool.Servers.end() && hasAgent(it->second))
+      send(At, it->second.Agent->Link, RateHeard{One->Place, Limit, 0});
+    rateHeard(At.Pool, One->At, Limit, One->CallBegan, Now);
+  }
+
   void limitCame(Process &At, const AskedPtr &One) {
     end(At, One, !One->MayHaveRun && One->Reached == 0);
   }
@@ -1419,6 +1472,7 @@
       return;
     if (!Sent.First)
       checkBudget(Sent.Of->Needs.Service);
+    checkRate(Sent, To);
     if (Sent.Expected != To.Id ||
         (!Sent.Version.empty() && Sent.Version != std::to_string(To.Version))) {
       reply(Sent, To, Answer::Misdirected, Millis(2));
@@ -1451,33 +1505,42 @@
            (One.Over || !One.Calling || One.Turn != Sent.Turn);
   }
 
-  void tellBegun(const Passed &Sent, const Server &From) {
+  void tellBegun(const Passed &Sent, Server &From) {
     Process &To = Processes.at(Sent.Entry);
+    const uint64_t Life = From.Life;
+    const std::optional<double> Limit = From.Limit;
     const TimePoint Held = heldUntil(Sent.Entry, From.Name);
     after(onTheWay(From.Name + "/data", Sent.Entry) +
               toMillis(std::max(Held, Now) - Now),
-          [this, Sent, &To] {
-            in(To, Millis(0), [Sent] {
-              if (Sent.Of->Calling && Sent.Of->Turn == Sent.Turn)
-                Sent.Of->Begun = true;
+          [this, Sent, &To, &From, Life, Limit] {
+            in(To, Millis(0), [this, Sent, &To, &From, Life, Limit] {
+              if (!Sent.Of->Calling || Sent.Of->Turn != Sent.Turn)
+                return;
+              Sent.Of->Begun = true;
+              hearRate(To, Sent.Of, From, Life, Limit, false);
             });
           });
   }
 
-  void reply(const Passed &Sent, const Server &From, Answer How, Millis Wait) {
+  void reply(const Passed &Sent, Server &From, Answer How, Millis Wait) {
     Process &To = Processes.at(Sent.Entry);
+    const uint64_t Life = From.Life;
+    const std::optional<double> Limit = From.Limit;
     const TimePoint Held = heldUntil(Sent.Entry, From.Name);
     const Millis Way = onTheWay(From.Name + "/data", Sent.Entry);
     const Millis Longer = toMillis(std::max(Held, Now) - Now);
-    after(Wait + Way + Longer, [this, Sent, How, &To, &From] {
+    after(Wait + Way + Longer, [this, Sent, How, &To, &From, Life, Limit] {
       const auto Cut = CutAt.find(pairOf(Sent.Entry, From.Name));
       const bool Lost = Cut != CutAt.end() && Cut->second >= Sent.Sent &&
                         How != Answer::Unreached;
-      in(To, Millis(0), [this, Sent, How, &To, Lost] {
+      in(To, Millis(0), [this, Sent, How, &To, &From, Life, Limit, Lost] {
         const Asked &One = *Sent.Of;
         if (To.Life != Sent.Life || One.Over || One.Turn != Sent.Turn ||
             !One.Calling)
           return;
+        const bool Refusal = How == Answer::NotRun;
+        if (!Lost && (Refusal || (How == Answer::Whole && !From.Model)))
+          hearRate(To, Sent.Of, From, Life, Limit, Refusal);
         answered(To, Sent.Of, Lost ? Answer::Broke : How);
       });
     });
@@ -1503,6 +1566,27 @@
                             "th in a second while cold");
   }
 
+  /** Counts what entries send that have known of the limit for a while. */
+  void checkRate(const Passed &Sent, Server &To) {
+    const auto it = To.ToldOfLimit.find(Sent.Entry);
+    const Process &From = Processes.at(Sent.Entry);
+    if (!To.Limit || it == To.ToldOfLimit.end() ||
+        Now - it->second < RateHeardFor || From.Life != Sent.Life ||
+        !isCalm(From, Now))
+      return;
+    To.Limited.push_back(Now);
+    while (Now - To.Limited.front() >= RateWindow)
+      To.Limited.pop_front();
+    const double Seconds = static_cast<double>(RateWindow.count()) / 1000;
+    const double Most = RateOvershoot * *To.Limit * Seconds + RateSlack;
+    if (Now - To.LimitSince >= Contact &&
+        static_cast<double>(To.Limited.size()) > Most)
+      breakRule("rate", story(Sent, To) + " is the " +
+                            std::to_string(To.Limited.size()) +
+                            "th in a window, its limit is " +
+                            std::to_string(*To.Limit) + " a second");
+  }
+
   void checkBudget(const ServiceName &Service) {
     std::deque<TimePoint> &Again = Agains[Service];
     Again.push_back(Now);
--- a/tests/unit/route_model_test.cpp
+++ b/tests/unit/route_model_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <map>
 
@@ -41,12 +42,13 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(SeededDaysBreakNoRule) {
+/** Plays days and reports the rules that they break. */
+static void playDays(const std::function<Schedule(uint64_t)> &Make) {
   std::map<std::string, std::vector<uint64_t>> Found;
   uint64_t Started = 0, Refusals = 0;
   const auto [First, Count] = seeds();
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
-    const Schedule Whole = makeSchedule(Seed);
+    const Schedule Whole = Make(Seed);
     const DayEnd Came = play(Whole);
     Started += Came.Started;
     Refusals += Came.Refusals;
@@ -73,3 +75,11 @@
   // A fleet that does nothing breaks no rule.
   BOOST_TEST(Started > Count * 500);
 }
+
+BOOST_AUTO_TEST_CASE(SeededDaysBreakNoRule) { playDays(makeSchedule); }
+
+// Guards against back ends that get more requests than their own rate limit
+// allows, summed over all entries that know of it.
+BOOST_AUTO_TEST_CASE(RateLimitsAreKeptByAllEntriesTogether) {
+  playDays(makeLimitedSchedule);
+}
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -33,6 +33,9 @@
   return Out.str();
 }
 
+/** Rate limits that back ends set, in requests a second. */
+constexpr std::array<double, 5> Rates = {0, 0.3, 1.8, 2.7, 40};
+
 /** Draws one incident. */
 class IncidentMaker {
 public:
@@ -72,6 +75,11 @@
     case Trouble::WorkerEnds:
       One.Who = below(2) == 0 ? worker() : "p" + std::to_string(below(2));
       break;
+    case Trouble::RateLimit:
+      One.Who = below(3) > 0 ? worker() : "p" + std::to_string(below(2));
+      One.Length = between(4000, 14000);
+      One.PerSecond = Rates.at(below(Rates.size()));
+      break;
     case Trouble::DomainOut:
       One.Who = "z" + std::to_string(below(2));
       One.Length = between(1000, 12000);
@@ -130,8 +138,18 @@
     One.Incidents.push_back(Next);
   }
   for (size_t n = Maker.below(10); n > 0; --n)
-    One.Incidents.push_back(Maker.draw(static_cast<Trouble>(
-        Maker.below(static_cast<size_t>(Trouble::Count)))));
+    One.Incidents.push_back(
+        Maker.draw(static_cast<Trouble>(Maker.below(KindsWithoutRates))));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
+/** Adds rate limits of back ends, one to five, to the day of a seed. */
+inline Schedule makeLimitedSchedule(uint64_t Seed) {
+  Schedule One = makeSchedule(Seed);
+  IncidentMaker Maker(~Seed);
+  for (size_t n = 1 + Maker.below(5); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::RateLimit));
   std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
   return One;
 }
