core: the token bucket counts any units

Bytes a second were whole numbers. A limit of 1.8 requests a second needs fractions, and a refusal needs to know how long a debt lasts.

--- a/packages/core/src/base/rate_limit.cpp
+++ b/packages/core/src/base/rate_limit.cpp
@@ -27,12 +27,12 @@
 } // namespace
 
 bool rateAllows(RateLimit &Limit, TimePoint Now) {
-  if (Limit.BytesPerSecond == 0)
+  if (Limit.PerSecond <= 0)
     return true;
   measureLive(Limit, Now);
-  const auto Whole = static_cast<double>(Limit.BytesPerSecond);
   const double Rate =
-      std::max(Whole * LeastShare, Whole - static_cast<double>(Limit.LiveRate));
+      std::max(Limit.PerSecond * LeastShare,
+               Limit.PerSecond - static_cast<double>(Limit.LiveRate));
   const std::chrono::duration<double> Passed = Now - Limit.Filled;
   Limit.Filled = Now;
   Limit.Tokens =
@@ -40,9 +40,17 @@
   return Limit.Tokens >= 0;
 }
 
-void rateSpend(RateLimit &Limit, uint64_t Bytes) {
-  if (Limit.BytesPerSecond > 0)
-    Limit.Tokens -= static_cast<double>(Bytes);
+void rateSpend(RateLimit &Limit, double Units) {
+  if (Limit.PerSecond > 0)
+    Limit.Tokens -= Units;
+}
+
+Duration rateWait(const RateLimit &Limit, TimePoint Now) {
+  if (Limit.PerSecond <= 0 || Limit.Tokens >= 0)
+    return Duration{0};
+  const std::chrono::duration<double> Debt(-Limit.Tokens / Limit.PerSecond);
+  const auto Due = Limit.Filled + std::chrono::duration_cast<Duration>(Debt);
+  return std::max(Due - Now, Duration{0});
 }
 
 void rateYield(RateLimit &Limit, uint64_t Bytes, TimePoint Now) {
--- a/packages/core/src/base/rate_limit_func.h
+++ b/packages/core/src/base/rate_limit_func.h
@@ -17,11 +17,19 @@
 bool rateAllows(RateLimit &Limit, TimePoint Now);
 
 /**
- * Counts bytes that were sent.
+ * Counts units that were sent.
  * @param Limit State to change.
- * @param Bytes How many.
+ * @param Units How many; below 0: so many were not sent after all.
+ */
+void rateSpend(RateLimit &Limit, double Units);
+
+/**
+ * Gives how long a debt lasts, without live traffic.
+ * @param Limit The state.
+ * @param Now Current time.
+ * @return Time until something may be sent; 0: now.
  */
-void rateSpend(RateLimit &Limit, uint64_t Bytes);
+Duration rateWait(const RateLimit &Limit, TimePoint Now);
 
 /**
  * Counts live traffic on the same link. It goes first: what it takes is taken
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -355,15 +355,13 @@
   Transfer.Options = {Config.WeightsFromPeers,
                       Millis(Config.ChunkTakeoverMillis),
                       Config.LinkMegabits * BytesPerMegabit};
-  Transfer.Uplink.BytesPerSecond =
+  Transfer.Uplink.PerSecond =
       Config.UplinkBytesPerSecond > 0
-          ? static_cast<uint64_t>(Config.UplinkBytesPerSecond)
-          : static_cast<uint64_t>(LinkPart *
-                                  Transfer.Options.LinkBytesPerSecond);
+          ? static_cast<double>(Config.UplinkBytesPerSecond)
+          : LinkPart * Transfer.Options.LinkBytesPerSecond;
   if (Transfer.Options.LinkBytesPerSecond > 0)
     Transfer.Uplink.BurstSeconds = NarrowBurstSeconds;
-  Transfer.Across.BytesPerSecond =
-      static_cast<uint64_t>(Config.AcrossBytesPerSecond);
+  Transfer.Across.PerSecond = static_cast<double>(Config.AcrossBytesPerSecond);
   Transfer.Random = rendezvousScore("transfer", Config.Name) | 1U;
   return Transfer;
 }
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -59,9 +59,9 @@
   const size_t Whole = Weights.Wanted.ChunkBytes;
   const size_t Part = One.Length == 0 ? Whole : std::min(One.Length, Whole);
   const size_t Bytes = Staged ? Part : Data.Bytes.size();
-  rateSpend(Transfer.Uplink, Bytes);
+  rateSpend(Transfer.Uplink, static_cast<double>(Bytes));
   if (!Peer.SameDomain)
-    rateSpend(Transfer.Across, Bytes);
+    rateSpend(Transfer.Across, static_cast<double>(Bytes));
   Peer.BacklogBytes += Bytes;
   Transfer.Counters.BytesSent += Bytes;
   if (Staged)
--- a/tests/unit/chunk_plan_test.cpp
+++ b/tests/unit/chunk_plan_test.cpp
@@ -99,7 +99,7 @@
 BOOST_AUTO_TEST_CASE(TheRateHoldsOverAnySteps) {
   for (const int Step : {1, 7, 50, 90}) {
     RateLimit Limit;
-    Limit.BytesPerSecond = 100000;
+    Limit.PerSecond = 100000;
     TimePoint Now{};
     uint64_t Sent = 0;
     for (; Now < TimePoint{} + Millis(10000); Now += Millis(Step))
@@ -117,7 +117,7 @@
   for (const auto &[Live, Expected] :
        {std::pair{0U, 1000000U}, {60000U, 400000U}, {500000U, 100000U}}) {
     RateLimit Limit;
-    Limit.BytesPerSecond = 100000;
+    Limit.PerSecond = 100000;
     uint64_t Sent = 0;
     const TimePoint End{Millis(11000)};
     for (TimePoint Now{Millis(1000)}; Now < End; Now += Millis(10)) {
