--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -117,7 +117,7 @@
   }
 }
 
-void spreadNotice(const Membership &Fleet, const SuspectNotice &Notice,
+void spreadNotice(const Membership &Fleet, const Message &Notice,
                   std::optional<Role> Only, Effects &Out) {
   for (const auto &[Link, Peer] : Fleet.Links)
     if (Peer.State == LinkState::Ready && (!Only || Peer.Peer.Sender == *Only))
--- a/packages/core/src/admission/quarantine_func.h
+++ b/packages/core/src/admission/quarantine_func.h
@@ -92,7 +92,7 @@
  * @param Only Which peers; all without it.
  * @param Out Effects are appended.
  */
-void spreadNotice(const Membership &Fleet, const SuspectNotice &Notice,
+void spreadNotice(const Membership &Fleet, const Message &Notice,
                   std::optional<Role> Only, Effects &Out);
 
 } // namespace jacinthpond
