agent, entry: a back end's own rate limit is kept by one count

What callers saw: nothing at first. A worker in need that asked for 1.8 to 2.7 requests a second got 5 to 10, from entries that had passed its answers on.

Cause: no process read the limit. Each entry chose by load, and a worker in need looks idle; the agents beside the workers, from which all places came, gave them by room only.

Class: a rate that all share has to be counted in one place, or split so that the parts add up. The fix follows it: - The agent counts: places are given by a token bucket of the whole limit, also to those that waited from before. It hears of the limit from the entry that read the answer, at once; an entry that knows it tells an agent that started anew before it asks there. - Past a silent agent, and at plain services, entries split a part of the limit. Their number and names give who has a part: one request each at once would alone be more than a small limit allows. What one hears is told to the others. - A limit ends with an answer to a request that was sent after it was named, with a new run, or with a report where reports name it. Answers overtake each other. - Nobody waits for a limit: others of the service have room, and a refusal carries the time until the next request is allowed.

--- a/packages/core/src/admission/server_rate.cpp
+++ b/packages/core/src/admission/server_rate.cpp
@@ -2,16 +2,30 @@
 
 #include "admission/server_rate_func.h"
 
+#include "base/rate_limit_func.h"
+
 #include <algorithm>
 
 namespace jacinthpond {
 
+namespace {
+
+/** Lowest limit that is kept. One request in a while finds out whether a back
+ * end that takes next to nothing still says so. */
+constexpr double LeastPerSecond = 0.25;
+/** Idle time that is made up for: an entry may ask a little late. */
+constexpr double BurstSeconds = 0.25;
+
+} // namespace
+
 RateChange rateNamed(ServerRate &Rate, double PerSecond, TimePoint HeardAt) {
   if (HeardAt < Rate.LiftedAt)
     return RateChange::None;
   Rate.NamedAt = std::max(Rate.NamedAt, HeardAt);
   if (Rate.PerSecond == PerSecond)
     return RateChange::None;
+  if (!Rate.PerSecond)
+    Rate.Share = {};
   Rate.PerSecond = PerSecond;
   return RateChange::Set;
 }
@@ -26,6 +40,30 @@
   return RateChange::Lifted;
 }
 
+bool rateAllowsRequest(ServerRate &Rate, double Part, TimePoint Now) {
+  if (!Rate.PerSecond)
+    return true;
+  if (Part <= 0)
+    return false;
+  Rate.Share.BurstSeconds = BurstSeconds;
+  Rate.Share.PerSecond = Part * std::max(*Rate.PerSecond, LeastPerSecond);
+  return rateAllows(Rate.Share, Now);
+}
+
+void countRequest(ServerRate &Rate) {
+  if (Rate.PerSecond)
+    rateSpend(Rate.Share, 1);
+}
+
+void uncountRequest(ServerRate &Rate) {
+  if (Rate.PerSecond)
+    rateSpend(Rate.Share, -1);
+}
+
+Duration timeToRequest(const ServerRate &Rate, TimePoint Now) {
+  return Rate.PerSecond ? rateWait(Rate.Share, Now) : Duration{0};
+}
+
 std::string rateText(const ServerRate &Rate) {
   return Rate.PerSecond ? std::to_string(*Rate.PerSecond) : "-";
 }
--- a/packages/core/src/admission/server_rate_func.h
+++ b/packages/core/src/admission/server_rate_func.h
@@ -27,6 +27,35 @@
  */
 RateChange rateNotNamed(ServerRate &Rate, TimePoint SentAt);
 
+/**
+ * Says whether this process may send a request now.
+ * @param Rate State to change.
+ * @param Part Part of the limit that is this process's own, from 0 to 1.
+ * @param Now Current time.
+ * @return True without a limit, or when its part allows one.
+ */
+bool rateAllowsRequest(ServerRate &Rate, double Part, TimePoint Now);
+
+/**
+ * Counts a request that this process sends.
+ * @param Rate State to change.
+ */
+void countRequest(ServerRate &Rate);
+
+/**
+ * Takes back a request that was counted and not sent.
+ * @param Rate State to change.
+ */
+void uncountRequest(ServerRate &Rate);
+
+/**
+ * Gives when this process may send a request.
+ * @param Rate The state.
+ * @param Now Current time.
+ * @return Time until then; 0: now.
+ */
+Duration timeToRequest(const ServerRate &Rate, TimePoint Now);
+
 /**
  * Writes a limit for log lines.
  * @param Rate The state.
--- a/packages/core/src/admission/server_rate_type.h
+++ b/packages/core/src/admission/server_rate_type.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHPOND_CORE_SERVER_RATE_TYPE_H
 #define JACINTHPOND_CORE_SERVER_RATE_TYPE_H
 
+#include "base/rate_limit_type.h"
 #include "base/time_type.h"
 
 #include <cstdint>
@@ -19,6 +20,7 @@
   std::optional<double> PerSecond; ///< Requests a second; nothing: no limit.
   TimePoint NamedAt;               ///< When an answer named it last.
   TimePoint LiftedAt; ///< When the request was sent whose answer named none.
+  RateLimit Share;    ///< What this process may send of it.
 };
 
 /** What an answer changed in what is known of a limit. */
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -4,6 +4,7 @@
 
 #include "admission/admission_func.h"
 #include "admission/quarantine_func.h"
+#include "admission/server_rate_func.h"
 #include "admission/token_pace_func.h"
 #include "attempts/attempt_func.h"
 #include "attempts/back_end_death_func.h"
@@ -29,6 +30,7 @@
 #include "weights/weights_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jacinthpond {
 
@@ -60,6 +62,7 @@
   Load.Running = Agent.Gate.Running + Agent.Gate.Lingering;
   Load.Waiting = static_cast<uint32_t>(waitingAttempts(Agent.Gate).size());
   Load.Limit = Agent.Gate.Limit;
+  Load.PerSecond = Agent.Rate.PerSecond;
   Load.KeyEpoch = Agent.Keys.Epoch;
   Load.Weights = Agent.Weights.Loaded;
   describeTransfer(Agent.Transfer, Load);
@@ -73,6 +76,7 @@
 void announceChange(AgentState &Agent, TimePoint Now, Effects &Out) {
   const WorkerState Before = Agent.Fleet.Load.State;
   const Digest Weights = Agent.Fleet.Load.Weights;
+  const std::optional<double> PerSecond = Agent.Fleet.Load.PerSecond;
   refreshLoad(Agent);
   // Entries that believe in room where there is none let requests wait in one
   // queue while another worker stands idle.
@@ -82,7 +86,8 @@
   if (Moved)
     Agent.ToldWork = Work;
   if (Moved || Agent.Fleet.Load.State != Before ||
-      Agent.Fleet.Load.Weights != Weights)
+      Agent.Fleet.Load.Weights != Weights ||
+      Agent.Fleet.Load.PerSecond != PerSecond)
     sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
 }
 
@@ -171,6 +176,29 @@
                           "Tokens come far too slowly: back end is cold."});
 }
 
+/**
+ * Takes the rate limit that a report names. Where reports never name one, only
+ * answers to requests tell that it was lifted.
+ */
+void noteReportedRate(AgentState &Agent, const EngineState &Read, TimePoint Now,
+                      Effects &Out) {
+  const bool NewRun = !Agent.BackEndRun.empty() && Read.Run != Agent.BackEndRun;
+  if (NewRun && Agent.Rate.PerSecond) {
+    Agent.Rate = {};
+    noteRateChange(Agent, RateChange::Lifted, "restart", Out);
+  }
+  // This reading began after the one before had ended.
+  const TimePoint Began = std::exchange(Agent.ReportedAt, Now);
+  RateChange Change = RateChange::None;
+  if (Read.PerSecond)
+    Change = rateNamed(Agent.Rate, *Read.PerSecond, Now);
+  else if (Agent.RateReported)
+    Change = rateNotNamed(Agent.Rate, Began);
+  Agent.RateReported =
+      Read.PerSecond || (Agent.RateReported && !NewRun && Agent.Rate.PerSecond);
+  noteRateChange(Agent, Change, "report", Out);
+}
+
 void answerPing(LinkId Link, const Ping &m, Effects &Out) {
   Out.push_back(SendMessage{Link, Pong{m.Sequence}});
 }
@@ -264,6 +292,7 @@
                         },
                         [&](const RateHeard &Heard) {
                           placeRateHeard(Agent, Heard, Now, Out);
+                          announceChange(Agent, Now, Out);
                         },
                         [&](const AttemptCancel &Cancel) {
                           cancelAttempt(Agent, Cancel.Attempt, Now, Out);
@@ -394,6 +423,8 @@
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
                           "Back end is silent: " + Read.Why.Detail});
   Agent.BackEndUp = Read.Value.has_value();
+  if (Read.Value)
+    noteReportedRate(Agent, *Read.Value, Now, Out);
   judgeBrokenRuns(Agent, Run, Now, Out);
   if (Restarted) {
     turnCold(Agent.Gate);
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -76,6 +76,8 @@
   FirstPartTime FirstPart;               ///< How long first parts take.
   Admission Gate;                        ///< Running and waiting work.
   ServerRate Rate;                       ///< Limit of the back end itself.
+  bool RateReported = false;             ///< Its reports named that limit.
+  TimePoint ReportedAt;                  ///< When its last report came.
   WeightsState Weights;                  ///< Weights of the engine.
   TransferState Transfer;                ///< Exchange of chunks.
   RolloutState Rollout;                  ///< Waiting for the turn to load.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -5,6 +5,7 @@
 #include "admission/admission_func.h"
 #include "admission/quarantine_func.h"
 #include "admission/reading_func.h"
+#include "admission/server_rate_func.h"
 #include "admission/token_pace_func.h"
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
@@ -186,6 +187,7 @@
   One.Began = Now;
   One.RanAlone = Agent.Gate.Alone == One.Asked.Attempt;
   ++Agent.Counters.Started;
+  countRequest(Agent.Rate);
   const WorkClass *Class = findClass(*Agent.View.InForce, One.Asked.Class);
   if (!Agent.Config.EngineUrl.empty()) {
     EngineRequest Request;
@@ -223,7 +225,8 @@
   Admittee Asking = admitteeOf(Agent, m);
   Asking.Alone = Asking.Alone || Doubt == Suspicion::RunAlone;
   const AdmissionAnswer Answer =
-      askToRun(Agent.Gate, Asking, !mostAnswersStall(Agent, Now));
+      askToRun(Agent.Gate, Asking,
+               !mostAnswersStall(Agent, Now) && agentRateAllows(Agent, Now));
   if (Answer.PushedOut)
     pushOut(Agent, *Answer.PushedOut, Out);
   if (Answer.May == Admitted::Refuse)
@@ -397,7 +400,8 @@
 void runWaiting(AgentState &Agent, TimePoint Now, Effects &Out) {
   // The next look at the back end goes on with it. A tick that would call it
   // cold may come late, where this process itself gets little time.
-  while (mayRead(Agent.Reading, Now) && !mostAnswersStall(Agent, Now)) {
+  while (mayRead(Agent.Reading, Now) && !mostAnswersStall(Agent, Now) &&
+         agentRateAllows(Agent, Now)) {
     const auto Next = nextToRun(Agent.Gate);
     if (!Next)
       return;
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -136,9 +136,9 @@
   std::erase(Agent.SparePlaces, Which);
 }
 
-bool hasSpareRoom(const AgentState &Agent, TimePoint Now) {
+bool hasSpareRoom(AgentState &Agent, TimePoint Now) {
   const uint32_t Kept = std::min(KeptForOthers, Agent.Gate.Limit / KeptPart);
-  return runsAtOnce(Agent.Gate, Kept) &&
+  return runsAtOnce(Agent.Gate, Kept) && agentRateAllows(Agent, Now) &&
          readingLeft(Agent.Reading, Now) <= SpareReading;
 }
 
@@ -187,6 +187,13 @@
     refuseAtOnce(Agent, Link, m, *Standing, Millis{0}, Now, Out);
     return;
   }
+  if (!agentRateAllows(Agent, Now)) {
+    // Others of the service may have room, so that none waits here.
+    const Duration Wait = timeToRequest(Agent.Rate, Now);
+    refuseAtOnce(Agent, Link, m, ErrorKind::RateLimited,
+                 std::max(toMillis(Wait), Millis(1)), Now, Out);
+    return;
+  }
   if (m.Spare) {
     takeSpareAsk(Agent, Link, m, Now, Out);
     return;
@@ -243,6 +250,7 @@
   Place &One = Agent.Places.at(Which);
   One.Given = true;
   One.Since = Now;
+  countRequest(Agent.Rate);
   addReading(Agent.Reading, One.Ask.PromptTokens, Now);
   One.Reading = readingLeft(Agent.Reading, Now);
   ++Agent.Counters.Started;
@@ -274,6 +282,8 @@
   }
   if (m.FirstPartMillis > 0)
     firstPartSeen(Agent.FirstPart, millis(m.FirstPartMillis), One.Reading);
+  if (!m.Sent)
+    uncountRequest(Agent.Rate);
   const RunEnd Broken = m.Sent ? RunEnd::CutOff : RunEnd::NotBegun;
   runEnded(Agent.Gate, m.Place, m.Whole ? RunEnd::Whole : Broken,
            Now - One.Since);
@@ -282,6 +292,10 @@
   giveSparePlaces(Agent, Now, Out);
 }
 
+bool agentRateAllows(AgentState &Agent, TimePoint Now) {
+  return rateAllowsRequest(Agent.Rate, 1, Now);
+}
+
 void placeRateHeard(AgentState &Agent, const RateHeard &m, TimePoint Now,
                     Effects &Out) {
   if (m.PerSecond) {
--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -36,6 +36,14 @@
 void placeDone(AgentState &Agent, const PlaceDone &m, TimePoint Now,
                Effects &Out);
 
+/**
+ * Says whether the back end's own rate limit allows one more request.
+ * @param Agent State to change.
+ * @param Now Current time.
+ * @return True when one may be given to it.
+ */
+bool agentRateAllows(AgentState &Agent, TimePoint Now);
+
 /**
  * An entry told what an answer said of the rate limit of the back end.
  * @param Agent State to change.
--- a/packages/core/src/base/error_type.h
+++ b/packages/core/src/base/error_type.h
@@ -20,6 +20,7 @@
   NotFound,        ///< No such path or class.
   Overloaded,      ///< Queue full or limit reached.
   TenantLimit,     ///< The tenant's own share is used up.
+  RateLimited,     ///< The back end's own rate limit is reached.
   NoWorker,        ///< No worker can take the request now.
   ColdStart,       ///< The back end is still warming up.
   DomainOut,       ///< The failure domain is taken out.
--- a/packages/core/src/forwarding/fleet_snapshot.cpp
+++ b/packages/core/src/forwarding/fleet_snapshot.cpp
@@ -38,6 +38,7 @@
   News.State = Link.Load.State;
   News.Busy = Link.Load.Running + Link.Load.Waiting;
   News.Weights = Link.Load.Weights;
+  News.PerSecond = Link.Load.PerSecond;
   News.Fresh = Link.Load.State != WorkerState::Leaving;
   News.Link = Link.Link;
   return News;
@@ -67,6 +68,8 @@
   // entries share must not be taken for its own until then. An entry without a
   // link is remembered long enough for that.
   Snapshot.Sharers = static_cast<uint32_t>(std::max<size_t>(1, Known.size()));
+  for (const EntryHost &Host : Known)
+    Snapshot.SharerNames.push_back(Host.Name);
   for (const EntryHost &Host : Known)
     if (Linked.contains(Host.Name) ||
         (Host.Name == Fleet.Self.Name && SelfTakes))
@@ -94,7 +97,8 @@
                       {},
                       false,
                       {},
-                      Entry.Fleet.Silent.contains(Name)});
+                      Entry.Fleet.Silent.contains(Name),
+                      std::nullopt});
   Told.LoadAt = std::move(Heard);
   return News;
 }
--- a/packages/core/src/forwarding/fleet_snapshot_type.h
+++ b/packages/core/src/forwarding/fleet_snapshot_type.h
@@ -19,6 +19,7 @@
   bool ListingAway = false;     ///< Nobody can read the platform's list.
   std::vector<EntryHost> Alive; ///< Entries that take callers, self included.
   uint32_t Sharers = 1; ///< Entries that may use the back ends, self included.
+  std::vector<HostName> SharerNames; ///< Their names, as far as known.
 
   bool operator==(const FleetSnapshot &) const = default;
 };
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -134,6 +134,33 @@
                      std::optional<double> PerSecond, TimePoint SentAt,
                      TimePoint Now);
 
+/**
+ * Another entry told what an answer said of the rate that a back end takes.
+ * @param Pool State to change.
+ * @param Told What it told.
+ * @param Now Current time.
+ */
+void rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now);
+
+/**
+ * An agent gave no place, since its back end limits its rate.
+ * @param Pool State to change.
+ * @param Id Which back end.
+ * @param Wait Time until it may give one.
+ * @param Now Current time.
+ */
+void rateRefused(ServerPool &Pool, const InstanceId &Id, Duration Wait,
+                 TimePoint Now);
+
+/**
+ * Gives what an agent has to be told before it is asked for a place: one that
+ * started anew does not know the limit of its back end.
+ * @param View The back end.
+ * @param Now Current time.
+ * @return The message; nothing when it knows, or when there is no limit.
+ */
+std::optional<RateHeard> rateToTell(const ServerView &View, TimePoint Now);
+
 /**
  * Says whether a rate limit of a back end is known.
  * @param Pool The state.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -26,6 +26,7 @@
   bool Fresh = false;  ///< The agent answers now.
   LinkId Link;         ///< Link to the agent; 0: none.
   bool Silent = false; ///< Its link ended in silence, it was not closed.
+  std::optional<double> PerSecond = {}; ///< Rate limit that it keeps.
 };
 
 /** One back end as this entry sees it. */
@@ -48,6 +49,7 @@
   /** Its host was asked for a sign of life then and has given none since. */
   std::optional<TimePoint> Unanswered;
   ServerRate Rate;              ///< Limit that it sets for itself.
+  TimePoint NoPlaceUntil;       ///< Its agent gives none, for that limit.
   TimePoint ColdUntil;          ///< Bears little until then.
   std::deque<TimePoint> Starts; ///< Attempts of the last second, when cold.
 };
@@ -71,6 +73,7 @@
 
 /** Bounds and habits of the choice; from the settings. */
 struct PoolOptions {
+  HostName Self;                 ///< Name of this entry.
   DomainName Domain;             ///< Failure domain of this entry.
   Millis FormerWeightsFor{5000}; ///< How long a former version may begin.
   Millis LapseGrace{2200};       ///< Wait for servers to be listed again.
@@ -84,8 +87,9 @@
   std::map<ModelName, WantedWeights> Wanted;       ///< By model.
   std::map<ServiceName, Duration> UsualTime;       ///< Length of an answer.
   std::map<ServiceName, FirstPartTime> FirstParts; ///< Time to its first part.
-  TimePoint ListingDoubtUntil; ///< Till then a missing server may come back.
-  uint32_t Entries = 1;        ///< Entries that share, this one included.
+  TimePoint ListingDoubtUntil;   ///< Till then a missing server may come back.
+  uint32_t Entries = 1;          ///< Entries that share, this one included.
+  std::vector<HostName> Sharers; ///< Their names; empty: not known.
   uint64_t Random = 88172645463325252ULL; ///< Breaks ties.
 };
 
--- a/packages/core/src/table/error_table.h
+++ b/packages/core/src/table/error_table.h
@@ -27,6 +27,8 @@
          "All workers of the class are busy."},
         {ErrorKind::TenantLimit, "tenant_limit", 429, Ran::No, 500,
          "The tenant's share is used up."},
+        {ErrorKind::RateLimited, "rate_limited", 503, Ran::No, 500,
+         "The back end takes no more requests a second."},
         {ErrorKind::NoWorker, "no_worker", 503, Ran::No, 1000,
          "No worker can take the request now."},
         {ErrorKind::ColdStart, "cold_start", 503, Ran::No, 500,
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -187,6 +187,7 @@
 
 template <typename V> void describe(V &v, RateHeard &m) {
   v("place", m.Place);
+  v("server", m.Server);
   v("per_second", m.PerSecond);
   v("age", m.AgeMillis);
 }
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -268,13 +268,15 @@
 };
 
 /**
- * Tells the agent of a back end what an answer said of the rate limit that the
- * back end sets for itself.
+ * Tells the agent of a back end, or other entries, what an answer said of the
+ * rate limit that the back end sets for itself.
  */
 struct RateHeard {
   AttemptId Place;                 ///< Place of the request; may be empty.
+  InstanceId Server;               ///< Which back end.
   std::optional<double> PerSecond; ///< Limit; nothing: the answer named none.
-  uint64_t AgeMillis = 0;          ///< How long ago the answer came.
+  uint64_t AgeMillis = 0; ///< How long ago the answer came; with no limit: how
+                          ///< long ago its request was sent.
 };
 
 /** Asks whether the host of an agent runs; answered at once. */
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -2,6 +2,7 @@
 
 #include "entry_shell.h"
 
+#include "admission/quarantine_func.h"
 #include "base/overloaded.h"
 #include "configuration/reader_rank_func.h"
 #include "log/log.h"
@@ -57,6 +58,11 @@
                    this->Routes->hostAnswered(Link);
                  return;
                }
+               if (const auto *Heard = std::get_if<RateHeard>(&m)) {
+                 if (this->Routes != nullptr)
+                   this->Routes->rateTold(*Heard);
+                 return;
+               }
                post([this, Link, Kept = std::move(m)](TimePoint Now,
                                                       Effects &Out) {
                  entryMessage(State, Link, Kept, Now, Out);
@@ -73,7 +79,12 @@
              }}) {
   if (Routes != nullptr)
     Routes->sendThrough(
-        [this](LinkId Link, const Message &m) { Links.send(Link, m); });
+        [this](LinkId Link, const Message &m) { Links.send(Link, m); },
+        [this](const Message &m) {
+          post([this, m](TimePoint, Effects &Out) {
+            spreadNotice(State.Fleet, m, Role::Entry, Out);
+          });
+        });
 }
 
 EntryShell::~EntryShell() {
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -92,7 +92,7 @@
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
   void noteRate(const ResponseHead &Came, bool Refusal);
-  void tellRate(std::optional<double> PerSecond);
+  void takeRate(std::optional<double> PerSecond, std::string_view Field);
   void logHeld() const;
   void logRate(RateChange Change, std::string_view Came) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -26,38 +26,44 @@
  * nothing: it may come from a part of the back end that names none.
  */
 void Exchange::noteRate(const ResponseHead &Came, bool Refusal) {
-  const TimePoint Now = Shared.Clock.now();
   const auto &Names = Shared.Wire.names().RateLimits;
   const auto it = std::ranges::find_if(
       Names, [&](const std::string &Name) { return Came.count(Name) > 0; });
   if (it == Names.end()) {
-    if (!Refusal && isRateLimited(Shared.Pool, At)) {
-      tellRate(std::nullopt);
-      logRate(rateHeard(Shared.Pool, At, std::nullopt, CallBegan, Now), "");
-    }
+    if (!Refusal && isRateLimited(Shared.Pool, At))
+      takeRate(std::nullopt, "");
     return;
   }
   const std::string_view Value = fieldOf(Came, *it);
-  const auto PerSecond =
-      Came.count(*it) == 1 ? Shared.Wire.rateLimitOf(Value) : std::nullopt;
-  if (PerSecond) {
-    tellRate(PerSecond);
-    logRate(rateHeard(Shared.Pool, At, PerSecond, CallBegan, Now),
-            *it + ":" + std::string(Value));
-  } else {
+  const size_t Times = Came.count(*it);
+  const auto PerSecond = Shared.Wire.rateLimitOf(Value);
+  if (PerSecond && Times == 1)
+    takeRate(PerSecond, *it + ":" + std::string(Value));
+  else
     logLine(LogPart::Requests, LogLevel::Warn,
             "event=rate_limit_unreadable id=" + logValue(Id) +
                 " server=" + At.Value + " field=" + logValue(*it) + " value=" +
-                logValue(Value) + " times=" + std::to_string(Came.count(*it)));
-  }
+                logValue(Value) + " times=" + std::to_string(Times));
 }
 
-/** Tells the agent of the back end, which gives the places there. */
-void Exchange::tellRate(std::optional<double> PerSecond) {
+/** Tells a limit, or its end, to the agent that gives the places there, and
+ * where there is none to the entries that split the limit. */
+void Exchange::takeRate(std::optional<double> PerSecond,
+                        std::string_view Field) {
+  const TimePoint Now = Shared.Clock.now();
+  const RateChange Change =
+      rateHeard(Shared.Pool, At, PerSecond, CallBegan, Now);
+  logRate(Change, Field);
   const auto it = Shared.Pool.Servers.find(At);
-  if (it != Shared.Pool.Servers.end() && hasAgent(it->second))
-    Shared.SendToAgent(it->second.Agent->Link,
-                       RateHeard{PlaceId, PerSecond, 0});
+  if (it == Shared.Pool.Servers.end())
+    return;
+  const Millis Age = PerSecond ? Millis(0) : toMillis(Now - CallBegan);
+  const RateHeard Told{PlaceId, At, PerSecond,
+                       static_cast<uint64_t>(Age.count())};
+  if (hasAgent(it->second))
+    Shared.SendToAgent(it->second.Agent->Link, Told);
+  else if (Change != RateChange::None)
+    Shared.SendToEntries(Told);
 }
 
 void Exchange::callHead(const ResponseHead &Came) {
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -60,6 +60,8 @@
   PlaceLink = Server.Agent->Link;
   Asking = true;
   Shared.Waiting[PlaceId] = weak_from_this();
+  if (const auto Told = rateToTell(Server, Now))
+    Shared.SendToAgent(PlaceLink, *Told);
   Shared.SendToAgent(PlaceLink, Ask);
   const bool First = hostAsked(Shared.Pool, At, Now);
   if (First && (Ask.Spare || MostReading.count() == 0))
@@ -82,6 +84,8 @@
   if (!Answer.Given) {
     PlaceId = {}; // The agent has forgotten it.
     const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
+    if (Answer.Why == ErrorKind::RateLimited)
+      rateRefused(Shared.Pool, At, Room, Now);
     if (Room.count() > 0)
       RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
   }
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -63,7 +63,9 @@
   std::atomic<uint32_t> Open{0};     ///< Requests without a final answer.
   ForwardCounters Counters;          ///< What happened so far.
   std::function<void(LinkId, const Message &)>
-      SendToAgent;         ///< From any thread.
+      SendToAgent; ///< From any thread.
+  std::function<void(const Message &)>
+      SendToEntries;       ///< To all others, from any thread.
   std::string PlacePrefix; ///< Makes places unique for ever.
   uint64_t NextPlace = 1;  ///< Rest of the next place's name.
   std::map<AttemptId, std::weak_ptr<PlaceWaiter>> Waiting; ///< By place.
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -58,6 +58,7 @@
                      TrafficMetrics &Timings)
     : Config(Config), Shared(Wire, Timings), SweepTimer(Shared.Io),
       StallTimer(Shared.Io) {
+  Shared.Pool.Options.Self.Value = Config.Name;
   Shared.Pool.Options.Domain.Value = Config.Domain;
   takeOptions(Config);
   Shared.Pool.Random ^= std::hash<std::string>{}(Config.Name) | 1U;
@@ -230,6 +231,12 @@
   boost::asio::post(Shared.Io, [this, Link] { hostHeard(Shared.Pool, Link); });
 }
 
+void Forwarder::rateTold(const RateHeard &Heard) {
+  boost::asio::post(Shared.Io, [this, Heard] {
+    jacinthpond::rateTold(Shared.Pool, Heard, Shared.Clock.now());
+  });
+}
+
 void Forwarder::placeAnswered(LinkId Link, const PlaceAnswer &Answer) {
   boost::asio::post(Shared.Io, [this, Link, Answer] {
     hostHeard(Shared.Pool, Link);
@@ -253,6 +260,7 @@
   boost::asio::post(Shared.Io, [this, Fleet = std::move(Fleet)] {
     listingAway(Shared.Pool, Fleet.ListingAway, Shared.Clock.now());
     Shared.Pool.Entries = Fleet.Sharers;
+    Shared.Pool.Sharers = Fleet.SharerNames;
     Shared.Fleet = Fleet;
     letHeldGoOn();
   });
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -54,13 +54,22 @@
   void fleet(FleetSnapshot Fleet);
 
   /**
-   * Names how messages reach agents.
-   * @param Send May be called from any thread.
+   * Names how messages reach agents and other entries.
+   * @param ToAgent Sends over a link; may be called from any thread.
+   * @param ToEntries Sends to all other entries; likewise.
    */
-  void sendThrough(std::function<void(LinkId, const Message &)> Send) {
-    Shared.SendToAgent = std::move(Send);
+  void sendThrough(std::function<void(LinkId, const Message &)> ToAgent,
+                   std::function<void(const Message &)> ToEntries) {
+    Shared.SendToAgent = std::move(ToAgent);
+    Shared.SendToEntries = std::move(ToEntries);
   }
 
+  /**
+   * Another entry heard of a back end's rate limit.
+   * @param Heard What it heard.
+   */
+  void rateTold(const RateHeard &Heard);
+
   /**
    * An agent answered a request for a place.
    * @param Link The link to it.
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -431,3 +431,107 @@
   BOOST_TEST((Sent.Link == EntryA));
   BOOST_TEST(std::get<Pong>(Sent.Content).Sequence == 3U);
 }
+
+// Guards against a back end that gets more places than its own rate limit
+// allows, however many entries ask for them.
+BOOST_AUTO_TEST_CASE(PlacesKeepTheRateLimitOfTheBackEnd) {
+  OneAgent One;
+  One.limit(16);
+  const TimePoint Begin = One.Now;
+  placeRateHeard(One.Agent, {{}, {}, 2.7, 0}, One.Now, One.Out);
+  uint32_t Given = 0;
+  for (int n = 0; One.Now < Begin + Millis(4000); ++n, One.Now += Millis(20)) {
+    const std::string Id = std::to_string(n);
+    const auto Answer = One.ask(Id, Millis(500), 0, 1, n % 2 ? EntryA : EntryB);
+    BOOST_REQUIRE(Answer.has_value()); // Nobody waits: others have room.
+    if (!Answer->Given) {
+      BOOST_CHECK(Answer->Why == ErrorKind::RateLimited);
+      BOOST_TEST(Answer->RetryAfterMillis > 0U);
+      continue;
+    }
+    ++Given;
+    One.done(Id);
+  }
+  BOOST_TEST(Given >= 10U);
+  BOOST_TEST(Given <= 13U);
+}
+
+// Guards against places that are given past the limit to those that waited
+// before it was named.
+BOOST_AUTO_TEST_CASE(WaitingPlacesKeepTheRateLimitToo) {
+  OneAgent One;
+  for (const char *Id : {"a", "b", "c", "d"})
+    One.ask(Id, Millis(900));
+  placeRateHeard(One.Agent, {{}, {}, 0.3, 0}, One.Now, One.Out);
+  One.done("a");
+  BOOST_TEST(One.given("c"));
+  One.done("b");
+  BOOST_TEST(!One.given("d"));
+}
+
+// Guards against tokens that are lost with requests that were never sent.
+BOOST_AUTO_TEST_CASE(APlaceThatWasNotUsedCostsNothingOfTheRate) {
+  OneAgent One;
+  placeRateHeard(One.Agent, {{}, {}, 0.3, 0}, One.Now, One.Out);
+  BOOST_TEST(One.ask("a", Millis(500))->Given);
+  One.done("a", false, false);
+  BOOST_TEST(One.ask("b", Millis(500))->Given);
+  One.done("b", false, true);
+  BOOST_TEST(!One.ask("c", Millis(500))->Given);
+}
+
+// Guards against a limit that is lifted by an answer which was on its way when
+// it was named.
+BOOST_AUTO_TEST_CASE(OnlyAnAnswerToALaterRequestLiftsTheRateLimit) {
+  OneAgent One;
+  BOOST_TEST(One.ask("early", Millis(500))->Given);
+  One.Now += Millis(100);
+  placeRateHeard(One.Agent, {{}, {}, 1.8, 0}, One.Now, One.Out);
+  One.Now += Millis(900);
+  BOOST_TEST(One.ask("late", Millis(500))->Given);
+  placeRateHeard(One.Agent, {{"early"}, {}, {}, 1000}, One.Now, One.Out);
+  BOOST_TEST(One.Agent.Rate.PerSecond.has_value());
+  placeRateHeard(One.Agent, {{"unknown"}, {}, {}, 0}, One.Now, One.Out);
+  BOOST_TEST(One.Agent.Rate.PerSecond.has_value());
+  placeRateHeard(One.Agent, {{"late"}, {}, {}, 10}, One.Now, One.Out);
+  BOOST_TEST(!One.Agent.Rate.PerSecond.has_value());
+}
+
+// Guards against a limit that holds for the next run of its back end, or that
+// ends with a report that could not be read.
+BOOST_AUTO_TEST_CASE(ARateLimitEndsWithTheRunOfItsBackEnd) {
+  OneAgent One;
+  const auto Report = [&](const char *Run) {
+    EngineState State;
+    State.Run = Run;
+    State.Weights.Value = "m@1";
+    engineStateRead(One.Agent, {State, {}}, 0, One.Now, One.Out);
+  };
+  Report("run 1");
+  placeRateHeard(One.Agent, {{}, {}, 1.8, 0}, One.Now, One.Out);
+  engineStateRead(One.Agent, {std::nullopt, {ErrorKind::Unreachable, "", {}}},
+                  0, One.Now, One.Out);
+  Report("run 1");
+  BOOST_TEST(One.Agent.Rate.PerSecond.has_value());
+  Report("run 2");
+  BOOST_TEST(!One.Agent.Rate.PerSecond.has_value());
+}
+
+// Guards against a limit that nobody lifts where reports name it: without
+// requests only they tell of its end.
+BOOST_AUTO_TEST_CASE(ReportsThatNamedARateLimitLiftIt) {
+  OneAgent One;
+  const auto Report = [&](std::optional<double> PerSecond) {
+    EngineState State;
+    State.Run = "run 1";
+    State.PerSecond = PerSecond;
+    One.Now += Millis(200);
+    engineStateRead(One.Agent, {State, {}}, 0, One.Now, One.Out);
+    return One.Agent.Rate.PerSecond;
+  };
+  Report({});
+  placeRateHeard(One.Agent, {{}, {}, 1.8, 0}, One.Now, One.Out);
+  BOOST_TEST(Report({}).has_value()); // Reports name none at all.
+  BOOST_TEST(Report(1.8).has_value());
+  BOOST_TEST(!Report({}).has_value());
+}
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -10,6 +10,7 @@
 #ifndef JACINTHPOND_TESTS_UNIT_ROUTE_MODEL_H
 #define JACINTHPOND_TESTS_UNIT_ROUTE_MODEL_H
 
+#include "admission/quarantine_func.h"
 #include "attempts/agent_func.h"
 #include "attempts/entry_func.h"
 #include "base/hash_func.h"
@@ -694,7 +695,8 @@
 
   void startTraffic(Process &One, const Settings &Config) const {
     One.Pool = {};
-    One.Pool.Options = {{Config.Domain},
+    One.Pool.Options = {{Config.Name},
+                        {Config.Domain},
                         formerWeightsTime(Config),
                         Millis(Config.LapseGraceMillis)};
     One.Pool.Random ^= draw(One.Name + "/random", 1U << 30U) | 1U;
@@ -780,6 +782,7 @@
     One.Fleet = fleetSnapshot(*One.Entry, Now);
     listingAway(One.Pool, One.Fleet.ListingAway, Now);
     One.Pool.Entries = One.Fleet.Sharers;
+    One.Pool.Sharers = One.Fleet.SharerNames;
   }
 
   // ---- Reading the store ----------------------------------------------------
@@ -928,6 +931,10 @@
         placeAnswered(Who, *Said);
         return;
       }
+      if (const auto *Heard = std::get_if<RateHeard>(&*m)) {
+        rateTold(Who.Pool, *Heard, Now);
+        return;
+      }
       Effects Out;
       entryMessage(*Who.Entry, End.Link, *m, Now, Out);
       showDocument(Who);
@@ -1275,6 +1282,8 @@
     One->PlaceLink = Server.Agent->Link;
     One->Asking = true;
     At.Waiting[One->Place] = One;
+    if (const auto Told = rateToTell(Server, Now))
+      send(At, One->PlaceLink, *Told);
     send(At, One->PlaceLink, Ask);
     const Millis Until =
         Millis(150) + (MostReading.count() == 0 ? Wait : Millis(0));
@@ -1301,6 +1310,8 @@
     }
     if (!Said.Given)
       One->Place = {};
+    if (Said.Why == ErrorKind::RateLimited)
+      rateRefused(At.Pool, One->At, Millis(Said.RetryAfterMillis), Now);
     askElsewhere(At, One, Said.Why == ErrorKind::Overloaded);
   }
 
@@ -1411,10 +1422,20 @@
       From.ToldOfLimit.try_emplace(At.Name, Now);
     if (!Limit && (Refusal || !isRateLimited(At.Pool, One->At)))
       return;
+    const RateChange Change =
+        rateHeard(At.Pool, One->At, Limit, One->CallBegan, Now);
     const auto it = At.Pool.Servers.find(One->At);
-    if (it != At.Pool.Servers.end() && hasAgent(it->second))
-      send(At, it->second.Agent->Link, RateHeard{One->Place, Limit, 0});
-    rateHeard(At.Pool, One->At, Limit, One->CallBegan, Now);
+    if (it == At.Pool.Servers.end())
+      return;
+    const Millis Age = Limit ? Millis(0) : toMillis(Now - One->CallBegan);
+    const RateHeard Told{One->Place, One->At, Limit,
+                         static_cast<uint64_t>(Age.count())};
+    Effects Out;
+    if (hasAgent(it->second))
+      Out.push_back(SendMessage{it->second.Agent->Link, Told});
+    else if (Change != RateChange::None)
+      spreadNotice(At.Entry->Fleet, Told, Role::Entry, Out);
+    perform(At, Out);
   }
 
   void limitCame(Process &At, const AskedPtr &One) {
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -482,3 +482,71 @@
     BOOST_TEST(connectionsToKeep(One.State, Plain) * Entries <= 55U);
   }
 }
+
+// Guards against an agent that starts anew, gives places without the rate limit
+// of its back end, and makes the entries forget it.
+BOOST_AUTO_TEST_CASE(AnAgentThatStartsAnewIsToldTheRateLimit) {
+  Pool One;
+  AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
+  News.Link = LinkId{7};
+  News.PerSecond = 1.8;
+  agentTold(One.State, News, One.Now);
+  const ServerView &View = One.State.Servers.at({"m0"});
+  BOOST_TEST(!rateToTell(View, One.Now).has_value());
+  agentTold(One.State, {Address{"m0:1"}, WorkerState::Empty, 0, {}, false, {}},
+            One.Now);
+  News.Link = LinkId{8};
+  News.PerSecond.reset();
+  One.Now += Millis(2000);
+  agentTold(One.State, News, One.Now);
+  const auto Told = rateToTell(View, One.Now);
+  BOOST_REQUIRE(Told.has_value());
+  BOOST_TEST(Told->PerSecond.value() == 1.8);
+  BOOST_TEST(Told->AgeMillis == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentThatLiftsARateLimitIsBelieved) {
+  Pool One;
+  AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
+  News.PerSecond = 1.8;
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(isRateLimited(One.State, {"m0"}));
+  News.PerSecond.reset();
+  agentTold(One.State, News, One.Now + Millis(100));
+  BOOST_TEST(!isRateLimited(One.State, {"m0"}));
+}
+
+// Guards against a back end that looks idle because of its rate limit, and
+// draws one request after the other to ask it in vain.
+BOOST_AUTO_TEST_CASE(ALimitedBackEndIsNotAskedBeforeItsTime) {
+  Pool One;
+  for (const char *Id : {"m0", "m1", "m2"})
+    agentTold(
+        One.State,
+        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
+        One.Now);
+  rateHeard(One.State, {"m0"}, 1.8, One.Now, One.Now);
+  rateRefused(One.State, {"m0"}, Millis(400), One.Now);
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
+  BOOST_TEST(One.spread("llm")["m2"] > 0);
+  One.Now += Millis(400);
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
+}
+
+// Guards against callers that are told to come back before any limit allows it.
+BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersAreToldTheTime) {
+  Pool One;
+  for (const char *Id : {"m0", "m1", "m2"}) {
+    agentTold(
+        One.State,
+        {{std::string(Id) + ":1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
+        One.Now);
+    rateHeard(One.State, {Id}, 0.3, One.Now, One.Now);
+    rateRefused(One.State, {Id}, Millis(1700), One.Now);
+  }
+  const ServerChoice Choice =
+      chooseServer(One.State, One.needs("llm"), One.Now);
+  BOOST_TEST(Choice.Server == nullptr);
+  BOOST_CHECK(Choice.Why == PoolRefusal::AllFull);
+  BOOST_TEST(Choice.RetryAfter.count() >= 1700);
+}
