core: the rate of a cold back end is kept by the same count

Same class as the limit that a back end sets for itself: a rate that all share was kept by each entry alone, with at least one request a second each. With 43 entries 43 requests a second may reach a cold worker that bears 14, where 26 are allowed.

Places from an agent now count for all entries (0.7 of the rate); past a silent agent, and at plain services, entries split the rate as they split a limit. Both go through rate_share, taken out of server_pool. Requests are counted when they are sent, so that refused asks cost nothing, as before.

Where all back ends of a service are at their rate, callers come back in turn, as far apart as the sum of the rates allows.

--- a/packages/core/src/admission/server_rate.cpp
+++ b/packages/core/src/admission/server_rate.cpp
@@ -13,8 +13,6 @@
 /** Lowest limit that is kept. One request in a while finds out whether a back
  * end that takes next to nothing still says so. */
 constexpr double LeastPerSecond = 0.25;
-/** Idle time that is made up for: an entry may ask a little late. */
-constexpr double BurstSeconds = 0.25;
 
 } // namespace
 
@@ -45,7 +43,6 @@
     return true;
   if (Part <= 0)
     return false;
-  Rate.Share.BurstSeconds = BurstSeconds;
   Rate.Share.PerSecond = Part * std::max(*Rate.PerSecond, LeastPerSecond);
   return rateAllows(Rate.Share, Now);
 }
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -91,8 +91,9 @@
     sendHeartbeats(Agent.Fleet, Agent.View, Now, Out);
 }
 
-/** A listed back end says itself how much it works on at a time. */
-void followSlots(AgentState &Agent, const Document &Doc) {
+/** A listed back end says itself how much it works on at a time, and how long
+ * it is still cold. */
+void followSlots(AgentState &Agent, const Document &Doc, TimePoint Now) {
   const std::string &Self = Agent.Fleet.Self.Name.Value;
   const auto it =
       std::ranges::find_if(Doc.Servers, [&](const BackEndServer &One) {
@@ -104,11 +105,20 @@
       std::ranges::find(Doc.Services, it->Service, &Service::Name);
   if (Kind != Doc.Services.end())
     Agent.Reading.TokensPerSecond = Kind->ReadPerSecond;
+  if (it->Id != Agent.Listed.Id || it->ColdFor != Agent.Listed.ColdFor) {
+    Agent.ColdUntil = Now + it->ColdFor;
+    Agent.Cold = {};
+  }
+  if (Kind != Doc.Services.end() && Kind->ColdPerSecond > 0)
+    Agent.Cold.PerSecond = Kind->ColdPerSecond;
+  else
+    Agent.Cold.PerSecond.reset();
+  Agent.Listed = *it;
   const uint32_t Bears = it->Slots + SlotsAhead;
   // Both: the limits of a cold start in the settings may be the same by chance.
   if (Agent.Gate.Limits.Warm == Bears && Agent.Gate.Limits.Cold == Bears)
     return;
-  // Its cold start is bounded by a rate, which entries share among them.
+  // Its cold start is bounded by a rate.
   Agent.Gate.Limits.Warm = Agent.Gate.Limits.Cold = Bears;
   Agent.Gate.Limit = Bears;
 }
@@ -127,7 +137,7 @@
     else if (Wanted != nullptr)
       wantWeights(Agent.Weights, *Wanted);
     planTransfer(Agent.Transfer, Agent.Weights, Doc, Self->Name, Now);
-    followSlots(Agent, Doc);
+    followSlots(Agent, Doc, Now);
     for (const LinkId Link : followPeers(Agent, Out))
       agentLinkClosed(Agent, Link, Now);
   }
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -76,6 +76,9 @@
   FirstPartTime FirstPart;               ///< How long first parts take.
   Admission Gate;                        ///< Running and waiting work.
   ServerRate Rate;                       ///< Limit of the back end itself.
+  ServerRate Cold;                       ///< What it bears while cold.
+  TimePoint ColdUntil;                   ///< It is cold until then.
+  BackEndServer Listed;                  ///< What the document says of it.
   bool RateReported = false;             ///< Its reports named that limit.
   TimePoint ReportedAt;                  ///< When its last report came.
   WeightsState Weights;                  ///< Weights of the engine.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -5,7 +5,6 @@
 #include "admission/admission_func.h"
 #include "admission/quarantine_func.h"
 #include "admission/reading_func.h"
-#include "admission/server_rate_func.h"
 #include "admission/token_pace_func.h"
 #include "attempts/back_end_death_func.h"
 #include "attempts/ended_attempts_func.h"
@@ -187,7 +186,7 @@
   One.Began = Now;
   One.RanAlone = Agent.Gate.Alone == One.Asked.Attempt;
   ++Agent.Counters.Started;
-  countRequest(Agent.Rate);
+  countAtBackEnd(Agent, Now);
   const WorkClass *Class = findClass(*Agent.View.InForce, One.Asked.Class);
   if (!Agent.Config.EngineUrl.empty()) {
     EngineRequest Request;
--- a/packages/core/src/attempts/place.cpp
+++ b/packages/core/src/attempts/place.cpp
@@ -36,6 +36,9 @@
 constexpr uint32_t KeptPart = 4;
 /** Reading beside which a late request holds up nobody. */
 constexpr Millis SpareReading{5};
+/** Part of the rate that a cold back end bears which is given out. Requests
+ * bunch up on their way, and entries that do not see this agent send more. */
+constexpr double ColdPart = 0.7;
 /** Late requests that wait at most; half of what usually runs ends in the time
  * that they wait. */
 constexpr size_t MostSpareWaiting = 8;
@@ -65,7 +68,9 @@
           " most_reading_ms=" + std::to_string(Asked.MostReadingMillis) +
           " spare_only=" + (Asked.Spare ? "yes" : "no") +
           " waited_ms=" + std::to_string(toMillis(Waited).count()) +
-          " rate=" + rateText(Agent.Rate) +
+          " rate=" + rateText(Agent.Rate) + " cold_ms=" +
+          std::to_string(
+              std::max(toMillis(Agent.ColdUntil - Now), Millis(0)).count()) +
           " weights=" + Agent.Weights.Loaded.Value + " replaced_ms=" +
           (Agent.Weights.OutdatedSince
                ? std::to_string(
@@ -189,7 +194,9 @@
   }
   if (!agentRateAllows(Agent, Now)) {
     // Others of the service may have room, so that none waits here.
-    const Duration Wait = timeToRequest(Agent.Rate, Now);
+    const Duration Wait = std::max(timeToRequest(Agent.Rate, Now),
+                                   timeToRequest(Agent.Cold, Now));
+    ++Agent.Counters.Refused[ErrorKind::RateLimited];
     refuseAtOnce(Agent, Link, m, ErrorKind::RateLimited,
                  std::max(toMillis(Wait), Millis(1)), Now, Out);
     return;
@@ -250,7 +257,7 @@
   Place &One = Agent.Places.at(Which);
   One.Given = true;
   One.Since = Now;
-  countRequest(Agent.Rate);
+  countAtBackEnd(Agent, Now);
   addReading(Agent.Reading, One.Ask.PromptTokens, Now);
   One.Reading = readingLeft(Agent.Reading, Now);
   ++Agent.Counters.Started;
@@ -282,8 +289,11 @@
   }
   if (m.FirstPartMillis > 0)
     firstPartSeen(Agent.FirstPart, millis(m.FirstPartMillis), One.Reading);
-  if (!m.Sent)
+  if (!m.Sent) {
     uncountRequest(Agent.Rate);
+    if (Now < Agent.ColdUntil)
+      uncountRequest(Agent.Cold);
+  }
   const RunEnd Broken = m.Sent ? RunEnd::CutOff : RunEnd::NotBegun;
   runEnded(Agent.Gate, m.Place, m.Whole ? RunEnd::Whole : Broken,
            Now - One.Since);
@@ -293,7 +303,15 @@
 }
 
 bool agentRateAllows(AgentState &Agent, TimePoint Now) {
-  return rateAllowsRequest(Agent.Rate, 1, Now);
+  return rateAllowsRequest(Agent.Rate, 1, Now) &&
+         (Now >= Agent.ColdUntil ||
+          rateAllowsRequest(Agent.Cold, ColdPart, Now));
+}
+
+void countAtBackEnd(AgentState &Agent, TimePoint Now) {
+  countRequest(Agent.Rate);
+  if (Now < Agent.ColdUntil)
+    countRequest(Agent.Cold);
 }
 
 void placeRateHeard(AgentState &Agent, const RateHeard &m, TimePoint Now,
--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -37,13 +37,21 @@
                Effects &Out);
 
 /**
- * Says whether the back end's own rate limit allows one more request.
+ * Says whether the rates that the back end bears allow one more request: its
+ * own limit, and that of its cold start.
  * @param Agent State to change.
  * @param Now Current time.
  * @return True when one may be given to it.
  */
 bool agentRateAllows(AgentState &Agent, TimePoint Now);
 
+/**
+ * Counts a request that is given to the back end.
+ * @param Agent State to change.
+ * @param Now Current time.
+ */
+void countAtBackEnd(AgentState &Agent, TimePoint Now);
+
 /**
  * An entry told what an answer said of the rate limit of the back end.
  * @param Agent State to change.
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -18,8 +18,10 @@
     Listed.insert(One.Id);
     const auto [it, New] = Pool.Servers.try_emplace(One.Id);
     ServerView &View = it->second;
-    if (New || View.Listed.ColdFor != One.ColdFor)
+    if (New || View.Listed.ColdFor != One.ColdFor) {
       View.ColdUntil = Now + One.ColdFor;
+      View.Cold = {};
+    }
     // An agent's word is newer than the list while its back end is the same.
     if (New || View.Listed.Weights != One.Weights)
       View.Weights = One.Weights;
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -4,9 +4,9 @@
 
 #include "admission/first_part_func.h"
 #include "admission/server_rate_func.h"
-#include "base/hash_func.h"
 #include "base/random_func.h"
 #include "forwarding/liveness_func.h"
+#include "forwarding/rate_share_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -48,27 +48,6 @@
 constexpr Millis FirstUsualTime{500};
 /** Part of a route's target that may be spent waiting at the back end. */
 constexpr double WaitPart = 0.35;
-/**
- * Part of a back end's own rate limit that entries use together where it has no
- * agent. Two halves of the fleet that do not see each other use twice as much.
- */
-constexpr double PartWithoutAgents = 0.65;
-/** The same where its agent is silent: it may still give places to others. */
-constexpr double PartPastAgents = 0.4;
-/** Entries that have a part of a small limit, and how many more have one for
- * each request a second. */
-constexpr double LeastSharers = 2;
-constexpr double SharersByRate = 0.2;
-/** Time since a limit was heard of after which the first entry that has no part
- * of it finds out whether it still holds; the next ones take longer. They hear
- * from others that it was lifted, unless a link was away then. */
-constexpr std::chrono::seconds ProbeAfter{30};
-/** Age above which all news of a limit is equally old. */
-constexpr Millis LongestAge{3600000};
-/** Shortest time for which an agent that refused for its limit is not asked. */
-constexpr Millis ShortestNoPlace{10};
-/** Part of the rate that cold back ends bear which entries use together. */
-constexpr double ColdPart = 0.8;
 /** Shortest and longest time that a refused caller is told to stay away. */
 constexpr Millis ShortestComeBack{150};
 constexpr Millis LongestComeBack{2500};
@@ -222,86 +201,6 @@
   return weightsFit(Pool, Kind, View, Needs.Weights, Now);
 }
 
-/** A cold back end breaks down above a rate that all entries share. */
-bool coldAllows(const ServerPool &Pool, const ServerView &View,
-                const Service &Kind, TimePoint Now) {
-  if (Kind.ColdPerSecond <= 0 || Now >= View.ColdUntil)
-    return true;
-  const double Share =
-      ColdPart * Kind.ColdPerSecond / std::max(1U, Pool.Entries);
-  const auto Recent = std::ranges::count_if(
-      View.Starts, [&](const TimePoint At) { return Now - At < Millis(1000); });
-  return static_cast<double>(Recent) + 1 <= std::max(1.0, Share);
-}
-
-/** Counts the entries that come before this one in the order in which they get
- * a part of a back end's rate limit. */
-uint32_t entriesBefore(const ServerPool &Pool, const ServerView &View) {
-  const auto Score = [&](const HostName &Name) {
-    return rendezvousScore(View.Listed.Id.Value, Name.Value);
-  };
-  const uint64_t Own = Score(Pool.Options.Self);
-  return static_cast<uint32_t>(std::ranges::count_if(
-      Pool.Sharers, [&](const HostName &One) { return Score(One) > Own; }));
-}
-
-/**
- * Gives the part of a back end's rate limit that is this entry's own. Without
- * an agent that counts for all of them entries split the limit. What they may
- * send at once, one request each, would alone exceed a small limit, so only so
- * many entries have a part.
- */
-double partOfRate(const ServerPool &Pool, const ServerView &View,
-                  const Service &Kind) {
-  const bool Agents = !Kind.Model.Value.empty();
-  const double More = Agents ? 0 : SharersByRate * *View.Rate.PerSecond;
-  const auto Sharers = static_cast<uint32_t>(std::min(
-      LeastSharers + More, std::max(1.0, static_cast<double>(Pool.Entries))));
-  if (entriesBefore(Pool, View) >= Sharers)
-    return 0;
-  return (Agents ? PartPastAgents : PartWithoutAgents) / Sharers;
-}
-
-/** Says whether an entry without a part may find out whether a limit holds. */
-bool mayProbe(const ServerPool &Pool, const ServerView &View, TimePoint Now) {
-  const int64_t Turn = 1 + int64_t{entriesBefore(Pool, View)};
-  return Now - View.Rate.NamedAt >= ProbeAfter * Turn;
-}
-
-/** Says whether a back end's own rate limit allows a request. */
-bool limitAllows(const ServerPool &Pool, ServerView &View, const Service &Kind,
-                 TimePoint Now) {
-  if (!View.Rate.PerSecond)
-    return true;
-  if (hasAgent(View))
-    return Now >= View.NoPlaceUntil;
-  const double Part = partOfRate(Pool, View, Kind);
-  return Part > 0 ? rateAllowsRequest(View.Rate, Part, Now)
-                  : mayProbe(Pool, View, Now);
-}
-
-/** Gives when a back end's own rate limit allows a request. */
-Duration timeToAllowed(const ServerView &View, TimePoint Now) {
-  if (hasAgent(View))
-    return std::max(View.NoPlaceUntil - Now, Duration{0});
-  return timeToRequest(View.Rate, Now);
-}
-
-/** Counts a request to a back end whose rate limit entries split. */
-void countLimited(const ServerPool &Pool, ServerView &View, TimePoint Now) {
-  if (!View.Rate.PerSecond || hasAgent(View))
-    return;
-  countRequest(View.Rate);
-  if (mayProbe(Pool, View, Now))
-    View.Rate.NamedAt = Now;
-}
-
-/** Forgets what began more than a second ago. */
-void dropOldStarts(ServerView &View, TimePoint Now) {
-  while (!View.Starts.empty() && Now - View.Starts.front() > Millis(1000))
-    View.Starts.pop_front();
-}
-
 double scoreOf(ServerPool &Pool, const ServerView &View, TimePoint Now) {
   double Score = workAt(View, Now) + randomPart(Pool);
   const Duration Reading =
@@ -375,15 +274,13 @@
         (!hasAgent(View) &&
          workAt(View, Now) + 1 > roomOf(Pool, View, *Needs.From)) ||
         (mayStandStill(View) && View.Open > 0);
-    if (!Full && !limitAllows(Pool, View, Kind, Now)) {
-      const Millis Wait = toMillis(timeToAllowed(View, Now));
-      Choice.RetryAfter = Choice.RetryAfter.count() == 0
-                              ? Wait
-                              : std::min(Choice.RetryAfter, Wait);
+    if (Full)
       continue;
-    }
-    if (Full || !coldAllows(Pool, View, Kind, Now))
+    if (!ratesAllow(Pool, View, Kind, Now)) {
+      ++Choice.Limited;
+      Choice.PerSecond += View.Rate.PerSecond.value_or(Kind.ColdPerSecond);
       continue;
+    }
     const double Score = scoreOf(Pool, View, Now);
     if (Choice.Server != nullptr && Score >= Best)
       continue;
@@ -408,21 +305,18 @@
     return Choice;
   Choice.Why =
       Choice.Candidates > 0 ? PoolRefusal::AllFull : PoolRefusal::NoneListed;
-  Choice.RetryAfter =
-      std::max(Choice.RetryAfter, timeToRoom(Pool, Needs, Choice.Candidates));
+  Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
+  if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
+    Choice.RetryAfter = std::max(
+        Choice.RetryAfter,
+        std::min(turnToComeBack(Pool, Needs.Service, Choice.PerSecond, Now),
+                 LongestComeBack));
   return Choice;
 }
 
-void attemptOpened(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  ServerView *Found = findServer(Pool, Id);
-  if (Found == nullptr)
-    return;
-  ServerView &View = *Found;
-  ++View.Open;
-  countLimited(Pool, View, Now);
-  dropOldStarts(View, Now);
-  if (Now < View.ColdUntil)
-    View.Starts.push_back(Now);
+void attemptOpened(ServerPool &Pool, const InstanceId &Id) {
+  if (ServerView *View = findServer(Pool, Id))
+    ++View->Open;
 }
 
 void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
@@ -431,49 +325,6 @@
     noteWork(*View, Busy, Now);
 }
 
-void rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now) {
-  ServerView *View = findServer(Pool, Told.Server);
-  if (View == nullptr)
-    return;
-  const Millis Age(static_cast<int64_t>(
-      std::min<uint64_t>(Told.AgeMillis, LongestAge.count())));
-  if (Told.PerSecond)
-    rateNamed(View->Rate, *Told.PerSecond, Now - Age);
-  else
-    rateNotNamed(View->Rate, Now - Age);
-}
-
-void rateRefused(ServerPool &Pool, const InstanceId &Id, Duration Wait,
-                 TimePoint Now) {
-  if (ServerView *View = findServer(Pool, Id))
-    View->NoPlaceUntil = Now + std::max(Wait, Duration(ShortestNoPlace));
-}
-
-std::optional<RateHeard> rateToTell(const ServerView &View, TimePoint Now) {
-  if (!View.Rate.PerSecond || !hasAgent(View) || View.Agent->PerSecond)
-    return std::nullopt;
-  const Millis Age = toMillis(Now - View.Rate.NamedAt);
-  return RateHeard{{},
-                   View.Listed.Id,
-                   View.Rate.PerSecond,
-                   static_cast<uint64_t>(std::max<int64_t>(0, Age.count()))};
-}
-
-bool isRateLimited(const ServerPool &Pool, const InstanceId &Id) {
-  const ServerView *View = findServer(Pool, Id);
-  return View != nullptr && View->Rate.PerSecond.has_value();
-}
-
-RateChange rateHeard(ServerPool &Pool, const InstanceId &Id,
-                     std::optional<double> PerSecond, TimePoint SentAt,
-                     TimePoint Now) {
-  ServerView *View = findServer(Pool, Id);
-  if (View == nullptr)
-    return RateChange::None;
-  return PerSecond ? rateNamed(View->Rate, *PerSecond, Now)
-                   : rateNotNamed(View->Rate, SentAt);
-}
-
 void serverHeard(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
   ServerView *View = findServer(Pool, Id);
   if (View == nullptr)
@@ -548,13 +399,7 @@
     View.ToldAt = Now;
     return;
   case AttemptEnd::Dropped:
-    return;
   case AttemptEnd::NotSent:
-    // Each request asks several agents. Counted as load of a cold back end,
-    // the refused ones would use up its rate while it has next to nothing.
-    dropOldStarts(View, Now);
-    if (!View.Starts.empty())
-      View.Starts.pop_front(); // Which one it was matters little.
     return;
   }
 }
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -107,9 +107,8 @@
  * An attempt goes to a back end.
  * @param Pool State to change.
  * @param Id Which back end.
- * @param Now Current time.
  */
-void attemptOpened(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
+void attemptOpened(ServerPool &Pool, const InstanceId &Id);
 
 /**
  * A back end told its load with an answer.
@@ -121,54 +120,6 @@
 void loadTold(ServerPool &Pool, const InstanceId &Id, uint32_t Busy,
               TimePoint Now);
 
-/**
- * An answer of a back end said what rate it takes.
- * @param Pool State to change.
- * @param Id Which back end.
- * @param PerSecond Limit that it named; nothing: it named none.
- * @param SentAt When the request was sent.
- * @param Now Current time.
- * @return What is known otherwise than before.
- */
-RateChange rateHeard(ServerPool &Pool, const InstanceId &Id,
-                     std::optional<double> PerSecond, TimePoint SentAt,
-                     TimePoint Now);
-
-/**
- * Another entry told what an answer said of the rate that a back end takes.
- * @param Pool State to change.
- * @param Told What it told.
- * @param Now Current time.
- */
-void rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now);
-
-/**
- * An agent gave no place, since its back end limits its rate.
- * @param Pool State to change.
- * @param Id Which back end.
- * @param Wait Time until it may give one.
- * @param Now Current time.
- */
-void rateRefused(ServerPool &Pool, const InstanceId &Id, Duration Wait,
-                 TimePoint Now);
-
-/**
- * Gives what an agent has to be told before it is asked for a place: one that
- * started anew does not know the limit of its back end.
- * @param View The back end.
- * @param Now Current time.
- * @return The message; nothing when it knows, or when there is no limit.
- */
-std::optional<RateHeard> rateToTell(const ServerView &View, TimePoint Now);
-
-/**
- * Says whether a rate limit of a back end is known.
- * @param Pool The state.
- * @param Id Which back end.
- * @return True while one is.
- */
-bool isRateLimited(const ServerPool &Pool, const InstanceId &Id);
-
 /**
  * Any part of an answer came from a back end.
  * @param Pool State to change.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -9,7 +9,6 @@
 #include "wire/message_type.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,10 +47,10 @@
   TimePoint LastHeard;            ///< Last byte of any answer of it.
   /** Its host was asked for a sign of life then and has given none since. */
   std::optional<TimePoint> Unanswered;
-  ServerRate Rate;              ///< Limit that it sets for itself.
-  TimePoint NoPlaceUntil;       ///< Its agent gives none, for that limit.
-  TimePoint ColdUntil;          ///< Bears little until then.
-  std::deque<TimePoint> Starts; ///< Attempts of the last second, when cold.
+  ServerRate Rate;        ///< Limit that it sets for itself.
+  TimePoint NoPlaceUntil; ///< Its agent gives none, for that limit.
+  TimePoint ColdUntil;    ///< Bears little until then.
+  ServerRate Cold;        ///< What it bears until then.
 };
 
 /** Weights that were wanted before others, and may begin requests for a while.
@@ -86,6 +85,7 @@
   std::map<InstanceId, ServerView> Servers;        ///< By run.
   std::map<ModelName, WantedWeights> Wanted;       ///< By model.
   std::map<ServiceName, Duration> UsualTime;       ///< Length of an answer.
+  std::map<ServiceName, TimePoint> NextTurn;       ///< Of callers to come back.
   std::map<ServiceName, FirstPartTime> FirstParts; ///< Time to its first part.
   TimePoint ListingDoubtUntil;   ///< Till then a missing server may come back.
   uint32_t Entries = 1;          ///< Entries that share, this one included.
@@ -116,6 +116,8 @@
   PoolRefusal Why = PoolRefusal::NoneListed; ///< Meaningful without a server.
   Millis RetryAfter{0};                      ///< When there may be room.
   uint32_t Candidates = 0;                   ///< Back ends that were compared.
+  uint32_t Limited = 0;                      ///< Those of them at their rate.
+  double PerSecond = 0;                      ///< Requests that these take.
 };
 
 /** How an attempt ended, as far as its back end goes. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -212,7 +212,7 @@
   }
   logAttempt(*Choice.Server, Choice);
   At = Choice.Server->Listed.Id;
-  attemptOpened(Shared.Pool, At, Now);
+  attemptOpened(Shared.Pool, At);
   if (hasAgent(*Choice.Server))
     askPlace(*Choice.Server);
   else
@@ -230,6 +230,8 @@
 void Exchange::sendTo(const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   const HeaderNames &Names = Shared.Wire.names();
+  if (PlaceId.Value.empty())
+    sentPastAgent(Shared.Pool, At, Now);
   PassedOn Passed;
   Passed.Remaining = toMillis(Limit - Now);
   Passed.Server = Server.Listed.Id;
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "forward/forward_counters.h"
 #include "forwarding/caller_age_type.h"
 #include "forwarding/fleet_snapshot_type.h"
+#include "forwarding/rate_share_func.h"
 #include "forwarding/repeat_budget_func.h"
 #include "forwarding/route_match_func.h"
 #include "forwarding/server_pool_func.h"
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -456,6 +456,30 @@
   BOOST_TEST(Given <= 13U);
 }
 
+// Guards against a cold back end that gets more places a second than it bears.
+BOOST_AUTO_TEST_CASE(PlacesKeepTheRateOfAColdBackEnd) {
+  OneAgent One;
+  One.limit(16);
+  One.Agent.Cold.PerSecond = 8;
+  One.Agent.ColdUntil = One.Now + Millis(3000);
+  const auto GivenInASecond = [&] {
+    const TimePoint End = One.Now + Millis(1000);
+    int Given = 0;
+    for (; One.Now < End; One.Now += Millis(10)) {
+      const std::string Id = std::to_string(One.Now.time_since_epoch().count());
+      Given += One.ask(Id, Millis(500))->Given ? 1 : 0;
+      One.done(Id);
+    }
+    return Given;
+  };
+  for (int n = 0; n < 3; ++n) {
+    const int Given = GivenInASecond();
+    BOOST_TEST(Given >= 5);
+    BOOST_TEST(Given <= 8);
+  }
+  BOOST_TEST(GivenInASecond() == 100);
+}
+
 // Guards against places that are given past the limit to those that waited
 // before it was named.
 BOOST_AUTO_TEST_CASE(WaitingPlacesKeepTheRateLimitToo) {
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -22,6 +22,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 #include "forwarding/place_search_func.h"
+#include "forwarding/rate_share_func.h"
 #include "forwarding/repeat_budget_func.h"
 #include "forwarding/route_match_func.h"
 #include "forwarding/server_pool_func.h"
@@ -1256,7 +1257,7 @@
     }
     One->At = Choice.Server->Listed.Id;
     ++One->Turn;
-    attemptOpened(At.Pool, One->At, Now);
+    attemptOpened(At.Pool, One->At);
     if (hasAgent(*Choice.Server))
       askPlace(At, One, *Choice.Server);
     else
@@ -1332,6 +1333,8 @@
   }
 
   void sendTo(Process &At, const AskedPtr &One, const ServerView &Server) {
+    if (One->Place.Value.empty())
+      sentPastAgent(At.Pool, One->At, Now);
     Passed Sent;
     Sent.Of = One;
     Sent.Turn = One->Turn;
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -1,10 +1,12 @@
 /** @file server_pool_test.cpp Which back end gets a request. */
 // Labels: routes
 
+#include "forwarding/rate_share_func.h"
 #include "forwarding/server_pool_func.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace jacinthpond;
@@ -94,7 +96,7 @@
 BOOST_AUTO_TEST_CASE(ABusyBackEndIsPassedOver) {
   Pool One;
   for (int n = 0; n < 3; ++n)
-    attemptOpened(One.State, {"p0"}, One.Now);
+    attemptOpened(One.State, {"p0"});
   BOOST_TEST(One.spread("plain")["p0"] == 0);
 }
 
@@ -102,7 +104,7 @@
   Pool One;
   for (const char *Id : {"p0", "p1", "p2"})
     for (int n = 0; n < 20; ++n)
-      attemptOpened(One.State, {Id}, One.Now);
+      attemptOpened(One.State, {Id});
   const ServerChoice Choice =
       chooseServer(One.State, One.needs("plain"), One.Now);
   BOOST_TEST(Choice.Server == nullptr);
@@ -139,7 +141,7 @@
 
 BOOST_AUTO_TEST_CASE(AVanishedBackEndIsGoneAtOnce) {
   Pool One;
-  attemptOpened(One.State, {"p0"}, One.Now);
+  attemptOpened(One.State, {"p0"});
   std::erase_if(One.Doc.Servers,
                 [](const auto &Row) { return Row.Id.Value == "p0"; });
   One.follow();
@@ -298,10 +300,10 @@
   AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
   agentTold(One.State, News, One.Now);
   agentSilent(One.State, {"m0"}, One.Now);
-  attemptOpened(One.State, {"m2"}, One.Now); // The other one that is near.
-  attemptOpened(One.State, {"m2"}, One.Now);
+  attemptOpened(One.State, {"m2"}); // The other one that is near.
+  attemptOpened(One.State, {"m2"});
   BOOST_TEST(One.spread("llm")["m0"] > 0);
-  attemptOpened(One.State, {"m0"}, One.Now);
+  attemptOpened(One.State, {"m0"});
   BOOST_TEST(One.spread("llm")["m0"] == 0);
   One.Now += Millis(200);
   serverHeard(One.State, {"m0"}, One.Now); // Only its agent is gone.
@@ -318,7 +320,7 @@
 
 BOOST_AUTO_TEST_CASE(AnUnreachableBackEndIsLeftAloneForAWhile) {
   Pool One;
-  attemptOpened(One.State, {"p0"}, One.Now);
+  attemptOpened(One.State, {"p0"});
   attemptClosed(One.State, {"p0"}, AttemptEnd::Unreached, {}, One.Now);
   BOOST_TEST(One.spread("plain")["p0"] == 0);
   One.Now += Millis(400);
@@ -330,7 +332,7 @@
   // it answered fast, so that more and more requests went to it.
   Pool One;
   for (int n = 0; n < 20; ++n) {
-    attemptOpened(One.State, {"p0"}, One.Now);
+    attemptOpened(One.State, {"p0"});
     attemptClosed(One.State, {"p0"},
                   n % 2 == 0 ? AttemptEnd::Error : AttemptEnd::Answered,
                   Millis(5), One.Now);
@@ -351,10 +353,11 @@
     const std::string Id = One.choose("llm");
     if (Id.empty())
       break;
-    attemptOpened(One.State, {Id}, One.Now);
+    attemptOpened(One.State, {Id});
+    sentPastAgent(One.State, {Id}, One.Now);
     ++Sent;
   }
-  BOOST_TEST(Sent == 3); // 0.8 x 8 a second / 4 entries, each of three.
+  BOOST_TEST(Sent == 3); // Less than two a second of this entry to each.
   One.Now += Millis(3000);
   BOOST_TEST(!One.choose("llm").empty());
 }
@@ -370,7 +373,7 @@
   for (int n = 0; n < 50; ++n) {
     const std::string Id = One.choose("llm");
     BOOST_TEST_REQUIRE(!Id.empty());
-    attemptOpened(One.State, {Id}, One.Now);
+    attemptOpened(One.State, {Id});
     attemptClosed(One.State, {Id}, AttemptEnd::NotSent, {}, One.Now);
   }
 }
@@ -533,20 +536,26 @@
   BOOST_TEST(One.spread("llm")["m0"] > 0);
 }
 
-// Guards against callers that are told to come back before any limit allows it.
-BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersAreToldTheTime) {
+// Guards against callers that are all told to come back at once where the rate
+// limits of a service allow a few of them.
+BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersComeBackInTurn) {
   Pool One;
+  One.State.Entries = 2;
   for (const char *Id : {"m0", "m1", "m2"}) {
     agentTold(
         One.State,
         {{std::string(Id) + ":1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
         One.Now);
-    rateHeard(One.State, {Id}, 0.3, One.Now, One.Now);
-    rateRefused(One.State, {Id}, Millis(1700), One.Now);
+    rateHeard(One.State, {Id}, 2, One.Now, One.Now);
+    rateRefused(One.State, {Id}, Millis(400), One.Now);
+  }
+  // Three times two a second, half of it here: a turn in a third of a second.
+  for (const int Turn : {1, 2, 3, 4}) {
+    const ServerChoice Choice =
+        chooseServer(One.State, One.needs("llm"), One.Now);
+    BOOST_TEST(Choice.Server == nullptr);
+    BOOST_CHECK(Choice.Why == PoolRefusal::AllFull);
+    BOOST_TEST(Choice.RetryAfter.count() >= Turn * 333);
+    BOOST_TEST(Choice.RetryAfter.count() <= std::max(Turn * 334, 800));
   }
-  const ServerChoice Choice =
-      chooseServer(One.State, One.needs("llm"), One.Now);
-  BOOST_TEST(Choice.Server == nullptr);
-  BOOST_CHECK(Choice.Why == PoolRefusal::AllFull);
-  BOOST_TEST(Choice.RetryAfter.count() >= 1700);
 }
--- a/tests/unit/server_rate_test.cpp
+++ b/tests/unit/server_rate_test.cpp
@@ -2,6 +2,7 @@
 // Labels: routes admission
 
 #include "admission/server_rate_func.h"
+#include "forwarding/rate_share_func.h"
 #include "forwarding/server_pool_func.h"
 #include "platform/store_wire.h"
 
@@ -27,29 +28,30 @@
 double mostInWindow(double PerSecond) { return 1.5 * PerSecond * 4 + 5; }
 
 /** Most events in any window. */
-size_t mostWithin(const std::vector<TimePoint> &Times) {
+size_t mostWithin(const std::vector<TimePoint> &Times, Millis Long = Window) {
   size_t Most = 0;
   for (auto it = Times.begin(); it != Times.end(); ++it)
     Most = std::max(
-        Most,
-        static_cast<size_t>(
-            std::ranges::lower_bound(it, Times.end(), *it + Window) - it));
+        Most, static_cast<size_t>(
+                  std::ranges::lower_bound(it, Times.end(), *it + Long) - it));
   return Most;
 }
 
 /** Entries that send to one plain back end, or to a worker whose agent is
  * silent. */
 struct Entries {
-  Entries(size_t Count, bool Worker) : Pools(Count) {
+  Entries(size_t Count, bool Worker, double ColdPerSecond = 0) : Pools(Count) {
     Document Doc;
     Service Kind;
     Kind.Name.Value = "s";
     Kind.Model.Value = Worker ? "m" : "";
+    Kind.ColdPerSecond = ColdPerSecond;
     Doc.Services = {Kind};
     BackEndServer Server;
     Server.Id = Id;
     Server.Service.Value = "s";
     Server.Slots = 1000;
+    Server.ColdFor = ColdPerSecond > 0 ? Length : Millis(0);
     Server.Weights.Value = Worker ? "m@1" : "";
     Doc.Servers = {Server};
     From.Target = Millis(400);
@@ -79,13 +81,14 @@
     Needs.From = &From;
     if (chooseServer(Pools[n], Needs, Now).Server == nullptr)
       return false;
-    attemptOpened(Pools[n], Id, Now);
+    attemptOpened(Pools[n], Id);
+    sentPastAgent(Pools[n], Id, Now);
     attemptClosed(Pools[n], Id, AttemptEnd::Dropped, {}, Now);
     return true;
   }
 
   /** All send as fast as they may; gives when requests were sent. */
-  std::vector<TimePoint> sendAll(double PerSecond) {
+  std::vector<TimePoint> sendAll(std::optional<double> PerSecond) {
     for (ServerPool &One : Pools)
       rateHeard(One, Id, PerSecond, Begin, Begin);
     std::vector<TimePoint> Times;
@@ -131,6 +134,18 @@
   }
 }
 
+// Guards against entries that each send one request a second to a cold back
+// end, however many they are.
+BOOST_AUTO_TEST_CASE(EntriesKeepTheRateOfAColdBackEndTogether) {
+  for (const size_t Count : {1U, 8U, 43U, 59U})
+    for (const double PerSecond : {2.0, 8.0, 14.0, 36.0}) {
+      const auto Times = Entries(Count, true, PerSecond).sendAll({});
+      BOOST_TEST(static_cast<double>(mostWithin(Times, Millis(1000))) <=
+                 1.5 * PerSecond + 5);
+      BOOST_TEST(!Times.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(APartOfALimitIsUsed) {
   const auto Times = Entries(8, false).sendAll(2.7);
   const double Seconds = static_cast<double>(Length.count()) / 1000;
