--- a/packages/agent/src/agent_metrics.cpp
+++ b/packages/agent/src/agent_metrics.cpp
@@ -20,6 +20,10 @@
   addFamily(Into, MetricType::Gauge,
             {"jacinthpond_agent_limit", "Requests that it may have now."},
             one(Agent.Gate.Limit));
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_agent_rate_limit",
+             "Requests a second that the back end takes; -1: no limit."},
+            one(Agent.Rate.PerSecond.value_or(-1)));
   addFamily(Into, MetricType::Gauge,
             {"jacinthpond_agent_waiting", "Requests that wait in the agent."},
             one(Agent.Fleet.Load.Waiting));
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -74,6 +74,7 @@
 void Exchange::logRate(RateChange Change, std::string_view Came) const {
   if (Change == RateChange::None)
     return;
+  Shared.Counters.add(ForwardCount::RateChanges);
   const auto it = Shared.Pool.Servers.find(At);
   logLine(
       LogPart::Requests, LogLevel::Info,
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -84,10 +84,12 @@
   if (!Answer.Given) {
     PlaceId = {}; // The agent has forgotten it.
     const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
-    if (Answer.Why == ErrorKind::RateLimited)
+    if (Answer.Why == ErrorKind::RateLimited) {
+      Shared.Counters.add(ForwardCount::RateRefused);
       rateRefused(Shared.Pool, At, Room, Now);
-    if (Room.count() > 0)
+    } else if (Room.count() > 0) {
       RoomIn = RoomIn.count() == 0 ? Room : std::min(RoomIn, Room);
+    }
   }
   askElsewhere(Answer.Why == ErrorKind::Overloaded);
 }
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -24,6 +24,8 @@
   NotExecuted, ///< Refusals by back ends.
   Misjudged,   ///< Back ends that were not the run, or version, expected.
   StoodStill,  ///< Attempts given up since their host gave no sign of life.
+  RateChanges, ///< Rate limits of back ends that were set or lifted.
+  RateRefused, ///< Asks that an agent refused for a rate of its back end.
   Stalls,      ///< Times at which the traffic thread ran late.
   Count        ///< Number of counters; not a counter.
 };
@@ -58,6 +60,10 @@
          "Attempts at a back end that was another run or version."},
         {"jacinthpond_back_end_stood_still_total",
          "Attempts given up since their host gave no sign of life."},
+        {"jacinthpond_back_end_rate_changes_total",
+         "Rate limits that back ends set or lifted, as heard here."},
+        {"jacinthpond_back_end_rate_refused_total",
+         "Places refused for a rate that the back end bears."},
         {"jacinthpond_traffic_stalls_total",
          "Times at which the traffic thread ran late by 0.2 s or more."},
     }};
