soak: back ends limit their rates

Drawn by a generator of its own, so that all other failures of a seed stay as they were. What reaches a back end from undisturbed entries is held against its limit.

--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -23,6 +23,12 @@
 constexpr auto DeadlineRoom = 500ms;
 /** Requests that may lose their answer through no fault around them. */
 constexpr int MaxLost = 3;
+/** Time after a back end named a rate limit from which it holds, and the window
+ * in which it gets so many times the limit and a few requests more. */
+constexpr auto RateTime = 3s;
+constexpr auto RateWindow = 4s;
+constexpr double RateOvershoot = 1.5;
+constexpr double RateSlack = 5;
 /** Attempts of the fleet's own checks; they are not judged. */
 constexpr const char *OwnPrefix = "attempt-";
 
@@ -307,8 +313,43 @@
            describe(Got));
 }
 
+/** Only what comes from entries that were not disturbed counts. */
+void RouteChecks::judgeRate(const RouteHistory::RateLimit &Limit) {
+  std::map<std::string, std::vector<WorkerRun>> ById;
+  for (const auto &[Attempt, All] : Runs)
+    for (const WorkerRun &Run : All)
+      if (Run.Worker == Limit.Worker && Run.At >= Limit.Begin &&
+          Run.At < Limit.End)
+        ById[Run.Id].push_back(Run);
+  for (auto &[Id, All] : ById) {
+    std::ranges::sort(All, {}, &WorkerRun::At);
+    const Moment From = All.front().At + RateTime; // Each start names it anew.
+    std::erase_if(All, [&](const WorkerRun &Run) {
+      const auto Asked = exchangeOf(Run.Attempt);
+      const auto Calm = Asked ? calmEntry(Asked->Entry, Run.At) : std::nullopt;
+      return Run.At < From || !Calm || *Calm > Run.At - ContactTime ||
+             !workerCalm(Run.Worker, Run.At - RateWindow, Run.At);
+    });
+    const std::chrono::duration<double> Seconds = RateWindow;
+    const double Most =
+        RateOvershoot * Limit.PerSecond * Seconds.count() + RateSlack;
+    ++Judged["rate limits"];
+    for (auto it = All.begin(); it != All.end(); ++it) {
+      const auto End = std::ranges::lower_bound(
+          it, All.end(), it->At + RateWindow, {}, &WorkerRun::At);
+      if (static_cast<double>(End - it) <= Most)
+        continue;
+      broken(std::to_string(End - it) + " runs in a window at a limit of " +
+             std::to_string(Limit.PerSecond) + " a second: " + describe(*it));
+      break;
+    }
+  }
+}
+
 void RouteChecks::finish() {
   look();
+  for (const RouteHistory::RateLimit &Limit : History.Limits)
+    judgeRate(Limit);
   for (const Exchange &Got : Unanswered)
     judgeLost(Got);
 }
--- a/bench/chaos/route_checks.h
+++ b/bench/chaos/route_checks.h
@@ -59,6 +59,7 @@
   void judgeStream(const Exchange &Got);
   void judgeRefusal(const Exchange &Got);
   void judgeLost(const Exchange &Got);
+  void judgeRate(const RouteHistory::RateLimit &Limit);
   void judgeConfig(const WorkerRun &Run, const Exchange &Asked);
   void judgeWeights(const WorkerRun &Run, const Exchange &Asked);
   void forbidden(const std::string &What, Moment At,
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -39,6 +39,13 @@
 constexpr auto LapseTime = 1000ms;
 /** Kinds of failures that a run has at least. */
 constexpr size_t MinKinds = 4;
+/** Bounds of how long a back end limits its rate, and of the time between. */
+constexpr int MinLimitMillis = 5000;
+constexpr int MaxLimitMillis = 12000;
+constexpr int MinLimitPause = 1500;
+constexpr int MaxLimitPause = 5000;
+/** Limits that they name, as they are sent. */
+constexpr std::array<const char *, 3> RateLimits = {"0.5", "2.5", "6"};
 /** Every so many seeds, a run has all kinds. */
 constexpr uint64_t AllKindsEvery = 4;
 /** Every so many seeds, a run spares no entry. */
@@ -67,7 +74,7 @@
       Entries(numbered("entry-", Plan.Entries)),
       Agents(numbered("agent-", Plan.ModelWorkers)),
       ServerNames(numbered("model-", Plan.ModelWorkers)), Start(Clock::now()),
-      Next(Start) {
+      Next(Start), RateRandom(~Seed), NextLimit(Start) {
   append(ServerNames, numbered("plain-", Plan.PlainServers));
   append(Links, numbered("link-agent-", Plan.ModelWorkers));
   append(Links, numbered("link-store-", Plan.Entries));
@@ -106,6 +113,7 @@
       {"key", &RouteFaults::takeKeyAway},
       {"route", &RouteFaults::takeRouteAway},
       {"unseen", &RouteFaults::changeUnseen}};
+  Limiting = Only.empty() || Only.find("rate") != std::string::npos;
   for (const auto &[Name, One] : Table)
     if (Only.empty() ||
         ("," + Only + ",").find("," + Name + ",") != std::string::npos)
@@ -138,7 +146,9 @@
 
 void RouteFaults::step() {
   Failing.runDue();
-  if (Clock::now() < Next)
+  if (Limiting && Clock::now() >= NextLimit)
+    limitRates();
+  if (Clock::now() < Next || Enabled.empty())
     return;
   Next = Clock::now() + Pace / 2 + between(0, static_cast<int>(Pace.count()));
   (this->*Enabled[Random() % Enabled.size()])();
@@ -488,6 +498,31 @@
   (this->*Changes.at(Random() % Changes.size()))();
 }
 
+void RouteFaults::limitRates() {
+  const auto Draw = [&](int Least, int Most) {
+    return std::chrono::milliseconds(
+        Least + static_cast<int>(RateRandom() %
+                                 static_cast<uint64_t>(Most - Least + 1)));
+  };
+  NextLimit = Clock::now() + Draw(MinLimitPause, MaxLimitPause);
+  const std::string Name = ServerNames[RateRandom() % ServerNames.size()];
+  const std::string Limit = RateLimits.at(RateRandom() % RateLimits.size());
+  const auto Length = Draw(MinLimitMillis, MaxLimitMillis);
+  if (Failing.isFaulty("rate " + Name))
+    return;
+  ++Injected["rate limit"];
+  note(Name + " takes " + Limit + " a second");
+  Fleet.control(Name, {{"rate_limit", Limit}});
+  const size_t n = History.Limits.size();
+  History.Limits.push_back(
+      {Name, std::stod(Limit), Clock::now(), Clock::time_point::max()});
+  Failing.later("rate " + Name, Length, [this, Name, n] {
+    note(Name + " takes any rate");
+    History.Limits.at(n).End = Clock::now();
+    Fleet.control(Name, {{"rate_limit", ""}});
+  });
+}
+
 void RouteFaults::lookForExits() {
   std::vector<std::string> All = Agents;
   append(All, Entries);
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -76,6 +76,7 @@
   void takeKeyAway();
   void takeRouteAway();
   void changeUnseen();
+  void limitRates();
 
   void publishVersion();
   void awaitStop(const std::string &Name, Clock::time_point Limit);
@@ -104,6 +105,9 @@
   Clock::time_point Start;
   Clock::time_point Next;
   int Version = 1;
+  bool Limiting = false;      ///< Back ends limit their rates as well.
+  std::mt19937_64 RateRandom; ///< Leaves the draws of all others as they are.
+  Clock::time_point NextLimit;
 };
 
 } // namespace jacinthpond::chaos
--- a/bench/chaos/route_history.h
+++ b/bench/chaos/route_history.h
@@ -83,9 +83,18 @@
     Moment Published; ///< When the store had it.
   };
 
+  /** A time in which a back end limited its rate. */
+  struct RateLimit {
+    std::string Worker; ///< Which back end.
+    double PerSecond;   ///< Requests a second that it named.
+    Moment Begin;       ///< Since when.
+    Moment End;         ///< Until when; the far future while it lasts.
+  };
+
   Disturbances Harm;
   Permissions Config;
   std::vector<Version> Versions; ///< Those after the first, in order.
+  std::vector<RateLimit> Limits; ///< In order of their begin.
 };
 
 } // namespace jacinthpond::chaos
