--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -221,10 +221,13 @@
 
 void Exchange::refusedBy(const ServerChoice &Choice) {
   const bool Full = Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
+  const char *Reason = Full ? "all_full" : "none_usable";
+  if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
+    Reason = "all_at_rate";
   endWithoutServer({Full ? ErrorKind::Overloaded : ErrorKind::NoWorker,
                     Needs.Service.Value,
                     RoomIn.count() > 0 ? RoomIn : Choice.RetryAfter},
-                   Full ? "all_full" : "none_usable");
+                   Reason);
 }
 
 void Exchange::sendTo(const ServerView &Server) {
