--- a/packages/core/src/forwarding/rate_share.cpp
+++ b/packages/core/src/forwarding/rate_share.cpp
@@ -134,16 +134,14 @@
                    : rateNotNamed(View->Rate, SentAt);
 }
 
-void rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now) {
+RateChange rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now) {
   ServerView *View = findServer(Pool, Told.Server);
   if (View == nullptr)
-    return;
+    return RateChange::None;
   const Millis Age(static_cast<int64_t>(
       std::min<uint64_t>(Told.AgeMillis, LongestAge.count())));
-  if (Told.PerSecond)
-    rateNamed(View->Rate, *Told.PerSecond, Now - Age);
-  else
-    rateNotNamed(View->Rate, Now - Age);
+  return Told.PerSecond ? rateNamed(View->Rate, *Told.PerSecond, Now - Age)
+                        : rateNotNamed(View->Rate, Now - Age);
 }
 
 void rateRefused(ServerPool &Pool, const InstanceId &Id, Duration Wait,
--- a/packages/core/src/forwarding/rate_share_func.h
+++ b/packages/core/src/forwarding/rate_share_func.h
@@ -63,8 +63,9 @@
  * @param Pool State to change.
  * @param Told What it told.
  * @param Now Current time.
+ * @return What is known otherwise than before; it is to be told on.
  */
-void rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now);
+RateChange rateTold(ServerPool &Pool, const RateHeard &Told, TimePoint Now);
 
 /**
  * An agent gave no place, since its back end limits its rate.
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -233,7 +233,11 @@
 
 void Forwarder::rateTold(const RateHeard &Heard) {
   boost::asio::post(Shared.Io, [this, Heard] {
-    jacinthpond::rateTold(Shared.Pool, Heard, Shared.Clock.now());
+    const RateChange Change =
+        jacinthpond::rateTold(Shared.Pool, Heard, Shared.Clock.now());
+    // In a large fleet not all entries have links to each other.
+    if (Change != RateChange::None)
+      Shared.SendToEntries(Heard);
   });
 }
 
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -932,11 +932,13 @@
         placeAnswered(Who, *Said);
         return;
       }
+      Effects Out;
       if (const auto *Heard = std::get_if<RateHeard>(&*m)) {
-        rateTold(Who.Pool, *Heard, Now);
+        if (rateTold(Who.Pool, *Heard, Now) != RateChange::None)
+          spreadNotice(Who.Entry->Fleet, *Heard, Role::Entry, Out);
+        perform(Who, Out);
         return;
       }
-      Effects Out;
       entryMessage(*Who.Entry, End.Link, *m, Now, Out);
       showDocument(Who);
       perform(Who, Out);
