--- a/tests/unit/liveness_test.cpp
+++ b/tests/unit/liveness_test.cpp
@@ -154,9 +154,9 @@
   All.Now += Millis(9000);
   BOOST_TEST(!All.isChosen("m0"));
   All.Now += Millis(2000);
-  attemptOpened(All.Pool, {"m1"}, All.Now); // One at a time there, too.
+  attemptOpened(All.Pool, {"m1"}); // One at a time there, too.
   BOOST_TEST(All.isChosen("m0"));
-  attemptOpened(All.Pool, {"m0"}, All.Now);
+  attemptOpened(All.Pool, {"m0"});
   BOOST_TEST(!All.isChosen("m0"));
 }
 
