--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -254,8 +254,10 @@
     // An agent that started anew knows of no limit, which lifts none.
     if (News.PerSecond)
       rateNamed(View.Rate, *News.PerSecond, Now);
-    else if (Before.PerSecond && Before.Link == News.Link)
+    else if (Before.PerSecond && Before.Link == News.Link) {
       rateNotNamed(View.Rate, Now);
+      View.NoPlaceUntil = Now;
+    }
   }
 }
 
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -508,15 +508,20 @@
   BOOST_TEST(Told->AgeMillis == 2000U);
 }
 
-BOOST_AUTO_TEST_CASE(AnAgentThatLiftsARateLimitIsBelieved) {
+// Guards against a back end that is left alone after its limit was lifted.
+BOOST_AUTO_TEST_CASE(AnAgentThatLiftsARateLimitIsAskedAtOnce) {
   Pool One;
   AgentNews News{Address{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}};
-  News.PerSecond = 1.8;
+  News.PerSecond = 0.3;
   agentTold(One.State, News, One.Now);
+  rateRefused(One.State, {"m0"}, Millis(3300), One.Now);
   BOOST_TEST(isRateLimited(One.State, {"m0"}));
+  BOOST_TEST(One.spread("llm")["m0"] == 0);
   News.PerSecond.reset();
   agentTold(One.State, News, One.Now + Millis(100));
+  One.Now += Millis(100);
   BOOST_TEST(!isRateLimited(One.State, {"m0"}));
+  BOOST_TEST(One.spread("llm")["m0"] > 0);
 }
 
 // Guards against a back end that looks idle because of its rate limit, and
