entry: failures without the field lift no rate limit

A plain service under a limit whose answers were failures without the field got 429 requests in 4 s where 20 are allowed: each failure lifted the limit. Only a signed success without the field does now. Found while reading the change; the new case FailuresLiftNoLimit fails without this (429 > 20).

--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -91,7 +91,7 @@
   bool hostStandsStill(TimePoint Now) const;
   std::optional<TimePoint> beginLimit() const;
   bool silentTooLong(TimePoint Now) const;
-  void noteRate(const ResponseHead &Came, bool Refusal);
+  void noteRate(const ResponseHead &Came, bool Success);
   void takeRate(std::optional<double> PerSecond, std::string_view Field);
   void logHeld() const;
   void logRate(RateChange Change, std::string_view Came) const;
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -22,15 +22,16 @@
 } // namespace
 
 /**
- * Takes the rate limit that a back end names. A refusal without one says
- * nothing: it may come from a part of the back end that names none.
+ * Takes the rate limit that a back end names. Only a success without one says
+ * that there is none: refusals and failures may come from a part of the back
+ * end that never names it.
  */
-void Exchange::noteRate(const ResponseHead &Came, bool Refusal) {
+void Exchange::noteRate(const ResponseHead &Came, bool Success) {
   const auto &Names = Shared.Wire.names().RateLimits;
   const auto it = std::ranges::find_if(
       Names, [&](const std::string &Name) { return Came.count(Name) > 0; });
   if (it == Names.end()) {
-    if (!Refusal && isRateLimited(Shared.Pool, At))
+    if (Success && isRateLimited(Shared.Pool, At))
       takeRate(std::nullopt, "");
     return;
   }
@@ -76,8 +77,10 @@
   const unsigned Status = Came.result_int();
   const bool Misdirected = Status == 421; // Another one may hold the address.
   const bool NotRun = !fieldOf(Came, Names.NotExecuted).empty();
+  const bool Success = Status >= 200 && Status < 300;
+  const bool Signed = !fieldOf(Came, Names.Signature).empty();
   if (!Misdirected)
-    noteRate(Came, NotRun);
+    noteRate(Came, Success && Signed);
   if (Misdirected || NotRun) {
     if (Misdirected) {
       serverMisjudged(Shared.Pool, At, Now);
@@ -86,9 +89,8 @@
     Mode = AnswerMode::Refusal;
     return;
   }
-  const bool Success = Status >= 200 && Status < 300;
-  const bool Foreign = (Success && fieldOf(Came, Names.Signature).empty()) ||
-                       !fieldOf(Came, "Content-Encoding").empty();
+  const bool Foreign =
+      (Success && !Signed) || !fieldOf(Came, "Content-Encoding").empty();
   const bool OtherWeights = HeadSent && fieldOf(Came, Names.WeightVersion) !=
                                             fieldOf(Head, Names.WeightVersion);
   if (Foreign || OtherWeights || (HeadSent && !Success)) {
--- a/tests/integration/rate_limit_test.cpp
+++ b/tests/integration/rate_limit_test.cpp
@@ -146,6 +146,17 @@
   BOOST_TEST(Calling.Served >= Calling.Asked - 10);
 }
 
+// Guards against failures without the field that lift a limit.
+BOOST_AUTO_TEST_CASE(FailuresLiftNoLimit) {
+  const SteadyCallers Calling(All, {});
+  limitFor("plain-0", 0s);
+  All.control("plain-0", {{"rate_limit", ""}, {"fail", 1000}});
+  All.control("plain-1", {{"fail", 1000}}); // Fails no less than the other.
+  const auto Since = Clock::now();
+  std::this_thread::sleep_for(Window + 500ms);
+  BOOST_TEST(mostInWindow("plain-0", Since) <= MostInWindow);
+}
+
 // Guards against a limit that is forgotten with the agent that kept it.
 BOOST_AUTO_TEST_CASE(ALimitOutlivesTheAgent) {
   const SteadyCallers Calling(All, write());
