--- a/packages/core/src/attempts/place_func.h
+++ b/packages/core/src/attempts/place_func.h
@@ -66,7 +66,7 @@
  * Logs what became known of the rate limit of the back end.
  * @param Agent The state.
  * @param Change What became known.
- * @param From Who said it: "entry" or "report".
+ * @param From Who said it: "entry", "report" or "restart".
  * @param Out Effects are appended.
  */
 void noteRateChange(const AgentState &Agent, RateChange Change,
