core: one look-up of a back end; an agent's news is not copied

findServer() stood in server_pool and in rate_share, and liveness wrote it out three times. agentTold() copied all of the agent's news before for one comparison.

--- a/packages/core/src/forwarding/liveness.cpp
+++ b/packages/core/src/forwarding/liveness.cpp
@@ -2,6 +2,8 @@
 
 #include "forwarding/liveness_func.h"
 
+#include "forwarding/server_pool_func.h"
+
 namespace jacinthpond {
 
 namespace {
@@ -16,13 +18,11 @@
 } // namespace
 
 bool hostAsked(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
-  const auto it = Pool.Servers.find(Id);
-  if (it == Pool.Servers.end())
-    return false;
-  ServerView &View = it->second;
-  if (!View.Agent || View.Agent->Link == LinkId{} || View.Unanswered)
+  ServerView *View = findServer(Pool, Id);
+  if (View == nullptr || !View->Agent || View->Agent->Link == LinkId{} ||
+      View->Unanswered)
     return false;
-  View.Unanswered = Now;
+  View->Unanswered = Now;
   return true;
 }
 
@@ -33,17 +33,16 @@
 }
 
 void forgetQuestion(ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  if (it != Pool.Servers.end())
-    it->second.Unanswered.reset();
+  if (ServerView *View = findServer(Pool, Id))
+    View->Unanswered.reset();
 }
 
 std::optional<TimePoint> standsStillFrom(const ServerPool &Pool,
                                          const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  if (it == Pool.Servers.end() || !it->second.Unanswered)
+  const ServerView *View = findServer(Pool, Id);
+  if (View == nullptr || !View->Unanswered)
     return std::nullopt;
-  return *it->second.Unanswered + LivenessWait;
+  return *View->Unanswered + LivenessWait;
 }
 
 bool standsStill(const ServerView &View, TimePoint Now) {
--- a/packages/core/src/forwarding/rate_share.cpp
+++ b/packages/core/src/forwarding/rate_share.cpp
@@ -37,11 +37,6 @@
 /** Shortest time for which an agent that refused for a rate is not asked. */
 constexpr Millis ShortestNoPlace{10};
 
-ServerView *findServer(ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  return it == Pool.Servers.end() ? nullptr : &it->second;
-}
-
 /** Counts the entries that get a part of a back end's rate before this one. */
 uint32_t entriesBefore(const ServerPool &Pool, const ServerView &View) {
   const auto Score = [&](const HostName &Name) {
@@ -161,8 +156,8 @@
 }
 
 bool isRateLimited(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  return it != Pool.Servers.end() && it->second.Rate.PerSecond.has_value();
+  const ServerView *View = findServer(Pool, Id);
+  return View != nullptr && View->Rate.PerSecond.has_value();
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -13,6 +13,16 @@
 
 namespace jacinthpond {
 
+ServerView *findServer(ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  return it == Pool.Servers.end() ? nullptr : &it->second;
+}
+
+const ServerView *findServer(const ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Servers.find(Id);
+  return it == Pool.Servers.end() ? nullptr : &it->second;
+}
+
 bool hasAgent(const ServerView &View) {
   return View.Agent && View.Agent->Fresh;
 }
@@ -77,17 +87,6 @@
   return it == Pool.Doc->Services.end() ? nullptr : &*it;
 }
 
-/** Gives a back end; null when it is not known any more. */
-ServerView *findServer(ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  return it == Pool.Servers.end() ? nullptr : &it->second;
-}
-
-const ServerView *findServer(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Servers.find(Id);
-  return it == Pool.Servers.end() ? nullptr : &it->second;
-}
-
 /** Takes what a back end told of all its work. */
 void noteWork(ServerView &View, uint32_t Busy, TimePoint Now) {
   View.OtherWork = Busy > View.Open ? Busy - View.Open : 0;
@@ -242,7 +241,9 @@
       continue;
     if (!News.Fresh && hasAgent(View))
       View.SilentSince = Now;
-    const AgentNews Before = View.Agent.value_or(AgentNews{});
+    // An agent that started anew knows of no limit, which lifts none.
+    const bool Lifted = !News.PerSecond && View.Agent &&
+                        View.Agent->PerSecond && View.Agent->Link == News.Link;
     View.Agent = News;
     if (!News.Fresh) {
       agentLinkEnded(View, News.Silent, Now);
@@ -251,10 +252,9 @@
     View.Unanswered.reset();
     noteWork(View, News.Busy, Now);
     View.Weights = News.Weights;
-    // An agent that started anew knows of no limit, which lifts none.
     if (News.PerSecond)
       rateNamed(View.Rate, *News.PerSecond, Now);
-    else if (Before.PerSecond && Before.Link == News.Link) {
+    if (Lifted) {
       rateNotNamed(View.Rate, Now);
       View.NoPlaceUntil = Now;
     }
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -45,6 +45,15 @@
 ServerChoice chooseServer(ServerPool &Pool, const ServerNeeds &Needs,
                           TimePoint Now);
 
+/**
+ * Gives a back end.
+ * @param Pool The state.
+ * @param Id Which back end.
+ * @return The back end; null when it is not known any more.
+ */
+ServerView *findServer(ServerPool &Pool, const InstanceId &Id);
+const ServerView *findServer(const ServerPool &Pool, const InstanceId &Id);
+
 /**
  * Says whether an agent bounds the load of a back end.
  * @param View The back end.
