--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -72,6 +72,14 @@
 
 } // namespace
 
+RouteAsk writeAsk() {
+  RouteAsk What;
+  What.Method = "POST";
+  What.Path = "/write/report";
+  What.Body = "prompt";
+  return What;
+}
+
 RouteFleet::RouteFleet(RoutePlan Wanted) : Plan(std::move(Wanted)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "jp-routes-XXXXXX").string();
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -38,6 +38,12 @@
   std::map<std::string, std::string> Headers = {}; ///< Further ones.
 };
 
+/**
+ * Gives the request for a stream that most tests send.
+ * @return A POST to /write/report.
+ */
+RouteAsk writeAsk();
+
 /**
  * Entries and agents with a store, an origin, model workers and plain back ends
  * of the users' platform. Paths: /write/ (stream, resumable), /book/ (at most
--- a/tests/integration/old_weights_test.cpp
+++ b/tests/integration/old_weights_test.cpp
@@ -32,13 +32,7 @@
     return Plan;
   }
 
-  int write(size_t Entry) const {
-    RouteAsk What;
-    What.Method = "POST";
-    What.Path = "/write/report";
-    What.Body = "prompt";
-    return All.ask(Entry, What).status;
-  }
+  int write(size_t Entry) const { return All.ask(Entry, writeAsk()).status; }
 
   size_t runs() const {
     return All.look("model-0")["runs"].size() +
--- a/tests/integration/rate_limit_test.cpp
+++ b/tests/integration/rate_limit_test.cpp
@@ -28,14 +28,6 @@
 constexpr size_t Entries = 3;
 constexpr size_t CallersOfAnEntry = 2;
 
-RouteAsk write() {
-  RouteAsk What;
-  What.Method = "POST";
-  What.Path = "/write/report";
-  What.Body = "prompt";
-  return What;
-}
-
 /** Callers at all entries who ask without a pause worth mentioning. */
 class SteadyCallers {
 public:
@@ -117,7 +109,7 @@
 // Guards against a worker that gets more than its own rate limit allows, summed
 // over entries that all know of it.
 BOOST_AUTO_TEST_CASE(AWorkerGetsWhatItsLimitAllows) {
-  const SteadyCallers Calling(All, write());
+  const SteadyCallers Calling(All, writeAsk());
   const auto Known = limitFor("model-0", 6s);
   BOOST_TEST(mostInWindow("model-0", Known) <= MostInWindow);
   // What it does not take goes to the other one.
@@ -126,7 +118,7 @@
 
 // Guards against a limit that is kept although the worker has lifted it.
 BOOST_AUTO_TEST_CASE(AWorkerThatLiftsItsLimitGetsItsShareAgain) {
-  const SteadyCallers Calling(All, write());
+  const SteadyCallers Calling(All, writeAsk());
   const auto Before = Clock::now();
   std::this_thread::sleep_for(2s);
   const size_t Usual = runsBetween("model-0", Before, Before + 2s);
@@ -159,7 +151,7 @@
 
 // Guards against a limit that is forgotten with the agent that kept it.
 BOOST_AUTO_TEST_CASE(ALimitOutlivesTheAgent) {
-  const SteadyCallers Calling(All, write());
+  const SteadyCallers Calling(All, writeAsk());
   All.control("model-0", {{"rate_limit", std::to_string(PerSecond)}});
   std::this_thread::sleep_for(HearTime);
   const auto Known = Clock::now();
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -14,14 +14,6 @@
 
 namespace {
 
-RouteAsk write() {
-  RouteAsk What;
-  What.Method = "POST";
-  What.Path = "/write/report";
-  What.Body = "prompt";
-  return What;
-}
-
 RouteAsk book() {
   RouteAsk What;
   What.Method = "POST";
@@ -90,7 +82,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AStreamComesWhole) {
-  const httplib::Response Answer = All.ask(1, write());
+  const httplib::Response Answer = All.ask(1, writeAsk());
   BOOST_TEST(Answer.status == 200);
   BOOST_TEST(Answer.body == events(1, 5));
 }
@@ -100,7 +92,7 @@
   // half; it must get the third one once, and all others in order.
   All.control("model-0", {{"break_at", 3}});
   for (int n = 0; n < 12; ++n) {
-    const httplib::Response Answer = All.ask(0, write());
+    const httplib::Response Answer = All.ask(0, writeAsk());
     BOOST_TEST(Answer.status == 200);
     BOOST_TEST(Answer.body == events(1, 5));
   }
@@ -111,7 +103,7 @@
   for (const char *Name : {"model-0", "model-1"})
     All.control(Name, {{"hang", 1}});
   const auto Begin = std::chrono::steady_clock::now();
-  const httplib::Response Answer = All.ask(0, write());
+  const httplib::Response Answer = All.ask(0, writeAsk());
   BOOST_TEST(Answer.status == 504);
   BOOST_TEST((std::chrono::steady_clock::now() - Begin < 2400ms));
 }
@@ -125,7 +117,7 @@
   std::vector<std::jthread> Callers;
   Callers.reserve(Answers.size());
   for (httplib::Response &Into : Answers)
-    Callers.emplace_back([&] { Into = All.ask(0, write()); });
+    Callers.emplace_back([&] { Into = All.ask(0, writeAsk()); });
   BOOST_REQUIRE(waitFor(5s, [&] {
     return !All.look("model-0")["runs"].empty() &&
            !All.look("model-1")["runs"].empty();
@@ -219,7 +211,7 @@
   const Json First = All.look("model-0")["loaded_chunks"];
   BOOST_TEST(First.size() == 6U);
   BOOST_TEST(First == All.look("model-1")["loaded_chunks"]);
-  BOOST_TEST(waitFor(5s, [&] { return All.ask(0, write()).status == 200; }));
+  BOOST_TEST(waitFor(5s, [&] { return All.ask(0, writeAsk()).status == 200; }));
 }
 
 BOOST_AUTO_TEST_CASE(AnAddedWorkerIsFilled) {
@@ -237,7 +229,7 @@
   const auto Until = std::chrono::steady_clock::now() + 4s;
   while (std::chrono::steady_clock::now() < Until) {
     BOOST_TEST(All.ask(0, {}).status == 200);
-    BOOST_TEST(All.ask(1, write()).status == 200);
+    BOOST_TEST(All.ask(1, writeAsk()).status == 200);
     std::this_thread::sleep_for(200ms);
   }
   All.Config["tenants"][0]["api_keys"] = {"key-1"};
@@ -262,7 +254,7 @@
   All.process("agent-1").kill();
   std::this_thread::sleep_for(500ms);
   for (int n = 0; n < 6; ++n)
-    BOOST_TEST(All.ask(0, write()).status == 200);
+    BOOST_TEST(All.ask(0, writeAsk()).status == 200);
 }
 
 BOOST_AUTO_TEST_CASE(TheDirectoryNamesLivingEntries) {
@@ -293,7 +285,7 @@
   for (const char *Name : {"model-0", "model-1"})
     All.control(Name, {{"gap_ms", 150}});
   httplib::Response Answer;
-  std::thread Caller([&] { Answer = All.ask(0, write()); });
+  std::thread Caller([&] { Answer = All.ask(0, writeAsk()); });
   std::this_thread::sleep_for(200ms);
   All.process("entry-0").signal(SIGTERM);
   std::this_thread::sleep_for(100ms);
@@ -314,7 +306,7 @@
   All.restart("entry-0");
   httplib::Response First;
   BOOST_TEST(waitFor(10s, [&] {
-    First = All.ask(0, write());
+    First = All.ask(0, writeAsk());
     return First.status != -1;
   }));
   BOOST_TEST(First.status == 200);
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -77,6 +77,19 @@
     return Choice.Server == nullptr ? "" : Choice.Server->Listed.Id.Value;
   }
 
+  /** The agents of all model workers tell of a request under way there. */
+  void agentsAnswer() {
+    for (const char *Id : {"m0", "m1", "m2"})
+      agentTold(State,
+                {{std::string(Id) + ":1"},
+                 WorkerState::Serving,
+                 1,
+                 {"m@1"},
+                 true,
+                 {}},
+                Now);
+  }
+
   /** How often each is chosen in many tries. */
   std::map<std::string, int> spread(const std::string &Service) {
     std::map<std::string, int> Got;
@@ -383,11 +396,7 @@
   // unanswered, heartbeats still came, and with little to do the three looked
   // idle: nearly every request asked them first and lost its time on it.
   Pool One;
-  for (const char *Id : {"m0", "m1", "m2"})
-    agentTold(
-        One.State,
-        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
-        One.Now);
+  One.agentsAnswer();
   const auto Beats = [&] {
     agentTold(One.State, {{"m0:1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
               One.Now);
@@ -413,13 +422,9 @@
 
 BOOST_AUTO_TEST_CASE(AnEntryWhoseOwnLinkIsNarrowStillChooses) {
   Pool One;
-  for (const char *Id : {"m0", "m1", "m2"}) {
-    agentTold(
-        One.State,
-        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
-        One.Now);
+  One.agentsAnswer();
+  for (const char *Id : {"m0", "m1", "m2"})
     agentSilent(One.State, {Id}, One.Now);
-  }
   BOOST_TEST(!One.choose("llm").empty());
 }
 
@@ -528,11 +533,7 @@
 // draws one request after the other to ask it in vain.
 BOOST_AUTO_TEST_CASE(ALimitedBackEndIsNotAskedBeforeItsTime) {
   Pool One;
-  for (const char *Id : {"m0", "m1", "m2"})
-    agentTold(
-        One.State,
-        {{std::string(Id) + ":1"}, WorkerState::Serving, 1, {"m@1"}, true, {}},
-        One.Now);
+  One.agentsAnswer();
   rateHeard(One.State, {"m0"}, 1.8, One.Now, One.Now);
   rateRefused(One.State, {"m0"}, Millis(400), One.Now);
   BOOST_TEST(One.spread("llm")["m0"] == 0);
@@ -546,11 +547,8 @@
 BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersComeBackInTurn) {
   Pool One;
   One.State.Entries = 2;
+  One.agentsAnswer();
   for (const char *Id : {"m0", "m1", "m2"}) {
-    agentTold(
-        One.State,
-        {{std::string(Id) + ":1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
-        One.Now);
     rateHeard(One.State, {Id}, 2, One.Now, One.Now);
     rateRefused(One.State, {Id}, Millis(400), One.Now);
   }
