agent: a load counts only once what lies staged is found unchanged after it

What callers saw: tokens made with weights that are not those of their version.

Cause: what is staged was checked before the order only. A lock keeps this agent's own writes out from the check to the order's answer, but not - a write that got no answer in time and is read when the worker wakes, at the order, - one of an agent that was killed, whose lock died with it, - one of another process while this one stands still between check and order.

Fix: once the order is taken, and before any chunk is staged again, all chunks are read and compared once more. What lies there then, with no write in between, lay there when the order was taken. A load that does not pass is not served (the agent says that nothing is loaded), until a later order passes or the worker starts anew. An order for what a worker holds does nothing, so it first gives up layers, twice, and loads them again; halfway it is without its first layer, which its next agent sees. An order that another one overtook, and one whose answer never came, count as not confirmed, too.

Evidence: three new cases of load_order_test, with a stand-in that reads a write right before the order.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -36,6 +36,11 @@
 /** Longest look at the staged chunks before an order; well below the 3 s for
  * which a chunk that turned bad is not held against its reader. */
 constexpr Millis LongestLook{1500};
+/** Longest time in which staged chunks are read again after an order: as long
+ * as an order may take. */
+constexpr Millis LongestConfirm{15000};
+/** Wait before a staged chunk that was not given is read again. */
+constexpr Millis ConfirmRepeat{200};
 /** Longest wait for peers to take the last messages. */
 constexpr Millis FinishWait{1000};
 /** Part of the grace time that is kept for ending, before the process is
@@ -336,6 +341,27 @@
   return fail(ErrorKind::WeightsNotReady, "a staged chunk is damaged");
 }
 
+/** Checks after an order that what lies staged is the set that was ordered. */
+Result<void> AgentShell::confirmStaged(const LoadOrder &Order) {
+  const TimePoint Limit = Clock.now() + LongestConfirm;
+  for (size_t n = 0; n < Order.Chunks.size(); ++n) {
+    const ChunkRef Chunk{Order.Model, Order.Version, n, Order.Chunks[n], {}};
+    auto Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+    // An engine that stands still after the order may have taken it as it was.
+    while (!Read.Value && Clock.now() < Limit && !Ending) {
+      std::this_thread::sleep_for(ConfirmRepeat);
+      Read = outcomeOf([&] { return Beside.Engine->staged(Chunk); });
+    }
+    if (Read.Value && sha256(*Read.Value) == Chunk.Content)
+      continue;
+    if (Read.Value)
+      noteSpoilt(Chunk.Content);
+    return fail(ErrorKind::OutcomeUnknown,
+                "chunk " + std::to_string(n) + " differs after the order");
+  }
+  return {};
+}
+
 void AgentShell::fetchChunk(const ChunkRef &Chunk) {
   ChunkBytes Bytes;
   if (Beside.Origin != nullptr) {
@@ -370,6 +396,9 @@
   // The engine loads what lies staged when it takes the order. A chunk of the
   // next version that came in between would be loaded unchecked. Once the order
   // is taken, chunks come again: the engine may work on long answers first.
+  // The lock does not hold back a write that got no answer and is read late,
+  // nor one of another agent. Those show after the order: what is staged then,
+  // with no write in between, was staged at the order.
   std::unique_lock Lock(LoadGuard);
   const TimePoint Began = Clock.now();
   const auto Tell = [&](const char *Event) {
@@ -378,11 +407,16 @@
                 " ms=" + std::to_string(toMillis(Clock.now() - Began).count()));
   };
   LoadSteps Steps;
-  Steps.Taken = [&] {
+  Steps.Taken = [&]() -> Result<void> {
     Tell("order_taken");
+    BOOST_LEAF_CHECK(confirmStaged(Load.Order));
+    Tell("load_confirmed");
     Lock.unlock();
+    return {};
   };
   Steps.LastLook = [&]() -> Result<void> {
+    if (!Lock.owns_lock()) // A set that is loaded anew takes several orders.
+      Lock.lock();
     const TimePoint LookBegan = Clock.now();
     for (size_t n = 0; n < Load.Chunks.size(); ++n) {
       BOOST_LEAF_CHECK(prepareChunk(
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -87,6 +87,7 @@
   ChunkBytes readStagedChunk(const ChunkRef &Chunk);
   void noteSpoilt(const Digest &Chunk);
   Result<void> prepareChunk(const ChunkRef &Chunk, const ChunkBytes &Bytes);
+  Result<void> confirmStaged(const LoadOrder &Order);
   void takeChunk(LinkId Link, ChunkData Data);
   void loadWeights(const LoadWeights &Load, uint64_t Before);
   void watchBackEnd();
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -424,10 +424,11 @@
   const bool Restarted = Run != Agent.Weights.EngineRun;
   Agent.Weights.EngineRun = Run;
   if (Read.Value && !Agent.Weights.Loading) {
-    if (Agent.Weights.Loaded != Read.Value->Weights)
+    const Digest Known = confirmedSet(Agent.Weights, Run, Read.Value->Weights);
+    if (Agent.Weights.Loaded != Known)
       Out.push_back(LogNote{LogPart::Weights, LogLevel::Info,
-                            "Engine has set " + Read.Value->Weights.Value});
-    noteLoaded(Agent.Weights, Read.Value->Weights);
+                            "Engine has set " + Known.Value});
+    noteLoaded(Agent.Weights, Known);
   }
   if (Agent.BackEndUp && !Read.Value)
     Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
@@ -529,11 +530,19 @@
 
 void loadEnded(AgentState &Agent, const std::optional<Failure> &Why,
                TimePoint Now, Effects &Out) {
+  const bool Unknown = Why && Why->Kind == ErrorKind::OutcomeUnknown;
   orderEnded(Agent.Weights, !Why, Now);
+  if (!Why)
+    orderConfirmed(Agent.Weights);
+  else if (Unknown)
+    orderUnconfirmed(Agent.Weights);
   turnCold(Agent.Gate);
   if (Why)
-    Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
-                          "Load order failed: " + Why->Detail});
+    Out.push_back(
+        LogNote{LogPart::Weights, LogLevel::Warn,
+                "Load order failed: " + Why->Detail +
+                    " event=load_failed set=" + Agent.Weights.Ordered.Value +
+                    " may_be_loaded=" + (Unknown ? "yes" : "no")});
 }
 
 void tellLoad(const AgentState &Agent, Effects &Out) {
--- a/packages/core/src/attempts/backend_type.h
+++ b/packages/core/src/attempts/backend_type.h
@@ -61,6 +61,7 @@
   ModelName Model;            ///< Which model.
   std::string Version;        ///< Which version of it.
   std::vector<Digest> Chunks; ///< Its chunks, in order.
+  bool Anew = false; ///< Even what the engine says it has loaded of this set.
 };
 
 /** One call of a plain service. */
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -114,6 +114,9 @@
   Load.Order.Chunks = Weights.Wanted.Chunks;
   for (const Digest &Chunk : Weights.Wanted.Chunks)
     Load.Chunks.push_back(Weights.Held.at(Chunk));
+  Load.Order.Anew = Weights.Unconfirmed.contains(Load.Order.Set);
+  Weights.Ordered = Load.Order.Set;
+  Weights.OrderedRun = Weights.EngineRun;
   Weights.Loading = true;
   ++Weights.OrdersGiven;
   Weights.Draining = false;
@@ -139,6 +142,19 @@
   Weights.NextFence = std::min(Weights.NextFence * 2, MaxFenceLow);
 }
 
+void orderUnconfirmed(WeightsState &Weights) {
+  Weights.Unconfirmed.insert(Weights.Ordered);
+}
+
+void orderConfirmed(WeightsState &Weights) { Weights.Unconfirmed.clear(); }
+
+Digest confirmedSet(WeightsState &Weights, const std::string &Run,
+                    const Digest &Reported) {
+  if (Run != Weights.OrderedRun)
+    Weights.Unconfirmed.clear();
+  return Weights.Unconfirmed.contains(Reported) ? Digest{} : Reported;
+}
+
 bool mayServe(const WeightsState &Weights) {
   return !Weights.Draining && !Weights.Loading && !Weights.EngineBusy &&
          !Weights.EngineRun.empty() && Weights.Whole.contains(Weights.Loaded);
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -83,6 +83,30 @@
  */
 void orderEnded(WeightsState &Weights, bool Taken, TimePoint Now);
 
+/**
+ * Nothing shows which chunks the engine took at the last order: its set is not
+ * served until a later order is confirmed or the engine restarts.
+ * @param Weights State to change.
+ */
+void orderUnconfirmed(WeightsState &Weights);
+
+/**
+ * The engine took the chunks that were checked. It holds nothing of earlier
+ * orders, and refuses those that it reads later.
+ * @param Weights State to change.
+ */
+void orderConfirmed(WeightsState &Weights);
+
+/**
+ * Gives the set that an engine is known to hold.
+ * @param Weights State to change; a restart of the engine is noted.
+ * @param Run Incarnation of the engine.
+ * @param Reported Set that it says it has loaded.
+ * @return That set; empty when it may have been made of other chunks.
+ */
+Digest confirmedSet(WeightsState &Weights, const std::string &Run,
+                    const Digest &Reported);
+
 /**
  * Says whether answers may be produced from what the engine has loaded.
  * @param Weights The state.
--- a/packages/ports/src/engine_port.h
+++ b/packages/ports/src/engine_port.h
@@ -16,8 +16,10 @@
   std::function<Result<void>()> LastLook; ///< Right before the order is sent,
                                           ///< each time; should it fail, the
                                           ///< order is not sent.
-  std::function<void()> Taken; ///< The engine took the order: what is staged
-                               ///< from now on is no part of it.
+  std::function<Result<void>()> Taken;    ///< The engine took the order. Fails
+                                       ///< when what lies staged is no longer
+                                       ///< what the last look found; otherwise
+                                       ///< chunks may be staged again.
 };
 
 /** A model engine. All calls block and may be made from several threads. */
@@ -64,7 +66,8 @@
    * Loads a staged set; returns when that is done.
    * @param Order What to load.
    * @param Steps Called from this thread on the way.
-   * @return Nothing, or why the engine refused.
+   * @return Nothing, or why the engine refused; OutcomeUnknown when it may have
+   *         loaded something else than the last look found, now or later.
    */
   virtual Result<void> load(const LoadOrder &Order, const LoadSteps &Steps) = 0;
 };
--- a/tests/integration/load_order_test.cpp
+++ b/tests/integration/load_order_test.cpp
@@ -20,6 +20,13 @@
       Loads, [](const Json &One) { return !One["whole"].get<bool>(); }));
 }
 
+/** Runs of a worker on weights that were loaded from other bytes. */
+size_t tornRuns(const RouteFleet &All, const std::string &Name) {
+  const Json Runs = All.look(Name)["runs"];
+  return static_cast<size_t>(std::ranges::count_if(
+      Runs, [](const Json &One) { return !One["whole"].get<bool>(); }));
+}
+
 /** Two workers that serve version 1. */
 struct Serving {
   Serving() : All(RoutePlan{}) { BOOST_REQUIRE(All.waitServing(30s)); }
@@ -47,6 +54,29 @@
            All.look("model-0").value("orders_waiting", 0) == 0;
   }
 
+  /** The first worker leaves a write of version 2 unread; version 3 is named.
+   */
+  void leaveAWriteUnread() {
+    All.control("model-0", {{"hold_put", 0}});
+    name(2);
+    BOOST_REQUIRE(waitFor(
+        20s, [&] { return All.look("model-0").value("puts_held", 0) == 1; }));
+    name(3);
+  }
+
+  /** Sends requests until the first worker serves a version, and goes on for a
+   * moment. */
+  void askUntilServed(int Version) {
+    const auto Served = [&] {
+      All.ask(0, writeAsk());
+      const Json Runs = All.look("model-0")["runs"];
+      return std::ranges::any_of(Runs, [&](const Json &One) {
+        return One["version"] == Version && One["whole"].get<bool>();
+      });
+    };
+    BOOST_TEST(waitFor(30s, Served));
+  }
+
   RouteFleet All;
 };
 
@@ -90,6 +120,39 @@
   BOOST_TEST(tornLoads(All) == 0U);
 }
 
+// Guards against tokens made with weights that a late write had changed between
+// the last look and the order.
+BOOST_AUTO_TEST_CASE(AWriteWithoutAnAnswerMayBeReadAtTheOrder) {
+  leaveAWriteUnread();
+  askUntilServed(3);
+  BOOST_TEST(tornLoads(All) == 1U); // The write did come in between.
+  BOOST_TEST(tornRuns(All, "model-0") == 0U);
+}
+
+// Guards against the same where the agent that sent the write was killed.
+BOOST_AUTO_TEST_CASE(AWriteOfAnAgentThatWasKilledMayBeReadAtTheOrder) {
+  leaveAWriteUnread();
+  All.restart("agent-0");
+  askUntilServed(3);
+  BOOST_TEST(tornLoads(All) == 1U);
+  BOOST_TEST(tornRuns(All, "model-0") == 0U);
+}
+
+// Guards against the same where another process writes while the order waits,
+// as a second agent does when the first one wakes between look and order. The
+// version that was loaded wrongly is the one that is wanted.
+BOOST_AUTO_TEST_CASE(AnotherProcessMayWriteBeforeTheOrderIsTaken) {
+  All.control("model-0", {{"order_wait_ms", 1000}});
+  name(2);
+  BOOST_REQUIRE(waitFor(20s, [&] {
+    return All.look("model-0").value("orders_waiting", 0) == 1;
+  }));
+  All.control("model-0", {{"spoil", 3}});
+  askUntilServed(2);
+  BOOST_TEST(tornLoads(All) == 1U);
+  BOOST_TEST(tornRuns(All, "model-0") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(AChunkThatTurnsBadDuringALongLookIsNotLoaded) {
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -7,16 +7,19 @@
  * "refuse" (that many answer 503 as not run), "no_signature", "hang" (no answer
  * at all), "order_wait_ms" (the next order is taken that much later, as the
  * worker and what lies staged are by then), "load_ms" (how long it is busy with
- * an order), "slow_reads" (that many staged chunks are read back in "read_ms"
- * each), "rot_after_read" (once all that lies staged is of the next version,
- * chunk 0 turns bad when it has been read back), "tell" (answers and events say
- * whose and what of they are), "restart" (the memory is lost, what is staged
- * and the record of runs are kept). GET /control gives "runs": what was run,
- * when (on the machine's steady clock), with which headers; "from" in the query
- * leaves out the first ones; "loads": the version of each order that was taken,
- * and whether all that lay staged was of it; "orders_waiting": orders that came
- * and were not taken yet; "busy"; "staged_of": the version of all that lies
- * staged, 0: of none; "rot_after_read": that is still to come.
+ * an order), "hold_put" (the next write of that chunk is left unread, and read
+ * right before the next order that comes), "slow_reads" (that many staged
+ * chunks are read back in "read_ms" each), "rot_after_read" (once all that lies
+ * staged is of the next version, chunk 0 turns bad when it has been read back),
+ * "tell" (answers and events say whose and what of they are), "restart" (the
+ * memory is lost, what is staged and the record of runs are kept). GET /control
+ * gives "runs": what was run, when (on the machine's steady clock), with which
+ * headers, and whether all that the loaded version was made of was of it
+ * ("whole"); "from" in the query leaves out the first ones; "loads": the
+ * version of each order that was taken, and whether all that lay staged was of
+ * it; "orders_waiting": orders that came and were not taken yet; "puts_held";
+ * "busy"; "staged_of": the version of all that lies staged, 0: of none;
+ * "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
@@ -28,6 +31,8 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <ranges>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -37,13 +42,19 @@
 
 constexpr const char *AttemptHeader = "X-Jacinthpond-Attempt-Id";
 constexpr std::chrono::milliseconds HangTime{4000};
+/** Layers of the model. */
+constexpr uint64_t ModelLayers = 4;
 
 /** One worker; guarded by Guard. */
 struct Worker {
   std::mutex Guard;
   Json Options;
   Json Runs = Json::array();
-  std::map<uint64_t, std::string> Staged; ///< By number.
+  std::map<uint64_t, std::string> Staged;  ///< By number.
+  std::map<uint64_t, std::string> HeldPut; ///< Came, and is not read yet.
+  std::set<uint64_t> GivenUp;              ///< Layers that it does not hold.
+  std::set<uint64_t> Torn; ///< Layers that were not loaded from bytes of
+                           ///< their version.
   uint64_t Orders = 0;
   uint64_t OrdersWaiting = 0;
   Json Loads = Json::array();
@@ -76,8 +87,8 @@
     return 421;
   if (!Version.empty() && Version != Own)
     return 421;
-  if (Host.Options.contains("model") && Own == "0")
-    return 421; // Nothing is loaded.
+  if (Host.Options.contains("model") && (Own == "0" || !Host.GivenUp.empty()))
+    return 421; // Nothing is loaded, or not all of it.
   return takeOne(Host, "refuse") ? 503 : 0;
 }
 
@@ -91,6 +102,7 @@
                        {"at_ms", Now.count()},
                        {"id", Host.Options.value("id", "")},
                        {"version", Host.Options.value("version", 0)},
+                       {"whole", Host.Torn.empty()},
                        {"method", Asked.method},
                        {"path", Asked.path},
                        {"body", Asked.body},
@@ -182,6 +194,8 @@
   Host.Born = millisOfDay();
   Host.Orders = 0;
   Host.Options["version"] = 0;
+  Host.GivenUp.clear();
+  Host.Torn.clear();
   Host.Options["restart"] = false;
 }
 
@@ -194,8 +208,19 @@
   if (Host.Options.value("version", 0) > 0)
     Models.push_back({{"name", Host.Options.value("model", "")},
                       {"version", Host.Options.value("version", 0)}});
-  return {{"stage", "combined"},     {"models", Models}, {"busy", isBusy(Host)},
-          {"sequence", Host.Orders}, {"waiting", 0},     {"running", 0},
+  uint64_t From = 0;
+  while (Host.GivenUp.contains(From))
+    ++From;
+  uint64_t Target = ModelLayers;
+  while (Target > From && Host.GivenUp.contains(Target - 1))
+    --Target;
+  return {{"layers", {{"from", From}, {"target", Target}}},
+          {"stage", "combined"},
+          {"models", Models},
+          {"busy", isBusy(Host)},
+          {"sequence", Host.Orders},
+          {"waiting", 0},
+          {"running", 0},
           {"born", Host.Born}};
 }
 
@@ -230,6 +255,61 @@
   --Host.OrdersWaiting;
 }
 
+/** Keeps a write back until the next order; says whether it did. */
+bool holdPut(Worker &Host, uint64_t Number, const std::string &Bytes) {
+  if (Host.Options.value("hold_put", -1) != static_cast<int64_t>(Number))
+    return false;
+  Host.Options["hold_put"] = -1;
+  Host.HeldPut[Number] = Bytes;
+  return true;
+}
+
+/** Waits until a write that is held back was read, or its sender has left. */
+void waitWhileHeld(Worker &Host) {
+  const auto Until = std::chrono::steady_clock::now() + HangTime;
+  bool Held = true;
+  while (Held && std::chrono::steady_clock::now() < Until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const std::lock_guard Lock(Host.Guard);
+    Held = !Host.HeldPut.empty();
+  }
+}
+
+void readHeldPut(Worker &Host) {
+  for (auto &[n, Bytes] : Host.HeldPut)
+    Host.Staged[n] = std::move(Bytes);
+  Host.HeldPut.clear();
+}
+
+/** Says whether a layer would be loaded from bytes of a version. */
+bool layerIsOf(const Worker &Host, uint64_t Version, uint64_t Layer) {
+  const uint64_t Chunks =
+      Host.Staged.empty() ? 0 : Host.Staged.rbegin()->first + 1;
+  const uint64_t First = Layer * Chunks / ModelLayers;
+  const uint64_t End = ((Layer + 1) * Chunks + ModelLayers - 1) / ModelLayers;
+  return std::ranges::all_of(Host.Staged, [&](const auto &Row) {
+    return Row.first < First || Row.first >= End ||
+           Row.second == chunkOfWeights(Version, Row.first, Row.second.size());
+  });
+}
+
+/** Gives up layers and loads what is missing; says whether there was any. */
+bool loadLayers(Worker &Host, uint64_t Version, bool Same,
+                const std::set<uint64_t> &GivenUp) {
+  bool Any = false;
+  for (uint64_t n = 0; n < ModelLayers; ++n) {
+    const bool Loads =
+        !GivenUp.contains(n) && (!Same || Host.GivenUp.contains(n));
+    Any = Any || Loads;
+    if (Loads || GivenUp.contains(n))
+      Host.Torn.erase(n);
+    if (Loads && !layerIsOf(Host, Version, n))
+      Host.Torn.insert(n);
+  }
+  Host.GivenUp = GivenUp;
+  return Any;
+}
+
 /** Loads what lies staged, whatever it is: nothing is checked here. */
 void order(Worker &Host, const httplib::Request &Asked,
            httplib::Response &Answer) {
@@ -241,12 +321,24 @@
     return;
   }
   const auto Version = Order.value("version", uint64_t{0});
+  readHeldPut(Host);
+  std::set<uint64_t> GivenUp;
+  for (uint64_t n = 0; n < ModelLayers; ++n)
+    if (n < Order.value("from", uint64_t{0}) ||
+        n >= Order.value("target", ModelLayers))
+      GivenUp.insert(n);
+  const bool Same = Version == Host.Options.value("version", uint64_t{0});
+  if (Same && GivenUp == Host.GivenUp) {
+    Answer.status = 200;
+    return;
+  }
+  if (loadLayers(Host, Version, Same, GivenUp))
+    Host.Loads.push_back(
+        {{"version", Version}, {"whole", isOfVersion(Host, Version)}});
   Host.Options["version"] = Version;
   Host.Options["loaded_chunks"] = Json::array();
   for (const auto &[n, Bytes] : Host.Staged)
     Host.Options["loaded_chunks"].push_back(sha256(Bytes).Value);
-  Host.Loads.push_back(
-      {{"version", Version}, {"whole", isOfVersion(Host, Version)}});
   ++Host.Orders;
   Host.BusyUntil = std::chrono::steady_clock::now() +
                    std::chrono::milliseconds(Host.Options.value("load_ms", 0));
@@ -264,9 +356,15 @@
 
 void addStage(httplib::Server &Server, Worker &Host) {
   Server.Put("/stage-put/[^/]+", [&](const auto &Asked, auto &) {
-    const std::lock_guard Lock(Host.Guard);
-    Host.Staged[std::strtoull(Asked.get_param_value("number").c_str(), nullptr,
-                              10)] = Asked.body;
+    const auto Number =
+        std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10);
+    std::unique_lock Lock(Host.Guard);
+    if (!holdPut(Host, Number, Asked.body)) {
+      Host.Staged[Number] = Asked.body;
+      return;
+    }
+    Lock.unlock();
+    waitWhileHeld(Host);
   });
   Server.Get("/stage-get/[^/]+", [&](const auto &Asked, auto &Answer) {
     std::unique_lock Lock(Host.Guard);
@@ -333,6 +431,7 @@
           {{"runs", Runs},
            {"orders", Host.Orders},
            {"orders_waiting", Host.OrdersWaiting},
+           {"puts_held", Host.HeldPut.size()},
            {"loads", Host.Loads},
            {"busy", isBusy(Host)},
            {"rot_after_read", Host.Options.value("rot_after_read", false)},
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -270,3 +270,33 @@
   noteLoaded(Weights, Digest{"1"});
   BOOST_TEST((Weights.OutdatedSince == Start));
 }
+
+// Guards against places on weights that were loaded while a chunk of them was
+// overwritten.
+BOOST_AUTO_TEST_CASE(WhatAnUnconfirmedOrderLoadedIsNotServed) {
+  WeightsState Weights;
+  const Digest Set{"m@2"};
+  Weights.EngineRun = "run 1";
+  Weights.Wanted.Set = Set;
+  Effects Out;
+  orderLoad(Weights, ConfigVersion{1}, Out);
+  orderUnconfirmed(Weights);
+  BOOST_TEST(confirmedSet(Weights, "run 1", Set).Value.empty());
+  BOOST_TEST((confirmedSet(Weights, "run 1", Digest{"m@1"}) == Digest{"m@1"}));
+  orderLoad(Weights, ConfigVersion{1}, Out);
+  BOOST_TEST(std::get<LoadWeights>(Out[2]).Order.Anew);
+  orderConfirmed(Weights);
+  BOOST_TEST((confirmedSet(Weights, "run 1", Set) == Set));
+}
+
+// A worker that was started anew holds nothing of the order before.
+BOOST_AUTO_TEST_CASE(ARestartedWorkerIsNotHeldToAnUnconfirmedOrder) {
+  WeightsState Weights;
+  const Digest Set{"m@2"};
+  Weights.EngineRun = "run 1";
+  Weights.Wanted.Set = Set;
+  Effects Out;
+  orderLoad(Weights, ConfigVersion{1}, Out);
+  orderUnconfirmed(Weights);
+  BOOST_TEST((confirmedSet(Weights, "run 2", Set) == Set));
+}
