routes: the list of servers does not override what an agent said of its worker

What callers could see: answers made with weights that an agent had not counted as loaded. The list names a version as loaded as soon as the worker says so; it replaced the agent's word, and with the agent silent the worker was used past it.

TheListDoesNotOverrideWhatAnAgentSaid failed before.

--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -562,3 +562,19 @@
     BOOST_TEST(Choice.RetryAfter.count() <= std::max(Turn * 334, 800));
   }
 }
+
+// Guards against requests sent past a silent agent to a worker whose weights
+// the agent had not counted as loaded, because the list named them.
+BOOST_AUTO_TEST_CASE(TheListDoesNotOverrideWhatAnAgentSaid) {
+  Pool One;
+  One.Doc.Servers = {Pool::server("m0", "llm", 0, "m@1")};
+  One.want("2");
+  One.follow();
+  AgentNews News{Address{"m0:1"}, WorkerState::Empty, 0, {}, true, {}};
+  agentTold(One.State, News, One.Now);
+  One.Doc.Servers.front().Weights.Value = "m@2";
+  One.follow();
+  News.Fresh = false;
+  agentTold(One.State, News, One.Now);
+  BOOST_TEST(One.choose("llm").empty());
+}
