routes: nobody is told to come back before the first limit allows it

What callers saw: where all workers of a service are at their own rate limits, a time to come back at which none of them takes anything yet; they came back to be refused again.

Cause: WhereAllAreLimitedCallersAreToldTheTime was replaced by a case for turns, and with it the time until which agents give no place no longer counted.

Change: the time is the later one of the caller's turn and of the first limit's end.

--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -281,6 +281,8 @@
     if (!ratesAllow(Pool, View, Kind, Now)) {
       ++Choice.Limited;
       Choice.PerSecond += View.Rate.PerSecond.value_or(Kind.ColdPerSecond);
+      Choice.LimitedUntil = std::min(Choice.LimitedUntil,
+                                     hasAgent(View) ? View.NoPlaceUntil : Now);
       continue;
     }
     const double Score = scoreOf(Pool, View, Now);
@@ -308,11 +310,13 @@
   Choice.Why =
       Choice.Candidates > 0 ? PoolRefusal::AllFull : PoolRefusal::NoneListed;
   Choice.RetryAfter = timeToRoom(Pool, Needs, Choice.Candidates);
-  if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
+  if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates) {
+    const Millis Turn =
+        turnToComeBack(Pool, Needs.Service, Choice.PerSecond, Now);
+    const Millis Allowed = toMillis(Choice.LimitedUntil - Now);
     Choice.RetryAfter = std::max(
-        Choice.RetryAfter,
-        std::min(turnToComeBack(Pool, Needs.Service, Choice.PerSecond, Now),
-                 LongestComeBack));
+        Choice.RetryAfter, std::min(std::max(Turn, Allowed), LongestComeBack));
+  }
   return Choice;
 }
 
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -118,6 +118,8 @@
   uint32_t Candidates = 0;                   ///< Back ends that were compared.
   uint32_t Limited = 0;                      ///< Those of them at their rate.
   double PerSecond = 0;                      ///< Requests that these take.
+  TimePoint LimitedUntil = TimePoint::max(); ///< When the first of them may be
+                                             ///< asked for a place again.
 };
 
 /** How an attempt ended, as far as its back end goes. */
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -542,6 +542,24 @@
   BOOST_TEST(One.spread("llm")["m0"] > 0);
 }
 
+// Guards against callers that are told to come back before any limit allows it.
+BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersAreToldTheTime) {
+  Pool One;
+  for (const char *Id : {"m0", "m1", "m2"}) {
+    agentTold(
+        One.State,
+        {{std::string(Id) + ":1"}, WorkerState::Serving, 0, {"m@1"}, true, {}},
+        One.Now);
+    rateHeard(One.State, {Id}, 0.3, One.Now, One.Now);
+    rateRefused(One.State, {Id}, Millis(1700), One.Now);
+  }
+  const ServerChoice Choice =
+      chooseServer(One.State, One.needs("llm"), One.Now);
+  BOOST_TEST(Choice.Server == nullptr);
+  BOOST_CHECK(Choice.Why == PoolRefusal::AllFull);
+  BOOST_TEST(Choice.RetryAfter.count() >= 1700);
+}
+
 // Guards against callers that are all told to come back at once where the rate
 // limits of a service allow a few of them.
 BOOST_AUTO_TEST_CASE(WhereAllAreLimitedCallersComeBackInTurn) {
