--- a/tests/integration/load_order_test.cpp
+++ b/tests/integration/load_order_test.cpp
@@ -153,6 +153,18 @@
   BOOST_TEST(tornRuns(All, "model-0") == 0U);
 }
 
+// Guards against an agent that completes what its predecessor was loading anew
+// and keeps the layers that were wrong.
+BOOST_AUTO_TEST_CASE(ALoadThatBrokeOffHalfwayIsDoneAnew) {
+  All.control("model-0", {{"halfway", true}});
+  const size_t Before = All.look("model-0")["runs"].size();
+  BOOST_TEST(waitFor(30s, [&] {
+    All.ask(0, writeAsk());
+    return All.look("model-0")["runs"].size() > Before;
+  }));
+  BOOST_TEST(tornRuns(All, "model-0") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(AChunkThatTurnsBadDuringALongLookIsNotLoaded) {
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -8,7 +8,8 @@
  * at all), "order_wait_ms" (the next order is taken that much later, as the
  * worker and what lies staged are by then), "load_ms" (how long it is busy with
  * an order), "hold_put" (the next write of that chunk is left unread, and read
- * right before the next order that comes), "slow_reads" (that many staged
+ * right before the next order that comes), "halfway" (it holds no first layer,
+ * and the next one was loaded from other bytes), "slow_reads" (that many staged
  * chunks are read back in "read_ms" each), "rot_after_read" (once all that lies
  * staged is of the next version, chunk 0 turns bad when it has been read back),
  * "tell" (answers and events say whose and what of they are), "restart" (the
@@ -31,7 +32,6 @@
 #include <chrono>
 #include <map>
 #include <mutex>
-#include <ranges>
 #include <set>
 #include <thread>
 #include <vector>
@@ -416,6 +416,11 @@
     if (Host.Options.value("spoil", -1) >= 0)
       Host.Staged[Host.Options["spoil"].template get<uint64_t>()] = "spoilt";
     Host.Options["spoil"] = -1;
+    if (Host.Options.value("halfway", false)) {
+      Host.GivenUp = {0};
+      Host.Torn = {1};
+    }
+    Host.Options["halfway"] = false;
     if (Host.Options.value("restart", false))
       restart(Host);
   });
