--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -130,8 +130,8 @@
   for (const Digest &Chunk : Order.Chunks)
     Body["chunks"].push_back(Chunk.Value);
   BOOST_LEAF_CHECK(Steps.LastLook());
-  // This engine answers when it has loaded; Taken would come no sooner. It names
-  // chunks by their digests and takes no others.
+  // This engine answers when it has loaded; Taken would come no sooner. It
+  // names chunks by their digests and takes no others.
   const httplib::Result Answer =
       Client.Post("/v1/load", Body.dump(), "application/json");
   return expectDone(Answer);
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -22,8 +22,8 @@
       View.ColdUntil = Now + One.ColdFor;
       View.Cold = {};
     }
-    // An agent's word is newer than the list while its back end is the same, and
-    // it does not count what was loaded from other chunks.
+    // An agent's word is newer than the list while its back end is the same,
+    // and it does not count what was loaded from other chunks.
     if (New || (View.Listed.Weights != One.Weights && !hasAgent(View)))
       View.Weights = One.Weights;
     View.Listed = One;
--- a/tests/integration/cold_engine_test.cpp
+++ b/tests/integration/cold_engine_test.cpp
@@ -63,18 +63,8 @@
 // tokens come ten times as late. Work that goes on being started would keep
 // it in that state: only the slow tokens can tell.
 BOOST_AUTO_TEST_CASE(WarmEngineTurnsColdWithoutWarning) {
-  Fleet All(planFor(1));
-  BOOST_REQUIRE(All.waitServing(30s));
-  SteadyCallers Load(All, 24, hutReport);
-  BOOST_REQUIRE(warmUp(All, "engine-0", 15));
-  const size_t Before = Load.Good;
-  BOOST_REQUIRE(waitFor(20s, [&] { return Load.Good > Before + 100; }));
-  All.control("engine-0",
-              {{"cold", true}, {"hide_cold", 1}, {"warm_after", 40}});
-  const auto State = [&] { return All.look("engine-0"); };
-  BOOST_REQUIRE(waitFor(20s, [&] { return State()["completed"] >= 40; }));
-  Load.stop();
-  const std::vector<int> Starts = State()["cold_overstart_ms"];
+  const TurnedCold Fleet;
+  const std::vector<int> Starts = Fleet.state()["cold_overstart_ms"];
   BOOST_TEST_MESSAGE("starts, in ms after the engine turned: " << Json(Starts));
   const auto StartsIn = [&](int From, int To) {
     return std::ranges::count_if(
@@ -86,7 +76,7 @@
   // answer can end.
   constexpr int SlowToken = TokenMillis * CollapseFactor;
   BOOST_TEST(StartsIn(0, SlowToken) <= WarmBears);
-  BOOST_TEST(State()["max_running"] <= WarmBears);
+  BOOST_TEST(Fleet.state()["max_running"] <= WarmBears);
   // Then nothing begins until those under way have ended, and until eight more,
   // of ten tokens each and two at a time, are completed after them.
   constexpr int FirstTry = SlowToken + 8 / ColdBears * 10 * TokenMillis;
@@ -95,7 +85,7 @@
   // twice as much, and one more in each, in the place of an answer that was at
   // its last token. The engine is warm before there is work for a third try.
   BOOST_TEST(StartsIn(FirstTry, INT_MAX) <= 2 * (ColdBears + 1));
-  BOOST_TEST(Load.Other == 0U);
+  BOOST_TEST(Fleet.Other == 0U);
 }
 
 // An agent is killed and started again while its engine goes on with the
--- a/tests/integration/cold_fleet.h
+++ b/tests/integration/cold_fleet.h
@@ -5,6 +5,8 @@
 
 #include "fleet/steady_callers.h"
 
+#include <boost/test/unit_test.hpp>
+
 namespace jacinthpond::fleet {
 
 /** Entries before the engines. */
@@ -43,6 +45,31 @@
                  [&] { return All.look(Engine)["running"] >= Running; });
 }
 
+/** An engine that lost its caches under full load, and said nothing of it,
+ * until it had completed 40 requests more. */
+struct TurnedCold {
+  TurnedCold() : All(planFor(1)) {
+    using std::chrono::seconds;
+    BOOST_REQUIRE(All.waitServing(seconds{30}));
+    SteadyCallers Load(All, 24, hutReport);
+    BOOST_REQUIRE(warmUp(All, "engine-0", 15));
+    const size_t Before = Load.Good;
+    BOOST_REQUIRE(
+        waitFor(seconds{20}, [&] { return Load.Good > Before + 100; }));
+    All.control("engine-0",
+                {{"cold", true}, {"hide_cold", 1}, {"warm_after", 40}});
+    BOOST_REQUIRE(
+        waitFor(seconds{20}, [&] { return state()["completed"] >= 40; }));
+    Load.stop();
+    Other = Load.Other;
+  }
+
+  Json state() const { return All.look("engine-0"); }
+
+  Fleet All;
+  size_t Other = 0; ///< Answers that were neither whole nor refusals.
+};
+
 } // namespace jacinthpond::fleet
 
 #endif
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -203,18 +203,25 @@
   return std::chrono::steady_clock::now() < Host.BusyUntil;
 }
 
-Json reportOf(const Worker &Host) {
-  Json Models = Json::array();
-  if (Host.Options.value("version", 0) > 0)
-    Models.push_back({{"name", Host.Options.value("model", "")},
-                      {"version", Host.Options.value("version", 0)}});
+/** The layers that it holds; null: none. */
+Json layersOf(const Worker &Host) {
+  if (Host.Options.value("version", 0) == 0)
+    return nullptr;
   uint64_t From = 0;
   while (Host.GivenUp.contains(From))
     ++From;
   uint64_t Target = ModelLayers;
   while (Target > From && Host.GivenUp.contains(Target - 1))
     --Target;
-  return {{"layers", {{"from", From}, {"target", Target}}},
+  return {{"from", From}, {"target", Target}};
+}
+
+Json reportOf(const Worker &Host) {
+  Json Models = Json::array();
+  if (Host.Options.value("version", 0) > 0)
+    Models.push_back({{"name", Host.Options.value("model", "")},
+                      {"version", Host.Options.value("version", 0)}});
+  return {{"layers", layersOf(Host)},
           {"stage", "combined"},
           {"models", Models},
           {"busy", isBusy(Host)},
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -271,32 +271,41 @@
   BOOST_TEST((Weights.OutdatedSince == Start));
 }
 
+namespace {
+
+/** A worker was ordered to load a set, and nothing shows what it took. */
+struct Unconfirmed {
+  Unconfirmed() {
+    Weights.EngineRun = "run 1";
+    Weights.Wanted.Set = Set;
+    order();
+    orderUnconfirmed(Weights);
+  }
+
+  LoadOrder order() {
+    Effects Out;
+    orderLoad(Weights, ConfigVersion{1}, Out);
+    return std::get<LoadWeights>(Out.front()).Order;
+  }
+
+  const Digest Set{"m@2"};
+  WeightsState Weights;
+};
+
+} // namespace
+
 // Guards against places on weights that were loaded while a chunk of them was
 // overwritten.
-BOOST_AUTO_TEST_CASE(WhatAnUnconfirmedOrderLoadedIsNotServed) {
-  WeightsState Weights;
-  const Digest Set{"m@2"};
-  Weights.EngineRun = "run 1";
-  Weights.Wanted.Set = Set;
-  Effects Out;
-  orderLoad(Weights, ConfigVersion{1}, Out);
-  orderUnconfirmed(Weights);
+BOOST_FIXTURE_TEST_CASE(WhatAnUnconfirmedOrderLoadedIsNotServed, Unconfirmed) {
   BOOST_TEST(confirmedSet(Weights, "run 1", Set).Value.empty());
   BOOST_TEST((confirmedSet(Weights, "run 1", Digest{"m@1"}) == Digest{"m@1"}));
-  orderLoad(Weights, ConfigVersion{1}, Out);
-  BOOST_TEST(std::get<LoadWeights>(Out[2]).Order.Anew);
+  BOOST_TEST(order().Anew);
   orderConfirmed(Weights);
   BOOST_TEST((confirmedSet(Weights, "run 1", Set) == Set));
 }
 
 // A worker that was started anew holds nothing of the order before.
-BOOST_AUTO_TEST_CASE(ARestartedWorkerIsNotHeldToAnUnconfirmedOrder) {
-  WeightsState Weights;
-  const Digest Set{"m@2"};
-  Weights.EngineRun = "run 1";
-  Weights.Wanted.Set = Set;
-  Effects Out;
-  orderLoad(Weights, ConfigVersion{1}, Out);
-  orderUnconfirmed(Weights);
+BOOST_FIXTURE_TEST_CASE(ARestartedWorkerIsNotHeldToAnUnconfirmedOrder,
+                        Unconfirmed) {
   BOOST_TEST((confirmedSet(Weights, "run 2", Set) == Set));
 }
