--- a/packages/ports/src/engine_port.h
+++ b/packages/ports/src/engine_port.h
@@ -13,13 +13,12 @@
 
 /** What happens around the order to load a set. */
 struct LoadSteps {
-  std::function<Result<void>()> LastLook; ///< Right before the order is sent,
-                                          ///< each time; should it fail, the
-                                          ///< order is not sent.
-  std::function<Result<void>()> Taken;    ///< The engine took the order. Fails
-                                       ///< when what lies staged is no longer
-                                       ///< what the last look found; otherwise
-                                       ///< chunks may be staged again.
+  /** Right before the order is sent, each time; should it fail, the order is
+   * not sent. */
+  std::function<Result<void>()> LastLook;
+  /** The engine took the order. Fails when what lies staged is no longer what
+   * the last look found; otherwise chunks may be staged again. */
+  std::function<Result<void>()> Taken;
 };
 
 /** A model engine. All calls block and may be made from several threads. */
