entry: log the status and the notices of refused answers

The line of a refused attempt said status=200, the value of no answer, and neither the pause that an answer asked for nor the word of a back end that leaves was in any line, so that a back end that is full could not be told from one that asks for a pause. No decision changes.

--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -285,6 +285,7 @@
   Sending.NoResponseBody = Incoming.method() == http::verb::head;
   Sending.MaxIdle = maxIdleConnections(Shared.Pool, Server.Listed.Service);
   Mode = AnswerMode::Waiting;
+  AnswerStatus = 0;
   Body.clear();
   dropPartialEvent(Events);
   CallStartTime = Now;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -97,6 +97,7 @@
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   void logWaitForReadiness() const;
+  void logServerNotice(const ResponseHead &Received) const;
   void logRateChange(RateChange Change, std::string_view Header) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
@@ -124,6 +125,7 @@
   Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
   TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
   AnswerMode Mode = AnswerMode::Waiting;
+  unsigned AnswerStatus = 0;    ///< Status of the current response; 0: none.
   ResponseHead Head;            ///< Head of the response that the caller gets.
   std::string Body;             ///< Body received so far in mode Whole.
   AttemptId CurrentSlot;        ///< Slot requested or held; empty: none.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -27,23 +27,22 @@
  * part of the back end that never sends these headers.
  */
 void Exchange::readRateLimit(const ResponseHead &Received, bool Success) {
-  const auto &Names = Shared.Wire.headerNames().RateLimits;
-  const auto it = std::ranges::find_if(
-      Names, [&](const std::string &Name) { return Received.count(Name) > 0; });
-  if (it == Names.end()) {
+  const std::string *Name =
+      usedHeaderName(Received, Shared.Wire.headerNames().RateLimits);
+  if (Name == nullptr) {
     if (Success && isRateLimited(Shared.Pool, ServerId))
       applyRateLimit(std::nullopt, "");
     return;
   }
-  const std::string_view Value = fieldValue(Received, *it);
-  const size_t Times = Received.count(*it);
+  const std::string_view Value = fieldValue(Received, *Name);
+  const size_t Times = Received.count(*Name);
   const auto PerSecond = Shared.Wire.parseRateLimit(Value);
   if (PerSecond && Times == 1)
-    applyRateLimit(PerSecond, *it + ":" + std::string(Value));
+    applyRateLimit(PerSecond, *Name + ":" + std::string(Value));
   else
     logLine(LogPart::Requests, LogLevel::Warn,
             "event=rate_limit_unreadable id=" + logValue(Id) +
-                " server=" + ServerId.Value + " field=" + logValue(*it) +
+                " server=" + ServerId.Value + " field=" + logValue(*Name) +
                 " value=" + logValue(Value) +
                 " times=" + std::to_string(Times));
 }
@@ -78,6 +77,8 @@
           Shared.Wire.parseServerLoad(fieldValue(Received, Names.Load)))
     recordServerLoad(Shared.Pool, ServerId, *Busy, Now);
   const unsigned Status = Received.result_int();
+  AnswerStatus = Status;
+  logServerNotice(Received);
   const bool Misdirected = Status == 421; // Another run may have the address.
   const bool NotRun = !fieldValue(Received, Names.NotExecuted).empty();
   const bool Success = Status >= 200 && Status < 300;
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -6,6 +6,7 @@
 #include "forward/exchange.h"
 
 #include "admission/server_rate_func.h"
+#include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forwarding/liveness_func.h"
 #include "log/log.h"
@@ -74,6 +75,22 @@
                                      : "-"));
 }
 
+/** Logs a response whose headers ask for a pause or announce a shutdown. */
+void Exchange::logServerNotice(const ResponseHead &Received) const {
+  const HeaderNames &Names = Shared.Wire.headerNames();
+  const std::string *Leaving = usedHeaderName(Received, Names.Leaving);
+  if (Received.count(Names.RetryAfter) == 0 && Leaving == nullptr)
+    return;
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=server_notice id=" + logValue(Id) + " server=" + ServerId.Value +
+          " status=" + std::to_string(AnswerStatus) + " retry_after=" +
+          logValue(fieldValue(Received, Names.RetryAfter)) + " leaving=" +
+          (Leaving == nullptr
+               ? std::string("-")
+               : *Leaving + ":" + logValue(fieldValue(Received, *Leaving))));
+}
+
 /** Logs and counts a change of a back end's rate limit. */
 void Exchange::logRateChange(RateChange Change, std::string_view Header) const {
   if (Change == RateChange::None)
@@ -93,20 +110,18 @@
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
   const TimePoint Now = Shared.Clock.now();
   const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
-  logLine(
-      LogPart::Requests, LogLevel::Info,
-      "event=attempt_end id=" + logValue(Id) +
-          " n=" + std::to_string(AttemptsSent) + " server=" + ServerId.Value +
-          " outcome=" +
-          std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
-          " status=" +
-          std::to_string(Mode == AnswerMode::Waiting ? 0 : Head.result_int()) +
-          " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
-          millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
-          " unanswered_ms=" +
-          (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
-                            : std::string("-")) +
-          " events_until=" + lastEventText(Events));
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=attempt_end id=" + logValue(Id) +
+              " n=" + std::to_string(AttemptsSent) +
+              " server=" + ServerId.Value + " outcome=" +
+              std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
+              " status=" + std::to_string(AnswerStatus) +
+              " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
+              millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
+              " unanswered_ms=" +
+              (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
+                                : std::string("-")) +
+              " events_until=" + lastEventText(Events));
 }
 
 /** Logs the end of the request and records its latencies. */
--- a/packages/entry/src/forward/header_fields.h
+++ b/packages/entry/src/forward/header_fields.h
@@ -6,10 +6,13 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace jacinthpond {
 
@@ -34,6 +37,20 @@
       Fields[boost::beast::string_view(Name.data(), Name.size())]);
 }
 
+/**
+ * Finds which of several names a response uses for a header.
+ * @param Fields All headers.
+ * @param Names The names.
+ * @return The first name that occurs; null: none does.
+ */
+inline const std::string *
+usedHeaderName(const boost::beast::http::fields &Fields,
+               const std::vector<std::string> &Names) {
+  const auto it = std::ranges::find_if(
+      Names, [&](const std::string &Name) { return Fields.count(Name) > 0; });
+  return it == Names.end() ? nullptr : &*it;
+}
+
 /**
  * Parses a decimal integer at the start of a header value.
  * @param Text Header value.
--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -32,6 +32,10 @@
   /** Rate limit of the answering back end, in requests a second. A back end
    * sends one of these headers. */
   std::vector<std::string> RateLimits;
+  std::string RetryAfter; ///< Seconds without requests that a refusal asks for.
+  /** Set to 1 when the answering back end is shutting down. A back end sends
+   * one of these headers. */
+  std::vector<std::string> Leaving;
 };
 
 /** A caller's query for the addresses of entries. */
