--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -280,9 +280,11 @@
 }
 
 void RouteFleet::enterServer(const std::string &Name, const std::string &Id,
-                             const std::string &State) {
+                             const std::string &State, int64_t Born) {
   Json Item = Registered.at(Name);
   Item["state"] = State;
+  if (Born > 0)
+    Item["born"] = Born;
   store({{"put", {{"servers/" + Id, Item.dump()}}}});
 }
 
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -106,6 +106,17 @@
     return lookAt(Name, "/control?from=" + std::to_string(From))["runs"];
   }
 
+  /**
+   * Gives the requests that arrived at a worker, run or not.
+   * @param Name "model-N" or "plain-N".
+   * @param From Number of the first one wanted.
+   * @return The requests; null when it did not answer.
+   */
+  Json arrivalsFrom(const std::string &Name, size_t From) const {
+    return lookAt(Name,
+                  "/control?arrivals_from=" + std::to_string(From))["arrivals"];
+  }
+
   /** Enters a server in the store. @param Name "model-N" or "plain-N". */
   void registerServer(const std::string &Name);
 
@@ -114,9 +125,10 @@
    * @param Name "model-N" or "plain-N".
    * @param Id Its id; a server that was started anew has another one.
    * @param State "ready" or "draining".
+   * @param Born When it started, in Unix milliseconds; 0: the entry lacks it.
    */
   void enterServer(const std::string &Name, const std::string &Id,
-                   const std::string &State);
+                   const std::string &State, int64_t Born = 0);
 
   /** Starts a process that has ended again, as it was. @param Name Its name. */
   void restart(const std::string &Name);
--- a/tests/integration/rate_limit_test.cpp
+++ b/tests/integration/rate_limit_test.cpp
@@ -2,13 +2,14 @@
 // Labels: routes platform
 
 #include "fleet/route_fleet.h"
+#include "fleet/steady_route_callers.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <iterator>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -28,27 +29,6 @@
 constexpr size_t Entries = 3;
 constexpr size_t CallersOfAnEntry = 2;
 
-/** Callers at all entries who ask without a pause worth mentioning. */
-class SteadyCallers {
-public:
-  SteadyCallers(const RouteFleet &Of, const RouteAsk &What) {
-    for (size_t n = 0; n < Entries * CallersOfAnEntry; ++n)
-      Callers.emplace_back([this, &Of, What, n](const std::stop_token &Stop) {
-        while (!Stop.stop_requested()) {
-          ++Asked;
-          Served += Of.ask(n % Entries, What).status == 200 ? 1 : 0;
-          std::this_thread::sleep_for(40ms);
-        }
-      });
-  }
-
-  std::atomic<int> Asked{0};
-  std::atomic<int> Served{0};
-
-private:
-  std::vector<std::jthread> Callers; ///< Last: joined before the counts go.
-};
-
 struct Limited {
   Limited() : All(plan()) { BOOST_REQUIRE(All.waitServing(30s)); }
 
@@ -99,6 +79,12 @@
     return Known;
   }
 
+  /** Callers at all entries, who ask without a pause worth mentioning. */
+  std::unique_ptr<SteadyRouteCallers> callers(const RouteAsk &What) const {
+    return std::make_unique<SteadyRouteCallers>(
+        All, Entries, CallersOfAnEntry, [What](size_t) { return What; });
+  }
+
   RouteFleet All;
 };
 
@@ -109,16 +95,16 @@
 // Guards against a worker that gets more than its own rate limit allows, summed
 // over entries that all know of it.
 BOOST_AUTO_TEST_CASE(AWorkerGetsWhatItsLimitAllows) {
-  const SteadyCallers Calling(All, writeAsk());
+  const auto Calling = callers(writeAsk());
   const auto Known = limitFor("model-0", 6s);
   BOOST_TEST(mostInWindow("model-0", Known) <= MostInWindow);
   // What it does not take goes to the other one.
-  BOOST_TEST(Calling.Served >= Calling.Asked - 10);
+  BOOST_TEST(Calling->Served >= Calling->Asked - 10);
 }
 
 // Guards against a limit that is kept although the worker has lifted it.
 BOOST_AUTO_TEST_CASE(AWorkerThatLiftsItsLimitGetsItsShareAgain) {
-  const SteadyCallers Calling(All, writeAsk());
+  const auto Calling = callers(writeAsk());
   const auto Before = Clock::now();
   std::this_thread::sleep_for(2s);
   const size_t Usual = runsBetween("model-0", Before, Before + 2s);
@@ -132,15 +118,15 @@
 // Guards against entries that each keep the limit alone where no agent counts
 // for them.
 BOOST_AUTO_TEST_CASE(APlainServiceGetsWhatItsLimitAllows) {
-  const SteadyCallers Calling(All, {});
+  const auto Calling = callers({});
   const auto Known = limitFor("plain-0", 6s);
   BOOST_TEST(mostInWindow("plain-0", Known) <= MostInWindow);
-  BOOST_TEST(Calling.Served >= Calling.Asked - 10);
+  BOOST_TEST(Calling->Served >= Calling->Asked - 10);
 }
 
 // Guards against failures without the field that lift a limit.
 BOOST_AUTO_TEST_CASE(FailuresLiftNoLimit) {
-  const SteadyCallers Calling(All, {});
+  const auto Calling = callers({});
   limitFor("plain-0", 0s);
   All.control("plain-0", {{"rate_limit", ""}, {"fail", 1000}});
   All.control("plain-1", {{"fail", 1000}}); // Fails no less than the other.
@@ -151,7 +137,7 @@
 
 // Guards against a limit that is forgotten with the agent that kept it.
 BOOST_AUTO_TEST_CASE(ALimitOutlivesTheAgent) {
-  const SteadyCallers Calling(All, writeAsk());
+  const auto Calling = callers(writeAsk());
   All.control("model-0", {{"rate_limit", std::to_string(PerSecond)}});
   std::this_thread::sleep_for(HearTime);
   const auto Known = Clock::now();
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -4,23 +4,27 @@
  * "rate_limit" (a text: answers name it as their limit of requests a second;
  * empty: none), "gap_ms" (between events), "break_at" (the connection ends in
  * the middle of that event, once), "fail" (that many requests answer 500),
- * "refuse" (that many answer 503 as not run), "no_signature", "hang" (no answer
- * at all), "order_wait_ms" (the next order is taken that much later, as the
- * worker and what lies staged are by then), "load_ms" (how long it is busy with
- * an order), "hold_put" (the next write of that chunk is left unread, and read
- * right before the next order that comes), "halfway" (it holds no first layer,
- * and the next one was loaded from other bytes), "slow_reads" (that many staged
- * chunks are read back in "read_ms" each), "rot_after_read" (once all that lies
- * staged is of the next version, chunk 0 turns bad when it has been read back),
- * "tell" (answers and events say whose and what of they are), "restart" (the
- * memory is lost, what is staged and the record of runs are kept). GET /control
- * gives "runs": what was run, when (on the machine's steady clock), with which
- * headers, and whether all that the loaded version was made of was of it
- * ("whole"); "from" in the query leaves out the first ones; "loads": the
- * version of each order that was taken, and whether all that lay staged was of
- * it; "orders_waiting": orders that came and were not taken yet; "puts_held";
- * "busy"; "staged_of": the version of all that lies staged, 0: of none;
- * "rot_after_read": that is still to come.
+ * "refuse" (that many answer 503 as not run), "retry_after" (these refusals
+ * carry it; a list: the header comes once for each element), "leaving" (a text:
+ * all answers carry it as Server-Leaving; empty: none do), "no_signature",
+ * "hang" (no answer at all), "order_wait_ms" (the next order is taken that much
+ * later, as the worker and what lies staged are by then), "load_ms" (how long
+ * it is busy with an order), "hold_put" (the next write of that chunk is left
+ * unread, and read right before the next order that comes), "halfway" (it holds
+ * no first layer, and the next one was loaded from other bytes), "slow_reads"
+ * (that many staged chunks are read back in "read_ms" each), "rot_after_read"
+ * (once all that lies staged is of the next version, chunk 0 turns bad when it
+ * has been read back), "tell" (answers and events say whose and what of they
+ * are), "restart" (the memory is lost, what is staged and the record of runs
+ * are kept). GET /control gives "runs": what was run, when (on the machine's
+ * steady clock), with which headers, and whether all that the loaded version
+ * was made of was of it
+ * ("whole"); "from" in the query leaves out the first ones; with
+ * "arrivals_from" it gives "arrivals" instead: each request that came, run or
+ * not, and its status; "loads": the version of each order that was taken, and
+ * whether all that lay staged was of it; "orders_waiting": orders that came and
+ * were not taken yet; "puts_held"; "busy"; "staged_of": the version of all that
+ * lies staged, 0: of none; "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
@@ -50,6 +54,7 @@
   std::mutex Guard;
   Json Options;
   Json Runs = Json::array();
+  Json Arrivals = Json::array();
   std::map<uint64_t, std::string> Staged;  ///< By number.
   std::map<uint64_t, std::string> HeldPut; ///< Came, and is not read yet.
   std::set<uint64_t> GivenUp;              ///< Layers that it does not hold.
@@ -92,14 +97,32 @@
   return takeOne(Host, "refuse") ? 503 : 0;
 }
 
+/** Milliseconds on the machine's steady clock. */
+double steadyMillis() {
+  const std::chrono::duration<double, std::milli> Now =
+      std::chrono::steady_clock::now().time_since_epoch();
+  return Now.count();
+}
+
+/** Records a request that arrived, and the status that it is answered with. */
+void noteArrival(Worker &Host, const httplib::Request &Asked, int Status) {
+  Host.Arrivals.push_back(
+      {{"attempt", Asked.get_header_value(AttemptHeader)},
+       {"at_ms", steadyMillis()},
+       {"id", Host.Options.value("id", "")},
+       {"path", Asked.path},
+       {"status", Status},
+       {"retry_after",
+        Status == 503 ? Host.Options.value("retry_after", Json("")) : Json("")},
+       {"leaving", Host.Options.value("leaving", "")}});
+}
+
 void noteRun(Worker &Host, const httplib::Request &Asked) {
   Json Headers = Json::object();
   for (const auto &[Name, Value] : Asked.headers)
     Headers[Name] = Value;
-  const std::chrono::duration<double, std::milli> Now =
-      std::chrono::steady_clock::now().time_since_epoch();
   Host.Runs.push_back({{"attempt", Asked.get_header_value(AttemptHeader)},
-                       {"at_ms", Now.count()},
+                       {"at_ms", steadyMillis()},
                        {"id", Host.Options.value("id", "")},
                        {"version", Host.Options.value("version", 0)},
                        {"whole", Host.Torn.empty()},
@@ -109,8 +132,28 @@
                        {"headers", Headers}});
 }
 
+/** Sets the header by which a worker says that it is leaving. */
+void setLeavingHeader(const Worker &Host, httplib::Response &Answer) {
+  const std::string Leaving = Host.Options.value("leaving", "");
+  if (!Leaving.empty())
+    Answer.set_header("Server-Leaving", Leaving);
+}
+
+/** Sets the headers of an answer that a request was not run. */
+void setRefusalHeaders(const Worker &Host, httplib::Response &Answer) {
+  setLeavingHeader(Host, Answer);
+  if (Answer.status != 503)
+    return;
+  Answer.set_header("X-Jacinthpond-Not-Executed", "1");
+  const Json Pause = Host.Options.value("retry_after", Json(""));
+  for (const Json &One : Pause.is_array() ? Pause : Json::array({Pause}))
+    if (One != "")
+      Answer.set_header("Retry-After", One.get<std::string>());
+}
+
 void setHeaders(const Worker &Host, const httplib::Request &Asked,
                 httplib::Response &Answer) {
+  setLeavingHeader(Host, Answer);
   Answer.set_header(AttemptHeader, Asked.get_header_value(AttemptHeader));
   if (!Host.Options.value("no_signature", false))
     Answer.set_header("X-Jacinthpond-Response-Signature", "sig");
@@ -164,10 +207,11 @@
 void run(Worker &Host, const httplib::Request &Asked,
          httplib::Response &Answer) {
   std::unique_lock Lock(Host.Guard);
-  if (const int Status = refusalOf(Host, Asked); Status != 0) {
+  const int Status = refusalOf(Host, Asked);
+  noteArrival(Host, Asked, Status == 0 ? 200 : Status);
+  if (Status != 0) {
     Answer.status = Status;
-    if (Status == 503)
-      Answer.set_header("X-Jacinthpond-Not-Executed", "1");
+    setRefusalHeaders(Host, Answer);
     return;
   }
   noteRun(Host, Asked);
@@ -192,6 +236,8 @@
 /** Starts the worker anew, as far as others can see. */
 void restart(Worker &Host) {
   Host.Born = millisOfDay();
+  Host.Options["refuse"] = 0;
+  Host.Options["leaving"] = "";
   Host.Orders = 0;
   Host.Options["version"] = 0;
   Host.GivenUp.clear();
@@ -411,6 +457,7 @@
   prepare(Server);
   Server.Get("/report", [&](const auto &, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
+    setLeavingHeader(Host, Answer);
     reply(Answer, reportOf(Host));
   });
   addStage(Server, Host);
@@ -433,14 +480,19 @@
   });
   Server.Get("/control", [&](const auto &Asked, auto &Answer) {
     const std::lock_guard Lock(Host.Guard);
-    const size_t From =
-        std::strtoull(Asked.get_param_value("from").c_str(), nullptr, 10);
-    const size_t First = std::min(From, Host.Runs.size());
-    const Json Runs(std::vector<Json>(Host.Runs.begin() +
-                                          static_cast<std::ptrdiff_t>(First),
-                                      Host.Runs.end()));
+    const auto Since = [&](const char *Parameter, const Json &All) {
+      const size_t From =
+          std::strtoull(Asked.get_param_value(Parameter).c_str(), nullptr, 10);
+      const auto First =
+          static_cast<std::ptrdiff_t>(std::min(From, All.size()));
+      return Json(std::vector<Json>(All.begin() + First, All.end()));
+    };
+    if (Asked.has_param("arrivals_from")) {
+      reply(Answer, {{"arrivals", Since("arrivals_from", Host.Arrivals)}});
+      return;
+    }
     reply(Answer,
-          {{"runs", Runs},
+          {{"runs", Since("from", Host.Runs)},
            {"orders", Host.Orders},
            {"orders_waiting", Host.OrdersWaiting},
            {"puts_held", Host.HeldPut.size()},
