soak: back ends shed load with pauses, and say that they are leaving

Both come at their own times, from a generator of their own, so that the other failures of a seed stay as they were. Checked from what back ends saw, per entry and run of the back end: at most two requests from half a second after a pause was asked for to its end; none that a caller sent later than half a second after the word of leaving. A disturbed entry, worker or link between them excuses it.

--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -54,14 +54,19 @@
   return Asked.Path.starts_with("/extra/") ? "route extra" : "";
 }
 
-WorkerRun runOf(const std::string &Worker, const Json &From) {
-  const Json &Headers = From["headers"];
+/** When a worker says that something came. */
+Moment momentOf(const Json &From) {
   const std::chrono::duration<double, std::milli> At(
       From["at_ms"].get<double>());
+  return Moment(std::chrono::duration_cast<Moment::duration>(At));
+}
+
+WorkerRun runOf(const std::string &Worker, const Json &From) {
+  const Json &Headers = From["headers"];
   return {Worker,
           From["id"],
           From["version"],
-          Moment(std::chrono::duration_cast<Moment::duration>(At)),
+          momentOf(From),
           From["attempt"],
           From["method"],
           From["path"],
@@ -144,6 +149,7 @@
 }
 
 void RouteChecks::lookAt(const std::string &Worker) {
+  readArrivals(Worker);
   const Json New = Fleet.runsFrom(Worker, Read[Worker]);
   if (!New.is_array())
     return; // It did not answer; the next look gets them.
@@ -155,6 +161,25 @@
   }
 }
 
+void RouteChecks::readArrivals(const std::string &Worker) {
+  const Json New = Fleet.arrivalsFrom(Worker, ReadArrivals[Worker]);
+  if (!New.is_array())
+    return;
+  ReadArrivals[Worker] += New.size();
+  for (const Json &One : New) {
+    const std::string Attempt = One["attempt"];
+    const std::optional<Exchange> Asked = exchangeOf(Attempt);
+    if (!Asked)
+      continue;
+    const std::string Pause = One["retry_after"];
+    Arrivals[{Worker, One["id"], Asked->Entry}].push_back(
+        {momentOf(One), Asked->Sent, Attempt,
+         std::chrono::milliseconds(
+             static_cast<int>(1000 * std::atof(Pause.c_str()))),
+         One["leaving"] != ""});
+  }
+}
+
 void RouteChecks::judgeRun(const WorkerRun &Run) {
   ++Judged["runs"];
   const std::optional<Exchange> Asked = exchangeOf(Run.Attempt);
@@ -350,6 +375,7 @@
   look();
   for (const RouteHistory::RateLimit &Limit : History.Limits)
     judgeRate(Limit);
+  judgeNotices();
   for (const Exchange &Got : Unanswered)
     judgeLost(Got);
 }
--- a/bench/chaos/route_checks.h
+++ b/bench/chaos/route_checks.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jacinthpond::chaos {
@@ -28,6 +29,15 @@
   bool HasKey = false;   ///< Whether the caller's key came with it.
 };
 
+/** A request that arrived at a worker, run or not, and how it was answered. */
+struct WorkerArrival {
+  Moment At;                          ///< When it arrived.
+  Moment Sent;                        ///< When its caller sent it.
+  std::string Attempt;                ///< Attempt that it is for.
+  std::chrono::milliseconds Pause{0}; ///< Pause that the answer asked for.
+  bool Leaving = false; ///< The answer said that the worker leaves.
+};
+
 /** Judges runs and answers as they come. Used by the main thread only. */
 class RouteChecks {
 public:
@@ -59,6 +69,12 @@
   void judgeStream(const Exchange &Got);
   void judgeRefusal(const Exchange &Got);
   void judgeLost(const Exchange &Got);
+  void judgeNotices();
+  void judgePauses(const std::string &Worker, size_t Entry,
+                   const std::vector<WorkerArrival> &All);
+  void judgeLeaving(const std::string &Worker, size_t Entry,
+                    const std::vector<WorkerArrival> &All);
+  void readArrivals(const std::string &Worker);
   void judgeRate(const RouteHistory::RateLimit &Limit);
   void judgeConfig(const WorkerRun &Run, const Exchange &Asked);
   void judgeWeights(const WorkerRun &Run, const Exchange &Asked);
@@ -81,7 +97,12 @@
   std::vector<std::string> Workers;
   std::map<std::string, size_t> Read; ///< Runs of each worker read so far.
   std::map<std::string, std::vector<WorkerRun>> Runs; ///< By attempt.
-  std::map<std::string, int> Bookings;                ///< Runs by content.
+  std::map<std::string, size_t> ReadArrivals; ///< Of each worker so far.
+  /** Arrivals by worker, its id and the entry that sent them, in order. */
+  std::map<std::tuple<std::string, std::string, size_t>,
+           std::vector<WorkerArrival>>
+      Arrivals;
+  std::map<std::string, int> Bookings; ///< Runs by content.
   std::vector<Exchange> Unanswered;
 };
 
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -46,6 +46,16 @@
 constexpr int MaxLimitPause = 5000;
 /** Limits that they name, as they are sent. */
 constexpr std::array<const char *, 3> RateLimits = {"0.5", "2.5", "6"};
+/** Bounds of how long a back end sheds all its load, and of the time between.
+ */
+constexpr int MinShedMillis = 1000;
+constexpr int MaxShedMillis = 5000;
+constexpr int MinShedPause = 1000;
+constexpr int MaxShedPause = 4000;
+/** Pauses that it asks for meanwhile, in seconds, as they are sent. */
+constexpr std::array<const char *, 3> ShedPauses = {"1", "2.5", "4"};
+/** Refusals of a back end that sheds all its load. */
+constexpr int ShedAll = 1000000;
 /** Every so many seeds, a run has all kinds. */
 constexpr uint64_t AllKindsEvery = 4;
 /** Every so many seeds, a run spares no entry. */
@@ -74,7 +84,8 @@
       Entries(numbered("entry-", Plan.Entries)),
       Agents(numbered("agent-", Plan.ModelWorkers)),
       ServerNames(numbered("model-", Plan.ModelWorkers)), Start(Clock::now()),
-      Next(Start), RateRandom(~Seed), NextLimit(Start) {
+      Next(Start), RateRandom(~Seed), NextLimit(Start),
+      NoticeRandom(Seed ^ (Seed << 32U)), NextShed(Start) {
   append(ServerNames, numbered("plain-", Plan.PlainServers));
   append(Links, numbered("link-agent-", Plan.ModelWorkers));
   append(Links, numbered("link-store-", Plan.Entries));
@@ -114,6 +125,7 @@
       {"route", &RouteFaults::takeRouteAway},
       {"unseen", &RouteFaults::changeUnseen}};
   Limiting = Only.empty() || Only.find("rate") != std::string::npos;
+  Shedding = Only.empty() || Only.find("shed") != std::string::npos;
   for (const auto &[Name, One] : Table)
     if (Only.empty() ||
         ("," + Only + ",").find("," + Name + ",") != std::string::npos)
@@ -148,6 +160,8 @@
   Failing.runDue();
   if (Limiting && Clock::now() >= NextLimit)
     limitRates();
+  if (Shedding && Clock::now() >= NextShed)
+    shedLoad();
   if (Clock::now() < Next || Enabled.empty())
     return;
   Next = Clock::now() + Pace / 2 + between(0, static_cast<int>(Pace.count()));
@@ -389,6 +403,14 @@
   History.Harm.end("link-" + Name);
 }
 
+void RouteFaults::sayLeaving(const std::string &Name) {
+  if (!Shedding || Failing.isFaulty(Name))
+    return;
+  ++Injected["leaving"];
+  note(Name + " says that it is leaving");
+  Fleet.control(Name, {{"leaving", "1"}});
+}
+
 void RouteFaults::drainServer() {
   if (Failing.isFaulty("servers"))
     return;
@@ -396,9 +418,13 @@
   const std::string Id = Servers.at(Name).Id;
   ++Injected["drain"];
   note("drain " + Id);
-  const auto Sent = Clock::now();
-  Fleet.enterServer(Name, Id, "draining");
-  History.Config.change("server " + Id, false, Sent, Clock::now());
+  sayLeaving(Name);
+  // Some servers never tell the list that they drain.
+  if (!Shedding || NoticeRandom() % 3 != 0) {
+    const auto Sent = Clock::now();
+    Fleet.enterServer(Name, Id, "draining");
+    History.Config.change("server " + Id, false, Sent, Clock::now());
+  }
   Failing.later("servers", between(MinFaultMillis, MaxFaultMillis),
                 [this, Name] {
                   History.Harm.begin(Name);
@@ -523,6 +549,27 @@
   });
 }
 
+void RouteFaults::shedLoad() {
+  const auto Draw = [&](int Least, int Most) {
+    return std::chrono::milliseconds(
+        Least + static_cast<int>(NoticeRandom() %
+                                 static_cast<uint64_t>(Most - Least + 1)));
+  };
+  NextShed = Clock::now() + Draw(MinShedPause, MaxShedPause);
+  const std::string Name = ServerNames[NoticeRandom() % ServerNames.size()];
+  const std::string Pause = ShedPauses.at(NoticeRandom() % ShedPauses.size());
+  const auto Length = Draw(MinShedMillis, MaxShedMillis);
+  if (Failing.isFaulty(Name) || Failing.isFaulty("shed " + Name))
+    return;
+  ++Injected["shed"];
+  note(Name + " sheds and asks for " + Pause + " s");
+  Fleet.control(Name, {{"refuse", ShedAll}, {"retry_after", Pause}});
+  Failing.later("shed " + Name, Length, [this, Name] {
+    note(Name + " takes requests");
+    Fleet.control(Name, {{"refuse", 0}, {"retry_after", ""}});
+  });
+}
+
 void RouteFaults::lookForExits() {
   std::vector<std::string> All = Agents;
   append(All, Entries);
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -64,6 +64,7 @@
   void stopProcess();
   void reloadProcess();
   void pauseServer();
+  void sayLeaving(const std::string &Name);
   void faultLink();
   void fault(const std::string &Link, const fleet::Json &What);
   void faultStore();
@@ -77,6 +78,7 @@
   void takeRouteAway();
   void changeUnseen();
   void limitRates();
+  void shedLoad();
 
   void publishVersion();
   void awaitStop(const std::string &Name, Clock::time_point Limit);
@@ -108,6 +110,10 @@
   bool Limiting = false;      ///< Back ends limit their rates as well.
   std::mt19937_64 RateRandom; ///< Leaves the draws of all others as they are.
   Clock::time_point NextLimit;
+  bool Shedding = false;        ///< Back ends ask for pauses and say that they
+                                ///< are leaving.
+  std::mt19937_64 NoticeRandom; ///< For these; apart for the same reason.
+  Clock::time_point NextShed;
 };
 
 } // namespace jacinthpond::chaos
--- a/tests/integration/routes_soak_test.cpp
+++ b/tests/integration/routes_soak_test.cpp
@@ -34,6 +34,9 @@
     {312, "unseen", 15s,
      "an entry that stood still while a version was published counted the time "
      "for which the former one may begin from when it woke"},
+    {5, "", 20s, "pauses that back ends asked for were not kept"},
+    {21, "drain,shed", 20s,
+     "neither pauses nor the word of back ends that leave was kept"},
 };
 
 } // namespace
