entry: keep the pauses that back ends ask for with Retry-After

Callers saw: second attempts that were refused like the first, then 503 once the retry budget was used up. A worker that answered 503 with Retry-After: 3 got 5 to 12 more requests from the same entry in these 3 s.

Cause: nobody read the header. A back end that sheds load looks idle, so it was chosen first, and its agent, which counts running requests only, granted every slot. The entry took it for full until the next report of its agent, some milliseconds later.

Class: what a back end asks of a host in its answers is no state of the entry, so that each path decides by load alone, and a decision that was made before is carried out later.

Now a pause belongs to the run of a back end and to this entry: it is kept apart from the list of servers, outlives rows that lapse and come back, is extended and never shortened, and ends with the run (documents carry the start of each run, born). It is asked for where the request is written, behind the last wait (a slot, a connection), besides at the choice. Late answers on a kept connection count too. When all back ends are paused, the caller is refused at once, with the time to the first end, spread as before; unresponsive hosts are no way out. After a pause requests return one, two, four at a time. A pause counts neither as load nor as failure. Retry-After is read on 503 only, as seconds; of several the longest holds; other values are logged once per run; one hour at most.

--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -239,6 +239,8 @@
   One.Draining = Reader.readBool("draining", false);
   One.ColdFor = Millis(Reader.readInteger("cold_ms", false, 0, 0, MaxMillis));
   One.Weights.Value = Reader.readText("weights", false);
+  One.Born = static_cast<uint64_t>(Reader.readInteger(
+      "born", false, 0, 0, std::numeric_limits<int64_t>::max()));
   return One;
 }
 
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -136,6 +136,8 @@
   bool Draining = false; ///< Takes no new work.
   Millis ColdFor{0};     ///< Remaining time to warm up, as it reported.
   Digest Weights;        ///< Weights it reported as loaded; empty: none.
+  uint64_t Born = 0; ///< Unix milliseconds of its start; 0: unknown. Tells runs
+                     ///< under the same id apart.
 
   bool operator==(const BackEndServer &) const = default;
 };
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -1,6 +1,7 @@
 /** @file server_listing.cpp Updates the server pool from documents: listed
  * servers and wanted weights. */
 
+#include "forwarding/server_notice_func.h"
 #include "forwarding/server_pool_func.h"
 
 #include <algorithm>
@@ -78,6 +79,7 @@
                        std::optional<TimePoint> PublishedAfter, TimePoint Now) {
   Pool.Doc = Doc;
   updateServers(Pool, Now);
+  dropOldNotices(Pool, Now);
   updateWantedWeights(Pool, PublishedAfter);
 }
 
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -7,6 +7,7 @@
 #include "base/random_func.h"
 #include "forwarding/liveness_func.h"
 #include "forwarding/rate_share_func.h"
+#include "forwarding/server_notice_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -194,13 +195,17 @@
   return ReplacedSet != nullptr && Now < ReplacedSet->Until;
 }
 
-/** Says whether a back end may get a request, regardless of its load. */
-bool isUsable(const ServerPool &Pool, const ServerView &View,
-              const ServerNeeds &Needs, const Service &Spec, TimePoint Now) {
+/** Says whether a request was at a back end already, or got no slot there. */
+bool isExcluded(const ServerNeeds &Needs, const InstanceId &Id) {
+  return Needs.Tried.contains(Id) || Needs.Full.contains(Id);
+}
+
+/** Says whether a back end suits a request, regardless of its load and of what
+ * it asked for. */
+bool isSuitable(const ServerPool &Pool, const ServerView &View,
+                const ServerNeeds &Needs, const Service &Spec, TimePoint Now) {
   const Document &Doc = *Pool.Doc;
   if (View.Listed.Service != Needs.Service || View.Listed.Draining ||
-      Needs.Tried.contains(View.Listed.Id) ||
-      Needs.Full.contains(View.Listed.Id) ||
       Doc.DomainsOut.contains(View.Listed.Domain))
     return false;
   if (View.UnlistedSince && Now >= Pool.KeepUnlistedUntil)
@@ -217,6 +222,12 @@
   return mayStartOnWeights(Pool, Spec, View, Needs.Weights, Now);
 }
 
+/** Counts a back end that would be usable but for a pause. */
+void countPaused(ServerChoice &Choice, TimePoint Until) {
+  ++Choice.Paused;
+  Choice.PausedUntil = std::min(Choice.PausedUntil, Until);
+}
+
 /**
  * Gives the score of a back end, in requests; the lowest one is chosen. It sums
  * up the load, penalties and a random part below 1 that breaks ties.
@@ -298,14 +309,21 @@
   double Best = 0;
   for (auto &[Id, View] : Pool.Servers) {
     if (isHostUnresponsive(View, Now) != Unresponsive ||
-        !isUsable(Pool, View, Needs, Spec, Now) || Now < View.AvoidUntil)
+        !isSuitable(Pool, View, Needs, Spec, Now) || Now < View.AvoidUntil)
+      continue;
+    if (!wantsRequests(Pool, Id, Now)) {
+      countPaused(Choice, pauseEnd(Pool, Id));
+      continue;
+    }
+    if (isExcluded(Needs, Id))
       continue;
     ++Choice.Candidates;
     // Where there is an agent, it decides whether there is room.
     const bool Full = (!hasAgent(View) &&
                        estimatedRequests(View, Now) + 1 >
                            requestCapacity(Pool, View, *Needs.MatchedRoute)) ||
-                      (mayBePaused(View) && View.Open > 0);
+                      (mayBePaused(View) && View.Open > 0) ||
+                      !maySendAfterPause(Pool, View, Now);
     if (Full)
       continue;
     if (!isWithinRates(Pool, View, Spec, Now)) {
@@ -331,12 +349,18 @@
     return {};
   ServerChoice Choice = chooseLowestScore(Pool, Needs, *Spec, false, Now);
   // Where all hosts seem unresponsive, this entry itself may be the one that
-  // is cut off.
+  // is cut off. A back end that asked for a pause shows that it is not.
   const bool FirstChoice = Needs.Tried.empty() && Needs.Full.empty();
-  if (Choice.Candidates == 0 && FirstChoice)
+  if (Choice.Candidates == 0 && Choice.Paused == 0 && FirstChoice)
     Choice = chooseLowestScore(Pool, Needs, *Spec, true, Now);
   if (Choice.Server != nullptr)
     return Choice;
+  if (Choice.Candidates == 0 && Choice.Paused > 0) {
+    Choice.Why = PoolRefusal::AllPaused;
+    Choice.RetryAfter =
+        std::max(toMillis(Choice.PausedUntil - Now), MinRetryDelay);
+    return Choice;
+  }
   Choice.Why =
       Choice.Candidates > 0 ? PoolRefusal::AllFull : PoolRefusal::NoneListed;
   Choice.RetryAfter = retryDelay(Pool, Needs, Choice.Candidates);
@@ -414,6 +438,7 @@
   case AttemptEnd::Answered:
   case AttemptEnd::Error: {
     View.Failures = 0;
+    recordServedRequest(Pool, View, Now);
     const double Failed = End == AttemptEnd::Error ? 1 : 0;
     View.ErrorShare += ErrorWeight * (Failed - View.ErrorShare);
     if (End == AttemptEnd::Error)
@@ -433,6 +458,8 @@
     return;
   }
   case AttemptEnd::Refused:
+    if (!wantsRequests(Pool, Id, Now))
+      return; // A pause says nothing about the load after it.
     // It is full, whatever its last report said; its next answer reports its
     // load.
     View.OtherRequests = std::max(View.OtherRequests, View.Listed.Slots);
@@ -464,8 +491,9 @@
                  const ServerNeeds &Needs, TimePoint Now) {
   const ServerView *View = findServer(Pool, Id);
   const Service *Spec = findService(Pool, Needs.Service);
-  return View != nullptr && Spec != nullptr &&
-         isUsable(Pool, *View, Needs, *Spec, Now);
+  return View != nullptr && Spec != nullptr && !isExcluded(Needs, Id) &&
+         wantsRequests(Pool, Id, Now) &&
+         isSuitable(Pool, *View, Needs, *Spec, Now);
 }
 
 const WantedWeights *wantedWeightsFor(const ServerPool &Pool,
--- a/packages/core/src/forwarding/server_pool_func.h
+++ b/packages/core/src/forwarding/server_pool_func.h
@@ -74,8 +74,9 @@
 void markAgentSilent(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
 /**
- * Checks a chosen back end again before the request is sent: its state may have
- * changed while the request waited for a slot.
+ * Checks a chosen back end again right before the request is sent: its state
+ * may have changed, or it may have asked for a pause, while the request waited
+ * for a slot or a connection.
  * @param Pool The state.
  * @param Id Instance of the back end.
  * @param Needs What the request needs.
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -6,6 +6,7 @@
 #include "admission/first_part_type.h"
 #include "admission/server_rate_type.h"
 #include "configuration/document_type.h"
+#include "forwarding/server_notice_type.h"
 #include "wire/message_type.h"
 
 #include <cstdint>
@@ -87,6 +88,8 @@
   PoolOptions Options;                             ///< From the settings.
   DocumentPtr Doc;                                 ///< Document in force.
   std::map<InstanceId, ServerView> Servers;        ///< By instance.
+  std::map<InstanceId, ServerNotices> Notices;     ///< By instance; not listed
+                                                   ///< ones too.
   std::map<ModelName, WantedWeights> Wanted;       ///< By model.
   std::map<ServiceName, Duration> UsualAnswerTime; ///< Mean time of an answer.
   std::map<ServiceName, TimePoint> LastRetryTime;  ///< Last retry time given
@@ -113,7 +116,8 @@
 /** Why no back end was chosen. */
 enum class PoolRefusal : uint8_t {
   NoneListed, ///< No back end of the service is usable.
-  AllFull     ///< All usable back ends are at their capacity.
+  AllFull,    ///< All usable back ends are at their capacity.
+  AllPaused   ///< All usable back ends have asked for a pause.
 };
 
 /** Result of choosing a back end for one attempt. */
@@ -126,6 +130,8 @@
   double PerSecond = 0;    ///< Sum of the rate limits of these.
   TimePoint LimitedUntil = TimePoint::max(); ///< When the first of them may
                                              ///< grant a slot again.
+  uint32_t Paused = 0; ///< Back ends that would be usable but for a pause.
+  TimePoint PausedUntil = TimePoint::max(); ///< When the first pause ends.
 };
 
 /** How an attempt ended at its back end. */
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -145,11 +145,15 @@
 
 /** Writes the request and starts to read the response. */
 void BackEndCall::writeRequest() {
-  Sent = true;
+  const auto Self = shared_from_this(); // The handler may drop this call.
   ConnectTimer.cancel();
+  if (!Handler->maySendRequest()) {
+    reportFailure(CallFailure::Withheld);
+    return;
+  }
+  Sent = true;
   setTrafficOptions(OpenConnection->Socket);
   resetParser();
-  const auto Self = shared_from_this();
   boost::asio::async_write(OpenConnection->Socket,
                            boost::asio::buffer(Request.Bytes),
                            [Self](const Error &ec, size_t) {
@@ -240,6 +244,7 @@
     return false;
   }
   HeadDone = true;
+  Handler->handleNotices(Head);
   // A late response to an earlier request may arrive first. It is recognized by
   // its attempt id; its body is read and dropped.
   const auto Id = Head.find(Request.AttemptIdHeader);
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -74,6 +74,7 @@
 enum class CallFailure : uint8_t {
   Unreached, ///< No connection could be opened: nothing was sent.
   Stale,     ///< A pooled connection was closed before any response.
+  Withheld,  ///< The handler did not allow it to be sent.
   Broken     ///< The connection broke, or the response is malformed.
 };
 
@@ -86,6 +87,20 @@
 public:
   virtual ~BackEndCallHandler() = default;
 
+  /**
+   * Says whether the request may still be sent; called when the connection is
+   * open, right before the first byte is written.
+   * @return False to end the call as Withheld.
+   */
+  virtual bool maySendRequest() = 0;
+
+  /**
+   * Handles the headers of any response that arrives, also of a late one to an
+   * earlier request on the same connection.
+   * @param Head Status and headers.
+   */
+  virtual void handleNotices(const ResponseHead &Head) = 0;
+
   /**
    * Handles the head of the response.
    * @param Head Status and headers.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -251,8 +251,14 @@
   const char *Reason = Full ? "all_full" : "none_usable";
   if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
     Reason = "all_at_rate";
+  const bool Paused = Choice.Why == PoolRefusal::AllPaused;
+  if (Paused) {
+    Reason = "all_paused";
+    Shared.Counters.add(ForwardCount::Withheld);
+  }
   endWithoutServer(
-      {Full ? ErrorKind::Overloaded : ErrorKind::NoWorker, Needs.Service.Value,
+      {Full || Paused ? ErrorKind::Overloaded : ErrorKind::NoWorker,
+       Needs.Service.Value,
        ShortestRetryAfter.count() > 0 ? ShortestRetryAfter : Choice.RetryAfter},
       Reason);
 }
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -44,6 +44,8 @@
   void handleCallerDisconnect() override;
   void handleSlotAnswer(const SlotAnswer &Answer) override;
   void handleEntryReady() override;
+  bool maySendRequest() override;
+  void handleNotices(const ResponseHead &Received) override;
   void handleAnswerHead(const ResponseHead &Head) override;
   void handleAnswerBody(std::string Bytes) override;
   void handleAnswerEnd() override;
@@ -97,7 +99,9 @@
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   void logWaitForReadiness() const;
+  void readPause(const ResponseHead &Received);
   void logServerNotice(const ResponseHead &Received) const;
+  void logUnreadableNotice(const std::string &Name, std::string_view Value);
   void logRateChange(RateChange Change, std::string_view Header) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(AttemptEnd How, Duration Took) const;
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -2,9 +2,11 @@
 
 #include "forward/exchange.h"
 
+#include "base/retry_after_func.h"
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
+#include "forwarding/server_notice_func.h"
 #include "log/log.h"
 
 #include <algorithm>
@@ -12,6 +14,8 @@
 
 namespace jacinthpond {
 
+namespace http = boost::beast::http;
+
 namespace {
 
 /** Maximum bytes buffered for a caller that reads slowly. */
@@ -67,6 +71,36 @@
     Shared.SendToEntries(Notice);
 }
 
+/** Says whether the back end may still get the request. It may have asked for a
+ * pause while the connection was being opened. */
+bool Exchange::maySendRequest() {
+  return mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
+}
+
+/** Records what the back end announces in the headers of a response. */
+void Exchange::handleNotices(const ResponseHead &Received) {
+  logServerNotice(Received);
+  if (Received.result() == http::status::service_unavailable)
+    readPause(Received);
+}
+
+/** Records the pause that a refusal asks for: the longest one if it is given
+ * more than once. */
+void Exchange::readPause(const ResponseHead &Received) {
+  const std::string &Name = Shared.Wire.headerNames().RetryAfter;
+  const auto [Begin, End] = Received.equal_range(Name);
+  Millis Pause{0};
+  for (auto it = Begin; it != End; ++it) {
+    const std::string_view Value = toStringView(it->value());
+    const auto Read = parseRetryAfter(Value);
+    if (!Read)
+      logUnreadableNotice(Name, Value);
+    Pause = std::max(Pause, Read.value_or(Millis{0}));
+  }
+  if (recordPause(Shared.Pool, ServerId, Pause, Shared.Clock.now()))
+    Shared.Counters.add(ForwardCount::Pauses);
+}
+
 /** Checks the head of a response and decides how its body is handled. */
 void Exchange::handleAnswerHead(const ResponseHead &Received) {
   const TimePoint Now = Shared.Clock.now();
@@ -78,7 +112,6 @@
     recordServerLoad(Shared.Pool, ServerId, *Busy, Now);
   const unsigned Status = Received.result_int();
   AnswerStatus = Status;
-  logServerNotice(Received);
   const bool Misdirected = Status == 421; // Another run may have the address.
   const bool NotRun = !fieldValue(Received, Names.NotExecuted).empty();
   const bool Success = Status >= 200 && Status < 300;
@@ -236,6 +269,13 @@
     tryNextServer();
     return;
   }
+  if (Why == CallFailure::Withheld) {
+    Shared.Counters.add(ForwardCount::Withheld);
+    concludeAttempt(AttemptEnd::NotSent);
+    --AttemptsSent;
+    tryNextServer();
+    return;
+  }
   if (Why == CallFailure::Stale && isRepeatable()) {
     // The idle connection had been closed: not a failure of the back end.
     concludeAttempt(AttemptEnd::Dropped);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -9,6 +9,7 @@
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forwarding/liveness_func.h"
+#include "forwarding/server_notice_func.h"
 #include "log/log.h"
 
 #include <algorithm>
@@ -63,6 +64,7 @@
               std::to_string(toMillis(RequestDeadline - Now).count()) +
               " caller_age_ms=" + std::to_string(toMillis(CallerAge).count()) +
               " candidates=" + std::to_string(Choice.Candidates) +
+              " paused=" + std::to_string(Choice.Paused) +
               " weights=" + logValue(Server.Weights.Value) + " wanted=" +
               (Wanted == nullptr ? "-" : logValue(Wanted->Set.Value)) +
               " wanted_ms=" +
@@ -75,6 +77,16 @@
                                      : "-"));
 }
 
+/** Logs a notice that could not be read, once for each run of a back end. */
+void Exchange::logUnreadableNotice(const std::string &Name,
+                                   std::string_view Value) {
+  if (recordUnreadableNotice(Shared.Pool, ServerId, Shared.Clock.now()))
+    logLine(LogPart::Requests, LogLevel::Warn,
+            "event=server_notice_unreadable id=" + logValue(Id) +
+                " server=" + ServerId.Value + " field=" + Name +
+                " value=" + logValue(Value));
+}
+
 /** Logs a response whose headers ask for a pause or announce a shutdown. */
 void Exchange::logServerNotice(const ResponseHead &Received) const {
   const HeaderNames &Names = Shared.Wire.headerNames();
@@ -84,7 +96,7 @@
   logLine(
       LogPart::Requests, LogLevel::Info,
       "event=server_notice id=" + logValue(Id) + " server=" + ServerId.Value +
-          " status=" + std::to_string(AnswerStatus) + " retry_after=" +
+          " status=" + std::to_string(Received.result_int()) + " retry_after=" +
           logValue(fieldValue(Received, Names.RetryAfter)) + " leaving=" +
           (Leaving == nullptr
                ? std::string("-")
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -26,6 +26,8 @@
   HostUnresponsive, ///< Attempts given up because of an unresponsive host.
   RateChanges,      ///< Changes of back ends' rate limits.
   RateRefused,      ///< Slots that an agent refused because of a rate limit.
+  Pauses,           ///< Pauses that back ends asked for.
+  Withheld,         ///< Requests held back, or refused, because of pauses.
   Stalls,           ///< Long delays of the traffic thread.
   Count             ///< Number of counters; not a counter.
 };
@@ -65,6 +67,10 @@
          "Rate limits that back ends set or lifted, as heard here."},
         {"jacinthpond_back_end_rate_refused_total",
          "Places refused for a rate that the back end bears."},
+        {"jacinthpond_back_end_pauses_total",
+         "Pauses that back ends asked for with Retry-After."},
+        {"jacinthpond_back_end_withheld_total",
+         "Requests not sent to back ends, or refused, because of pauses."},
         {"jacinthpond_traffic_stalls_total",
          "Times at which the traffic thread ran late by 0.2 s or more."},
     }};
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -6,9 +6,13 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace jacinthpond;
 using Tcp = boost::asio::ip::tcp;
@@ -17,6 +21,10 @@
 
 /** Fails the test if any part of a response is reported. */
 struct NoEvents : BackEndCallHandler {
+  bool maySendRequest() override { return true; }
+  void handleNotices(const ResponseHead &) override {
+    BOOST_ERROR("unexpected response");
+  }
   void handleAnswerHead(const ResponseHead &) override {
     BOOST_ERROR("unexpected response head");
   }
@@ -55,3 +63,68 @@
   boost::asio::read(Worker, boost::asio::dynamic_buffer(Received), ReadError);
   BOOST_TEST(ReadError == boost::asio::error::connection_reset);
 }
+
+// Guards against a request that is written although its back end asked for a
+// pause while the connection was being opened.
+BOOST_AUTO_TEST_CASE(AWithheldRequestIsNotWritten) {
+  struct Withholding : NoEvents {
+    bool maySendRequest() override { return false; }
+    void handleCallFailure(CallFailure Why) override { Failed = Why; }
+    std::optional<CallFailure> Failed;
+  };
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening(Io, {boost::asio::ip::address_v4::loopback(), 0});
+  BackEndConnectionPool Pool;
+  Withholding Events;
+  BackEndRequest Request;
+  Request.To.Value =
+      "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+  Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+  Call->start(Millis(1000));
+  Tcp::socket Worker = Listening.accept();
+  while (!Events.Failed)
+    Io.run_one_for(std::chrono::milliseconds(10));
+  BOOST_CHECK(*Events.Failed == CallFailure::Withheld);
+  BOOST_TEST(!Call->hasSent());
+  std::string Received;
+  boost::system::error_code Ignored;
+  boost::asio::read(Worker, boost::asio::dynamic_buffer(Received), Ignored);
+  BOOST_TEST(Received.empty());
+}
+
+// Guards against notices in a late response to an earlier request that are
+// dropped with it.
+BOOST_AUTO_TEST_CASE(NoticesOfALateResponseAreHandled) {
+  struct Counting : NoEvents {
+    void handleNotices(const ResponseHead &Head) override {
+      Statuses.push_back(Head.result_int());
+    }
+    void handleAnswerHead(const ResponseHead &) override {}
+    void handleAnswerEnd() override {}
+    std::vector<unsigned> Statuses;
+  };
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening(Io, {boost::asio::ip::address_v4::loopback(), 0});
+  BackEndConnectionPool Pool;
+  Counting Events;
+  BackEndRequest Request;
+  Request.To.Value =
+      "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+  Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  Request.AttemptIdHeader = "Attempt";
+  Request.AttemptId = "2";
+  const auto Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+  Call->start(Millis(1000));
+  Tcp::socket Worker = Listening.accept();
+  const std::string Late = "HTTP/1.1 503 Full\r\nAttempt: 1\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  const std::string Own = "HTTP/1.1 200 Fine\r\nAttempt: 2\r\n"
+                          "Content-Length: 0\r\n\r\n";
+  boost::asio::write(Worker, boost::asio::buffer(Late + Own));
+  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (Events.Statuses.size() < 2 && std::chrono::steady_clock::now() < Limit)
+    Io.run_one_for(std::chrono::milliseconds(10));
+  const std::vector<unsigned> Expected = {503, 200};
+  BOOST_TEST(Events.Statuses == Expected, boost::test_tools::per_element());
+}
