agent: keep the pauses that the back end asks its agent for

The same class of fault on the product's own interface, where attempts run through the agent: a 503 with Retry-After of an engine or a plain service was a refusal like any other, and the next attempt went there at once.

The agent starts nothing during a pause, neither new nor queued attempts. An attempt that another back end can run is refused as not run, with the time left; one with a key waits at its home if its deadline allows that. Another run of the back end has asked for nothing. Work returns by the ramp that follows a cold start.

--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -5,6 +5,7 @@
 #include "http/event_parser.h"
 #include "http/http_client.h"
 #include "http/json_fields.h"
+#include "http/requested_pause.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -60,8 +61,9 @@
   if (Answer->status == 204)
     return std::string();
   if (Answer->status != 200)
-    return fail(ErrorKind::Unreachable,
-                "status " + std::to_string(Answer->status));
+    return boost::leaf::new_error(Failure{
+        ErrorKind::Unreachable, "status " + std::to_string(Answer->status),
+        requestedPause(*Answer)});
   return Answer->body;
 }
 
@@ -91,7 +93,8 @@
   if (!Answer)
     return failCall(Answer.error());
   if (Answer->status == 503)
-    return fail(ErrorKind::Unreachable, "engine refused");
+    return boost::leaf::new_error(Failure{
+        ErrorKind::Unreachable, "engine refused", requestedPause(*Answer)});
   if (Answer->status != 200)
     return fail(ErrorKind::BackEndFailed,
                 "status " + std::to_string(Answer->status));
@@ -150,7 +153,7 @@
       "/v1/calls/" + Call.Class.Value, Headers, Call.Body, "application/json");
   if (!Answer)
     return failCall(Answer.error());
-  return ServiceAnswer{Answer->status, Answer->body};
+  return ServiceAnswer{Answer->status, Answer->body, requestedPause(*Answer)};
 }
 
 Result<std::string> HttpService::ping() {
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -473,18 +473,24 @@
       const std::lock_guard Lock(PollGuard);
       Orders = OrdersEnded;
     }
+    Millis Pause{0};
     if (Ports.Engine != nullptr) {
       const auto Read = outcomeOf([&] { return Ports.Engine->state(); });
+      Pause = std::max(Pause, Read.Why.RetryAfter);
       post([this, Read, Orders](TimePoint Now, Effects &Out) {
         handleEngineReport(State, Read, Orders, Now, Out);
       });
     }
     if (Ports.Service != nullptr) {
       const auto Read = outcomeOf([&] { return Ports.Service->ping(); });
+      Pause = std::max(Pause, Read.Why.RetryAfter);
       post([this, Read](TimePoint Now, Effects &Out) {
         handleServiceProbe(State, Read, Now, Out);
       });
     }
+    for (const TimePoint Until = Clock.now() + Pause;
+         Clock.now() < Until && !Ending;)
+      std::this_thread::sleep_for(BackEndPollPeriod);
     std::unique_lock Lock(PollGuard);
     PollNow.wait_for(Lock, BackEndPollPeriod,
                      [&] { return OrdersEnded != Orders; });
--- a/packages/agent/src/table/agent_metric_table.h
+++ b/packages/agent/src/table/agent_metric_table.h
@@ -26,6 +26,9 @@
     AgentCounterSpec{{"jacinthpond_agent_key_repeats_total",
                       "Repeats answered from a key's record."},
                      &AgentCounters::KeyRepeats},
+    AgentCounterSpec{{"jacinthpond_agent_pauses_total",
+                      "Pauses that the back end asked for with Retry-After."},
+                     &AgentCounters::Pauses},
 };
 
 /** A counter of chunk transfers on the metrics page. */
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -8,6 +8,7 @@
 #include "admission/token_pace_func.h"
 #include "attempts/attempt_func.h"
 #include "attempts/back_end_death_func.h"
+#include "attempts/back_end_pause_func.h"
 #include "attempts/chunk_list_func.h"
 #include "attempts/idempotency_func.h"
 #include "attempts/keyed_attempt_func.h"
@@ -396,6 +397,8 @@
       Why = {ErrorKind::PartialAnswer, "engine's count differs", {}};
     failAttempt(Agent, Which, Why, NeverSent ? Ran::No : Ran::Unknown, Out);
   }
+  recordBackEndPause(Agent, End.Value ? Millis{0} : End.Why.RetryAfter, Now,
+                     Out);
   startWaitingWork(Agent, Now, Out);
   loadInTurn(Agent, Now, Out);
   refreshLoad(Agent);
@@ -422,6 +425,8 @@
     failAttempt(Agent, Which, Answer.Why, NeverSent ? Ran::No : Ran::Unknown,
                 Out);
   }
+  recordBackEndPause(Agent, Answer.Value ? Answer.Value->RetryAfter : Millis{0},
+                     Now, Out);
   startWaitingWork(Agent, Now, Out);
   refreshLoad(Agent);
 }
@@ -454,6 +459,7 @@
   if (Read.Value)
     applyReportedRate(Agent, *Read.Value, Now, Out);
   resolveBrokenRuns(Agent, Run, Now, Out);
+  endPauseOfFormerRun(Agent, Run);
   if (Restarted) {
     applyColdLimit(Agent.Gate);
     refuseWaiting(Agent, ErrorKind::ColdStart, Out);
@@ -473,6 +479,7 @@
   if (Run != Agent.ServiceRun)
     applyColdLimit(Agent.Gate);
   Agent.ServiceRun = Run;
+  endPauseOfFormerRun(Agent, Run);
   announceLoadChange(Agent, Now, Out);
 }
 
@@ -582,7 +589,10 @@
   expireSlots(Agent, Now, Out);
   // Queued slots may wait for prompts to be read, which ends without a
   // message.
-  if (!Agent.SlotsById.empty() && Agent.Gate.Waiting.Size > 0)
+  // Attempts may wait for the end of a pause, which nothing announces.
+  const bool MayBeDue =
+      !Agent.SlotsById.empty() || Agent.Backoff.Until > TimePoint{};
+  if (MayBeDue && Agent.Gate.Waiting.Size > 0)
     startWaitingWork(Agent, Now, Out);
   grantSpareSlots(Agent, Now, Out);
   expireKeys(Agent.Keys, Agent.Fleet.Self.Run, Now);
--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -7,6 +7,7 @@
 #include "admission/first_part_type.h"
 #include "admission/quarantine_type.h"
 #include "admission/reading_type.h"
+#include "admission/server_backoff_type.h"
 #include "admission/server_rate_type.h"
 #include "attempts/ended_attempts_type.h"
 #include "attempts/idempotency_type.h"
@@ -70,6 +71,7 @@
   uint64_t Started = 0;    ///< Attempts sent to the back end and slots granted.
   uint64_t Completed = 0;  ///< Those answered completely.
   uint64_t KeyRepeats = 0; ///< Repeats answered from a key's record.
+  uint64_t Pauses = 0;     ///< Pauses that the back end asked for.
   uint64_t RepeatedStarts = 0; ///< AttemptStart messages for a known attempt.
   std::map<ErrorKind, uint64_t> Refused; ///< Refused or failed ones.
 };
@@ -83,6 +85,8 @@
   FirstPartTime FirstPart;  ///< Observed time to the first part of an answer.
   Admission Gate;           ///< Concurrency limit, running and queued work.
   ServerRate Rate;          ///< Rate limit that the back end itself announces.
+  ServerBackoff Backoff;    ///< Pause that the back end asked this host for.
+  std::string PausedRun;    ///< Run of the back end that asked for it.
   ServerRate ColdStartRate; ///< Rate limit during a cold start.
   TimePoint ColdUntil;      ///< End of the cold start.
   BackEndServer ListedServer;   ///< Row of this back end in the document.
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -7,6 +7,7 @@
 #include "admission/reading_func.h"
 #include "admission/token_pace_func.h"
 #include "attempts/back_end_death_func.h"
+#include "attempts/back_end_pause_func.h"
 #include "attempts/ended_attempts_func.h"
 #include "attempts/keyed_attempt_func.h"
 #include "attempts/place_func.h"
@@ -190,6 +191,15 @@
   return std::nullopt;
 }
 
+/** Gives the refusal of an attempt that this agent cannot accept now, if any.
+ */
+std::optional<Failure> refusalOf(const AgentState &Agent, const AttemptStart &m,
+                                 TimePoint Deadline, TimePoint Now) {
+  if (const auto Reason = refusalReason(Agent, m))
+    return Failure{*Reason, "", {}};
+  return pauseRefusal(Agent, m, Deadline, Now);
+}
+
 /** With fewer answers in progress no stall is assumed. */
 constexpr size_t MinAnswersForStall = 2;
 
@@ -240,7 +250,8 @@
   Candidate.Alone = Candidate.Alone || Suspected == Suspicion::RunAlone;
   const AdmissionResult Answer = requestAdmission(
       Agent.Gate, Candidate,
-      !isMostlyStalled(Agent, Now) && isWithinRateLimits(Agent, Now));
+      !isMostlyStalled(Agent, Now) && isWithinRateLimits(Agent, Now) &&
+          !isBackEndPaused(Agent, Now));
   if (Answer.EvictedAttempt)
     refuseEvicted(Agent, *Answer.EvictedAttempt, Out);
   if (Answer.Decision == AdmissionDecision::Refuse)
@@ -269,17 +280,17 @@
     ++Agent.Counters.RepeatedStarts;
     return;
   }
-  const auto Refusal = refusalReason(Agent, m);
-  const bool Keyed = !m.Key.Value.empty();
-  if (Refusal && !Keyed) {
-    refuseStart(Agent, Link, m.Attempt, {*Refusal, "", {}}, Out);
-    return;
-  }
   Attempt One;
   One.StartMessage = m;
   One.Link = Link;
   One.ArrivedAt = Now;
   One.Deadline = Now + Millis(static_cast<int64_t>(m.RemainingMillis));
+  const auto Refusal = refusalOf(Agent, m, One.Deadline, Now);
+  const bool Keyed = !m.Key.Value.empty();
+  if (Refusal && !Keyed) {
+    refuseStart(Agent, Link, m.Attempt, *Refusal, Out);
+    return;
+  }
   if (Keyed && answerFromKeyRecord(Agent, One, Refusal, Now, Out))
     return;
   Attempt &Kept = Agent.Attempts[m.Attempt] = One;
@@ -418,7 +429,7 @@
   // when this process itself gets little processor time. The back end's next
   // report starts the rest.
   while (maySendPrompt(Agent.Prefill, Now) && !isMostlyStalled(Agent, Now) &&
-         isWithinRateLimits(Agent, Now)) {
+         isWithinRateLimits(Agent, Now) && !isBackEndPaused(Agent, Now)) {
     const auto Next = admitNext(Agent.Gate);
     if (!Next)
       return;
@@ -447,7 +458,8 @@
   }
   AdmissionRequest Candidate = admissionRequestOf(Agent, One.StartMessage);
   Candidate.Alone = true;
-  const AdmissionResult Answer = requestAdmission(Agent.Gate, Candidate);
+  const AdmissionResult Answer =
+      requestAdmission(Agent.Gate, Candidate, !isBackEndPaused(Agent, Now));
   if (Answer.Decision == AdmissionDecision::Refuse)
     failAttempt(Agent, Which,
                 {ErrorKind::Overloaded, "queue full", Answer.RetryAfter},
--- a/packages/core/src/attempts/backend_type.h
+++ b/packages/core/src/attempts/backend_type.h
@@ -77,8 +77,9 @@
 
 /** Answer of a plain service. */
 struct ServiceAnswer {
-  int Status = 0;   ///< HTTP status.
-  std::string Body; ///< Body of the answer.
+  int Status = 0;       ///< HTTP status.
+  std::string Body;     ///< Body of the answer.
+  Millis RetryAfter{0}; ///< Pause that a refusal asks for; 0: none.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/attempts/keyed_attempt.cpp
+++ b/packages/core/src/attempts/keyed_attempt.cpp
@@ -104,7 +104,7 @@
 } // namespace
 
 bool answerFromKeyRecord(AgentState &Agent, const Attempt &One,
-                         std::optional<ErrorKind> Refusal, TimePoint Now,
+                         const std::optional<Failure> &Refusal, TimePoint Now,
                          Effects &Out) {
   const AttemptStart &Asked = One.StartMessage;
   KeyDecision Verdict{KeyChoice::Warming, Millis{0}, "no configuration yet"};
@@ -116,7 +116,7 @@
     return false;
   Agent.Attempts[Asked.Attempt] = One;
   if (Verdict.Choice == KeyChoice::Run)
-    refusePermanently(Agent, Asked, {*Refusal, "", {}}, Now, Out);
+    refusePermanently(Agent, Asked, *Refusal, Now, Out);
   else
     applyKeyDecision(Agent, Asked, Verdict, Out);
   return true;
--- a/packages/core/src/attempts/keyed_attempt_func.h
+++ b/packages/core/src/attempts/keyed_attempt_func.h
@@ -26,7 +26,7 @@
  * @return False when the attempt may ask for admission.
  */
 bool answerFromKeyRecord(AgentState &Agent, const Attempt &One,
-                         std::optional<ErrorKind> Refusal, TimePoint Now,
+                         const std::optional<Failure> &Refusal, TimePoint Now,
                          Effects &Out);
 
 /**
--- a/packages/ports/src/engine_port.h
+++ b/packages/ports/src/engine_port.h
@@ -33,7 +33,8 @@
    * @param OnBegin Called with the weights that the engine says it uses, before
    *        any token; returns false to cancel.
    * @param OnToken Called for each token; returns false to cancel the stream.
-   * @return How the run ended; Unreachable only when the request was not sent.
+   * @return How the run ended; Unreachable only when the request was not sent
+   *         or not run. Its RetryAfter is the pause that the engine asks for.
    */
   virtual Result<EngineEnd>
   generate(const EngineRequest &Request,
