entry: end the slow start after a pause by accepted requests

A success counted at the end of an answer; streams take seconds, so that a back end with 16 slots was filled again only after four rounds of streams. The head of an answer that is no refusal shows as much: each allows two more, so that the number doubles with each round.

--- a/packages/core/src/admission/server_backoff.cpp
+++ b/packages/core/src/admission/server_backoff.cpp
@@ -6,13 +6,21 @@
 
 namespace jacinthpond {
 
+namespace {
+
+/** Requests that each accepted one allows: the number doubles with each round.
+ */
+constexpr uint32_t NewPerAccepted = 2;
+
+} // namespace
+
 bool beginPause(ServerBackoff &Backoff, Duration Pause, TimePoint Now) {
   if (Pause <= Duration{0})
     return false;
   const bool Begins = !isPaused(Backoff, Now);
   Backoff.Until = std::max(Backoff.Until, Now + Pause);
   Backoff.MaxOpen = 0;
-  Backoff.Growth = 1;
+  Backoff.SlowStart = true;
   return Begins;
 }
 
@@ -23,22 +31,20 @@
 bool maySendAfterPause(ServerBackoff &Backoff, uint32_t Open, TimePoint Now) {
   if (isPaused(Backoff, Now))
     return false;
-  if (Backoff.Growth == 0)
+  if (!Backoff.SlowStart)
     return true;
   if (Backoff.MaxOpen == 0)
     Backoff.MaxOpen = Open + 1;
   return Open < Backoff.MaxOpen;
 }
 
-void recordServedRequest(ServerBackoff &Backoff, uint32_t Slots,
-                         TimePoint Now) {
-  // Requests from before the pause end during it and say nothing about later
-  // ones.
-  if (Backoff.Growth == 0 || Backoff.MaxOpen == 0 || isPaused(Backoff, Now))
+void recordAcceptedRequest(ServerBackoff &Backoff, uint32_t Slots,
+                           TimePoint Now) {
+  // Answers during the pause are to requests from before it.
+  if (Backoff.MaxOpen == 0 || isPaused(Backoff, Now))
     return;
-  Backoff.MaxOpen += Backoff.Growth;
-  Backoff.Growth *= 2;
-  if (Backoff.Growth > std::max(1U, Slots))
+  Backoff.MaxOpen += NewPerAccepted;
+  if (Backoff.MaxOpen > Slots)
     Backoff = {};
 }
 
--- a/packages/core/src/admission/server_backoff_func.h
+++ b/packages/core/src/admission/server_backoff_func.h
@@ -42,13 +42,14 @@
 bool maySendAfterPause(ServerBackoff &Backoff, uint32_t Open, TimePoint Now);
 
 /**
- * Records a request that the back end has run, which raises the limit of the
+ * Records a request that the back end accepted, which allows two more in the
  * slow start.
  * @param Backoff State to change.
  * @param Slots Requests that the back end runs at once; ends the slow start.
  * @param Now Current time.
  */
-void recordServedRequest(ServerBackoff &Backoff, uint32_t Slots, TimePoint Now);
+void recordAcceptedRequest(ServerBackoff &Backoff, uint32_t Slots,
+                           TimePoint Now);
 
 } // namespace jacinthpond
 
--- a/packages/core/src/admission/server_backoff_type.h
+++ b/packages/core/src/admission/server_backoff_type.h
@@ -14,10 +14,10 @@
  * that follows it. It binds no other process, and ends with that run.
  */
 struct ServerBackoff {
-  TimePoint Until;      ///< No request is sent before this time.
-  uint32_t MaxOpen = 0; ///< Open requests allowed in the slow start.
-  /** By how much the next success raises MaxOpen; 0: no slow start. */
-  uint32_t Growth = 0;
+  TimePoint Until;        ///< No request is sent before this time.
+  bool SlowStart = false; ///< Requests return step by step after it.
+  uint32_t MaxOpen = 0;   ///< Open requests allowed in the slow start; 0: it
+                          ///< has not begun.
 };
 
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/server_notice.cpp
+++ b/packages/core/src/forwarding/server_notice.cpp
@@ -82,11 +82,12 @@
          maySendAfterPause(it->second.Backoff, View.Open, Now);
 }
 
-void recordServedRequest(ServerPool &Pool, const ServerView &View,
-                         TimePoint Now) {
-  const auto it = Pool.Notices.find(View.Listed.Id);
-  if (it != Pool.Notices.end())
-    recordServedRequest(it->second.Backoff, View.Listed.Slots, Now);
+void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
+                           TimePoint Now) {
+  const auto it = Pool.Notices.find(Id);
+  const ServerView *View = findServer(Pool, Id);
+  if (it != Pool.Notices.end() && View != nullptr)
+    recordAcceptedRequest(it->second.Backoff, View->Listed.Slots, Now);
 }
 
 void dropOldNotices(ServerPool &Pool, TimePoint Now) {
--- a/packages/core/src/forwarding/server_notice_func.h
+++ b/packages/core/src/forwarding/server_notice_func.h
@@ -60,13 +60,14 @@
 bool maySendAfterPause(ServerPool &Pool, const ServerView &View, TimePoint Now);
 
 /**
- * Records a request that a back end has run.
+ * Records a request that a back end accepted: the head of its answer is there,
+ * and is no refusal.
  * @param Pool State to change.
- * @param View The back end.
+ * @param Id Instance of the back end.
  * @param Now Current time.
  */
-void recordServedRequest(ServerPool &Pool, const ServerView &View,
-                         TimePoint Now);
+void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
+                           TimePoint Now);
 
 /**
  * Drops the notices of runs that have ended: those of servers that have started
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -438,7 +438,6 @@
   case AttemptEnd::Answered:
   case AttemptEnd::Error: {
     View.Failures = 0;
-    recordServedRequest(Pool, View, Now);
     const double Failed = End == AttemptEnd::Error ? 1 : 0;
     View.ErrorShare += ErrorWeight * (Failed - View.ErrorShare);
     if (End == AttemptEnd::Error)
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -152,6 +152,7 @@
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
       abandonAnswer();
+  recordAcceptedRequest(Shared.Pool, ServerId, Now);
     return;
   }
   const auto Self = shared_from_this();
