--- a/bench/bench.h
+++ b/bench/bench.h
@@ -42,6 +42,14 @@
  */
 double quantile(std::vector<double> Samples, double Share);
 
+/**
+ * Measures the processor time of the choice of a back end.
+ * @param Options Hosts: back ends to choose from; Faults: half of them have
+ *        asked for a pause.
+ * @return Exit code.
+ */
+int benchChoice(const BenchOptions &Options);
+
 /**
  * Offers three times the capacity: goodput, shares, refusals, retries.
  * @param Options What to run.
