entry: send nothing more to a back end that said it is leaving

Same class as the pauses: a notice to a host, in an answer that the code read for other things.

The notice belongs to the run that gave it and to this entry, in the same record: it outlives its row in the list, whatever state the row has, and ends with the next run (born). It is read from the head of every answer: whole, refused, misdirected, streamed, late on a kept connection. A misdirected one may come from any instance that was known at the address when the request was sent, so that all of these count. It is asked for at the choice, after a slot and where the request is written; requests under way go on.

Other entries are told, by the entry that heard it and by the agent that sees it in a report. They rank the back end last: only what a host passed on itself binds it, and it may be the only one left.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -222,6 +222,20 @@
   logRateChange(Agent, Change, "report", Out);
 }
 
+/** Tells the entries once when the back end says that it is shutting down. */
+void announceLeavingBackEnd(AgentState &Agent, const EngineState &Read,
+                            Effects &Out) {
+  const BackEndServer &Server = Agent.ListedServer;
+  if (!Read.Leaving || Read.Run == Agent.LeavingRun || Server.Id.Value.empty())
+    return;
+  Agent.LeavingRun = Read.Run;
+  Out.push_back(LogNote{LogPart::Admission, LogLevel::Info,
+                        "event=server_leaving from=report server=" +
+                            Server.Id.Value + " run=" + Read.Run});
+  broadcastNotice(Agent.Fleet, ServerLeavingNotice{Server.Id, Server.Born},
+                  Role::Entry, Out);
+}
+
 /** Answers a ping, which shows the peer that this host runs. */
 void answerPing(LinkId Link, const Ping &m, Effects &Out) {
   Out.push_back(SendMessage{Link, Pong{m.Sequence}});
@@ -456,8 +470,10 @@
         LogNote{LogPart::Weights, LogLevel::Warn,
                 "Back end report could not be read: " + Read.Why.Detail});
   Agent.BackEndUp = Read.Value.has_value();
-  if (Read.Value)
+  if (Read.Value) {
     applyReportedRate(Agent, *Read.Value, Now, Out);
+    announceLeavingBackEnd(Agent, *Read.Value, Out);
+  }
   resolveBrokenRuns(Agent, Run, Now, Out);
   endPauseOfFormerRun(Agent, Run);
   if (Restarted) {
--- a/packages/core/src/attempts/backend_type.h
+++ b/packages/core/src/attempts/backend_type.h
@@ -21,6 +21,7 @@
   uint32_t Running = 0;            ///< Requests that it runs.
   bool Cold = false;               ///< Its caches are cold.
   bool Busy = false;               ///< It is loading weights.
+  bool Leaving = false;            ///< It is shutting down.
   std::optional<double> PerSecond; ///< Its rate limit, if it has one.
 };
 
--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -22,6 +22,8 @@
     Listed.insert(One.Id);
     const auto [it, New] = Pool.Servers.try_emplace(One.Id);
     ServerView &View = it->second;
+    if (New)
+      View.ListedSince = Now;
     if (New || View.Listed.ColdFor != One.ColdFor) {
       View.ColdUntil = Now + One.ColdFor;
       View.ColdLimit = {};
--- a/packages/core/src/forwarding/server_notice.cpp
+++ b/packages/core/src/forwarding/server_notice.cpp
@@ -60,6 +60,51 @@
   return beginPause(noticesOf(Pool, Id, Now).Backoff, Extended, Now);
 }
 
+std::optional<ServerLeavingNotice>
+recordLeaving(ServerPool &Pool, const InstanceId &Id, TimePoint Now) {
+  ServerNotices &Notices = noticesOf(Pool, Id, Now);
+  if (std::exchange(Notices.Leaving, true))
+    return std::nullopt;
+  return ServerLeavingNotice{Id, Notices.Born};
+}
+
+std::vector<InstanceId> possibleAnswerers(const ServerPool &Pool,
+                                          const InstanceId &Expected,
+                                          TimePoint SentAt) {
+  std::vector<InstanceId> Found = {Expected};
+  const ServerView *Meant = findServer(Pool, Expected);
+  if (Meant == nullptr)
+    return Found;
+  for (const auto &[Id, View] : Pool.Servers)
+    if (Id != Expected && View.Listed.At == Meant->Listed.At &&
+        View.ListedSince <= SentAt)
+      Found.push_back(Id);
+  return Found;
+}
+
+bool recordPeerLeaving(ServerPool &Pool, const ServerLeavingNotice &Notice,
+                       TimePoint Now) {
+  const ServerView *View = findServer(Pool, Notice.Server);
+  const bool OtherRun = View != nullptr && Notice.Born != 0 &&
+                        View->Listed.Born != 0 &&
+                        Notice.Born != View->Listed.Born;
+  if (View == nullptr || OtherRun)
+    return false;
+  return !std::exchange(noticesOf(Pool, Notice.Server, Now).LeavingElsewhere,
+                        true);
+}
+
+bool isLeaving(const ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Notices.find(Id);
+  return it != Pool.Notices.end() && it->second.Leaving;
+}
+
+bool isReportedLeaving(const ServerPool &Pool, const InstanceId &Id) {
+  const auto it = Pool.Notices.find(Id);
+  return it != Pool.Notices.end() &&
+         (it->second.Leaving || it->second.LeavingElsewhere);
+}
+
 bool recordUnreadableNotice(ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now) {
   return !std::exchange(noticesOf(Pool, Id, Now).HasUnreadable, true);
@@ -72,7 +117,7 @@
 
 bool wantsRequests(const ServerPool &Pool, const InstanceId &Id,
                    TimePoint Now) {
-  return Now >= pauseEnd(Pool, Id);
+  return !isLeaving(Pool, Id) && Now >= pauseEnd(Pool, Id);
 }
 
 bool maySendAfterPause(ServerPool &Pool, const ServerView &View,
--- a/packages/core/src/forwarding/server_notice_func.h
+++ b/packages/core/src/forwarding/server_notice_func.h
@@ -10,6 +10,9 @@
 
 #include "forwarding/server_pool_type.h"
 
+#include <optional>
+#include <vector>
+
 namespace jacinthpond {
 
 /**
@@ -23,6 +26,56 @@
 bool recordPause(ServerPool &Pool, const InstanceId &Id, Duration Pause,
                  TimePoint Now);
 
+/**
+ * Records that a back end told this entry that it is shutting down. This entry
+ * sends it no request any more, whatever the list of servers says.
+ * @param Pool State to change.
+ * @param Id Instance of the back end.
+ * @param Now Current time.
+ * @return The notice for the other entries; nothing when it was known.
+ */
+std::optional<ServerLeavingNotice>
+recordLeaving(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
+
+/**
+ * Gives the back ends that may have answered a request that was sent to another
+ * instance than expected, or to one with other weights.
+ * @param Pool The state.
+ * @param Expected Instance that the request was meant for.
+ * @param SentAt When it was sent.
+ * @return Expected, and all instances that were known by then at its address.
+ */
+std::vector<InstanceId> possibleAnswerers(const ServerPool &Pool,
+                                          const InstanceId &Expected,
+                                          TimePoint SentAt);
+
+/**
+ * Records that a back end told another process that it is shutting down. It is
+ * ranked last from then on.
+ * @param Pool State to change.
+ * @param Notice The notice.
+ * @param Now Current time.
+ * @return True when this is news, which must be passed on.
+ */
+bool recordPeerLeaving(ServerPool &Pool, const ServerLeavingNotice &Notice,
+                       TimePoint Now);
+
+/**
+ * Says whether a back end told this entry that it is shutting down.
+ * @param Pool The state.
+ * @param Id Instance of the back end.
+ * @return True from its first such answer on.
+ */
+bool isLeaving(const ServerPool &Pool, const InstanceId &Id);
+
+/**
+ * Says whether a back end told any process that it is shutting down.
+ * @param Pool The state.
+ * @param Id Instance of the back end.
+ * @return True once that is known here.
+ */
+bool isReportedLeaving(const ServerPool &Pool, const InstanceId &Id);
+
 /**
  * Records a notice that could not be read.
  * @param Pool State to change.
@@ -46,7 +99,7 @@
  * @param Pool The state.
  * @param Id Instance of the back end.
  * @param Now Current time.
- * @return False during a pause that it asked for.
+ * @return False during a pause that it asked for, and once it is leaving.
  */
 bool wantsRequests(const ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -41,6 +41,9 @@
 /** Score penalty for errors, in requests for each unit of the error share
  * above the tolerated one. */
 constexpr double ErrorPenalty = 40;
+/** Score penalty, in requests, once the back end told another process that it
+ * is shutting down: it will refuse requests soon. */
+constexpr double LeavingPenalty = 40;
 /** Score penalty, in requests, while the agent replies late or the host does
  * not answer a probe. */
 constexpr double LateReplyPenalty = 40;
@@ -206,6 +209,7 @@
                 const ServerNeeds &Needs, const Service &Spec, TimePoint Now) {
   const Document &Doc = *Pool.Doc;
   if (View.Listed.Service != Needs.Service || View.Listed.Draining ||
+      isLeaving(Pool, View.Listed.Id) ||
       Doc.DomainsOut.contains(View.Listed.Domain))
     return false;
   if (View.UnlistedSince && Now >= Pool.KeepUnlistedUntil)
@@ -244,6 +248,8 @@
   const bool ProbeUnanswered = View.ProbePendingSince && !hasAgent(View);
   if (Now < View.RankLastUntil || ProbeUnanswered)
     Score += LateReplyPenalty;
+  if (isReportedLeaving(Pool, View.Listed.Id))
+    Score += LeavingPenalty;
   return Score;
 }
 
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -33,6 +33,7 @@
 struct ServerView {
   BackEndServer Listed;                   ///< Its row in the document.
   std::optional<TimePoint> UnlistedSince; ///< When it left the list, if it has.
+  TimePoint ListedSince;      ///< When this entry first heard of it.
   uint32_t Open = 0;          ///< Open attempts of this entry there.
   uint32_t OtherRequests = 0; ///< Requests of other entries, as last reported.
   Duration PrefillBacklog{0}; ///< Prefill time queued there, as last reported.
--- a/packages/core/src/table/message_table.h
+++ b/packages/core/src/table/message_table.h
@@ -13,11 +13,12 @@
 
 /** Wire names, indexed like the alternatives of Message. */
 constexpr std::array<std::string_view, std::variant_size_v<Message>>
-    MessageNames = {"hello",   "heartbeat", "pull",   "push",   "start",
-                    "begun",   "frame",     "end",    "failed", "cancel",
-                    "query",   "status",    "chunk?", "chunk",  "have",
-                    "suspect", "leaving",   "entry",  "place?", "place",
-                    "done",    "list",      "ping",   "pong",   "rate"};
+    MessageNames = {"hello",         "heartbeat", "pull",   "push",   "start",
+                    "begun",         "frame",     "end",    "failed", "cancel",
+                    "query",         "status",    "chunk?", "chunk",  "have",
+                    "suspect",       "leaving",   "entry",  "place?", "place",
+                    "done",          "list",      "ping",   "pong",   "rate",
+                    "server_leaving"};
 
 } // namespace jacinthpond
 
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -201,6 +201,11 @@
   v("age", m.AgeMillis);
 }
 
+template <typename V> void describe(V &v, ServerLeavingNotice &m) {
+  v("server", m.Server);
+  v("born", m.Born);
+}
+
 template <typename V> void describe(V &v, Ping &m) { v("seq", m.Sequence); }
 
 template <typename V> void describe(V &v, Pong &m) { v("seq", m.Sequence); }
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -292,6 +292,13 @@
                           ///< since its request was sent.
 };
 
+/** Reports that a back end said in an answer that it is shutting down. It binds
+ * only the host that got the answer; others prefer other back ends. */
+struct ServerLeavingNotice {
+  InstanceId Server; ///< The back end.
+  uint64_t Born = 0; ///< Start of its run, Unix milliseconds; 0: unknown.
+};
+
 /** Checks whether an agent's host is responsive; answered at once. */
 struct Ping {
   uint64_t Sequence = 0; ///< Returned in the Pong.
@@ -303,13 +310,12 @@
 };
 
 /** Any message; the order gives the index into MessageNames. */
-using Message =
-    std::variant<Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart,
-                 AttemptStarted, AnswerFrame, AnswerEnd, AttemptFailed,
-                 AttemptCancel, AttemptQuery, AttemptStatus, ChunkRequest,
-                 ChunkData, ChunkHave, SuspectNotice, LeavingNotice,
-                 EntryNotice, SlotRequest, SlotAnswer, SlotRelease,
-                 ChunkListNotice, Ping, Pong, RateLimitNotice>;
+using Message = std::variant<
+    Hello, Heartbeat, ConfigPull, ConfigPush, AttemptStart, AttemptStarted,
+    AnswerFrame, AnswerEnd, AttemptFailed, AttemptCancel, AttemptQuery,
+    AttemptStatus, ChunkRequest, ChunkData, ChunkHave, SuspectNotice,
+    LeavingNotice, EntryNotice, SlotRequest, SlotAnswer, SlotRelease,
+    ChunkListNotice, Ping, Pong, RateLimitNotice, ServerLeavingNotice>;
 
 } // namespace jacinthpond
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -64,6 +64,11 @@
                    this->Routes->handleRateNotice(*RateNotice);
                  return;
                }
+               if (const auto *Server = std::get_if<ServerLeavingNotice>(&m)) {
+                 if (this->Routes != nullptr)
+                   this->Routes->handleServerLeaving(*Server);
+                 return;
+               }
                post([this, Link, Kept = std::move(m)](TimePoint Now,
                                                       Effects &Out) {
                  handleEntryMessage(State, Link, Kept, Now, Out);
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -99,6 +99,7 @@
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   void logWaitForReadiness() const;
+  void readLeaving(const ResponseHead &Received);
   void readPause(const ResponseHead &Received);
   void logServerNotice(const ResponseHead &Received) const;
   void logUnreadableNotice(const std::string &Name, std::string_view Value);
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -80,10 +80,36 @@
 /** Records what the back end announces in the headers of a response. */
 void Exchange::handleNotices(const ResponseHead &Received) {
   logServerNotice(Received);
+  readLeaving(Received);
   if (Received.result() == http::status::service_unavailable)
     readPause(Received);
 }
 
+/** Records that the answering back end is shutting down, and tells the other
+ * entries. */
+void Exchange::readLeaving(const ResponseHead &Received) {
+  const std::string *Name =
+      usedHeaderName(Received, Shared.Wire.headerNames().Leaving);
+  if (Name == nullptr)
+    return;
+  const std::string_view Value = fieldValue(Received, *Name);
+  const auto Leaving = Shared.Wire.parseLeaving(Value);
+  if (!Leaving)
+    logUnreadableNotice(*Name, Value);
+  if (!Leaving.value_or(false))
+    return;
+  const bool Misdirected =
+      Received.result() == http::status::misdirected_request;
+  const std::vector<InstanceId> Answerers =
+      Misdirected ? possibleAnswerers(Shared.Pool, ServerId, CallStartTime)
+                  : std::vector<InstanceId>{ServerId};
+  for (const InstanceId &One : Answerers)
+    if (const auto News = recordLeaving(Shared.Pool, One, Shared.Clock.now())) {
+      Shared.Counters.add(ForwardCount::ServersLeaving);
+      Shared.SendToEntries(*News);
+    }
+}
+
 /** Records the pause that a refusal asks for: the longest one if it is given
  * more than once. */
 void Exchange::readPause(const ResponseHead &Received) {
@@ -126,6 +152,7 @@
     Mode = AnswerMode::Refusal;
     return;
   }
+  recordAcceptedRequest(Shared.Pool, ServerId, Now);
   const bool Unusable =
       (Success && !Signed) || !fieldValue(Received, "Content-Encoding").empty();
   const bool OtherWeights =
@@ -152,7 +179,6 @@
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
       abandonAnswer();
-  recordAcceptedRequest(Shared.Pool, ServerId, Now);
     return;
   }
   const auto Self = shared_from_this();
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -26,6 +26,7 @@
   HostUnresponsive, ///< Attempts given up because of an unresponsive host.
   RateChanges,      ///< Changes of back ends' rate limits.
   RateRefused,      ///< Slots that an agent refused because of a rate limit.
+  ServersLeaving,   ///< Back ends that said that they are shutting down.
   Pauses,           ///< Pauses that back ends asked for.
   Withheld,         ///< Requests held back, or refused, because of pauses.
   Stalls,           ///< Long delays of the traffic thread.
@@ -67,6 +68,8 @@
          "Rate limits that back ends set or lifted, as heard here."},
         {"jacinthpond_back_end_rate_refused_total",
          "Places refused for a rate that the back end bears."},
+        {"jacinthpond_back_end_leaving_total",
+         "Back ends that said in an answer here that they are leaving."},
         {"jacinthpond_back_end_pauses_total",
          "Pauses that back ends asked for with Retry-After."},
         {"jacinthpond_back_end_withheld_total",
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 #include "forwarding/liveness_func.h"
+#include "forwarding/server_notice_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
@@ -253,6 +254,17 @@
   });
 }
 
+void Forwarder::handleServerLeaving(const ServerLeavingNotice &Heard) {
+  boost::asio::post(Shared.Io, [this, Heard] {
+    if (!recordPeerLeaving(Shared.Pool, Heard, Shared.Clock.now()))
+      return;
+    logLine(LogPart::Requests, LogLevel::Info,
+            "event=server_leaving from=peer server=" + Heard.Server.Value);
+    // Passed on, since in a large fleet not all entries are linked directly.
+    Shared.SendToEntries(Heard);
+  });
+}
+
 void Forwarder::handleSlotAnswer(LinkId Link, const SlotAnswer &Answer) {
   boost::asio::post(Shared.Io, [this, Link, Answer] {
     recordAgentActivity(Shared.Pool, Link);
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -71,6 +71,12 @@
    */
   void handleRateNotice(const RateLimitNotice &Heard);
 
+  /**
+   * Handles the notice that a back end told another process that it is leaving.
+   * @param Heard The notice.
+   */
+  void handleServerLeaving(const ServerLeavingNotice &Heard);
+
   /**
    * Handles an agent's answer to a request for a slot.
    * @param Link The link to the agent.
--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -88,6 +88,13 @@
   virtual std::optional<double>
   parseRateLimit(std::string_view Value) const = 0;
 
+  /**
+   * Parses whether a back end says with an answer that it is shutting down.
+   * @param Value Header value.
+   * @return Whether it does; nothing when malformed.
+   */
+  virtual std::optional<bool> parseLeaving(std::string_view Value) const = 0;
+
   /**
    * Parses the size of a prompt.
    * @param Value Header value.
--- a/tests/unit/server_notice_test.cpp
+++ b/tests/unit/server_notice_test.cpp
@@ -224,6 +224,85 @@
   BOOST_TEST(sendAll() == 1);
 }
 
+// Guards against requests to a back end that told this entry that it is
+// leaving, while the list calls it ready, or has lost its row and got it back.
+BOOST_AUTO_TEST_CASE(ALeavingBackEndIsNeverChosenAgain) {
+  const ServerNeeds Needs = needs("plain");
+  BOOST_TEST(recordLeaving(State, {"p0"}, Now).has_value());
+  BOOST_TEST(!mayStillUse(State, {"p0"}, Needs, Now));
+  Now += std::chrono::minutes(20);
+  publishDocument();
+  BOOST_TEST(countChoices("plain")["p0"] == 0);
+  const auto Servers = Doc.Servers;
+  Doc.Servers.erase(Doc.Servers.begin() + 1); // p0
+  publishDocument();
+  Now += std::chrono::minutes(5);
+  publishDocument();
+  Doc.Servers = Servers;
+  publishDocument();
+  BOOST_TEST(countChoices("plain")["p0"] == 0);
+}
+
+// Guards against one message to all entries for each answer.
+BOOST_AUTO_TEST_CASE(LeavingIsToldOnce) {
+  BOOST_TEST(recordLeaving(State, {"p0"}, Now).has_value());
+  BOOST_TEST(!recordLeaving(State, {"p0"}, Now).has_value());
+  const ServerLeavingNotice Heard{{"p1"}, 0};
+  BOOST_TEST(recordPeerLeaving(State, Heard, Now));
+  BOOST_TEST(!recordPeerLeaving(State, Heard, Now));
+}
+
+// Guards against a worker that is never used again although it has started anew
+// under its former id.
+BOOST_AUTO_TEST_CASE(ANewRunIsNotLeaving) {
+  Doc.Servers[1].Born = 1000; // p0
+  publishDocument();
+  recordLeaving(State, {"p0"}, Now);
+  Doc.Servers[1].Born = 2000;
+  publishDocument();
+  BOOST_TEST(countChoices("plain")["p0"] > 0);
+  // What a peer heard of the former run says nothing about this one.
+  BOOST_TEST(!recordPeerLeaving(State, {{"p0"}, 1000}, Now));
+}
+
+// Guards against callers that go to a back end which another entry knows to be
+// leaving, and against refusing them where it is the only one left.
+BOOST_AUTO_TEST_CASE(ABackEndThatLeavesForOthersIsUsedLast) {
+  recordPeerLeaving(State, {{"p0"}, 0}, Now);
+  BOOST_TEST(countChoices("plain")["p0"] == 0);
+  Doc.Servers.erase(Doc.Servers.begin() + 3); // p1
+  Doc.Servers.erase(Doc.Servers.begin() + 4); // p2
+  publishDocument();
+  BOOST_TEST(choose("plain") == "p0");
+}
+
+// Guards against requests to the instance that answered a misdirected request,
+// and against sparing one that came to the address only afterwards.
+BOOST_AUTO_TEST_CASE(AMisdirectedAnswerMayComeFromAnyInstanceAtTheAddress) {
+  BackEndServer Other = server("p8", "plain", 0, "");
+  Other.At.Value = "p0:1";
+  Doc.Servers.push_back(Other);
+  publishDocument();
+  const TimePoint SentAt = Now;
+  Now += Millis(100);
+  Other.Id.Value = "p9";
+  Doc.Servers.push_back(Other);
+  publishDocument();
+  const std::vector<InstanceId> Expected = {{"p0"}, {"p8"}};
+  BOOST_CHECK(possibleAnswerers(State, {"p0"}, SentAt) == Expected);
+}
+
+// Guards against leaving back ends that are taken for paused ones, whose
+// callers would be told to come back for them.
+BOOST_AUTO_TEST_CASE(LeavingIsNoPause) {
+  for (const char *Id : {"p0", "p1", "p2"})
+    recordLeaving(State, {Id}, Now);
+  const ServerChoice Choice = chooseServer(State, needs("plain"), Now);
+  BOOST_TEST(Choice.Server == nullptr);
+  BOOST_CHECK(Choice.Why == PoolRefusal::NoneListed);
+  BOOST_TEST(Choice.Paused == 0U);
+}
+
 // Guards against a log line for each answer whose header cannot be read.
 BOOST_AUTO_TEST_CASE(UnreadableNoticesAreReportedOnce) {
   BOOST_TEST(recordUnreadableNotice(State, {"p0"}, Now));
