entry: keep off an instance that said it is leaving before it was on the list

Whoever answers a misdirected request is not known, so that an instance that comes to the list at that address within 15 s gets nothing until then.

Notices now lie with the server and move to a map when it leaves the pool.

--- a/packages/core/src/forwarding/server_listing.cpp
+++ b/packages/core/src/forwarding/server_listing.cpp
@@ -34,14 +34,19 @@
       View.Weights = One.Weights;
     View.Listed = One;
     View.UnlistedSince.reset();
+    if (New)
+      restoreNotices(Pool, View, Now);
   }
   for (auto &[Id, View] : Pool.Servers)
     if (!Listed.contains(Id) && !View.UnlistedSince)
       View.UnlistedSince = Now;
   std::erase_if(Pool.Servers, [&](const auto &Row) {
     const ServerView &View = Row.second;
-    return View.UnlistedSince && View.Open == 0 &&
-           Now >= Pool.KeepUnlistedUntil;
+    const bool Ends =
+        View.UnlistedSince && View.Open == 0 && Now >= Pool.KeepUnlistedUntil;
+    if (Ends)
+      keepNotices(Pool, View);
+    return Ends;
   });
 }
 
--- a/packages/core/src/forwarding/server_notice.cpp
+++ b/packages/core/src/forwarding/server_notice.cpp
@@ -16,6 +16,10 @@
 /** Time for which notices of an unlisted server are kept. Its row may come back
  * as long as the server runs, which is some seconds beyond its last one. */
 constexpr std::chrono::minutes Retention{10};
+/** Time for which a server is kept off that may be an instance which said,
+ * before it was on the list, that it is leaving; such an instance ends within
+ * it. */
+constexpr std::chrono::seconds UnlistedLeaverTime{15};
 /** Random extension of a pause: at most this fraction (1/N) of it and this
  * time, so that entries that were asked together do not return together. */
 constexpr int JitterFraction = 8;
@@ -24,23 +28,25 @@
 /** Gives the notices of a back end, to be changed. */
 ServerNotices &noticesOf(ServerPool &Pool, const InstanceId &Id,
                          TimePoint Now) {
-  const auto [it, New] = Pool.Notices.try_emplace(Id);
-  if (const ServerView *View = findServer(Pool, Id); New && View != nullptr)
-    it->second.Born = View->Listed.Born;
-  it->second.ForgetAt = Now + Retention;
-  return it->second;
+  ServerView *View = findServer(Pool, Id);
+  ServerNotices &Found =
+      View == nullptr ? Pool.FormerNotices[Id] : View->Notices;
+  Found.ForgetAt = Now + Retention;
+  return Found;
 }
 
-/** Says whether a server is on the list. */
-bool isListed(const ServerPool &Pool, const InstanceId &Id) {
-  const ServerView *View = findServer(Pool, Id);
-  return View != nullptr && !View->UnlistedSince;
+/** Says whether a notice is of another run than the listed one. A run whose
+ * start is not known is taken for the listed one. */
+bool isOfOtherRun(uint64_t Born, const BackEndServer &Listed) {
+  return Listed.Born != 0 && Born != 0 && Listed.Born != Born;
 }
 
-/** Says whether a listed server is another run than the one whose notices these
- * are. */
-bool isOtherRun(const ServerNotices &Notices, const ServerView &View) {
-  return View.Listed.Born != 0 && View.Listed.Born != Notices.Born;
+/** Binds notices to the listed run; those of another run are dropped. */
+void bindToRun(ServerNotices &Notices, const BackEndServer &Listed) {
+  if (isOfOtherRun(Notices.Born, Listed))
+    Notices = {};
+  if (Listed.Born != 0)
+    Notices.Born = Listed.Born;
 }
 
 /** Gives the random extension of a pause. */
@@ -68,86 +74,76 @@
   return ServerLeavingNotice{Id, Notices.Born};
 }
 
-std::vector<InstanceId> possibleAnswerers(const ServerPool &Pool,
-                                          const InstanceId &Expected,
-                                          TimePoint SentAt) {
-  std::vector<InstanceId> Found = {Expected};
-  const ServerView *Meant = findServer(Pool, Expected);
-  if (Meant == nullptr)
-    return Found;
-  for (const auto &[Id, View] : Pool.Servers)
-    if (Id != Expected && View.Listed.At == Meant->Listed.At &&
-        View.ListedSince <= SentAt)
-      Found.push_back(Id);
-  return Found;
+std::vector<ServerLeavingNotice>
+recordMisdirectedLeaving(ServerPool &Pool, const InstanceId &Expected,
+                         TimePoint SentAt, TimePoint Now) {
+  std::vector<InstanceId> Answerers = {Expected};
+  if (const ServerView *Meant = findServer(Pool, Expected)) {
+    const Address At = Meant->Listed.At;
+    Pool.LeavingAt[At] = Now;
+    for (const auto &[Id, View] : Pool.Servers)
+      if (Id != Expected && View.Listed.At == At && View.ListedSince <= SentAt)
+        Answerers.push_back(Id);
+  }
+  std::vector<ServerLeavingNotice> News;
+  for (const InstanceId &Id : Answerers)
+    if (const auto One = recordLeaving(Pool, Id, Now))
+      News.push_back(*One);
+  return News;
 }
 
 bool recordPeerLeaving(ServerPool &Pool, const ServerLeavingNotice &Notice,
                        TimePoint Now) {
   const ServerView *View = findServer(Pool, Notice.Server);
-  const bool OtherRun = View != nullptr && Notice.Born != 0 &&
-                        View->Listed.Born != 0 &&
-                        Notice.Born != View->Listed.Born;
-  if (View == nullptr || OtherRun)
+  if (View == nullptr || isOfOtherRun(Notice.Born, View->Listed))
     return false;
   return !std::exchange(noticesOf(Pool, Notice.Server, Now).LeavingElsewhere,
                         true);
 }
 
-bool isLeaving(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Notices.find(Id);
-  return it != Pool.Notices.end() && it->second.Leaving;
-}
-
-bool isReportedLeaving(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Notices.find(Id);
-  return it != Pool.Notices.end() &&
-         (it->second.Leaving || it->second.LeavingElsewhere);
-}
-
 bool recordUnreadableNotice(ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now) {
   return !std::exchange(noticesOf(Pool, Id, Now).HasUnreadable, true);
 }
 
-TimePoint pauseEnd(const ServerPool &Pool, const InstanceId &Id) {
-  const auto it = Pool.Notices.find(Id);
-  return it == Pool.Notices.end() ? TimePoint{} : it->second.Backoff.Until;
+bool wantsRequests(const ServerNotices &Notices, TimePoint Now) {
+  return !Notices.Leaving && !isPaused(Notices.Backoff, Now);
 }
 
-bool wantsRequests(const ServerPool &Pool, const InstanceId &Id,
-                   TimePoint Now) {
-  return !isLeaving(Pool, Id) && Now >= pauseEnd(Pool, Id);
+void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
+                           TimePoint Now) {
+  if (ServerView *View = findServer(Pool, Id))
+    recordAcceptedRequest(View->Notices.Backoff, View->Listed.Slots, Now);
 }
 
-bool maySendAfterPause(ServerPool &Pool, const ServerView &View,
-                       TimePoint Now) {
-  const auto it = Pool.Notices.find(View.Listed.Id);
-  return it == Pool.Notices.end() ||
-         maySendAfterPause(it->second.Backoff, View.Open, Now);
+void restoreNotices(ServerPool &Pool, ServerView &View, TimePoint Now) {
+  if (auto Node = Pool.FormerNotices.extract(View.Listed.Id))
+    View.Notices = Node.mapped();
+  // An instance at this address may have said, before it was on the list, that
+  // it is leaving.
+  const auto it = Pool.LeavingAt.find(View.Listed.At);
+  if (it != Pool.LeavingAt.end())
+    beginPause(View.Notices.Backoff, it->second + UnlistedLeaverTime - Now,
+               Now);
 }
 
-void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
-                           TimePoint Now) {
-  const auto it = Pool.Notices.find(Id);
-  const ServerView *View = findServer(Pool, Id);
-  if (it != Pool.Notices.end() && View != nullptr)
-    recordAcceptedRequest(it->second.Backoff, View->Listed.Slots, Now);
+void keepNotices(ServerPool &Pool, const ServerView &View) {
+  const ServerNotices &Own = View.Notices;
+  if (Own.Leaving || Own.LeavingElsewhere || Own.Backoff.SlowStart)
+    Pool.FormerNotices[View.Listed.Id] = Own;
 }
 
 void dropOldNotices(ServerPool &Pool, TimePoint Now) {
-  for (auto &[Id, Notices] : Pool.Notices) {
-    if (!isListed(Pool, Id))
-      continue;
-    Notices.ForgetAt = Now + Retention;
-    if (Notices.Born == 0) // The announcing run is taken for the listed one.
-      Notices.Born = Pool.Servers.at(Id).Listed.Born;
-  }
-  std::erase_if(Pool.Notices, [&](const auto &Row) {
-    const auto &[Id, Notices] = Row;
-    if (isListed(Pool, Id))
-      return isOtherRun(Notices, Pool.Servers.at(Id));
-    return Now >= Notices.ForgetAt && !isPaused(Notices.Backoff, Now);
+  std::erase_if(Pool.LeavingAt, [&](const auto &Row) {
+    return Now >= Row.second + UnlistedLeaverTime;
+  });
+  for (auto &[Id, View] : Pool.Servers)
+    if (!View.UnlistedSince) {
+      View.Notices.ForgetAt = Now + Retention;
+      bindToRun(View.Notices, View.Listed);
+    }
+  std::erase_if(Pool.FormerNotices, [&](const auto &Row) {
+    return Now >= Row.second.ForgetAt && !isPaused(Row.second.Backoff, Now);
   });
 }
 
--- a/packages/core/src/forwarding/server_notice_func.h
+++ b/packages/core/src/forwarding/server_notice_func.h
@@ -38,16 +38,18 @@
 recordLeaving(ServerPool &Pool, const InstanceId &Id, TimePoint Now);
 
 /**
- * Gives the back ends that may have answered a request that was sent to another
- * instance than expected, or to one with other weights.
- * @param Pool The state.
+ * Records that the answer to a misdirected request said that its back end is
+ * shutting down. It may come from any instance at the address, also from one
+ * that is not on the list yet: that one gets nothing for some time.
+ * @param Pool State to change.
  * @param Expected Instance that the request was meant for.
- * @param SentAt When it was sent.
- * @return Expected, and all instances that were known by then at its address.
+ * @param SentAt When the request was sent.
+ * @param Now Current time.
+ * @return Notices for the other entries.
  */
-std::vector<InstanceId> possibleAnswerers(const ServerPool &Pool,
-                                          const InstanceId &Expected,
-                                          TimePoint SentAt);
+std::vector<ServerLeavingNotice>
+recordMisdirectedLeaving(ServerPool &Pool, const InstanceId &Expected,
+                         TimePoint SentAt, TimePoint Now);
 
 /**
  * Records that a back end told another process that it is shutting down. It is
@@ -60,22 +62,6 @@
 bool recordPeerLeaving(ServerPool &Pool, const ServerLeavingNotice &Notice,
                        TimePoint Now);
 
-/**
- * Says whether a back end told this entry that it is shutting down.
- * @param Pool The state.
- * @param Id Instance of the back end.
- * @return True from its first such answer on.
- */
-bool isLeaving(const ServerPool &Pool, const InstanceId &Id);
-
-/**
- * Says whether a back end told any process that it is shutting down.
- * @param Pool The state.
- * @param Id Instance of the back end.
- * @return True once that is known here.
- */
-bool isReportedLeaving(const ServerPool &Pool, const InstanceId &Id);
-
 /**
  * Records a notice that could not be read.
  * @param Pool State to change.
@@ -86,31 +72,13 @@
 bool recordUnreadableNotice(ServerPool &Pool, const InstanceId &Id,
                             TimePoint Now);
 
-/**
- * Gives the end of the pause that a back end asked for.
- * @param Pool The state.
- * @param Id Instance of the back end.
- * @return The time; in the past when it asked for none.
- */
-TimePoint pauseEnd(const ServerPool &Pool, const InstanceId &Id);
-
 /**
  * Says whether a back end wants requests of this entry.
- * @param Pool The state.
- * @param Id Instance of the back end.
+ * @param Notices What it announced.
  * @param Now Current time.
  * @return False during a pause that it asked for, and once it is leaving.
  */
-bool wantsRequests(const ServerPool &Pool, const InstanceId &Id, TimePoint Now);
-
-/**
- * Says whether the slow start after a pause allows one more request.
- * @param Pool State to change: the slow start may begin.
- * @param View The back end.
- * @param Now Current time.
- * @return True without a pause before.
- */
-bool maySendAfterPause(ServerPool &Pool, const ServerView &View, TimePoint Now);
+bool wantsRequests(const ServerNotices &Notices, TimePoint Now);
 
 /**
  * Records a request that a back end accepted: the head of its answer is there,
@@ -122,6 +90,21 @@
 void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
                            TimePoint Now);
 
+/**
+ * Gives a server that is new to the pool what its run announced before.
+ * @param Pool State to change.
+ * @param View The new server.
+ * @param Now Current time.
+ */
+void restoreNotices(ServerPool &Pool, ServerView &View, TimePoint Now);
+
+/**
+ * Keeps the notices of a server that is about to leave the pool.
+ * @param Pool State to change.
+ * @param View The server.
+ */
+void keepNotices(ServerPool &Pool, const ServerView &View);
+
 /**
  * Drops the notices of runs that have ended: those of servers that have started
  * anew under their id, or were not listed for a long time.
--- a/packages/core/src/forwarding/server_notice_type.h
+++ b/packages/core/src/forwarding/server_notice_type.h
@@ -9,14 +9,13 @@
 
 namespace jacinthpond {
 
-/** What one run of a back end announced to this entry. It is kept apart from
- * the list of servers, so that it outlives their rows there. */
+/** What one run of a back end announced to this entry. */
 struct ServerNotices {
   uint64_t Born = 0;             ///< Start of that run; see BackEndServer.
   ServerBackoff Backoff;         ///< Pause that it asked for.
   bool Leaving = false;          ///< It told this entry that it shuts down.
   bool LeavingElsewhere = false; ///< It told so another process of the fleet.
-  TimePoint ForgetAt;            ///< Kept until then at least.
+  TimePoint ForgetAt;            ///< Kept until then without a row.
   bool HasUnreadable = false;    ///< A notice of it could not be read.
 };
 
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/server_pool_func.h"
 
 #include "admission/first_part_func.h"
+#include "admission/server_backoff_func.h"
 #include "admission/server_rate_func.h"
 #include "base/random_func.h"
 #include "forwarding/liveness_func.h"
@@ -209,8 +210,7 @@
                 const ServerNeeds &Needs, const Service &Spec, TimePoint Now) {
   const Document &Doc = *Pool.Doc;
   if (View.Listed.Service != Needs.Service || View.Listed.Draining ||
-      isLeaving(Pool, View.Listed.Id) ||
-      Doc.DomainsOut.contains(View.Listed.Domain))
+      View.Notices.Leaving || Doc.DomainsOut.contains(View.Listed.Domain))
     return false;
   if (View.UnlistedSince && Now >= Pool.KeepUnlistedUntil)
     return false;
@@ -248,7 +248,7 @@
   const bool ProbeUnanswered = View.ProbePendingSince && !hasAgent(View);
   if (Now < View.RankLastUntil || ProbeUnanswered)
     Score += LateReplyPenalty;
-  if (isReportedLeaving(Pool, View.Listed.Id))
+  if (View.Notices.LeavingElsewhere)
     Score += LeavingPenalty;
   return Score;
 }
@@ -317,8 +317,8 @@
     if (isHostUnresponsive(View, Now) != Unresponsive ||
         !isSuitable(Pool, View, Needs, Spec, Now) || Now < View.AvoidUntil)
       continue;
-    if (!wantsRequests(Pool, Id, Now)) {
-      countPaused(Choice, pauseEnd(Pool, Id));
+    if (isPaused(View.Notices.Backoff, Now)) {
+      countPaused(Choice, View.Notices.Backoff.Until);
       continue;
     }
     if (isExcluded(Needs, Id))
@@ -329,7 +329,7 @@
                        estimatedRequests(View, Now) + 1 >
                            requestCapacity(Pool, View, *Needs.MatchedRoute)) ||
                       (mayBePaused(View) && View.Open > 0) ||
-                      !maySendAfterPause(Pool, View, Now);
+                      !maySendAfterPause(View.Notices.Backoff, View.Open, Now);
     if (Full)
       continue;
     if (!isWithinRates(Pool, View, Spec, Now)) {
@@ -463,7 +463,7 @@
     return;
   }
   case AttemptEnd::Refused:
-    if (!wantsRequests(Pool, Id, Now))
+    if (!wantsRequests(View.Notices, Now))
       return; // A pause says nothing about the load after it.
     // It is full, whatever its last report said; its next answer reports its
     // load.
@@ -497,7 +497,7 @@
   const ServerView *View = findServer(Pool, Id);
   const Service *Spec = findService(Pool, Needs.Service);
   return View != nullptr && Spec != nullptr && !isExcluded(Needs, Id) &&
-         wantsRequests(Pool, Id, Now) &&
+         wantsRequests(View->Notices, Now) &&
          isSuitable(Pool, *View, Needs, *Spec, Now);
 }
 
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -49,6 +49,7 @@
   TimePoint LastByteAt;       ///< When the last byte of any answer arrived.
   /** When the liveness probe that its host has not answered yet was sent. */
   std::optional<TimePoint> ProbePendingSince;
+  ServerNotices Notices; ///< What its run announced here.
   ServerRate Rate;       ///< Rate limit that it sets for itself.
   TimePoint NoSlotUntil; ///< Its agent grants no slot until then: rate limit.
   TimePoint ColdUntil;   ///< End of its cold start, with a reduced rate.
@@ -86,12 +87,14 @@
 /** All back ends that routes lead to, and what one entry has learned of them.
  */
 struct ServerPool {
-  PoolOptions Options;                             ///< From the settings.
-  DocumentPtr Doc;                                 ///< Document in force.
-  std::map<InstanceId, ServerView> Servers;        ///< By instance.
-  std::map<InstanceId, ServerNotices> Notices;     ///< By instance; not listed
-                                                   ///< ones too.
-  std::map<ModelName, WantedWeights> Wanted;       ///< By model.
+  PoolOptions Options;                      ///< From the settings.
+  DocumentPtr Doc;                          ///< Document in force.
+  std::map<InstanceId, ServerView> Servers; ///< By instance.
+  /** Notices of servers that have left Servers: their rows may come back. */
+  std::map<InstanceId, ServerNotices> FormerNotices;
+  std::map<ModelName, WantedWeights> Wanted; ///< By model.
+  /** When an unknown instance at an address last said that it is leaving. */
+  std::map<Address, TimePoint> LeavingAt;
   std::map<ServiceName, Duration> UsualAnswerTime; ///< Mean time of an answer.
   std::map<ServiceName, TimePoint> LastRetryTime;  ///< Last retry time given
                                                    ///< at the rate limit.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -98,16 +98,16 @@
     logUnreadableNotice(*Name, Value);
   if (!Leaving.value_or(false))
     return;
-  const bool Misdirected =
-      Received.result() == http::status::misdirected_request;
-  const std::vector<InstanceId> Answerers =
-      Misdirected ? possibleAnswerers(Shared.Pool, ServerId, CallStartTime)
-                  : std::vector<InstanceId>{ServerId};
-  for (const InstanceId &One : Answerers)
-    if (const auto News = recordLeaving(Shared.Pool, One, Shared.Clock.now())) {
-      Shared.Counters.add(ForwardCount::ServersLeaving);
-      Shared.SendToEntries(*News);
-    }
+  const TimePoint Now = Shared.Clock.now();
+  std::vector<ServerLeavingNotice> News;
+  if (Received.result() == http::status::misdirected_request)
+    News = recordMisdirectedLeaving(Shared.Pool, ServerId, CallStartTime, Now);
+  else if (const auto One = recordLeaving(Shared.Pool, ServerId, Now))
+    News.push_back(*One);
+  for (const ServerLeavingNotice &One : News) {
+    Shared.Counters.add(ForwardCount::ServersLeaving);
+    Shared.SendToEntries(One);
+  }
 }
 
 /** Records the pause that a refusal asks for: the longest one if it is given
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -75,6 +75,13 @@
     case Trouble::WorkerEnds:
       One.Who = below(2) == 0 ? worker() : "p" + std::to_string(below(2));
       break;
+    case Trouble::Shed:
+      One.Who = below(3) > 0 ? worker() : "p" + std::to_string(below(2));
+      One.Pause = between(1000, 4000);
+      break;
+    case Trouble::Leaves:
+      One.Who = below(2) == 0 ? worker() : "p" + std::to_string(below(2));
+      break;
     case Trouble::RateLimit:
       One.Who = below(3) > 0 ? worker() : "p" + std::to_string(below(2));
       One.Length = between(4000, 14000);
@@ -154,6 +161,18 @@
   return One;
 }
 
+/** Adds back ends that shed load or say that they leave, one to five, to the
+ * day of a seed. */
+inline Schedule makeNoticedSchedule(uint64_t Seed) {
+  Schedule One = makeSchedule(Seed);
+  IncidentMaker Maker(Seed ^ (Seed << 32U));
+  for (size_t n = 1 + Maker.below(5); n > 0; --n)
+    One.Incidents.push_back(
+        Maker.draw(Maker.below(3) > 0 ? Trouble::Shed : Trouble::Leaves));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
 /** What a day came to. */
 struct DayEnd {
   std::optional<Broken> Fault; ///< The rule that was broken first.
