--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -86,9 +86,9 @@
   Admission Gate;           ///< Concurrency limit, running and queued work.
   ServerRate Rate;          ///< Rate limit that the back end itself announces.
   ServerBackoff Backoff;    ///< Pause that the back end asked this host for.
+  std::string PausedRun;    ///< Run of the back end that asked for it.
   std::string LeavingRun;   ///< Run of the back end that said that it is
                             ///< leaving; empty: none did.
-  std::string PausedRun;    ///< Run of the back end that asked for it.
   ServerRate ColdStartRate; ///< Rate limit during a cold start.
   TimePoint ColdUntil;      ///< End of the cold start.
   BackEndServer ListedServer;   ///< Row of this back end in the document.
