--- a/packages/adapters/http/requested_pause.h
+++ b/packages/adapters/http/requested_pause.h
@@ -7,7 +7,7 @@
 
 namespace httplib {
 struct Response;
-}
+} // namespace httplib
 
 namespace jacinthpond {
 
