entry: log how the connection of a failed attempt ended, and a digest of its content

An attempt that a crash of its back end ended could not be told from a lost answer, a reset or garbled bytes (outcome=broken), on a kept connection not from one given up here, and copies of a request share no id. attempt_end now has the end of the connection, the reason of a failed connect, and a digest of workspace, method, host, target and body.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -37,12 +37,7 @@
 
 Digest fingerprintOf(const WorkspaceName &Workspace, const ClassName &Class,
                      std::string_view Body) {
-  // Without the lengths, different fields could concatenate to equal strings.
-  std::string All = std::to_string(Workspace.Value.size()) + "/" +
-                    Workspace.Value + std::to_string(Class.Value.size()) + "/" +
-                    Class.Value;
-  All.append(Body);
-  return sha256(All);
+  return digestOfFields({Workspace.Value, Class.Value}, Body);
 }
 
 bool applySuspectNotice(Quarantine &State, const SuspectNotice &Notice,
--- a/packages/core/src/base/hash.cpp
+++ b/packages/core/src/base/hash.cpp
@@ -27,6 +27,17 @@
   return Hex;
 }
 
+Digest digestOfFields(std::initializer_list<std::string_view> Fields,
+                      std::string_view Body) {
+  std::string All;
+  for (const std::string_view Field : Fields) {
+    All += std::to_string(Field.size()) + "/";
+    All.append(Field);
+  }
+  All.append(Body);
+  return sha256(All);
+}
+
 uint64_t checksum64(std::string_view Bytes) {
   return XXH3_64bits(Bytes.data(), Bytes.size());
 }
--- a/packages/core/src/base/hash_func.h
+++ b/packages/core/src/base/hash_func.h
@@ -5,6 +5,7 @@
 
 #include "base/ids_type.h"
 
+#include <initializer_list>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +18,16 @@
  */
 Digest sha256(std::string_view Bytes);
 
+/**
+ * Computes a digest of several fields and a body. Each field counts with its
+ * length, so that different fields never concatenate to equal strings.
+ * @param Fields The fields, in a fixed order.
+ * @param Body Bytes that follow them.
+ * @return The digest in lower-case hex.
+ */
+Digest digestOfFields(std::initializer_list<std::string_view> Fields,
+                      std::string_view Body);
+
 /**
  * Computes a checksum that detects corruption in transit. It gives no
  * protection against an attacker.
--- /dev/null
+++ b/packages/core/src/forwarding/request_identity_func.h
@@ -0,0 +1,33 @@
+/** @file request_identity_func.h Recognizing copies of a request on routes. */
+
+#ifndef JACINTHPOND_CORE_FORWARDING_REQUEST_IDENTITY_FUNC_H
+#define JACINTHPOND_CORE_FORWARDING_REQUEST_IDENTITY_FUNC_H
+
+#include "base/ids_type.h"
+
+#include <string_view>
+
+namespace jacinthpond {
+
+/** What a back end gets of a request, but for headers. */
+struct RequestContent {
+  std::string_view Method; ///< HTTP method.
+  std::string_view Host;   ///< Host header, as the caller sent it.
+  std::string_view Target; ///< Path and query.
+  std::string_view Body;   ///< Decoded body.
+};
+
+/**
+ * Identifies a request by what its back end gets. Copies have the same
+ * fingerprint whatever entry they come to, with other attempt ids, deadlines,
+ * API keys of the same workspace, framing or order of headers.
+ * @param Owner Workspace of the caller; empty: none.
+ * @param Content The request.
+ * @return The fingerprint.
+ */
+Digest routeFingerprint(const WorkspaceName &Owner,
+                        const RequestContent &Content);
+
+} // namespace jacinthpond
+
+#endif
--- a/packages/core/src/forwarding/route_match.cpp
+++ b/packages/core/src/forwarding/route_match.cpp
@@ -37,10 +37,14 @@
 
 } // namespace
 
+std::string normalizedHost(std::string_view Host) {
+  return toLowerCase(withoutPort(trimmed(Host)));
+}
+
 RouteIndex makeRouteIndex(const Document &Doc) {
   RouteIndex Index;
   for (const Route &One : Doc.Routes)
-    Index.ByHost[toLowerCase(withoutPort(One.Host))].push_back(&One);
+    Index.ByHost[normalizedHost(One.Host)].push_back(&One);
   for (auto &[Host, Routes] : Index.ByHost)
     std::ranges::stable_sort(Routes, std::greater<>{}, [](const Route *One) {
       return One->Prefix.size();
@@ -54,7 +58,7 @@
 
 const Route *matchRoute(const RouteIndex &Index, std::string_view Host,
                         std::string_view Target) {
-  const auto it = Index.ByHost.find(toLowerCase(withoutPort(trimmed(Host))));
+  const auto it = Index.ByHost.find(normalizedHost(Host));
   if (it == Index.ByHost.end())
     return nullptr;
   const std::string_view Path = Target.substr(0, Target.find('?'));
--- a/packages/core/src/forwarding/route_match_func.h
+++ b/packages/core/src/forwarding/route_match_func.h
@@ -5,6 +5,7 @@
 
 #include "forwarding/route_match_type.h"
 
+#include <string>
 #include <string_view>
 
 namespace jacinthpond {
@@ -16,6 +17,13 @@
  */
 RouteIndex makeRouteIndex(const Document &Doc);
 
+/**
+ * Normalizes a Host header.
+ * @param Host Its value.
+ * @return The host name in lower case, without port and blanks.
+ */
+std::string normalizedHost(std::string_view Host);
+
 /**
  * Finds the route of a request: among the routes of its host, the one with the
  * longest prefix of the path.
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -49,6 +49,12 @@
                                      static_cast<double>(Seconds)));
 }
 
+/** Says why a connection could not be opened. */
+ConnectionEnd connectFailure(const Error &Bad) {
+  return Bad == boost::asio::error::connection_refused ? ConnectionEnd::Refused
+                                                       : ConnectionEnd::Failed;
+}
+
 /** Says whether a connection is still open and has no unread data. */
 bool isIdle(BackEndConnection &Idle) {
   if (Idle.Buffer.size() > 0)
@@ -120,13 +126,13 @@
   ConnectTimer.expires_after(Limit);
   ConnectTimer.async_wait([Self](const Error &Expired) {
     if (!Expired && !Self->Sent)
-      Self->reportFailure(CallFailure::Unreached);
+      Self->reportFailure(CallFailure::Unreached, ConnectionEnd::TimedOut);
   });
   OpenConnection->Socket.async_connect(To, [Self](const Error &Bad) {
     if (Self->Handler == nullptr)
       return;
     if (Bad) {
-      Self->reportFailure(CallFailure::Unreached);
+      Self->reportFailure(CallFailure::Unreached, connectFailure(Bad));
       return;
     }
     Self->writeRequest();
@@ -148,7 +154,7 @@
   const auto Self = shared_from_this(); // The handler may drop this call.
   ConnectTimer.cancel();
   if (!Handler->maySendRequest()) {
-    reportFailure(CallFailure::Withheld);
+    reportFailure(CallFailure::Withheld, ConnectionEnd::Open);
     return;
   }
   Sent = true;
@@ -191,14 +197,15 @@
           Self->finish();
           return;
         }
-        Self->handleClose();
+        Self->handleClose(ec == boost::asio::error::eof ? ConnectionEnd::Closed
+                                                        : ConnectionEnd::Reset);
       });
 }
 
 /** Reports a connection that ended before the response was complete. */
-void BackEndCall::handleClose() {
-  reportFailure(Reused && !ReceivedAny ? CallFailure::Stale
-                                       : CallFailure::Broken);
+void BackEndCall::handleClose(ConnectionEnd End) {
+  reportFailure(
+      Reused && !ReceivedAny ? CallFailure::Stale : CallFailure::Broken, End);
 }
 
 /** Parses the received bytes and passes the response to the handler. */
@@ -208,7 +215,7 @@
     const size_t n = ResponseParser->put(OpenConnection->Buffer.data(), ec);
     OpenConnection->Buffer.consume(n);
     if (ec && ec != http::error::need_more) {
-      reportFailure(CallFailure::Broken);
+      reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
       return;
     }
     if (ResponseParser->is_header_done() && !HeadDone && !processHead())
@@ -284,12 +291,12 @@
 }
 
 /** Ends the call without a complete response. */
-void BackEndCall::reportFailure(CallFailure Why) {
+void BackEndCall::reportFailure(CallFailure Why, ConnectionEnd End) {
   BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
   if (Receiver == nullptr)
     return;
   cancel();
-  Receiver->handleCallFailure(Why);
+  Receiver->handleCallFailure(Why, End);
 }
 
 void BackEndCall::cancel() {
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -78,6 +78,18 @@
   Broken     ///< The connection broke, or the response is malformed.
 };
 
+/** How the connection of a failed call ended. */
+enum class ConnectionEnd : uint8_t {
+  Open,      ///< It was not ended by the other side.
+  Refused,   ///< The address refused it: the host runs, nobody listens.
+  TimedOut,  ///< The address did not answer.
+  Failed,    ///< It could not be opened for another reason.
+  Reset,     ///< The back end, or its system, reset it.
+  Closed,    ///< The back end closed it in order.
+  Malformed, ///< The back end sent bytes that are no response.
+  Count      ///< Number of values; not a value.
+};
+
 /** Status and headers of a response. */
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
@@ -119,8 +131,9 @@
   /**
    * Handles a failure: no complete response will follow.
    * @param Why What happened.
+   * @param End How the connection ended.
    */
-  virtual void handleCallFailure(CallFailure Why) = 0;
+  virtual void handleCallFailure(CallFailure Why, ConnectionEnd End) = 0;
 };
 
 /** One request and its response. After cancel() the handler isn't called. */
@@ -163,8 +176,8 @@
   bool processHead();
   void deliverBody();
   void finish();
-  void reportFailure(CallFailure Why);
-  void handleClose();
+  void reportFailure(CallFailure Why, ConnectionEnd End);
+  void handleClose(ConnectionEnd End);
 
   boost::asio::io_context &Io;
   BackEndConnectionPool &Pool;
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -7,6 +7,7 @@
 #include "forward/log_value.h"
 #include "forwarding/caller_age_func.h"
 #include "forwarding/come_back_func.h"
+#include "forwarding/request_identity_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -182,6 +183,16 @@
                                       int64_t{0}, MaxRemainingMillis));
 }
 
+/** Digest by which copies of the request are recognized on all hosts. */
+const Digest &Exchange::fingerprint() const {
+  if (Fingerprint.Value.empty())
+    Fingerprint = routeFingerprint(
+        Owner == nullptr ? WorkspaceName{} : Owner->Name,
+        {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
+         toStringView(Incoming.target()), Incoming.body()});
+  return Fingerprint;
+}
+
 /** Priority of the request, 0 first: its workspace's if set, else its route's.
  */
 uint32_t Exchange::rank() const {
@@ -292,6 +303,7 @@
   Sending.MaxIdle = maxIdleConnections(Shared.Pool, Server.Listed.Service);
   Mode = AnswerMode::Waiting;
   AnswerStatus = 0;
+  LastEnd = ConnectionEnd::Open;
   Body.clear();
   dropPartialEvent(Events);
   CallStartTime = Now;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -49,7 +49,7 @@
   void handleAnswerHead(const ResponseHead &Head) override;
   void handleAnswerBody(std::string Bytes) override;
   void handleAnswerEnd() override;
-  void handleCallFailure(CallFailure Why) override;
+  void handleCallFailure(CallFailure Why, ConnectionEnd End) override;
 
 private:
   /** How the current response is handled. */
@@ -98,6 +98,7 @@
   bool isSilentTooLong(TimePoint Now) const;
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
+  const Digest &fingerprint() const;
   void logWaitForReadiness() const;
   void readLeaving(const ResponseHead &Received);
   void readPause(const ResponseHead &Received);
@@ -112,6 +113,7 @@
   ForwardContext &Shared;
   std::shared_ptr<CallerSession> Session; ///< Null once the exchange is over.
   CallerRequest Incoming;
+  mutable Digest Fingerprint; ///< See fingerprint(); empty: not computed yet.
   std::string Id;  ///< Id that the caller gave the request; for logs too.
   DocumentPtr Doc; ///< In force when the route was matched; owns RequestRoute.
   const Route *RequestRoute = nullptr; ///< Matched route; null: none yet.
@@ -130,7 +132,8 @@
   Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
   TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
   AnswerMode Mode = AnswerMode::Waiting;
-  unsigned AnswerStatus = 0;    ///< Status of the current response; 0: none.
+  unsigned AnswerStatus = 0; ///< Status of the current response; 0: none.
+  ConnectionEnd LastEnd = ConnectionEnd::Open; ///< Of the current attempt.
   ResponseHead Head;            ///< Head of the response that the caller gets.
   std::string Body;             ///< Body received so far in mode Whole.
   AttemptId CurrentSlot;        ///< Slot requested or held; empty: none.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -282,12 +282,13 @@
     Shared.Counters.add(ForwardCount::HostUnresponsive);
   if (Call)
     Call->cancel();
-  handleCallFailure(CallFailure::Broken);
+  handleCallFailure(CallFailure::Broken, ConnectionEnd::Open);
 }
 
 /** Retries a failed attempt if that is allowed, else ends the request. */
-void Exchange::handleCallFailure(CallFailure Why) {
+void Exchange::handleCallFailure(CallFailure Why, ConnectionEnd End) {
   const auto Self = shared_from_this();
+  LastEnd = End;
   if (Why == CallFailure::Unreached) {
     Shared.Counters.add(ForwardCount::Unreached);
     concludeAttempt(AttemptEnd::Unreached);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -25,6 +25,15 @@
     "answered", "back_end_error", "not_executed", "unreached",
     "broken",   "given_up",       "not_sent"};
 
+/** Log value of each ConnectionEnd, in enum order. */
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(ConnectionEnd::Count)>
+    ConnectionEndWords = {"open",  "refused", "timed_out", "failed",
+                          "reset", "closed",  "malformed"};
+
+/** Characters of a digest that a log line shows. */
+constexpr size_t LoggedDigestLength = 16;
+
 /** Milliseconds since a time; the maximum if the time was never set. */
 std::string millisSince(TimePoint Then, TimePoint Now) {
   constexpr int64_t MostMillis = 999999;
@@ -127,7 +136,9 @@
               " n=" + std::to_string(AttemptsSent) +
               " server=" + ServerId.Value + " outcome=" +
               std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
-              " status=" + std::to_string(AnswerStatus) +
+              " status=" + std::to_string(AnswerStatus) + " connection=" +
+              std::string(ConnectionEndWords.at(static_cast<size_t>(LastEnd))) +
+              " content=" + fingerprint().Value.substr(0, LoggedDigestLength) +
               " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
               millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
               " unanswered_ms=" +
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -32,7 +32,7 @@
     BOOST_ERROR("unexpected response body");
   }
   void handleAnswerEnd() override { BOOST_ERROR("unexpected end of response"); }
-  void handleCallFailure(CallFailure) override {
+  void handleCallFailure(CallFailure, ConnectionEnd) override {
     BOOST_ERROR("unexpected failure");
   }
 };
@@ -69,7 +69,9 @@
 BOOST_AUTO_TEST_CASE(AWithheldRequestIsNotWritten) {
   struct Withholding : NoEvents {
     bool maySendRequest() override { return false; }
-    void handleCallFailure(CallFailure Why) override { Failed = Why; }
+    void handleCallFailure(CallFailure Why, ConnectionEnd) override {
+      Failed = Why;
+    }
     std::optional<CallFailure> Failed;
   };
   boost::asio::io_context Io;
