tests: requests that crash the back ends which run them; fails

The stand-in of a worker ends its process on such a request, and the test starts it again under a new id.

--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -133,6 +133,13 @@
   /** Starts a process that has ended again, as it was. @param Name Its name. */
   void restart(const std::string &Name);
 
+  /**
+   * Starts a worker that has ended again, at its address, under another id.
+   * @param Name "model-N" or "plain-N".
+   * @param Id Its new id.
+   */
+  void restartServer(const std::string &Name, const std::string &Id);
+
   /** Keeps settings and logs beyond the end. @return Their folder. */
   const std::string &keepFolder() {
     Kept = true;
@@ -161,7 +168,7 @@
   size_t Models = 0; ///< Model workers started.
 
 private:
-  void startServer(const std::string &Name, Json Options);
+  void startServer(const std::string &Name, Json Options, int Port = 0);
   bool seesAllWorkers(size_t Entry) const;
   void startEntry(size_t n);
   void startAgent(size_t n);
@@ -176,9 +183,11 @@
   PortReservation AgentPort;
   std::list<PortReservation> Reserved; ///< Ports of the entries.
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
-  std::map<std::string, std::string> At;      ///< Address of each stand-in.
-  std::map<std::string, Json> Registered;     ///< Entry of each server.
-  std::map<std::string, std::string> EntryAt; ///< "N/which": "IP:port".
+  std::map<std::string, std::string> At;     ///< Address of each stand-in.
+  std::map<std::string, Json> ServerOptions; ///< Start values of each worker.
+  std::map<std::string, std::string> ServerIds; ///< Id of each worker.
+  std::map<std::string, Json> Registered;       ///< Entry of each server.
+  std::map<std::string, std::string> EntryAt;   ///< "N/which": "IP:port".
 };
 
 } // namespace jacinthpond::fleet
