entry: refuse requests on routes that crash back ends, fleet-wide

Cause: on routes nothing was remembered between two copies of a request. The quarantine knew only attempts that agents run.

Change: one quarantine for both interfaces. Entries bring evidence. An answer that the back end breaks off is a crash if its address refuses connections 0.1 s later; lost answers, resets, lost hosts and planned ends are none, and an answer of the same run withdraws it. What was under way there is suspect on all hosts, agents included, so that entries that start learn it. Copies of a suspect go to one back end from all entries; a completed run clears it. After two crashes that no other suspect explains it is refused: asked before each choice of a back end, while it waits for a slot, and where it is written.

Also: a crash on a kept connection passed for a connection that was closed before the request came; suspects go over new connections.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -5,34 +5,93 @@
 #include "base/hash_func.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
 
 namespace jacinthpond {
 
 namespace {
 
-/** How long a request is refused, or runs only alone, after a death. */
-constexpr Millis SuspectLifetime{60000};
-/** Deaths after which a request is refused. */
+/** How long a request is refused after its latest death: after up to two
+ * deaths, after three, and after more. */
+constexpr std::array<std::chrono::minutes, 3> RefusalTimes = {
+    std::chrono::minutes{10}, std::chrono::hours{2}, std::chrono::hours{24}};
+/** How long deaths are remembered. */
+constexpr std::chrono::hours DeathLifetime{24};
+/** How long the clearing of deaths is remembered. Notices of these deaths that
+ * arrive late are recognized by it. */
+constexpr std::chrono::minutes ClearedLifetime{10};
+/** Deaths without another explanation after which a request is refused. */
 constexpr size_t MaxDeaths = 2;
-/** Maximum number of suspects; the oldest are dropped. */
+/** Maximum number of suspects; the least suspect are dropped. */
 constexpr size_t MaxSuspects = 4096;
 
+/** Gives how long a record is kept after its latest notice. */
+Duration lifetime(bool HasDeaths) {
+  return HasDeaths ? Duration(DeathLifetime) : Duration(ClearedLifetime);
+}
+
+/** Says whether a record is too old to count. */
+bool isExpired(const Suspect &One, TimePoint Now) {
+  return Now - One.Last >= lifetime(!One.Deaths.empty());
+}
+
 /** Finds a suspect that has not expired; null if there is none. */
 const Suspect *findSuspect(const Quarantine &State, const Digest &Fingerprint,
                            TimePoint Now) {
   const auto it = State.Suspects.find(Fingerprint);
-  if (it == State.Suspects.end() || Now - it->second.Last >= SuspectLifetime)
-    return nullptr;
-  return &it->second;
+  return it == State.Suspects.end() || isExpired(it->second, Now) ? nullptr
+                                                                  : &it->second;
 }
 
-/** Removes the suspect with the oldest notice. */
-void dropOldest(Quarantine &State) {
-  const auto it = std::ranges::min_element(
-      State.Suspects, {}, [](const auto &Row) { return Row.second.Last; });
+/** Removes the oldest of the records with the fewest deaths, so that requests
+ * that merely ran beside others never push out one that is refused. */
+void dropLeastSuspect(Quarantine &State) {
+  const auto it =
+      std::ranges::min_element(State.Suspects, {}, [](const auto &Row) {
+        const Suspect &One = Row.second;
+        const size_t Weight =
+            One.Proven ? MaxDeaths : std::min(One.Deaths.size(), MaxDeaths);
+        return std::pair(Weight, One.Last);
+      });
   State.Suspects.erase(it);
 }
 
+/**
+ * Says whether another suspect explains a death of a request: it ran at that
+ * death too, and at more deaths. Of two requests that ran at the same two
+ * deaths either may have caused them; the next death tells them apart.
+ */
+bool isExplained(const Quarantine &State, const Digest &Fingerprint,
+                 const Suspect &One, const std::string &Death) {
+  const size_t Own = One.Deaths.size();
+  const size_t Needed = Own > MaxDeaths ? Own + 1 : std::max(Own, MaxDeaths);
+  return std::ranges::any_of(State.Suspects, [&](const auto &Row) {
+    const std::set<std::string> &Deaths = Row.second.Deaths;
+    return Row.first != Fingerprint && Deaths.size() >= Needed &&
+           Deaths.contains(Death);
+  });
+}
+
+/** Says whether a request causes deaths. */
+bool isCulprit(const Quarantine &State, const Digest &Fingerprint,
+               const Suspect &One) {
+  if (One.Proven || One.Deaths.size() < MaxDeaths)
+    return One.Proven;
+  const auto Unexplained =
+      std::ranges::count_if(One.Deaths, [&](const std::string &Death) {
+        return !isExplained(State, Fingerprint, One, Death);
+      });
+  return static_cast<size_t>(Unexplained) >= MaxDeaths;
+}
+
+/** Gives how long a request is refused after its latest death. */
+Duration refusalTime(const Suspect &One) {
+  const size_t Beyond = std::max(One.Deaths.size(), MaxDeaths) - MaxDeaths;
+  return RefusalTimes.at(std::min(Beyond, RefusalTimes.size() - 1));
+}
+
 } // namespace
 
 Digest fingerprintOf(const WorkspaceName &Workspace, const ClassName &Class,
@@ -42,13 +101,14 @@
 
 bool applySuspectNotice(Quarantine &State, const SuspectNotice &Notice,
                         TimePoint Now) {
+  const Millis Longest = toMillis(lifetime(!Notice.Cleared));
   const Millis Age(static_cast<int64_t>(
-      std::min<uint64_t>(Notice.AgeMillis, SuspectLifetime.count())));
-  if (Age >= SuspectLifetime)
+      std::min<uint64_t>(Notice.AgeMillis, Longest.count())));
+  if (Age >= Longest)
     return false;
   if (!State.Suspects.contains(Notice.Fingerprint) &&
       State.Suspects.size() >= MaxSuspects)
-    dropOldest(State);
+    dropLeastSuspect(State);
   Suspect &One = State.Suspects[Notice.Fingerprint];
   if (Notice.Cleared) {
     One.Deaths.erase(Notice.DeathId);
@@ -72,37 +132,50 @@
   const Suspect *One = findSuspect(State, Fingerprint, Now);
   if (One == nullptr || One->Deaths.empty())
     return Suspicion::None;
-  return One->Proven || One->Deaths.size() >= MaxDeaths ? Suspicion::Refuse
-                                                        : Suspicion::RunAlone;
+  if (!isCulprit(State, Fingerprint, *One))
+    return Suspicion::RunAlone;
+  return Now - One->Last < refusalTime(*One) ? Suspicion::Refuse
+                                             : Suspicion::Trial;
+}
+
+bool mustRunAlone(Suspicion Suspected) {
+  return Suspected == Suspicion::RunAlone || Suspected == Suspicion::Trial;
 }
 
 Millis refusalTimeLeft(const Quarantine &State, const Digest &Fingerprint,
                        TimePoint Now) {
   const Suspect *One = findSuspect(State, Fingerprint, Now);
-  return One == nullptr ? Millis{0}
-                        : toMillis(One->Last + SuspectLifetime - Now);
+  return One == nullptr
+             ? Millis{0}
+             : std::max(toMillis(One->Last + refusalTime(*One) - Now),
+                        Millis{0});
 }
 
-void clearSuspect(Quarantine &State, const Digest &Fingerprint,
-                  const Membership &Fleet, TimePoint Now, Effects &Out) {
+std::vector<SuspectNotice>
+clearSuspect(Quarantine &State, const Digest &Fingerprint, TimePoint Now) {
+  std::vector<SuspectNotice> Notices;
   const Suspect *One = findSuspect(State, Fingerprint, Now);
   if (One == nullptr)
-    return;
+    return Notices;
   // Many callers may send equal requests. Unless all hosts clear these deaths,
   // two deaths with other causes would add up on hosts where the request did
   // not run in between.
-  const std::set<std::string> Deaths = One->Deaths;
-  for (const std::string &Death : Deaths) {
-    const SuspectNotice Notice{Fingerprint, Death, 0, false, true};
+  for (const std::string &Death : One->Deaths)
+    Notices.push_back({Fingerprint, Death, 0, false, true});
+  for (const SuspectNotice &Notice : Notices)
     applySuspectNotice(State, Notice, Now);
+  return Notices;
+}
+
+void clearSuspect(Quarantine &State, const Digest &Fingerprint,
+                  const Membership &Fleet, TimePoint Now, Effects &Out) {
+  for (const SuspectNotice &Notice : clearSuspect(State, Fingerprint, Now))
     broadcastNotice(Fleet, Notice, {}, Out);
-  }
 }
 
 void dropExpiredSuspects(Quarantine &State, TimePoint Now) {
-  std::erase_if(State.Suspects, [&](const auto &Row) {
-    return Now - Row.second.Last >= SuspectLifetime;
-  });
+  std::erase_if(State.Suspects,
+                [&](const auto &Row) { return isExpired(Row.second, Now); });
 }
 
 void sendSuspects(const Quarantine &State, LinkId Link, TimePoint Now,
--- a/packages/core/src/admission/quarantine_func.h
+++ b/packages/core/src/admission/quarantine_func.h
@@ -2,8 +2,11 @@
  *
  * A request that crashes every back end it runs on may kill at most two. The
  * first death makes all requests that were running there suspects. A suspect
- * runs again only alone, and if the back end dies again, it is refused on all
- * hosts for a while.
+ * runs again only apart from other suspects, and is cleared when it completes.
+ * It is refused on all hosts after two deaths, unless other suspects explain
+ * them: they ran at these deaths and at more, or at the same two. The refusal
+ * ends after a while for a single trial, and each trial that fails makes the
+ * next one rarer.
  */
 
 #ifndef JACINTHPOND_CORE_QUARANTINE_FUNC_H
@@ -15,6 +18,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace jacinthpond {
 
@@ -49,6 +53,13 @@
 Suspicion suspicionOf(const Quarantine &State, const Digest &Fingerprint,
                       TimePoint Now);
 
+/**
+ * Says whether a request must run apart from other suspects, if it may run.
+ * @param Suspected How it is to be treated.
+ * @return True for a suspect that is not refused.
+ */
+bool mustRunAlone(Suspicion Suspected);
+
 /**
  * Gives how much longer a request is refused.
  * @param State The state.
@@ -59,6 +70,16 @@
 Millis refusalTimeLeft(const Quarantine &State, const Digest &Fingerprint,
                        TimePoint Now);
 
+/**
+ * Clears a suspect that ran to completion: it did not cause the deaths.
+ * @param State State to change.
+ * @param Fingerprint Fingerprint of the request.
+ * @param Now Current time.
+ * @return The notices for the peers.
+ */
+std::vector<SuspectNotice>
+clearSuspect(Quarantine &State, const Digest &Fingerprint, TimePoint Now);
+
 /**
  * Clears a suspect that ran to completion, and notifies peers: it did not cause
  * the deaths.
--- a/packages/core/src/admission/quarantine_type.h
+++ b/packages/core/src/admission/quarantine_type.h
@@ -23,8 +23,9 @@
 /** How to treat a request. */
 enum class Suspicion : uint8_t {
   None,     ///< Not suspected.
-  RunAlone, ///< Was running at one death: must run alone.
-  Refuse    ///< Was running at two deaths, or alone at one: refused.
+  RunAlone, ///< Was running at a death that others may have caused.
+  Refuse,   ///< Causes deaths: refused.
+  Trial     ///< Was refused for long enough: may be tried once, alone.
 };
 
 /** Recent suspects. */
--- a/packages/core/src/attempts/attempt.cpp
+++ b/packages/core/src/attempts/attempt.cpp
@@ -247,7 +247,7 @@
     return;
   }
   AdmissionRequest Candidate = admissionRequestOf(Agent, m);
-  Candidate.Alone = Candidate.Alone || Suspected == Suspicion::RunAlone;
+  Candidate.Alone = Candidate.Alone || mustRunAlone(Suspected);
   const AdmissionResult Answer = requestAdmission(
       Agent.Gate, Candidate,
       !isMostlyStalled(Agent, Now) && isWithinRateLimits(Agent, Now) &&
--- a/packages/core/src/attempts/call.cpp
+++ b/packages/core/src/attempts/call.cpp
@@ -132,7 +132,7 @@
   m.Token = ActiveCall.Received.Token;
   m.ResumeOn = ActiveCall.Weights;
   m.ResumeFrom = ActiveCall.NextFrame;
-  m.MustRunAlone = suspicionOf(Entry, ActiveCall, Now) == Suspicion::RunAlone;
+  m.MustRunAlone = mustRunAlone(suspicionOf(Entry, ActiveCall, Now));
   Out.push_back(SendMessage{To.Link, m});
 }
 
--- a/packages/core/src/base/error_type.h
+++ b/packages/core/src/base/error_type.h
@@ -39,6 +39,7 @@
   Unreachable,     ///< A peer or platform service did not answer.
   Malformed,       ///< A peer sent a message that cannot be decoded.
   Internal,        ///< Internal error.
+  CrashesBackEnds, ///< As Quarantined, on routes: callers may retry it.
   Count            ///< Number of kinds; not a kind.
 };
 
--- a/packages/core/src/forwarding/server_pool.cpp
+++ b/packages/core/src/forwarding/server_pool.cpp
@@ -5,6 +5,7 @@
 #include "admission/first_part_func.h"
 #include "admission/server_backoff_func.h"
 #include "admission/server_rate_func.h"
+#include "base/hash_func.h"
 #include "base/random_func.h"
 #include "forwarding/liveness_func.h"
 #include "forwarding/rate_share_func.h"
@@ -253,6 +254,16 @@
   return Score;
 }
 
+/**
+ * Gives the score of a back end for a suspect. All entries prefer the same back
+ * end for copies of one suspect, and other ones for other suspects: few back
+ * ends are put at risk, and the next crash shows which suspect causes it.
+ */
+double suspectScore(const ServerView &View, const Digest &Suspect) {
+  return -static_cast<double>(
+      rendezvousScore(Suspect.Value, View.Listed.Id.Value));
+}
+
 /** Gives how long a refused caller waits until one of the candidates has room
  * again; randomized. */
 Millis retryDelay(ServerPool &Pool, const ServerNeeds &Needs,
@@ -339,7 +350,9 @@
                                      hasAgent(View) ? View.NoSlotUntil : Now);
       continue;
     }
-    const double Score = loadScore(Pool, View, Now);
+    const double Score = Needs.Suspect.Value.empty()
+                             ? loadScore(Pool, View, Now)
+                             : suspectScore(View, Needs.Suspect);
     if (Choice.Server != nullptr && Score >= Best)
       continue;
     Choice.Server = &View;
--- a/packages/core/src/forwarding/server_pool_type.h
+++ b/packages/core/src/forwarding/server_pool_type.h
@@ -115,6 +115,10 @@
   std::set<InstanceId> Full;  ///< Back ends that just reported no free slot.
   Digest Weights; ///< The only set that can resume the answer, as long as
                   ///< requests may start on it; empty: any.
+  /** Fingerprint of a request that may have crashed back ends; empty: no such
+   * request. It goes to the same back end from all entries, apart from others.
+   */
+  Digest Suspect;
 };
 
 /** Why no back end was chosen. */
--- a/packages/core/src/routing/worker_choice.cpp
+++ b/packages/core/src/routing/worker_choice.cpp
@@ -102,7 +102,7 @@
                        const Call &ActiveCall,
                        const std::vector<Candidate> &Candidates,
                        TimePoint Now) {
-  if (suspicionOf(Entry, ActiveCall, Now) == Suspicion::RunAlone)
+  if (mustRunAlone(suspicionOf(Entry, ActiveCall, Now)))
     return chooseForSuspect(Entry, Class, ActiveCall, Candidates);
   // The incarnation differs between entries. Attempt numbers alone do not:
   // entries that were started together count alike.
--- a/packages/core/src/table/error_table.h
+++ b/packages/core/src/table/error_table.h
@@ -66,6 +66,8 @@
          "A message cannot be read."},
         {ErrorKind::Internal, "internal", 500, Ran::Unknown, 1000,
          "Internal fault."},
+        {ErrorKind::CrashesBackEnds, "crashes_back_ends", 503, Ran::No, 60000,
+         "The request made back ends fail and is refused for a time."},
     }};
 
 } // namespace jacinthpond
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -69,6 +69,9 @@
                    this->Routes->handleServerLeaving(*Server);
                  return;
                }
+               if (const auto *Suspect = std::get_if<SuspectNotice>(&m))
+                 if (this->Routes != nullptr)
+                   this->Routes->handleSuspectNotice(*Suspect);
                post([this, Link, Kept = std::move(m)](TimePoint Now,
                                                       Effects &Out) {
                  handleEntryMessage(State, Link, Kept, Now, Out);
@@ -91,6 +94,13 @@
           post([this, m](TimePoint, Effects &Out) {
             broadcastNotice(State.Fleet, m, Role::Entry, Out);
           });
+        },
+        [this](const SuspectNotice &m) {
+          post([this, m](TimePoint Now, Effects &Out) {
+            // Agents keep it for entries that start when all others have ended.
+            if (applySuspectNotice(State.Suspects, m, Now))
+              broadcastNotice(State.Fleet, m, {}, Out);
+          });
         });
 }
 
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -7,7 +7,7 @@
 #include "forward/log_value.h"
 #include "forwarding/caller_age_func.h"
 #include "forwarding/come_back_func.h"
-#include "forwarding/request_identity_func.h"
+#include "forwarding/crash_watch_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -183,16 +183,6 @@
                                       int64_t{0}, MaxRemainingMillis));
 }
 
-/** Digest by which copies of the request are recognized on all hosts. */
-const Digest &Exchange::fingerprint() const {
-  if (Fingerprint.Value.empty())
-    Fingerprint = routeFingerprint(
-        Owner == nullptr ? WorkspaceName{} : Owner->Name,
-        {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
-         toStringView(Incoming.target()), Incoming.body()});
-  return Fingerprint;
-}
-
 /** Priority of the request, 0 first: its workspace's if set, else its route's.
  */
 uint32_t Exchange::rank() const {
@@ -220,6 +210,10 @@
     handleDeadline();
     return;
   }
+  if (isQuarantined()) {
+    endQuarantined();
+    return;
+  }
   if (!hasAttemptsLeft()) {
     endWithoutServer({ErrorKind::Overloaded, "no attempt left", {}},
                      "no_attempt_left");
@@ -298,7 +292,10 @@
   // The back end may close a pooled connection just as the request is sent, and
   // whether the request ran is then unknown. Requests that may not be repeated
   // use a new connection: one more round trip, but no lost bookings.
-  Sending.ForceNewConnection = ForceNewConnection || !isRepeatable();
+  // A suspect that crashes its back end would look like one that a closed
+  // connection never delivered.
+  Sending.ForceNewConnection =
+      ForceNewConnection || !isRepeatable() || !Needs.Suspect.Value.empty();
   Sending.NoResponseBody = Incoming.method() == http::verb::head;
   Sending.MaxIdle = maxIdleConnections(Shared.Pool, Server.Listed.Service);
   Mode = AnswerMode::Waiting;
@@ -307,6 +304,8 @@
   Body.clear();
   dropPartialEvent(Events);
   CallStartTime = Now;
+  ServerRun = runName(Server.Listed);
+  ServerAt = Server.Listed.At;
   WeightsWhenSent = Server.Weights;
   LastProgress = Now;
   ++AttemptsStarted;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -43,6 +43,7 @@
 
   void handleCallerDisconnect() override;
   void handleSlotAnswer(const SlotAnswer &Answer) override;
+  void handleQuarantineChange() override;
   void handleEntryReady() override;
   bool maySendRequest() override;
   void handleNotices(const ResponseHead &Received) override;
@@ -99,6 +100,11 @@
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   const Digest &fingerprint() const;
+  Suspicion suspicion() const;
+  bool isQuarantined();
+  void endQuarantined();
+  void reportBrokenAnswer();
+  void reportCompletion();
   void logWaitForReadiness() const;
   void readLeaving(const ResponseHead &Received);
   void readPause(const ResponseHead &Received);
@@ -128,6 +134,9 @@
 
   std::shared_ptr<BackEndCall> Call; ///< Current attempt; may be null.
   InstanceId ServerId;               ///< Back end of the current attempt.
+  std::string ServerRun;             ///< Name of its run; empty: not sent yet.
+  Address ServerAt;                  ///< Its address.
+  bool OnTrial = false; ///< Sent although it was refused, to find out more.
   TimePoint CallStartTime;
   Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
   TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -6,6 +6,7 @@
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
+#include "forward/suspects.h"
 #include "forwarding/server_notice_func.h"
 #include "log/log.h"
 
@@ -72,9 +73,11 @@
 }
 
 /** Says whether the back end may still get the request. It may have asked for a
- * pause while the connection was being opened. */
+ * pause while the connection was being opened, or copies of the request may
+ * have crashed other back ends. */
 bool Exchange::maySendRequest() {
-  return mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
+  return !isQuarantined() &&
+         mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
 }
 
 /** Records what the back end announces in the headers of a response. */
@@ -153,6 +156,7 @@
     return;
   }
   recordAcceptedRequest(Shared.Pool, ServerId, Now);
+  handleSignOfLife(Shared, ServerRun, CallStartTime);
   const bool Unusable =
       (Success && !Signed) || !fieldValue(Received, "Content-Encoding").empty();
   const bool OtherWeights =
@@ -222,9 +226,11 @@
   }
   if (Mode == AnswerMode::Events) {
     if (!Events.Partial.empty()) {
+      reportBrokenAnswer();
       abandonAnswer();
       return;
     }
+    reportCompletion();
     concludeAttempt(AttemptEnd::Answered);
     if (!HeadSent)
       beginStream();
@@ -240,6 +246,7 @@
 
 /** Sends a complete response to the caller, or retries after a server error. */
 void Exchange::sendWholeAnswer() {
+  reportCompletion(); // An error of a back end that runs on is no crash.
   const bool Failed = Head.result_int() >= 500;
   concludeAttempt(Failed ? AttemptEnd::Error : AttemptEnd::Answered);
   const TimePoint Now = Shared.Clock.now();
@@ -289,6 +296,10 @@
 void Exchange::handleCallFailure(CallFailure Why, ConnectionEnd End) {
   const auto Self = shared_from_this();
   LastEnd = End;
+  // A crash on a kept connection looks like a connection that was closed
+  // before the request came.
+  if (End == ConnectionEnd::Reset || End == ConnectionEnd::Closed)
+    reportBrokenAnswer();
   if (Why == CallFailure::Unreached) {
     Shared.Counters.add(ForwardCount::Unreached);
     concludeAttempt(AttemptEnd::Unreached);
--- /dev/null
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -0,0 +1,83 @@
+/** @file exchange_suspect.cpp Requests that may crash back ends: what this one
+ * shows of itself, and whether it may still be sent.
+ */
+
+#include "forward/exchange.h"
+
+#include "forward/header_fields.h"
+#include "forward/log_value.h"
+#include "forward/suspects.h"
+#include "forwarding/request_identity_func.h"
+#include "log/log.h"
+
+namespace jacinthpond {
+
+/** Digest by which copies of the request are recognized on all hosts. */
+const Digest &Exchange::fingerprint() const {
+  if (Fingerprint.Value.empty())
+    Fingerprint = routeFingerprint(
+        Owner == nullptr ? WorkspaceName{} : Owner->Name,
+        {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
+         toStringView(Incoming.target()), Incoming.body()});
+  return Fingerprint;
+}
+
+/** Says how the request is to be treated for crashes of back ends. */
+Suspicion Exchange::suspicion() const {
+  // Without suspects, avoids the cost of a digest of the body.
+  if (Shared.Suspects.Suspects.empty() && Shared.Crashes.Runs.empty())
+    return Suspicion::None;
+  const Suspicion Known =
+      suspicionOf(Shared.Suspects, fingerprint(), Shared.Clock.now());
+  return Known == Suspicion::None && isUnderWatch(Shared.Crashes, fingerprint())
+             ? Suspicion::RunAlone
+             : Known;
+}
+
+/** Says whether the request must not be sent, since it crashes back ends. The
+ * trial of a refused one is a single attempt. */
+bool Exchange::isQuarantined() {
+  const Suspicion Found = suspicion();
+  Needs.Suspect = mustRunAlone(Found) ? fingerprint() : Digest{};
+  if (Found != Suspicion::Trial)
+    return Found == Suspicion::Refuse;
+  OnTrial = OnTrial || (AttemptsSent == 0 && beginTrial(Shared, fingerprint()));
+  return !OnTrial || AttemptsSent > (Call ? 1U : 0U);
+}
+
+/** Refuses the request, since copies of it crashed back ends. */
+void Exchange::endQuarantined() {
+  const Millis Left =
+      refusalTimeLeft(Shared.Suspects, fingerprint(), Shared.Clock.now());
+  Shared.Counters.add(ForwardCount::QuarantineRefused);
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=quarantine_refusal id=" + logValue(Id) +
+              " content=" + fingerprint().Value +
+              " refused_ms=" + std::to_string(Left.count()));
+  endWithoutServer({ErrorKind::CrashesBackEnds, "", Left}, "quarantined");
+}
+
+void Exchange::handleQuarantineChange() {
+  const auto Self = shared_from_this();
+  if (Session && AwaitingSlot && isQuarantined())
+    endQuarantined();
+}
+
+/** Reports that the back end broke off the current attempt. One that is
+ * shutting down ends without a crash. */
+void Exchange::reportBrokenAnswer() {
+  const ServerView *Server = findServer(Shared.Pool, ServerId);
+  const bool Ending = Server != nullptr &&
+                      (Server->Listed.Draining || Server->Notices.Leaving ||
+                       Server->Notices.LeavingElsewhere);
+  if (!ServerRun.empty() && !Ending)
+    handleBrokenAnswer(Shared, ServerRun, ServerAt, fingerprint());
+}
+
+/** Reports that a back end answered the request to its end. */
+void Exchange::reportCompletion() {
+  handleCompletedRequest(Shared,
+                         [this]() -> const Digest & { return fingerprint(); });
+}
+
+} // namespace jacinthpond
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -3,11 +3,13 @@
 #ifndef JACINTHPOND_ENTRY_FORWARD_FORWARD_CONTEXT_H
 #define JACINTHPOND_ENTRY_FORWARD_FORWARD_CONTEXT_H
 
+#include "admission/quarantine_func.h"
 #include "clock/runtime_clock.h"
 #include "forward/back_end_call.h"
 #include "forward/caller_session.h"
 #include "forward/forward_counters.h"
 #include "forwarding/caller_age_type.h"
+#include "forwarding/crash_watch_func.h"
 #include "forwarding/fleet_snapshot_type.h"
 #include "forwarding/rate_share_func.h"
 #include "forwarding/repeat_budget_func.h"
@@ -36,6 +38,8 @@
    * @param Answer The answer.
    */
   virtual void handleSlotAnswer(const SlotAnswer &Answer) = 0;
+  /** Ends the request if it has become known as a cause of crashes. */
+  virtual void handleQuarantineChange() = 0;
 };
 
 /** A request that waits until this entry may forward requests. */
@@ -67,9 +71,14 @@
   std::function<void(LinkId, const Message &)>
       SendToAgent; ///< Callable from any thread.
   std::function<void(const Message &)>
-      SendToEntries;           ///< To all others; callable from any thread.
-  std::string SlotIdPrefix;    ///< Makes slot ids globally unique.
-  uint64_t NextSlotNumber = 1; ///< Suffix of the next slot id.
+      SendToEntries; ///< To all others; callable from any thread.
+  std::function<void(const SuspectNotice &)>
+      ReportSuspect;   ///< To all peers; callable from any thread.
+  Quarantine Suspects; ///< Requests that may have crashed back ends.
+  CrashWatch Crashes;  ///< Back ends that may have crashed.
+  std::map<Digest, TimePoint> Trials; ///< Last trial here of each suspect.
+  std::string SlotIdPrefix;           ///< Makes slot ids globally unique.
+  uint64_t NextSlotNumber = 1;        ///< Suffix of the next slot id.
   std::map<AttemptId, std::weak_ptr<SlotWaiter>> SlotWaiters; ///< By slot id.
   std::vector<std::weak_ptr<ReadinessWaiter>>
       ReadinessWaiters;    ///< Arrived too early.
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -12,25 +12,28 @@
 
 /** Counters of the traffic thread. */
 enum class ForwardCount : uint8_t {
-  Requests,         ///< Requests received.
-  Answered,         ///< Complete responses of back ends sent to callers.
-  Refused,          ///< Requests refused without being executed.
-  Failed,           ///< Requests that failed and may have been executed.
-  CallersGone,      ///< Callers that left before the end of the response.
-  Repeats,          ///< Retries: attempts after the first of a request.
-  Resumes,          ///< Retries that resume a stream at another back end.
-  Unreached,        ///< Failed connections to back ends.
-  Broken,           ///< Responses that broke off or were malformed.
-  NotExecuted,      ///< Attempts that a back end refused.
-  Mismatched,       ///< Back ends with another run or version than expected.
-  HostUnresponsive, ///< Attempts given up because of an unresponsive host.
-  RateChanges,      ///< Changes of back ends' rate limits.
-  RateRefused,      ///< Slots that an agent refused because of a rate limit.
-  ServersLeaving,   ///< Back ends that said that they are shutting down.
-  Pauses,           ///< Pauses that back ends asked for.
-  Withheld,         ///< Requests held back, or refused, because of pauses.
-  Stalls,           ///< Long delays of the traffic thread.
-  Count             ///< Number of counters; not a counter.
+  Requests,          ///< Requests received.
+  Answered,          ///< Complete responses of back ends sent to callers.
+  Refused,           ///< Requests refused without being executed.
+  Failed,            ///< Requests that failed and may have been executed.
+  CallersGone,       ///< Callers that left before the end of the response.
+  Repeats,           ///< Retries: attempts after the first of a request.
+  Resumes,           ///< Retries that resume a stream at another back end.
+  Unreached,         ///< Failed connections to back ends.
+  Broken,            ///< Responses that broke off or were malformed.
+  NotExecuted,       ///< Attempts that a back end refused.
+  Mismatched,        ///< Back ends with another run or version than expected.
+  HostUnresponsive,  ///< Attempts given up because of an unresponsive host.
+  RateChanges,       ///< Changes of back ends' rate limits.
+  RateRefused,       ///< Slots that an agent refused because of a rate limit.
+  ServersLeaving,    ///< Back ends that said that they are shutting down.
+  Pauses,            ///< Pauses that back ends asked for.
+  Withheld,          ///< Requests held back, or refused, because of pauses.
+  BackEndCrashes,    ///< Crashes of back ends with requests of this entry.
+  Quarantined,       ///< Requests that became known as causes of crashes.
+  QuarantineRefused, ///< Requests refused as causes of crashes.
+  Stalls,            ///< Long delays of the traffic thread.
+  Count              ///< Number of counters; not a counter.
 };
 
 /** Metric of one counter. */
@@ -74,6 +77,12 @@
          "Pauses that back ends asked for with Retry-After."},
         {"jacinthpond_back_end_withheld_total",
          "Requests not sent to back ends, or refused, because of pauses."},
+        {"jacinthpond_back_end_crashes_total",
+         "Crashes of back ends, seen here, that cut off answers."},
+        {"jacinthpond_route_suspects_convicted_total",
+         "Requests that became known as causes of crashes."},
+        {"jacinthpond_route_quarantine_refused_total",
+         "Requests refused since copies of them crashed back ends."},
         {"jacinthpond_traffic_stalls_total",
          "Times at which the traffic thread ran late by 0.2 s or more."},
     }};
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "forward/exchange.h"
 #include "forward/socket_options.h"
+#include "forward/suspects.h"
 #include "forwarding/caller_age_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 #include "forwarding/liveness_func.h"
@@ -190,6 +191,11 @@
 /** Closes expired idle connections, now and periodically. */
 void Forwarder::sweep() {
   Shared.Connections.closeExpired(Shared.Clock.now());
+  dropExpiredSuspects(Shared.Suspects, Shared.Clock.now());
+  dropOldRuns(Shared.Crashes, Shared.Clock.now());
+  std::erase_if(Shared.Trials, [this](const auto &Row) {
+    return !Shared.Suspects.Suspects.contains(Row.first);
+  });
   SweepTimer.expires_after(SweepPeriod);
   SweepTimer.async_wait([this](const Error &ec) {
     if (!ec)
@@ -265,6 +271,12 @@
   });
 }
 
+void Forwarder::handleSuspectNotice(const SuspectNotice &Notice) {
+  boost::asio::post(Shared.Io, [this, Notice] {
+    jacinthpond::handleSuspectNotice(Shared, Notice);
+  });
+}
+
 void Forwarder::handleSlotAnswer(LinkId Link, const SlotAnswer &Answer) {
   boost::asio::post(Shared.Io, [this, Link, Answer] {
     recordAgentActivity(Shared.Pool, Link);
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -58,9 +58,12 @@
    * Sets the functions that send messages. Called before start().
    * @param ToAgent Sends over a link; callable from any thread.
    * @param ToEntries Sends to all other entries; callable from any thread.
+   * @param Suspect Records a suspect and tells all peers; likewise.
    */
   void setSenders(std::function<void(LinkId, const Message &)> ToAgent,
-                  std::function<void(const Message &)> ToEntries) {
+                  std::function<void(const Message &)> ToEntries,
+                  std::function<void(const SuspectNotice &)> Suspect) {
+    Shared.ReportSuspect = std::move(Suspect);
     Shared.SendToAgent = std::move(ToAgent);
     Shared.SendToEntries = std::move(ToEntries);
   }
@@ -77,6 +80,12 @@
    */
   void handleServerLeaving(const ServerLeavingNotice &Heard);
 
+  /**
+   * Handles a notice of a request that may have crashed back ends.
+   * @param Notice The notice.
+   */
+  void handleSuspectNotice(const SuspectNotice &Notice);
+
   /**
    * Handles an agent's answer to a request for a slot.
    * @param Link The link to the agent.
--- /dev/null
+++ b/packages/entry/src/forward/suspects.cpp
@@ -0,0 +1,152 @@
+/** @file suspects.cpp Evidence of requests that crash back ends. */
+
+#include "forward/suspects.h"
+
+#include "base/hash_func.h"
+#include "forward/address_check.h"
+#include "log/log.h"
+
+#include <algorithm>
+
+namespace jacinthpond {
+
+namespace {
+
+/** Least time between two trials of a request by the same entry. */
+constexpr std::chrono::minutes TrialPeriod{10};
+/** Characters of a digest that a log line shows. */
+constexpr size_t LoggedDigestLength = 16;
+
+std::string shortDigest(const Digest &Full) {
+  return Full.Value.substr(0, LoggedDigestLength);
+}
+
+/** Lets requests that wait for a slot look at the quarantine again. */
+void recheckWaitingRequests(ForwardContext &Shared) {
+  std::vector<std::shared_ptr<SlotWaiter>> Waiting;
+  for (const auto &[Slot, Waiter] : Shared.SlotWaiters)
+    if (auto One = Waiter.lock())
+      Waiting.push_back(std::move(One));
+  for (const auto &One : Waiting)
+    One->handleQuarantineChange();
+}
+
+/** Applies a notice; says whether it is news. */
+bool applyNotice(ForwardContext &Shared, const SuspectNotice &Notice) {
+  const TimePoint Now = Shared.Clock.now();
+  const Digest &Request = Notice.Fingerprint;
+  const Suspicion Before = suspicionOf(Shared.Suspects, Request, Now);
+  if (!applySuspectNotice(Shared.Suspects, Notice, Now))
+    return false;
+  const Suspicion After = suspicionOf(Shared.Suspects, Request, Now);
+  if (After != Suspicion::Refuse || Before == Suspicion::Refuse)
+    return true;
+  Shared.Counters.add(ForwardCount::Quarantined);
+  std::string Runs;
+  for (const std::string &Run : Shared.Suspects.Suspects.at(Request).Deaths)
+    Runs += (Runs.empty() ? "" : ",") + Run;
+  logLine(LogPart::Requests, LogLevel::Warn,
+          "event=quarantined content=" + shortDigest(Request) +
+              " crashed=" + Runs + " refused_ms=" +
+              std::to_string(
+                  refusalTimeLeft(Shared.Suspects, Request, Now).count()));
+  recheckWaitingRequests(Shared);
+  return true;
+}
+
+/** Applies notices here and sends them to all peers. */
+void publishNotices(ForwardContext &Shared,
+                    const std::vector<SuspectNotice> &Notices) {
+  for (const SuspectNotice &Notice : Notices)
+    if (applyNotice(Shared, Notice))
+      Shared.ReportSuspect(Notice);
+}
+
+/** Logs which requests were under way at crashed back ends, and publishes it.
+ */
+void publishCrashes(ForwardContext &Shared) {
+  const std::vector<SuspectNotice> Notices =
+      takeCrashNotices(Shared.Crashes, Shared.Clock.now());
+  for (const SuspectNotice &Notice : Notices)
+    logLine(LogPart::Requests, LogLevel::Info,
+            "event=suspect content=" + shortDigest(Notice.Fingerprint) +
+                " run=" + Notice.DeathId +
+                " age_ms=" + std::to_string(Notice.AgeMillis));
+  publishNotices(Shared, Notices);
+}
+
+/** Records whether a back end has crashed. */
+void handleAddressCheck(ForwardContext &Shared, const std::string &Run,
+                        AddressCheck Result) {
+  constexpr std::array<const char *, 3> Words = {"refused", "accepted",
+                                                 "no_answer"};
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=address_check run=" + Run +
+              " result=" + Words.at(static_cast<size_t>(Result)));
+  if (Result == AddressCheck::Refused)
+    Shared.Counters.add(ForwardCount::BackEndCrashes);
+  recordAddressCheck(Shared.Crashes, Run, Result);
+  publishCrashes(Shared);
+}
+
+} // namespace
+
+void handleBrokenAnswer(ForwardContext &Shared, const std::string &Run,
+                        const Address &At, const Digest &Request) {
+  const TimePoint Now = Shared.Clock.now();
+  dropOldRuns(Shared.Crashes, Now);
+  if (recordBrokenAnswer(Shared.Crashes, Run, Request, Now))
+    checkAddress(Shared.Io, At, AddressCheckDelay,
+                 [&Shared, Run](AddressCheck Result) {
+                   handleAddressCheck(Shared, Run, Result);
+                 });
+  else
+    publishCrashes(Shared);
+}
+
+void handleCompletedRequest(ForwardContext &Shared,
+                            const std::function<const Digest &()> &Request) {
+  if (Shared.Suspects.Suspects.empty() && Shared.Crashes.Runs.empty())
+    return;
+  forgetCompleted(Shared.Crashes, Request());
+  const std::vector<SuspectNotice> Notices =
+      clearSuspect(Shared.Suspects, Request(), Shared.Clock.now());
+  if (Notices.empty())
+    return;
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=suspect_cleared content=" + shortDigest(Request()) +
+              " crashes=" + std::to_string(Notices.size()));
+  for (const SuspectNotice &Notice : Notices)
+    Shared.ReportSuspect(Notice);
+}
+
+void handleSignOfLife(ForwardContext &Shared, const std::string &Run,
+                      TimePoint SentAt) {
+  const std::vector<SuspectNotice> Withdrawn =
+      recordSignOfLife(Shared.Crashes, Run, SentAt, Shared.Clock.now());
+  if (Withdrawn.empty())
+    return;
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=crash_withdrawn run=" + Run +
+              " requests=" + std::to_string(Withdrawn.size()));
+  publishNotices(Shared, Withdrawn);
+}
+
+void handleSuspectNotice(ForwardContext &Shared, const SuspectNotice &Notice) {
+  applyNotice(Shared, Notice);
+}
+
+bool beginTrial(ForwardContext &Shared, const Digest &Request) {
+  const TimePoint Now = Shared.Clock.now();
+  const std::vector<HostName> &Sharers = Shared.Pool.Sharers;
+  if (!Sharers.empty() && rendezvousOrder(Request.Value, Sharers).front() !=
+                              Shared.Pool.Options.Self)
+    return false;
+  const auto [it, New] = Shared.Trials.try_emplace(Request, Now);
+  if (!New && Now - it->second < TrialPeriod)
+    return false;
+  it->second = Now;
+  return true;
+}
+
+} // namespace jacinthpond
--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
+#include <cstdlib>
 #include <map>
 #include <string>
 #include <thread>
@@ -156,4 +158,61 @@
   BOOST_TEST(Crashes.size() == Before);
 }
 
+// Guards against callers that are held, or told anything untrue, when what they
+// ask for is known to crash back ends; and against others that pay for it.
+BOOST_AUTO_TEST_CASE(CallersAreToldAtOnceAndOthersAreServed) {
+  {
+    const CopySenders Copies(All, fatal("read"));
+    pass(3s);
+  }
+  pass(2 * Downtime);
+  const size_t Before = Crashes.size();
+  for (size_t n = 0; n < Entries; ++n) {
+    const auto Start = Clock::now();
+    const httplib::Response Answer = All.ask(n, fatal("read"));
+    BOOST_CHECK(Clock::now() - Start < 300ms);
+    BOOST_TEST(Answer.status == 503);
+    BOOST_TEST(std::atof(Answer.get_header_value("Retry-After").c_str()) > 0);
+    BOOST_TEST(Answer.body.find("\"ran\":\"no\"") != std::string::npos);
+    RouteAsk Other = fatal("read");
+    Other.Path = "/read/fata";
+    BOOST_TEST(All.ask(n, Other).status == 200);
+  }
+  pass(500ms);
+  BOOST_TEST(Crashes.size() == Before);
+}
+
+// Guards against answers that get lost, again and again, of back ends that run
+// on, and are taken for crashes.
+BOOST_AUTO_TEST_CASE(LostAnswersAccuseNobody) {
+  for (int n = 0; n < 6; ++n) {
+    for (size_t i = 0; i < Models; ++i)
+      All.control("model-" + std::to_string(i), {{"break_at", 3}});
+    All.ask(n % Entries, writeAsk());
+    pass(200ms);
+  }
+  for (size_t i = 0; i < Models; ++i)
+    All.control("model-" + std::to_string(i), {{"break_at", 0}});
+  for (size_t n = 0; n < Entries; ++n)
+    BOOST_TEST(All.ask(n, writeAsk()).status == 200);
+}
+
+// Guards against a request of many callers that is refused since back ends were
+// killed, one after the other, while it ran there.
+BOOST_AUTO_TEST_CASE(KilledBackEndsAccuseNobody) {
+  {
+    const SteadyRouteCallers Calling(All, Entries, 3,
+                                     [](size_t) { return RouteAsk{}; });
+    for (const char *Name : {"plain-0", "plain-3", "plain-1", "plain-4"}) {
+      pass(300ms);
+      All.process(Name).signal(SIGKILL);
+    }
+    pass(2 * Downtime);
+    BOOST_TEST(Crashes.size() == 4U);
+    BOOST_TEST(Calling.Served >= Calling.Asked - 2 * int(Entries * 3));
+  }
+  for (size_t n = 0; n < Entries; ++n)
+    BOOST_TEST(All.ask(n, {}).status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/server_pool_test.cpp
+++ b/tests/unit/server_pool_test.cpp
@@ -519,3 +519,24 @@
   applyAgentReport(Fixture.State, News, Fixture.Now);
   BOOST_TEST(Fixture.choose("llm").empty());
 }
+
+// Guards against copies of a suspect that put one back end after the other at
+// risk, and against suspects that all go to the same one.
+BOOST_AUTO_TEST_CASE(CopiesOfASuspectGoToOneBackEndFromAllEntries) {
+  PoolFixture One;
+  PoolFixture Other;
+  Other.State.Random = 12345;
+  Other.State.Options.Domain.Value = "d1";
+  std::map<std::string, int> Used;
+  for (int n = 0; n < 30; ++n) {
+    ServerNeeds Needs = One.needs("plain");
+    Needs.Suspect.Value = "suspect-" + std::to_string(n);
+    const std::string First = One.chooseInstance(Needs);
+    ++Used[First];
+    for (int i = 0; i < 5; ++i)
+      BOOST_TEST(Other.chooseInstance(Needs) == First);
+    Needs.Tried.insert(InstanceId{First});
+    BOOST_TEST(One.chooseInstance(Needs) != First);
+  }
+  BOOST_TEST(Used.size() == 3U);
+}
