agent: a notice of a suspect leaves requests that wait for a slot alone

Before, notices came only where agents run attempts, and slots only where they do not. The unit test failed before: the look-up threw.

--- a/packages/core/src/attempts/back_end_death.cpp
+++ b/packages/core/src/attempts/back_end_death.cpp
@@ -155,8 +155,11 @@
   if (!applySuspectNotice(Agent.Suspects, Notice, Now) || Notice.Cleared)
     return;
   for (const AttemptId &Which : waitingAttempts(Agent.Gate)) {
-    const AttemptStart Asked = Agent.Attempts.at(Which).StartMessage;
-    if (fingerprintOf(Asked) != Notice.Fingerprint)
+    // Requests for slots wait in the same queue; their entries know the
+    // request.
+    const auto it = Agent.Attempts.find(Which);
+    if (it == Agent.Attempts.end() ||
+        fingerprintOf(it->second.StartMessage) != Notice.Fingerprint)
       continue;
     removeWaiting(Agent.Gate, Which);
     readmitSuspect(Agent, Which, Now, Out);
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -6,6 +6,7 @@
 #include "admission/first_part_func.h"
 #include "admission/reading_func.h"
 #include "attempts/agent_func.h"
+#include "attempts/back_end_death_func.h"
 #include "attempts/place_func.h"
 #include "weights/weights_func.h"
 
@@ -584,3 +585,17 @@
   BOOST_TEST(Report(1.8).has_value());
   BOOST_TEST(!Report({}).has_value());
 }
+
+// Guards against an agent that ends when it hears of a suspect while requests
+// wait for a slot.
+BOOST_AUTO_TEST_CASE(ASuspectNoticeLeavesWaitingSlotsAlone) {
+  AgentFixture Test;
+  Test.requestSlot("a", Millis(500));
+  Test.requestSlot("b", Millis(500));
+  BOOST_TEST(!Test.requestSlot("c", Millis(500)).has_value());
+  const SuspectNotice Notice{Digest{"fatal"}, "w/1", 0, false, false};
+  BOOST_CHECK_NO_THROW(
+      handleSuspectNotice(Test.Agent, Notice, Test.Now, Test.Out));
+  Test.releaseSlot("a");
+  BOOST_TEST(Test.isGranted("c"));
+}
