entry: a request on a kept connection that was closed may have run

Callers were told 503, not run, for requests whose back end crashed on them over a kept connection, when no other back end was left: the entry took the close for one that crossed the request.

--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -316,9 +316,11 @@
     return;
   }
   if (Why == CallFailure::Stale && isRepeatable()) {
-    // The idle connection had been closed: not a failure of the back end.
+    // Most likely the idle connection had been closed, which is no failure of
+    // the back end. But it may have crashed on the request.
     concludeAttempt(AttemptEnd::Dropped);
     --AttemptsSent;
+    MayHaveRun = true;
     ForceNewConnection = true;
     tryNextServer();
     return;
--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -216,3 +216,18 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against callers who are told that a request has not run when its back
+// end crashed on it over a kept connection.
+BOOST_AUTO_TEST_CASE(ACrashOnAKeptConnectionMayHaveRunTheRequest) {
+  RoutePlan Plan = CrashingFleet::plan();
+  Plan.Entries = 1;
+  Plan.ModelWorkers = 1;
+  Plan.PlainServers = 1;
+  RouteFleet All(Plan);
+  BOOST_REQUIRE(All.waitServing(30s));
+  BOOST_REQUIRE(All.ask(0, {}).status == 200); // Leaves a connection.
+  const httplib::Response Answer = All.ask(0, CrashingFleet::fatal("read"));
+  BOOST_TEST(Answer.status == 502);
+  BOOST_TEST(Answer.body.find("\"ran\":\"unknown\"") != std::string::npos);
+}
