--- a/bench/chaos/route_callers.cpp
+++ b/bench/chaos/route_callers.cpp
@@ -50,7 +50,7 @@
 };
 
 RouteCallers::RouteCallers(std::vector<std::string> At, uint64_t Seed,
-                           RouteLedger &Into)
+                           RouteLedger &Into, bool Crashing)
     : Entries(std::move(At)), Seen(Into) {
   const auto Start = [&](char Kind, size_t n,
                          void (RouteCallers::*Work)(Caller &)) {
@@ -69,6 +69,8 @@
     Start('r', n, &RouteCallers::read);
     Start('b', n, &RouteCallers::book);
   }
+  if (Crashing)
+    Start('c', 0, &RouteCallers::crash);
   // Streams take longer.
   for (size_t n = 0; n < 2 * ThreadsEach; ++n)
     Start('w', n, &RouteCallers::write);
@@ -179,6 +181,16 @@
   }
 }
 
+void RouteCallers::crash(Caller &Self) {
+  Exchange What;
+  const bool Stream = Self.Random() % 2 == 0;
+  What.Method = "POST";
+  What.Path = std::string(Stream ? "/write/" : "/read/") + CrashSign;
+  What.Body = "prompt";
+  What.Key = Self.Random() % 2 == 0 ? "key-1" : "key-2"; // Of one tenant.
+  ask(Self, What);
+}
+
 int lastEvent(const std::string &Text, int After) {
   const size_t End = Text.rfind("\n\n");
   if (End == std::string::npos)
--- a/bench/chaos/route_callers.h
+++ b/bench/chaos/route_callers.h
@@ -17,6 +17,8 @@
 
 namespace jacinthpond::chaos {
 
+/** Part of the path of requests that crash the back ends which run them. */
+constexpr const char *CrashSign = "fatal";
 /** Events of each stream. */
 constexpr int StreamEvents = 8;
 
@@ -62,9 +64,10 @@
    * @param Entries Callers' addresses of all entries.
    * @param Seed Of their choices.
    * @param Into Where they write what they saw; outlives the callers.
+   * @param Crashing Some send copies of requests that crash back ends.
    */
   RouteCallers(std::vector<std::string> Entries, uint64_t Seed,
-               RouteLedger &Into);
+               RouteLedger &Into, bool Crashing);
   ~RouteCallers();
   RouteCallers(const RouteCallers &) = delete;
   RouteCallers &operator=(const RouteCallers &) = delete;
@@ -76,6 +79,7 @@
   void read(Caller &Self);
   void book(Caller &Self);
   void write(Caller &Self);
+  void crash(Caller &Self);
   Exchange ask(Caller &Self, Exchange What);
 
   std::vector<std::string> Entries;
--- a/bench/chaos/route_checks.h
+++ b/bench/chaos/route_checks.h
@@ -70,6 +70,7 @@
   void judgeRefusal(const Exchange &Got);
   void judgeLost(const Exchange &Got);
   void judgeNotices();
+  void judgeCrashes(const std::string &Path);
   void judgePauses(const std::string &Worker, size_t Entry,
                    const std::vector<WorkerArrival> &All);
   void judgeLeaving(const std::string &Worker, size_t Entry,
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -2,6 +2,8 @@
 
 #include "chaos/route_faults.h"
 
+#include "chaos/route_callers.h"
+
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -61,6 +63,12 @@
 /** Every so many seeds, a run spares no entry. */
 constexpr uint64_t SpareNoneEvery = 3;
 
+/** Every so many seeds, back ends crash on some requests. */
+constexpr uint64_t CrashingEvery = 4;
+/** Time from the begin of such a request to the crash: the fault is noted by
+ * then. */
+constexpr int CrashMillis = 200;
+
 std::string zoneOf(const std::string &Zone) { return "zone " + Zone; }
 
 std::vector<std::string> numbered(const std::string &Kind, size_t Count) {
@@ -104,6 +112,12 @@
   // one attempt only, no booking could run twice whatever the entry believes.
   Fleet.Config["routes"][1]["max_attempts"] = 2;
   publishRoute(false);
+  if (!Crashing)
+    return;
+  for (const std::string &Name : ServerNames)
+    All.control(Name, {{"crash_on", CrashSign},
+                       {"crash_ms", CrashMillis},
+                       {"crash_link", All.controlAddress("link-" + Name)}});
 }
 
 void RouteFaults::chooseKinds(uint64_t Seed, const std::string &Only) {
@@ -126,6 +140,8 @@
       {"unseen", &RouteFaults::changeUnseen}};
   Limiting = Only.empty() || Only.find("rate") != std::string::npos;
   Shedding = Only.empty() || Only.find("shed") != std::string::npos;
+  Crashing = Only.empty() ? Seed % CrashingEvery == 2
+                          : Only.find("crash") != std::string::npos;
   for (const auto &[Name, One] : Table)
     if (Only.empty() ||
         ("," + Only + ",").find("," + Name + ",") != std::string::npos)
@@ -162,6 +178,8 @@
     limitRates();
   if (Shedding && Clock::now() >= NextShed)
     shedLoad();
+  if (Crashing)
+    loseCrashed();
   if (Clock::now() < Next || Enabled.empty())
     return;
   Next = Clock::now() + Pace / 2 + between(0, static_cast<int>(Pace.count()));
@@ -445,6 +463,29 @@
   Failing.later("servers", LapseTime, [this, Name] { removeServer(Name); });
 }
 
+/** Notes back ends that crashed; lets the list lose them, and starts them anew.
+ */
+void RouteFaults::loseCrashed() {
+  for (const std::string &Name : ServerNames) {
+    if (!Fleet.hasCrashed(Name)) {
+      Crashed.erase(Name);
+      continue;
+    }
+    const auto [it, New] = Crashed.try_emplace(Name, false);
+    if (New) {
+      ++Injected["crash"];
+      note("crash of " + Servers.at(Name).Id);
+      History.Harm.begin(Name);
+      History.Harm.begin("link-" + Name);
+    }
+    if (it->second || Failing.isFaulty("servers") || Failing.isFaulty(Name) ||
+        Failing.isFaulty("link-" + Name))
+      continue;
+    it->second = true;
+    Failing.later("servers", LapseTime, [this, Name] { removeServer(Name); });
+  }
+}
+
 void RouteFaults::takeZoneOut() {
   if (Failing.isFaulty("zone"))
     return;
@@ -588,7 +629,17 @@
 
 void RouteFaults::healAll() {
   note("heal all");
+  if (Crashing)
+    for (const std::string &Name : ServerNames)
+      Fleet.control(Name, {{"crash_on", ""}});
   Failing.runAll();
+  if (!Crashing)
+    return;
+  // Those that crashed while another server was away were left for later.
+  for (size_t n = 0; n < ServerNames.size(); ++n) {
+    loseCrashed();
+    Failing.runAll();
+  }
 }
 
 } // namespace jacinthpond::chaos
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -41,6 +41,9 @@
   /** Heals everything and allows everything again. */
   void healAll();
 
+  /** Says whether callers send requests that crash back ends. */
+  bool hasCrashingRequests() const { return Crashing; }
+
   /** Notes processes that ended by themselves. */
   void lookForExits();
 
@@ -79,6 +82,7 @@
   void changeUnseen();
   void limitRates();
   void shedLoad();
+  void loseCrashed();
 
   void publishVersion();
   void awaitStop(const std::string &Name, Clock::time_point Limit);
@@ -110,6 +114,9 @@
   bool Limiting = false;      ///< Back ends limit their rates as well.
   std::mt19937_64 RateRandom; ///< Leaves the draws of all others as they are.
   Clock::time_point NextLimit;
+  bool Crashing = false;               ///< Back ends crash on some requests.
+  std::map<std::string, bool> Crashed; ///< Those that did; true: they are being
+                                       ///< started anew.
   bool Shedding = false;        ///< Back ends ask for pauses and say that they
                                 ///< are leaving.
   std::mt19937_64 NoticeRandom; ///< For these; apart for the same reason.
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -117,6 +117,24 @@
                   "/control?arrivals_from=" + std::to_string(From))["arrivals"];
   }
 
+  /**
+   * Says whether a worker has begun to crash; see its "crash_link".
+   * @param Name "model-N" or "plain-N".
+   * @return True from then until it is started anew.
+   */
+  bool hasCrashed(const std::string &Name) const {
+    return lookAt(Name, "/control?crashed=1").value("crashed", false);
+  }
+
+  /**
+   * Gives where a stand-in is controlled.
+   * @param Name Its name.
+   * @return "IP:port".
+   */
+  const std::string &controlAddress(const std::string &Name) const {
+    return At.at(Name);
+  }
+
   /** Enters a server in the store. @param Name "model-N" or "plain-N". */
   void registerServer(const std::string &Name);
 
--- a/tests/integration/routes_soak_test.cpp
+++ b/tests/integration/routes_soak_test.cpp
@@ -37,6 +37,9 @@
     {5, "", 20s, "pauses that back ends asked for were not kept"},
     {21, "drain,shed", 20s,
      "neither pauses nor the word of back ends that leave was kept"},
+    {14, "", 15s,
+     "agents ended when they heard of a suspect while requests waited for a "
+     "slot"},
 };
 
 } // namespace
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -2,10 +2,11 @@
  *
  * /control takes: "mode" ("pass", "freeze": bytes wait, "freeze_up" and
  * "freeze_down": only those to or from the target, "refuse": new connections
- * are closed), "delay_ms", "bytes_per_second", "corrupt_every" (flips a bit in
- * every n-th block), "cut": true (closes all connections), "reset": true (the
- * same, without the polite end), "lose": true (all connections of now go silent
- * for good; new ones work). Start values name the address too: "ip", "port".
+ * are closed, "closed": nobody listens), "delay_ms", "bytes_per_second",
+ * "corrupt_every" (flips a bit in every n-th block), "cut": true (closes all
+ * connections), "reset": true (the same, without the polite end), "lose": true
+ * (all connections of now go silent for good; new ones work). Start values name
+ * the address too: "ip", "port".
  */
 
 #include "standin.h"
@@ -31,6 +32,8 @@
 constexpr size_t BlockBytes = 16384;
 /** Time between two looks at the faults while nothing moves. */
 constexpr int PollMillis = 20;
+/** Time between two looks whether to listen again. */
+constexpr int ClosedPollMillis = 5;
 
 /** Faults in force; guarded by Guard where not atomic. */
 struct Faults {
@@ -39,6 +42,7 @@
   std::atomic<bool> FrozenUp{false};   ///< To the target.
   std::atomic<bool> FrozenDown{false}; ///< From the target.
   std::atomic<bool> Refusing{false};
+  std::atomic<bool> Closed{false}; ///< Nobody listens.
   std::atomic<int> DelayMillis{0};
   std::atomic<uint64_t> BytesPerSecond{0};
   std::atomic<uint64_t> CorruptEvery{0};
@@ -158,6 +162,7 @@
   Now.FrozenUp = Mode == "freeze" || Mode == "freeze_up";
   Now.FrozenDown = Mode == "freeze" || Mode == "freeze_down";
   Now.Refusing = Mode == "refuse";
+  Now.Closed = Mode == "closed";
   Now.DelayMillis = Now.Options.value("delay_ms", 0);
   Now.BytesPerSecond = Now.Options.value("bytes_per_second", uint64_t{0});
   Now.CorruptEvery = Now.Options.value("corrupt_every", uint64_t{0});
@@ -185,6 +190,23 @@
   return Socket;
 }
 
+/** Accepts connections; stops listening while that is asked for. */
+void acceptAll(Faults &Now, const std::string &Ip, int Port, int Listening) {
+  for (;;) {
+    if (Now.Closed && Listening >= 0) {
+      close(Listening);
+      Listening = -1;
+    }
+    if (!Now.Closed && Listening < 0)
+      Listening = listenOn(Ip, Port, Port);
+    if (Listening < 0)
+      std::this_thread::sleep_for(std::chrono::milliseconds(ClosedPollMillis));
+    else if (readable(Listening))
+      if (const int Client = accept(Listening, nullptr, nullptr); Client >= 0)
+        std::thread([&Now, Client] { handle(Now, Client); }).detach();
+  }
+}
+
 } // namespace
 
 int runProxy(int Port, const Json &Options) {
@@ -206,12 +228,8 @@
     return 1;
   std::cout << Json({{"proxy", Ip + ":" + std::to_string(Bound)}}).dump()
             << std::endl;
-  std::thread([&Now, Listening] {
-    for (;;) {
-      const int Client = accept(Listening, nullptr, nullptr);
-      if (Client >= 0)
-        std::thread([&Now, Client] { handle(Now, Client); }).detach();
-    }
+  std::thread([&Now, Ip, Bound, Listening] {
+    acceptAll(Now, Ip, Bound, Listening);
   }).detach();
   httplib::Server Server;
   prepare(Server, 4);
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -9,7 +9,9 @@
  * all answers carry it as Server-Leaving; empty: none do), "no_signature",
  * "crash_on" (a text: the process ends, after "crash_ms", when it runs a
  * request with that in its body or path; a stream has its head and first event
- * by then), "hang" (no answer at all), "order_wait_ms" (the next order is taken
+ * by then), "crash_link" (control of a proxy before the worker: a crash
+ * closes that instead of the process, so that the records are kept),
+ * "hang" (no answer at all), "order_wait_ms" (the next order is taken
  * that much later, as the worker and what lies staged are by then), "load_ms"
  * (how long it is busy with an order), "hold_put" (the next write of that chunk
  * is left unread, and read right before the next order that comes), "halfway"
@@ -23,10 +25,11 @@
  * loaded version was made of was of it
  * ("whole"); "from" in the query leaves out the first ones; with
  * "arrivals_from" it gives "arrivals" instead: each request that came, run or
- * not, and its status; "loads": the version of each order that was taken, and
- * whether all that lay staged was of it; "orders_waiting": orders that came and
- * were not taken yet; "puts_held"; "busy"; "staged_of": the version of all that
- * lies staged, 0: of none; "rot_after_read": that is still to come.
+ * not, and its status; with "crashed" only that: a crash has begun; "loads":
+ * the version of each order that was taken, and whether all that lay staged was
+ * of it; "orders_waiting": orders that came and were not taken yet;
+ * "puts_held"; "busy"; "staged_of": the version of all that lies staged, 0: of
+ * none; "rot_after_read": that is still to come.
  */
 
 #include "standin.h"
@@ -49,6 +52,8 @@
 
 constexpr const char *AttemptHeader = "X-Jacinthpond-Attempt-Id";
 constexpr std::chrono::milliseconds HangTime{4000};
+/** Time after which a proxy that was told to has cut all connections. */
+constexpr std::chrono::milliseconds LinkCloseTime{200};
 /** Layers of the model. */
 constexpr uint64_t ModelLayers = 4;
 
@@ -183,10 +188,23 @@
                            Asked.target.find(Sign) != std::string::npos);
 }
 
-/** Ends the process as a crash does, after a while. */
-[[noreturn]] void crash(std::chrono::milliseconds Wait) {
+/** Ends the process, or closes the proxy before it, as a crash does. */
+void crash(Worker &Host) {
+  std::chrono::milliseconds Wait{0};
+  std::string Link;
+  {
+    const std::lock_guard Lock(Host.Guard);
+    Wait = std::chrono::milliseconds(Host.Options.value("crash_ms", 50));
+    Link = Host.Options.value("crash_link", "");
+    Host.Options["crashed"] = true;
+  }
   std::this_thread::sleep_for(Wait);
-  std::_Exit(1);
+  if (Link.empty())
+    std::_Exit(1);
+  httplib::Client("http://" + Link)
+      .Post("/control", Json({{"mode", "closed"}, {"reset", true}}).dump(),
+            "application/json");
+  std::this_thread::sleep_for(LinkCloseTime); // No answer gets through.
 }
 
 /** Streams events behind the one that the caller has. */
@@ -199,17 +217,18 @@
   if (Break >= First)
     Host.Options["break_at"] = 0;
   const std::chrono::milliseconds Gap(Host.Options.value("gap_ms", 5));
-  const std::chrono::milliseconds CrashTime(Host.Options.value("crash_ms", 50));
   const int CrashAt = crashes(Host, Asked) ? First + 1 : 0;
   Answer.set_chunked_content_provider(
       "text/event-stream",
-      [n = First, Events, Break, Gap, CrashAt, CrashTime,
+      [n = First, Events, Break, Gap, CrashAt, &Host,
        Tell = tellOf(Host, Asked)](size_t, httplib::DataSink &Sink) mutable {
         const std::string Event = "id: " + std::to_string(n) +
                                   "\ndata: token " + std::to_string(n) + Tell +
                                   "\n\n";
-        if (n == CrashAt)
-          crash(CrashTime);
+        if (n == CrashAt) {
+          crash(Host);
+          return false;
+        }
         if (n == Break) {
           Sink.write(Event.data(), Event.size() / 2);
           return false;
@@ -247,9 +266,9 @@
     Lock.lock();
   }
   if (!Host.Options.contains("model") && crashes(Host, Asked)) {
-    const std::chrono::milliseconds Time(Host.Options.value("crash_ms", 50));
     Lock.unlock();
-    crash(Time);
+    crash(Host);
+    Lock.lock();
   }
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
@@ -268,6 +287,7 @@
   Host.GivenUp.clear();
   Host.Torn.clear();
   Host.Options["restart"] = false;
+  Host.Options["crashed"] = false;
 }
 
 bool isBusy(const Worker &Host) {
@@ -512,6 +532,10 @@
           static_cast<std::ptrdiff_t>(std::min(From, All.size()));
       return Json(std::vector<Json>(All.begin() + First, All.end()));
     };
+    if (Asked.has_param("crashed")) {
+      reply(Answer, {{"crashed", Host.Options.value("crashed", false)}});
+      return;
+    }
     if (Asked.has_param("arrivals_from")) {
       reply(Answer, {{"arrivals", Since("arrivals_from", Host.Arrivals)}});
       return;
@@ -520,6 +544,7 @@
           {{"runs", Since("from", Host.Runs)},
            {"orders", Host.Orders},
            {"orders_waiting", Host.OrdersWaiting},
+           {"crashed", Host.Options.value("crashed", false)},
            {"puts_held", Host.HeldPut.size()},
            {"loads", Host.Loads},
            {"busy", isBusy(Host)},
