--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -20,6 +20,7 @@
 #include "configuration/document_func.h"
 #include "configuration/reader_rank_func.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/crash_watch_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 #include "forwarding/place_search_func.h"
 #include "forwarding/rate_share_func.h"
@@ -78,6 +79,16 @@
 constexpr Millis NoticeHeardFor{500};
 /** Requests that may arrive in the rest of a pause. */
 constexpr uint32_t MostInPause = 2;
+/** Time after the third crash by the same request at which entries know it, and
+ * arrivals after that. */
+constexpr Millis CrashKnownAfter{500};
+constexpr uint32_t MostAfterCrashes = 2;
+/** Requests in a day that may be refused for crashes that others caused. */
+constexpr uint64_t MostWrongRefusals = 2;
+/** Time after which a crashed back end is back. */
+constexpr Millis CrashDowntime{2500};
+/** First id of requests that crash back ends. */
+constexpr uint64_t FirstFatalId = uint64_t{1} << 40U;
 constexpr uint32_t RepeatSlack = 10;
 constexpr double RepeatRatio = 0.2;
 constexpr Millis RepeatWindow{10000};
@@ -100,6 +111,7 @@
   RateLimit,    ///< A worker or plain back end limits its rate for a while.
   Shed,         ///< One refuses everything for a while, and asks for pauses.
   Leaves,       ///< One says so in all its answers, but not to the store.
+  Fatal,        ///< Copies of a request come that crash what runs them.
   Count
 };
 
@@ -107,11 +119,11 @@
 constexpr auto KindsWithoutRates = static_cast<size_t>(Trouble::RateLimit);
 
 constexpr std::array<const char *, static_cast<size_t>(Trouble::Count)>
-    TroubleNames = {"stand still",    "host still",  "restart",
-                    "cut link",       "hold link",   "store away",
-                    "store away for", "new weights", "drain",
-                    "worker ends",    "domain out",  "key gone",
-                    "rate limit",     "shed",        "leaves"};
+    TroubleNames = {
+        "stand still", "host still",  "restart",        "cut link",
+        "hold link",   "store away",  "store away for", "new weights",
+        "drain",       "worker ends", "domain out",     "key gone",
+        "rate limit",  "shed",        "leaves",         "fatal"};
 
 /** One of them. */
 struct Incident {
@@ -181,6 +193,8 @@
   uint64_t Turn = 0;           ///< Raised with each try; for late events.
   TimePoint CallBegan;         ///< When the try was sent.
   Digest SentOn;               ///< Weights that its back end had then.
+  Digest Content;              ///< The same for copies of a request.
+  bool Fatal = false;          ///< It crashes what runs it.
 };
 
 using AskedPtr = std::shared_ptr<Asked>;
@@ -203,6 +217,7 @@
   FleetSnapshot Fleet;                   ///< What it was told of the fleet.
   PassedAgentReports Told;               ///< What it was told of agents.
   RepeatBudget Repeats;                  ///< Its repeats.
+  CrashWatch Crashes;                    ///< Back ends that may have crashed.
   std::map<AttemptId, AskedPtr> Waiting; ///< Requests that ask for a place.
   uint64_t Places = 0;                   ///< Places asked for.
   // Its reader of the store.
@@ -222,6 +237,7 @@
   InstanceId Expected; ///< Run of the worker that is meant.
   std::string Version; ///< Version demanded; empty: any.
   TimePoint Sent;      ///< When it was sent.
+  std::string Run;     ///< Name of the run of the worker that is meant.
   bool First = true;   ///< First send of the request.
 };
 
@@ -482,6 +498,9 @@
     case Trouble::Leaves:
       leave(Servers.at(One.Who), One.Length);
       return;
+    case Trouble::Fatal:
+      sendFatal(One.Who, End);
+      return;
     case Trouble::Count:
       return;
     }
@@ -1267,10 +1286,25 @@
     after(delay("ask", 6, 26), [this, n] { ask(n + 1); });
   }
 
+  /** Copies of a request that crashes what runs it, at any entry. */
+  void sendFatal(const std::string &Path, TimePoint Until) {
+    if (Now >= Until)
+      return;
+    Process &At = Processes.at("e" + std::to_string(draw("fatal", 4)));
+    if (At.Alive)
+      in(At, Millis(2), [this, &At, Path, Sent = Now, Id = NextFatalId++] {
+        takeRequest(At, Path.c_str(), "k0", Sent, Id);
+      });
+    after(delay("fatal/next", 40, 250),
+          [this, Path, Until] { sendFatal(Path, Until); });
+  }
+
   void takeRequest(Process &At, const char *Path, const std::string &Key,
                    TimePoint Sent, uint64_t Id) {
     const auto One = std::make_shared<Asked>();
     One->Id = Id;
+    One->Fatal = Id >= FirstFatalId;
+    One->Content.Value = One->Fatal ? Path : std::to_string(Id);
     One->Sent = Sent;
     One->Doc = At.Doc;
     if (At.Doc == nullptr || !At.Fleet.Ready)
@@ -1305,6 +1339,10 @@
       limitCame(At, One);
       return;
     }
+    if (isQuarantined(At, *One)) {
+      refuseSuspect(At, One);
+      return;
+    }
     if (!attemptsLeft(*One) || !mayRequestMoreSlots(One->Search)) {
       end(At, One, !One->MayHaveRun);
       return;
@@ -1403,7 +1441,87 @@
     One.Place = {};
   }
 
+  // ---- Crashes, after exchange_suspect.cpp and suspects.cpp -----------------
+  /** Days are shorter than the first refusal, so that there are no trials. */
+  bool isQuarantined(const Process &At, Asked &One) const {
+    Suspicion Found = suspicionOf(At.Entry->Suspects, One.Content, Now);
+    if (Found == Suspicion::None && isUnderWatch(At.Crashes, One.Content))
+      Found = Suspicion::RunAlone;
+    One.Needs.Suspect = mustRunAlone(Found) ? One.Content : Digest{};
+    return Found == Suspicion::Refuse || Found == Suspicion::Trial;
+  }
+
+  void refuseSuspect(Process &At, const AskedPtr &One) {
+    if (!One->Fatal && ++WrongRefusals > MostWrongRefusals)
+      breakRule("suspect", "request " + std::to_string(One->Id) +
+                               " is refused for crashes of others");
+    end(At, One, !One->MayHaveRun);
+  }
+
+  void publish(Process &At, const std::vector<SuspectNotice> &Notices) {
+    Effects Out;
+    for (const SuspectNotice &Notice : Notices)
+      if (applySuspectNotice(At.Entry->Suspects, Notice, Now))
+        broadcastNotice(At.Entry->Fleet, Notice, {}, Out);
+    perform(At, Out);
+  }
+
+  void brokeOff(Process &At, const Passed &Sent, Server &From) {
+    const ServerView *View = findServer(At.Pool, Sent.Expected);
+    if (View != nullptr && (View->Listed.Draining || View->Notices.Leaving ||
+                            View->Notices.LeavingElsewhere))
+      return;
+    dropOldRuns(At.Crashes, Now);
+    if (!recordBrokenAnswer(At.Crashes, Sent.Run, Sent.Of->Content, Now)) {
+      publish(At, takeCrashNotices(At.Crashes, Now));
+      return;
+    }
+    in(At, AddressCheckDelay, [this, &At, &From, Run = Sent.Run] {
+      recordAddressCheck(At.Crashes, Run, checkAddress(At, From));
+      publish(At, takeCrashNotices(At.Crashes, Now));
+    });
+  }
+
+  AddressCheck checkAddress(const Process &At, const Server &From) const {
+    if (isCut(At.Name, From.Name) ||
+        heldUntil(At.Name, From.Name) > Now + Millis(300))
+      return AddressCheck::NoAnswer;
+    return From.Alive ? AddressCheck::Accepted : AddressCheck::Refused;
+  }
+
+  void completed(Process &At, const Passed &Sent) {
+    publish(At, recordSignOfLife(At.Crashes, Sent.Run, Sent.Sent, Now));
+    forgetCompleted(At.Crashes, Sent.Of->Content);
+    Effects Out;
+    clearSuspect(At.Entry->Suspects, Sent.Of->Content, At.Entry->Fleet, Now,
+                 Out);
+    perform(At, Out);
+  }
+
+  void crash(Server &One, const std::string &By) {
+    CrashedBy[By].push_back(Now);
+    endServer(One);
+    after(CrashDowntime, [this, &One] { startServer(One, 0); });
+  }
+
+  /** Arrivals from entries in touch, after the third crash is known. */
+  void checkCrashes(const Passed &Sent, const Server &To) {
+    const std::vector<TimePoint> &Crashes = CrashedBy[Sent.Of->Content.Value];
+    const Process &From = Processes.at(Sent.Entry);
+    if (Crashes.size() < 3 || Now <= Crashes[2] + CrashKnownAfter ||
+        From.Life != Sent.Life || !isCalm(From, Now))
+      return;
+    if (++AfterCrashes[Sent.Of->Content.Value] > MostAfterCrashes)
+      breakRule("crashes", story(Sent, To) + " after " +
+                               std::to_string(Crashes.size()) + " crashes");
+  }
+
   void sendTo(Process &At, const AskedPtr &One, const ServerView &Server) {
+    if (isQuarantined(At, *One)) {
+      recordAttemptEnd(At.Pool, One->At, AttemptEnd::NotSent, {}, Now);
+      refuseSuspect(At, One);
+      return;
+    }
     if (One->Place.Value.empty())
       countRequestWithoutSlot(At.Pool, One->At, Now);
     Passed Sent;
@@ -1414,6 +1532,7 @@
     Sent.Expected = Server.Listed.Id;
     Sent.Version = requiredVersion(At.Pool, One->At, Now);
     Sent.Sent = Now;
+    Sent.Run = runName(Server.Listed);
     Sent.First = One->Reached == 0;
     One->CallBegan = Now;
     One->SentOn = Server.Weights;
@@ -1602,6 +1721,8 @@
       reply(Sent, To, Answer::NotRun, Millis(2));
       return;
     }
+    if (Sent.Of->Fatal)
+      checkCrashes(Sent, To);
     checkCold(Sent, To);
     begin(Sent, To, Arrived);
     if (To.Model)
@@ -1610,6 +1731,14 @@
     const Millis Length = draw(To.Name + "/long", 15) == 0
                               ? delay(To.Name + "/run", 300, 1500)
                               : delay(To.Name + "/run", 20, 150);
+    if (Sent.Of->Fatal) {
+      after(delay(To.Name + "/crash", 20, 100), [this, Sent, &To, Life] {
+        if (To.Life == Life)
+          crash(To, Sent.Of->Content.Value);
+        reply(Sent, To, Answer::Broke, Millis(0));
+      });
+      return;
+    }
     after(Length, [this, Sent, &To, Life] {
       if (To.Life == Life && To.Running > 0)
         --To.Running;
@@ -1674,6 +1803,10 @@
                       How == Answer::Misdirected);
         if (!Lost && How == Answer::Whole)
           recordAcceptedRequest(To.Pool, Sent.Of->At, Now);
+        if (Lost || How == Answer::Broke)
+          brokeOff(To, Sent, From);
+        else if (How == Answer::Whole)
+          completed(To, Sent);
         answered(To, Sent.Of, Lost ? Answer::Broke : How);
       });
     });
@@ -1871,6 +2004,9 @@
   std::map<ServiceName, std::vector<TimePoint>> Firsts;
   std::map<ServiceName, std::deque<TimePoint>> Agains;
   uint64_t Started = 0, Refusals = 0;
+  std::map<std::string, std::vector<TimePoint>> CrashedBy; ///< By content.
+  std::map<std::string, uint32_t> AfterCrashes;            ///< Late arrivals.
+  uint64_t NextFatalId = FirstFatalId, WrongRefusals = 0;
   std::optional<Broken> Fault;
   std::function<void(Millis, const std::string &, const std::string &)>
       OnLog; ///< Hears the lines of all processes.
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -36,6 +36,10 @@
 /** Rate limits that back ends set, in requests a second. */
 constexpr std::array<double, 5> Rates = {0, 0.3, 1.8, 2.7, 40};
 
+/** Paths of requests that crash back ends. */
+constexpr std::array<const char *, 4> FatalPaths = {"/write/", "/chat/",
+                                                    "/book/", "/look/"};
+
 /** Draws one incident. */
 class IncidentMaker {
 public:
@@ -87,6 +91,10 @@
       One.Length = between(4000, 14000);
       One.PerSecond = Rates.at(below(Rates.size()));
       break;
+    case Trouble::Fatal:
+      One.Who = FatalPaths.at(below(FatalPaths.size()));
+      One.Length = between(3000, 14000);
+      break;
     case Trouble::DomainOut:
       One.Who = "z" + std::to_string(below(2));
       One.Length = between(1000, 12000);
@@ -173,6 +181,19 @@
   return One;
 }
 
+/** Adds one or two requests that crash back ends, and crashes of other causes,
+ * to the day of a seed. */
+inline Schedule makeCrashingSchedule(uint64_t Seed) {
+  Schedule One = makeSchedule(Seed);
+  IncidentMaker Maker(~Seed ^ (Seed << 32U));
+  for (size_t n = 1 + Maker.below(2); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::Fatal));
+  for (size_t n = Maker.below(4); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::WorkerEnds));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
 /** What a day came to. */
 struct DayEnd {
   std::optional<Broken> Fault; ///< The rule that was broken first.
