--- a/bench/bench.h
+++ b/bench/bench.h
@@ -50,6 +50,14 @@
  */
 int benchChoice(const BenchOptions &Options);
 
+/**
+ * Measures the processor time of recognizing requests that crash back ends,
+ * with as many suspects as are kept at most.
+ * @param Options Seconds: length of each of the three measurements.
+ * @return Exit code.
+ */
+int benchSuspects(const BenchOptions &Options);
+
 /**
  * Offers three times the capacity: goodput, shares, refusals, retries.
  * @param Options What to run.
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -17,10 +17,11 @@
 /** All measurements by name. */
 const std::map<std::string, int (*)(const BenchOptions &)> &measurements() {
   static const std::map<std::string, int (*)(const BenchOptions &)> All = {
-      {"choice", benchChoice}, {"coldstart", benchColdstart},
-      {"domain", benchDomain}, {"overload", benchOverload},
-      {"path", benchPath},     {"routing", benchRouting},
-      {"spread", benchSpread}, {"weights", benchWeights}};
+      {"choice", benchChoice},       {"suspects", benchSuspects},
+      {"coldstart", benchColdstart}, {"domain", benchDomain},
+      {"overload", benchOverload},   {"path", benchPath},
+      {"routing", benchRouting},     {"spread", benchSpread},
+      {"weights", benchWeights}};
   return All;
 }
 
--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <chrono>
 #include <utility>
+#include <vector>
 
 namespace jacinthpond {
 
@@ -59,29 +60,31 @@
 }
 
 /**
- * Says whether another suspect explains a death of a request: it ran at that
- * death too, and at more deaths. Of two requests that ran at the same two
- * deaths either may have caused them; the next death tells them apart.
+ * Lists the deaths at which other suspects ran that explain those of a request:
+ * suspects of more deaths. Of two requests that ran at the same two deaths
+ * either may have caused them; the next death tells them apart.
  */
-bool isExplained(const Quarantine &State, const Digest &Fingerprint,
-                 const Suspect &One, const std::string &Death) {
+std::vector<const std::set<std::string> *> explanations(const Quarantine &State,
+                                                        const Suspect &One) {
   const size_t Own = One.Deaths.size();
-  const size_t Needed = Own > MaxDeaths ? Own + 1 : std::max(Own, MaxDeaths);
-  return std::ranges::any_of(State.Suspects, [&](const auto &Row) {
-    const std::set<std::string> &Deaths = Row.second.Deaths;
-    return Row.first != Fingerprint && Deaths.size() >= Needed &&
-           Deaths.contains(Death);
-  });
+  const size_t Needed = Own > MaxDeaths ? Own + 1 : MaxDeaths;
+  std::vector<const std::set<std::string> *> Found;
+  for (const auto &[Fingerprint, Other] : State.Suspects)
+    if (Other.Deaths.size() >= Needed && &Other != &One)
+      Found.push_back(&Other.Deaths);
+  return Found;
 }
 
 /** Says whether a request causes deaths. */
-bool isCulprit(const Quarantine &State, const Digest &Fingerprint,
-               const Suspect &One) {
+bool isCulprit(const Quarantine &State, const Suspect &One) {
   if (One.Proven || One.Deaths.size() < MaxDeaths)
     return One.Proven;
+  const auto Others = explanations(State, One);
   const auto Unexplained =
       std::ranges::count_if(One.Deaths, [&](const std::string &Death) {
-        return !isExplained(State, Fingerprint, One, Death);
+        return std::ranges::none_of(Others, [&](const auto *Deaths) {
+          return Deaths->contains(Death);
+        });
       });
   return static_cast<size_t>(Unexplained) >= MaxDeaths;
 }
@@ -132,7 +135,7 @@
   const Suspect *One = findSuspect(State, Fingerprint, Now);
   if (One == nullptr || One->Deaths.empty())
     return Suspicion::None;
-  if (!isCulprit(State, Fingerprint, *One))
+  if (!isCulprit(State, *One))
     return Suspicion::RunAlone;
   return Now - One->Last < refusalTime(*One) ? Suspicion::Refuse
                                              : Suspicion::Trial;
