quarantine: decisions that stood twice, in the core once

Shell and model each had their own copy of two rules: a request whose back end is not yet known to have crashed is treated as a suspect, and the end of a back end that shuts down is no crash. They are suspicionOf() over quarantine and crash watch, and isShuttingDown(), now.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -194,6 +194,13 @@
   }
 }
 
+void publishSuspectNotice(Quarantine &State, const SuspectNotice &Notice,
+                          const Membership &Fleet, TimePoint Now,
+                          Effects &Out) {
+  if (applySuspectNotice(State, Notice, Now))
+    broadcastNotice(Fleet, Notice, {}, Out);
+}
+
 void broadcastNotice(const Membership &Fleet, const Message &Notice,
                      std::optional<Role> Only, Effects &Out) {
   for (const auto &[Link, Peer] : Fleet.Links)
--- a/packages/core/src/admission/quarantine_func.h
+++ b/packages/core/src/admission/quarantine_func.h
@@ -109,6 +109,17 @@
 void sendSuspects(const Quarantine &State, LinkId Link, TimePoint Now,
                   Effects &Out);
 
+/**
+ * Applies a notice, and sends it to all peers if it is news.
+ * @param State State to change.
+ * @param Notice The notice.
+ * @param Fleet Links to the peers.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void publishSuspectNotice(Quarantine &State, const SuspectNotice &Notice,
+                          const Membership &Fleet, TimePoint Now, Effects &Out);
+
 /**
  * Sends a notice over all ready links.
  * @param Fleet Links of this process.
--- a/packages/core/src/attempts/back_end_death.cpp
+++ b/packages/core/src/attempts/back_end_death.cpp
@@ -59,8 +59,7 @@
   Notice.Fingerprint = fingerprintOf(One.StartMessage);
   Notice.DeathId = One.ReportedDeath;
   Notice.WasAlone = One.RanAlone;
-  if (applySuspectNotice(Agent.Suspects, Notice, Now))
-    broadcastNotice(Agent.Fleet, Notice, {}, Out);
+  publishSuspectNotice(Agent.Suspects, Notice, Agent.Fleet, Now, Out);
 }
 
 /** Tells all peers that a request is no suspect after all, since the back end
@@ -73,8 +72,7 @@
   ++Agent.WithdrawnDeaths;
   const SuspectNotice Notice{fingerprintOf(One.StartMessage), One.ReportedDeath,
                              0, false, true};
-  if (applySuspectNotice(Agent.Suspects, Notice, Now))
-    broadcastNotice(Agent.Fleet, Notice, {}, Out);
+  publishSuspectNotice(Agent.Suspects, Notice, Agent.Fleet, Now, Out);
 }
 
 /** Tells all peers that the lost attempts are suspect, then fails them. */
--- a/packages/core/src/forwarding/crash_watch.cpp
+++ b/packages/core/src/forwarding/crash_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "forwarding/crash_watch_func.h"
 
+#include "admission/quarantine_func.h"
+
 #include <algorithm>
 
 namespace jacinthpond {
@@ -115,6 +117,14 @@
   });
 }
 
+Suspicion suspicionOf(const Quarantine &Suspects, const CrashWatch &Watch,
+                      const Digest &Request, TimePoint Now) {
+  const Suspicion Known = suspicionOf(Suspects, Request, Now);
+  return Known == Suspicion::None && isUnderWatch(Watch, Request)
+             ? Suspicion::RunAlone
+             : Known;
+}
+
 void dropOldRuns(CrashWatch &Watch, TimePoint Now) {
   std::erase_if(Watch.Runs, [&](const auto &Row) {
     return Now - Row.second.BrokeAt >= RunLifetime;
--- a/packages/core/src/forwarding/crash_watch_func.h
+++ b/packages/core/src/forwarding/crash_watch_func.h
@@ -9,6 +9,7 @@
 #ifndef JACINTHPOND_CORE_FORWARDING_CRASH_WATCH_FUNC_H
 #define JACINTHPOND_CORE_FORWARDING_CRASH_WATCH_FUNC_H
 
+#include "admission/quarantine_type.h"
 #include "configuration/document_type.h"
 #include "forwarding/crash_watch_type.h"
 #include "wire/message_type.h"
@@ -86,6 +87,17 @@
  */
 bool isUnderWatch(const CrashWatch &Watch, const Digest &Request);
 
+/**
+ * Gives how to treat a request, known suspects and undecided runs together.
+ * @param Suspects Known suspects.
+ * @param Watch Runs that may have crashed.
+ * @param Request Fingerprint of the request.
+ * @param Now Current time.
+ * @return As for a known suspect; RunAlone while it is under watch.
+ */
+Suspicion suspicionOf(const Quarantine &Suspects, const CrashWatch &Watch,
+                      const Digest &Request, TimePoint Now);
+
 /**
  * Forgets what happened too long ago.
  * @param Watch State to change.
--- a/packages/core/src/forwarding/server_notice.cpp
+++ b/packages/core/src/forwarding/server_notice.cpp
@@ -110,6 +110,11 @@
   return !Notices.Leaving && !isPaused(Notices.Backoff, Now);
 }
 
+bool isShuttingDown(const ServerView &View) {
+  return View.Listed.Draining || View.Notices.Leaving ||
+         View.Notices.LeavingElsewhere;
+}
+
 void recordAcceptedRequest(ServerPool &Pool, const InstanceId &Id,
                            TimePoint Now) {
   if (ServerView *View = findServer(Pool, Id))
--- a/packages/core/src/forwarding/server_notice_func.h
+++ b/packages/core/src/forwarding/server_notice_func.h
@@ -80,6 +80,13 @@
  */
 bool wantsRequests(const ServerNotices &Notices, TimePoint Now);
 
+/**
+ * Says whether a back end is known to shut down, so that its end is no crash.
+ * @param View The back end.
+ * @return True once the list, the back end or another process said so.
+ */
+bool isShuttingDown(const ServerView &View);
+
 /**
  * Records a request that a back end accepted: the head of its answer is there,
  * and is no refusal.
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -98,8 +98,7 @@
         [this](const SuspectNotice &m) {
           post([this, m](TimePoint Now, Effects &Out) {
             // Agents keep it for entries that start when all others have ended.
-            if (applySuspectNotice(State.Suspects, m, Now))
-              broadcastNotice(State.Fleet, m, {}, Out);
+            publishSuspectNotice(State.Suspects, m, State.Fleet, Now, Out);
           });
         });
 }
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -210,7 +210,7 @@
     handleDeadline();
     return;
   }
-  if (isQuarantined()) {
+  if (checkQuarantine()) {
     endQuarantined();
     return;
   }
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -101,7 +101,7 @@
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   const Digest &fingerprint() const;
   Suspicion suspicion() const;
-  bool isQuarantined();
+  bool checkQuarantine();
   void endQuarantined();
   void reportBrokenAnswer();
   void reportCompletion();
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -76,7 +76,7 @@
  * pause while the connection was being opened, or copies of the request may
  * have crashed other back ends. */
 bool Exchange::maySendRequest() {
-  return !isQuarantined() &&
+  return !checkQuarantine() &&
          mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
 }
 
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -31,9 +31,6 @@
     ConnectionEndWords = {"open",  "refused", "timed_out", "failed",
                           "reset", "closed",  "malformed"};
 
-/** Characters of a digest that a log line shows. */
-constexpr size_t LoggedDigestLength = 16;
-
 /** Milliseconds since a time; the maximum if the time was never set. */
 std::string millisSince(TimePoint Then, TimePoint Now) {
   constexpr int64_t MostMillis = 999999;
@@ -138,7 +135,7 @@
               std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
               " status=" + std::to_string(AnswerStatus) + " connection=" +
               std::string(ConnectionEndWords.at(static_cast<size_t>(LastEnd))) +
-              " content=" + fingerprint().Value.substr(0, LoggedDigestLength) +
+              " content=" + shortDigest(fingerprint()) +
               " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
               millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
               " unanswered_ms=" +
--- a/packages/entry/src/forward/exchange_suspect.cpp
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -8,6 +8,7 @@
 #include "forward/log_value.h"
 #include "forward/suspects.h"
 #include "forwarding/request_identity_func.h"
+#include "forwarding/server_notice_func.h"
 #include "log/log.h"
 
 namespace jacinthpond {
@@ -27,16 +28,14 @@
   // Without suspects, avoids the cost of a digest of the body.
   if (Shared.Suspects.Suspects.empty() && Shared.Crashes.Runs.empty())
     return Suspicion::None;
-  const Suspicion Known =
-      suspicionOf(Shared.Suspects, fingerprint(), Shared.Clock.now());
-  return Known == Suspicion::None && isUnderWatch(Shared.Crashes, fingerprint())
-             ? Suspicion::RunAlone
-             : Known;
+  return suspicionOf(Shared.Suspects, Shared.Crashes, fingerprint(),
+                     Shared.Clock.now());
 }
 
-/** Says whether the request must not be sent, since it crashes back ends. The
- * trial of a refused one is a single attempt. */
-bool Exchange::isQuarantined() {
+/** Looks the request up among the suspects: says whether it must not be sent,
+ * since it crashes back ends, and sets what a suspect needs of its back end. A
+ * refused one may become a trial, which is a single attempt. */
+bool Exchange::checkQuarantine() {
   const Suspicion Found = suspicion();
   Needs.Suspect = mustRunAlone(Found) ? fingerprint() : Digest{};
   if (Found != Suspicion::Trial)
@@ -59,7 +58,7 @@
 
 void Exchange::handleQuarantineChange() {
   const auto Self = shared_from_this();
-  if (Session && AwaitingSlot && isQuarantined())
+  if (Session && AwaitingSlot && checkQuarantine())
     endQuarantined();
 }
 
@@ -67,9 +66,7 @@
  * shutting down ends without a crash. */
 void Exchange::reportBrokenAnswer() {
   const ServerView *Server = findServer(Shared.Pool, ServerId);
-  const bool Ending = Server != nullptr &&
-                      (Server->Listed.Draining || Server->Notices.Leaving ||
-                       Server->Notices.LeavingElsewhere);
+  const bool Ending = Server != nullptr && isShuttingDown(*Server);
   if (!ServerRun.empty() && !Ending)
     handleBrokenAnswer(Shared, ServerRun, ServerAt, fingerprint());
 }
--- a/packages/entry/src/forward/log_value.h
+++ b/packages/entry/src/forward/log_value.h
@@ -3,6 +3,8 @@
 #ifndef JACINTHPOND_ENTRY_FORWARD_LOG_VALUE_H
 #define JACINTHPOND_ENTRY_FORWARD_LOG_VALUE_H
 
+#include "base/ids_type.h"
+
 #include <algorithm>
 #include <string>
 #include <string_view>
@@ -24,6 +26,16 @@
   return Value.empty() ? "-" : Value;
 }
 
+/**
+ * Shortens a digest for a field of a log line.
+ * @param Full The digest.
+ * @return Its first 16 characters.
+ */
+inline std::string shortDigest(const Digest &Full) {
+  constexpr size_t Length = 16;
+  return Full.Value.substr(0, Length);
+}
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/entry/src/forward/suspects.cpp
+++ b/packages/entry/src/forward/suspects.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash_func.h"
 #include "forward/address_check.h"
+#include "forward/log_value.h"
 #include "log/log.h"
 
 #include <algorithm>
@@ -14,12 +15,6 @@
 
 /** Least time between two trials of a request by the same entry. */
 constexpr std::chrono::minutes TrialPeriod{10};
-/** Characters of a digest that a log line shows. */
-constexpr size_t LoggedDigestLength = 16;
-
-std::string shortDigest(const Digest &Full) {
-  return Full.Value.substr(0, LoggedDigestLength);
-}
 
 /** Lets requests that wait for a slot look at the quarantine again. */
 void recheckWaitingRequests(ForwardContext &Shared) {
