tests: crashing_request_test waits until back ends are up

It slept for twice their downtime. The remaining sleeps set the pace of copies and the time in which nothing may crash.

--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -88,6 +88,16 @@
         lookAfter(Name);
   }
 
+  /** Waits until some back ends have crashed and all are up again. */
+  void passUntilUp(size_t LeastCrashes) {
+    BOOST_REQUIRE(waitFor(10s, [&] {
+      std::ranges::for_each(Names, [&](const auto &n) { lookAfter(n); });
+      return Crashes.size() >= LeastCrashes && DownSince.empty() &&
+             std::ranges::none_of(
+                 Names, [&](const auto &n) { return All.look(n).empty(); });
+    }));
+  }
+
   void lookAfter(const std::string &Name) {
     const auto it = DownSince.find(Name);
     if (it == DownSince.end()) {
@@ -148,7 +158,7 @@
     const CopySenders Copies(All, fatal("read"));
     pass(3s);
   }
-  pass(2 * Downtime); // All back ends are up again.
+  passUntilUp(2);
   const size_t Before = Crashes.size();
   All.restart("entry-1");
   BOOST_REQUIRE(All.waitServing(15s));
@@ -165,7 +175,7 @@
     const CopySenders Copies(All, fatal("read"));
     pass(3s);
   }
-  pass(2 * Downtime);
+  passUntilUp(2);
   const size_t Before = Crashes.size();
   for (size_t n = 0; n < Entries; ++n) {
     const auto Start = Clock::now();
@@ -207,7 +217,7 @@
       pass(300ms);
       All.process(Name).signal(SIGKILL);
     }
-    pass(2 * Downtime);
+    passUntilUp(4);
     BOOST_TEST(Crashes.size() == 4U);
     BOOST_TEST(Calling.Served >= Calling.Asked - 2 * int(Entries * 3));
   }
