--- /dev/null
+++ b/packages/adapters/http/client_pool.h
@@ -0,0 +1,49 @@
+/** @file client_pool.h HTTP clients of one server with kept connections. */
+
+#ifndef JACINTHPOND_ADAPTERS_HTTP_CLIENT_POOL_H
+#define JACINTHPOND_ADAPTERS_HTTP_CLIENT_POOL_H
+
+#include "http/http_client.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jacinthpond {
+
+/**
+ * Sends requests to one server over connections that are kept between requests.
+ * Any number of threads may use it; each request has a connection of its own.
+ */
+class ClientPool {
+public:
+  /**
+   * Sets the server; nothing is sent yet.
+   * @param Url "http://IP:port".
+   * @param Timeouts Timeouts of each request.
+   */
+  ClientPool(std::string Url, ClientTimeouts Timeouts);
+
+  /**
+   * Sends a request. Its connection is dropped when no answer came.
+   * @param Request Sends the request with the given client.
+   * @return The answer, or why there is none.
+   */
+  httplib::Result
+  send(const std::function<httplib::Result(httplib::Client &)> &Request);
+
+private:
+  std::unique_ptr<httplib::Client> take();
+  void keep(std::unique_ptr<httplib::Client> Client);
+
+  std::string Url;
+  ClientTimeouts Timeouts;
+  std::mutex Guard;                                   ///< Protects Idle.
+  std::vector<std::unique_ptr<httplib::Client>> Idle; ///< Not in use now.
+};
+
+} // namespace jacinthpond
+
+#endif
