configuration: only readers tell other domains of a document at once

Each entry sent heartbeats to all peers when a document came into force; between regions those of the readers suffice. Everyone else tells its own domain, and other domains with the next regular heartbeat.

--- a/packages/core/src/attempts/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -259,8 +259,8 @@
     recordReadResult(Entry.Fleet, Read.Value.has_value(), true, Began, Now);
     return;
   }
-  const OfferResult Offer =
-      applyDocument(Entry.View, Entry.Fleet, *Read.Value, Now, Out);
+  const OfferResult Offer = applyDocument(Entry.View, Entry.Fleet, *Read.Value,
+                                          DocumentSource::Service, Now, Out);
   recordReadResult(Entry.Fleet, true,
                    Offer == OfferResult::Accepted || Offer == OfferResult::Same,
                    Began, Now);
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -120,7 +120,8 @@
     return FleetMessageResult::Handled;
   if (Fleet.Pull.Link == Link)
     Fleet.Pull.Link.reset();
-  const OfferResult Verdict = applyDocument(View, Fleet, Push.Text, Now, Out);
+  const OfferResult Verdict =
+      applyDocument(View, Fleet, Push.Text, DocumentSource::Peer, Now, Out);
   // Validation is the same everywhere, so only a peer with another program
   // version sends an invalid document. It must not be pulled repeatedly.
   if (Verdict == OfferResult::Invalid)
@@ -132,7 +133,8 @@
 } // namespace
 
 OfferResult applyDocument(ConfigView &View, Membership &Fleet,
-                          std::string_view Text, TimePoint Now, Effects &Out) {
+                          std::string_view Text, DocumentSource Source,
+                          TimePoint Now, Effects &Out) {
   const OfferResult Verdict = offerDocument(View, Text, Now);
   if (Verdict == OfferResult::Invalid)
     Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
@@ -162,13 +164,12 @@
           (View.PublishedAfter
                ? std::to_string(toMillis(Now - *View.PublishedAfter).count())
                : "-")});
-  // Entries tell all peers at once, agents only those of their own domain:
-  // heartbeats from all agents to all others would be most of the traffic
-  // between regions.
-  if (Fleet.Self.Sender == Role::Agent)
-    sendHeartbeatsInDomain(Fleet, View, Now, Out);
-  else
+  // Only the readers of the service tell other domains at once: heartbeats from
+  // all to all would be most of the traffic between regions.
+  if (Source == DocumentSource::Service)
     sendHeartbeats(Fleet, View, Now, Out);
+  else
+    sendHeartbeatsInDomain(Fleet, View, Now, Out);
   return Verdict;
 }
 
--- a/packages/core/src/configuration/config_spread_func.h
+++ b/packages/core/src/configuration/config_spread_func.h
@@ -24,18 +24,27 @@
   NewEntry     ///< An entry became known, or has moved.
 };
 
+/** Where a process got a document from. */
+enum class DocumentSource : uint8_t {
+  Service, ///< The configuration service.
+  Peer     ///< Another process of the fleet.
+};
+
 /**
  * Validates a document, puts it in force when it is newer, and sends heartbeats
- * with the new version.
+ * with the new version: to all peers, or to those of the own domain if it came
+ * from a peer.
  * @param View State to change.
  * @param Fleet State to change.
  * @param Text The document; not trusted.
+ * @param Source Where it came from.
  * @param Now Current time.
  * @param Out Effects are appended.
  * @return Whether it came into force; else why not.
  */
 OfferResult applyDocument(ConfigView &View, Membership &Fleet,
-                          std::string_view Text, TimePoint Now, Effects &Out);
+                          std::string_view Text, DocumentSource Source,
+                          TimePoint Now, Effects &Out);
 
 /**
  * Pulls the document from one peer when some peer has a newer one and no pull
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -104,6 +104,23 @@
   BOOST_TEST((State.Fleet.Pull.Link == linkOf("b")));
 }
 
+// On a hundred hosts, heartbeats of all entries to all processes at each change
+// were most of the traffic between regions.
+BOOST_AUTO_TEST_CASE(OnlyReadersTellOtherDomainsOfADocumentAtOnce) {
+  receiveConfig(document(5));
+  connectAllPeers(5);
+  State.Fleet.Links.at(linkOf("b")).Peer.Domain.Value = "far";
+  Out.clear();
+  receiveConfig(document(6));
+  BOOST_TEST(heartbeatsSentTo("b") == 1U);
+  BOOST_TEST(heartbeatsSentTo("c") == 1U);
+  Out.clear();
+  receiveDocument(linkOf("c"), document(7), true);
+  BOOST_TEST(version() == 7U);
+  BOOST_TEST(heartbeatsSentTo("b") == 0U);
+  BOOST_TEST(heartbeatsSentTo("e") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ASilentReaderIsReplacedByTheNextRank) {
   // After an outage of the service its readers may still be backing off. An
   // entry that reads in their place must go on until they are answered; if it
--- a/tests/unit/one_entry.h
+++ b/tests/unit/one_entry.h
@@ -101,6 +101,15 @@
     }));
   }
 
+  /** Number of heartbeats sent to a peer. */
+  size_t heartbeatsSentTo(const std::string &Name) const {
+    return static_cast<size_t>(std::ranges::count_if(Out, [&](const Effect &e) {
+      const auto *Sent = std::get_if<SendMessage>(&e);
+      return Sent != nullptr && Sent->Link == linkOf(Name) &&
+             std::holds_alternative<Heartbeat>(Sent->Content);
+    }));
+  }
+
   /** The link to a peer. */
   LinkId linkOf(const std::string &Name) const {
     return *State.Fleet.Wanted.at(HostName{Name}).Link;
