--- a/packages/core/src/membership/join.cpp
+++ b/packages/core/src/membership/join.cpp
@@ -38,13 +38,6 @@
   });
 }
 
-/** Says whether every ready peer has answered a probe. */
-bool haveReadyPeersAnswered(const Membership &Fleet) {
-  return std::ranges::all_of(Fleet.Links, [](const auto &Row) {
-    return !isReady(Row.second) || Row.second.Answered;
-  });
-}
-
 /** Says whether every wanted peer has answered or could not be reached. */
 bool hasProbedAllPeers(const Membership &Fleet) {
   return std::ranges::all_of(Fleet.Wanted, [&](const auto &Row) {
@@ -60,8 +53,7 @@
  * Says whether the view has become fresh. A new process may have read an old
  * document from a stale configuration service and would use a domain again that
  * was taken out. So every peer is probed first, and no reachable one may be
- * ahead. A fresh peer would know of a newer document; without one, an entry
- * also waits for peers that cannot be reached yet.
+ * ahead.
  */
 bool canFinishJoin(const ConfigView &View, const Membership &Fleet,
                    TimePoint Now) {
@@ -69,8 +61,6 @@
     return false;
   if (Fleet.Self.Sender == Role::Agent)
     return hasFreshPeerAnswer(Fleet);
-  if (hasFreshPeerAnswer(Fleet) && haveReadyPeersAnswered(Fleet))
-    return true;
   const bool Waited = Now - Fleet.Joining.Since >= Fleet.Times.JoinWait;
   if (!Waited && !hasProbedAllPeers(Fleet))
     return false;
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -206,8 +206,6 @@
   if (!Beat.SameDigests)
     Peer.ConfigDigest = Beat.ConfigDigest;
   Peer.Leaving = Beat.Leaving;
-  if (Beat.Fresh && !Peer.Fresh)
-    Peer.ProbedAt.reset(); // Its next answer may complete the join.
   Peer.Fresh = Beat.Fresh;
   Peer.Service = Beat.ReachesConfigService;
   Peer.Load = Beat.Load;
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -6,7 +6,6 @@
 #include "base/overloaded.h"
 #include "configuration/reader_rank_func.h"
 #include "log/log.h"
-#include "membership/join_func.h"
 #include "settings/settings_func.h"
 #include "threads/process.h"
 
@@ -19,8 +18,6 @@
 
 /** Time between two ticks of the control thread. */
 constexpr Millis TickPeriod{50};
-/** The same while the entry joins the fleet: its callers wait for that. */
-constexpr Millis JoiningTickPeriod{10};
 /** Period at which a wait for the control thread checks whether to stop. */
 constexpr Millis PlanPoll{100};
 /** Time between two reads of the list of hosts. */
@@ -129,7 +126,6 @@
     Loop.run(TickPeriod, [this](TimePoint Now) {
       Effects Out;
       handleEntryTick(State, Now, Out);
-      Loop.setPeriod(isViewFresh(State.Fleet) ? TickPeriod : JoiningTickPeriod);
       updateSharedDocument();
       updateForwarder(Now);
       performEffects(std::move(Out));
--- a/tests/unit/config_spread_test.cpp
+++ b/tests/unit/config_spread_test.cpp
@@ -29,28 +29,6 @@
   BOOST_TEST(fresh());
 }
 
-// All entries were killed. One was ready after its wait; the others waited as
-// long as it had, since a host that had gone for good did not answer them.
-BOOST_AUTO_TEST_CASE(AFreshPeerEndsTheWaitForPeersThatAreGone) {
-  receiveConfig(document(3));
-  advanceClock(Millis{50});
-  const LinkId First = connectPeer("b", 3, false);
-  receiveDocument(First, "", false);
-  advanceClock(Millis{200});
-  BOOST_TEST(!fresh());
-  Out.clear();
-  receiveMessage("b", nextHeartbeat("b")); // Its view has become fresh.
-  advanceClock(Millis{50});
-  BOOST_TEST(probesSent() == 1U);
-  receiveDocument(First, "", true);
-  const LinkId Second = connectPeer("c", 3, true);
-  advanceClock(Millis{50});
-  BOOST_TEST(!fresh()); // Its answer may hold a newer document.
-  receiveDocument(Second, "", true);
-  advanceClock(Millis{50});
-  BOOST_TEST(fresh());
-}
-
 BOOST_AUTO_TEST_CASE(WithoutPeersTheServiceIsEnoughAfterTheWait) {
   receiveConfig(document(3));
   advanceClock(Millis{1400});
--- a/tests/unit/one_entry.h
+++ b/tests/unit/one_entry.h
@@ -91,17 +91,15 @@
     advanceClock(Millis{100});
   }
 
-  /** Number of requests for a document sent to peers, or of probes. */
-  size_t pullsSent(bool Probes = false) const {
-    return static_cast<size_t>(std::ranges::count_if(Out, [&](const Effect &e) {
+  /** Number of requests for a document sent to peers, probes aside. */
+  size_t pullsSent() const {
+    return static_cast<size_t>(std::ranges::count_if(Out, [](const Effect &e) {
       const auto *Sent = std::get_if<SendMessage>(&e);
       const auto *Pull =
           Sent == nullptr ? nullptr : std::get_if<ConfigPull>(&Sent->Content);
-      return Pull != nullptr && Pull->Probe == Probes;
+      return Pull != nullptr && !Pull->Probe;
     }));
   }
-  /** Number of probes sent to peers. */
-  size_t probesSent() const { return pullsSent(true); }
 
   /** Number of heartbeats sent to a peer. */
   size_t heartbeatsSentTo(const std::string &Name) const {
