tests: client_pool_test restarts its server instead of waiting

AFailedRequestLeavesNoConnectionBehind said that a server which is back is reached again, but only asked an address where nobody listens. It now stops a server and starts it again at its port. The server that closes a kept connection does so by its restart, which the test sees, instead of by an idle timeout that it slept through; the client sees a closed connection either way.

--- a/tests/unit/client_pool_test.cpp
+++ b/tests/unit/client_pool_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <set>
 #include <thread>
 
@@ -15,12 +16,16 @@
 
 /** A server that records the callers' ports, one for each connection. */
 struct CountingServer {
-  CountingServer() {
+  /** @param At The port to listen at; 0: any. */
+  explicit CountingServer(int At = 0) {
     Http.Get("/", [this](const httplib::Request &Asked, httplib::Response &) {
       Ports.insert(Asked.remote_port);
     });
     Http.set_keep_alive_max_count(1000); // The default is five requests.
-    Port = Http.bind_to_any_port("127.0.0.1");
+    if (At == 0)
+      Port = Http.bind_to_any_port("127.0.0.1");
+    else if (Http.bind_to_port("127.0.0.1", At))
+      Port = At;
     Accepting = std::thread([this] { Http.listen_after_bind(); });
     while (!Http.is_running())
       std::this_thread::yield();
@@ -55,21 +60,32 @@
   BOOST_TEST(Server.Ports.size() == 1U);
 }
 
-// A server closes connections that were idle for long; the next request must
-// not fail for that reason.
+// A server closed the kept connection, as it does when it restarts or when the
+// connection was idle for long; the next request must not fail for that reason.
 BOOST_AUTO_TEST_CASE(AConnectionThatTheServerClosedIsReplaced) {
-  CountingServer Server;
-  Server.Http.set_keep_alive_timeout(1);
-  ClientPool Pool(Server.url(), {1000ms, 1000ms});
+  auto Server = std::make_unique<CountingServer>();
+  const int Port = Server->Port;
+  ClientPool Pool(Server->url(), {1000ms, 1000ms});
   BOOST_TEST(ask(Pool));
-  std::this_thread::sleep_for(1500ms);
+  const std::set<int> Before = Server->Ports;
+  Server.reset(); // Closes its connections.
+  Server = std::make_unique<CountingServer>(Port);
+  BOOST_REQUIRE(Server->Port == Port);
   BOOST_TEST(ask(Pool));
-  BOOST_TEST(Server.Ports.size() == 2U);
+  BOOST_TEST(Server->Ports.size() == 1U);
+  BOOST_TEST((Server->Ports != Before));
 }
 
 // A server that is gone and back, at the same address, is reached again.
 BOOST_AUTO_TEST_CASE(AFailedRequestLeavesNoConnectionBehind) {
-  ClientPool Pool("http://127.0.0.1:1", {200ms, 200ms});
+  auto Server = std::make_unique<CountingServer>();
+  const int Port = Server->Port;
+  ClientPool Pool(Server->url(), {1000ms, 1000ms});
+  BOOST_TEST(ask(Pool));
+  Server.reset();
   BOOST_TEST(!ask(Pool));
   BOOST_TEST(!ask(Pool));
+  Server = std::make_unique<CountingServer>(Port);
+  BOOST_REQUIRE(Server->Port == Port);
+  BOOST_TEST(ask(Pool));
 }
