--- a/packages/adapters/http/client_pool.h
+++ b/packages/adapters/http/client_pool.h
@@ -27,7 +27,8 @@
   ClientPool(std::string Url, ClientTimeouts Timeouts);
 
   /**
-   * Sends a request. Its connection is dropped when no answer came.
+   * Sends a request. Its connection is dropped when no answer came: an answer
+   * that comes later would pass for that of the next request.
    * @param Request Sends the request with the given client.
    * @return The answer, or why there is none.
    */
--- a/packages/core/src/attempts/chunk_list.cpp
+++ b/packages/core/src/attempts/chunk_list.cpp
@@ -91,7 +91,8 @@
   Out.push_back(
       LogNote{LogPart::Weights, LogLevel::Info,
               "event=list_told set=" + Agent.PendingVersion.Set.Value});
-  acceptList(Agent, {Told.Chunks, Told.ChunkBytes}, false, Now, Out);
+  acceptList(Agent, {Told.Chunks, Told.ChunkBytes}, /*ReadHere=*/false, Now,
+             Out);
   return true;
 }
 
@@ -163,7 +164,7 @@
     requestMissingList(Agent, Now, Out);
     return false;
   }
-  acceptList(Agent, *Read.Value, true, Now, Out);
+  acceptList(Agent, *Read.Value, /*ReadHere=*/true, Now, Out);
   return true;
 }
 
