entry: log lines name the parts of a request's prompt

The on-call engineer could not tell which part the requests of several crashes share, nor which other parts went on being answered: no line named parts, and nothing in the product read them.

No logic changes.

--- a/packages/core/src/base/ids_type.h
+++ b/packages/core/src/base/ids_type.h
@@ -33,8 +33,10 @@
 using RegionName = TextId<struct RegionNameTag>;   ///< Nearby domains.
 using InstanceId = TextId<struct InstanceIdTag>;   ///< One run of a back end.
 using Digest = TextId<struct DigestTag>;           ///< SHA-256, lower-case hex.
-using AttemptId = TextId<struct AttemptIdTag>;     ///< Attempt of a request.
-using RequestId = TextId<struct RequestIdTag>;     ///< Request of a caller.
+using PartId =
+    TextId<struct PartIdTag>; ///< Part of prompts that requests share.
+using AttemptId = TextId<struct AttemptIdTag>; ///< Attempt of a request.
+using RequestId = TextId<struct RequestIdTag>; ///< Request of a caller.
 using IdempotencyKey = TextId<struct IdempotencyKeyTag>; ///< Caller's key.
 using Address = TextId<struct AddressTag>;               ///< "IP:port".
 
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -308,6 +308,7 @@
   ServerAt = Server.Listed.At;
   WeightsWhenSent = Server.Weights;
   LastProgress = Now;
+  BodyBeganAt.reset();
   ++AttemptsStarted;
   ++AttemptsSent; // Undone if no connection can be opened.
   TriedServers += (TriedServers.empty() ? "" : ",") + ServerId.Value;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jacinthpond {
 
@@ -105,6 +106,8 @@
   void endQuarantined();
   void reportBrokenAnswer();
   void reportCompletion();
+  std::vector<PartId> sharedParts() const;
+  std::string partsText() const;
   void logWaitForReadiness() const;
   void readLeaving(const ResponseHead &Received);
   void readPause(const ResponseHead &Received);
@@ -140,6 +143,7 @@
   TimePoint CallStartTime;
   Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
   TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
+  std::optional<TimePoint> BodyBeganAt; ///< First byte of the response's body.
   AnswerMode Mode = AnswerMode::Waiting;
   unsigned AnswerStatus = 0; ///< Status of the current response; 0: none.
   ConnectionEnd LastEnd = ConnectionEnd::Open; ///< Of the current attempt.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -176,6 +176,8 @@
 /** Buffers a part of a body or streams its complete events to the caller. */
 void Exchange::handleAnswerBody(std::string Bytes) {
   LastProgress = Shared.Clock.now();
+  if (!BodyBeganAt)
+    BodyBeganAt = LastProgress;
   recordServerActivity(Shared.Pool, ServerId, LastProgress);
   if (Mode == AnswerMode::Refusal)
     return;
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -38,6 +38,9 @@
       MostMillis, toMillis(Now - std::max(Then, TimePoint{})).count()));
 }
 
+/** Most parts of a prompt in a log line. */
+constexpr size_t MaxPartsLogged = 10;
+
 /** Id of the last event sent to the caller; "-" if there is none. */
 std::string lastEventText(const EventStream &Events) {
   return Events.LastId ? std::to_string(*Events.LastId) : "-";
@@ -45,6 +48,18 @@
 
 } // namespace
 
+/** Shared parts of the prompt, so that lines of different requests can be told
+ * apart or counted by what they share. */
+std::string Exchange::partsText() const {
+  std::vector<PartId> Parts = sharedParts();
+  const bool Cut = Parts.size() > MaxPartsLogged;
+  Parts.resize(std::min(Parts.size(), MaxPartsLogged));
+  std::string Text;
+  for (const PartId &One : Parts)
+    Text += (Text.empty() ? "" : ",") + One.Value;
+  return Text.empty() ? "-" : Text + (Cut ? ",..." : "");
+}
+
 /** Logs that the request waits until this entry is ready. */
 void Exchange::logWaitForReadiness() const {
   const Duration Longest = Shared.Fleet.ReadyBy - Shared.Clock.now();
@@ -128,20 +143,22 @@
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
   const TimePoint Now = Shared.Clock.now();
   const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
-  logLine(LogPart::Requests, LogLevel::Info,
-          "event=attempt_end id=" + logValue(Id) +
-              " n=" + std::to_string(AttemptsSent) +
-              " server=" + ServerId.Value + " outcome=" +
-              std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
-              " status=" + std::to_string(AnswerStatus) + " connection=" +
-              std::string(ConnectionEndWords.at(static_cast<size_t>(LastEnd))) +
-              " content=" + shortDigest(fingerprint()) +
-              " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
-              millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
-              " unanswered_ms=" +
-              (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
-                                : std::string("-")) +
-              " events_until=" + lastEventText(Events));
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=attempt_end id=" + logValue(Id) +
+          " n=" + std::to_string(AttemptsSent) + " server=" + ServerId.Value +
+          " outcome=" +
+          std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
+          " status=" + std::to_string(AnswerStatus) + " connection=" +
+          std::string(ConnectionEndWords.at(static_cast<size_t>(LastEnd))) +
+          " content=" + shortDigest(fingerprint()) + " parts=" + partsText() +
+          " begun_ms=" + (BodyBeganAt ? millisSince(*BodyBeganAt, Now) : "-") +
+          " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
+          millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
+          " unanswered_ms=" +
+          (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
+                            : std::string("-")) +
+          " events_until=" + lastEventText(Events));
 }
 
 /** Logs the end of the request and records its latencies. */
@@ -159,7 +176,7 @@
           " tenant=" + (Owner == nullptr ? "-" : logValue(Owner->Name.Value)) +
           " attempts=" + std::to_string(AttemptsSent) +
           " servers=" + (TriedServers.empty() ? "-" : TriedServers) +
-          " ms=" + Since(ArrivalTime) + " first_ms=" +
+          " parts=" + partsText() + " ms=" + Since(ArrivalTime) + " first_ms=" +
           (FirstByteTime
                ? std::to_string(toMillis(*FirstByteTime - ArrivalTime).count())
                : "-") +
--- a/packages/entry/src/forward/exchange_suspect.cpp
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -23,6 +23,12 @@
   return Fingerprint;
 }
 
+/** Parts of the prompt that other requests may share. */
+std::vector<PartId> Exchange::sharedParts() const {
+  return Shared.Wire.parseSharedParts(
+      joinedFieldValue(Incoming, Shared.Wire.headerNames().PromptParts));
+}
+
 /** Says how the request is to be treated for crashes of back ends. */
 Suspicion Exchange::suspicion() const {
   // Without suspects, avoids the cost of a digest of the body.
--- a/packages/entry/src/forward/header_fields.h
+++ b/packages/entry/src/forward/header_fields.h
@@ -37,6 +37,21 @@
       Fields[boost::beast::string_view(Name.data(), Name.size())]);
 }
 
+/**
+ * Joins the values of a header that may come more than once.
+ * @param Fields All headers.
+ * @param Name Name of the header.
+ * @return The values in order, separated by commas; empty if it is missing.
+ */
+inline std::string joinedFieldValue(const boost::beast::http::fields &Fields,
+                                    const std::string &Name) {
+  std::string All;
+  const auto [Begin, End] = Fields.equal_range(Name);
+  for (auto it = Begin; it != End; ++it)
+    All.append(it == Begin ? "" : ",").append(toStringView(it->value()));
+  return All;
+}
+
 /**
  * Finds which of several names a response uses for a header.
  * @param Fields All headers.
--- a/packages/ports/src/wire_port.h
+++ b/packages/ports/src/wire_port.h
@@ -28,6 +28,8 @@
   std::string WeightVersion; ///< Weights version that the answer started with.
   std::string Rank;          ///< Priority for the back end; 0 is the highest.
   std::string TokenCounts;   ///< Prompt tokens and most tokens of the answer.
+  std::string Model;         ///< Model that the request is for.
+  std::string PromptParts;   ///< Parts of the prompt, in order.
   std::string LastEventId;   ///< Id of the last event that the caller received.
   /** Rate limit of the answering back end, in requests a second. A back end
    * sends one of these headers. */
@@ -101,6 +103,15 @@
    * @return Number of prompt tokens; 0 when malformed.
    */
   virtual uint32_t parsePromptTokens(std::string_view Value) const = 0;
+
+  /**
+   * Parses the parts of a prompt that other requests may share: all but the
+   * last one.
+   * @param Value Header value.
+   * @return Their ids in order, each spelled one way; none when malformed.
+   */
+  virtual std::vector<PartId>
+  parseSharedParts(std::string_view Value) const = 0;
 };
 
 } // namespace jacinthpond
