tests: parts of prompts that crash back ends; answers that end by a close

The stand-in of workers takes crash_part and ends_by_close. What watches and restarts back ends is shared by both tests of crashes.

--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -3,6 +3,8 @@
  */
 // Labels: quarantine routes platform
 
+#include "restarted_servers.h"
+
 #include "fleet/route_fleet.h"
 #include "fleet/steady_route_callers.h"
 
@@ -22,14 +24,15 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = RestartedServers::Clock;
 
 constexpr size_t Entries = 3;
 constexpr size_t Models = 5;
 constexpr size_t Plains = 6;
-/** A crash is known to all entries after this time. */
+/** The last of the first crashes is known to all entries after this time. */
+constexpr size_t FirstCrashes = 3;
 constexpr auto KnownAfter = 500ms;
-/** Crashes after the third one is known. */
+/** Crashes after that. */
 constexpr size_t MostLateCrashes = 2;
 /** A crashed back end is back after this time. */
 constexpr auto Downtime = 1s;
@@ -56,11 +59,7 @@
 };
 
 struct CrashingFleet {
-  CrashingFleet() : All(plan()) {
-    for (size_t n = 0; n < Models; ++n)
-      Names.push_back("model-" + std::to_string(n));
-    for (size_t n = 0; n < Plains; ++n)
-      Names.push_back("plain-" + std::to_string(n));
+  CrashingFleet() : All(plan()), Servers(All, names(), Downtime) {
     BOOST_REQUIRE(All.waitServing(30s));
   }
 
@@ -80,50 +79,21 @@
     return What;
   }
 
-  /** Lets time pass; notes crashes, and starts what crashed again. */
-  void pass(std::chrono::milliseconds Time) {
-    const auto End = Clock::now() + Time;
-    for (; Clock::now() < End; std::this_thread::sleep_for(5ms))
-      for (const std::string &Name : Names)
-        lookAfter(Name);
-  }
-
-  /** Waits until some back ends have crashed and all are up again. */
-  void passUntilUp(size_t LeastCrashes) {
-    BOOST_REQUIRE(waitFor(10s, [&] {
-      std::ranges::for_each(Names, [&](const auto &n) { lookAfter(n); });
-      return Crashes.size() >= LeastCrashes && DownSince.empty() &&
-             std::ranges::none_of(
-                 Names, [&](const auto &n) { return All.look(n).empty(); });
-    }));
-  }
-
-  void lookAfter(const std::string &Name) {
-    const auto it = DownSince.find(Name);
-    if (it == DownSince.end()) {
-      if (!All.process(Name).waitExit(0ms))
-        return;
-      Crashes.push_back(Clock::now());
-      DownSince[Name] = Crashes.back();
-    } else if (Clock::now() - it->second >= Downtime) {
-      DownSince.erase(it);
-      All.restartServer(Name, Name + "-" + std::to_string(Crashes.size()));
-    }
+  static std::vector<std::string> names() {
+    std::vector<std::string> All;
+    for (size_t n = 0; n < Models; ++n)
+      All.push_back("model-" + std::to_string(n));
+    for (size_t n = 0; n < Plains; ++n)
+      All.push_back("plain-" + std::to_string(n));
+    return All;
   }
 
-  /** Crashes after the time at which the third one is known. */
   size_t lateCrashes() const {
-    if (Crashes.size() < 3)
-      return 0;
-    return std::ranges::count_if(Crashes, [&](Clock::time_point At) {
-      return At > Crashes[2] + KnownAfter;
-    });
+    return Servers.crashesAfter(FirstCrashes, KnownAfter);
   }
 
   RouteFleet All;
-  std::vector<std::string> Names;
-  std::vector<Clock::time_point> Crashes;
-  std::map<std::string, Clock::time_point> DownSince;
+  RestartedServers Servers;
 };
 
 } // namespace
@@ -135,9 +105,9 @@
 BOOST_AUTO_TEST_CASE(PlainBackEndsAreSpared) {
   {
     const CopySenders Copies(All, fatal("read"));
-    pass(8s);
+    Servers.pass(8s);
   }
-  BOOST_TEST(Crashes.size() >= 2U);
+  BOOST_TEST(Servers.Crashes.size() >= 2U);
   BOOST_TEST(lateCrashes() <= MostLateCrashes);
 }
 
@@ -146,9 +116,9 @@
 BOOST_AUTO_TEST_CASE(ModelWorkersAreSpared) {
   {
     const CopySenders Copies(All, fatal("write"));
-    pass(8s);
+    Servers.pass(8s);
   }
-  BOOST_TEST(Crashes.size() >= 2U);
+  BOOST_TEST(Servers.Crashes.size() >= 2U);
   BOOST_TEST(lateCrashes() <= MostLateCrashes);
 }
 
@@ -156,16 +126,16 @@
 BOOST_AUTO_TEST_CASE(AnEntryThatStartsKnowsWhatIsRefused) {
   {
     const CopySenders Copies(All, fatal("read"));
-    pass(3s);
+    Servers.pass(3s);
   }
-  passUntilUp(2);
-  const size_t Before = Crashes.size();
+  Servers.passUntilUp(2);
+  const size_t Before = Servers.Crashes.size();
   All.restart("entry-1");
   BOOST_REQUIRE(All.waitServing(15s));
   for (int n = 0; n < 5; ++n)
     All.ask(1, fatal("read"));
-  pass(1s);
-  BOOST_TEST(Crashes.size() == Before);
+  Servers.pass(1s);
+  BOOST_TEST(Servers.Crashes.size() == Before);
 }
 
 // Guards against callers that are held, or told anything untrue, when what they
@@ -173,10 +143,10 @@
 BOOST_AUTO_TEST_CASE(CallersAreToldAtOnceAndOthersAreServed) {
   {
     const CopySenders Copies(All, fatal("read"));
-    pass(3s);
+    Servers.pass(3s);
   }
-  passUntilUp(2);
-  const size_t Before = Crashes.size();
+  Servers.passUntilUp(2);
+  const size_t Before = Servers.Crashes.size();
   for (size_t n = 0; n < Entries; ++n) {
     const auto Start = Clock::now();
     const httplib::Response Answer = All.ask(n, fatal("read"));
@@ -188,8 +158,8 @@
     Other.Path = "/read/fata";
     BOOST_TEST(All.ask(n, Other).status == 200);
   }
-  pass(500ms);
-  BOOST_TEST(Crashes.size() == Before);
+  Servers.pass(500ms);
+  BOOST_TEST(Servers.Crashes.size() == Before);
 }
 
 // Guards against answers that get lost, again and again, of back ends that run
@@ -199,7 +169,7 @@
     for (size_t i = 0; i < Models; ++i)
       All.control("model-" + std::to_string(i), {{"break_at", 3}});
     All.ask(n % Entries, writeAsk());
-    pass(200ms);
+    Servers.pass(200ms);
   }
   for (size_t i = 0; i < Models; ++i)
     All.control("model-" + std::to_string(i), {{"break_at", 0}});
@@ -214,11 +184,11 @@
     const SteadyRouteCallers Calling(All, Entries, 3,
                                      [](size_t) { return RouteAsk{}; });
     for (const char *Name : {"plain-0", "plain-3", "plain-1", "plain-4"}) {
-      pass(300ms);
+      Servers.pass(300ms);
       All.process(Name).signal(SIGKILL);
     }
-    passUntilUp(4);
-    BOOST_TEST(Crashes.size() == 4U);
+    Servers.passUntilUp(4);
+    BOOST_TEST(Servers.Crashes.size() == 4U);
     BOOST_TEST(Calling.Served >= Calling.Asked - 2 * int(Entries * 3));
   }
   for (size_t n = 0; n < Entries; ++n)
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -9,20 +9,24 @@
  * all answers carry it as Server-Leaving; empty: none do), "no_signature",
  * "crash_on" (a text: the process ends, after "crash_ms", when it runs a
  * request with that in its body or path; a stream has its head and first event
- * by then), "crash_link" (control of a proxy before the worker: a crash
- * closes that instead of the process, so that the records are kept),
- * "hang" (no answer at all), "order_wait_ms" (the next order is taken
- * that much later, as the worker and what lies staged are by then), "load_ms"
- * (how long it is busy with an order), "hold_put" (the next write of that chunk
- * is left unread, and read right before the next order that comes), "halfway"
- * (it holds no first layer, and the next one was loaded from other bytes),
- * "slow_reads" (that many staged chunks are read back in "read_ms" each),
- * "rot_after_read" (once all that lies staged is of the next version, chunk 0
- * turns bad when it has been read back), "tell" (answers and events say whose
- * and what of they are), "restart" (the memory is lost, what is staged and the
- * record of runs are kept). GET /control gives "runs": what was run, when (on
- * the machine's steady clock), with which headers, and whether all that the
- * loaded version was made of was of it
+ * by then), "crash_part" (a list of ids: likewise, when the prompt of a request
+ * has such a part before its last one; by the request's path it ends before any
+ * byte, after the head and a byte of a body with a length, or after the head
+ * and a byte of one that ends with its connection), "crash_link" (control of a
+ * proxy before the worker: a crash closes that instead of the process, so that
+ * the records are kept), "ends_by_close" (one in that many answers has neither
+ * a length nor chunks, and ends with its connection), "hang" (no answer at
+ * all), "order_wait_ms" (the next order is taken that much later, as the worker
+ * and what lies staged are by then), "load_ms" (how long it is busy with an
+ * order), "hold_put" (the next write of that chunk is left unread, and read
+ * right before the next order that comes), "halfway" (it holds no first layer,
+ * and the next one was loaded from other bytes), "slow_reads" (that many staged
+ * chunks are read back in "read_ms" each), "rot_after_read" (once all that lies
+ * staged is of the next version, chunk 0 turns bad when it has been read back),
+ * "tell" (answers and events say whose and what of they are), "restart" (the
+ * memory is lost, what is staged and the record of runs are kept). GET /control
+ * gives "runs": what was run, when (on the machine's steady clock), with which
+ * headers, and whether all that the loaded version was made of was of it
  * ("whole"); "from" in the query leaves out the first ones; with
  * "arrivals_from" it gives "arrivals" instead: each request that came, run or
  * not, and its status; with "crashed" only that: a crash has begun; "loads":
@@ -181,11 +185,36 @@
          std::to_string(Host.Options.value("version", 0));
 }
 
+/** Says whether the prompt of a request has a part before its last one that
+ * crashes the worker. */
+bool hasCrashingPart(const Worker &Host, const httplib::Request &Asked) {
+  const std::string Prefix =
+      Asked.get_header_value("X-Jacinthpond-Prompt-Prefix");
+  const std::string Shared = Prefix.substr(0, Prefix.rfind(',') + 1);
+  return std::ranges::any_of(
+      Host.Options.value("crash_part", Json::array()), [&](const Json &Id) {
+        return ("," + Shared).find("," + Id.get<std::string>() + ":") !=
+               std::string::npos;
+      });
+}
+
 /** Says whether a request crashes the worker that runs it. */
 bool crashes(const Worker &Host, const httplib::Request &Asked) {
   const std::string Sign = Host.Options.value("crash_on", "");
-  return !Sign.empty() && (Asked.body.find(Sign) != std::string::npos ||
-                           Asked.target.find(Sign) != std::string::npos);
+  return hasCrashingPart(Host, Asked) ||
+         (!Sign.empty() && (Asked.body.find(Sign) != std::string::npos ||
+                            Asked.target.find(Sign) != std::string::npos));
+}
+
+/** Draws from the path of a request. */
+size_t drawFrom(const httplib::Request &Asked, size_t Bound) {
+  return std::hash<std::string>{}(Asked.path) % Bound;
+}
+
+/** Says whether the answer ends with its connection. */
+bool endsByClose(const Worker &Host, const httplib::Request &Asked) {
+  const size_t Every = Host.Options.value("ends_by_close", size_t{0});
+  return Every > 0 && drawFrom(Asked, Every) == 0;
 }
 
 /** Ends the process, or closes the proxy before it, as a crash does. */
@@ -218,29 +247,65 @@
     Host.Options["break_at"] = 0;
   const std::chrono::milliseconds Gap(Host.Options.value("gap_ms", 5));
   const int CrashAt = crashes(Host, Asked) ? First + 1 : 0;
-  Answer.set_chunked_content_provider(
-      "text/event-stream",
-      [n = First, Events, Break, Gap, CrashAt, &Host,
-       Tell = tellOf(Host, Asked)](size_t, httplib::DataSink &Sink) mutable {
-        const std::string Event = "id: " + std::to_string(n) +
-                                  "\ndata: token " + std::to_string(n) + Tell +
-                                  "\n\n";
-        if (n == CrashAt) {
-          crash(Host);
-          return false;
-        }
-        if (n == Break) {
-          Sink.write(Event.data(), Event.size() / 2);
-          return false;
-        }
-        if (n > Events) {
-          Sink.done();
-          return true;
-        }
-        std::this_thread::sleep_for(Gap);
-        ++n;
-        return Sink.write(Event.data(), Event.size());
-      });
+  const bool ByClose = endsByClose(Host, Asked);
+  const auto Write = [n = First, Events, Break, Gap, CrashAt, ByClose, &Host,
+                      Tell = tellOf(Host, Asked)](
+                         size_t, httplib::DataSink &Sink) mutable {
+    const std::string Event = "id: " + std::to_string(n) + "\ndata: token " +
+                              std::to_string(n) + Tell + "\n\n";
+    if (n == CrashAt) {
+      crash(Host);
+      return false;
+    }
+    if (n == Break) {
+      Sink.write(Event.data(), Event.size() / 2);
+      return false;
+    }
+    if (n > Events) {
+      Sink.done();
+      return !ByClose; // False closes the connection.
+    }
+    std::this_thread::sleep_for(Gap);
+    ++n;
+    return Sink.write(Event.data(), Event.size());
+  };
+  if (ByClose)
+    Answer.set_content_provider("text/event-stream", Write);
+  else
+    Answer.set_chunked_content_provider("text/event-stream", Write);
+}
+
+/** Sends a body that ends with its connection. */
+void sendUntilClose(httplib::Response &Answer, const std::string &Body) {
+  Answer.set_content_provider("text/plain",
+                              [Body](size_t, httplib::DataSink &Sink) {
+                                Sink.write(Body.data(), Body.size());
+                                return false; // Closes the connection.
+                              });
+}
+
+/** Crashes on a request, before its answer or in the middle of it. */
+void answerAndCrash(Worker &Host, const httplib::Request &Asked,
+                    httplib::Response &Answer) {
+  enum class Begun : uint8_t { Nothing, WithLength, UntilClose, Count };
+  const auto How =
+      static_cast<Begun>(drawFrom(Asked, static_cast<size_t>(Begun::Count)));
+  const auto WriteAndCrash = [&Host](httplib::DataSink &Sink) {
+    Sink.write("a", 1);
+    crash(Host);
+    return false;
+  };
+  if (How == Begun::WithLength)
+    Answer.set_content_provider(2, "text/plain",
+                                [=](size_t, size_t, httplib::DataSink &Sink) {
+                                  return WriteAndCrash(Sink);
+                                });
+  else if (How == Begun::UntilClose)
+    Answer.set_content_provider(
+        "text/plain",
+        [=](size_t, httplib::DataSink &Sink) { return WriteAndCrash(Sink); });
+  else
+    crash(Host);
 }
 
 void run(Worker &Host, const httplib::Request &Asked,
@@ -266,12 +331,19 @@
     Lock.lock();
   }
   if (!Host.Options.contains("model") && crashes(Host, Asked)) {
+    const bool ByPart = hasCrashingPart(Host, Asked);
     Lock.unlock();
+    if (ByPart) {
+      answerAndCrash(Host, Asked, Answer);
+      return;
+    }
     crash(Host);
     Lock.lock();
   }
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
+  else if (endsByClose(Host, Asked))
+    sendUntilClose(Answer, "answer to " + Asked.path + tellOf(Host, Asked));
   else
     Answer.set_content("answer to " + Asked.path + tellOf(Host, Asked),
                        "text/plain");
