entry: an answer that ends with its connection is whole only if its run lives on

Cause: the end of the connection completed such an answer, and a process that crashes closes its connections in the same way. The completion also cleared the request of the crash it had just caused.

The end is now held back, and with it the body of an answer that is no stream, until a connection to the back end's address is accepted 20 ms later; events of a stream are passed on as before. Refused or without an answer, the attempt counts as broken off. One connection serves all answers of a run that ended within these 20 ms.

Weighed: waiting for another answer of the run (a plain back end may have none for long), the signature (its form is not ours to read), the 0.1 s of the check for crashes (each such answer would be late).

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -194,7 +194,8 @@
             !Self->ForOtherAttempt && !Bad && Self->ResponseParser->is_done()) {
           Self->OpenConnection->IdleLimit = Millis{0};
           Self->deliverBody();
-          Self->finish();
+          if (Self->Handler != nullptr)
+            Self->finish(ResponseEnd::Closed);
           return;
         }
         Self->handleClose(ec == boost::asio::error::eof ? ConnectionEnd::Closed
@@ -227,7 +228,7 @@
     if (Handler == nullptr)
       return;
     if (ResponseParser->is_done() && !ForOtherAttempt) {
-      finish();
+      finish(ResponseEnd::Marked);
       return;
     }
     if (ResponseParser->is_done()) {
@@ -275,9 +276,8 @@
   Handler->handleAnswerBody(std::move(Part));
 }
 
-/** Ends the call after a complete response; pools the connection if it can be
- * reused. */
-void BackEndCall::finish() {
+/** Ends the call after a response; pools the connection if it can be reused. */
+void BackEndCall::finish(ResponseEnd How) {
   BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
   // Not reused with extra bytes after the response, which belong to no request,
   // or with a partly written request, which the next one would be appended to.
@@ -287,7 +287,7 @@
     Pool.keep(std::move(OpenConnection), Request.MaxIdle);
   }
   OpenConnection.reset();
-  Receiver->handleAnswerEnd();
+  Receiver->handleAnswerEnd(How);
 }
 
 /** Ends the call without a complete response. */
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -90,6 +90,12 @@
   Count      ///< Number of values; not a value.
 };
 
+/** How the end of a response that came without a failure is known. */
+enum class ResponseEnd : uint8_t {
+  Marked, ///< By its length, or by its last chunk.
+  Closed  ///< Only by the close of the connection, as after a crash.
+};
+
 /** Status and headers of a response. */
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
@@ -125,8 +131,11 @@
    */
   virtual void handleAnswerBody(std::string Bytes) = 0;
 
-  /** Handles the end of a complete response. */
-  virtual void handleAnswerEnd() = 0;
+  /**
+   * Handles the end of a response.
+   * @param How How the end is known.
+   */
+  virtual void handleAnswerEnd(ResponseEnd How) = 0;
 
   /**
    * Handles a failure: no complete response will follow.
@@ -175,7 +184,7 @@
   void parse();
   bool processHead();
   void deliverBody();
-  void finish();
+  void finish(ResponseEnd How);
   void reportFailure(CallFailure Why, ConnectionEnd End);
   void handleClose(ConnectionEnd End);
 
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -50,7 +50,7 @@
   void handleNotices(const ResponseHead &Received) override;
   void handleAnswerHead(const ResponseHead &Head) override;
   void handleAnswerBody(std::string Bytes) override;
-  void handleAnswerEnd() override;
+  void handleAnswerEnd(ResponseEnd How) override;
   void handleCallFailure(CallFailure Why, ConnectionEnd End) override;
 
 private:
@@ -78,6 +78,8 @@
   void sendTo(const ServerView &Server);
   void handleNoServer(const ServerChoice &Choice);
   void concludeAttempt(AttemptEnd How);
+  void confirmClosedAnswer();
+  void completeAnswer();
   void abandonAnswer();
   void sendWholeAnswer();
   void beginStream();
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -216,8 +216,8 @@
   Session->beginBody(std::move(Out));
 }
 
-/** Ends the request with a complete response, or retries after a refusal. */
-void Exchange::handleAnswerEnd() {
+/** Ends the request with a response, or retries after a refusal. */
+void Exchange::handleAnswerEnd(ResponseEnd How) {
   const auto Self = shared_from_this();
   if (Mode == AnswerMode::Refusal) {
     Shared.Counters.add(ForwardCount::NotExecuted);
@@ -226,12 +226,40 @@
     tryNextServer();
     return;
   }
+  if (Mode == AnswerMode::Events && !Events.Partial.empty()) {
+    reportBrokenAnswer();
+    abandonAnswer();
+    return;
+  }
+  if (How == ResponseEnd::Closed)
+    confirmClosedAnswer();
+  else
+    completeAnswer();
+}
+
+/**
+ * Completes a response that ended with its connection if its back end lives on.
+ * One that crashes closes its connections in the same way, and a part of the
+ * response would pass for the whole.
+ */
+void Exchange::confirmClosedAnswer() {
+  const auto Waiting = Call;
+  confirmRunning(Shared, ServerRun, ServerAt,
+                 [Self = shared_from_this(), Waiting](AddressCheck Result) {
+                   if (!Self->Session || Self->Call != Waiting)
+                     return;
+                   if (Result == AddressCheck::Accepted)
+                     Self->completeAnswer();
+                   else
+                     Self->handleCallFailure(CallFailure::Broken,
+                                             ConnectionEnd::Closed);
+                 });
+}
+
+/** Ends the request with a complete response. */
+void Exchange::completeAnswer() {
+  const auto Self = shared_from_this();
   if (Mode == AnswerMode::Events) {
-    if (!Events.Partial.empty()) {
-      reportBrokenAnswer();
-      abandonAnswer();
-      return;
-    }
     reportCompletion();
     concludeAttempt(AttemptEnd::Answered);
     if (!HeadSent)
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -77,8 +77,10 @@
   Quarantine Suspects; ///< Requests that may have crashed back ends.
   CrashWatch Crashes;  ///< Back ends that may have crashed.
   std::map<Digest, TimePoint> Trials; ///< Last trial here of each suspect.
-  std::string SlotIdPrefix;           ///< Makes slot ids globally unique.
-  uint64_t NextSlotNumber = 1;        ///< Suffix of the next slot id.
+  std::map<std::string, std::vector<std::function<void(AddressCheck)>>>
+      RunChecks;               ///< Waiting for a check, by name of the run.
+  std::string SlotIdPrefix;    ///< Makes slot ids globally unique.
+  uint64_t NextSlotNumber = 1; ///< Suffix of the next slot id.
   std::map<AttemptId, std::weak_ptr<SlotWaiter>> SlotWaiters; ///< By slot id.
   std::vector<std::weak_ptr<ReadinessWaiter>>
       ReadinessWaiters;    ///< Arrived too early.
--- a/packages/entry/src/forward/forward_counters.h
+++ b/packages/entry/src/forward/forward_counters.h
@@ -30,6 +30,7 @@
   Pauses,            ///< Pauses that back ends asked for.
   Withheld,          ///< Requests held back, or refused, because of pauses.
   BackEndCrashes,    ///< Crashes of back ends with requests of this entry.
+  CloseChecks,       ///< Checks of back ends whose response ended by a close.
   Quarantined,       ///< Requests that became known as causes of crashes.
   QuarantineRefused, ///< Requests refused as causes of crashes.
   Stalls,            ///< Long delays of the traffic thread.
@@ -79,6 +80,9 @@
          "Requests not sent to back ends, or refused, because of pauses."},
         {"jacinthpond_back_end_crashes_total",
          "Crashes of back ends, seen here, that cut off answers."},
+        {"jacinthpond_back_end_close_checks_total",
+         "Connections opened to tell an answer that ended with its connection "
+         "from a crash."},
         {"jacinthpond_route_suspects_convicted_total",
          "Requests that became known as causes of crashes."},
         {"jacinthpond_route_quarantine_refused_total",
--- a/packages/entry/src/forward/suspects.cpp
+++ b/packages/entry/src/forward/suspects.cpp
@@ -7,7 +7,12 @@
 #include "forward/log_value.h"
 #include "log/log.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
+#include <array>
+#include <memory>
+#include <utility>
 
 namespace jacinthpond {
 
@@ -15,6 +20,9 @@
 
 /** Least time between two trials of a request by the same entry. */
 constexpr std::chrono::minutes TrialPeriod{10};
+/** Time after a close from which the address of a back end that crashed refuses
+ * connections: a process that ends closes its sockets one after the other. */
+constexpr Millis CloseCheckDelay{20};
 
 /** Lets requests that wait for a slot look at the quarantine again. */
 void recheckWaitingRequests(ForwardContext &Shared) {
@@ -70,14 +78,19 @@
   publishNotices(Shared, Notices);
 }
 
-/** Records whether a back end has crashed. */
-void handleAddressCheck(ForwardContext &Shared, const std::string &Run,
-                        AddressCheck Result) {
+/** Logs what came of the check of an address. */
+void logCheck(const std::string &Run, AddressCheck Result) {
   constexpr std::array<const char *, 3> Words = {"refused", "accepted",
                                                  "no_answer"};
   logLine(LogPart::Requests, LogLevel::Info,
           "event=address_check run=" + Run +
               " result=" + Words.at(static_cast<size_t>(Result)));
+}
+
+/** Records whether a back end has crashed. */
+void handleAddressCheck(ForwardContext &Shared, const std::string &Run,
+                        AddressCheck Result) {
+  logCheck(Run, Result);
   if (Result == AddressCheck::Refused)
     Shared.Counters.add(ForwardCount::BackEndCrashes);
   recordAddressCheck(Shared.Crashes, Run, Result);
@@ -131,6 +144,30 @@
   applyNotice(Shared, Notice);
 }
 
+void confirmRunning(ForwardContext &Shared, const std::string &Run,
+                    const Address &At, std::function<void(AddressCheck)> Done) {
+  const auto [it, New] = Shared.RunChecks.try_emplace(Run);
+  it->second.push_back(std::move(Done));
+  if (!New)
+    return;
+  const auto Timer =
+      std::make_shared<boost::asio::steady_timer>(Shared.Io, CloseCheckDelay);
+  Timer->async_wait([&Shared, Run, At, Timer](const auto &ec) {
+    if (ec)
+      return;
+    // Connections that close from now on are not covered by this check.
+    const auto Node = Shared.RunChecks.extract(Run);
+    checkAddress(Shared.Io, At, Millis{0},
+                 [&Shared, Run, All = Node.mapped()](AddressCheck Result) {
+                   Shared.Counters.add(ForwardCount::CloseChecks);
+                   if (Result != AddressCheck::Accepted)
+                     logCheck(Run, Result);
+                   for (const auto &One : All)
+                     One(Result);
+                 });
+  });
+}
+
 bool beginTrial(ForwardContext &Shared, const Digest &Request) {
   const TimePoint Now = Shared.Clock.now();
   const std::vector<HostName> &Sharers = Shared.Pool.Sharers;
--- a/packages/entry/src/forward/suspects.h
+++ b/packages/entry/src/forward/suspects.h
@@ -46,6 +46,17 @@
  */
 void handleSuspectNotice(ForwardContext &Shared, const SuspectNotice &Notice);
 
+/**
+ * Checks whether the run of a back end that has just closed a connection lives
+ * on. Checks of one run that are due together are made by one connection.
+ * @param Shared State of the traffic thread.
+ * @param Run Name of the run.
+ * @param At Its address.
+ * @param Done Called with the result, unless the process ends before.
+ */
+void confirmRunning(ForwardContext &Shared, const std::string &Run,
+                    const Address &At, std::function<void(AddressCheck)> Done);
+
 /**
  * Says whether a refused request may be sent for a trial: by one entry of the
  * fleet, once in a while.
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -31,7 +31,9 @@
   void handleAnswerBody(std::string) override {
     BOOST_ERROR("unexpected response body");
   }
-  void handleAnswerEnd() override { BOOST_ERROR("unexpected end of response"); }
+  void handleAnswerEnd(ResponseEnd) override {
+    BOOST_ERROR("unexpected end of response");
+  }
   void handleCallFailure(CallFailure, ConnectionEnd) override {
     BOOST_ERROR("unexpected failure");
   }
@@ -103,7 +105,7 @@
       Statuses.push_back(Head.result_int());
     }
     void handleAnswerHead(const ResponseHead &) override {}
-    void handleAnswerEnd() override {}
+    void handleAnswerEnd(ResponseEnd) override {}
     std::vector<unsigned> Statuses;
   };
   boost::asio::io_context Io;
