tests: what a stand-in of a worker has staged outlives its crash

The platform keeps what is staged over a crash, the stand-in lost it with its process. The test is unchanged.

--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -176,7 +176,10 @@
 void RouteFleet::addWorker() {
   const size_t n = Models++;
   const std::string Name = "model-" + std::to_string(n);
-  startServer(Name, {{"id", Name}, {"model", "trail"}, {"ip", workerIp(n)}});
+  startServer(Name, {{"id", Name},
+                     {"model", "trail"},
+                     {"ip", workerIp(n)},
+                     {"stage_folder", Folder + "/" + Name + "-staged"}});
   Registered[Name] = {{"service", "llm"},
                       {"address", linkTo(Name, At.at(Name), workerIp(n))},
                       {"zone", domainOf(n)},
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -14,11 +14,12 @@
  * byte, after the head and a byte of a body with a length, or after the head
  * and a byte of one that ends with its connection), "crash_link" (control of a
  * proxy before the worker: a crash closes that instead of the process, so that
- * the records are kept), "ends_by_close" (one in that many answers has neither
- * a length nor chunks, and ends with its connection), "hang" (no answer at
- * all), "order_wait_ms" (the next order is taken that much later, as the worker
- * and what lies staged are by then), "load_ms" (how long it is busy with an
- * order), "hold_put" (the next write of that chunk is left unread, and read
+ * the records are kept), "stage_folder" (at the start: what is staged is kept
+ * there, and outlives a crash), "ends_by_close" (one in that many answers has
+ * neither a length nor chunks, and ends with its connection), "hang" (no answer
+ * at all), "order_wait_ms" (the next order is taken that much later, as the
+ * worker and what lies staged are by then), "load_ms" (how long it is busy with
+ * an order), "hold_put" (the next write of that chunk is left unread, and read
  * right before the next order that comes), "halfway" (it holds no first layer,
  * and the next one was loaded from other bytes), "slow_reads" (that many staged
  * chunks are read back in "read_ms" each), "rot_after_read" (once all that lies
@@ -44,6 +45,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <set>
@@ -515,6 +519,32 @@
   Answer.status = 202;
 }
 
+/** Folder in which staged chunks outlive the process; empty: they do not. */
+std::filesystem::path stageFolder(const Worker &Host) {
+  return Host.Options.value("stage_folder", "");
+}
+
+/** Keeps a staged chunk for the next run of the worker. */
+void saveStaged(const Worker &Host, uint64_t Number, const std::string &Bytes) {
+  if (stageFolder(Host).empty())
+    return;
+  std::filesystem::create_directories(stageFolder(Host));
+  std::ofstream(stageFolder(Host) / std::to_string(Number),
+                std::ios::binary | std::ios::trunc)
+      << Bytes;
+}
+
+/** Reads what the former run of the worker had staged. */
+void readStaged(Worker &Host) {
+  std::error_code ec; // There is no folder before the first chunk.
+  for (const auto &File :
+       std::filesystem::directory_iterator(stageFolder(Host), ec)) {
+    std::ifstream From(File.path(), std::ios::binary);
+    Host.Staged[std::stoull(File.path().filename().string())] =
+        std::string(std::istreambuf_iterator<char>(From), {});
+  }
+}
+
 void rotAfterRead(Worker &Host, uint64_t Number) {
   const uint64_t Next = Host.Options.value("version", uint64_t{0}) + 1;
   if (Number != 0 || !Host.Options.value("rot_after_read", false) ||
@@ -531,6 +561,7 @@
     std::unique_lock Lock(Host.Guard);
     if (!holdPut(Host, Number, Asked.body)) {
       Host.Staged[Number] = Asked.body;
+      saveStaged(Host, Number, Asked.body);
       return;
     }
     Lock.unlock();
@@ -570,6 +601,7 @@
   Worker Host;
   Host.Options = Options;
   Host.Born = millisOfDay();
+  readStaged(Host);
   httplib::Server Server;
   prepare(Server);
   Server.Get("/report", [&](const auto &, auto &Answer) {
