quarantine: parts of prompts are suspects of their own

Callers: requests that were no two alike, but shared one part of their prompts, crashed each worker that began an answer on them (BUDGET: 30 and 45 more after five had ended, 67 and 73 in all); beside them half of the sound requests of the route were told 502 and 503.

Cause: the quarantine knew a request by a digest of its content. Each such request was a new suspect with one crash, or two with its own retry. Class: evidence that lies between requests, in something that nobody looks at.

Change: deaths, clearing, explanations, refusals, trials and notices hold for a digest, which may be a request's content or a part of its prompt but the last. A notice of a part names the request it was in. A part is refused after three deaths of three requests, or four of two.

Why it works: what tells such a part from one that is in every request is that answers go on being begun with the other. An answer that went on for 0.25 s, or to its end, clears its parts of the deaths before its begin, and of none after it. Only parts without such a begin are accused. Each entry knows how often a part is begun; until the silence of a frequent one is unusual, it is neither announced nor suspected nor an explanation for others. A part that was never begun explains the deaths of those that were, never the other way round. A part that was sound before is tried again after ten seconds, then ten minutes.

Requests with a suspected part go to one back end from all entries; they are sent on 0.13 s after they broke off, or after that back end refused them, and choose again where they became suspect on their way. Others are not held up.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -1,12 +1,17 @@
-/** @file quarantine.cpp Requests that were running when back ends died. */
+/** @file quarantine.cpp Requests, and parts of prompts, that were running when
+ * back ends died.
+ */
 
 #include "admission/quarantine_func.h"
 
+#include "admission/part_history_func.h"
 #include "base/hash_func.h"
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <iterator>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -18,6 +23,12 @@
  * deaths, after three, and after more. */
 constexpr std::array<std::chrono::minutes, 3> RefusalTimes = {
     std::chrono::minutes{10}, std::chrono::hours{2}, std::chrono::hours{24}};
+/** The same for a part that was sound before, by the trials that failed: many
+ * requests may have it, so that the first trial comes soon. */
+constexpr std::array<std::chrono::seconds, 3> RefusalTimesOfSoundPart = {
+    std::chrono::seconds{10}, std::chrono::minutes{10}, std::chrono::hours{24}};
+/** Least time between two deaths of which the later one was a trial's. */
+constexpr std::chrono::seconds MinTrialGap{5};
 /** How long deaths are remembered. */
 constexpr std::chrono::hours DeathLifetime{24};
 /** How long the clearing of deaths is remembered. Notices of these deaths that
@@ -25,6 +36,13 @@
 constexpr std::chrono::minutes ClearedLifetime{10};
 /** Deaths without another explanation after which a request is refused. */
 constexpr size_t MaxDeaths = 2;
+/** The same for a part: three deaths of three requests, or four of two.
+ * Requests that are lost at crashes of other causes share parts by chance. */
+constexpr size_t MaxDeathsOfPart = 3;
+constexpr size_t MaxDeathsAndRequestsOfPart = 6;
+/** Requests with a part from which it may be refused, or explain deaths of
+ * others. */
+constexpr size_t MinRequestsOfPart = 2;
 /** Maximum number of suspects; the least suspect are dropped. */
 constexpr size_t MaxSuspects = 4096;
 
@@ -59,40 +77,114 @@
   State.Suspects.erase(it);
 }
 
+/** Says whether a suspect is a part of prompts. */
+bool isPart(const Suspect &One) {
+  return std::ranges::any_of(One.Deaths, [](const auto &Row) {
+    return !Row.second.Request.Value.empty();
+  });
+}
+
+/** Counts the different requests with a part at its deaths. */
+size_t countRequests(const Suspect &One) {
+  std::set<Digest> Requests;
+  for (const auto &[Id, Each] : One.Deaths)
+    Requests.insert(Each.Request);
+  return Requests.size();
+}
+
+/** Says whether the deaths of a part mean nothing yet, since it is in so many
+ * requests. */
+bool isSilenceUsual(const Quarantine &State, const Digest &Fingerprint,
+                    const Suspect &One, TimePoint Now) {
+  if (!isPart(One))
+    return false;
+  const auto First = std::ranges::min_element(
+      One.Deaths, {}, [](const auto &Row) { return Row.second.At; });
+  return isSilenceUsual(State.Seen, Fingerprint, First->second.At,
+                        One.Deaths.size(), Now);
+}
+
 /**
- * Lists the deaths at which other suspects ran that explain those of a request:
- * suspects of more deaths. Of two requests that ran at the same two deaths
- * either may have caused them; the next death tells them apart.
+ * Gives the number of deaths from which another suspect explains those of a
+ * request or part at which both ran: more than it has itself. Of two requests
+ * that ran at the same two deaths either may have caused them; the next death
+ * tells them apart. A part explains those of the requests with it as well.
+ * Parts with which no answer was ever begun here explain those of parts that
+ * were sound before, and never the other way round.
  */
-std::vector<const std::set<std::string> *> explanations(const Quarantine &State,
-                                                        const Suspect &One) {
+size_t deathsToExplain(const Suspect &One, bool WasSound, const Suspect &Other,
+                       bool OtherWasSound) {
   const size_t Own = One.Deaths.size();
-  const size_t Needed = Own > MaxDeaths ? Own + 1 : MaxDeaths;
-  std::vector<const std::set<std::string> *> Found;
+  if (isPart(One) && WasSound && !OtherWasSound)
+    return MaxDeaths;
+  if (isPart(One) && !WasSound && OtherWasSound)
+    return std::numeric_limits<size_t>::max();
+  if (!isPart(One) && isPart(Other))
+    return std::max(Own, MaxDeaths);
+  return Own > MaxDeaths ? Own + 1 : MaxDeaths;
+}
+
+/** Lists the suspects that explain deaths of another one. */
+std::vector<const Suspect *> explanations(const Quarantine &State,
+                                          const Digest &Own, const Suspect &One,
+                                          TimePoint Now) {
+  const auto WasSound = [&](const Digest &Fingerprint) {
+    return State.Seen.Parts.contains(Fingerprint);
+  };
+  std::vector<const Suspect *> Found;
   for (const auto &[Fingerprint, Other] : State.Suspects)
-    if (Other.Deaths.size() >= Needed && &Other != &One)
-      Found.push_back(&Other.Deaths);
+    if (&Other != &One &&
+        Other.Deaths.size() >=
+            deathsToExplain(One, WasSound(Own), Other, WasSound(Fingerprint)) &&
+        (!isPart(Other) || countRequests(Other) >= MinRequestsOfPart) &&
+        !isSilenceUsual(State, Fingerprint, Other, Now))
+      Found.push_back(&Other);
   return Found;
 }
 
-/** Says whether a request causes deaths. */
-bool isCulprit(const Quarantine &State, const Suspect &One) {
-  if (One.Proven || One.Deaths.size() < MaxDeaths)
+/** Says whether a request or part causes deaths. */
+bool isCulprit(const Quarantine &State, const Digest &Fingerprint,
+               const Suspect &One, TimePoint Now) {
+  const bool Part = isPart(One);
+  const size_t Needed = Part ? MaxDeathsOfPart : MaxDeaths;
+  if (One.Proven || One.Deaths.size() < Needed)
     return One.Proven;
-  const auto Others = explanations(State, One);
+  const size_t Requests = countRequests(One);
+  if (Part && (Requests < MinRequestsOfPart ||
+               One.Deaths.size() + Requests < MaxDeathsAndRequestsOfPart))
+    return false;
+  const auto Others = explanations(State, Fingerprint, One, Now);
   const auto Unexplained =
-      std::ranges::count_if(One.Deaths, [&](const std::string &Death) {
-        return std::ranges::none_of(Others, [&](const auto *Deaths) {
-          return Deaths->contains(Death);
+      std::ranges::count_if(One.Deaths, [&](const auto &Row) {
+        return std::ranges::none_of(Others, [&](const Suspect *Other) {
+          return Other->Deaths.contains(Row.first);
         });
       });
-  return static_cast<size_t>(Unexplained) >= MaxDeaths;
+  return static_cast<size_t>(Unexplained) >= Needed;
 }
 
-/** Gives how long a request is refused after its latest death. */
-Duration refusalTime(const Suspect &One) {
-  const size_t Beyond = std::max(One.Deaths.size(), MaxDeaths) - MaxDeaths;
-  return RefusalTimes.at(std::min(Beyond, RefusalTimes.size() - 1));
+/** Counts the deaths of a part that came some time after the one before, as
+ * those of trials do. */
+size_t countLateDeaths(const Suspect &One) {
+  std::vector<TimePoint> Times;
+  std::ranges::transform(One.Deaths, std::back_inserter(Times),
+                         [](const auto &Row) { return Row.second.At; });
+  std::ranges::sort(Times);
+  size_t Late = 0;
+  for (size_t n = 1; n < Times.size(); ++n)
+    Late += Times[n] - Times[n - 1] >= MinTrialGap ? 1 : 0;
+  return Late;
+}
+
+/** Gives how long a request or part is refused after its latest death. */
+Duration refusalTime(const Quarantine &State, const Digest &Fingerprint,
+                     const Suspect &One) {
+  const auto At = [](const auto &Times, size_t n) {
+    return Duration(Times.at(std::min(n, Times.size() - 1)));
+  };
+  if (isPart(One) && State.Seen.Parts.contains(Fingerprint))
+    return At(RefusalTimesOfSoundPart, countLateDeaths(One));
+  return At(RefusalTimes, std::max(One.Deaths.size(), MaxDeaths) - MaxDeaths);
 }
 
 } // namespace
@@ -109,6 +201,9 @@
       std::min<uint64_t>(Notice.AgeMillis, Longest.count())));
   if (Age >= Longest)
     return false;
+  const bool IsDeathOfPart = !Notice.Cleared && !Notice.Request.Value.empty();
+  if (IsDeathOfPart && hasBegunSince(State.Seen, Notice.Fingerprint, Now - Age))
+    return false;
   if (!State.Suspects.contains(Notice.Fingerprint) &&
       State.Suspects.size() >= MaxSuspects)
     dropLeastSuspect(State);
@@ -123,7 +218,9 @@
   // it then would forward it around the fleet again.
   if (One.Cleared.contains(Notice.DeathId))
     return false;
-  const bool NewDeath = One.Deaths.insert(Notice.DeathId).second;
+  const bool NewDeath =
+      One.Deaths.try_emplace(Notice.DeathId, Death{Now - Age, Notice.Request})
+          .second;
   const bool NewProof = Notice.WasAlone && !One.Proven;
   One.Proven = One.Proven || Notice.WasAlone;
   One.Last = std::max(One.Last, Now - Age);
@@ -133,12 +230,14 @@
 Suspicion suspicionOf(const Quarantine &State, const Digest &Fingerprint,
                       TimePoint Now) {
   const Suspect *One = findSuspect(State, Fingerprint, Now);
-  if (One == nullptr || One->Deaths.empty())
+  if (One == nullptr || One->Deaths.empty() ||
+      isSilenceUsual(State, Fingerprint, *One, Now))
     return Suspicion::None;
-  if (!isCulprit(State, *One))
+  if (!isCulprit(State, Fingerprint, *One, Now))
     return Suspicion::RunAlone;
-  return Now - One->Last < refusalTime(*One) ? Suspicion::Refuse
-                                             : Suspicion::Trial;
+  return Now - One->Last < refusalTime(State, Fingerprint, *One)
+             ? Suspicion::Refuse
+             : Suspicion::Trial;
 }
 
 bool mustRunAlone(Suspicion Suspected) {
@@ -150,7 +249,8 @@
   const Suspect *One = findSuspect(State, Fingerprint, Now);
   return One == nullptr
              ? Millis{0}
-             : std::max(toMillis(One->Last + refusalTime(*One) - Now),
+             : std::max(toMillis(One->Last +
+                                 refusalTime(State, Fingerprint, *One) - Now),
                         Millis{0});
 }
 
@@ -163,8 +263,22 @@
   // Many callers may send equal requests. Unless all hosts clear these deaths,
   // two deaths with other causes would add up on hosts where the request did
   // not run in between.
-  for (const std::string &Death : One->Deaths)
-    Notices.push_back({Fingerprint, Death, 0, false, true});
+  for (const auto &[Id, Each] : One->Deaths)
+    Notices.push_back({Fingerprint, Id, 0, false, true, Each.Request});
+  for (const SuspectNotice &Notice : Notices)
+    applySuspectNotice(State, Notice, Now);
+  return Notices;
+}
+
+std::vector<SuspectNotice> clearPart(Quarantine &State, const Digest &Part,
+                                     TimePoint BegunAt, TimePoint Now) {
+  std::vector<SuspectNotice> Notices;
+  const Suspect *One = findSuspect(State, Part, Now);
+  if (One == nullptr)
+    return Notices;
+  for (const auto &[Id, Each] : One->Deaths)
+    if (Each.At < BegunAt)
+      Notices.push_back({Part, Id, 0, false, true, Each.Request});
   for (const SuspectNotice &Notice : Notices)
     applySuspectNotice(State, Notice, Now);
   return Notices;
@@ -179,18 +293,23 @@
 void dropExpiredSuspects(Quarantine &State, TimePoint Now) {
   std::erase_if(State.Suspects,
                 [&](const auto &Row) { return isExpired(Row.second, Now); });
+  dropIdleParts(State.Seen, State.Suspects, Now);
 }
 
 void sendSuspects(const Quarantine &State, LinkId Link, TimePoint Now,
                   Effects &Out) {
+  const auto AgeOf = [&](TimePoint At) {
+    return static_cast<uint64_t>(toMillis(Now - At).count());
+  };
   for (const auto &[Fingerprint, One] : State.Suspects) {
-    const auto Age = static_cast<uint64_t>(toMillis(Now - One.Last).count());
-    for (const std::string &Death : One.Deaths)
-      Out.push_back(SendMessage{
-          Link, SuspectNotice{Fingerprint, Death, Age, One.Proven, false}});
-    for (const std::string &Death : One.Cleared)
+    for (const auto &[Id, Each] : One.Deaths)
+      Out.push_back(
+          SendMessage{Link, SuspectNotice{Fingerprint, Id, AgeOf(Each.At),
+                                          One.Proven, false, Each.Request}});
+    for (const std::string &Id : One.Cleared)
       Out.push_back(SendMessage{
-          Link, SuspectNotice{Fingerprint, Death, Age, false, true}});
+          Link,
+          SuspectNotice{Fingerprint, Id, AgeOf(One.Last), false, true, {}}});
   }
 }
 
--- a/packages/core/src/admission/quarantine_func.h
+++ b/packages/core/src/admission/quarantine_func.h
@@ -1,4 +1,5 @@
-/** @file quarantine_func.h Requests that were running when back ends died.
+/** @file quarantine_func.h Requests, and parts of prompts, that were running
+ * when back ends died.
  *
  * A request that crashes every back end it runs on may kill at most two. The
  * first death makes all requests that were running there suspects. A suspect
@@ -7,6 +8,12 @@
  * them: they ran at these deaths and at more, or at the same two. The refusal
  * ends after a while for a single trial, and each trial that fails makes the
  * next one rarer.
+ *
+ * A part of a prompt that different requests share is a suspect of its own. It
+ * is cleared of the deaths before an answer with it was begun, and refused
+ * after three deaths at which different requests with it were running.
+ * Suspicion of a part waits as long as its silence is usual here, see
+ * part_history_func.h.
  */
 
 #ifndef JACINTHPOND_CORE_QUARANTINE_FUNC_H
@@ -34,7 +41,8 @@
                      std::string_view Body);
 
 /**
- * Applies a notice of a death, or of a completed run that clears a suspect.
+ * Applies a notice of a death, or of a completed run that clears a suspect. A
+ * death of a part with which an answer was begun here since is left out.
  * @param State State to change.
  * @param Notice The notice.
  * @param Now Current time.
@@ -53,6 +61,17 @@
 Suspicion suspicionOf(const Quarantine &State, const Digest &Fingerprint,
                       TimePoint Now);
 
+/**
+ * Clears a part of the deaths before an answer to a request with it was begun.
+ * @param State State to change.
+ * @param Part Digest of the part.
+ * @param BegunAt When the answer was begun.
+ * @param Now Current time.
+ * @return The notices for the peers.
+ */
+std::vector<SuspectNotice> clearPart(Quarantine &State, const Digest &Part,
+                                     TimePoint BegunAt, TimePoint Now);
+
 /**
  * Says whether a request must run apart from other suspects, if it may run.
  * @param Suspected How it is to be treated.
--- a/packages/core/src/forwarding/crash_watch_func.h
+++ b/packages/core/src/forwarding/crash_watch_func.h
@@ -40,6 +40,15 @@
 bool recordBrokenAnswer(CrashWatch &Watch, const std::string &Run,
                         const Digest &Request, TimePoint Now);
 
+/**
+ * Records the parts of a prompt to which no answer had begun when it broke off.
+ * @param Watch State to change.
+ * @param Run Name of the run; its broken answer is recorded already.
+ * @param Request The request.
+ */
+void recordUnbegunParts(CrashWatch &Watch, const std::string &Run,
+                        const RequestDigests &Request);
+
 /**
  * Records the result of a check.
  * @param Watch State to change.
@@ -70,14 +79,26 @@
  */
 void forgetCompleted(CrashWatch &Watch, const Digest &Request);
 
+/**
+ * Forgets a part with which an answer was begun: it caused none of the crashes
+ * before that were not announced yet.
+ * @param Watch State to change.
+ * @param Part Digest of the part.
+ * @param BegunAt When the answer was begun.
+ */
+void forgetBegun(CrashWatch &Watch, const Digest &Part, TimePoint BegunAt);
+
 /**
  * Takes the suspects that peers have to be told of. Where many back ends crash
- * together, only requests that were under way at two of them are suspects.
+ * together, only those that were under way at two of them are suspects. Parts
+ * whose silence is usual here are kept back.
  * @param Watch State to change.
  * @param Now Current time.
+ * @param Seen Parts with which answers were begun here.
  * @return The notices.
  */
-std::vector<SuspectNotice> takeCrashNotices(CrashWatch &Watch, TimePoint Now);
+std::vector<SuspectNotice> takeCrashNotices(CrashWatch &Watch, TimePoint Now,
+                                            const PartHistory &Seen = {});
 
 /**
  * Says whether a request was under way at a run that may have crashed.
@@ -91,13 +112,25 @@
  * Gives how to treat a request, known suspects and undecided runs together.
  * @param Suspects Known suspects.
  * @param Watch Runs that may have crashed.
- * @param Request Fingerprint of the request.
+ * @param Request Fingerprint of the request, or of a part.
  * @param Now Current time.
  * @return As for a known suspect; RunAlone while it is under watch.
  */
 Suspicion suspicionOf(const Quarantine &Suspects, const CrashWatch &Watch,
                       const Digest &Request, TimePoint Now);
 
+/**
+ * Gives how to treat a request for its content and for the parts of its prompt.
+ * @param Suspects Known suspects.
+ * @param Watch Runs that may have crashed.
+ * @param Request The request.
+ * @param Now Current time.
+ * @return The strictest treatment; of equal ones that for the suspect with the
+ * most deaths.
+ */
+Verdict verdictOn(const Quarantine &Suspects, const CrashWatch &Watch,
+                  const RequestDigests &Request, TimePoint Now);
+
 /**
  * Forgets what happened too long ago.
  * @param Watch State to change.
--- a/packages/core/src/forwarding/request_identity.cpp
+++ b/packages/core/src/forwarding/request_identity.cpp
@@ -14,4 +14,8 @@
                         Content.Body);
 }
 
+Digest partFingerprint(const ModelName &Model, const PartId &Part) {
+  return digestOfFields({"part", Model.Value, Part.Value}, {});
+}
+
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/request_identity_func.h
+++ b/packages/core/src/forwarding/request_identity_func.h
@@ -28,6 +28,16 @@
 Digest routeFingerprint(const WorkspaceName &Owner,
                         const RequestContent &Content);
 
+/**
+ * Identifies a part of prompts. The same part is another one for another model:
+ * what one engine crashes on, another may answer. Callers, routes and services
+ * make no difference.
+ * @param Model Model that the request is for; empty: not given.
+ * @param Part The part.
+ * @return The fingerprint.
+ */
+Digest partFingerprint(const ModelName &Model, const PartId &Part);
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/wire/message_fields.h
+++ b/packages/core/src/wire/message_fields.h
@@ -216,6 +216,7 @@
   v("age", m.AgeMillis);
   v("alone", m.WasAlone);
   v("cleared", m.Cleared);
+  v("request", m.Request);
 }
 
 template <typename V> void describe(V &v, LeavingNotice &m) {
--- a/packages/core/src/wire/message_type.h
+++ b/packages/core/src/wire/message_type.h
@@ -213,13 +213,15 @@
   std::vector<Digest> Chunks; ///< Digests of the chunks, in order.
 };
 
-/** Reports a request that was running when a back end crashed. */
+/** Reports a request, or a part of its prompt, that was running when a back end
+ * crashed. */
 struct SuspectNotice {
-  Digest Fingerprint;     ///< Digest of workspace, class and body.
+  Digest Fingerprint;     ///< Digest of the request's content, or of the part.
   std::string DeathId;    ///< Identifies the crash, so that it counts once.
   uint64_t AgeMillis = 0; ///< Time since the crash.
   bool WasAlone = false;  ///< The request ran alone, so it caused the crash.
   bool Cleared = false;   ///< It has completed since: discard its crashes.
+  Digest Request = {};    ///< Request with the part; empty: no part.
 };
 
 /** Reports that a host takes no new requests; each receiver forwards it. */
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -309,6 +309,7 @@
   WeightsWhenSent = Server.Weights;
   LastProgress = Now;
   BodyBeganAt.reset();
+  BegunReported = false;
   ++AttemptsStarted;
   ++AttemptsSent; // Undone if no connection can be opened.
   TriedServers += (TriedServers.empty() ? "" : ",") + ServerId.Value;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -5,6 +5,7 @@
 
 #include "base/error_func.h"
 #include "forward/forward_context.h"
+#include "forwarding/crash_watch_type.h"
 #include "forwarding/event_stream_func.h"
 #include "forwarding/place_search_func.h"
 
@@ -103,10 +104,14 @@
   void readRateLimit(const ResponseHead &Received, bool Success);
   void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
   const Digest &fingerprint() const;
-  Suspicion suspicion() const;
+  const RequestDigests &digests() const;
+  Verdict verdict() const;
   bool checkQuarantine();
+  bool hasSuspectedPart();
   void endQuarantined();
+  void retryAfterAddressCheck();
   void reportBrokenAnswer();
+  void reportBegun();
   void reportCompletion();
   std::vector<PartId> sharedParts() const;
   std::string partsText() const;
@@ -124,7 +129,7 @@
   ForwardContext &Shared;
   std::shared_ptr<CallerSession> Session; ///< Null once the exchange is over.
   CallerRequest Incoming;
-  mutable Digest Fingerprint; ///< See fingerprint(); empty: not computed yet.
+  mutable RequestDigests Digests; ///< See digests(); empty: not computed yet.
   std::string Id;  ///< Id that the caller gave the request; for logs too.
   DocumentPtr Doc; ///< In force when the route was matched; owns RequestRoute.
   const Route *RequestRoute = nullptr; ///< Matched route; null: none yet.
@@ -146,6 +151,8 @@
   Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
   TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
   std::optional<TimePoint> BodyBeganAt; ///< First byte of the response's body.
+  bool BegunReported = false; ///< Parts of the prompt are known to be sound.
+  std::optional<TimePoint> RetryAt; ///< The next attempt waits until then.
   AnswerMode Mode = AnswerMode::Waiting;
   unsigned AnswerStatus = 0; ///< Status of the current response; 0: none.
   ConnectionEnd LastEnd = ConnectionEnd::Open; ///< Of the current attempt.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -2,6 +2,8 @@
 
 #include "forward/exchange.h"
 
+#include "admission/part_history_func.h"
+
 #include "base/retry_after_func.h"
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
@@ -76,8 +78,13 @@
  * pause while the connection was being opened, or copies of the request may
  * have crashed other back ends. */
 bool Exchange::maySendRequest() {
-  return !checkQuarantine() &&
-         mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
+  const Digest Before = Needs.Suspect;
+  if (checkQuarantine())
+    return false;
+  // It has become a suspect, whose back end is chosen otherwise.
+  if (Needs.Suspect != Before && !Needs.Suspect.Value.empty())
+    return false;
+  return mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
 }
 
 /** Records what the back end announces in the headers of a response. */
@@ -181,6 +188,8 @@
   recordServerActivity(Shared.Pool, ServerId, LastProgress);
   if (Mode == AnswerMode::Refusal)
     return;
+  if (LastProgress - *BodyBeganAt >= AnswerBegunAfter)
+    reportBegun();
   if (Mode == AnswerMode::Whole) {
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
@@ -335,7 +344,11 @@
     concludeAttempt(AttemptEnd::Unreached);
     --AttemptsSent; // Nothing was sent.
     Needs.Tried.insert(ServerId);
-    tryNextServer();
+    // The back end that all requests with the part go to has just crashed.
+    if (End == ConnectionEnd::Refused && hasSuspectedPart())
+      retryAfterAddressCheck();
+    else
+      tryNextServer();
     return;
   }
   if (Why == CallFailure::Withheld) {
@@ -352,7 +365,10 @@
     --AttemptsSent;
     MayHaveRun = true;
     ForceNewConnection = true;
-    tryNextServer();
+    if (hasSuspectedPart())
+      retryAfterAddressCheck();
+    else
+      tryNextServer();
     return;
   }
   Shared.Counters.add(ForwardCount::Broken);
@@ -361,7 +377,10 @@
   Needs.Tried.insert(ServerId);
   const bool CanResume = !HeadSent || Events.LastId;
   if (isRepeatable() && CanResume) {
-    tryNextServer();
+    if (hasSuspectedPart())
+      retryAfterAddressCheck();
+    else
+      tryNextServer();
     return;
   }
   endWithError({ErrorKind::OutcomeUnknown, "the answer broke off", {}},
--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -40,6 +40,8 @@
   TimePoint Next = nextPartDeadline();
   if (WaitingForReadiness)
     Next = std::min(Next, Shared.Fleet.ReadyBy);
+  if (RetryAt)
+    Next = std::min(Next, *RetryAt);
   if (AwaitingSlot)
     Next = std::min(Next, SlotAnswerDeadline);
   if (Call && isRepeatable())
@@ -113,6 +115,11 @@
     handleDeadline();
     return;
   }
+  if (RetryAt && Now >= *RetryAt) {
+    RetryAt.reset();
+    tryNextServer();
+    return;
+  }
   const auto StartDeadline = attemptStartDeadline();
   const bool TooLate = StartDeadline && Now >= *StartDeadline;
   if (AwaitingSlot &&
--- a/packages/entry/src/forward/exchange_suspect.cpp
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -4,6 +4,7 @@
 
 #include "forward/exchange.h"
 
+#include "admission/part_history_func.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forward/suspects.h"
@@ -13,14 +14,33 @@
 
 namespace jacinthpond {
 
+namespace {
+
+/** Most parts of a prompt that are looked at. */
+constexpr size_t MaxParts = 64;
+/** Time for the check of an address itself: several times the latency between
+ * regions. */
+constexpr Millis AddressCheckMargin{30};
+
+} // namespace
+
 /** Digest by which copies of the request are recognized on all hosts. */
-const Digest &Exchange::fingerprint() const {
-  if (Fingerprint.Value.empty())
-    Fingerprint = routeFingerprint(
-        Owner == nullptr ? WorkspaceName{} : Owner->Name,
-        {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
-         toStringView(Incoming.target()), Incoming.body()});
-  return Fingerprint;
+const Digest &Exchange::fingerprint() const { return digests().Content; }
+
+/** Digests of the content and of the parts of the prompt. */
+const RequestDigests &Exchange::digests() const {
+  if (!Digests.Content.Value.empty())
+    return Digests;
+  Digests.Content = routeFingerprint(
+      Owner == nullptr ? WorkspaceName{} : Owner->Name,
+      {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
+       toStringView(Incoming.target()), Incoming.body()});
+  const ModelName Model{
+      std::string(fieldValue(Incoming, Shared.Wire.headerNames().Model))};
+  for (const PartId &One : sharedParts())
+    if (Digests.Parts.size() < MaxParts)
+      Digests.Parts.push_back(partFingerprint(Model, One));
+  return Digests;
 }
 
 /** Parts of the prompt that other requests may share. */
@@ -30,34 +50,52 @@
 }
 
 /** Says how the request is to be treated for crashes of back ends. */
-Suspicion Exchange::suspicion() const {
+Verdict Exchange::verdict() const {
   // Without suspects, avoids the cost of a digest of the body.
   if (Shared.Suspects.Suspects.empty() && Shared.Crashes.Runs.empty())
-    return Suspicion::None;
-  return suspicionOf(Shared.Suspects, Shared.Crashes, fingerprint(),
-                     Shared.Clock.now());
+    return {};
+  return verdictOn(Shared.Suspects, Shared.Crashes, digests(),
+                   Shared.Clock.now());
 }
 
 /** Looks the request up among the suspects: says whether it must not be sent,
  * since it crashes back ends, and sets what a suspect needs of its back end. A
  * refused one may become a trial, which is a single attempt. */
 bool Exchange::checkQuarantine() {
-  const Suspicion Found = suspicion();
-  Needs.Suspect = mustRunAlone(Found) ? fingerprint() : Digest{};
-  if (Found != Suspicion::Trial)
-    return Found == Suspicion::Refuse;
-  OnTrial = OnTrial || (AttemptsSent == 0 && beginTrial(Shared, fingerprint()));
+  const Verdict Found = verdict();
+  Needs.Suspect = mustRunAlone(Found.How) ? Found.Suspect : Digest{};
+  if (Found.How != Suspicion::Trial)
+    return Found.How == Suspicion::Refuse;
+  OnTrial = OnTrial || (AttemptsSent == 0 && beginTrial(Shared, Found.Suspect));
   return !OnTrial || AttemptsSent > (Call ? 1U : 0U);
 }
 
-/** Refuses the request, since copies of it crashed back ends. */
+/** Says whether a part of the prompt is suspected, so that the request may cost
+ * one more back end. */
+bool Exchange::hasSuspectedPart() {
+  const bool Refused = checkQuarantine();
+  return !Refused && !Needs.Suspect.Value.empty() &&
+         Needs.Suspect != fingerprint();
+}
+
+/** Starts the next attempt once it is known whether the back end has crashed.
+ */
+void Exchange::retryAfterAddressCheck() {
+  RetryAt = Shared.Clock.now() + AddressCheckDelay + AddressCheckMargin;
+  armTimer();
+}
+
+/** Refuses the request, since copies of it, or others with the same part,
+ * crashed back ends. */
 void Exchange::endQuarantined() {
+  const Digest Suspect = verdict().Suspect;
   const Millis Left =
-      refusalTimeLeft(Shared.Suspects, fingerprint(), Shared.Clock.now());
+      refusalTimeLeft(Shared.Suspects, Suspect, Shared.Clock.now());
   Shared.Counters.add(ForwardCount::QuarantineRefused);
   logLine(LogPart::Requests, LogLevel::Info,
           "event=quarantine_refusal id=" + logValue(Id) +
               " content=" + fingerprint().Value +
+              " suspect=" + shortDigest(Suspect) + " parts=" + partsText() +
               " refused_ms=" + std::to_string(Left.count()));
   endWithoutServer({ErrorKind::CrashesBackEnds, "", Left}, "quarantined");
 }
@@ -73,12 +111,26 @@
 void Exchange::reportBrokenAnswer() {
   const ServerView *Server = findServer(Shared.Pool, ServerId);
   const bool Ending = Server != nullptr && isShuttingDown(*Server);
+  const bool Begun =
+      BodyBeganAt && Shared.Clock.now() - *BodyBeganAt >= AnswerBegunAfter;
   if (!ServerRun.empty() && !Ending)
-    handleBrokenAnswer(Shared, ServerRun, ServerAt, fingerprint());
+    handleBrokenAnswer(Shared, ServerRun, ServerAt, digests(), Begun);
+}
+
+/** Reports that an answer was begun and that its back end lives on. */
+void Exchange::reportBegun() {
+  const bool Success = AnswerStatus >= 200 && AnswerStatus < 300;
+  if (BegunReported || !Success)
+    return;
+  BegunReported = true;
+  if (Incoming.count(Shared.Wire.headerNames().PromptParts) > 0)
+    handleBegunParts(Shared, digests().Parts,
+                     BodyBeganAt.value_or(CallStartTime));
 }
 
 /** Reports that a back end answered the request to its end. */
 void Exchange::reportCompletion() {
+  reportBegun();
   handleCompletedRequest(Shared,
                          [this]() -> const Digest & { return fingerprint(); });
 }
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -192,6 +192,7 @@
 void Forwarder::sweep() {
   Shared.Connections.closeExpired(Shared.Clock.now());
   dropExpiredSuspects(Shared.Suspects, Shared.Clock.now());
+  publishCrashes(Shared);
   dropOldRuns(Shared.Crashes, Shared.Clock.now());
   std::erase_if(Shared.Trials, [this](const auto &Row) {
     return !Shared.Suspects.Suspects.contains(Row.first);
--- a/packages/entry/src/forward/suspects.cpp
+++ b/packages/entry/src/forward/suspects.cpp
@@ -2,6 +2,7 @@
 
 #include "forward/suspects.h"
 
+#include "admission/part_history_func.h"
 #include "base/hash_func.h"
 #include "forward/address_check.h"
 #include "forward/log_value.h"
@@ -34,6 +35,14 @@
     One->handleQuarantineChange();
 }
 
+/** Names a request, or a part and a request with it, for the log. */
+std::string suspectText(const SuspectNotice &Notice) {
+  if (Notice.Request.Value.empty())
+    return "content=" + shortDigest(Notice.Fingerprint);
+  return "part=" + shortDigest(Notice.Fingerprint) +
+         " content=" + shortDigest(Notice.Request);
+}
+
 /** Applies a notice; says whether it is news. */
 bool applyNotice(ForwardContext &Shared, const SuspectNotice &Notice) {
   const TimePoint Now = Shared.Clock.now();
@@ -46,11 +55,11 @@
     return true;
   Shared.Counters.add(ForwardCount::Quarantined);
   std::string Runs;
-  for (const std::string &Run : Shared.Suspects.Suspects.at(Request).Deaths)
+  for (const auto &[Run, Each] : Shared.Suspects.Suspects.at(Request).Deaths)
     Runs += (Runs.empty() ? "" : ",") + Run;
   logLine(LogPart::Requests, LogLevel::Warn,
-          "event=quarantined content=" + shortDigest(Request) +
-              " crashed=" + Runs + " refused_ms=" +
+          "event=quarantined " + suspectText(Notice) + " crashed=" + Runs +
+              " refused_ms=" +
               std::to_string(
                   refusalTimeLeft(Shared.Suspects, Request, Now).count()));
   recheckWaitingRequests(Shared);
@@ -65,17 +74,16 @@
       Shared.ReportSuspect(Notice);
 }
 
-/** Logs which requests were under way at crashed back ends, and publishes it.
- */
-void publishCrashes(ForwardContext &Shared) {
-  const std::vector<SuspectNotice> Notices =
-      takeCrashNotices(Shared.Crashes, Shared.Clock.now());
+/** Logs that a suspect was cleared of crashes, and tells all peers. */
+void reportCleared(ForwardContext &Shared,
+                   const std::vector<SuspectNotice> &Notices) {
+  if (Notices.empty())
+    return;
+  logLine(LogPart::Requests, LogLevel::Info,
+          "event=suspect_cleared " + suspectText(Notices.front()) +
+              " crashes=" + std::to_string(Notices.size()));
   for (const SuspectNotice &Notice : Notices)
-    logLine(LogPart::Requests, LogLevel::Info,
-            "event=suspect content=" + shortDigest(Notice.Fingerprint) +
-                " run=" + Notice.DeathId +
-                " age_ms=" + std::to_string(Notice.AgeMillis));
-  publishNotices(Shared, Notices);
+    Shared.ReportSuspect(Notice);
 }
 
 /** Logs what came of the check of an address. */
@@ -99,11 +107,38 @@
 
 } // namespace
 
+/** Logs which requests were under way at crashed back ends, and publishes it.
+ */
+void publishCrashes(ForwardContext &Shared) {
+  const std::vector<SuspectNotice> Notices = takeCrashNotices(
+      Shared.Crashes, Shared.Clock.now(), Shared.Suspects.Seen);
+  for (const SuspectNotice &Notice : Notices)
+    logLine(LogPart::Requests, LogLevel::Info,
+            "event=suspect " + suspectText(Notice) + " run=" + Notice.DeathId +
+                " age_ms=" + std::to_string(Notice.AgeMillis));
+  publishNotices(Shared, Notices);
+}
+
+void handleBegunParts(ForwardContext &Shared, const std::vector<Digest> &Parts,
+                      TimePoint BegunAt) {
+  const TimePoint Now = Shared.Clock.now();
+  for (const Digest &Part : Parts) {
+    recordBegun(Shared.Suspects.Seen, Part, BegunAt, Now);
+    forgetBegun(Shared.Crashes, Part, BegunAt);
+    reportCleared(Shared, clearPart(Shared.Suspects, Part, BegunAt, Now));
+  }
+}
+
 void handleBrokenAnswer(ForwardContext &Shared, const std::string &Run,
-                        const Address &At, const Digest &Request) {
+                        const Address &At, const RequestDigests &Request,
+                        bool Begun) {
   const TimePoint Now = Shared.Clock.now();
   dropOldRuns(Shared.Crashes, Now);
-  if (recordBrokenAnswer(Shared.Crashes, Run, Request, Now))
+  const bool NewRun =
+      recordBrokenAnswer(Shared.Crashes, Run, Request.Content, Now);
+  if (!Begun)
+    recordUnbegunParts(Shared.Crashes, Run, Request);
+  if (NewRun)
     checkAddress(Shared.Io, At, AddressCheckDelay,
                  [&Shared, Run](AddressCheck Result) {
                    handleAddressCheck(Shared, Run, Result);
@@ -117,15 +152,8 @@
   if (Shared.Suspects.Suspects.empty() && Shared.Crashes.Runs.empty())
     return;
   forgetCompleted(Shared.Crashes, Request());
-  const std::vector<SuspectNotice> Notices =
-      clearSuspect(Shared.Suspects, Request(), Shared.Clock.now());
-  if (Notices.empty())
-    return;
-  logLine(LogPart::Requests, LogLevel::Info,
-          "event=suspect_cleared content=" + shortDigest(Request()) +
-              " crashes=" + std::to_string(Notices.size()));
-  for (const SuspectNotice &Notice : Notices)
-    Shared.ReportSuspect(Notice);
+  reportCleared(Shared,
+                clearSuspect(Shared.Suspects, Request(), Shared.Clock.now()));
 }
 
 void handleSignOfLife(ForwardContext &Shared, const std::string &Run,
@@ -141,7 +169,19 @@
 }
 
 void handleSuspectNotice(ForwardContext &Shared, const SuspectNotice &Notice) {
-  applyNotice(Shared, Notice);
+  if (applyNotice(Shared, Notice) || Notice.Cleared)
+    return;
+  // Nobody else may have seen an answer with a rare part. Of a part that is in
+  // many requests, many entries have.
+  const TimePoint Now = Shared.Clock.now();
+  const TimePoint DiedAt = Now - Millis(static_cast<int64_t>(Notice.AgeMillis));
+  const PartHistory &Seen = Shared.Suspects.Seen;
+  if (hasBegunSince(Seen, Notice.Fingerprint, DiedAt) &&
+      !isSilenceUsual(Seen, Notice.Fingerprint, Now, 1, Now)) {
+    SuspectNotice Cleared = Notice;
+    Cleared.Cleared = true;
+    reportCleared(Shared, {Cleared});
+  }
 }
 
 void confirmRunning(ForwardContext &Shared, const std::string &Run,
--- a/packages/entry/src/forward/suspects.h
+++ b/packages/entry/src/forward/suspects.h
@@ -9,6 +9,22 @@
 
 namespace jacinthpond {
 
+/**
+ * Handles an answer to a request with parts that was begun, and whose back end
+ * lives on: clears the parts of the crashes before it, here and at all peers.
+ * @param Shared State of the traffic thread.
+ * @param Parts Digests of the parts of the prompt.
+ * @param BegunAt When its first byte came.
+ */
+void handleBegunParts(ForwardContext &Shared, const std::vector<Digest> &Parts,
+                      TimePoint BegunAt);
+
+/**
+ * Tells peers of the parts whose silence is no longer usual.
+ * @param Shared State of the traffic thread.
+ */
+void publishCrashes(ForwardContext &Shared);
+
 /**
  * Handles an answer that the back end broke off. If its address refuses
  * connections soon afterwards, all peers are told which requests of this entry
@@ -16,10 +32,13 @@
  * @param Shared State of the traffic thread.
  * @param Run Name of the run of the back end.
  * @param At Its address.
- * @param Request Fingerprint of the request.
+ * @param Request Digests of the request.
+ * @param Begun The answer was begun long enough before: not the parts of the
+ * prompt broke it off.
  */
 void handleBrokenAnswer(ForwardContext &Shared, const std::string &Run,
-                        const Address &At, const Digest &Request);
+                        const Address &At, const RequestDigests &Request,
+                        bool Begun);
 
 /**
  * Handles a request that ran to completion: clears it here and at all peers.
--- a/tests/unit/request_identity_test.cpp
+++ b/tests/unit/request_identity_test.cpp
@@ -54,3 +54,13 @@
   BOOST_TEST(identityOf({"GET", "h", "/1/a", ""}) !=
              identityOf({"GET", "h", "/", "1/a"}));
 }
+
+// Guards against a part that passes as another one, or as the part of another
+// model.
+BOOST_AUTO_TEST_CASE(PartsAreToldApartByModelAndId) {
+  const std::string Own =
+      partFingerprint(ModelName{"trail"}, PartId{"5c1e"}).Value;
+  BOOST_TEST(partFingerprint(ModelName{"trail"}, PartId{"5c1f"}).Value != Own);
+  BOOST_TEST(partFingerprint(ModelName{"trai"}, PartId{"l5c1e"}).Value != Own);
+  BOOST_TEST(partFingerprint(ModelName{}, PartId{"5c1e"}).Value != Own);
+}
