--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -12,6 +12,7 @@
 
 #include "route_model_type.h"
 
+#include "admission/part_history_func.h"
 #include "admission/quarantine_func.h"
 #include "attempts/agent_func.h"
 #include "attempts/entry_func.h"
@@ -251,7 +252,8 @@
       leave(Servers.at(One.Who), One.Length);
       return;
     case Trouble::Fatal:
-      sendFatal(One.Who, End);
+    case Trouble::FatalPart:
+      sendFatal(One.Who, End, One.Kind == Trouble::FatalPart);
       return;
     case Trouble::Count:
       return;
@@ -1038,25 +1040,47 @@
     after(delay("ask", 6, 26), [this, n] { ask(n + 1); });
   }
 
-  /** Copies of a request that crashes what runs it, at any entry. */
-  void sendFatal(const std::string &Path, TimePoint Until) {
+  /** Copies of a request that crashes what runs it, at any entry; or requests
+   * that share a part which does so. */
+  void sendFatal(const std::string &Path, TimePoint Until, bool Part) {
     if (Now >= Until)
       return;
     Process &At = Processes.at("e" + std::to_string(draw("fatal", 4)));
     if (At.Alive)
-      in(At, Millis(2), [this, &At, Path, Sent = Now, Id = NextFatalId++] {
-        takeRequest(At, Path.c_str(), "k0", Sent, Id);
-      });
+      in(At, Millis(2),
+         [this, &At, Path, Part, Sent = Now, Id = NextFatalId++] {
+           takeRequest(At, Path.c_str(), "k0", Sent, Id, Part);
+         });
     after(delay("fatal/next", 40, 250),
-          [this, Path, Until] { sendFatal(Path, Until); });
+          [this, Path, Until, Part] { sendFatal(Path, Until, Part); });
+  }
+
+  /** Parts of the prompts of the day's requests, where they have any. */
+  std::vector<Digest> partsOf(const Asked &One, const std::string &Path) const {
+    if (!WithParts)
+      return {};
+    const auto Part = [](const std::string &Name, uint64_t n) {
+      return Digest{"part/" + Name + std::to_string(n)};
+    };
+    std::vector<Digest> Parts = {Part("first", 0),
+                                 Part("common", One.Id % CommonParts),
+                                 Part("rare", One.Id % RareParts)};
+    if (One.FatalPart) // It is the first one on some paths.
+      Parts.insert(Parts.begin() + (Path == "/chat/" ? 0 : 1),
+                   Digest{One.Fatal});
+    return Parts;
   }
 
   void takeRequest(Process &At, const char *Path, const std::string &Key,
-                   TimePoint Sent, uint64_t Id) {
+                   TimePoint Sent, uint64_t Id, bool FatalPart = false) {
     const auto One = std::make_shared<Asked>();
     One->Id = Id;
-    One->Fatal = Id >= FirstFatalId;
-    One->Content.Value = One->Fatal ? Path : std::to_string(Id);
+    One->FatalPart = FatalPart;
+    if (Id >= FirstFatalId)
+      One->Fatal = (FatalPart ? "part/fatal" : "") + std::string(Path);
+    One->Digests.Content.Value =
+        One->Fatal.empty() || FatalPart ? std::to_string(Id) : One->Fatal;
+    One->Digests.Parts = partsOf(*One, Path);
     One->Sent = Sent;
     One->Doc = At.Doc;
     if (At.Doc == nullptr || !At.Fleet.Ready)
@@ -1196,16 +1220,55 @@
   // ---- Crashes, after exchange_suspect.cpp and suspects.cpp -----------------
   /** Days are shorter than the first refusal, so that there are no trials. */
   bool isQuarantined(const Process &At, Asked &One) const {
-    const Suspicion Found =
-        suspicionOf(At.Entry->Suspects, At.Crashes, One.Content, Now);
-    One.Needs.Suspect = mustRunAlone(Found) ? One.Content : Digest{};
-    return Found == Suspicion::Refuse || Found == Suspicion::Trial;
+    const Verdict Found =
+        verdictOn(At.Entry->Suspects, At.Crashes, One.Digests, Now);
+    One.Needs.Suspect = mustRunAlone(Found.How) ? Found.Suspect : Digest{};
+    return Found.How == Suspicion::Refuse || Found.How == Suspicion::Trial;
+  }
+
+  bool hasSuspectedPart(const Process &At, Asked &One) const {
+    return !isQuarantined(At, One) && !One.Needs.Suspect.Value.empty() &&
+           One.Needs.Suspect != One.Digests.Content;
+  }
+
+  /** The next try waits until it is known whether the back end has crashed. */
+  void retryAfterCheck(Process &At, const AskedPtr &One) {
+    in(At, AddressCheckDelay + Millis(30), [this, &At, One, Turn = One->Turn] {
+      if (!One->Over && One->Turn == Turn)
+        tryNext(At, One);
+    });
+  }
+
+  void reportBegun(Process &At, Asked &One) {
+    if (std::exchange(One.BegunReported, true) || !One.BegunAt)
+      return;
+    Quarantine &Known = At.Entry->Suspects;
+    for (const Digest &Part : One.Digests.Parts) {
+      recordBegun(Known.Seen, Part, *One.BegunAt, Now);
+      forgetBegun(At.Crashes, Part, *One.BegunAt);
+      Effects Out;
+      for (const SuspectNotice &m : clearPart(Known, Part, *One.BegunAt, Now))
+        broadcastNotice(At.Entry->Fleet, m, {}, Out);
+      perform(At, Out);
+    }
+  }
+
+  /** Names what a request is refused for, and its crashes. */
+  std::string describeSuspect(const Process &At,
+                              const RequestDigests &Request) const {
+    const Quarantine &Known = At.Entry->Suspects;
+    const Digest Suspect = verdictOn(Known, At.Crashes, Request, Now).Suspect;
+    std::string Text = Suspect.Value;
+    for (const auto &[Run, One] : Known.Suspects.at(Suspect).Deaths)
+      Text += " " + Run + " with " + One.Request.Value;
+    return Text;
   }
 
   void refuseSuspect(Process &At, const AskedPtr &One) {
-    if (!One->Fatal && ++WrongRefusals > MostWrongRefusals)
+    if (One->Fatal.empty() && ++WrongRefusals > MostWrongRefusals)
       breakRule("suspect", "request " + std::to_string(One->Id) +
-                               " is refused for crashes of others");
+                               " is refused for crashes of others: " +
+                               describeSuspect(At, One->Digests));
     end(At, One, !One->MayHaveRun);
   }
 
@@ -1217,18 +1280,27 @@
     perform(At, Out);
   }
 
+  void publishCrashes(Process &At) {
+    publish(At, takeCrashNotices(At.Crashes, Now, At.Entry->Suspects.Seen));
+  }
+
   void brokeOff(Process &At, const Passed &Sent, Server &From) {
     const ServerView *View = findServer(At.Pool, Sent.Expected);
     if (View != nullptr && isShuttingDown(*View))
       return;
     dropOldRuns(At.Crashes, Now);
-    if (!recordBrokenAnswer(At.Crashes, Sent.Run, Sent.Of->Content, Now)) {
-      publish(At, takeCrashNotices(At.Crashes, Now));
+    const Asked &One = *Sent.Of;
+    const bool NewRun =
+        recordBrokenAnswer(At.Crashes, Sent.Run, One.Digests.Content, Now);
+    if (!One.BegunAt || Now - *One.BegunAt < AnswerBegunAfter)
+      recordUnbegunParts(At.Crashes, Sent.Run, One.Digests);
+    if (!NewRun) {
+      publishCrashes(At);
       return;
     }
     in(At, AddressCheckDelay, [this, &At, &From, Run = Sent.Run] {
       recordAddressCheck(At.Crashes, Run, checkAddress(At, From));
-      publish(At, takeCrashNotices(At.Crashes, Now));
+      publishCrashes(At);
     });
   }
 
@@ -1241,10 +1313,13 @@
 
   void completed(Process &At, const Passed &Sent) {
     publish(At, recordSignOfLife(At.Crashes, Sent.Run, Sent.Sent, Now));
-    forgetCompleted(At.Crashes, Sent.Of->Content);
+    if (!Sent.Of->BegunAt)
+      Sent.Of->BegunAt = Now;
+    reportBegun(At, *Sent.Of);
+    forgetCompleted(At.Crashes, Sent.Of->Digests.Content);
     Effects Out;
-    clearSuspect(At.Entry->Suspects, Sent.Of->Content, At.Entry->Fleet, Now,
-                 Out);
+    clearSuspect(At.Entry->Suspects, Sent.Of->Digests.Content, At.Entry->Fleet,
+                 Now, Out);
     perform(At, Out);
   }
 
@@ -1254,14 +1329,30 @@
     after(CrashDowntime, [this, &One] { startServer(One, 0); });
   }
 
+  /** Says whether nothing kept entries from what the others told since a time.
+   */
+  bool wereEntriesCalm(TimePoint Since) const {
+    return LinksQuiet + Contact <= Since &&
+           std::ranges::all_of(Processes, [&](const auto &Row) {
+             return !Row.second.Entry || isCalm(Row.second, Since);
+           });
+  }
+
   /** Arrivals from entries in touch, after the third crash is known. */
   void checkCrashes(const Passed &Sent, const Server &To) {
-    const std::vector<TimePoint> &Crashes = CrashedBy[Sent.Of->Content.Value];
+    const bool Part = Sent.Of->FatalPart;
+    const std::vector<TimePoint> &Crashes = CrashedBy[Sent.Of->Fatal];
     const Process &From = Processes.at(Sent.Entry);
-    if (Crashes.size() < 3 || Now <= Crashes[2] + CrashKnownAfter ||
+    const size_t Known = Part ? KnownPartCrash : 3;
+    if (Part && Crashes.size() >= MostPartCrashes &&
+        wereEntriesCalm(Crashes.front()))
+      breakRule("part", story(Sent, To) + " after " +
+                            std::to_string(Crashes.size()) + " crashes");
+    if (Crashes.size() < Known || Now <= Crashes[Known - 1] + CrashKnownAfter ||
         From.Life != Sent.Life || !isCalm(From, Now))
       return;
-    if (++AfterCrashes[Sent.Of->Content.Value] > MostAfterCrashes)
+    if (++AfterCrashes[Sent.Of->Fatal] >
+        (Part ? MostAfterPartCrashes : MostAfterCrashes))
       breakRule("crashes", story(Sent, To) + " after " +
                                std::to_string(Crashes.size()) + " crashes");
   }
@@ -1285,6 +1376,8 @@
     Sent.Run = runName(Server.Listed);
     Sent.First = One->Reached == 0;
     One->CallBegan = Now;
+    One->BegunAt.reset();
+    One->BegunReported = false;
     One->SentOn = Server.Weights;
     One->Calling = true;
     ++One->Tries;
@@ -1354,6 +1447,9 @@
     // elsewhere is no part of the model.
     if (How == Answer::Broke && (!canRepeat(*One) || One->Begun))
       end(At, One, false);
+    else if ((How == Answer::Broke || How == Answer::Unreached) &&
+             hasSuspectedPart(At, *One))
+      retryAfterCheck(At, One);
     else
       tryNext(At, One);
   }
@@ -1471,7 +1567,7 @@
       reply(Sent, To, Answer::NotRun, Millis(2));
       return;
     }
-    if (Sent.Of->Fatal)
+    if (!Sent.Of->Fatal.empty())
       checkCrashes(Sent, To);
     checkCold(Sent, To);
     begin(Sent, To, Arrived);
@@ -1481,10 +1577,10 @@
     const Millis Length = draw(To.Name + "/long", 15) == 0
                               ? delay(To.Name + "/run", 300, 1500)
                               : delay(To.Name + "/run", 20, 150);
-    if (Sent.Of->Fatal) {
+    if (!Sent.Of->Fatal.empty()) {
       after(delay(To.Name + "/crash", 20, 100), [this, Sent, &To, Life] {
         if (To.Life == Life)
-          crash(To, Sent.Of->Content.Value);
+          crash(To, Sent.Of->Fatal);
         reply(Sent, To, Answer::Broke, Millis(0));
       });
       return;
@@ -1517,6 +1613,11 @@
               if (!Sent.Of->Calling || Sent.Of->Turn != Sent.Turn)
                 return;
               Sent.Of->Begun = true;
+              Sent.Of->BegunAt = Now;
+              in(To, AnswerBegunAfter, [this, Sent, &To] {
+                if (Sent.Of->Calling && Sent.Of->Turn == Sent.Turn)
+                  reportBegun(To, *Sent.Of);
+              });
               hearNotices(To, Sent.Of, From, Life, Said, false);
               recordAcceptedRequest(To.Pool, Sent.Of->At, Now);
               hearRate(To, Sent.Of, From, Life, Limit, false);
@@ -1757,6 +1858,7 @@
   std::map<std::string, std::vector<TimePoint>> CrashedBy; ///< By content.
   std::map<std::string, uint32_t> AfterCrashes;            ///< Late arrivals.
   uint64_t NextFatalId = FirstFatalId, WrongRefusals = 0;
+  bool WithParts = false; ///< Prompts have parts that requests share.
   std::optional<Broken> Fault;
   std::function<void(Millis, const std::string &, const std::string &)>
       OnLog; ///< Hears the lines of all processes.
--- a/tests/unit/route_model_type.h
+++ b/tests/unit/route_model_type.h
@@ -64,10 +64,18 @@
 constexpr uint32_t MostAfterCrashes = 2;
 /** Requests in a day that may be refused for crashes that others caused. */
 constexpr uint64_t MostWrongRefusals = 2;
+/** The same for requests with a part that crashes back ends: the fifth crash,
+ * and how many they may cause in all. */
+constexpr size_t KnownPartCrash = 5;
+constexpr uint32_t MostAfterPartCrashes = 3;
+constexpr size_t MostPartCrashes = 8;
 /** Time after which a crashed back end is back. */
 constexpr Millis CrashDowntime{2500};
 /** First id of requests that crash back ends. */
 constexpr uint64_t FirstFatalId = uint64_t{1} << 40U;
+/** Parts that sound requests share: one of few, and one of many. */
+constexpr uint64_t CommonParts = 7;
+constexpr uint64_t RareParts = 60;
 constexpr uint32_t RepeatSlack = 10;
 constexpr double RepeatRatio = 0.2;
 constexpr Millis RepeatWindow{10000};
@@ -91,6 +99,7 @@
   Shed,         ///< One refuses everything for a while, and asks for pauses.
   Leaves,       ///< One says so in all its answers, but not to the store.
   Fatal,        ///< Copies of a request come that crash what runs them.
+  FatalPart,    ///< Requests come with a part of a prompt that does so.
   Count
 };
 
@@ -98,11 +107,12 @@
 constexpr auto KindsWithoutRates = static_cast<size_t>(Trouble::RateLimit);
 
 constexpr std::array<const char *, static_cast<size_t>(Trouble::Count)>
-    TroubleNames = {
-        "stand still", "host still",  "restart",        "cut link",
-        "hold link",   "store away",  "store away for", "new weights",
-        "drain",       "worker ends", "domain out",     "key gone",
-        "rate limit",  "shed",        "leaves",         "fatal"};
+    TroubleNames = {"stand still",    "host still",  "restart",
+                    "cut link",       "hold link",   "store away",
+                    "store away for", "new weights", "drain",
+                    "worker ends",    "domain out",  "key gone",
+                    "rate limit",     "shed",        "leaves",
+                    "fatal",          "fatal part"};
 
 /** One of them. */
 struct Incident {
@@ -152,28 +162,31 @@
 
 /** A request of a caller at an entry. */
 struct Asked {
-  uint64_t Id = 0;             ///< Its attempt id.
-  TimePoint Sent;              ///< When the caller sent it.
-  TimePoint Limit;             ///< Its deadline.
-  DocumentPtr Doc;             ///< Document by which it is handled.
-  const Route *From = nullptr; ///< Its route.
-  ServerNeeds Needs;           ///< What it needs.
-  SlotSearch Search;           ///< Agents asked.
-  InstanceId At;               ///< Back end of the try under way.
-  AttemptId Place;             ///< Place there; may be empty.
-  LinkId PlaceLink;            ///< Over which link it was asked for.
-  bool Asking = false;         ///< A place is waited for.
-  bool Calling = false;        ///< The back end has it.
-  bool Begun = false;          ///< Events of its answer have come.
-  bool Over = false;           ///< The caller has its answer.
-  bool MayHaveRun = false;     ///< Some try may have run.
-  uint32_t Tries = 0;          ///< Sends begun.
-  uint32_t Reached = 0;        ///< Sends that reached a back end.
-  uint64_t Turn = 0;           ///< Raised with each try; for late events.
-  TimePoint CallBegan;         ///< When the try was sent.
-  Digest SentOn;               ///< Weights that its back end had then.
-  Digest Content;              ///< The same for copies of a request.
-  bool Fatal = false;          ///< It crashes what runs it.
+  uint64_t Id = 0;                  ///< Its attempt id.
+  TimePoint Sent;                   ///< When the caller sent it.
+  TimePoint Limit;                  ///< Its deadline.
+  DocumentPtr Doc;                  ///< Document by which it is handled.
+  const Route *From = nullptr;      ///< Its route.
+  ServerNeeds Needs;                ///< What it needs.
+  SlotSearch Search;                ///< Agents asked.
+  InstanceId At;                    ///< Back end of the try under way.
+  AttemptId Place;                  ///< Place there; may be empty.
+  LinkId PlaceLink;                 ///< Over which link it was asked for.
+  bool Asking = false;              ///< A place is waited for.
+  bool Calling = false;             ///< The back end has it.
+  bool Begun = false;               ///< Events of its answer have come.
+  bool Over = false;                ///< The caller has its answer.
+  bool MayHaveRun = false;          ///< Some try may have run.
+  uint32_t Tries = 0;               ///< Sends begun.
+  uint32_t Reached = 0;             ///< Sends that reached a back end.
+  uint64_t Turn = 0;                ///< Raised with each try; for late events.
+  TimePoint CallBegan;              ///< When the try was sent.
+  Digest SentOn;                    ///< Weights that its back end had then.
+  RequestDigests Digests;           ///< The same for copies of a request.
+  std::optional<TimePoint> BegunAt; ///< When its answer began, this try.
+  bool BegunReported = false;       ///< Its parts are known to be sound.
+  std::string Fatal;      ///< What of it crashes what runs it; empty: nothing.
+  bool FatalPart = false; ///< That is a part of its prompt.
 };
 
 using AskedPtr = std::shared_ptr<Asked>;
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -16,6 +16,7 @@
 struct Schedule {
   uint64_t Seed = 0;               ///< Draws delays and requests.
   std::vector<Incident> Incidents; ///< In order of time.
+  bool WithParts = false;          ///< Prompts have parts.
 };
 
 /** Time before the first incident; everything is up by then. */
@@ -92,6 +93,7 @@
       One.PerSecond = Rates.at(below(Rates.size()));
       break;
     case Trouble::Fatal:
+    case Trouble::FatalPart:
       One.Who = FatalPaths.at(below(FatalPaths.size()));
       One.Length = between(3000, 14000);
       break;
@@ -194,6 +196,22 @@
   return One;
 }
 
+/** Adds one or two parts that crash back ends, other requests that do so, and
+ * crashes of other causes, to the day of a seed. */
+inline Schedule makePartSchedule(uint64_t Seed) {
+  Schedule One = makeSchedule(Seed);
+  One.WithParts = true;
+  IncidentMaker Maker(Seed * 31U + 7U);
+  for (size_t n = 1 + Maker.below(2); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::FatalPart));
+  if (Maker.below(3) == 0)
+    One.Incidents.push_back(Maker.draw(Trouble::Fatal));
+  for (size_t n = Maker.below(4); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::WorkerEnds));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
 /** What a day came to. */
 struct DayEnd {
   std::optional<Broken> Fault; ///< The rule that was broken first.
@@ -203,6 +221,7 @@
 
 inline DayEnd play(const Schedule &One, std::ostream *Log = nullptr) {
   Fleet All(One.Seed);
+  All.WithParts = One.WithParts;
   if (Log != nullptr)
     All.OnLog = [Log](Millis At, const std::string &Who,
                       const std::string &Line) {
