--- a/bench/chaos/route_callers.cpp
+++ b/bench/chaos/route_callers.cpp
@@ -3,6 +3,7 @@
 #include "chaos/route_callers.h"
 
 #include <algorithm>
+#include <functional>
 #include <random>
 
 namespace jacinthpond::chaos {
@@ -32,6 +33,14 @@
       std::chrono::duration<double>(std::clamp(Wanted, 0.01, MaxPauseSeconds)));
 }
 
+/** Parts of a sound prompt: one of all, one of few, and its own. */
+std::string partsOf(const std::string &Work) {
+  constexpr size_t Few = 5;
+  const size_t Hash = std::hash<std::string>{}(Work);
+  return "a1:40,b" + std::to_string(Hash % Few) + ":100,c" +
+         std::to_string(Hash) + ":50";
+}
+
 } // namespace
 
 struct RouteCallers::Caller {
@@ -50,7 +59,7 @@
 };
 
 RouteCallers::RouteCallers(std::vector<std::string> At, uint64_t Seed,
-                           RouteLedger &Into, bool Crashing)
+                           RouteLedger &Into, CrashAsk Crashing)
     : Entries(std::move(At)), Seen(Into) {
   const auto Start = [&](char Kind, size_t n,
                          void (RouteCallers::*Work)(Caller &)) {
@@ -69,8 +78,10 @@
     Start('r', n, &RouteCallers::read);
     Start('b', n, &RouteCallers::book);
   }
-  if (Crashing)
+  if (Crashing == CrashAsk::Copies)
     Start('c', 0, &RouteCallers::crash);
+  if (Crashing == CrashAsk::Parts)
+    Start('c', 0, &RouteCallers::crashByPart);
   // Streams take longer.
   for (size_t n = 0; n < 2 * ThreadsEach; ++n)
     Start('w', n, &RouteCallers::write);
@@ -106,6 +117,8 @@
                   {"X-Jacinthpond-Attempt-Id", What.Attempt},
                   {"X-Jacinthpond-Deadline-Remaining-Ms",
                    std::to_string(What.DeadlineMillis)}};
+  if (!What.Parts.empty())
+    Sent.set_header("X-Jacinthpond-Prompt-Prefix", What.Parts);
   if (What.After > 0)
     Sent.set_header("Last-Event-Id", std::to_string(What.After));
   httplib::Response Head;
@@ -169,6 +182,7 @@
   What.Method = "POST";
   What.Path = "/write/" + Work;
   What.Body = "prompt " + Work;
+  What.Parts = partsOf(Work);
   What.Key = Self.pickKey();
   for (int n = 0; n < MaxTries && !Stop; ++n) {
     const Exchange Got = ask(Self, What);
@@ -191,6 +205,18 @@
   ask(Self, What);
 }
 
+void RouteCallers::crashByPart(Caller &Self) {
+  Exchange What;
+  const bool Stream = Self.Random() % 2 == 0;
+  const std::string Work = Self.newWork();
+  What.Method = "POST";
+  What.Path = std::string(Stream ? "/write/" : "/read/") + PartSign + Work;
+  What.Body = "prompt " + Work;
+  What.Parts = std::string("a1:40,") + CrashPart + ":800," + partsOf(Work);
+  What.Key = Self.pickKey();
+  ask(Self, What);
+}
+
 int lastEvent(const std::string &Text, int After) {
   const size_t End = Text.rfind("\n\n");
   if (End == std::string::npos)
--- a/bench/chaos/route_callers.h
+++ b/bench/chaos/route_callers.h
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,6 +20,16 @@
 
 /** Part of the path of requests that crash the back ends which run them. */
 constexpr const char *CrashSign = "fatal";
+/** Part of prompts that crashes the back ends which begin to answer it, and
+ * part of the paths of requests with it. */
+constexpr const char *CrashPart = "5c1e07a2";
+constexpr const char *PartSign = "parted-";
+/** What callers send to crash back ends. */
+enum class CrashAsk : uint8_t {
+  Nothing, ///< Nothing does.
+  Copies,  ///< Copies of one request.
+  Parts    ///< Requests, no two alike, that share a part of their prompts.
+};
 /** Events of each stream. */
 constexpr int StreamEvents = 8;
 
@@ -32,6 +43,7 @@
   std::string Key;        ///< API key.
   int DeadlineMillis = 0; ///< How long the caller waits.
   int After = 0;          ///< Last event that the caller has already.
+  std::string Parts;      ///< Parts of its prompt; empty: none given.
   Moment Sent;            ///< When it was sent.
 
   bool Over = false;     ///< Whether the members below hold.
@@ -64,10 +76,10 @@
    * @param Entries Callers' addresses of all entries.
    * @param Seed Of their choices.
    * @param Into Where they write what they saw; outlives the callers.
-   * @param Crashing Some send copies of requests that crash back ends.
+   * @param Crashing What one of them sends to crash back ends.
    */
   RouteCallers(std::vector<std::string> Entries, uint64_t Seed,
-               RouteLedger &Into, bool Crashing);
+               RouteLedger &Into, CrashAsk Crashing);
   ~RouteCallers();
   RouteCallers(const RouteCallers &) = delete;
   RouteCallers &operator=(const RouteCallers &) = delete;
@@ -80,6 +92,7 @@
   void book(Caller &Self);
   void write(Caller &Self);
   void crash(Caller &Self);
+  void crashByPart(Caller &Self);
   Exchange ask(Caller &Self, Exchange What);
 
   std::vector<std::string> Entries;
--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -376,8 +376,7 @@
   for (const RouteHistory::RateLimit &Limit : History.Limits)
     judgeRate(Limit);
   judgeNotices();
-  for (const char *Route : {"/write/", "/read/"})
-    judgeCrashes(Route + std::string(CrashSign));
+  judgeCrashes();
   for (const Exchange &Got : Unanswered)
     judgeLost(Got);
 }
--- a/bench/chaos/route_checks.h
+++ b/bench/chaos/route_checks.h
@@ -70,7 +70,9 @@
   void judgeRefusal(const Exchange &Got);
   void judgeLost(const Exchange &Got);
   void judgeNotices();
-  void judgeCrashes(const std::string &Path);
+  void judgeCrashes();
+  void judgeCrashes(const std::string &Sign, size_t KnownCrash,
+                    size_t MostLate);
   void judgePauses(const std::string &Worker, size_t Entry,
                    const std::vector<WorkerArrival> &All);
   void judgeLeaving(const std::string &Worker, size_t Entry,
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -68,6 +68,8 @@
 /** Time from the begin of such a request to the crash: the fault is noted by
  * then. */
 constexpr int CrashMillis = 200;
+/** The same for a part of a prompt: sooner than an answer counts as begun. */
+constexpr int PartCrashMillis = 100;
 
 std::string zoneOf(const std::string &Zone) { return "zone " + Zone; }
 
@@ -112,12 +114,15 @@
   // one attempt only, no booking could run twice whatever the entry believes.
   Fleet.Config["routes"][1]["max_attempts"] = 2;
   publishRoute(false);
-  if (!Crashing)
+  if (Crashing == CrashAsk::Nothing)
     return;
   for (const std::string &Name : ServerNames)
-    All.control(Name, {{"crash_on", CrashSign},
-                       {"crash_ms", CrashMillis},
-                       {"crash_link", All.controlAddress("link-" + Name)}});
+    All.control(Name,
+                {{"crash_on", CrashSign},
+                 {"crash_part", {CrashPart}},
+                 {"crash_ms",
+                  Crashing == CrashAsk::Parts ? PartCrashMillis : CrashMillis},
+                 {"crash_link", All.controlAddress("link-" + Name)}});
 }
 
 void RouteFaults::chooseKinds(uint64_t Seed, const std::string &Only) {
@@ -140,8 +145,14 @@
       {"unseen", &RouteFaults::changeUnseen}};
   Limiting = Only.empty() || Only.find("rate") != std::string::npos;
   Shedding = Only.empty() || Only.find("shed") != std::string::npos;
-  Crashing = Only.empty() ? Seed % CrashingEvery == 2
-                          : Only.find("crash") != std::string::npos;
+  const auto Wanted = [&](uint64_t Rest, const char *Word) {
+    return Only.empty() ? Seed % CrashingEvery == Rest
+                        : Only.find(Word) != std::string::npos;
+  };
+  if (Wanted(2, "crash"))
+    Crashing = CrashAsk::Copies;
+  else if (Wanted(3, "part"))
+    Crashing = CrashAsk::Parts;
   for (const auto &[Name, One] : Table)
     if (Only.empty() ||
         ("," + Only + ",").find("," + Name + ",") != std::string::npos)
@@ -178,7 +189,7 @@
     limitRates();
   if (Shedding && Clock::now() >= NextShed)
     shedLoad();
-  if (Crashing)
+  if (Crashing != CrashAsk::Nothing)
     loseCrashed();
   if (Clock::now() < Next || Enabled.empty())
     return;
@@ -629,11 +640,12 @@
 
 void RouteFaults::healAll() {
   note("heal all");
-  if (Crashing)
+  if (Crashing != CrashAsk::Nothing)
     for (const std::string &Name : ServerNames)
-      Fleet.control(Name, {{"crash_on", ""}});
+      Fleet.control(Name,
+                    {{"crash_on", ""}, {"crash_part", fleet::Json::array()}});
   Failing.runAll();
-  if (!Crashing)
+  if (Crashing == CrashAsk::Nothing)
     return;
   // Those that crashed while another server was away were left for later.
   for (size_t n = 0; n < ServerNames.size(); ++n) {
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_BENCH_CHAOS_ROUTE_FAULTS_H
 
 #include "chaos/heals.h"
+#include "chaos/route_callers.h"
 #include "chaos/route_history.h"
 #include "fleet/route_fleet.h"
 
@@ -41,8 +42,8 @@
   /** Heals everything and allows everything again. */
   void healAll();
 
-  /** Says whether callers send requests that crash back ends. */
-  bool hasCrashingRequests() const { return Crashing; }
+  /** Says what callers are to send that crashes back ends. @return What. */
+  CrashAsk crashingRequests() const { return Crashing; }
 
   /** Notes processes that ended by themselves. */
   void lookForExits();
@@ -114,7 +115,7 @@
   bool Limiting = false;      ///< Back ends limit their rates as well.
   std::mt19937_64 RateRandom; ///< Leaves the draws of all others as they are.
   Clock::time_point NextLimit;
-  bool Crashing = false;               ///< Back ends crash on some requests.
+  CrashAsk Crashing = CrashAsk::Nothing; ///< What back ends crash on.
   std::map<std::string, bool> Crashed; ///< Those that did; true: they are being
                                        ///< started anew.
   bool Shedding = false;        ///< Back ends ask for pauses and say that they
--- a/bench/chaos/route_soak.cpp
+++ b/bench/chaos/route_soak.cpp
@@ -128,7 +128,7 @@
   RouteFaults Chaos(All, Planned, Plan.Seed, Plan.Only, History);
   {
     const RouteCallers Asking(entryAddresses(All, Plan.Entries), Plan.Seed,
-                              Seen, Chaos.hasCrashingRequests());
+                              Seen, Chaos.crashingRequests());
     runFaults(Chaos, Checks, Plan.Length);
     Chaos.healAll();
     if (!All.waitServing(RecoveryLimit))
