quarantine: parts that were sound before explain no deaths of requests

Cause: a part that all requests share had been at both crashes, in other requests each time, and explained them. No answer could be begun with it meanwhile: the other workers stood still or were taken out, so that its silence was no longer usual.

A part with which answers were begun here explains only deaths of other such parts; other parts explain those of a request only if they have more.

AHotPartDoesNotExplainTheDeathsOfARequest fails on the code before.

The search for the silence of a part looks first whether it was ever begun.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -108,20 +108,18 @@
  * Gives the number of deaths from which another suspect explains those of a
  * request or part at which both ran: more than it has itself. Of two requests
  * that ran at the same two deaths either may have caused them; the next death
- * tells them apart. A part explains those of the requests with it as well.
- * Parts with which no answer was ever begun here explain those of parts that
- * were sound before, and never the other way round.
+ * tells them apart. Parts that were sound here before are at many deaths that
+ * they did not cause: they explain only those of each other, and those with
+ * which no answer was ever begun explain theirs.
  */
 size_t deathsToExplain(const Suspect &One, bool WasSound, const Suspect &Other,
                        bool OtherWasSound) {
   const size_t Own = One.Deaths.size();
-  if (isPart(One) && WasSound && !OtherWasSound)
-    return MaxDeaths;
-  if (isPart(One) && !WasSound && OtherWasSound)
+  if (OtherWasSound && !WasSound)
     return std::numeric_limits<size_t>::max();
-  if (!isPart(One) && isPart(Other))
-    return std::max(Own, MaxDeaths);
-  return Own > MaxDeaths ? Own + 1 : MaxDeaths;
+  if (WasSound && !OtherWasSound)
+    return MaxDeaths;
+  return Own > MaxDeaths || isPart(Other) ? Own + 1 : MaxDeaths;
 }
 
 /** Lists the suspects that explain deaths of another one. */
--- a/packages/core/src/forwarding/crash_watch.cpp
+++ b/packages/core/src/forwarding/crash_watch.cpp
@@ -49,6 +49,8 @@
  * many requests. */
 bool isSilenceUsual(const CrashWatch &Watch, const PartHistory &Seen,
                     const Digest &Part, TimePoint Now) {
+  if (!Seen.Parts.contains(Part))
+    return false;
   TimePoint First = Now;
   size_t Crashes = 0;
   for (const auto &[Run, One] : Watch.Runs)
--- a/tests/unit/part_quarantine_test.cpp
+++ b/tests/unit/part_quarantine_test.cpp
@@ -141,6 +141,19 @@
   BOOST_TEST((Found() == Suspicion::Refuse));
 }
 
+// Guards against copies of a request that crash back ends and are sent on,
+// since a part that all requests share ran at the same crashes.
+BOOST_AUTO_TEST_CASE(AHotPartDoesNotExplainTheDeathsOfARequest) {
+  beginHot();
+  const RequestDigests Copy = newRequest({});
+  for (const char *Run : {"w1/1", "w2/1"}) {
+    crash(Run, Copy);
+    crash(Run, newRequest({Hot}));
+  }
+  Now += Millis(5000);
+  BOOST_TEST(isRefused(Copy.Content));
+}
+
 // Guards against a part that was sound before, ran beside one that crashes back
 // ends at all crashes, and is refused with it.
 BOOST_AUTO_TEST_CASE(APartThatWasSoundIsExplainedByOneThatNeverWas) {
