--- a/tests/integration/crashing_part_test.cpp
+++ b/tests/integration/crashing_part_test.cpp
@@ -11,7 +11,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <functional>
+#include <list>
 #include <string>
 #include <thread>
 #include <vector>
@@ -229,4 +231,41 @@
        {asking("write", "a1:40,5c1e07a2:800,", FirstCrashing)});
 }
 
+// Guards against an entry that starts and sends on what the others refuse.
+BOOST_AUTO_TEST_CASE(AnEntryThatStartsKnowsTheRefusedPart) {
+  const Asking Crashing = asking("read", "a1:40,5c1e07a2:800,", FirstCrashing);
+  {
+    const PacedCallers Callers(All, CrashingPerSecond, Crashing);
+    Servers.pass(3s);
+  }
+  Servers.passUntilUp(2);
+  const size_t Before = Servers.Crashes.size();
+  All.restart("entry-1");
+  BOOST_REQUIRE(All.waitServing(15s));
+  for (size_t n = 0; n < 10; ++n)
+    BOOST_TEST(All.ask(1, Crashing(1000 + n)).status == 503);
+  Servers.pass(1s);
+  BOOST_TEST(Servers.Crashes.size() == Before);
+}
+
+// Guards against parts that are refused since back ends were killed, one after
+// the other, while requests with them ran there.
+BOOST_AUTO_TEST_CASE(KilledBackEndsAccuseNoPart) {
+  const Asking Hot = asking("read", "a1:40,b2:410,", 0);
+  PacedCallers Callers(All, SoundPerSecond, [](size_t n) {
+    return withParts("read", "a1:40,d" + std::to_string(n % 20) + ":410,", n);
+  });
+  for (const char *Name : {"plain-0", "plain-3", "plain-1", "plain-4"}) {
+    Servers.pass(300ms);
+    All.process(Name).signal(SIGKILL);
+  }
+  Servers.passUntilUp(4);
+  const auto Up = Clock::now();
+  Servers.pass(3s);
+  BOOST_TEST(Servers.Crashes.size() == 4U);
+  BOOST_TEST(servedShare(Callers.finish(), Up, Clock::now()) == 1.0);
+  for (size_t n = 0; n < Entries; ++n)
+    BOOST_TEST(All.ask(n, Hot(FirstCrashing + n)).status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
