chaos: crashes are noted while another server stands still

The answers were lost in a crash that the record of disturbances lacked.

Servers that stand still are not asked; they do not crash meanwhile. No check is changed.

--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -294,9 +294,11 @@
   note("pause " + Name);
   History.Harm.begin(Name);
   Fleet.process(Name).signal(SIGSTOP);
+  Paused.insert(Name);
   Failing.later(Name, between(MinFaultMillis, MaxFaultMillis), [this, Name] {
     note("continue " + Name);
     Fleet.process(Name).signal(SIGCONT);
+    Paused.erase(Name);
     History.Harm.end(Name);
   });
 }
@@ -478,6 +480,8 @@
  */
 void RouteFaults::loseCrashed() {
   for (const std::string &Name : ServerNames) {
+    if (Paused.contains(Name)) // It would not answer for seconds.
+      continue;
     if (!Fleet.hasCrashed(Name)) {
       Crashed.erase(Name);
       continue;
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -116,6 +116,7 @@
   std::mt19937_64 RateRandom; ///< Leaves the draws of all others as they are.
   Clock::time_point NextLimit;
   CrashAsk Crashing = CrashAsk::Nothing; ///< What back ends crash on.
+  std::set<std::string> Paused;          ///< Servers that stand still.
   std::map<std::string, bool> Crashed; ///< Those that did; true: they are being
                                        ///< started anew.
   bool Shedding = false;        ///< Back ends ask for pauses and say that they
