quarantine: clearing a request is clearing a part of all deaths

clearSuspect and clearPart, forgetCompleted and forgetBegun were the same but for the time up to which deaths are cleared. The former call the latter now.

--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -254,18 +254,7 @@
 
 std::vector<SuspectNotice>
 clearSuspect(Quarantine &State, const Digest &Fingerprint, TimePoint Now) {
-  std::vector<SuspectNotice> Notices;
-  const Suspect *One = findSuspect(State, Fingerprint, Now);
-  if (One == nullptr)
-    return Notices;
-  // Many callers may send equal requests. Unless all hosts clear these deaths,
-  // two deaths with other causes would add up on hosts where the request did
-  // not run in between.
-  for (const auto &[Id, Each] : One->Deaths)
-    Notices.push_back({Fingerprint, Id, 0, false, true, Each.Request});
-  for (const SuspectNotice &Notice : Notices)
-    applySuspectNotice(State, Notice, Now);
-  return Notices;
+  return clearPart(State, Fingerprint, TimePoint::max(), Now);
 }
 
 std::vector<SuspectNotice> clearPart(Quarantine &State, const Digest &Part,
@@ -274,6 +263,9 @@
   const Suspect *One = findSuspect(State, Part, Now);
   if (One == nullptr)
     return Notices;
+  // Many callers may send equal requests, or requests with the part. Unless all
+  // hosts clear these deaths, deaths with other causes would add up on hosts
+  // where none of them ran in between.
   for (const auto &[Id, Each] : One->Deaths)
     if (Each.At < BegunAt)
       Notices.push_back({Part, Id, 0, false, true, Each.Request});
--- a/packages/core/src/forwarding/crash_watch.cpp
+++ b/packages/core/src/forwarding/crash_watch.cpp
@@ -117,8 +117,7 @@
 }
 
 void forgetCompleted(CrashWatch &Watch, const Digest &Request) {
-  for (auto &[Run, One] : Watch.Runs)
-    One.Suspects.erase(Request);
+  forgetBegun(Watch, Request, TimePoint::max());
 }
 
 void forgetBegun(CrashWatch &Watch, const Digest &Part, TimePoint BegunAt) {
