--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -81,12 +81,8 @@
                          const fleet::RoutePlan &Plan, RouteLedger &Ledger,
                          const RouteHistory &Done)
     : Fleet(All), Seen(Ledger), History(Done),
-      WeightsChange(Plan.WeightsChangeMillis), Start(Moment::clock::now()) {
-  for (size_t n = 0; n < Plan.ModelWorkers; ++n)
-    Workers.push_back("model-" + std::to_string(n));
-  for (size_t n = 0; n < Plan.PlainServers; ++n)
-    Workers.push_back("plain-" + std::to_string(n));
-}
+      WeightsChange(Plan.WeightsChangeMillis), Start(Moment::clock::now()),
+      Workers(fleet::serverNames(Plan)) {}
 
 std::string RouteChecks::timeOf(Moment At) const {
   return std::to_string(
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -93,10 +93,9 @@
     : Fleet(All), History(Into), Random(Seed),
       Entries(numbered("entry-", Plan.Entries)),
       Agents(numbered("agent-", Plan.ModelWorkers)),
-      ServerNames(numbered("model-", Plan.ModelWorkers)), Start(Clock::now()),
-      Next(Start), RateRandom(~Seed), NextLimit(Start),
-      NoticeRandom(Seed ^ (Seed << 32U)), NextShed(Start) {
-  append(ServerNames, numbered("plain-", Plan.PlainServers));
+      ServerNames(fleet::serverNames(Plan)), Start(Clock::now()), Next(Start),
+      RateRandom(~Seed), NextLimit(Start), NoticeRandom(Seed ^ (Seed << 32U)),
+      NextShed(Start) {
   append(Links, numbered("link-agent-", Plan.ModelWorkers));
   append(Links, numbered("link-store-", Plan.Entries));
   for (const std::string &Name : ServerNames) {
--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -72,6 +72,15 @@
 
 } // namespace
 
+std::vector<std::string> serverNames(const RoutePlan &Plan) {
+  std::vector<std::string> Names;
+  for (size_t n = 0; n < Plan.ModelWorkers; ++n)
+    Names.push_back("model-" + std::to_string(n));
+  for (size_t n = 0; n < Plan.PlainServers; ++n)
+    Names.push_back("plain-" + std::to_string(n));
+  return Names;
+}
+
 RouteAsk writeAsk() {
   RouteAsk What;
   What.Method = "POST";
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace jacinthpond::fleet {
 
@@ -28,6 +29,13 @@
   Json WorkerOptions = Json::object(); ///< For every worker and plain server.
 };
 
+/**
+ * Gives the names of the back ends.
+ * @param Plan What is started.
+ * @return "model-N" of each model worker, then "plain-N" of each plain one.
+ */
+std::vector<std::string> serverNames(const RoutePlan &Plan);
+
 /** One request of a caller on a route. */
 struct RouteAsk {
   std::string Method = "GET";   ///< HTTP method.
--- a/tests/integration/close_ended_answer_test.cpp
+++ b/tests/integration/close_ended_answer_test.cpp
@@ -10,7 +10,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
-#include <set>
 #include <string>
 
 using namespace jacinthpond::fleet;
@@ -18,11 +17,9 @@
 
 namespace {
 
-constexpr size_t Plains = 3;
-
 /** Each answer ends with its connection; a part of a prompt crashes. */
 struct ClosingFleet {
-  ClosingFleet() : All(plan()), Servers(All, names(), 500ms) {
+  ClosingFleet() : All(plan()), Servers(All, serverNames(plan()), 500ms) {
     BOOST_REQUIRE(All.waitServing(30s));
   }
 
@@ -30,15 +27,11 @@
     RoutePlan Plan;
     Plan.Entries = 1;
     Plan.ModelWorkers = 2;
-    Plan.PlainServers = Plains;
+    Plan.PlainServers = 3;
     Plan.WorkerOptions = {{"crash_part", {"5c1e07a2"}}, {"ends_by_close", 1}};
     return Plan;
   }
 
-  static std::vector<std::string> names() {
-    return {"plain-0", "plain-1", "plain-2", "model-0", "model-1"};
-  }
-
   /** A request, with its own part of a prompt, that crashes what runs it. */
   static RouteAsk fatal(RouteAsk What, int n) {
     What.Path += "-" + std::to_string(n);
--- a/tests/integration/crashing_part_test.cpp
+++ b/tests/integration/crashing_part_test.cpp
@@ -136,7 +136,7 @@
 constexpr size_t FirstCrashing = 1000000;
 
 struct PartFleet {
-  PartFleet() : All(plan()), Servers(All, names(), Downtime) {
+  PartFleet() : All(plan()), Servers(All, serverNames(plan()), Downtime) {
     BOOST_REQUIRE(All.waitServing(30s));
   }
 
@@ -150,15 +150,6 @@
     return Plan;
   }
 
-  static std::vector<std::string> names() {
-    std::vector<std::string> All;
-    for (size_t n = 0; n < Models; ++n)
-      All.push_back("model-" + std::to_string(n));
-    for (size_t n = 0; n < Plains; ++n)
-      All.push_back("plain-" + std::to_string(n));
-    return All;
-  }
-
   /** Plays sound requests, and from some time on such that crash; checks what
    * both cost. */
   void play(const Asking &Sound, const std::vector<Asking> &Crashing) {
--- a/tests/integration/crashing_request_test.cpp
+++ b/tests/integration/crashing_request_test.cpp
@@ -10,11 +10,9 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,7 +57,7 @@
 };
 
 struct CrashingFleet {
-  CrashingFleet() : All(plan()), Servers(All, names(), Downtime) {
+  CrashingFleet() : All(plan()), Servers(All, serverNames(plan()), Downtime) {
     BOOST_REQUIRE(All.waitServing(30s));
   }
 
@@ -79,15 +77,6 @@
     return What;
   }
 
-  static std::vector<std::string> names() {
-    std::vector<std::string> All;
-    for (size_t n = 0; n < Models; ++n)
-      All.push_back("model-" + std::to_string(n));
-    for (size_t n = 0; n < Plains; ++n)
-      All.push_back("plain-" + std::to_string(n));
-    return All;
-  }
-
   size_t lateCrashes() const {
     return Servers.crashesAfter(FirstCrashes, KnownAfter);
   }
