--- a/bench/bench.h
+++ b/bench/bench.h
@@ -18,11 +18,16 @@
 
 /** What the command line asks for; each measurement reads what it needs. */
 struct BenchOptions {
-  size_t Hosts = 16;     ///< Backend server hosts.
-  size_t Seconds = 10;   ///< Length of a steady phase.
-  uint64_t Seed = 1;     ///< Of all random choices of the bench.
-  bool Baseline = false; ///< Measure the naive way instead.
-  bool Faults = false;   ///< With the faults of the measurement.
+  size_t Hosts = 16;          ///< Backend server hosts.
+  size_t Seconds = 10;        ///< Length of a steady phase.
+  uint64_t Seed = 1;          ///< Of all random choices of the bench.
+  bool Baseline = false;      ///< Measure the naive way instead.
+  bool Faults = false;        ///< With the faults of the measurement.
+  size_t PerSecond = 25;      ///< Requests a second.
+  size_t SilentMillis = 1200; ///< How long a server is silent; 0: never.
+  size_t EveryMillis = 500;   ///< Time between two silences.
+  double PlainShare = 0;      ///< Share of the silences at plain back ends.
+  std::string Changes;        ///< Kind of changes; empty: none.
 };
 
 /**
@@ -101,6 +106,15 @@
  */
 int benchSpread(const BenchOptions &Options);
 
+/**
+ * Counts what becomes of requests while sound servers fall silent for a moment
+ * and go on.
+ * @param Options Seconds, PerSecond, SilentMillis, EveryMillis, PlainShare;
+ *        Changes: idle, route, key, timeout, many, weights, evacuate or reload.
+ * @return Exit code.
+ */
+int benchSilence(const BenchOptions &Options);
+
 /**
  * Measures service while a failure domain is taken out and returned; with
  * faults, while its entries and agents are killed and started again.
