--- a/packages/core/src/forwarding/repeat_budget.cpp
+++ b/packages/core/src/forwarding/repeat_budget.cpp
@@ -70,12 +70,17 @@
 
 bool hasRepeatsLeft(RepeatBudget &Budget, const ServiceName &Service,
                     uint32_t Entries, TimePoint Now) {
+  return repeatsLeft(Budget, Service, Entries, Now) > 0;
+}
+
+uint32_t repeatsLeft(RepeatBudget &Budget, const ServiceName &Service,
+                     uint32_t Entries, TimePoint Now) {
   const RepeatCounts &Counts = advanceCounts(Budget, Service, Now);
   const double Shared = static_cast<double>(Budget.Limits.Slack) /
                         static_cast<double>(std::max(1U, Entries));
   const double Allowed =
       UsedShare * (Budget.Limits.Ratio * sum(Counts.First) + Shared);
-  return sum(Counts.Repeats) + 1 <= Allowed;
+  return static_cast<uint32_t>(std::max(0.0, Allowed - sum(Counts.Repeats)));
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/repeat_budget_func.h
+++ b/packages/core/src/forwarding/repeat_budget_func.h
@@ -34,6 +34,17 @@
 bool takeRepeat(RepeatBudget &Budget, const ServiceName &Service,
                 uint32_t Entries, TimePoint Now);
 
+/**
+ * Gives how many retries the budget has left.
+ * @param Budget State whose window is advanced.
+ * @param Service The service.
+ * @param Entries Number of entries that share the limit; at least 1.
+ * @param Now Current time.
+ * @return Retries that this entry may send now.
+ */
+uint32_t repeatsLeft(RepeatBudget &Budget, const ServiceName &Service,
+                     uint32_t Entries, TimePoint Now);
+
 /**
  * Says whether the budget has a retry left, without taking it.
  * @param Budget State whose window is advanced.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -301,6 +301,7 @@
   Mode = AnswerMode::Waiting;
   AnswerStatus = 0;
   LastEnd = ConnectionEnd::Open;
+  Abandoned = AbandonReason::None;
   Body.clear();
   dropPartialEvent(Events);
   CallStartTime = Now;
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -63,6 +63,19 @@
     Events   ///< Streamed to the caller, event by event.
   };
 
+  /** Why an answer that might still have come was given up. */
+  enum class AbandonReason : uint8_t {
+    None,             ///< It was not: the call ended by itself.
+    Silent,           ///< The back end was silent for too long.
+    HostUnresponsive, ///< Its host did not answer a ping.
+    StartTooLate,     ///< It may not begin any more on its weights.
+    Unusable,         ///< No signature, an encoding, or a failure in a stream.
+    OtherWeights,     ///< It would resume a stream on other weights.
+    BrokenEvents,     ///< Its events are out of order or cut off.
+    TooLarge,         ///< It exceeds the buffer for whole answers.
+    Count             ///< Number of values; not a value.
+  };
+
   bool isEntryReady() const;
   bool waitUntilReady();
   void startForwarding();
@@ -81,7 +94,7 @@
   void concludeAttempt(AttemptEnd How);
   void confirmClosedAnswer();
   void completeAnswer();
-  void abandonAnswer();
+  void abandonAnswer(AbandonReason Why);
   void sendWholeAnswer();
   void beginStream();
   bool isRepeatable() const;
@@ -157,7 +170,8 @@
   std::optional<TimePoint> RetryAt; ///< The next attempt waits until then.
   AnswerMode Mode = AnswerMode::Waiting;
   unsigned AnswerStatus = 0; ///< Status of the current response; 0: none.
-  ConnectionEnd LastEnd = ConnectionEnd::Open; ///< Of the current attempt.
+  ConnectionEnd LastEnd = ConnectionEnd::Open;   ///< Of the current attempt.
+  AbandonReason Abandoned = AbandonReason::None; ///< The current attempt.
   ResponseHead Head;            ///< Head of the response that the caller gets.
   std::string Body;             ///< Body received so far in mode Whole.
   AttemptId CurrentSlot;        ///< Slot requested or held; empty: none.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -169,7 +169,8 @@
       HeadSent && fieldValue(Received, Names.WeightVersion) !=
                       fieldValue(Head, Names.WeightVersion);
   if (Unusable || OtherWeights || (HeadSent && !Success)) {
-    abandonAnswer();
+    abandonAnswer(OtherWeights ? AbandonReason::OtherWeights
+                               : AbandonReason::Unusable);
     return;
   }
   if (!HeadSent)
@@ -192,7 +193,7 @@
   if (Mode == AnswerMode::Whole) {
     Body += Bytes;
     if (Body.size() > MaxWholeAnswerBytes)
-      abandonAnswer();
+      abandonAnswer(AbandonReason::TooLarge);
     return;
   }
   const auto Self = shared_from_this();
@@ -205,7 +206,7 @@
     LastSentToCaller = LastProgress;
   }
   if (Verdict != EventStreamStatus::Good)
-    abandonAnswer();
+    abandonAnswer(AbandonReason::BrokenEvents);
   else if (Session && Session->backlog() > MaxCallerBacklogBytes)
     endWithError({ErrorKind::PartialAnswer, "the caller does not read", {}},
                  Ran::Yes, "caller_slow");
@@ -236,7 +237,7 @@
   }
   if (Mode == AnswerMode::Events && !Events.Partial.empty()) {
     reportBrokenAnswer();
-    abandonAnswer();
+    abandonAnswer(AbandonReason::BrokenEvents);
     return;
   }
   if (How == ResponseEnd::Closed)
@@ -322,7 +323,8 @@
 }
 
 /** Cancels the call, since its response is unusable or has stalled. */
-void Exchange::abandonAnswer() {
+void Exchange::abandonAnswer(AbandonReason Why) {
+  Abandoned = Why;
   if (isServerHostUnresponsive(Shared.Clock.now()))
     Shared.Counters.add(ForwardCount::HostUnresponsive);
   if (Call)
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -31,6 +31,11 @@
     ConnectionEndWords = {"open",  "refused", "timed_out", "failed",
                           "reset", "closed",  "malformed"};
 
+/** Log value of each AbandonReason, in enum order. */
+constexpr std::array<const char *, 8> AbandonReasonWords = {
+    "-",        "silent",        "host_unresponsive", "start_too_late",
+    "unusable", "other_weights", "broken_events",     "too_large"};
+
 /** Milliseconds since a time; the maximum if the time was never set. */
 std::string millisSince(TimePoint Then, TimePoint Now) {
   constexpr int64_t MostMillis = 999999;
@@ -139,9 +144,12 @@
               " field=" + logValue(Header));
 }
 
-/** Logs an attempt that got no usable response. */
+/** Logs an attempt that got no usable response, and what could take its
+ * place. */
 void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
   const TimePoint Now = Shared.Clock.now();
+  ServerNeeds Other = Needs;
+  Other.Tried.insert(ServerId);
   const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
   logLine(
       LogPart::Requests, LogLevel::Info,
@@ -158,7 +166,19 @@
           " unanswered_ms=" +
           (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
                             : std::string("-")) +
-          " events_until=" + lastEventText(Events));
+          " events_until=" + lastEventText(Events) +
+          " why=" + AbandonReasonWords.at(static_cast<size_t>(Abandoned)) +
+          " silent_ms=" + millisSince(LastProgress, Now) + " left_ms=" +
+          std::to_string(toMillis(nextPartDeadline() - Now).count()) +
+          " others=" +
+          std::to_string(chooseServer(Shared.Pool, Other, Now).Candidates) +
+          " repeats_left=" +
+          std::to_string(repeatsLeft(Shared.Repeats, Needs.Service,
+                                     Shared.Pool.Entries, Now)) +
+          " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
+          " newest=" +
+          (Shared.Doc ? std::to_string(Shared.Doc->Version.Value) : "0") +
+          " newest_ms=" + millisSince(Shared.DocSince, Now));
 }
 
 /** Logs the end of the request and records its latencies. */
--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -125,9 +125,13 @@
   if (AwaitingSlot &&
       (Now >= SlotAnswerDeadline || isServerHostUnresponsive(Now)))
     handleSlotTimeout();
-  else if (TooLate || (Call && isRepeatable() && isSilentTooLong(Now) &&
-                       canUseOtherServer(Now)))
-    abandonAnswer();
+  else if (TooLate)
+    abandonAnswer(AbandonReason::StartTooLate);
+  else if (Call && isRepeatable() && isSilentTooLong(Now) &&
+           canUseOtherServer(Now))
+    abandonAnswer(isServerHostUnresponsive(Now)
+                      ? AbandonReason::HostUnresponsive
+                      : AbandonReason::Silent);
   else if (Call && isRepeatable())
     pingSilentHost(Now);
   if (Session)
