--- /dev/null
+++ b/tests/integration/silent_server_test.cpp
@@ -0,0 +1,52 @@
+/** @file silent_server_test.cpp Requests at sound servers that fall silent for
+ * a moment and go on.
+ */
+// Labels: routes platform
+
+#include "busy_fleet.h"
+
+#include <httplib.h>
+
+using namespace jacinthpond::fleet;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(SilentServers)
+
+// Guards against streams that are broken off at a moment of silence while no
+// other server has a slot.
+BOOST_AUTO_TEST_CASE(AStreamGoesOnWhereNoOtherServerHasASlot) {
+  BusyFleet Busy(12, 150);
+  Busy.fill();
+  Busy.silence("model-0");
+  Busy.checkWhole();
+}
+
+// Guards against requests that are answered with an error, before their answer
+// began, in the same situation.
+BOOST_AUTO_TEST_CASE(ARequestThatHasNotBegunIsKeptWhereNoOtherServerHasASlot) {
+  BusyFleet Busy(5, 400);
+  Busy.fill();
+  Busy.silence("model-0");
+  Busy.checkWhole();
+}
+
+// Guards against requests that are given up for a back end which then refuses
+// them.
+BOOST_AUTO_TEST_CASE(ARequestIsKeptWhereTheOtherServerRefusesIt) {
+  RouteFleet All(RoutePlan{});
+  BOOST_REQUIRE(All.waitServing(30s));
+  All.control("plain-1", {{"refuse", 1000}});
+  All.process("plain-0").signal(SIGSTOP);
+  std::vector<httplib::Response> Answers(4);
+  std::vector<std::jthread> Callers;
+  for (httplib::Response &Into : Answers)
+    Callers.emplace_back([&] { Into = All.ask(0, {}); });
+  std::this_thread::sleep_for(Silence);
+  All.process("plain-0").signal(SIGCONT);
+  Callers.clear();
+  for (const httplib::Response &Answer : Answers)
+    BOOST_TEST(Answer.status != 502);
+  BOOST_TEST(std::ranges::count(Answers, 200, &httplib::Response::status) > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
