core: what happens to a request without a back end; searches that repeat

A search for a slot may be repeated (after 50 to 400 ms), and one for spare slots only does not queue at agents. Silences may use half of an entry's retries.

--- a/packages/core/src/forwarding/place_search.cpp
+++ b/packages/core/src/forwarding/place_search.cpp
@@ -3,6 +3,9 @@
 
 #include "forwarding/place_search_func.h"
 
+#include "base/random_func.h"
+
+#include <algorithm>
 #include <array>
 
 namespace jacinthpond {
@@ -20,11 +23,32 @@
 /** Limit of slot requests: after those that limit the backlog, three more. If
  * all three back ends are full, a fourth seldom has room. */
 constexpr uint32_t MaxSlotRequests = MaxBacklogByRequest.size() + 3;
+/** Delay before a search that failed is repeated, and its doublings. A back end
+ * frees a slot about every 100 ms at full load. */
+constexpr Millis FirstSearchDelay{100};
+constexpr uint32_t MaxSearchDoublings = 2;
 
 } // namespace
 
+void restartSearch(SlotSearch &Search, ServerNeeds &Needs, bool SpareOnly) {
+  Needs.Full.clear();
+  Search.Busy.clear();
+  Search.SlotRequests = 0;
+  Search.IdleOnly = false;
+  Search.SpareOnly = SpareOnly;
+}
+
+void recordFailedSearch(SlotSearch &Search, TimePoint Now, uint64_t &Random) {
+  const Millis Longest =
+      FirstSearchDelay * (1U << std::min(Search.Failures, MaxSearchDoublings));
+  ++Search.Failures;
+  const auto Spread = static_cast<uint64_t>(Longest.count()) / 2;
+  Search.NextAt = Now + Longest - Millis(nextRandom(Random) % Spread);
+}
+
 bool mayRequestMoreSlots(const SlotSearch &Search) {
-  return Search.SlotRequests < MaxSlotRequests;
+  return Search.SlotRequests <
+         (Search.SpareOnly ? MaxBacklogByRequest.size() : MaxSlotRequests);
 }
 
 Millis maxPrefillBacklog(const SlotSearch &Search) {
@@ -48,6 +72,8 @@
 }
 
 bool reconsiderBusyServers(SlotSearch &Search, ServerNeeds &Needs) {
+  if (Search.SpareOnly)
+    return false;
   const bool Any = !Search.Busy.empty();
   for (const InstanceId &Id : Search.Busy)
     Needs.Full.erase(Id);
--- a/packages/core/src/forwarding/place_search_func.h
+++ b/packages/core/src/forwarding/place_search_func.h
@@ -18,6 +18,25 @@
 
 namespace jacinthpond {
 
+/**
+ * Begins a new search: agents that refused before may have slots now.
+ * @param Search State to change.
+ * @param Needs State to change: no back end counts as full any more.
+ * @param SpareOnly Whether to ask only for slots that are free at once. For a
+ * request whose answer may still go on: it must not delay others.
+ */
+void restartSearch(SlotSearch &Search, ServerNeeds &Needs, bool SpareOnly);
+
+/**
+ * Records that a search found no slot, and sets when the next one may begin.
+ * The delay doubles up to a limit and is randomized: requests that fell silent
+ * together don't ask together.
+ * @param Search State to change.
+ * @param Now Current time.
+ * @param Random State of the random generator.
+ */
+void recordFailedSearch(SlotSearch &Search, TimePoint Now, uint64_t &Random);
+
 /**
  * Says whether another agent may be asked for a slot.
  * @param Search The state.
@@ -51,7 +70,8 @@
 
 /**
  * Ends the search for an idle back end: those that refused only because they
- * were busy become candidates again.
+ * were busy become candidates again. Does nothing where only spare slots are
+ * wanted.
  * @param Search State to change.
  * @param Needs State to change.
  * @return Whether there are any.
--- a/packages/core/src/forwarding/repeat_budget.cpp
+++ b/packages/core/src/forwarding/repeat_budget.cpp
@@ -17,6 +17,10 @@
  */
 constexpr double UsedShare = 0.7;
 
+/** Share of this entry's retries that may replace answers which are only
+ * silent. */
+constexpr double SilenceShare = 0.5;
+
 /** Gives the number of the window step that a time lies in. */
 int64_t stepAt(const RepeatBudget &Budget, TimePoint Now) {
   const Duration Step = Budget.Limits.Window / BudgetSteps;
@@ -49,6 +53,17 @@
   return static_cast<size_t>(Counts.Step % int64_t{BudgetSteps});
 }
 
+/** Gives how many retries are left of a share of this entry's budget. */
+uint32_t unusedRepeats(RepeatBudget &Budget, const ServiceName &Service,
+                       uint32_t Entries, double Share, TimePoint Now) {
+  const RepeatCounts &Counts = advanceCounts(Budget, Service, Now);
+  const double Slack = static_cast<double>(Budget.Limits.Slack) /
+                       static_cast<double>(std::max(1U, Entries));
+  const double Allowed =
+      Share * UsedShare * (Budget.Limits.Ratio * sum(Counts.First) + Slack);
+  return static_cast<uint32_t>(std::max(0.0, Allowed - sum(Counts.Repeats)));
+}
+
 } // namespace
 
 void countFirstAttempt(RepeatBudget &Budget, const ServiceName &Service,
@@ -75,12 +90,12 @@
 
 uint32_t repeatsLeft(RepeatBudget &Budget, const ServiceName &Service,
                      uint32_t Entries, TimePoint Now) {
-  const RepeatCounts &Counts = advanceCounts(Budget, Service, Now);
-  const double Shared = static_cast<double>(Budget.Limits.Slack) /
-                        static_cast<double>(std::max(1U, Entries));
-  const double Allowed =
-      UsedShare * (Budget.Limits.Ratio * sum(Counts.First) + Shared);
-  return static_cast<uint32_t>(std::max(0.0, Allowed - sum(Counts.Repeats)));
+  return unusedRepeats(Budget, Service, Entries, 1, Now);
+}
+
+bool hasRepeatsForSilence(RepeatBudget &Budget, const ServiceName &Service,
+                          uint32_t Entries, TimePoint Now) {
+  return unusedRepeats(Budget, Service, Entries, SilenceShare, Now) > 0;
 }
 
 } // namespace jacinthpond
--- a/packages/core/src/forwarding/repeat_budget_func.h
+++ b/packages/core/src/forwarding/repeat_budget_func.h
@@ -45,6 +45,19 @@
 uint32_t repeatsLeft(RepeatBudget &Budget, const ServiceName &Service,
                      uint32_t Entries, TimePoint Now);
 
+/**
+ * Says whether a retry may replace an answer that is only silent. Part of the
+ * budget is left for answers of back ends that are gone: most silences end by
+ * themselves.
+ * @param Budget State whose window is advanced.
+ * @param Service The service.
+ * @param Entries Number of entries that share the limit; at least 1.
+ * @param Now Current time.
+ * @return Whether takeRepeat() would return true, with that part left.
+ */
+bool hasRepeatsForSilence(RepeatBudget &Budget, const ServiceName &Service,
+                          uint32_t Entries, TimePoint Now);
+
 /**
  * Says whether the budget has a retry left, without taking it.
  * @param Budget State whose window is advanced.
--- a/tests/unit/place_search_test.cpp
+++ b/tests/unit/place_search_test.cpp
@@ -133,3 +133,56 @@
   BOOST_TEST(Asks >= 4);
   BOOST_TEST(Asks <= 8);
 }
+
+// Guards against requests that are refused by what agents said once, though
+// slots became free since.
+BOOST_AUTO_TEST_CASE(ANewSearchAsksEveryoneAgain) {
+  SlotSearch Search;
+  ServerNeeds Needs;
+  Needs.Tried.insert(A);
+  while (mayRequestMoreSlots(Search)) {
+    recordSlotRequest(Search);
+    recordSlotRefusal(Search, Needs, B, false);
+  }
+  restartSearch(Search, Needs, false);
+  BOOST_TEST(mayRequestMoreSlots(Search));
+  BOOST_TEST(Needs.Full.empty());
+  BOOST_TEST(Needs.Tried.size() == 1U);
+}
+
+// Guards against requests that wait in the queues of other back ends while
+// their own answer may still go on.
+BOOST_AUTO_TEST_CASE(ASearchForSpareSlotsDoesNotQueue) {
+  SlotSearch Search;
+  ServerNeeds Needs;
+  restartSearch(Search, Needs, true);
+  while (mayRequestMoreSlots(Search)) {
+    BOOST_TEST(maxPrefillBacklog(Search).count() > 0);
+    recordSlotRequest(Search);
+    recordSlotRefusal(Search, Needs, B, true);
+    BOOST_TEST(!reconsiderBusyServers(Search, Needs));
+  }
+  BOOST_TEST(Needs.Full.size() == 1U);
+}
+
+// Guards against storms of slot requests from answers that fell silent
+// together.
+BOOST_AUTO_TEST_CASE(SearchesThatFailBecomeRareAndSpreadOut) {
+  const TimePoint Now{std::chrono::hours(1)};
+  std::set<Duration> First;
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SlotSearch Search;
+    uint64_t Random = Seed * 88172645463325252ULL;
+    Duration Last{0};
+    for (int n = 0; n < 6; ++n) {
+      recordFailedSearch(Search, Now, Random);
+      Last = Search.NextAt - Now;
+      if (n == 0)
+        First.insert(Last);
+      BOOST_TEST((Last >= Millis(50)));
+      BOOST_TEST((Last <= Millis(400)));
+    }
+    BOOST_TEST((Last >= Millis(200)));
+  }
+  BOOST_TEST(First.size() > 10U);
+}
--- a/tests/unit/repeat_budget_test.cpp
+++ b/tests/unit/repeat_budget_test.cpp
@@ -64,3 +64,16 @@
     BOOST_TEST(hasRepeatsLeft(Limiter, Service, 1, TimePoint{}));
   BOOST_TEST(takeAllRepeats(Limiter, 1, TimePoint{}) == 7U);
 }
+
+BOOST_AUTO_TEST_CASE(SilencesLeaveRetriesForBackEndsThatAreGone) {
+  // Guards against a budget that is used up by silences which end by
+  // themselves, just before a back end is lost.
+  RepeatBudget Limiter = makeBudget(0.2, 100);
+  uint32_t ForSilence = 0;
+  while (hasRepeatsForSilence(Limiter, Service, 1, TimePoint{}) &&
+         takeRepeat(Limiter, Service, 1, TimePoint{}))
+    ++ForSilence;
+  BOOST_TEST(ForSilence > 0U);
+  BOOST_TEST(repeatsLeft(Limiter, Service, 1, TimePoint{}) >= ForSilence);
+  BOOST_TEST(hasRepeatsLeft(Limiter, Service, 1, TimePoint{}));
+}
