--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -8,6 +8,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/come_back_func.h"
 #include "forwarding/crash_watch_func.h"
+#include "forwarding/no_server_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 
@@ -134,7 +135,7 @@
   Needs.Owner = Owner;
   if (const auto Last = parseNumber(
           fieldValue(Incoming, Shared.Wire.headerNames().LastEventId)))
-    Events.LastId = static_cast<uint64_t>(*Last);
+    LastEventId = static_cast<uint64_t>(*Last);
   armTimer();
   countFirstAttempt(Shared.Repeats, Needs.Service, ArrivalTime);
   tryNextServer();
@@ -203,25 +204,31 @@
   return RequestRoute->Kind == RouteKind::Idempotent;
 }
 
-/** Starts an attempt at the next suitable back end, or ends the request. */
+/** Gives what rules out another attempt, whatever the back ends; nothing: it
+ * may be prepared. */
+std::optional<NoServerReason> Exchange::attemptObstacle(TimePoint Now) {
+  if (checkQuarantine())
+    return NoServerReason::Quarantined;
+  if (!hasAttemptsLeft())
+    return NoServerReason::NoAttemptLeft;
+  if (!mayRequestMoreSlots(Search))
+    return NoServerReason::NoPlace;
+  return std::nullopt;
+}
+
+/** Prepares an attempt at the next suitable back end. */
 void Exchange::tryNextServer() {
+  if (Next)
+    return;
   const TimePoint Now = Shared.Clock.now();
   if (nextPartDeadline() - Now < MinRemaining) {
-    handleDeadline();
-    return;
-  }
-  if (checkQuarantine()) {
-    endQuarantined();
+    if (Sent.empty())
+      handleDeadline();
     return;
   }
-  if (!hasAttemptsLeft()) {
-    endWithoutServer({ErrorKind::Overloaded, "no attempt left", {}},
-                     "no_attempt_left");
-    return;
-  }
-  if (!mayRequestMoreSlots(Search)) {
-    endWithoutServer({ErrorKind::Overloaded, "no place", ShortestRetryAfter},
-                     "no_place");
+  if (const auto Why = attemptObstacle(Now)) {
+    endSearch(*Why, {ErrorKind::Overloaded, noServerReasonName(*Why),
+                     ShortestRetryAfter});
     return;
   }
   ServerChoice Choice = chooseServer(Shared.Pool, Needs, Now);
@@ -231,56 +238,57 @@
     handleNoServer(Choice);
     return;
   }
+  if (AttemptsSent > 0 &&
+      !takeRepeat(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now)) {
+    endSearch(NoServerReason::RetryBudget,
+              {ErrorKind::Overloaded, "retry budget used up", {}});
+    return;
+  }
   if (AttemptsSent > 0) {
-    if (!takeRepeat(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now)) {
-      endWithoutServer({ErrorKind::Overloaded, "retry budget used up", {}},
-                       "retry_budget");
-      return;
-    }
     Shared.Counters.add(ForwardCount::Repeats);
     if (HeadSent)
       Shared.Counters.add(ForwardCount::Resumes);
   }
   logAttempt(*Choice.Server, Choice);
-  ServerId = Choice.Server->Listed.Id;
-  recordAttemptStart(Shared.Pool, ServerId);
+  Next = std::make_shared<Attempt>(*this, Choice.Server->Listed.Id);
+  recordAttemptStart(Shared.Pool, Next->ServerId);
   if (hasAgent(*Choice.Server))
-    requestSlot(*Choice.Server);
+    requestSlot(*Next, *Choice.Server);
   else
-    sendTo(*Choice.Server);
+    sendTo(*Next, *Choice.Server);
 }
 
-/** Ends the request because no back end could be chosen. */
+/** Ends the search for a back end because none could be chosen. */
 void Exchange::handleNoServer(const ServerChoice &Choice) {
   const bool Full = Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty();
-  const char *Reason = Full ? "all_full" : "none_usable";
+  NoServerReason Why =
+      Full ? NoServerReason::AllFull : NoServerReason::NoneUsable;
   if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
-    Reason = "all_at_rate";
+    Why = NoServerReason::AllAtRate;
   const bool Paused = Choice.Why == PoolRefusal::AllPaused;
   if (Paused) {
-    Reason = "all_paused";
+    Why = NoServerReason::AllPaused;
     Shared.Counters.add(ForwardCount::Withheld);
   }
-  endWithoutServer(
-      {Full || Paused ? ErrorKind::Overloaded : ErrorKind::NoWorker,
-       Needs.Service.Value,
-       ShortestRetryAfter.count() > 0 ? ShortestRetryAfter : Choice.RetryAfter},
-      Reason);
+  endSearch(Why, {Full || Paused ? ErrorKind::Overloaded : ErrorKind::NoWorker,
+                  Needs.Service.Value,
+                  ShortestRetryAfter.count() > 0 ? ShortestRetryAfter
+                                                 : Choice.RetryAfter});
 }
 
-/** Sends the request to a back end. */
-void Exchange::sendTo(const ServerView &Server) {
+/** Sends the request to a back end, once a connection is open. */
+void Exchange::sendTo(Attempt &One, const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   const HeaderNames &Names = Shared.Wire.headerNames();
-  if (CurrentSlot.Value.empty())
-    countRequestWithoutSlot(Shared.Pool, ServerId, Now);
+  if (One.Slot.Value.empty())
+    countRequestWithoutSlot(Shared.Pool, One.ServerId, Now);
   AttemptHeaders Added;
   Added.Remaining = toMillis(RequestDeadline - Now);
   Added.Server = Server.Listed.Id;
-  Added.Version = requiredVersion(Shared.Pool, ServerId, Now);
+  Added.Version = requiredVersion(Shared.Pool, One.ServerId, Now);
   if (HeadSent) { // A stream resumes on the weights that began it.
     Added.Version = fieldValue(Head, Names.WeightVersion);
-    Added.LastEventId = Events.LastId;
+    Added.LastEventId = LastEventId;
   }
   Added.Workspace = Owner == nullptr ? "" : Owner->Name.Value;
   Added.Rank = rank();
@@ -298,42 +306,39 @@
       ForceNewConnection || !isRepeatable() || !Needs.Suspect.Value.empty();
   Sending.NoResponseBody = Incoming.method() == http::verb::head;
   Sending.MaxIdle = maxIdleConnections(Shared.Pool, Server.Listed.Service);
-  Mode = AnswerMode::Waiting;
-  AnswerStatus = 0;
-  LastEnd = ConnectionEnd::Open;
-  Abandoned = AbandonReason::None;
-  Body.clear();
-  dropPartialEvent(Events);
-  CallStartTime = Now;
-  ServerRun = runName(Server.Listed);
-  ServerAt = Server.Listed.At;
-  WeightsWhenSent = Server.Weights;
-  LastProgress = Now;
-  BodyBeganAt.reset();
-  BegunReported = false;
+  One.CallStartTime = One.LastProgress = Now;
+  One.ServerRun = runName(Server.Listed);
+  One.ServerAt = Server.Listed.At;
+  One.WeightsWhenSent = Server.Weights;
+  One.Events.LastId = LastEventId;
   ++AttemptsStarted;
-  ++AttemptsSent; // Undone if no connection can be opened.
-  TriedServers += (TriedServers.empty() ? "" : ",") + ServerId.Value;
-  Call = std::make_shared<BackEndCall>(Shared.Io, Shared.Connections,
-                                       std::move(Sending), *this);
+  One.Number = ++AttemptsSent; // Undone if nothing is sent.
+  TriedServers += (TriedServers.empty() ? "" : ",") + One.ServerId.Value;
+  One.Call = std::make_shared<BackEndCall>(Shared.Io, Shared.Connections,
+                                           std::move(Sending), One);
   armTimer();
-  Call->start(std::min(ConnectLimit, toMillis(RequestDeadline - Now)));
+  One.Call->start(std::min(ConnectLimit, toMillis(RequestDeadline - Now)));
 }
 
-/** Ends the current attempt: logs it, releases its slot and counts it for the
- * back end. */
-void Exchange::concludeAttempt(AttemptEnd How) {
+/** Ends an attempt: logs it, releases its slot and counts it for the back end.
+ */
+void Exchange::concludeAttempt(Attempt &One, AttemptEnd How) {
   const TimePoint Now = Shared.Clock.now();
-  const bool WasSent = Call != nullptr;
-  const bool Open = WasSent || AwaitingSlot;
+  const auto Kept = One.shared_from_this();
+  const bool WasSent = One.Call != nullptr;
+  const bool Open = WasSent || One.AwaitingSlot;
   if (WasSent && How != AttemptEnd::Answered)
-    logAttemptEnd(How, Now - CallStartTime);
-  releaseSlot(How);
+    logAttemptEnd(One, How);
+  releaseSlot(One, How);
+  std::erase(Sent, Kept);
+  if (Next == Kept)
+    Next.reset();
   if (!Open)
     return;
-  Call.reset();
-  recordAttemptEnd(Shared.Pool, ServerId, WasSent ? How : AttemptEnd::NotSent,
-                   Now - CallStartTime, Now);
+  One.Call.reset();
+  recordAttemptEnd(Shared.Pool, One.ServerId,
+                   WasSent ? How : AttemptEnd::NotSent, Now - One.CallStartTime,
+                   Now);
 }
 
 /** Ends a request that no back end can take: refused, or with an unknown
@@ -355,9 +360,7 @@
 void Exchange::endWithError(const Failure &Why, Ran Executed,
                             const char *Reason) {
   const auto Self = shared_from_this();
-  if (Call)
-    Call->cancel();
-  concludeAttempt(AttemptEnd::Dropped);
+  dropAllAttempts();
   const ErrorAnswer &Row = errorAnswerFor(Why.Kind);
   const auto Status = static_cast<unsigned>(Row.HttpStatus);
   Shared.Counters.add(Executed == Ran::No ? ForwardCount::Refused
@@ -387,9 +390,7 @@
   if (!Session)
     return;
   // Nobody waits for the response any more: free the back end for others.
-  if (Call)
-    Call->cancel();
-  concludeAttempt(AttemptEnd::Dropped);
+  dropAllAttempts();
   Shared.Counters.add(ForwardCount::CallersGone);
   logEnd("caller_gone", 0, HeadSent ? "in_stream" : "before_answer");
   finish();
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -4,9 +4,10 @@
 #define JACINTHPOND_ENTRY_FORWARD_EXCHANGE_H
 
 #include "base/error_func.h"
+#include "forward/attempt.h"
 #include "forward/forward_context.h"
 #include "forwarding/crash_watch_type.h"
-#include "forwarding/event_stream_func.h"
+#include "forwarding/no_server_type.h"
 #include "forwarding/place_search_func.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -23,7 +24,7 @@
  * The caller's session keeps it alive until then.
  */
 class Exchange final : public DisconnectHandler,
-                       public BackEndCallHandler,
+                       public AttemptOwner,
                        public SlotWaiter,
                        public ReadinessWaiter,
                        public std::enable_shared_from_this<Exchange> {
@@ -47,33 +48,19 @@
   void handleSlotAnswer(const SlotAnswer &Answer) override;
   void handleQuarantineChange() override;
   void handleEntryReady() override;
-  bool maySendRequest() override;
-  void handleNotices(const ResponseHead &Received) override;
-  void handleAnswerHead(const ResponseHead &Head) override;
-  void handleAnswerBody(std::string Bytes) override;
-  void handleAnswerEnd(ResponseEnd How) override;
-  void handleCallFailure(CallFailure Why, ConnectionEnd End) override;
+  bool maySendRequest(Attempt &One) override;
+  void handleNotices(Attempt &One, const ResponseHead &Received) override;
+  void handleAnswerHead(Attempt &One, const ResponseHead &Received) override;
+  void handleAnswerBody(Attempt &One, const std::string &Bytes) override;
+  void handleAnswerEnd(Attempt &One, ResponseEnd How) override;
+  void handleCallFailure(Attempt &One, CallFailure Why,
+                         ConnectionEnd End) override;
 
 private:
-  /** How the current response is handled. */
-  enum class AnswerMode : uint8_t {
-    Waiting, ///< Its head has not been received yet.
-    Refusal, ///< Dropped: the back end did not run the request.
-    Whole,   ///< Sent to the caller once it is complete.
-    Events   ///< Streamed to the caller, event by event.
-  };
-
-  /** Why an answer that might still have come was given up. */
-  enum class AbandonReason : uint8_t {
-    None,             ///< It was not: the call ended by itself.
-    Silent,           ///< The back end was silent for too long.
-    HostUnresponsive, ///< Its host did not answer a ping.
-    StartTooLate,     ///< It may not begin any more on its weights.
-    Unusable,         ///< No signature, an encoding, or a failure in a stream.
-    OtherWeights,     ///< It would resume a stream on other weights.
-    BrokenEvents,     ///< Its events are out of order or cut off.
-    TooLarge,         ///< It exceeds the buffer for whole answers.
-    Count             ///< Number of values; not a value.
+  /** A complete answer. */
+  struct WholeAnswer {
+    ResponseHead Head; ///< Its head.
+    std::string Body;  ///< Its body.
   };
 
   bool isEntryReady() const;
@@ -83,20 +70,28 @@
   bool authenticateCaller();
   void readDeadline();
   void tryNextServer();
-  bool canUseOtherServer(TimePoint Now);
-  void requestSlot(const ServerView &Server);
+  std::optional<NoServerReason> attemptObstacle(TimePoint Now);
+  bool canUseOtherServer(bool Urgent, TimePoint Now);
+  void requestSlot(Attempt &One, const ServerView &Server);
   Millis firstPartTimeLeft(TimePoint Now) const;
-  void releaseSlot(AttemptEnd How);
+  void releaseSlot(Attempt &One, AttemptEnd How);
   void tryOtherServer(bool OnlyBusy);
   void handleSlotTimeout();
-  void sendTo(const ServerView &Server);
+  void sendTo(Attempt &One, const ServerView &Server);
   void handleNoServer(const ServerChoice &Choice);
-  void concludeAttempt(AttemptEnd How);
-  void confirmClosedAnswer();
-  void completeAnswer();
-  void abandonAnswer(AbandonReason Why);
-  void sendWholeAnswer();
-  void beginStream();
+  void endSearch(NoServerReason Why, const Failure &Told);
+  void concludeAttempt(Attempt &One, AttemptEnd How);
+  void dropAttempt(Attempt &One, AttemptEnd How, AbandonReason Why);
+  void dropAllAttempts();
+  void abandonSearch();
+  void keepOnly(const Attempt &One);
+  void commitAttempt(Attempt &One);
+  void confirmClosedAnswer(Attempt &One);
+  void completeAnswer(Attempt &One);
+  void abandonAnswer(Attempt &One, AbandonReason Why);
+  void handleWholeAnswer(Attempt &One);
+  void sendWholeAnswer(WholeAnswer Answer, const char *How);
+  void beginStream(Attempt &One);
   bool isRepeatable() const;
   bool hasAttemptsLeft() const;
   void endWithError(const Failure &Why, Ran Executed, const char *Reason);
@@ -109,13 +104,17 @@
   TimePoint nextPartDeadline() const;
   TimePoint nextCheckTime(TimePoint Now) const;
   Duration silenceBeforePing() const;
-  void pingSilentHost(TimePoint Now);
-  void discardProbeAfterStall(TimePoint Now);
-  bool isServerHostUnresponsive(TimePoint Now) const;
-  std::optional<TimePoint> attemptStartDeadline() const;
-  bool isSilentTooLong(TimePoint Now) const;
-  void readRateLimit(const ResponseHead &Received, bool Success);
-  void applyRateLimit(std::optional<double> PerSecond, std::string_view Field);
+  void pingSilentHost(const Attempt &One, TimePoint Now);
+  void discardProbesAfterStall(TimePoint Now);
+  bool isHostUnresponsive(const Attempt &One, TimePoint Now) const;
+  std::optional<TimePoint> attemptStartDeadline(const Attempt &One) const;
+  void abandonLateStarts(TimePoint Now);
+  bool isSilent(const Attempt &One, TimePoint Now) const;
+  void checkSilence(TimePoint Now);
+  void readRateLimit(const Attempt &One, const ResponseHead &Received,
+                     bool Success);
+  void applyRateLimit(const Attempt &One, std::optional<double> PerSecond,
+                      std::string_view Field);
   const Digest &fingerprint() const;
   const std::vector<Digest> &partDigests() const;
   const RequestDigests &digests() const;
@@ -124,19 +123,21 @@
   bool hasSuspectedPart();
   void endQuarantined();
   void retryFailedAttempt();
-  void reportBrokenAnswer();
-  void reportBegun();
-  void reportCompletion();
+  void reportBrokenAnswer(const Attempt &One);
+  void reportBegun(Attempt &One);
+  void reportCompletion(Attempt &One);
   std::vector<PartId> sharedParts() const;
   std::string partsText() const;
   void logWaitForReadiness() const;
-  void readLeaving(const ResponseHead &Received);
-  void readPause(const ResponseHead &Received);
-  void logServerNotice(const ResponseHead &Received) const;
-  void logUnreadableNotice(const std::string &Name, std::string_view Value);
-  void logRateChange(RateChange Change, std::string_view Header) const;
+  void readLeaving(const Attempt &One, const ResponseHead &Received);
+  void readPause(const Attempt &One, const ResponseHead &Received);
+  void logServerNotice(const Attempt &One, const ResponseHead &Received) const;
+  void logUnreadableNotice(const Attempt &One, const std::string &Name,
+                           std::string_view Value);
+  void logRateChange(const Attempt &One, RateChange Change,
+                     std::string_view Header) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
-  void logAttemptEnd(AttemptEnd How, Duration Took) const;
+  void logAttemptEnd(const Attempt &One, AttemptEnd How) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
   void finish();
 
@@ -157,27 +158,12 @@
   boost::asio::steady_timer Timer;
   TimePoint TimerDue; ///< When the timer should fire.
 
-  std::shared_ptr<BackEndCall> Call; ///< Current attempt; may be null.
-  InstanceId ServerId;               ///< Back end of the current attempt.
-  std::string ServerRun;             ///< Name of its run; empty: not sent yet.
-  Address ServerAt;                  ///< Its address.
+  std::shared_ptr<Attempt> Next; ///< Being prepared, not sent; may be null.
+  std::vector<std::shared_ptr<Attempt>> Sent; ///< May be answered, oldest
+                                              ///< first.
   bool OnTrial = false; ///< Sent although it was refused, to find out more.
-  TimePoint CallStartTime;
-  Digest WeightsWhenSent; ///< Weights there at sending; empty: no model.
-  TimePoint LastProgress; ///< Last byte of the response, or CallStartTime.
-  std::optional<TimePoint> BodyBeganAt; ///< First byte of the response's body.
-  bool BegunReported = false; ///< Parts of the prompt are known to be sound.
   std::optional<TimePoint> RetryAt; ///< The next attempt waits until then.
-  AnswerMode Mode = AnswerMode::Waiting;
-  unsigned AnswerStatus = 0; ///< Status of the current response; 0: none.
-  ConnectionEnd LastEnd = ConnectionEnd::Open;   ///< Of the current attempt.
-  AbandonReason Abandoned = AbandonReason::None; ///< The current attempt.
-  ResponseHead Head;            ///< Head of the response that the caller gets.
-  std::string Body;             ///< Body received so far in mode Whole.
-  AttemptId CurrentSlot;        ///< Slot requested or held; empty: none.
-  LinkId SlotAgentLink;         ///< Link to the agent that grants the slot.
-  bool AwaitingSlot = false;    ///< The agent has not answered yet.
-  TimePoint SlotAnswerDeadline; ///< Another back end is tried after this.
+  ResponseHead Head;                ///< Head of the stream that was begun.
   SlotSearch Search;            ///< State of the search for an idle back end.
   Millis ShortestRetryAfter{0}; ///< Shortest retry time from agents; 0: none.
   uint32_t AttemptsSent = 0;    ///< Attempts that reached a back end.
@@ -186,7 +172,7 @@
   bool ForceNewConnection = false;  ///< A pooled connection was found closed.
   bool MayHaveRun = false;          ///< Some attempt may have been executed.
   bool HeadSent = false;            ///< The caller got the head of a stream.
-  EventStream Events;
+  std::optional<uint64_t> LastEventId; ///< Last event that the caller has.
   std::string TriedServers; ///< Back ends tried, comma-separated, for the log.
   std::optional<TimePoint> FirstByteTime;
 };
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -8,6 +8,7 @@
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
 #include "forward/suspects.h"
+#include "forwarding/event_stream_func.h"
 #include "forwarding/server_notice_func.h"
 #include "log/log.h"
 
@@ -32,40 +33,42 @@
  * when a successful response has none: refusals and failures may come from a
  * part of the back end that never sends these headers.
  */
-void Exchange::readRateLimit(const ResponseHead &Received, bool Success) {
+void Exchange::readRateLimit(const Attempt &One, const ResponseHead &Received,
+                             bool Success) {
   const std::string *Name =
       usedHeaderName(Received, Shared.Wire.headerNames().RateLimits);
   if (Name == nullptr) {
-    if (Success && isRateLimited(Shared.Pool, ServerId))
-      applyRateLimit(std::nullopt, "");
+    if (Success && isRateLimited(Shared.Pool, One.ServerId))
+      applyRateLimit(One, std::nullopt, "");
     return;
   }
   const std::string_view Value = fieldValue(Received, *Name);
   const size_t Times = Received.count(*Name);
   const auto PerSecond = Shared.Wire.parseRateLimit(Value);
   if (PerSecond && Times == 1)
-    applyRateLimit(PerSecond, *Name + ":" + std::string(Value));
+    applyRateLimit(One, PerSecond, *Name + ":" + std::string(Value));
   else
     logLine(LogPart::Requests, LogLevel::Warn,
             "event=rate_limit_unreadable id=" + logValue(Id) +
-                " server=" + ServerId.Value + " field=" + logValue(*Name) +
+                " server=" + One.ServerId.Value + " field=" + logValue(*Name) +
                 " value=" + logValue(Value) +
                 " times=" + std::to_string(Times));
 }
 
 /** Records a back end's rate limit, or that it has none. Notifies the agent
  * that grants its slots; without an agent, the entries that share the limit. */
-void Exchange::applyRateLimit(std::optional<double> PerSecond,
+void Exchange::applyRateLimit(const Attempt &One,
+                              std::optional<double> PerSecond,
                               std::string_view Field) {
   const TimePoint Now = Shared.Clock.now();
-  const RateChange Change =
-      recordAnswerRate(Shared.Pool, ServerId, PerSecond, CallStartTime, Now);
-  logRateChange(Change, Field);
-  const auto it = Shared.Pool.Servers.find(ServerId);
+  const RateChange Change = recordAnswerRate(Shared.Pool, One.ServerId,
+                                             PerSecond, One.CallStartTime, Now);
+  logRateChange(One, Change, Field);
+  const auto it = Shared.Pool.Servers.find(One.ServerId);
   if (it == Shared.Pool.Servers.end())
     return;
-  const Millis Age = PerSecond ? Millis(0) : toMillis(Now - CallStartTime);
-  const RateLimitNotice Notice{CurrentSlot, ServerId, PerSecond,
+  const Millis Age = PerSecond ? Millis(0) : toMillis(Now - One.CallStartTime);
+  const RateLimitNotice Notice{One.Slot, One.ServerId, PerSecond,
                                static_cast<uint64_t>(Age.count())};
   if (hasAgent(it->second))
     Shared.SendToAgent(it->second.Agent->Link, Notice);
@@ -76,27 +79,31 @@
 /** Says whether the back end may still get the request. It may have asked for a
  * pause while the connection was being opened, or copies of the request may
  * have crashed other back ends. */
-bool Exchange::maySendRequest() {
+bool Exchange::maySendRequest(Attempt &One) {
+  const TimePoint Now = Shared.Clock.now();
   const Digest Before = Needs.Suspect;
   if (checkQuarantine())
     return false;
   // It has become a suspect, whose back end is chosen otherwise.
   if (Needs.Suspect != Before && !Needs.Suspect.Value.empty())
     return false;
-  return mayStillUse(Shared.Pool, ServerId, Needs, Shared.Clock.now());
+  if (!mayStillUse(Shared.Pool, One.ServerId, Needs, Now))
+    return false;
+  commitAttempt(One);
+  return true;
 }
 
 /** Records what the back end announces in the headers of a response. */
-void Exchange::handleNotices(const ResponseHead &Received) {
-  logServerNotice(Received);
-  readLeaving(Received);
+void Exchange::handleNotices(Attempt &One, const ResponseHead &Received) {
+  logServerNotice(One, Received);
+  readLeaving(One, Received);
   if (Received.result() == http::status::service_unavailable)
-    readPause(Received);
+    readPause(One, Received);
 }
 
 /** Records that the answering back end is shutting down, and tells the other
  * entries. */
-void Exchange::readLeaving(const ResponseHead &Received) {
+void Exchange::readLeaving(const Attempt &One, const ResponseHead &Received) {
   const std::string *Name =
       usedHeaderName(Received, Shared.Wire.headerNames().Leaving);
   if (Name == nullptr)
@@ -104,24 +111,25 @@
   const std::string_view Value = fieldValue(Received, *Name);
   const auto Leaving = Shared.Wire.parseLeaving(Value);
   if (!Leaving)
-    logUnreadableNotice(*Name, Value);
+    logUnreadableNotice(One, *Name, Value);
   if (!Leaving.value_or(false))
     return;
   const TimePoint Now = Shared.Clock.now();
   std::vector<ServerLeavingNotice> News;
   if (Received.result() == http::status::misdirected_request)
-    News = recordMisdirectedLeaving(Shared.Pool, ServerId, CallStartTime, Now);
-  else if (const auto One = recordLeaving(Shared.Pool, ServerId, Now))
-    News.push_back(*One);
-  for (const ServerLeavingNotice &One : News) {
+    News = recordMisdirectedLeaving(Shared.Pool, One.ServerId,
+                                    One.CallStartTime, Now);
+  else if (const auto Notice = recordLeaving(Shared.Pool, One.ServerId, Now))
+    News.push_back(*Notice);
+  for (const ServerLeavingNotice &Notice : News) {
     Shared.Counters.add(ForwardCount::ServersLeaving);
-    Shared.SendToEntries(One);
+    Shared.SendToEntries(Notice);
   }
 }
 
 /** Records the pause that a refusal asks for: the longest one if it is given
  * more than once. */
-void Exchange::readPause(const ResponseHead &Received) {
+void Exchange::readPause(const Attempt &One, const ResponseHead &Received) {
   const std::string &Name = Shared.Wire.headerNames().RetryAfter;
   const auto [Begin, End] = Received.equal_range(Name);
   Millis Pause{0};
@@ -129,121 +137,129 @@
     const std::string_view Value = toStringView(it->value());
     const auto Read = parseRetryAfter(Value);
     if (!Read)
-      logUnreadableNotice(Name, Value);
+      logUnreadableNotice(One, Name, Value);
     Pause = std::max(Pause, Read.value_or(Millis{0}));
   }
-  if (recordPause(Shared.Pool, ServerId, Pause, Shared.Clock.now()))
+  if (recordPause(Shared.Pool, One.ServerId, Pause, Shared.Clock.now()))
     Shared.Counters.add(ForwardCount::Pauses);
 }
 
 /** Checks the head of a response and decides how its body is handled. */
-void Exchange::handleAnswerHead(const ResponseHead &Received) {
+void Exchange::handleAnswerHead(Attempt &One, const ResponseHead &Received) {
   const TimePoint Now = Shared.Clock.now();
   const HeaderNames &Names = Shared.Wire.headerNames();
-  LastProgress = Now;
-  recordServerActivity(Shared.Pool, ServerId, Now);
+  One.LastProgress = Now;
+  recordServerActivity(Shared.Pool, One.ServerId, Now);
   if (const auto Busy =
           Shared.Wire.parseServerLoad(fieldValue(Received, Names.Load)))
-    recordServerLoad(Shared.Pool, ServerId, *Busy, Now);
+    recordServerLoad(Shared.Pool, One.ServerId, *Busy, Now);
   const unsigned Status = Received.result_int();
-  AnswerStatus = Status;
+  One.AnswerStatus = Status;
   const bool Misdirected = Status == 421; // Another run may have the address.
   const bool NotRun = !fieldValue(Received, Names.NotExecuted).empty();
   const bool Success = Status >= 200 && Status < 300;
   const bool Signed = !fieldValue(Received, Names.Signature).empty();
   if (!Misdirected)
-    readRateLimit(Received, Success && Signed);
+    readRateLimit(One, Received, Success && Signed);
   if (Misdirected || NotRun) {
     if (Misdirected) {
-      avoidMismatchedServer(Shared.Pool, ServerId, Now);
+      avoidMismatchedServer(Shared.Pool, One.ServerId, Now);
       Shared.Counters.add(ForwardCount::Mismatched);
     }
-    Mode = AnswerMode::Refusal;
+    One.Mode = AnswerMode::Refusal;
     return;
   }
-  recordAcceptedRequest(Shared.Pool, ServerId, Now);
-  handleSignOfLife(Shared, ServerRun, CallStartTime);
+  recordAcceptedRequest(Shared.Pool, One.ServerId, Now);
+  handleSignOfLife(Shared, One.ServerRun, One.CallStartTime);
   const bool Unusable =
       (Success && !Signed) || !fieldValue(Received, "Content-Encoding").empty();
   const bool OtherWeights =
       HeadSent && fieldValue(Received, Names.WeightVersion) !=
                       fieldValue(Head, Names.WeightVersion);
   if (Unusable || OtherWeights || (HeadSent && !Success)) {
-    abandonAnswer(OtherWeights ? AbandonReason::OtherWeights
-                               : AbandonReason::Unusable);
+    abandonAnswer(One, OtherWeights ? AbandonReason::OtherWeights
+                                    : AbandonReason::Unusable);
     return;
   }
-  if (!HeadSent)
-    Head = Received;
+  abandonSearch();
+  One.Head = Received;
   const bool IsEvents =
       fieldValue(Received, "Content-Type").starts_with("text/event-stream");
-  Mode = Success && IsEvents ? AnswerMode::Events : AnswerMode::Whole;
+  One.Mode = Success && IsEvents ? AnswerMode::Events : AnswerMode::Whole;
 }
 
 /** Buffers a part of a body or streams its complete events to the caller. */
-void Exchange::handleAnswerBody(std::string Bytes) {
-  LastProgress = Shared.Clock.now();
-  if (!BodyBeganAt)
-    BodyBeganAt = LastProgress;
-  recordServerActivity(Shared.Pool, ServerId, LastProgress);
-  if (Mode == AnswerMode::Refusal)
+void Exchange::handleAnswerBody(Attempt &One, const std::string &Bytes) {
+  const TimePoint Now = Shared.Clock.now();
+  One.LastProgress = Now;
+  if (!One.BodyBeganAt)
+    One.BodyBeganAt = Now;
+  recordServerActivity(Shared.Pool, One.ServerId, Now);
+  if (One.Mode == AnswerMode::Refusal)
     return;
-  if (LastProgress - *BodyBeganAt >= AnswerBegunAfter)
-    reportBegun();
-  if (Mode == AnswerMode::Whole) {
-    Body += Bytes;
-    if (Body.size() > MaxWholeAnswerBytes)
-      abandonAnswer(AbandonReason::TooLarge);
+  abandonSearch();
+  if (Now - *One.BodyBeganAt >= AnswerBegunAfter)
+    reportBegun(One);
+  if (One.Mode == AnswerMode::Whole) {
+    One.Body += Bytes;
+    if (One.Body.size() > MaxWholeAnswerBytes)
+      abandonAnswer(One, AbandonReason::TooLarge);
     return;
   }
   const auto Self = shared_from_this();
   std::string Whole;
-  const EventStreamStatus Verdict = appendCompleteEvents(Events, Bytes, Whole);
+  const EventStreamStatus Verdict =
+      appendCompleteEvents(One.Events, Bytes, Whole);
   if (!Whole.empty()) {
+    keepOnly(One);
     if (!HeadSent)
-      beginStream();
+      beginStream(One);
+    LastEventId = One.Events.LastId;
     Session->sendBody(Whole);
-    LastSentToCaller = LastProgress;
+    LastSentToCaller = Now;
   }
   if (Verdict != EventStreamStatus::Good)
-    abandonAnswer(AbandonReason::BrokenEvents);
+    abandonAnswer(One, AbandonReason::BrokenEvents);
   else if (Session && Session->backlog() > MaxCallerBacklogBytes)
     endWithError({ErrorKind::PartialAnswer, "the caller does not read", {}},
                  Ran::Yes, "caller_slow");
 }
 
 /** Sends the head of a stream to the caller. */
-void Exchange::beginStream() {
+void Exchange::beginStream(Attempt &One) {
   HeadSent = true;
-  Needs.Weights = loadedWeights(Shared.Pool, ServerId);
-  FirstByteTime = Shared.Clock.now();
+  Head = One.Head;
+  Needs.Weights = loadedWeights(Shared.Pool, One.ServerId);
+  FirstByteTime = One.FirstPartAt = Shared.Clock.now();
   recordFirstPartTime(Shared.Pool, Needs.Service,
-                      *FirstByteTime - CallStartTime);
+                      *FirstByteTime - One.CallStartTime);
   CallerAnswerHead Out;
   Out.result(Head.result());
   copyAnswerHeaders(Head, Out);
   Session->beginBody(std::move(Out));
 }
 
-/** Ends the request with a response, or retries after a refusal. */
-void Exchange::handleAnswerEnd(ResponseEnd How) {
+/** Handles the end of a response: a complete one, or a refusal. */
+void Exchange::handleAnswerEnd(Attempt &One, ResponseEnd How) {
   const auto Self = shared_from_this();
-  if (Mode == AnswerMode::Refusal) {
+  if (One.Mode == AnswerMode::Refusal) {
     Shared.Counters.add(ForwardCount::NotExecuted);
-    concludeAttempt(AttemptEnd::Refused);
-    Needs.Tried.insert(ServerId);
-    tryNextServer();
+    concludeAttempt(One, AttemptEnd::Refused);
+    if (Sent.empty())
+      tryNextServer();
+    else
+      armTimer();
     return;
   }
-  if (Mode == AnswerMode::Events && !Events.Partial.empty()) {
-    reportBrokenAnswer();
-    abandonAnswer(AbandonReason::BrokenEvents);
+  if (One.Mode == AnswerMode::Events && !One.Events.Partial.empty()) {
+    reportBrokenAnswer(One);
+    abandonAnswer(One, AbandonReason::BrokenEvents);
     return;
   }
   if (How == ResponseEnd::Closed)
-    confirmClosedAnswer();
+    confirmClosedAnswer(One);
   else
-    completeAnswer();
+    completeAnswer(One);
 }
 
 /**
@@ -251,100 +267,106 @@
  * One that crashes closes its connections in the same way, and a part of the
  * response would pass for the whole.
  */
-void Exchange::confirmClosedAnswer() {
-  const auto Waiting = Call;
-  confirmRunning(Shared, ServerRun, ServerAt,
-                 [Self = shared_from_this(), Waiting](AddressCheck Result) {
-                   if (!Self->Session || Self->Call != Waiting)
+void Exchange::confirmClosedAnswer(Attempt &One) {
+  confirmRunning(Shared, One.ServerRun, One.ServerAt,
+                 [Self = shared_from_this(),
+                  Waiting = One.shared_from_this()](AddressCheck Result) {
+                   if (!Self->Session || !Waiting->Call)
                      return;
                    if (Result == AddressCheck::Accepted)
-                     Self->completeAnswer();
+                     Self->completeAnswer(*Waiting);
                    else
-                     Self->handleCallFailure(CallFailure::Broken,
+                     Self->handleCallFailure(*Waiting, CallFailure::Broken,
                                              ConnectionEnd::Closed);
                  });
 }
 
 /** Ends the request with a complete response. */
-void Exchange::completeAnswer() {
+void Exchange::completeAnswer(Attempt &One) {
   const auto Self = shared_from_this();
-  if (Mode == AnswerMode::Events) {
-    reportCompletion();
-    concludeAttempt(AttemptEnd::Answered);
-    if (!HeadSent)
-      beginStream();
-    logEnd("answered", Head.result_int(), "stream");
-    Shared.Counters.add(ForwardCount::Answered);
-    const auto To = Session;
-    finish();
-    To->endBody();
+  const auto Kept = One.shared_from_this();
+  reportCompletion(One); // An error of a back end that runs on is no crash.
+  if (One.Mode != AnswerMode::Events) {
+    handleWholeAnswer(One);
     return;
   }
-  sendWholeAnswer();
+  keepOnly(One);
+  concludeAttempt(One, AttemptEnd::Answered);
+  if (!HeadSent)
+    beginStream(One);
+  logEnd("answered", Head.result_int(), "stream");
+  Shared.Counters.add(ForwardCount::Answered);
+  const auto To = Session;
+  finish();
+  To->endBody();
 }
 
-/** Sends a complete response to the caller, or retries after a server error. */
-void Exchange::sendWholeAnswer() {
-  reportCompletion(); // An error of a back end that runs on is no crash.
-  const bool Failed = Head.result_int() >= 500;
-  concludeAttempt(Failed ? AttemptEnd::Error : AttemptEnd::Answered);
+/** Sends a complete response to the caller. An error is often specific to one
+ * back end: a repeatable request is tried at another one first. */
+void Exchange::handleWholeAnswer(Attempt &One) {
   const TimePoint Now = Shared.Clock.now();
-  MayHaveRun = MayHaveRun || Failed;
-  // An error is often specific to one back end, so a repeatable request is
-  // tried at another. If there is none, the caller gets the error unchanged.
-  if (Failed && isRepeatable() && hasAttemptsLeft() &&
+  const bool Failed = One.Head.result_int() >= 500;
+  WholeAnswer Answer{One.Head, std::move(One.Body)};
+  One.FirstPartAt = Now;
+  if (!Failed) {
+    keepOnly(One);
+    concludeAttempt(One, AttemptEnd::Answered);
+    sendWholeAnswer(std::move(Answer), "whole");
+    return;
+  }
+  concludeAttempt(One, AttemptEnd::Error);
+  MayHaveRun = true;
+  const bool MayRetry =
+      isRepeatable() && hasAttemptsLeft() &&
       RequestDeadline - Now > Millis(RequestRoute->Target.count() / 4) &&
-      canUseOtherServer(Now)) {
-    Needs.Tried.insert(ServerId);
-    tryNextServer();
+      canUseOtherServer(true, Now);
+  if (Sent.empty() && !Next && !MayRetry) {
+    sendWholeAnswer(std::move(Answer), "back_end_error");
     return;
   }
-  FirstByteTime = Now;
+  if (Sent.empty())
+    tryNextServer();
+}
+
+/** Sends a complete response to the caller and ends the request. */
+void Exchange::sendWholeAnswer(WholeAnswer Answer, const char *How) {
+  dropAllAttempts();
+  FirstByteTime = Shared.Clock.now();
   CallerAnswer Out;
-  Out.result(Head.result());
-  copyAnswerHeaders(Head, Out);
-  Out.body() = std::move(Body);
-  logEnd("answered", Head.result_int(), Failed ? "back_end_error" : "whole");
+  Out.result(Answer.Head.result());
+  copyAnswerHeaders(Answer.Head, Out);
+  Out.body() = std::move(Answer.Body);
+  logEnd("answered", Answer.Head.result_int(), How);
   Shared.Counters.add(ForwardCount::Answered);
   const auto To = Session;
   finish();
   To->answer(std::move(Out));
 }
 
-/** Says whether another back end could take the request, so that the current
- * response isn't dropped for nothing. Only checks the retry budget; the next
- * attempt draws on it. */
-bool Exchange::canUseOtherServer(TimePoint Now) {
-  ServerNeeds Other = Needs;
-  Other.Tried.insert(ServerId);
-  return chooseServer(Shared.Pool, Other, Now).Server != nullptr &&
-         hasRepeatsLeft(Shared.Repeats, Needs.Service, Shared.Pool.Entries,
-                        Now);
-}
-
-/** Cancels the call, since its response is unusable or has stalled. */
-void Exchange::abandonAnswer(AbandonReason Why) {
-  Abandoned = Why;
-  if (isServerHostUnresponsive(Shared.Clock.now()))
-    Shared.Counters.add(ForwardCount::HostUnresponsive);
-  if (Call)
-    Call->cancel();
-  handleCallFailure(CallFailure::Broken, ConnectionEnd::Open);
+/** Cancels the call of an attempt whose response is unusable. */
+void Exchange::abandonAnswer(Attempt &One, AbandonReason Why) {
+  One.Abandoned = Why;
+  if (One.Call)
+    One.Call->cancel();
+  handleCallFailure(One, CallFailure::Broken, ConnectionEnd::Open);
 }
 
-/** Retries a failed attempt if that is allowed, else ends the request. */
-void Exchange::handleCallFailure(CallFailure Why, ConnectionEnd End) {
+/** Handles the failure of an attempt: tries another back end if that is
+ * allowed and no other attempt is open, else ends the request. */
+void Exchange::handleCallFailure(Attempt &One, CallFailure Why,
+                                 ConnectionEnd End) {
   const auto Self = shared_from_this();
-  LastEnd = End;
+  const auto Kept = One.shared_from_this();
+  One.LastEnd = End;
   // A crash on a kept connection looks like a connection that was closed
   // before the request came.
   if (End == ConnectionEnd::Reset || End == ConnectionEnd::Closed)
-    reportBrokenAnswer();
+    reportBrokenAnswer(One);
   if (Why == CallFailure::Unreached) {
     Shared.Counters.add(ForwardCount::Unreached);
-    concludeAttempt(AttemptEnd::Unreached);
+    concludeAttempt(One, AttemptEnd::Unreached);
     --AttemptsSent; // Nothing was sent.
-    Needs.Tried.insert(ServerId);
+    Needs.Tried.insert(One.ServerId);
     if (End == ConnectionEnd::Refused) // It may have crashed just now.
       retryFailedAttempt();
     else
@@ -353,27 +375,31 @@
   }
   if (Why == CallFailure::Withheld) {
     Shared.Counters.add(ForwardCount::Withheld);
-    concludeAttempt(AttemptEnd::NotSent);
+    concludeAttempt(One, AttemptEnd::NotSent);
     --AttemptsSent;
     tryNextServer();
     return;
   }
+  MayHaveRun = true;
   if (Why == CallFailure::Stale && isRepeatable()) {
     // Most likely the idle connection had been closed, which is no failure of
     // the back end. But it may have crashed on the request.
-    concludeAttempt(AttemptEnd::Dropped);
+    concludeAttempt(One, AttemptEnd::Dropped);
     --AttemptsSent;
-    MayHaveRun = true;
+    Needs.Tried.erase(One.ServerId);
     ForceNewConnection = true;
-    retryFailedAttempt();
+  } else {
+    Shared.Counters.add(ForwardCount::Broken);
+    concludeAttempt(One, AttemptEnd::Broken);
+  }
+  if (!Sent.empty() || Next) {
+    Search.SpareOnly = Search.SpareOnly && !Sent.empty();
+    armTimer();
     return;
   }
-  Shared.Counters.add(ForwardCount::Broken);
-  concludeAttempt(AttemptEnd::Broken);
-  MayHaveRun = true;
-  Needs.Tried.insert(ServerId);
-  const bool CanResume = !HeadSent || Events.LastId;
+  const bool CanResume = !HeadSent || LastEventId;
   if (isRepeatable() && CanResume) {
+    restartSearch(Search, Needs, false);
     retryFailedAttempt();
     return;
   }
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -32,9 +32,16 @@
                           "reset", "closed",  "malformed"};
 
 /** Log value of each AbandonReason, in enum order. */
-constexpr std::array<const char *, 8> AbandonReasonWords = {
-    "-",        "silent",        "host_unresponsive", "start_too_late",
-    "unusable", "other_weights", "broken_events",     "too_large"};
+constexpr std::array<const char *, static_cast<size_t>(AbandonReason::Count)>
+    AbandonReasonWords = {"-",
+                          "silent",
+                          "host_unresponsive",
+                          "overtaken",
+                          "start_too_late",
+                          "unusable",
+                          "other_weights",
+                          "broken_events",
+                          "too_large"};
 
 /** Milliseconds since a time; the maximum if the time was never set. */
 std::string millisSince(TimePoint Then, TimePoint Now) {
@@ -47,8 +54,8 @@
 constexpr size_t MaxPartsLogged = 10;
 
 /** Id of the last event sent to the caller; "-" if there is none. */
-std::string lastEventText(const EventStream &Events) {
-  return Events.LastId ? std::to_string(*Events.LastId) : "-";
+std::string lastEventText(const std::optional<uint64_t> &LastId) {
+  return LastId ? std::to_string(*LastId) : "-";
 }
 
 } // namespace
@@ -90,6 +97,8 @@
               std::to_string(toMillis(RequestDeadline - Now).count()) +
               " caller_age_ms=" + std::to_string(toMillis(CallerAge).count()) +
               " candidates=" + std::to_string(Choice.Candidates) +
+              " answers_open=" + std::to_string(Sent.size()) +
+              " search=" + (Search.SpareOnly ? "spare" : "any") +
               " paused=" + std::to_string(Choice.Paused) +
               " weights=" + logValue(Server.Weights.Value) + " wanted=" +
               (Wanted == nullptr ? "-" : logValue(Wanted->Set.Value)) +
@@ -104,24 +113,26 @@
 }
 
 /** Logs a notice that could not be read, once for each run of a back end. */
-void Exchange::logUnreadableNotice(const std::string &Name,
+void Exchange::logUnreadableNotice(const Attempt &One, const std::string &Name,
                                    std::string_view Value) {
-  if (recordUnreadableNotice(Shared.Pool, ServerId, Shared.Clock.now()))
+  if (recordUnreadableNotice(Shared.Pool, One.ServerId, Shared.Clock.now()))
     logLine(LogPart::Requests, LogLevel::Warn,
             "event=server_notice_unreadable id=" + logValue(Id) +
-                " server=" + ServerId.Value + " field=" + Name +
+                " server=" + One.ServerId.Value + " field=" + Name +
                 " value=" + logValue(Value));
 }
 
 /** Logs a response whose headers ask for a pause or announce a shutdown. */
-void Exchange::logServerNotice(const ResponseHead &Received) const {
+void Exchange::logServerNotice(const Attempt &One,
+                               const ResponseHead &Received) const {
   const HeaderNames &Names = Shared.Wire.headerNames();
   const std::string *Leaving = usedHeaderName(Received, Names.Leaving);
   if (Received.count(Names.RetryAfter) == 0 && Leaving == nullptr)
     return;
   logLine(
       LogPart::Requests, LogLevel::Info,
-      "event=server_notice id=" + logValue(Id) + " server=" + ServerId.Value +
+      "event=server_notice id=" + logValue(Id) +
+          " server=" + One.ServerId.Value +
           " status=" + std::to_string(Received.result_int()) + " retry_after=" +
           logValue(fieldValue(Received, Names.RetryAfter)) + " leaving=" +
           (Leaving == nullptr
@@ -130,14 +141,15 @@
 }
 
 /** Logs and counts a change of a back end's rate limit. */
-void Exchange::logRateChange(RateChange Change, std::string_view Header) const {
+void Exchange::logRateChange(const Attempt &One, RateChange Change,
+                             std::string_view Header) const {
   if (Change == RateChange::None)
     return;
   Shared.Counters.add(ForwardCount::RateChanges);
-  const auto it = Shared.Pool.Servers.find(ServerId);
+  const auto it = Shared.Pool.Servers.find(One.ServerId);
   logLine(LogPart::Requests, LogLevel::Info,
-          "event=rate_limit id=" + logValue(Id) + " server=" + ServerId.Value +
-              " per_second=" +
+          "event=rate_limit id=" + logValue(Id) +
+              " server=" + One.ServerId.Value + " per_second=" +
               (it == Shared.Pool.Servers.end()
                    ? "-"
                    : formatRateLimit(it->second.Rate)) +
@@ -146,29 +158,31 @@
 
 /** Logs an attempt that got no usable response, and what could take its
  * place. */
-void Exchange::logAttemptEnd(AttemptEnd How, Duration Took) const {
+void Exchange::logAttemptEnd(const Attempt &One, AttemptEnd How) const {
   const TimePoint Now = Shared.Clock.now();
   ServerNeeds Other = Needs;
-  Other.Tried.insert(ServerId);
-  const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
+  Other.Tried.insert(One.ServerId);
+  const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, One.ServerId);
   logLine(
       LogPart::Requests, LogLevel::Info,
       "event=attempt_end id=" + logValue(Id) +
-          " n=" + std::to_string(AttemptsSent) + " server=" + ServerId.Value +
+          " n=" + std::to_string(One.Number) + " server=" + One.ServerId.Value +
           " outcome=" +
           std::string(AttemptEndWords.at(static_cast<size_t>(How))) +
-          " status=" + std::to_string(AnswerStatus) + " connection=" +
-          std::string(ConnectionEndWords.at(static_cast<size_t>(LastEnd))) +
+          " status=" + std::to_string(One.AnswerStatus) + " connection=" +
+          std::string(ConnectionEndWords.at(static_cast<size_t>(One.LastEnd))) +
           " content=" + shortDigest(fingerprint()) + " parts=" + partsText() +
-          " begun_ms=" + (BodyBeganAt ? millisSince(*BodyBeganAt, Now) : "-") +
-          " ms=" + std::to_string(toMillis(Took).count()) + " heard_ms=" +
-          millisSince(lastActivityTime(Shared.Pool, ServerId), Now) +
+          " begun_ms=" +
+          (One.BodyBeganAt ? millisSince(*One.BodyBeganAt, Now) : "-") +
+          " ms=" + std::to_string(toMillis(Now - One.CallStartTime).count()) +
+          " heard_ms=" +
+          millisSince(lastActivityTime(Shared.Pool, One.ServerId), Now) +
           " unanswered_ms=" +
           (UnresponsiveFrom ? millisSince(*UnresponsiveFrom, Now)
                             : std::string("-")) +
-          " events_until=" + lastEventText(Events) +
-          " why=" + AbandonReasonWords.at(static_cast<size_t>(Abandoned)) +
-          " silent_ms=" + millisSince(LastProgress, Now) + " left_ms=" +
+          " events_until=" + lastEventText(LastEventId) +
+          " why=" + AbandonReasonWords.at(static_cast<size_t>(One.Abandoned)) +
+          " silent_ms=" + millisSince(One.LastProgress, Now) + " left_ms=" +
           std::to_string(toMillis(nextPartDeadline() - Now).count()) +
           " others=" +
           std::to_string(chooseServer(Shared.Pool, Other, Now).Candidates) +
@@ -200,7 +214,7 @@
           (FirstByteTime
                ? std::to_string(toMillis(*FirstByteTime - ArrivalTime).count())
                : "-") +
-          " events_until=" + lastEventText(Events) +
+          " events_until=" + lastEventText(LastEventId) +
           " version=" + (Doc ? std::to_string(Doc->Version.Value) : "0") +
           " age_ms=" + Since(Shared.DocSince));
   if (RequestRoute != nullptr && FirstByteTime) {
--- a/packages/entry/src/forward/exchange_place.cpp
+++ b/packages/entry/src/forward/exchange_place.cpp
@@ -8,6 +8,7 @@
 #include "forwarding/liveness_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jacinthpond {
 
@@ -34,7 +35,7 @@
 }
 
 /** Asks the agent of a back end for a slot there. */
-void Exchange::requestSlot(const ServerView &Server) {
+void Exchange::requestSlot(Attempt &One, const ServerView &Server) {
   const TimePoint Now = Shared.Clock.now();
   SlotRequest Ask;
   Ask.SlotId.Value =
@@ -48,7 +49,8 @@
     Ask.FirstPartMillis = static_cast<uint64_t>(Wait.count());
   if (!HeadSent && Wait.count() == 0) { // The target is missed in any case.
     Ask.SpareOnly = true;
-    Wait = lateRequestWait(nextPartDeadline() - Now);
+    Wait = Search.SpareOnly ? Millis{0}
+                            : lateRequestWait(nextPartDeadline() - Now);
     reconsiderBusyServers(Search, Needs); // It need not start at once.
   }
   Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
@@ -58,21 +60,21 @@
   Ask.MaxPrefillBacklogMillis =
       static_cast<uint32_t>(MaxBacklogToRequest.count());
   recordSlotRequest(Search);
-  SlotAnswerDeadline =
+  One.SlotAnswerDeadline =
       Now + std::clamp(RequestRoute->Target / AgentAnswerFraction,
                        MinAgentAnswerTime, MaxAgentAnswerTime);
   if (MaxBacklogToRequest.count() == 0)
-    SlotAnswerDeadline += Wait; // It may wait in the agent's queue.
-  CurrentSlot = Ask.SlotId;
-  SlotAgentLink = Server.Agent->Link;
-  AwaitingSlot = true;
-  Shared.SlotWaiters[CurrentSlot] = weak_from_this();
+    One.SlotAnswerDeadline += Wait; // It may wait in the agent's queue.
+  One.Slot = Ask.SlotId;
+  One.SlotAgentLink = Server.Agent->Link;
+  One.AwaitingSlot = true;
+  Shared.SlotWaiters[One.Slot] = weak_from_this();
   if (const auto Notice = rateNoticeForAgent(Server, Now))
-    Shared.SendToAgent(SlotAgentLink, *Notice);
-  Shared.SendToAgent(SlotAgentLink, Ask);
-  const bool First = recordHostProbe(Shared.Pool, ServerId, Now);
+    Shared.SendToAgent(One.SlotAgentLink, *Notice);
+  Shared.SendToAgent(One.SlotAgentLink, Ask);
+  const bool First = recordHostProbe(Shared.Pool, One.ServerId, Now);
   if (First && (Ask.SpareOnly || MaxBacklogToRequest.count() == 0))
-    Shared.SendToAgent(SlotAgentLink, Ping{}); // The slot may take a while.
+    Shared.SendToAgent(One.SlotAgentLink, Ping{}); // The slot may take a while.
   armTimer();
 }
 
@@ -81,22 +83,23 @@
 void Exchange::handleSlotAnswer(const SlotAnswer &Answer) {
   const auto Self = shared_from_this();
   const TimePoint Now = Shared.Clock.now();
-  if (!Session || !AwaitingSlot || Answer.SlotId != CurrentSlot)
+  if (!Session || !Next || !Next->AwaitingSlot || Answer.SlotId != Next->Slot)
     return;
-  AwaitingSlot = false;
-  recordServerLoad(Shared.Pool, ServerId, Answer.Load.Busy, Now);
-  recordPrefillBacklog(Shared.Pool, ServerId,
+  Attempt &One = *Next;
+  One.AwaitingSlot = false;
+  recordServerLoad(Shared.Pool, One.ServerId, Answer.Load.Busy, Now);
+  recordPrefillBacklog(Shared.Pool, One.ServerId,
                        Millis(Answer.PrefillBacklogMillis));
-  if (Answer.Granted && mayStillUse(Shared.Pool, ServerId, Needs, Now)) {
-    sendTo(Shared.Pool.Servers.at(ServerId));
+  if (Answer.Granted && mayStillUse(Shared.Pool, One.ServerId, Needs, Now)) {
+    sendTo(One, Shared.Pool.Servers.at(One.ServerId));
     return;
   }
   if (!Answer.Granted) {
-    CurrentSlot = {}; // The agent keeps no record of a refused slot.
+    One.Slot = {}; // The agent keeps no record of a refused slot.
     const Millis Room(static_cast<int64_t>(Answer.RetryAfterMillis));
     if (Answer.Why == ErrorKind::RateLimited) {
       Shared.Counters.add(ForwardCount::RateRefused);
-      recordRateRefusal(Shared.Pool, ServerId, Room, Now);
+      recordRateRefusal(Shared.Pool, One.ServerId, Room, Now);
     } else if (Room.count() > 0) {
       ShortestRetryAfter = ShortestRetryAfter.count() == 0
                                ? Room
@@ -108,34 +111,35 @@
 
 /** Tries another back end, since the agent did not answer in time. */
 void Exchange::handleSlotTimeout() {
-  markAgentSilent(Shared.Pool, ServerId, Shared.Clock.now());
+  markAgentSilent(Shared.Pool, Next->ServerId, Shared.Clock.now());
   tryOtherServer(false);
 }
 
 /** Gives up the slot at this back end and tries another back end. */
 void Exchange::tryOtherServer(bool OnlyBusy) {
-  releaseSlot(AttemptEnd::Dropped);
-  recordAttemptEnd(Shared.Pool, ServerId, AttemptEnd::NotSent, {},
+  const auto Refused = std::exchange(Next, nullptr);
+  releaseSlot(*Refused, AttemptEnd::Dropped);
+  recordAttemptEnd(Shared.Pool, Refused->ServerId, AttemptEnd::NotSent, {},
                    Shared.Clock.now());
-  recordSlotRefusal(Search, Needs, ServerId, OnlyBusy);
+  recordSlotRefusal(Search, Needs, Refused->ServerId, OnlyBusy);
   tryNextServer();
 }
 
-/** Releases the slot, or withdraws the request for it. */
-void Exchange::releaseSlot(AttemptEnd How) {
-  AwaitingSlot = false;
-  if (CurrentSlot.Value.empty())
+/** Releases the slot of an attempt, or withdraws the request for it. */
+void Exchange::releaseSlot(Attempt &One, AttemptEnd How) {
+  One.AwaitingSlot = false;
+  if (One.Slot.Value.empty())
     return;
-  Shared.SlotWaiters.erase(CurrentSlot);
+  Shared.SlotWaiters.erase(One.Slot);
   SlotRelease Done;
-  Done.SlotId = CurrentSlot;
+  Done.SlotId = One.Slot;
   Done.IsComplete = How == AttemptEnd::Answered;
-  Done.Sent = Call != nullptr && Call->hasSent();
-  if (FirstByteTime && *FirstByteTime >= CallStartTime)
-    Done.FirstPartMillis =
-        static_cast<uint64_t>(toMillis(*FirstByteTime - CallStartTime).count());
-  Shared.SendToAgent(SlotAgentLink, Done);
-  CurrentSlot = {};
+  Done.Sent = One.Call != nullptr && One.Call->hasSent();
+  if (One.FirstPartAt)
+    Done.FirstPartMillis = static_cast<uint64_t>(
+        toMillis(*One.FirstPartAt - One.CallStartTime).count());
+  Shared.SendToAgent(One.SlotAgentLink, Done);
+  One.Slot = {};
 }
 
 } // namespace jacinthpond
--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -7,6 +7,7 @@
 
 #include "forwarding/caller_wait_func.h"
 #include "forwarding/liveness_func.h"
+#include "forwarding/place_search_func.h"
 
 #include <algorithm>
 
@@ -37,21 +38,28 @@
 /** Sets the timer to the next time at which anything may be due. */
 void Exchange::armTimer() {
   const TimePoint Now = Shared.Clock.now();
-  TimePoint Next = nextPartDeadline();
+  TimePoint Due = nextPartDeadline();
   if (WaitingForReadiness)
-    Next = std::min(Next, Shared.Fleet.ReadyBy);
+    Due = std::min(Due, Shared.Fleet.ReadyBy);
   if (RetryAt)
-    Next = std::min(Next, *RetryAt);
-  if (AwaitingSlot)
-    Next = std::min(Next, SlotAnswerDeadline);
-  if (Call && isRepeatable())
-    Next = std::min(Next, nextCheckTime(Now));
-  const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
-  if ((AwaitingSlot || Call) && UnresponsiveFrom && *UnresponsiveFrom > Now)
-    Next = std::min(Next, *UnresponsiveFrom);
-  if (const auto StartDeadline = attemptStartDeadline())
-    Next = std::min(Next, std::max(*StartDeadline, Now));
-  TimerDue = std::min(Next, std::max(nextPartDeadline(), Now));
+    Due = std::min(Due, *RetryAt);
+  const auto ConsiderHost = [&](const Attempt &One) {
+    const auto From = unresponsiveFrom(Shared.Pool, One.ServerId);
+    if (From && *From > Now)
+      Due = std::min(Due, *From);
+  };
+  if (Next && Next->AwaitingSlot) {
+    Due = std::min(Due, Next->SlotAnswerDeadline);
+    ConsiderHost(*Next);
+  }
+  if (!Sent.empty() && isRepeatable())
+    Due = std::min(Due, nextCheckTime(Now));
+  for (const auto &One : Sent) {
+    ConsiderHost(*One);
+    if (const auto StartDeadline = attemptStartDeadline(*One))
+      Due = std::min(Due, std::max(*StartDeadline, Now));
+  }
+  TimerDue = std::min(Due, std::max(nextPartDeadline(), Now));
   Timer.expires_after(TimerDue - Now);
   Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &ec) {
@@ -60,15 +68,20 @@
       });
 }
 
-/** Time of the next check whether the response still makes progress. */
+/** Time of the next check whether any open answer still makes progress. */
 TimePoint Exchange::nextCheckTime(TimePoint Now) const {
   const Duration Silent = silenceLimit(false);
+  const auto Freshest = *std::ranges::max_element(
+      Sent, {}, [](const auto &One) { return One->LastProgress; });
   // Further checks follow at a quarter of that time, up to the slow limit.
-  TimePoint Next = std::max(LastProgress + Silent, Now + Silent / 4);
-  if (!CurrentSlot.Value.empty()) // Its agent can be pinged.
-    Next = std::min(Next, std::max(LastProgress + silenceBeforePing(),
-                                   Now + SlotCheckPeriod));
-  return std::max(Next, Now + MinCheckDelay);
+  TimePoint Check = std::max(Freshest->LastProgress + Silent, Now + Silent / 4);
+  if (Search.NextAt > Now) // A search failed and is due again then.
+    Check = std::min(Check, Search.NextAt);
+  for (const auto &One : Sent)
+    if (!One->Slot.Value.empty()) // Its agent can be pinged.
+      Check = std::min(Check, std::max(One->LastProgress + silenceBeforePing(),
+                                       Now + SlotCheckPeriod));
+  return std::max(Check, Now + MinCheckDelay);
 }
 
 /** Silence after which the host of the back end is pinged. */
@@ -81,24 +94,27 @@
 }
 
 /** Pings the host of a back end that has been silent for a while. */
-void Exchange::pingSilentHost(TimePoint Now) {
-  const bool Quiet = Now - LastProgress >= silenceBeforePing();
-  if (Quiet && !CurrentSlot.Value.empty() &&
-      recordHostProbe(Shared.Pool, ServerId, Now))
-    Shared.SendToAgent(SlotAgentLink, Ping{});
+void Exchange::pingSilentHost(const Attempt &One, TimePoint Now) {
+  const bool Quiet = Now - One.LastProgress >= silenceBeforePing();
+  if (Quiet && !One.Slot.Value.empty() &&
+      recordHostProbe(Shared.Pool, One.ServerId, Now))
+    Shared.SendToAgent(One.SlotAgentLink, Ping{});
 }
 
-/** Discards a pending ping after this process was stalled: the host's reply may
- * have arrived without being read. */
-void Exchange::discardProbeAfterStall(TimePoint Now) {
-  if (Now - TimerDue > ProcessStallThreshold)
-    discardProbe(Shared.Pool, ServerId);
+/** Discards pending pings after this process was stalled: the replies of the
+ * hosts may have arrived without being read. */
+void Exchange::discardProbesAfterStall(TimePoint Now) {
+  if (Now - TimerDue <= ProcessStallThreshold)
+    return;
+  if (Next)
+    discardProbe(Shared.Pool, Next->ServerId);
+  for (const auto &One : Sent)
+    discardProbe(Shared.Pool, One->ServerId);
 }
 
-/** Says whether the host of the current back end left a ping unanswered for too
- * long. */
-bool Exchange::isServerHostUnresponsive(TimePoint Now) const {
-  const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, ServerId);
+/** Says whether the host of a back end left a ping unanswered for too long. */
+bool Exchange::isHostUnresponsive(const Attempt &One, TimePoint Now) const {
+  const auto UnresponsiveFrom = unresponsiveFrom(Shared.Pool, One.ServerId);
   return UnresponsiveFrom && Now >= *UnresponsiveFrom;
 }
 
@@ -106,7 +122,7 @@
  * back end. */
 void Exchange::handleTimer() {
   const TimePoint Now = Shared.Clock.now();
-  discardProbeAfterStall(Now);
+  discardProbesAfterStall(Now);
   if (WaitingForReadiness) { // Not ready in time: the request is refused.
     handleEntryReady();
     return;
@@ -120,24 +136,27 @@
     tryNextServer();
     return;
   }
-  const auto StartDeadline = attemptStartDeadline();
-  const bool TooLate = StartDeadline && Now >= *StartDeadline;
-  if (AwaitingSlot &&
-      (Now >= SlotAnswerDeadline || isServerHostUnresponsive(Now)))
+  const auto Self = shared_from_this();
+  if (Next && Next->AwaitingSlot &&
+      (Now >= Next->SlotAnswerDeadline || isHostUnresponsive(*Next, Now)))
     handleSlotTimeout();
-  else if (TooLate)
-    abandonAnswer(AbandonReason::StartTooLate);
-  else if (Call && isRepeatable() && isSilentTooLong(Now) &&
-           canUseOtherServer(Now))
-    abandonAnswer(isServerHostUnresponsive(Now)
-                      ? AbandonReason::HostUnresponsive
-                      : AbandonReason::Silent);
-  else if (Call && isRepeatable())
-    pingSilentHost(Now);
+  abandonLateStarts(Now);
+  if (isRepeatable())
+    checkSilence(Now);
   if (Session)
     armTimer();
 }
 
+/** Cancels the calls that may not begin any more on the weights there. */
+void Exchange::abandonLateStarts(TimePoint Now) {
+  const auto All = Sent;
+  for (const auto &One : All) {
+    const auto StartDeadline = attemptStartDeadline(*One);
+    if (Session && StartDeadline && Now >= *StartDeadline)
+      abandonAnswer(*One, AbandonReason::StartTooLate);
+  }
+}
+
 /** Time by which the caller must be sent the next part of the response. */
 TimePoint Exchange::nextPartDeadline() const {
   return RequestRoute == nullptr
@@ -152,11 +171,12 @@
  * connection by then tells it that nobody waits. Only for streams: other
  * responses don't show that the request started until they are complete.
  */
-std::optional<TimePoint> Exchange::attemptStartDeadline() const {
-  if (!Call || Mode != AnswerMode::Waiting ||
+std::optional<TimePoint>
+Exchange::attemptStartDeadline(const Attempt &One) const {
+  if (!One.Call || One.Mode != AnswerMode::Waiting ||
       RequestRoute->Kind != RouteKind::Stream)
     return std::nullopt;
-  return latestStartTime(Shared.Pool, ServerId, WeightsWhenSent);
+  return latestStartTime(Shared.Pool, One.ServerId, One.WeightsWhenSent);
 }
 
 /**
@@ -172,22 +192,22 @@
                : RequestRoute->Target * Targets);
 }
 
-/** Says whether the back end has been silent for so long that the request
- * should be tried at another one. */
-bool Exchange::isSilentTooLong(TimePoint Now) const {
-  if (!hasAttemptsLeft())
-    return false;
-  const Duration Quiet = Now - LastProgress;
-  if (isServerHostUnresponsive(Now) && Quiet >= silenceBeforePing())
+/** Says whether an open answer has been silent for so long that another back
+ * end should be looked for. */
+bool Exchange::isSilent(const Attempt &One, TimePoint Now) const {
+  const Duration Quiet = Now - One.LastProgress;
+  if (isHostUnresponsive(One, Now) && Quiet >= silenceBeforePing())
     return true;
   const Duration ServerQuiet =
-      Now - std::max(LastProgress, lastActivityTime(Shared.Pool, ServerId));
+      Now -
+      std::max(One.LastProgress, lastActivityTime(Shared.Pool, One.ServerId));
   return silenceLimit(false).count() > 0 &&
          (ServerQuiet >= silenceLimit(false) || Quiet >= silenceLimit(true));
 }
 
 /** Ends the request because its time is up. */
 void Exchange::handleDeadline() {
+  const auto Self = shared_from_this();
   if (MayHaveRun || AttemptsSent > 0)
     endWithError({ErrorKind::Deadline, "time is up", {}}, Ran::Unknown,
                  "time_up");
--- a/packages/entry/src/forward/exchange_suspect.cpp
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -79,7 +79,7 @@
   if (Found.How != Suspicion::Trial)
     return Found.How == Suspicion::Refuse;
   OnTrial = OnTrial || (AttemptsSent == 0 && beginTrial(Shared, Found.Suspect));
-  return !OnTrial || AttemptsSent > (Call ? 1U : 0U);
+  return !OnTrial || AttemptsSent > (Next && Next->Call ? 1U : 0U);
 }
 
 /** Says whether a part of the prompt is suspected, so that the request may cost
@@ -118,33 +118,37 @@
 
 void Exchange::handleQuarantineChange() {
   const auto Self = shared_from_this();
-  if (Session && AwaitingSlot && checkQuarantine())
-    endQuarantined();
+  if (Session && Next && Next->AwaitingSlot && checkQuarantine()) {
+    const auto Refused = Next;
+    concludeAttempt(*Refused, AttemptEnd::NotSent);
+    tryNextServer();
+  }
 }
 
 /** Reports that the back end broke off the current attempt. One that is
  * shutting down ends without a crash. */
-void Exchange::reportBrokenAnswer() {
-  const ServerView *Server = findServer(Shared.Pool, ServerId);
+void Exchange::reportBrokenAnswer(const Attempt &One) {
+  const ServerView *Server = findServer(Shared.Pool, One.ServerId);
   const bool Ending = Server != nullptr && isShuttingDown(*Server);
-  const bool Begun =
-      BodyBeganAt && Shared.Clock.now() - *BodyBeganAt >= AnswerBegunAfter;
-  if (!ServerRun.empty() && !Ending)
-    handleBrokenAnswer(Shared, ServerRun, ServerAt, digests(), Begun);
+  const bool Begun = One.BodyBeganAt &&
+                     Shared.Clock.now() - *One.BodyBeganAt >= AnswerBegunAfter;
+  if (!One.ServerRun.empty() && !Ending)
+    handleBrokenAnswer(Shared, One.ServerRun, One.ServerAt, digests(), Begun);
 }
 
 /** Reports that an answer was begun and that its back end lives on. */
-void Exchange::reportBegun() {
-  const bool Success = AnswerStatus >= 200 && AnswerStatus < 300;
-  if (BegunReported || !Success)
+void Exchange::reportBegun(Attempt &One) {
+  const bool Success = One.AnswerStatus >= 200 && One.AnswerStatus < 300;
+  if (One.BegunReported || !Success)
     return;
-  BegunReported = true;
-  handleBegunParts(Shared, partDigests(), BodyBeganAt.value_or(CallStartTime));
+  One.BegunReported = true;
+  handleBegunParts(Shared, partDigests(),
+                   One.BodyBeganAt.value_or(One.CallStartTime));
 }
 
 /** Reports that a back end answered the request to its end. */
-void Exchange::reportCompletion() {
-  reportBegun();
+void Exchange::reportCompletion(Attempt &One) {
+  reportBegun(One);
   handleCompletedRequest(Shared,
                          [this]() -> const Digest & { return fingerprint(); });
 }
