entry: a silent answer is kept until another attempt has begun to answer

Cause: the call was reset first; then came the retry budget, the choice and the agents' answers, and each of them could say no. Something certain was given up for something that had not been reserved.

Now another attempt is prepared while the first one stays open, and both are open until one of them gives the caller something; the other is reset then. An event from the first one withdraws the search.

--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -110,6 +110,7 @@
   std::optional<TimePoint> attemptStartDeadline(const Attempt &One) const;
   void abandonLateStarts(TimePoint Now);
   bool isSilent(const Attempt &One, TimePoint Now) const;
+  bool isUrgent(TimePoint Now) const;
   void checkSilence(TimePoint Now);
   void readRateLimit(const Attempt &One, const ResponseHead &Received,
                      bool Success);
@@ -138,6 +139,7 @@
                      std::string_view Header) const;
   void logAttempt(const ServerView &Server, const ServerChoice &Choice) const;
   void logAttemptEnd(const Attempt &One, AttemptEnd How) const;
+  void logSearchEnd(const char *Outcome, const char *Why) const;
   void logEnd(const char *Outcome, unsigned Status, const char *Reason);
   void finish();
 
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -195,6 +195,19 @@
           " newest_ms=" + millisSince(Shared.DocSince, Now));
 }
 
+/** Logs a search for a back end that ended without an attempt, and when the
+ * next one may begin. */
+void Exchange::logSearchEnd(const char *Outcome, const char *Why) const {
+  const TimePoint Now = Shared.Clock.now();
+  logLine(
+      LogPart::Requests, LogLevel::Info,
+      "event=search_end id=" + logValue(Id) + " outcome=" + Outcome + " why=" +
+          Why + " answers_open=" + std::to_string(Sent.size()) + " silent_ms=" +
+          (Sent.empty() ? "-" : millisSince(Sent.back()->LastProgress, Now)) +
+          " failures=" + std::to_string(Search.Failures) +
+          " next_ms=" + std::to_string(toMillis(Search.NextAt - Now).count()));
+}
+
 /** Logs the end of the request and records its latencies. */
 void Exchange::logEnd(const char *Outcome, unsigned Status,
                       const char *Reason) {
--- a/packages/entry/src/forward/exchange_takeover.cpp
+++ b/packages/entry/src/forward/exchange_takeover.cpp
@@ -1,26 +1,56 @@
-/** @file exchange_takeover.cpp Which attempts of a request are open, and how
- * they end. */
+/** @file exchange_takeover.cpp When another attempt may take over from a silent
+ * back end.
+ *
+ * A back end may be silent for a moment and go on. Its answer is given up only
+ * for another attempt that has begun to answer; until then whichever goes on
+ * first is passed to the caller.
+ */
 
 #include "forward/exchange.h"
 
 #include "forwarding/no_server_func.h"
+#include "log/log.h"
+
+#include <algorithm>
 
 namespace jacinthpond {
 
-/** Gives up an open answer that is silent for too long, if another back end may
- * be asked. */
+namespace {
+
+/** Attempts of a request that may be open at a time. */
+constexpr size_t MaxOpenAttempts = 2;
+
+} // namespace
+
+/** Looks for another back end once all open ones are silent for too long. */
 void Exchange::checkSilence(TimePoint Now) {
   if (Sent.empty())
     return;
-  const auto One = Sent.front();
-  if (hasAttemptsLeft() && isSilent(*One, Now) && canUseOtherServer(true, Now))
-    abandonAnswer(*One, isHostUnresponsive(*One, Now)
-                            ? AbandonReason::HostUnresponsive
-                            : AbandonReason::Silent);
-  else
+  const bool AllSilent = std::ranges::all_of(
+      Sent, [&](const auto &One) { return isSilent(*One, Now); });
+  const bool Urgent = AllSilent && isUrgent(Now);
+  const bool Due = Now >= Search.NextAt || (Urgent && Search.SpareOnly);
+  if (!Next && AllSilent && Due && hasAttemptsLeft()) {
+    restartSearch(Search, Needs, !Urgent);
+    if (canUseOtherServer(Urgent, Now))
+      tryNextServer();
+    else
+      recordFailedSearch(Search, Now, Shared.Pool.Random);
+  }
+  for (const auto &One : Sent)
     pingSilentHost(*One, Now);
 }
 
+/** Says whether the open back ends are likely to be gone, so that the request
+ * may queue at other ones. */
+bool Exchange::isUrgent(TimePoint Now) const {
+  const Duration Slow = silenceLimit(true);
+  return std::ranges::all_of(Sent, [&](const auto &One) {
+    return isHostUnresponsive(*One, Now) ||
+           (Slow.count() > 0 && Now - One->LastProgress >= Slow);
+  });
+}
+
 /** Says whether another back end could take the request. Only checks the retry
  * budget; the next attempt draws on it. */
 bool Exchange::canUseOtherServer(bool Urgent, TimePoint Now) {
@@ -29,13 +59,20 @@
          HasRepeats(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now);
 }
 
-/** Ends a request for which no back end was found. */
+/** Ends a search that found no back end: goes on waiting for an open answer, or
+ * ends the request. */
 void Exchange::endSearch(NoServerReason Why, const Failure &Told) {
   const auto Self = shared_from_this();
-  if (Why == NoServerReason::Quarantined)
-    endQuarantined();
-  else
-    endWithoutServer(Told, noServerReasonName(Why));
+  if (Sent.empty()) {
+    if (Why == NoServerReason::Quarantined)
+      endQuarantined();
+    else
+      endWithoutServer(Told, noServerReasonName(Why));
+    return;
+  }
+  recordFailedSearch(Search, Shared.Clock.now(), Shared.Pool.Random);
+  logSearchEnd("failed", noServerReasonName(Why));
+  armTimer();
 }
 
 /** Ends the preparation of another attempt, since an open one went on. */
@@ -52,6 +89,7 @@
   }
   concludeAttempt(*Dropped, AttemptEnd::NotSent);
   Next.reset();
+  logSearchEnd("withdrawn", "answer_went_on");
 }
 
 /** Counts a prepared attempt as open, right before the request is sent. */
@@ -59,6 +97,11 @@
   const auto Kept = One.shared_from_this();
   Next.reset();
   Needs.Tried.insert(One.ServerId);
+  if (Sent.size() >= MaxOpenAttempts) {
+    const auto Stalest = *std::ranges::min_element(
+        Sent, {}, [](const auto &Each) { return Each->LastProgress; });
+    dropAttempt(*Stalest, AttemptEnd::Broken, AbandonReason::Silent);
+  }
   Sent.push_back(Kept);
   armTimer();
 }
