entry: a retry is counted when it is sent

Cause: the budget was drawn on for each agent that was asked for a slot.

The retry is now taken right before the first byte is written, where the request may still be withheld; asking for a slot only looks whether one is left.

--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -211,6 +211,9 @@
     return NoServerReason::Quarantined;
   if (!hasAttemptsLeft())
     return NoServerReason::NoAttemptLeft;
+  if (AttemptsSent > 0 &&
+      !hasRepeatsLeft(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now))
+    return NoServerReason::RetryBudget;
   if (!mayRequestMoreSlots(Search))
     return NoServerReason::NoPlace;
   return std::nullopt;
@@ -238,17 +241,6 @@
     handleNoServer(Choice);
     return;
   }
-  if (AttemptsSent > 0 &&
-      !takeRepeat(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now)) {
-    endSearch(NoServerReason::RetryBudget,
-              {ErrorKind::Overloaded, "retry budget used up", {}});
-    return;
-  }
-  if (AttemptsSent > 0) {
-    Shared.Counters.add(ForwardCount::Repeats);
-    if (HeadSent)
-      Shared.Counters.add(ForwardCount::Resumes);
-  }
   logAttempt(*Choice.Server, Choice);
   Next = std::make_shared<Attempt>(*this, Choice.Server->Listed.Id);
   recordAttemptStart(Shared.Pool, Next->ServerId);
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -76,9 +76,9 @@
     Shared.SendToEntries(Notice);
 }
 
-/** Says whether the back end may still get the request. It may have asked for a
- * pause while the connection was being opened, or copies of the request may
- * have crashed other back ends. */
+/** Says whether the back end may still get the request, and takes the retry
+ * that it costs. The back end may have asked for a pause while the connection
+ * was being opened, or copies of the request may have crashed other ones. */
 bool Exchange::maySendRequest(Attempt &One) {
   const TimePoint Now = Shared.Clock.now();
   const Digest Before = Needs.Suspect;
@@ -89,6 +89,9 @@
     return false;
   if (!mayStillUse(Shared.Pool, One.ServerId, Needs, Now))
     return false;
+  if (AttemptsSent > 1 &&
+      !takeRepeat(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now))
+    return false;
   commitAttempt(One);
   return true;
 }
--- a/packages/entry/src/forward/exchange_takeover.cpp
+++ b/packages/entry/src/forward/exchange_takeover.cpp
@@ -103,6 +103,11 @@
     dropAttempt(*Stalest, AttemptEnd::Broken, AbandonReason::Silent);
   }
   Sent.push_back(Kept);
+  if (AttemptsSent > 1) {
+    Shared.Counters.add(ForwardCount::Repeats);
+    if (HeadSent)
+      Shared.Counters.add(ForwardCount::Resumes);
+  }
   armTimer();
 }
 
