entry: a broken stream waits for a slot; an error of a back end is kept

What callers saw: a stream whose server broke it off was ended at the first refusal of a slot, though its caller would have waited for two seconds more; the error of a back end (500) became a 502 of ours where the other back end refused the request.

Cause: the same class as answers given up on silence. The agents were asked once, at one moment; the error was dropped before the other back end had taken the request.

A stream that has begun now asks again until its caller would leave, and so does a request that may have run where slots are all that is missing; without retries left, or without any usable back end, such a request is told at once. An error of a back end is sent where no other attempt succeeds.

--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -163,6 +163,8 @@
   std::shared_ptr<Attempt> Next; ///< Being prepared, not sent; may be null.
   std::vector<std::shared_ptr<Attempt>> Sent; ///< May be answered, oldest
                                               ///< first.
+  std::optional<WholeAnswer> BackEndError; ///< Error of a back end; sent if no
+                                           ///< other attempt succeeds.
   bool OnTrial = false; ///< Sent although it was refused, to find out more.
   std::optional<TimePoint> RetryAt; ///< The next attempt waits until then.
   ResponseHead Head;                ///< Head of the stream that was begun.
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -327,6 +327,7 @@
     sendWholeAnswer(std::move(Answer), "back_end_error");
     return;
   }
+  BackEndError = std::move(Answer);
   if (Sent.empty())
     tryNextServer();
 }
--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -133,6 +133,8 @@
   }
   if (RetryAt && Now >= *RetryAt) {
     RetryAt.reset();
+    if (Search.Failures > 0)
+      restartSearch(Search, Needs, false);
     tryNextServer();
     return;
   }
@@ -208,7 +210,9 @@
 /** Ends the request because its time is up. */
 void Exchange::handleDeadline() {
   const auto Self = shared_from_this();
-  if (MayHaveRun || AttemptsSent > 0)
+  if (BackEndError)
+    sendWholeAnswer(std::move(*BackEndError), "back_end_error");
+  else if (MayHaveRun || AttemptsSent > 0)
     endWithError({ErrorKind::Deadline, "time is up", {}}, Ran::Unknown,
                  "time_up");
   else
--- a/packages/entry/src/forward/exchange_takeover.cpp
+++ b/packages/entry/src/forward/exchange_takeover.cpp
@@ -59,11 +59,17 @@
          HasRepeats(Shared.Repeats, Needs.Service, Shared.Pool.Entries, Now);
 }
 
-/** Ends a search that found no back end: goes on waiting for an open answer, or
- * ends the request. */
+/** Ends a search that found no back end: goes on waiting for an open answer,
+ * searches again later, or ends the request. */
 void Exchange::endSearch(NoServerReason Why, const Failure &Told) {
   const auto Self = shared_from_this();
-  if (Sent.empty()) {
+  if (Sent.empty() && BackEndError) {
+    sendWholeAnswer(std::move(*BackEndError), "back_end_error");
+    return;
+  }
+  const UnplacedAction Action =
+      unplacedAction({!Sent.empty(), HeadSent, MayHaveRun}, Why);
+  if (Action == UnplacedAction::Fail || Action == UnplacedAction::Refuse) {
     if (Why == NoServerReason::Quarantined)
       endQuarantined();
     else
@@ -71,6 +77,8 @@
     return;
   }
   recordFailedSearch(Search, Shared.Clock.now(), Shared.Pool.Random);
+  if (Action == UnplacedAction::Wait)
+    RetryAt = Search.NextAt;
   logSearchEnd("failed", noServerReasonName(Why));
   armTimer();
 }
