--- a/packages/core/src/forwarding/repeat_budget.cpp
+++ b/packages/core/src/forwarding/repeat_budget.cpp
@@ -19,7 +19,7 @@
 
 /** Share of this entry's retries that may replace answers which are only
  * silent. */
-constexpr double SilenceShare = 0.5;
+constexpr double SilenceShare = 0.25;
 
 /** Gives the number of the window step that a time lies in. */
 int64_t stepAt(const RepeatBudget &Budget, TimePoint Now) {
