core: searches for spare slots ask three agents, repeated ones queue at once

In a fleet without a free slot each repeated search asked eight agents within 3 ms and wrote two log lines for each. A back end that was busy 100 ms ago is seldom idle now, so a repeated search goes to the queues of three agents, and one for spare slots asks three.

--- a/packages/core/src/forwarding/place_search.cpp
+++ b/packages/core/src/forwarding/place_search.cpp
@@ -23,6 +23,8 @@
 /** Limit of slot requests: after those that limit the backlog, three more. If
  * all three back ends are full, a fourth seldom has room. */
 constexpr uint32_t MaxSlotRequests = MaxBacklogByRequest.size() + 3;
+/** The same for spare slots: one of three back ends is nearly always idle. */
+constexpr uint32_t MaxSpareRequests = 3;
 /** Delay before a search that failed is repeated, and its doublings. A back end
  * frees a slot about every 100 ms at full load. */
 constexpr Millis FirstSearchDelay{100};
@@ -33,7 +35,9 @@
 void restartSearch(SlotSearch &Search, ServerNeeds &Needs, bool SpareOnly) {
   Needs.Full.clear();
   Search.Busy.clear();
-  Search.SlotRequests = 0;
+  // What was busy a moment ago is seldom idle now: a repeated search queues.
+  Search.SlotRequests =
+      SpareOnly || Search.Failures == 0 ? 0 : MaxBacklogByRequest.size();
   Search.IdleOnly = false;
   Search.SpareOnly = SpareOnly;
 }
@@ -48,7 +52,7 @@
 
 bool mayRequestMoreSlots(const SlotSearch &Search) {
   return Search.SlotRequests <
-         (Search.SpareOnly ? MaxBacklogByRequest.size() : MaxSlotRequests);
+         (Search.SpareOnly ? MaxSpareRequests : MaxSlotRequests);
 }
 
 Millis maxPrefillBacklog(const SlotSearch &Search) {
