entry: a stream in progress is not ended before its deadline

Cause: an entry ends what its caller would soon leave, so that the caller may come back. For an answer in progress at a host that answers pings that gives up something certain.

Such a stream is now left to its caller, who may leave as before; its call is reset then. Streams that have not begun, that have no open answer, or whose host is unresponsive still end in time for a retry.

--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -102,6 +102,7 @@
   uint32_t rank() const;
   Duration silenceLimit(bool Alive) const;
   TimePoint nextPartDeadline() const;
+  bool hasResponsiveHost() const;
   TimePoint nextCheckTime(TimePoint Now) const;
   Duration silenceBeforePing() const;
   void pingSilentHost(const Attempt &One, TimePoint Now);
--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -159,11 +159,22 @@
   }
 }
 
-/** Time by which the caller must be sent the next part of the response. */
+/**
+ * Time by which the caller must be sent the next part of the response. A stream
+ * in progress at a responsive host is left to its caller's patience: the back
+ * end may go on at any moment.
+ */
 TimePoint Exchange::nextPartDeadline() const {
-  return RequestRoute == nullptr
-             ? RequestDeadline
-             : answerDeadline(*RequestRoute, RequestDeadline, LastSentToCaller);
+  if (RequestRoute == nullptr || (HeadSent && hasResponsiveHost()))
+    return RequestDeadline;
+  return answerDeadline(*RequestRoute, RequestDeadline, LastSentToCaller);
+}
+
+/** Says whether the host of an open answer is responsive. */
+bool Exchange::hasResponsiveHost() const {
+  const TimePoint Now = Shared.Clock.now();
+  return std::ranges::any_of(
+      Sent, [&](const auto &One) { return !isHostUnresponsive(*One, Now); });
 }
 
 /**
--- a/tests/integration/silent_server_test.cpp
+++ b/tests/integration/silent_server_test.cpp
@@ -30,6 +30,23 @@
   Busy.checkWhole();
 }
 
+// Guards against streams in progress that are ended shortly before their
+// callers would leave, though their server goes on.
+BOOST_AUTO_TEST_CASE(AStreamInProgressIsNotEndedBeforeItsDeadline) {
+  RoutePlan Plan = BusyFleet::plan(6, 150);
+  Plan.ModelWorkers = 1;
+  RouteFleet All(Plan);
+  BOOST_REQUIRE(All.waitServing(30s));
+  httplib::Response Answer;
+  std::jthread Caller([&] { Answer = All.ask(0, writeAsk()); });
+  std::this_thread::sleep_for(300ms); // The first event has come.
+  All.process("model-0").signal(SIGSTOP);
+  std::this_thread::sleep_for(2600ms);
+  All.process("model-0").signal(SIGCONT);
+  Caller.join();
+  BOOST_TEST(Answer.status == 200);
+}
+
 // Guards against requests that are given up for a back end which then refuses
 // them.
 BOOST_AUTO_TEST_CASE(ARequestIsKeptWhereTheOtherServerRefusesIt) {
