chaos: sound servers fall silent for a moment

Cause: a sound server may fall silent for a second or so and go on, and that excuses nothing. The soak stopped servers only as a disturbance, which excuses their lost answers, so it never saw what entries make of such a moment. Change: kind "silence": a server's process stands still for 700 to 1200 ms, every 0.5 to 2.5 s, without harm being noted; other failures of servers and the reading of runs leave it alone meanwhile (rate limits are set as before, and wait). A thread lets it go on, since the main thread may wait for another server, and a longer silence would be a fault.

--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -132,7 +132,8 @@
 
 void RouteChecks::look() {
   for (const std::string &Worker : Workers)
-    if (History.Harm.calmSince({Worker}, Moment::clock::now()))
+    if (History.Harm.calmSince({Worker}, Moment::clock::now()) &&
+        History.Silence.calmSince({Worker}, Moment::clock::now()))
       lookAt(Worker);
   std::vector<Exchange> Fresh;
   {
--- a/bench/chaos/route_faults.cpp
+++ b/bench/chaos/route_faults.cpp
@@ -58,6 +58,14 @@
 constexpr std::array<const char *, 3> ShedPauses = {"1", "2.5", "4"};
 /** Refusals of a back end that sheds all its load. */
 constexpr int ShedAll = 1000000;
+/** Bounds of how long a sound server stands still, and of the time between. */
+constexpr int MinSilenceMillis = 700;
+constexpr int MaxSilenceMillis = 1200;
+constexpr int MinSilencePause = 500;
+constexpr int MaxSilencePause = 2500;
+/** Of so many seeds, those from the second number on have such servers. */
+constexpr uint64_t SilenceEvery = 10;
+constexpr uint64_t SilenceFrom = 6;
 /** Every so many seeds, a run has all kinds. */
 constexpr uint64_t AllKindsEvery = 4;
 /** Every so many seeds, a run spares no entry. */
@@ -95,7 +103,8 @@
       Agents(numbered("agent-", Plan.ModelWorkers)),
       ServerNames(fleet::serverNames(Plan)), Start(Clock::now()), Next(Start),
       RateRandom(~Seed), NextLimit(Start), NoticeRandom(Seed ^ (Seed << 32U)),
-      NextShed(Start) {
+      NextShed(Start), SilenceRandom(Seed ^ (~Seed << 32U)),
+      NextSilence(Start) {
   append(Links, numbered("link-agent-", Plan.ModelWorkers));
   append(Links, numbered("link-store-", Plan.Entries));
   for (const std::string &Name : ServerNames) {
@@ -144,6 +153,8 @@
       {"unseen", &RouteFaults::changeUnseen}};
   Limiting = Only.empty() || Only.find("rate") != std::string::npos;
   Shedding = Only.empty() || Only.find("shed") != std::string::npos;
+  Silencing = Only.empty() ? Seed % SilenceEvery >= SilenceFrom
+                           : Only.find("silence") != std::string::npos;
   const auto Wanted = [&](uint64_t Rest, const char *Word) {
     return Only.empty() ? Seed % CrashingEvery == Rest
                         : Only.find(Word) != std::string::npos;
@@ -188,6 +199,8 @@
     limitRates();
   if (Shedding && Clock::now() >= NextShed)
     shedLoad();
+  if (Silencing && Clock::now() >= NextSilence)
+    silenceServer();
   if (Crashing != CrashAsk::Nothing)
     loseCrashed();
   if (Clock::now() < Next || Enabled.empty())
@@ -625,6 +638,37 @@
   });
 }
 
+void RouteFaults::silenceServer() {
+  const auto Draw = [&](int Least, int Most) {
+    return std::chrono::milliseconds(
+        Least + static_cast<int>(SilenceRandom() %
+                                 static_cast<uint64_t>(Most - Least + 1)));
+  };
+  NextSilence = Clock::now() + Draw(MinSilencePause, MaxSilencePause);
+  const std::string Name = ServerNames[SilenceRandom() % ServerNames.size()];
+  const auto Length = Draw(MinSilenceMillis, MaxSilenceMillis);
+  if (Failing.isFaulty(Name))
+    return;
+  ++Injected["silence"];
+  note(Name + " is silent for " + std::to_string(Length.count()) + " ms");
+  History.Silence.begin(Name);
+  Paused.insert(Name);
+  fleet::ChildProcess &Process = Fleet.process(Name);
+  Process.signal(SIGSTOP);
+  // The main thread may wait for another server meanwhile; a longer silence
+  // would be a fault.
+  Silences[Name] = std::jthread([&Process, Length] {
+    std::this_thread::sleep_for(Length);
+    Process.signal(SIGCONT);
+  });
+  Failing.later(Name, Length, [this, Name] {
+    Silences.erase(Name);
+    note(Name + " goes on");
+    Paused.erase(Name);
+    History.Silence.end(Name);
+  });
+}
+
 void RouteFaults::lookForExits() {
   std::vector<std::string> All = Agents;
   append(All, Entries);
--- a/bench/chaos/route_faults.h
+++ b/bench/chaos/route_faults.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace jacinthpond::chaos {
@@ -83,6 +84,7 @@
   void changeUnseen();
   void limitRates();
   void shedLoad();
+  void silenceServer();
   void loseCrashed();
 
   void publishVersion();
@@ -123,6 +125,10 @@
                                 ///< are leaving.
   std::mt19937_64 NoticeRandom; ///< For these; apart for the same reason.
   Clock::time_point NextShed;
+  bool Silencing = false;        ///< Sound servers stand still for a moment.
+  std::mt19937_64 SilenceRandom; ///< For these; apart for the same reason.
+  Clock::time_point NextSilence;
+  std::map<std::string, std::jthread> Silences; ///< Let them go on in time.
 };
 
 } // namespace jacinthpond::chaos
--- a/bench/chaos/route_history.h
+++ b/bench/chaos/route_history.h
@@ -92,6 +92,7 @@
   };
 
   Disturbances Harm;
+  Disturbances Silence; ///< Of sound servers that stand still; no harm.
   Permissions Config;
   std::vector<Version> Versions; ///< Those after the first, in order.
   std::vector<RateLimit> Limits; ///< In order of their begin.
