chaos: judge of answers whose servers are sound

Cause: the check of lost answers allows three of them and passes over each 502. Change: a request that ran at sound servers only, at an entry that was neither disturbed nor stopping, is broken if it ends without its whole answer or with 502, 0.5 s before its deadline or sooner. A 502 that no server ran counts where all servers of its kind were sound. The agent of a worker has to be sound too: where nothing of a host answers, an entry may take it for gone. Harm that is noted up to 1 s after the end excuses: crashes are noted late. Former checks stay as they are.

--- a/bench/chaos/route_checks.cpp
+++ b/bench/chaos/route_checks.cpp
@@ -376,6 +376,7 @@
   judgeCrashes();
   for (const Exchange &Got : Unanswered)
     judgeLost(Got);
+  judgeSilences();
 }
 
 } // namespace jacinthpond::chaos
--- a/bench/chaos/route_checks.h
+++ b/bench/chaos/route_checks.h
@@ -70,6 +70,8 @@
   void judgeRefusal(const Exchange &Got);
   void judgeLost(const Exchange &Got);
   void judgeNotices();
+  void judgeSilences();
+  void judgeSilence(const Exchange &Got);
   void judgeCrashes();
   void judgeCrashes(const std::string &Sign, size_t KnownCrash,
                     size_t MostLate);
@@ -86,6 +88,7 @@
                  const Exchange &Asked);
   std::optional<Moment> calmEntry(size_t Entry, Moment At) const;
   bool workerCalm(const std::string &Worker, Moment From, Moment To) const;
+  bool hostCalm(const std::string &Worker, const Exchange &Got) const;
   std::optional<Exchange> exchangeOf(const std::string &Attempt) const;
   std::string timeOf(Moment At) const;
   std::string describe(const Exchange &Got) const;
