--- a/bench/chaos/chaos.cpp
+++ b/bench/chaos/chaos.cpp
@@ -125,6 +125,7 @@
   int Routes = 0;
   int Entries = 3;
   int Servers = 3;
+  int Busy = 0;
   const char *Only = nullptr;
   const std::vector<poptOption> Options = {
       {"seed", 0, POPT_ARG_LONGLONG, &Seed, 0, "Seed of all choices", "N"},
@@ -134,6 +135,8 @@
       {"entries", 0, POPT_ARG_INT, &Entries, 0, "Entries, with routes", "N"},
       {"servers", 0, POPT_ARG_INT, &Servers, 0,
        "Model workers, and as many plain back ends, with routes", "N"},
+      {"busy", 0, POPT_ARG_NONE, &Busy, 0,
+       "Streams take all slots, with routes", nullptr},
       {"only", 0, POPT_ARG_STRING, &Only, 0, "Kinds of failures, with routes",
        "NAMES"},
       POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
@@ -152,7 +155,7 @@
     return runRoutes(
         {static_cast<uint64_t>(Seed), Length, static_cast<size_t>(Entries),
          static_cast<size_t>(Servers), static_cast<size_t>(Servers),
-         Only == nullptr ? "" : Only});
+         Only == nullptr ? "" : Only, Busy != 0});
   return run(static_cast<uint64_t>(Seed), Length);
 }
 
--- a/bench/chaos/route_callers.cpp
+++ b/bench/chaos/route_callers.cpp
@@ -59,7 +59,7 @@
 };
 
 RouteCallers::RouteCallers(std::vector<std::string> At, uint64_t Seed,
-                           RouteLedger &Into, CrashAsk Crashing)
+                           RouteLedger &Into, CrashAsk Crashing, size_t Writers)
     : Entries(std::move(At)), Seen(Into) {
   const auto Start = [&](char Kind, size_t n,
                          void (RouteCallers::*Work)(Caller &)) {
@@ -82,8 +82,7 @@
     Start('c', 0, &RouteCallers::crash);
   if (Crashing == CrashAsk::Parts)
     Start('c', 0, &RouteCallers::crashByPart);
-  // Streams take longer.
-  for (size_t n = 0; n < 2 * ThreadsEach; ++n)
+  for (size_t n = 0; n < Writers; ++n)
     Start('w', n, &RouteCallers::write);
 }
 
--- a/bench/chaos/route_callers.h
+++ b/bench/chaos/route_callers.h
@@ -77,9 +77,10 @@
    * @param Seed Of their choices.
    * @param Into Where they write what they saw; outlives the callers.
    * @param Crashing What one of them sends to crash back ends.
+   * @param Writers How many of them ask for streams.
    */
   RouteCallers(std::vector<std::string> Entries, uint64_t Seed,
-               RouteLedger &Into, CrashAsk Crashing);
+               RouteLedger &Into, CrashAsk Crashing, size_t Writers);
   ~RouteCallers();
   RouteCallers(const RouteCallers &) = delete;
   RouteCallers &operator=(const RouteCallers &) = delete;
--- a/bench/chaos/route_soak.cpp
+++ b/bench/chaos/route_soak.cpp
@@ -25,6 +25,12 @@
 constexpr auto LookPeriod = 500ms;
 /** Time in which work that nobody waits for any more could still begin. */
 constexpr auto AfterTime = 1s;
+/** Time before each event of a stream, and callers that ask for streams. */
+constexpr int GapMillis = 30;
+constexpr size_t Writers = 6;
+/** The same where streams take all slots; the callers for each worker. */
+constexpr int BusyGapMillis = 100;
+constexpr size_t BusyWritersEach = 8;
 /** Violations that the result repeats; the rest is only counted. */
 constexpr size_t MaxShown = 20;
 
@@ -35,8 +41,9 @@
   Plan.PlainServers = Wanted.Plains;
   Plan.WeightsChangeMillis = 5000;
   Plan.Proxies = true;
-  Plan.WorkerOptions = {
-      {"tell", true}, {"events", StreamEvents}, {"gap_ms", 30}};
+  Plan.WorkerOptions = {{"tell", true},
+                        {"events", StreamEvents},
+                        {"gap_ms", Wanted.Busy ? BusyGapMillis : GapMillis}};
   return Plan;
 }
 
@@ -128,7 +135,9 @@
   RouteFaults Chaos(All, Planned, Plan.Seed, Plan.Only, History);
   {
     const RouteCallers Asking(entryAddresses(All, Plan.Entries), Plan.Seed,
-                              Seen, Chaos.crashingRequests());
+                              Seen, Chaos.crashingRequests(),
+                              Plan.Busy ? BusyWritersEach * Plan.Models
+                                        : Writers);
     runFaults(Chaos, Checks, Plan.Length);
     Chaos.healAll();
     if (!All.waitServing(RecoveryLimit))
--- a/bench/chaos/route_soak.h
+++ b/bench/chaos/route_soak.h
@@ -19,6 +19,7 @@
   size_t Models = 3;               ///< Model workers with agents.
   size_t Plains = 3;               ///< Plain back ends.
   std::string Only = {};           ///< Kinds of failures; empty: by the seed.
+  bool Busy = false;               ///< Streams take all slots.
 };
 
 /**
