--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -25,6 +25,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/crash_watch_func.h"
 #include "forwarding/fleet_snapshot_func.h"
+#include "forwarding/no_server_func.h"
 #include "forwarding/place_search_func.h"
 #include "forwarding/rate_share_func.h"
 #include "forwarding/repeat_budget_func.h"
@@ -255,6 +256,11 @@
     case Trouble::FatalPart:
       sendFatal(One.Who, End, One.Kind == Trouble::FatalPart);
       return;
+    case Trouble::Silence:
+      // Silences that follow each other at once would make its entry lapse.
+      if (Now >= Servers.at(One.Who).StillUntil)
+        Servers.at(One.Who).StillUntil = End;
+      return;
     case Trouble::Count:
       return;
     }
@@ -972,9 +978,12 @@
   void renew(Server &One, uint64_t Life) {
     if (One.Life != Life || !One.Alive)
       return;
+    if (Now < One.StillUntil) {
+      at(One.StillUntil, [this, &One, Life] { renew(One, Life); });
+      return;
+    }
     registerServer(One);
-    at(std::max(One.StillUntil,
-                One.BackAt > Now ? One.BackAt : Now + Millis(1000)),
+    at(One.BackAt > Now ? One.BackAt : Now + Millis(1000),
        [this, &One, Life] { renew(One, Life); });
     after(Millis(3010), [this] { lapse(); });
   }
@@ -1110,17 +1119,24 @@
     return One.Reached < One.From->MaxAttempts && One.Tries < 5;
   }
 
+  /** Looks for a server for the next try; an open one goes on meanwhile. */
   void tryNext(Process &At, const AskedPtr &One) {
+    ++One->Turn;
     if (One->Limit - Now < Millis(10)) {
-      limitCame(At, One);
+      if (One->Open.empty())
+        limitCame(At, One);
       return;
     }
     if (isQuarantined(At, *One)) {
-      refuseSuspect(At, One);
+      unplaced(At, One, NoServerReason::Quarantined);
       return;
     }
-    if (!attemptsLeft(*One) || !mayRequestMoreSlots(One->Search)) {
-      end(At, One, !One->MayHaveRun);
+    if (!attemptsLeft(*One)) {
+      unplaced(At, One, NoServerReason::NoAttemptLeft);
+      return;
+    }
+    if (!mayRequestMoreSlots(One->Search)) {
+      unplaced(At, One, NoServerReason::NoPlace);
       return;
     }
     ServerChoice Choice = chooseServer(At.Pool, One->Needs, Now);
@@ -1131,24 +1147,66 @@
       if (Choice.Why == PoolRefusal::NoneListed && One->Needs.Full.empty() &&
           One->Needs.Tried.empty())
         checkUse(At, One->Needs.Service);
-      end(At, One, !One->MayHaveRun);
+      unplaced(At, One, whyNone(Choice, One->Needs));
       return;
     }
     if (One->Reached > 0 &&
-        !takeRepeat(At.Repeats, One->Needs.Service, At.Pool.Entries, Now)) {
-      end(At, One, !One->MayHaveRun);
+        !hasRepeatsLeft(At.Repeats, One->Needs.Service, At.Pool.Entries, Now)) {
+      unplaced(At, One, NoServerReason::RetryBudget);
       return;
     }
-    One->At = Choice.Server->Listed.Id;
-    ++One->Turn;
-    recordAttemptStart(At.Pool, One->At);
+    One->Next = std::make_shared<Try>();
+    One->Next->At = Choice.Server->Listed.Id;
+    recordAttemptStart(At.Pool, One->Next->At);
     if (hasAgent(*Choice.Server))
       askPlace(At, One, *Choice.Server);
     else
       sendTo(At, One, *Choice.Server);
   }
 
+  static NoServerReason whyNone(const ServerChoice &Choice,
+                                const ServerNeeds &Needs) {
+    if (Choice.Why == PoolRefusal::AllPaused)
+      return NoServerReason::AllPaused;
+    if (Choice.Limited > 0 && Choice.Limited == Choice.Candidates)
+      return NoServerReason::AllAtRate;
+    return Choice.Why == PoolRefusal::AllFull || !Needs.Full.empty()
+               ? NoServerReason::AllFull
+               : NoServerReason::NoneUsable;
+  }
+
+  /** No server was found for the next try. */
+  void unplaced(Process &At, const AskedPtr &One, NoServerReason Why) {
+    switch (unplacedAction({!One->Open.empty(), One->Begun, One->MayHaveRun},
+                           Why)) {
+    case UnplacedAction::KeepAnswer:
+      recordFailedSearch(One->Search, Now, At.Pool.Random);
+      return;
+    case UnplacedAction::Wait:
+      recordFailedSearch(One->Search, Now, At.Pool.Random);
+      in(At, toMillis(One->Search.NextAt - Now) + Millis(1),
+         [this, &At, One, Turn = One->Turn] {
+           if (!One->Over && One->Turn == Turn)
+             searchAnew(At, One, false);
+         });
+      return;
+    case UnplacedAction::Fail:
+    case UnplacedAction::Refuse:
+      if (Why == NoServerReason::Quarantined)
+        refuseSuspect(At, One);
+      else
+        end(At, One, !One->MayHaveRun);
+      return;
+    }
+  }
+
+  void searchAnew(Process &At, const AskedPtr &One, bool SpareOnly) {
+    restartSearch(One->Search, One->Needs, SpareOnly);
+    tryNext(At, One);
+  }
+
   void askPlace(Process &At, const AskedPtr &One, const ServerView &Server) {
+    const TryPtr This = One->Next;
     SlotRequest Ask;
     Ask.SlotId.Value = At.Name + "/" + std::to_string(At.Life) + "/" +
                        std::to_string(++At.Places);
@@ -1156,7 +1214,8 @@
     Millis Wait = std::max(toMillis(Left), Millis(0));
     if (Wait.count() == 0) {
       Ask.SpareOnly = true;
-      Wait = lateRequestWait(One->Limit - Now);
+      Wait =
+          One->Search.SpareOnly ? Millis(0) : lateRequestWait(One->Limit - Now);
       reconsiderBusyServers(One->Search, One->Needs);
     }
     Ask.WaitMillis = static_cast<uint64_t>(Wait.count());
@@ -1164,19 +1223,19 @@
     Ask.MaxPrefillBacklogMillis =
         static_cast<uint32_t>(MaxBacklogToRequest.count());
     recordSlotRequest(One->Search);
-    One->Place = Ask.SlotId;
-    One->PlaceLink = Server.Agent->Link;
-    One->Asking = true;
-    At.Waiting[One->Place] = One;
+    This->Place = Ask.SlotId;
+    This->PlaceLink = Server.Agent->Link;
+    This->Asking = true;
+    At.Waiting[This->Place] = One;
     if (const auto Told = rateNoticeForAgent(Server, Now))
-      send(At, One->PlaceLink, *Told);
-    send(At, One->PlaceLink, Ask);
+      send(At, This->PlaceLink, *Told);
+    send(At, This->PlaceLink, Ask);
     const Millis Until =
         Millis(150) + (MaxBacklogToRequest.count() == 0 ? Wait : Millis(0));
-    in(At, Until, [this, &At, One, Turn = One->Turn] {
-      if (One->Over || !One->Asking || One->Turn != Turn)
+    in(At, Until, [this, &At, One, This] {
+      if (One->Next != This || !This->Asking)
         return;
-      markAgentSilent(At.Pool, One->At, Now);
+      markAgentSilent(At.Pool, This->At, Now);
       askElsewhere(At, One, false);
     });
   }
@@ -1186,34 +1245,59 @@
     if (!Node)
       return;
     const AskedPtr One = Node.mapped();
-    if (One->Over || !One->Asking || One->Place != Said.SlotId)
+    const TryPtr This = One->Next;
+    if (This == nullptr || !This->Asking || This->Place != Said.SlotId)
       return;
-    One->Asking = false;
-    recordServerLoad(At.Pool, One->At, Said.Load.Busy, Now);
-    if (Said.Granted && mayStillUse(At.Pool, One->At, One->Needs, Now)) {
-      sendTo(At, One, At.Pool.Servers.at(One->At));
+    This->Asking = false;
+    recordServerLoad(At.Pool, This->At, Said.Load.Busy, Now);
+    if (Said.Granted && mayStillUse(At.Pool, This->At, One->Needs, Now)) {
+      sendTo(At, One, At.Pool.Servers.at(This->At));
       return;
     }
     if (!Said.Granted)
-      One->Place = {};
+      This->Place = {};
     if (Said.Why == ErrorKind::RateLimited)
-      recordRateRefusal(At.Pool, One->At, Millis(Said.RetryAfterMillis), Now);
+      recordRateRefusal(At.Pool, This->At, Millis(Said.RetryAfterMillis), Now);
     askElsewhere(At, One, Said.Why == ErrorKind::Overloaded);
   }
 
   void askElsewhere(Process &At, const AskedPtr &One, bool OnlyBusy) {
-    placeOver(At, *One, false);
-    recordAttemptEnd(At.Pool, One->At, AttemptEnd::NotSent, {}, Now);
-    recordSlotRefusal(One->Search, One->Needs, One->At, OnlyBusy);
+    const InstanceId Refusing = One->Next->At;
+    dropNext(At, *One, AttemptEnd::NotSent);
+    recordSlotRefusal(One->Search, One->Needs, Refusing, OnlyBusy);
     tryNext(At, One);
   }
 
-  void placeOver(Process &At, Asked &One, bool Whole) {
+  /** Ends the try in preparation: nothing of it was sent. */
+  void dropNext(Process &At, Asked &One, AttemptEnd How) {
+    const TryPtr This = std::exchange(One.Next, nullptr);
+    if (This == nullptr)
+      return;
+    placeOver(At, *This, false, false);
+    recordAttemptEnd(At.Pool, This->At, How, {}, Now);
+  }
+
+  /** Ends a try that was sent. */
+  void dropOpen(Process &At, Asked &One, const TryPtr &This, AttemptEnd How) {
+    std::erase(One.Open, This);
+    placeOver(At, *This, How == AttemptEnd::Answered, true);
+    recordAttemptEnd(At.Pool, This->At, How, Now - This->CallBegan, Now);
+  }
+
+  /** The first try that gives the caller something ends the others. */
+  void keepOnly(Process &At, Asked &One, const TryPtr &This) {
+    dropNext(At, One, AttemptEnd::NotSent);
+    for (const TryPtr &Other : std::vector<TryPtr>(One.Open))
+      if (Other != This)
+        dropOpen(At, One, Other, AttemptEnd::Dropped);
+  }
+
+  void placeOver(Process &At, Try &One, bool Whole, bool Sent) {
     One.Asking = false;
     if (One.Place.Value.empty())
       return;
     At.Waiting.erase(One.Place);
-    send(At, One.PlaceLink, SlotRelease{One.Place, Whole, One.Calling});
+    send(At, One.PlaceLink, SlotRelease{One.Place, Whole, Sent});
     One.Place = {};
   }
 
@@ -1234,20 +1318,20 @@
   /** The next try waits until it is known whether the back end has crashed. */
   void retryAfterCheck(Process &At, const AskedPtr &One) {
     in(At, AddressCheckDelay + Millis(30), [this, &At, One, Turn = One->Turn] {
-      if (!One->Over && One->Turn == Turn)
-        tryNext(At, One);
+      if (!One->Over && One->Turn == Turn && One->Open.empty())
+        searchAnew(At, One, false);
     });
   }
 
-  void reportBegun(Process &At, Asked &One) {
-    if (std::exchange(One.BegunReported, true) || !One.BegunAt)
+  void reportBegun(Process &At, const Asked &One, Try &This) {
+    if (std::exchange(This.BegunReported, true) || !This.BegunAt)
       return;
     Quarantine &Known = At.Entry->Suspects;
     for (const Digest &Part : One.Digests.Parts) {
-      recordBegun(Known.Seen, Part, *One.BegunAt, Now);
-      forgetBegun(At.Crashes, Part, *One.BegunAt);
+      recordBegun(Known.Seen, Part, *This.BegunAt, Now);
+      forgetBegun(At.Crashes, Part, *This.BegunAt);
       Effects Out;
-      for (const SuspectNotice &m : clearPart(Known, Part, *One.BegunAt, Now))
+      for (const SuspectNotice &m : clearPart(Known, Part, *This.BegunAt, Now))
         broadcastNotice(At.Entry->Fleet, m, {}, Out);
       perform(At, Out);
     }
@@ -1292,7 +1376,7 @@
     const Asked &One = *Sent.Of;
     const bool NewRun =
         recordBrokenAnswer(At.Crashes, Sent.Run, One.Digests.Content, Now);
-    if (!One.BegunAt || Now - *One.BegunAt < AnswerBegunAfter)
+    if (!Sent.This->BegunAt || Now - *Sent.This->BegunAt < AnswerBegunAfter)
       recordUnbegunParts(At.Crashes, Sent.Run, One.Digests);
     if (!NewRun) {
       publishCrashes(At);
@@ -1313,9 +1397,9 @@
 
   void completed(Process &At, const Passed &Sent) {
     publish(At, recordSignOfLife(At.Crashes, Sent.Run, Sent.Sent, Now));
-    if (!Sent.Of->BegunAt)
-      Sent.Of->BegunAt = Now;
-    reportBegun(At, *Sent.Of);
+    if (!Sent.This->BegunAt)
+      Sent.This->BegunAt = Now;
+    reportBegun(At, *Sent.Of, *Sent.This);
     forgetCompleted(At.Crashes, Sent.Of->Digests.Content);
     Effects Out;
     clearSuspect(At.Entry->Suspects, Sent.Of->Digests.Content, At.Entry->Fleet,
@@ -1357,117 +1441,176 @@
                                std::to_string(Crashes.size()) + " crashes");
   }
 
-  void sendTo(Process &At, const AskedPtr &One, const ServerView &Server) {
-    if (isQuarantined(At, *One)) {
-      recordAttemptEnd(At.Pool, One->At, AttemptEnd::NotSent, {}, Now);
-      refuseSuspect(At, One);
+  /** Opens a connection to the server of the try in preparation. */
+  void sendTo(Process &At, const AskedPtr &One, const ServerView &View) {
+    const TryPtr This = One->Next;
+    if (This->Place.Value.empty())
+      countRequestWithoutSlot(At.Pool, This->At, Now);
+    ++One->Tries;
+    Server &To = Servers.at(ServerAt.at(View.Listed.At.Value));
+    const auto Fails = [this, &At, One, This] {
+      if (One->Next == This)
+        unreached(At, One);
+    };
+    const TimePoint Held = heldUntil(At.Name, To.Name);
+    if (isCut(At.Name, To.Name) || Held > Now + Millis(300)) {
+      in(At, Millis(300), Fails);
       return;
     }
-    if (One->Place.Value.empty())
-      countRequestWithoutSlot(At.Pool, One->At, Now);
+    at(std::max(Held, Now) + onTheWay(At.Name, To.Name + "/open"),
+       [this, &At, One, This, &To, Fails, Life = At.Life] {
+         if (!At.Alive || At.Life != Life)
+           return;
+         if (!To.Alive || isCut(At.Name, To.Name))
+           in(At, Millis(5), Fails);
+         else
+           in(At, Millis(0), [this, &At, One, This, &To] {
+             if (One->Next == This)
+               connected(At, One, To);
+           });
+       });
+  }
+
+  void unreached(Process &At, const AskedPtr &One) {
+    One->Needs.Tried.insert(One->Next->At);
+    dropNext(At, *One, AttemptEnd::Unreached);
+    if (!hasSuspectedPart(At, *One))
+      tryNext(At, One);
+    else if (One->Open.empty())
+      retryAfterCheck(At, One);
+  }
+
+  /** Sends the request, if it may still be sent; a repeat counts from here. */
+  void connected(Process &At, const AskedPtr &One, Server &To) {
+    const TryPtr This = One->Next;
+    const bool Quarantined = isQuarantined(At, *One);
+    if (Quarantined || !mayStillUse(At.Pool, This->At, One->Needs, Now)) {
+      dropNext(At, *One, AttemptEnd::NotSent);
+      tryNext(At, One);
+      return;
+    }
+    if (One->Reached > 0 &&
+        !takeRepeat(At.Repeats, One->Needs.Service, At.Pool.Entries, Now)) {
+      dropNext(At, *One, AttemptEnd::NotSent);
+      unplaced(At, One, NoServerReason::RetryBudget);
+      return;
+    }
+    const ServerView &View = At.Pool.Servers.at(This->At);
     Passed Sent;
     Sent.Of = One;
-    Sent.Turn = One->Turn;
+    Sent.This = This;
     Sent.Entry = At.Name;
     Sent.Life = At.Life;
-    Sent.Expected = Server.Listed.Id;
-    Sent.Version = requiredVersion(At.Pool, One->At, Now);
+    Sent.Expected = This->At;
+    Sent.Version = requiredVersion(At.Pool, This->At, Now);
     Sent.Sent = Now;
-    Sent.Run = runName(Server.Listed);
+    Sent.Run = runName(View.Listed);
     Sent.First = One->Reached == 0;
-    One->CallBegan = Now;
-    One->BegunAt.reset();
-    One->BegunReported = false;
-    One->SentOn = Server.Weights;
-    One->Calling = true;
-    ++One->Tries;
+    This->CallBegan = Now;
+    This->SentOn = View.Weights;
     ++One->Reached;
-    const std::string To = ServerAt.at(Server.Listed.At.Value);
-    connect(Sent, Servers.at(To));
+    One->Needs.Tried.insert(This->At);
+    One->Open.push_back(std::exchange(One->Next, nullptr));
+    at(std::max(heldUntil(At.Name, To.Name), Now) +
+           onTheWay(At.Name, To.Name + "/data"),
+       [this, Sent, &To, Life = To.Life] { reach(Sent, To, Life, Now); });
     if (One->From->Kind == RouteKind::Stream)
-      watchBegin(At, One, One->Turn);
+      watchBegin(At, One, This);
     if (canRepeat(*One))
-      in(At, One->From->Target * 2, [this, &At, One, Turn = One->Turn] {
-        if (!One->Over && One->Calling && !One->Begun && One->Turn == Turn &&
-            attemptsLeft(*One) && couldGoElsewhere(At, *One))
-          answered(At, One, Answer::Broke);
-      });
+      in(At, One->From->Target * 2,
+         [this, &At, One, This] { watchSilence(At, One, This); });
+  }
+
+  static bool isOpen(const Asked &One, const TryPtr &This) {
+    return std::ranges::find(One.Open, This) != One.Open.end();
   }
 
   /** A stream that has not begun is given up when it may not begin any more;
    * until when that is may be learned later. */
-  void watchBegin(Process &At, const AskedPtr &One, uint64_t Turn) {
-    in(At, Millis(50), [this, &At, One, Turn] {
-      if (One->Over || !One->Calling || One->Begun || One->Turn != Turn)
+  void watchBegin(Process &At, const AskedPtr &One, const TryPtr &This) {
+    in(At, Millis(50), [this, &At, One, This] {
+      if (One->Begun || !isOpen(*One, This))
         return;
-      const auto Until = latestStartTime(At.Pool, One->At, One->SentOn);
-      if (Until && Now >= *Until)
-        answered(At, One, Answer::Broke);
-      else
-        watchBegin(At, One, Turn);
+      const auto Until = latestStartTime(At.Pool, This->At, This->SentOn);
+      if (!Until || Now < *Until) {
+        watchBegin(At, One, This);
+        return;
+      }
+      One->GivenUp.push_back(This);
+      answered(At, One, This, Answer::Broke);
     });
   }
 
-  bool couldGoElsewhere(Process &At, const Asked &One) const {
+  /** While the only answer is silent, another server is looked for. */
+  void watchSilence(Process &At, const AskedPtr &One, const TryPtr &This) {
+    if (One->Begun || !isOpen(*One, This))
+      return;
+    const bool Urgent = Now - This->CallBegan >= One->From->Target * 9 / 2;
+    if (One->Open.size() == 1 && One->Next == nullptr &&
+        Now >= One->Search.NextAt && attemptsLeft(*One) &&
+        couldGoElsewhere(At, *One, Urgent))
+      searchAnew(At, One, !Urgent);
+    in(At, Millis(50), [this, &At, One, This] { watchSilence(At, One, This); });
+  }
+
+  bool couldGoElsewhere(Process &At, const Asked &One, bool Urgent) const {
     ServerNeeds Other = One.Needs;
-    Other.Tried.insert(One.At);
+    Other.Full.clear();
+    const auto HasLeft = Urgent ? hasRepeatsLeft : hasRepeatsForSilence;
     return chooseServer(At.Pool, Other, Now).Server != nullptr &&
-           hasRepeatsLeft(At.Repeats, One.Needs.Service, At.Pool.Entries, Now);
+           HasLeft(At.Repeats, One.Needs.Service, At.Pool.Entries, Now);
   }
 
-  void answered(Process &At, const AskedPtr &One, Answer How) {
-    One->Calling = How != Answer::Unreached;
-    const auto Over = [&](AttemptEnd End) {
-      placeOver(At, *One, How == Answer::Whole);
-      recordAttemptEnd(At.Pool, One->At, End, Now - One->CallBegan, Now);
-      One->Calling = false;
-    };
+  /** A try that was sent is over. */
+  void answered(Process &At, const AskedPtr &One, const TryPtr &This,
+                Answer How) {
     switch (How) {
     case Answer::Whole:
-      Over(AttemptEnd::Answered);
+      keepOnly(At, *One, This);
+      dropOpen(At, *One, This, AttemptEnd::Answered);
       One->Over = true;
       return;
     case Answer::Misdirected:
-      avoidMismatchedServer(At.Pool, One->At, Now);
+      avoidMismatchedServer(At.Pool, This->At, Now);
       [[fallthrough]];
     case Answer::NotRun:
-      Over(AttemptEnd::Refused);
-      break;
-    case Answer::Unreached:
-      Over(AttemptEnd::Unreached);
-      --One->Reached;
+      dropOpen(At, *One, This, AttemptEnd::Refused);
       break;
     case Answer::Broke:
-      Over(AttemptEnd::Broken);
+      dropOpen(At, *One, This, AttemptEnd::Broken);
       One->MayHaveRun = true;
       break;
     }
-    One->Needs.Tried.insert(One->At);
+    if (!One->Open.empty())
+      return;
+    if (One->Next != nullptr) {
+      One->Search.SpareOnly = false; // Nothing else is open any more.
+      return;
+    }
     // Events that were passed on are not taken back; going on with them
     // elsewhere is no part of the model.
     if (How == Answer::Broke && (!canRepeat(*One) || One->Begun))
       end(At, One, false);
-    else if ((How == Answer::Broke || How == Answer::Unreached) &&
-             hasSuspectedPart(At, *One))
+    else if (How == Answer::Broke && hasSuspectedPart(At, *One))
       retryAfterCheck(At, One);
     else
-      tryNext(At, One);
+      searchAnew(At, One, false);
   }
 
   /** An answer names the limit of its worker, or none. */
-  void hearRate(Process &At, const AskedPtr &One, Server &From, uint64_t Life,
+  void hearRate(Process &At, Try &One, Server &From, uint64_t Life,
                 std::optional<double> Limit, bool Refusal) {
     if (Limit && From.Life == Life)
       From.ToldOfLimit.try_emplace(At.Name, Now);
-    if (!Limit && (Refusal || !isRateLimited(At.Pool, One->At)))
+    if (!Limit && (Refusal || !isRateLimited(At.Pool, One.At)))
       return;
     const RateChange Change =
-        recordAnswerRate(At.Pool, One->At, Limit, One->CallBegan, Now);
-    const auto it = At.Pool.Servers.find(One->At);
+        recordAnswerRate(At.Pool, One.At, Limit, One.CallBegan, Now);
+    const auto it = At.Pool.Servers.find(One.At);
     if (it == At.Pool.Servers.end())
       return;
-    const Millis Age = Limit ? Millis(0) : toMillis(Now - One->CallBegan);
-    const RateLimitNotice Told{One->Place, One->At, Limit,
+    const Millis Age = Limit ? Millis(0) : toMillis(Now - One.CallBegan);
+    const RateLimitNotice Told{One.Place, One.At, Limit,
                                static_cast<uint64_t>(Age.count())};
     Effects Out;
     if (hasAgent(it->second))
@@ -1478,10 +1621,10 @@
   }
 
   /** An answer asks for a pause, or says that its back end shuts down. */
-  void hearNotices(Process &At, const AskedPtr &One, Server &From,
-                   uint64_t Life, const Notices &Said, bool Misdirected) {
+  void hearNotices(Process &At, Try &One, Server &From, uint64_t Life,
+                   const Notices &Said, bool Misdirected) {
     if (Said.Pause.count() > 0) {
-      recordPause(At.Pool, One->At, Said.Pause, Now);
+      recordPause(At.Pool, One.At, Said.Pause, Now);
       if (From.Life == Life)
         From.PausedFor[At.Name] = {Now, At.Life, Said.At + Said.Pause, 0};
     }
@@ -1492,8 +1635,8 @@
     Effects Out;
     std::vector<ServerLeavingNotice> News;
     if (Misdirected)
-      News = recordMisdirectedLeaving(At.Pool, One->At, One->CallBegan, Now);
-    else if (const auto Own = recordLeaving(At.Pool, One->At, Now))
+      News = recordMisdirectedLeaving(At.Pool, One.At, One.CallBegan, Now);
+    else if (const auto Own = recordLeaving(At.Pool, One.At, Now))
       News.push_back(*Own);
     for (const ServerLeavingNotice &Each : News)
       broadcastNotice(At.Entry->Fleet, Each, Role::Entry, Out);
@@ -1506,11 +1649,9 @@
 
   /** The caller is refused, which says that it did not run, or told nothing. */
   void end(Process &At, const AskedPtr &One, bool NotRun) {
-    const bool Open = One->Calling || One->Asking;
-    placeOver(At, *One, false);
-    if (Open)
-      recordAttemptEnd(At.Pool, One->At, AttemptEnd::Dropped, {}, Now);
-    One->Calling = false;
+    if (!NotRun && One->Limit - Now >= Millis(10))
+      checkLost(At, *One);
+    keepOnly(At, *One, nullptr);
     One->Over = true;
     ++One->Turn;
     if (!NotRun)
@@ -1523,20 +1664,13 @@
   }
 
   // ---- A request at a worker ------------------------------------------------
-  void connect(const Passed &Sent, Server &To) {
-    if (isCut(Sent.Entry, To.Name) ||
-        heldUntil(Sent.Entry, To.Name) > Now + Millis(300)) {
-      reply(Sent, To, Answer::Unreached, Millis(300));
-      return;
-    }
-    const TimePoint Held = heldUntil(Sent.Entry, To.Name);
-    at(std::max(Held, Now) + onTheWay(Sent.Entry, To.Name + "/data"),
-       [this, Sent, &To] {
-         if (!To.Alive)
-           reply(Sent, To, Answer::Unreached, Millis(5));
-         else
-           reach(Sent, To, To.Life, Now);
-       });
+  /** Does something at a worker, on waking when it stands still. */
+  void whenAwake(Server &To, const std::function<void()> &Work) {
+    if (Now < To.StillUntil)
+      at(To.StillUntil + delay(To.Name + "/wake", 0, 20),
+         [this, &To, Work] { whenAwake(To, Work); });
+    else
+      Work();
   }
 
   /** A worker that stands still reads the request on waking. */
@@ -1546,8 +1680,9 @@
       return;
     }
     if (Now < To.StillUntil) {
-      at(To.StillUntil + delay(To.Name + "/wake", 0, 20),
-         [this, Sent, &To, Life, Arrived] { reach(Sent, To, Life, Arrived); });
+      whenAwake(To, [this, Sent, &To, Life, Arrived] {
+        reach(Sent, To, Life, Arrived);
+      });
       return;
     }
     // A call that is given up resets its connection: what waits here is lost.
@@ -1586,18 +1721,18 @@
       return;
     }
     after(Length, [this, Sent, &To, Life] {
-      if (To.Life == Life && To.Running > 0)
-        --To.Running;
-      reply(Sent, To, To.Life == Life ? Answer::Whole : Answer::Broke,
-            Millis(0));
+      whenAwake(To, [this, Sent, &To, Life] {
+        if (To.Life == Life && To.Running > 0)
+          --To.Running;
+        reply(Sent, To, To.Life == Life ? Answer::Whole : Answer::Broke,
+              Millis(0));
+      });
     });
   }
 
   bool isGivenUp(const Passed &Sent) const {
     const Process &From = Processes.at(Sent.Entry);
-    const Asked &One = *Sent.Of;
-    return From.Alive && From.Life == Sent.Life &&
-           (One.Over || !One.Calling || One.Turn != Sent.Turn);
+    return From.Alive && From.Life == Sent.Life && !isOpen(*Sent.Of, Sent.This);
   }
 
   void tellBegun(const Passed &Sent, Server &From) {
@@ -1610,17 +1745,18 @@
               toMillis(std::max(Held, Now) - Now),
           [this, Sent, &To, &From, Life, Limit, Said] {
             in(To, Millis(0), [this, Sent, &To, &From, Life, Limit, Said] {
-              if (!Sent.Of->Calling || Sent.Of->Turn != Sent.Turn)
+              if (To.Life != Sent.Life || !isOpen(*Sent.Of, Sent.This))
                 return;
+              keepOnly(To, *Sent.Of, Sent.This);
               Sent.Of->Begun = true;
-              Sent.Of->BegunAt = Now;
+              Sent.This->BegunAt = Now;
               in(To, AnswerBegunAfter, [this, Sent, &To] {
-                if (Sent.Of->Calling && Sent.Of->Turn == Sent.Turn)
-                  reportBegun(To, *Sent.Of);
+                if (isOpen(*Sent.Of, Sent.This))
+                  reportBegun(To, *Sent.Of, *Sent.This);
               });
-              hearNotices(To, Sent.Of, From, Life, Said, false);
-              recordAcceptedRequest(To.Pool, Sent.Of->At, Now);
-              hearRate(To, Sent.Of, From, Life, Limit, false);
+              hearNotices(To, *Sent.This, From, Life, Said, false);
+              recordAcceptedRequest(To.Pool, Sent.This->At, Now);
+              hearRate(To, *Sent.This, From, Life, Limit, false);
             });
           });
   }
@@ -1630,35 +1766,30 @@
     const uint64_t Life = From.Life;
     const std::optional<double> Limit = From.Limit;
     const Notices Said{How == Answer::NotRun ? From.Pause : Millis(0),
-                       From.SaysLeaving && How != Answer::Unreached &&
-                           How != Answer::Broke,
-                       Now};
+                       From.SaysLeaving && How != Answer::Broke, Now};
     const TimePoint Held = heldUntil(Sent.Entry, From.Name);
     const Millis Way = onTheWay(From.Name + "/data", Sent.Entry);
     const Millis Longer = toMillis(std::max(Held, Now) - Now);
     after(Wait + Way + Longer, [this, Sent, How, &To, &From, Life, Limit,
                                 Said] {
       const auto Cut = CutAt.find(pairOf(Sent.Entry, From.Name));
-      const bool Lost = Cut != CutAt.end() && Cut->second >= Sent.Sent &&
-                        How != Answer::Unreached;
+      const bool Lost = Cut != CutAt.end() && Cut->second >= Sent.Sent;
       in(To, Millis(0), [this, Sent, How, &To, &From, Life, Limit, Said, Lost] {
-        const Asked &One = *Sent.Of;
-        if (To.Life != Sent.Life || One.Over || One.Turn != Sent.Turn ||
-            !One.Calling)
+        if (To.Life != Sent.Life || !isOpen(*Sent.Of, Sent.This))
           return;
         const bool Refusal = How == Answer::NotRun;
         if (!Lost && (Refusal || (How == Answer::Whole && !From.Model)))
-          hearRate(To, Sent.Of, From, Life, Limit, Refusal);
+          hearRate(To, *Sent.This, From, Life, Limit, Refusal);
         if (!Lost)
-          hearNotices(To, Sent.Of, From, Life, Said,
+          hearNotices(To, *Sent.This, From, Life, Said,
                       How == Answer::Misdirected);
         if (!Lost && How == Answer::Whole)
-          recordAcceptedRequest(To.Pool, Sent.Of->At, Now);
+          recordAcceptedRequest(To.Pool, Sent.This->At, Now);
         if (Lost || How == Answer::Broke)
           brokeOff(To, Sent, From);
         else if (How == Answer::Whole)
           completed(To, Sent);
-        answered(To, Sent.Of, Lost ? Answer::Broke : How);
+        answered(To, Sent.Of, Sent.This, Lost ? Answer::Broke : How);
       });
     });
   }
@@ -1803,6 +1934,33 @@
       breakRule("key", story(Sent, To) + " begins with a key that is gone");
   }
 
+  /** Says whether nothing came between a try and its server. */
+  bool wasSound(const Process &At, const Try &This) const {
+    const auto it = std::ranges::find(
+        Servers, This.At,
+        [](const auto &Row) -> const auto & { return Row.second.Id; });
+    if (it == Servers.end() || !isCalm(At, This.CallBegan) || !isCalm(At, Now))
+      return false;
+    const Server &One = it->second;
+    return One.Alive && !One.Draining && !One.Busy &&
+           One.SoundSince <= This.CallBegan && !OutSince.contains(One.Zone) &&
+           (!One.Model || One.Version == NamedAt.size());
+  }
+
+  /** A request has no answer, and its servers would have given one. */
+  void checkLost(const Process &At, const Asked &One) {
+    std::vector<TryPtr> All = One.Open;
+    All.insert(All.end(), One.GivenUp.begin(), One.GivenUp.end());
+    if (!All.empty() && std::ranges::all_of(All, [&](const TryPtr &Each) {
+          return wasSound(At, *Each);
+        }))
+      breakRule("lost", "request " + std::to_string(One.Id) + " of " + At.Name +
+                            " has no answer though " + All.front()->At.Value +
+                            " is sound; " +
+                            std::to_string(toMillis(One.Limit - Now).count()) +
+                            " ms are left");
+  }
+
   bool isSound(const Server &One) const {
     return One.Alive && !One.Draining && !One.Busy &&
            Now - One.SoundSince >= SoundFor && !OutSince.contains(One.Zone) &&
--- a/tests/unit/route_model_type.h
+++ b/tests/unit/route_model_type.h
@@ -27,6 +27,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace jacinthpond::model {
 
@@ -100,6 +101,7 @@
   Leaves,       ///< One says so in all its answers, but not to the store.
   Fatal,        ///< Copies of a request come that crash what runs them.
   FatalPart,    ///< Requests come with a part of a prompt that does so.
+  Silence,      ///< A sound worker or back end is silent, and goes on.
   Count
 };
 
@@ -112,7 +114,7 @@
                     "store away for", "new weights", "drain",
                     "worker ends",    "domain out",  "key gone",
                     "rate limit",     "shed",        "leaves",
-                    "fatal",          "fatal part"};
+                    "fatal",          "fatal part",  "silence"};
 
 /** One of them. */
 struct Incident {
@@ -160,31 +162,39 @@
   std::array<TimePoint, 2> LastDue; ///< Nothing overtakes.
 };
 
-/** A request of a caller at an entry. */
-struct Asked {
-  uint64_t Id = 0;                  ///< Its attempt id.
-  TimePoint Sent;                   ///< When the caller sent it.
-  TimePoint Limit;                  ///< Its deadline.
-  DocumentPtr Doc;                  ///< Document by which it is handled.
-  const Route *From = nullptr;      ///< Its route.
-  ServerNeeds Needs;                ///< What it needs.
-  SlotSearch Search;                ///< Agents asked.
-  InstanceId At;                    ///< Back end of the try under way.
+/** One try of a request. */
+struct Try {
+  InstanceId At;                    ///< Back end that it is meant for.
   AttemptId Place;                  ///< Place there; may be empty.
   LinkId PlaceLink;                 ///< Over which link it was asked for.
   bool Asking = false;              ///< A place is waited for.
-  bool Calling = false;             ///< The back end has it.
-  bool Begun = false;               ///< Events of its answer have come.
-  bool Over = false;                ///< The caller has its answer.
-  bool MayHaveRun = false;          ///< Some try may have run.
-  uint32_t Tries = 0;               ///< Sends begun.
-  uint32_t Reached = 0;             ///< Sends that reached a back end.
-  uint64_t Turn = 0;                ///< Raised with each try; for late events.
-  TimePoint CallBegan;              ///< When the try was sent.
+  TimePoint CallBegan;              ///< When it was sent.
   Digest SentOn;                    ///< Weights that its back end had then.
-  RequestDigests Digests;           ///< The same for copies of a request.
-  std::optional<TimePoint> BegunAt; ///< When its answer began, this try.
+  std::optional<TimePoint> BegunAt; ///< When its answer began.
   bool BegunReported = false;       ///< Its parts are known to be sound.
+};
+
+using TryPtr = std::shared_ptr<Try>;
+
+/** A request of a caller at an entry. */
+struct Asked {
+  uint64_t Id = 0;             ///< Its attempt id.
+  TimePoint Sent;              ///< When the caller sent it.
+  TimePoint Limit;             ///< Its deadline.
+  DocumentPtr Doc;             ///< Document by which it is handled.
+  const Route *From = nullptr; ///< Its route.
+  ServerNeeds Needs;           ///< What it needs.
+  SlotSearch Search;           ///< Agents asked.
+  TryPtr Next;                 ///< Try in preparation: nothing is sent yet.
+  std::vector<TryPtr> Open;    ///< Tries that were sent, at most two.
+  std::vector<TryPtr> GivenUp; ///< Those that were taken from their back ends.
+  bool Begun = false;          ///< Events of its answer have come.
+  bool Over = false;           ///< The caller has its answer.
+  bool MayHaveRun = false;     ///< Some try may have run.
+  uint32_t Tries = 0;          ///< Connections asked for.
+  uint32_t Reached = 0;        ///< Sends.
+  uint64_t Turn = 0;           ///< Raised with each choice; for late events.
+  RequestDigests Digests;      ///< The same for copies of a request.
   std::string Fatal;      ///< What of it crashes what runs it; empty: nothing.
   bool FatalPart = false; ///< That is a part of its prompt.
 };
@@ -223,7 +233,7 @@
 /** A request on its way to a worker. */
 struct Passed {
   AskedPtr Of;         ///< Which request.
-  uint64_t Turn = 0;   ///< Which try of it.
+  TryPtr This;         ///< Which try of it.
   std::string Entry;   ///< Who sent it.
   uint64_t Life = 0;   ///< Which run of the entry.
   InstanceId Expected; ///< Run of the worker that is meant.
@@ -291,7 +301,7 @@
 };
 
 /** How a worker answers. */
-enum class Answer : uint8_t { Whole, Misdirected, NotRun, Broke, Unreached };
+enum class Answer : uint8_t { Whole, Misdirected, NotRun, Broke };
 
 } // namespace jacinthpond::model
 
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -97,6 +97,10 @@
       One.Who = FatalPaths.at(below(FatalPaths.size()));
       One.Length = between(3000, 14000);
       break;
+    case Trouble::Silence:
+      One.Who = below(3) > 0 ? worker() : "p" + std::to_string(below(2));
+      One.Length = between(300, 1300);
+      break;
     case Trouble::DomainOut:
       One.Who = "z" + std::to_string(below(2));
       One.Length = between(1000, 12000);
@@ -212,6 +216,16 @@
   return One;
 }
 
+/** Adds silences of sound back ends, six to fourteen, to the day of a seed. */
+inline Schedule makeSilentSchedule(uint64_t Seed) {
+  Schedule One = makeSchedule(Seed);
+  IncidentMaker Maker(Seed * 37U + 11U);
+  for (size_t n = 6 + Maker.below(9); n > 0; --n)
+    One.Incidents.push_back(Maker.draw(Trouble::Silence));
+  std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
+  return One;
+}
+
 /** What a day came to. */
 struct DayEnd {
   std::optional<Broken> Fault; ///< The rule that was broken first.
