--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -58,7 +58,11 @@
 /** The fleet and its surroundings. */
 struct Fleet {
   // ---- Time and chance ------------------------------------------------------
-  explicit Fleet(uint64_t Seed) : Seed(Seed) {
+  /**
+   * @param Seed Draws delays and requests.
+   * @param Slots That each worker says it has.
+   */
+  explicit Fleet(uint64_t Seed, uint32_t Slots) : Seed(Seed), Slots(Slots) {
     addEntry("e0", "z0", 10);
     addEntry("e1", "z1", 11);
     addEntry("e2", "z0", 12);
@@ -426,7 +430,7 @@
         {"service", One.Model ? "llm" : "slots"},
         {"address", One.Address},
         {"zone", One.Zone},
-        {"slots", 8},
+        {"slots", Slots},
         {"state", One.Draining ? "draining" : "ready"},
         {"born", One.Life},
         {"cold_remaining_ms",
@@ -1989,6 +1993,7 @@
   const TimePoint Begin{std::chrono::hours(1)};
   TimePoint Now = Begin;
   uint64_t Seed;
+  uint32_t Slots;
   uint64_t Steps = 0, Runs = 0, NextEnd = FirstAcceptedLink;
   std::vector<Step> Agenda; ///< A heap, the next step first.
   std::map<std::string, Process> Processes;
--- a/tests/unit/route_schedule.h
+++ b/tests/unit/route_schedule.h
@@ -17,6 +17,7 @@
   uint64_t Seed = 0;               ///< Draws delays and requests.
   std::vector<Incident> Incidents; ///< In order of time.
   bool WithParts = false;          ///< Prompts have parts.
+  uint32_t Slots = 8;              ///< Slots of a worker.
 };
 
 /** Time before the first incident; everything is up by then. */
@@ -216,10 +217,12 @@
   return One;
 }
 
-/** Adds silences of sound back ends, six to fourteen, to the day of a seed. */
+/** Adds silences of sound back ends, six to fourteen, to the day of a seed, and
+ * leaves workers few slots: the others are often full. */
 inline Schedule makeSilentSchedule(uint64_t Seed) {
   Schedule One = makeSchedule(Seed);
   IncidentMaker Maker(Seed * 37U + 11U);
+  One.Slots = static_cast<uint32_t>(2 + Maker.below(3));
   for (size_t n = 6 + Maker.below(9); n > 0; --n)
     One.Incidents.push_back(Maker.draw(Trouble::Silence));
   std::ranges::stable_sort(One.Incidents, {}, &Incident::At);
@@ -234,7 +237,7 @@
 };
 
 inline DayEnd play(const Schedule &One, std::ostream *Log = nullptr) {
-  Fleet All(One.Seed);
+  Fleet All(One.Seed, One.Slots);
   All.WithParts = One.WithParts;
   if (Log != nullptr)
     All.OnLog = [Log](Millis At, const std::string &Who,
