tests: the model pings agents of silent back ends

A try whose host leaves a ping unanswered is urgent, as in the exchange, and servers with unanswered pings are chosen otherwise; before, a host that stood still showed by silence alone.

--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -25,6 +25,7 @@
 #include "forwarding/caller_age_func.h"
 #include "forwarding/crash_watch_func.h"
 #include "forwarding/fleet_snapshot_func.h"
+#include "forwarding/liveness_func.h"
 #include "forwarding/no_server_func.h"
 #include "forwarding/place_search_func.h"
 #include "forwarding/rate_share_func.h"
@@ -756,9 +757,14 @@
     }
     if (Who.Entry) {
       if (const auto *Said = std::get_if<SlotAnswer>(&*m)) {
+        recordAgentActivity(Who.Pool, End.Link);
         placeAnswered(Who, *Said);
         return;
       }
+      if (std::holds_alternative<Pong>(*m)) {
+        recordAgentActivity(Who.Pool, End.Link);
+        return;
+      }
       Effects Out;
       if (const auto *Heard = std::get_if<RateLimitNotice>(&*m)) {
         if (recordPeerRate(Who.Pool, *Heard, Now) != RateChange::None)
@@ -1521,8 +1527,7 @@
     if (One->From->Kind == RouteKind::Stream)
       watchBegin(At, One, This);
     if (canRepeat(*One))
-      in(At, One->From->Target * 2,
-         [this, &At, One, This] { watchSilence(At, One, This); });
+      watchLater(At, One, This, One->From->Target);
   }
 
   static bool isOpen(const Asked &One, const TryPtr &This) {
@@ -1545,16 +1550,33 @@
     });
   }
 
+  void watchLater(Process &At, const AskedPtr &One, const TryPtr &This,
+                  Millis Wait) {
+    in(At, Wait, [this, &At, One, This, Due = Now + Wait] {
+      // A reply that came while this entry stood still was not read.
+      if (Now - Due > Millis(100))
+        discardProbe(At.Pool, This->At);
+      watchSilence(At, One, This);
+    });
+  }
+
   /** While the only answer is silent, another server is looked for. */
   void watchSilence(Process &At, const AskedPtr &One, const TryPtr &This) {
     if (One->Begun || !isOpen(*One, This))
       return;
-    const bool Urgent = Now - This->CallBegan >= One->From->Target * 9 / 2;
-    if (One->Open.size() == 1 && One->Next == nullptr &&
-        Now >= One->Search.NextAt && attemptsLeft(*One) &&
-        couldGoElsewhere(At, *One, Urgent))
+    const Duration Silent = Now - This->CallBegan;
+    const Millis Target = One->From->Target;
+    const auto Unresponsive = unresponsiveFrom(At.Pool, This->At);
+    const bool Urgent =
+        (Unresponsive && Now >= *Unresponsive) || Silent >= Target * 9 / 2;
+    if ((Urgent || Silent >= Target * 2) && One->Open.size() == 1 &&
+        One->Next == nullptr && Now >= One->Search.NextAt &&
+        attemptsLeft(*One) && couldGoElsewhere(At, *One, Urgent))
       searchAnew(At, One, !Urgent);
-    in(At, Millis(50), [this, &At, One, This] { watchSilence(At, One, This); });
+    else if (!This->Place.Value.empty() &&
+             recordHostProbe(At.Pool, This->At, Now))
+      send(At, This->PlaceLink, Ping{});
+    watchLater(At, One, This, Millis(50));
   }
 
   bool couldGoElsewhere(Process &At, const Asked &One, bool Urgent) const {
