entry: pipelined requests are read into a buffer of their own

What a caller would see that sends a request before the former one is answered: the next but one is lost and this one runs twice, or its body is damaged.

Cause: a read was pending into the space behind the buffered bytes; handling them emptied the buffer, and the bytes that came were taken from its begin.

Found by reading. PipelinedRequestsAreReadInOrder failed before (paths /a, /b, /b) and passes in 3 of 3 runs.

--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -25,7 +25,6 @@
 
 namespace {
 
-constexpr size_t ReadBytes = 4096;
 /** Bytes of pipelined requests that are buffered while one is handled. */
 constexpr size_t MaxPipelined = 64 << 10;
 /** Capacity in bytes that the write buffer of an idle connection may keep. */
@@ -134,7 +133,7 @@
     return;
   ReadPending = true;
   Socket.async_read_some(
-      Buffer.prepare(ReadBytes),
+      boost::asio::buffer(Received),
       [Self = shared_from_this()](const Error &ec, size_t n) {
         Self->ReadPending = false;
         if (Self->Closed)
@@ -145,6 +144,8 @@
         }
         const bool First = Self->Buffer.size() == 0 && !Self->Busy &&
                            !Self->RequestParser->is_header_done();
+        boost::asio::buffer_copy(Self->Buffer.prepare(n),
+                                 boost::asio::buffer(Self->Received));
         Self->Buffer.commit(n);
         if (Self->Busy) {
           // A pipelined request. Reading goes on, since only a read shows that
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -130,6 +131,8 @@
 
   boost::asio::ip::tcp::socket Socket;
   const SessionCallbacks &Callbacks;
+  /** Target of the pending read; Buffer may be consumed meanwhile. */
+  std::array<char, 4096> Received{};
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> RequestParser;
   boost::asio::steady_timer Timer;
--- a/tests/unit/caller_session_test.cpp
+++ b/tests/unit/caller_session_test.cpp
@@ -158,4 +158,24 @@
   BOOST_TEST((Took < Millis(1000)));
 }
 
+// Guards against requests that are lost, or run twice, when several are sent
+// before the first is answered.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreReadInOrder) {
+  IdleMillis = 5000;
+  send("/a");
+  BOOST_REQUIRE(waitForRequests(1));
+  send("/b");
+  std::this_thread::sleep_for(Millis(50)); // It is buffered meanwhile.
+  run([&] { answer("a"); });
+  BOOST_REQUIRE(waitForRequests(2));
+  send("/c");
+  std::this_thread::sleep_for(Millis(50));
+  run([&] { answer("b"); });
+  BOOST_REQUIRE(waitForRequests(3));
+  run([&] {
+    const std::vector<std::string> Expected = {"/a", "/b", "/c"};
+    BOOST_TEST(Paths == Expected, boost::test_tools::per_element());
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
