entry: a request that no back end ran is refused at its deadline

It was told that it may have run if any back end had been sent the request, also where each of them had answered that it did not run it; a booking is then not tried again. Found by reading; a test that was tried passed before as well, since agents refuse at once what can't begin in time, and is not kept.

--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -224,7 +224,7 @@
   const auto Self = shared_from_this();
   if (BackEndError && !HeadSent)
     sendWholeAnswer(std::move(*BackEndError), "back_end_error");
-  else if (MayHaveRun || AttemptsSent > 0)
+  else if (MayHaveRun || !Sent.empty())
     endWithError({ErrorKind::Deadline, "time is up", {}}, Ran::Unknown,
                  "time_up");
   else
