--- a/tests/integration/silent_server_test.cpp
+++ b/tests/integration/silent_server_test.cpp
@@ -56,6 +56,7 @@
   All.process("plain-0").signal(SIGSTOP);
   std::vector<httplib::Response> Answers(4);
   std::vector<std::jthread> Callers;
+  Callers.reserve(Answers.size());
   for (httplib::Response &Into : Answers)
     Callers.emplace_back([&] { Into = All.ask(0, {}); });
   std::this_thread::sleep_for(Silence);
@@ -74,6 +75,7 @@
   BOOST_REQUIRE(All.waitServing(30s));
   std::vector<httplib::Response> Answers(4);
   std::vector<std::jthread> Callers;
+  Callers.reserve(Answers.size());
   for (httplib::Response &Into : Answers)
     Callers.emplace_back([&] { Into = All.ask(0, writeAsk()); });
   std::this_thread::sleep_for(350ms); // Some events have come.
--- a/tests/unit/caller_session_test.cpp
+++ b/tests/unit/caller_session_test.cpp
@@ -24,7 +24,8 @@
 /** A session on a loopback connection, and its caller. */
 struct Connected {
   Connected() : Caller(Io) {
-    Callbacks.OnRequest = [this](const auto &Session, CallerRequest Request) {
+    Callbacks.OnRequest = [this](const auto &Session,
+                                 const CallerRequest &Request) {
       Paths.emplace_back(Request.target());
       Open = Session;
       if (AnswerAtOnce)
