entry: a suspect's host is pinged as any other; no return to a server whose answer is open

Two points of the read-through: the check of silence skipped the pings of hosts for suspects and for streams without ids, so that their hosts never counted as unresponsive; and a repeated search could have chosen the back end of an open answer again after a refused connection.

--- a/packages/entry/src/forward/exchange_silence.cpp
+++ b/packages/entry/src/forward/exchange_silence.cpp
@@ -134,7 +134,7 @@
   }
   if (RetryAt && Now >= *RetryAt) {
     RetryAt.reset();
-    if (Search.Failures > 0) {
+    if (Search.Failures > 0 && Sent.empty()) {
       restartSearch(Search, Needs, false);
       Needs.Tried.clear(); // One that broke off may be well again.
     }
--- a/packages/entry/src/forward/exchange_takeover.cpp
+++ b/packages/entry/src/forward/exchange_takeover.cpp
@@ -25,14 +25,13 @@
 
 /** Looks for another back end once all open ones are silent for too long. */
 void Exchange::checkSilence(TimePoint Now) {
-  if (Sent.empty() || !canResume() || mustRunAlone(verdict().How))
+  if (Sent.empty())
     return;
   const bool AllSilent = std::ranges::all_of(
       Sent, [&](const auto &One) { return isSilent(*One, Now); });
   const bool Urgent = AllSilent && isUrgent(Now);
   const bool Due = Now >= Search.NextAt || (Urgent && Search.SpareOnly);
-  if (!Next && !RetryAt && AllSilent && Due && hasAttemptsLeft() &&
-      mayOpenAnother(Now)) {
+  if (!Next && !RetryAt && AllSilent && Due && mayOpenAnother(Now)) {
     restartSearch(Search, Needs, !Urgent);
     if (canUseOtherServer(Urgent, Now))
       tryNextServer();
@@ -43,9 +42,12 @@
     pingSilentHost(*One, Now);
 }
 
-/** Says whether one more attempt may be open: beyond the limit, one whose host
- * is unresponsive makes room. */
+/** Says whether one more attempt may be open beside the others. A suspect runs
+ * at one back end at a time; beyond the limit, an attempt whose host is
+ * unresponsive makes room. */
 bool Exchange::mayOpenAnother(TimePoint Now) const {
+  if (!canResume() || !hasAttemptsLeft() || mustRunAlone(verdict().How))
+    return false;
   return Sent.size() < MaxOpenAttempts ||
          std::ranges::any_of(Sent, [&](const auto &One) {
            return isHostUnresponsive(*One, Now);
