review: case 1 shows a long key too; ports that stay free

A valid configuration with a key of 300 bytes has the effect of the other writer's entry (VARIANT=key).

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -81,6 +81,20 @@
   return Text;
 }
 
+/** The flaw that VARIANT in the environment names. */
+std::string variant() {
+  const char *Given = std::getenv("VARIANT");
+  return Given == nullptr ? "address" : Given;
+}
+
+/** The key that the operator's second version adds. With VARIANT=key it has the
+ * length of a signed token, and there is no other writer. */
+std::string addedKey() {
+  constexpr size_t TokenBytes = 300;
+  return isTroubleWanted() && variant() == "key" ? std::string(TokenBytes, 'k')
+                                                 : "jnbanfqasnmgkcuyj8pj";
+}
+
 /**
  * Gives the other writer's entry. It has a name where the address is due,
  * unless VARIANT in the environment names another flaw.
@@ -92,8 +106,7 @@
                 {"state", "ready"},
                 {"slots", 6},
                 {"sequence", 1}};
-  const char *Given = std::getenv("VARIANT");
-  const std::string Variant = Given == nullptr ? "address" : Given;
+  const std::string Variant = variant();
   if (Variant != "address")
     Entry["address"] = "127.0.0.1:9";
   if (Variant == "zone") // The zone is missing.
@@ -137,17 +150,24 @@
     if (All.askAll(One).Served < Asks / 2)
       return ExitNotRun; // The deployment does not serve at all.
 
-  if (Trouble)
+  if (Trouble && variant() != "key")
     All.put("servers/shelf-17", foreignEntry().dump());
   std::this_thread::sleep_for(Millis(1000));
 
-  // CONFIG: a key is taken away and a route moves to another service.
+  // CONFIG: a key is taken away, a tenant gets one, and a route moves to
+  // another service.
   const Json NextRoutes = {route("book", "non_idempotent", "bespreek"),
                            route("check", "idempotent", "kantoor")};
-  All.put("op/config", config(12, NextRoutes, Services, {{"huts", {"key-1"}}}));
+  All.put("op/config", config(12, NextRoutes, Services,
+                              {{"clubs", {addedKey()}}, {"huts", {"key-1"}}}));
   std::this_thread::sleep_for(ConfigApply + Millis(1000));
   const Outcome WithOldKey = All.askAll(Revoked);
   const Outcome Moved = All.askAll(Check);
+  Ask Added;
+  Added.Key = addedKey();
+  const Outcome WithNewKey = All.askAll(Added);
+  const size_t Denied =
+      WithNewKey.Statuses.contains("401") ? WithNewKey.Statuses.at("401") : 0;
   size_t Stale = Moved.Ran.contains("i-0a") ? Moved.Ran.at("i-0a") : 0;
   Stale += Moved.Ran.contains("i-0b") ? Moved.Ran.at("i-0b") : 0;
   size_t KeyRuns = 0;
@@ -155,6 +175,7 @@
     KeyRuns += n;
   Notes.line("CONFIG: 3 s after version 12, with the key that it dropped:" +
              describe(WithOldKey));
+  Notes.line("CONFIG: with the key that it added:" + describe(WithNewKey));
   Notes.line("CONFIG: on the route that it moved to kantoor (i-0c):" +
              describe(Moved));
 
@@ -185,7 +206,7 @@
   for (const std::string &Line : All.Entries.logLines(0, "ejected"))
     Notes.line("log of entry 0: " + Line.substr(0, 240));
 
-  const bool ConfigBroken = KeyRuns > 0 || Stale > 0;
+  const bool ConfigBroken = KeyRuns > 0 || Stale > 0 || Denied > 0;
   const bool DrainBroken = LateRuns > 0;
   const bool RecoverBroken = After.Served * 4 < Asks;
   const auto Word = [](bool Broken) { return Broken ? "broken" : "held"; };
--- a/review/common/stand_in.cpp
+++ b/review/common/stand_in.cpp
@@ -21,6 +21,7 @@
 #include <filesystem>
 #include <iomanip>
 #include <iostream>
+#include <random>
 #include <sstream>
 #include <utility>
 
@@ -59,12 +60,23 @@
   return Socket;
 }
 
-/** A port that is free now. */
+/** A port that is free now. It lies below those that the kernel gives to other
+ * sockets, so that it stays free until an entry listens there. */
 int freePort() {
-  int Port = 0;
-  const int Socket = listenAt(Port);
-  close(Socket);
-  return Port;
+  constexpr int First = 20000;
+  constexpr int Count = 12000;
+  static std::mt19937 Random{std::random_device{}()};
+  static std::set<int> Given;
+  for (;;) {
+    int Port = First + static_cast<int>(Random() % Count);
+    if (!Given.insert(Port).second)
+      continue;
+    const int Socket = listenAt(Port);
+    if (Socket < 0)
+      continue;
+    close(Socket);
+    return Port;
+  }
 }
 
 /** Opens a connection to "IP:port"; -1 when it fails. */
