platform: a part that can't be used is left out alone

What callers saw: another program entered one item below servers/ whose address is no IP:port. From then on no change came into force: a dropped key went on working, an added one got 401, a moved route ran at its old service, a draining server got half of the bookings, and processes that started served nothing. A valid configuration with a key of 300 bytes, 17 attempts, a priority of 101, a timeout of 25 h or a time with a fraction had the same effect; the weight 0.5 of a split became 0.

Cause: items were checked for their types when they were converted, and for their values by the validation of the whole document, which rejects all for one fault. That suits documents that people write, not a store that any client writes to. The validation's bounds against typing errors are not the platform's.

Change: each server, route, service, workspace, model and domain is checked by itself, by the functions that read documents, before the newest server of an address is picked; what fails is left out, logged once with its key, counted in a metric. Documents that need it say "generated" and have the limits of their types; what people write keeps its checks. Times are cut to whole numbers, split weights keep fractions (RouteTarget::Weight is a double). A route that can't be used refuses, callers need keys even if no workspace can be used. Beyond 8,000 servers those of unknown domains are left out, then the latest. Errors quote no keys, nor do those of the JSON library. A refusal is logged once, and config_refused_seconds tells how long it lasts.

Why this works: what is put into a document has passed the check that every process applies to it, so no item can make it invalid.

--- a/packages/adapters/codec/message_codec.cpp
+++ b/packages/adapters/codec/message_codec.cpp
@@ -5,6 +5,7 @@
 #include "base/cbor_reader.h"
 #include "base/hash_func.h"
 #include "codec/text_compression.h"
+#include "configuration/document_func.h"
 #include "table/error_table.h"
 #include "table/message_table.h"
 #include "wire/message_fields.h"
@@ -23,8 +24,6 @@
 
 namespace {
 
-/** Longest document after decompression; parseDocument() has the same limit. */
-constexpr size_t MaxDocumentTextBytes = 8 << 20;
 /** Index of ConfigPush in Message. Its document is compressed: every change
  * goes to every process, and compression shrinks a document to a sixth. */
 constexpr size_t ConfigPushIndex = 3;
@@ -224,7 +223,7 @@
                   "extra fields in message " +
                       std::string(MessageNames.at(Index)));
     if constexpr (Index == ConfigPushIndex) {
-      auto Text = decompressText(m.Text, MaxDocumentTextBytes);
+      auto Text = decompressText(m.Text, MaxDocumentBytes);
       if (!Text)
         return fail(ErrorKind::Malformed, "document cannot be expanded");
       m.Text = std::move(*Text);
--- a/packages/core/src/attempts/entry.cpp
+++ b/packages/core/src/attempts/entry.cpp
@@ -20,6 +20,7 @@
 #include "routing/retry_budget_func.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace jacinthpond {
 
@@ -53,6 +54,16 @@
     markAttemptsLost(Entry, Link, Now);
 }
 
+/** Makes a text from elsewhere fit between the quotes of a log field. */
+std::string logText(const std::string &Text) {
+  constexpr size_t Longest = 200;
+  std::string Value = Text.substr(0, Longest);
+  std::ranges::replace_if(
+      Value, [](unsigned char c) { return std::iscntrl(c); }, ' ');
+  std::ranges::replace(Value, '"', '\'');
+  return Value;
+}
+
 /** Logs that the configuration service was lost or is back. */
 void logConfigServiceChange(const EntryState &Entry,
                             const Outcome<std::string> &Read, TimePoint Now,
@@ -268,6 +279,23 @@
     updateWantedPeers(Entry, Now, Out);
 }
 
+void recordLeftOutParts(EntryState &Entry, const LeftOutParts &Parts,
+                        Effects &Out) {
+  // Another writer may change its item all the time: one line for each key.
+  const auto WasListed = [&](const LeftOutPart &One) {
+    return std::ranges::find(Entry.LeftOut.First, One.Where,
+                             &LeftOutPart::Where) != Entry.LeftOut.First.end();
+  };
+  for (const LeftOutPart &One : Parts.First)
+    if (!WasListed(One))
+      Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
+                            "event=config_part_left_out part=\"" +
+                                logText(One.Where) + "\" why=\"" +
+                                logText(One.Why) +
+                                "\" all=" + std::to_string(Parts.Count)});
+  Entry.LeftOut = Parts;
+}
+
 void handleEntryHostList(EntryState &Entry,
                          const std::vector<HostName> &Leaving, TimePoint Now,
                          Effects &Out) {
--- a/packages/core/src/attempts/entry_func.h
+++ b/packages/core/src/attempts/entry_func.h
@@ -85,6 +85,16 @@
 void handleEntryConfigRead(EntryState &Entry, const Outcome<std::string> &Read,
                            TimePoint Began, TimePoint Now, Effects &Out);
 
+/**
+ * Records which parts of the configuration are left out of its document, and
+ * logs those that were not left out before.
+ * @param Entry State to change.
+ * @param Parts The parts that are left out now.
+ * @param Out Effect list to append to.
+ */
+void recordLeftOutParts(EntryState &Entry, const LeftOutParts &Parts,
+                        Effects &Out);
+
 /**
  * Handles a new host list from the platform.
  * @param Entry State to change.
--- a/packages/core/src/attempts/entry_type.h
+++ b/packages/core/src/attempts/entry_type.h
@@ -6,6 +6,7 @@
 #include "admission/quarantine_type.h"
 #include "base/effect_type.h"
 #include "configuration/config_view_type.h"
+#include "configuration/left_out_type.h"
 #include "membership/membership_type.h"
 #include "routing/retry_budget_type.h"
 #include "settings/settings_type.h"
@@ -72,9 +73,10 @@
 
 /** State of an entry, owned by its control thread. */
 struct EntryState {
-  Settings Config;                      ///< Settings of this process.
-  ConfigView View;                      ///< Configuration in force.
-  Membership Fleet;                     ///< Links to agents and entries.
+  Settings Config;      ///< Settings of this process.
+  ConfigView View;      ///< Configuration in force.
+  LeftOutParts LeftOut; ///< Parts that the service's documents leave out.
+  Membership Fleet;     ///< Links to agents and entries.
   std::map<CallId, Call> Calls;         ///< Requests without a final answer.
   std::map<AttemptId, CallId> Attempts; ///< Open attempts.
   std::map<HostName, uint32_t> OpenByWorker; ///< Attempts open at each worker.
--- a/packages/core/src/base/json_reader.h
+++ b/packages/core/src/base/json_reader.h
@@ -41,8 +41,12 @@
   std::string joinErrors() const;
 };
 
+/** Longest text in what people write, in bytes. */
+constexpr size_t MaxTextBytes = 256;
+
 /**
- * Parses JSON with comments.
+ * Parses JSON with comments. Errors give the position, but never quote the
+ * text, which may hold secrets.
  * @param Text Untrusted input.
  * @param What Name of the text in the error.
  * @param Kind Error kind.
@@ -73,9 +77,10 @@
    * @param Value The JSON value.
    * @param ObjectPath Path of the object; empty for the root.
    * @param Into Receives the errors.
+   * @param LongestText Longest text allowed in it, in bytes.
    */
   ObjectReader(const nlohmann::json &Value, std::string ObjectPath,
-               ValidationErrors &Into);
+               ValidationErrors &Into, size_t LongestText = MaxTextBytes);
 
   /**
    * Reads a text.
@@ -139,6 +144,14 @@
    */
   std::vector<std::string> readTextList(const char *Key);
 
+  /**
+   * Reads a list of texts that are secrets, such as keys. Errors never quote
+   * them.
+   * @param Key Name of the member; absent means empty.
+   * @return The texts.
+   */
+  std::vector<std::string> readSecretList(const char *Key);
+
   /**
    * Returns the elements of a list.
    * @param Key Name of the member; absent means empty.
@@ -194,9 +207,13 @@
   const nlohmann::json *lookUpMember(const char *Key, bool Required,
                                      const char *Allowed);
 
+  /** Checks that a text is short enough and has no control characters. */
+  bool isSafeText(const nlohmann::json &Value) const;
+
   const nlohmann::json *Object;   ///< Null if the value is not an object.
   std::string Path;               ///< Path of the object.
   ValidationErrors *Errors;       ///< Receives the errors.
+  size_t LongestText;             ///< Longest text allowed, in bytes.
   std::vector<std::string> Known; ///< Names of the members read so far.
 };
 
--- a/packages/core/src/configuration/config_spread.cpp
+++ b/packages/core/src/configuration/config_spread.cpp
@@ -135,8 +135,10 @@
 OfferResult applyDocument(ConfigView &View, Membership &Fleet,
                           std::string_view Text, DocumentSource Source,
                           TimePoint Now, Effects &Out) {
+  const std::string LastRefusal = View.RefusedSince ? View.LastRefusal : "";
   const OfferResult Verdict = offerDocument(View, Text, Now);
-  if (Verdict == OfferResult::Invalid)
+  // The service offers it again at each read.
+  if (Verdict == OfferResult::Invalid && View.LastRefusal != LastRefusal)
     Out.push_back(LogNote{LogPart::Config, LogLevel::Warn,
                           "Document rejected: " + View.LastRefusal});
   if (Verdict == OfferResult::Conflict)
--- a/packages/core/src/configuration/config_view.cpp
+++ b/packages/core/src/configuration/config_view.cpp
@@ -13,6 +13,8 @@
   auto Parsed = outcomeOf([&] { return parseDocument(Text); });
   if (!Parsed.Value) {
     ++View.Refused;
+    if (!View.RefusedSince)
+      View.RefusedSince = Now;
     View.LastRefusal = Parsed.Why.Detail;
     return OfferResult::Invalid;
   }
@@ -25,6 +27,7 @@
   }
   View.InForce = Offered;
   View.Since = Now;
+  View.RefusedSince.reset();
   return OfferResult::Accepted;
 }
 
--- a/packages/core/src/configuration/config_view_type.h
+++ b/packages/core/src/configuration/config_view_type.h
@@ -27,7 +27,9 @@
   /** Earliest time at which it can have been published; empty: unknown. Before
    * Since by as long as this process was out of contact. */
   std::optional<TimePoint> PublishedAfter;
-  uint64_t Refused = 0;    ///< Invalid documents seen.
+  uint64_t Refused = 0; ///< Invalid documents seen.
+  /** Since when documents have been refused without one that was accepted. */
+  std::optional<TimePoint> RefusedSince;
   uint64_t Conflicts = 0;  ///< Other documents with the version in force.
   std::string LastRefusal; ///< Validation errors of the last invalid document.
 };
--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -23,25 +23,73 @@
 constexpr int64_t MaxWeight = 1000;
 constexpr int64_t MaxChunkBytes = 8 << 20;
 constexpr int64_t MaxTotalBytes = int64_t{1} << 40;
-/** Largest document accepted, in bytes: enough for the routes and workers of a
- * large fleet. */
-constexpr size_t MaxDocumentBytes = 8 << 20;
 /** Longest lists; well above the fleet size that the system is designed for. */
 constexpr size_t MaxClasses = 256;
-constexpr size_t MaxWorkspaces = 10000;
 constexpr size_t MaxModels = 256;
-constexpr size_t MaxWorkers = 8000;
 constexpr size_t MaxEntries = 2000;
 constexpr size_t MaxTeams = 1000;
-constexpr size_t MaxRoutes = 20000;
-constexpr size_t MaxServices = 1000;
 constexpr size_t MaxDomains = 1000;
-constexpr size_t MaxTargets = 64;
-constexpr int64_t MaxAttemptsAllowed = 16;
-constexpr double MaxTokenRate = 1e9;
-constexpr int64_t MaxRouteWeight = 1000000;
 constexpr int64_t MaxConnectionsAllowed = 1000000;
 
+/** Limits on routes, services, workspaces and callers. */
+struct ValueLimits {
+  size_t TextBytes;     ///< Longest text.
+  size_t Workspaces;    ///< Longest list of workspaces.
+  size_t Routes;        ///< Longest list of routes.
+  size_t Services;      ///< Longest list of services.
+  size_t Targets;       ///< Most targets of a route.
+  int64_t Times;        ///< Longest time, in milliseconds.
+  int64_t Rank;         ///< Least urgent rank.
+  int64_t Attempts;     ///< Most attempts for a request.
+  int64_t Connections;  ///< Most connections to a back end.
+  int64_t MinHeadBytes; ///< Smallest bound on a request's head.
+  int64_t HeadBytes;    ///< Largest bound on a request's head.
+  int64_t BodyBytes;    ///< Largest bound on a request's body.
+  double RouteWeight;   ///< Largest weight of a target.
+  double TokenRate;     ///< Most prompt tokens a second.
+  double ColdRate;      ///< Most requests a second to a cold back end.
+};
+
+/** Limits for documents that people write: beyond them, it's a mistake. */
+constexpr ValueLimits WrittenLimits = {.TextBytes = MaxTextBytes,
+                                       .Workspaces = 10000,
+                                       .Routes = 20000,
+                                       .Services = 1000,
+                                       .Targets = 64,
+                                       .Times = MaxMillis,
+                                       .Rank = MaxPriority,
+                                       .Attempts = 16,
+                                       .Connections = MaxConnectionsAllowed,
+                                       .MinHeadBytes = 256,
+                                       .HeadBytes = MaxChunkBytes,
+                                       .BodyBytes = int64_t{1} << 30,
+                                       .RouteWeight = 1000000,
+                                       .TokenRate = 1e9,
+                                       .ColdRate = MaxConnectionsAllowed};
+
+/** Limits for generated documents: what the types hold. The length of the
+ * document bounds its lists. */
+constexpr ValueLimits GeneratedLimits = {.TextBytes = 64 << 10,
+                                         .Workspaces = MaxDocumentBytes,
+                                         .Routes = MaxDocumentBytes,
+                                         .Services = MaxDocumentBytes,
+                                         .Targets = MaxDocumentBytes,
+                                         .Times = MaxGeneratedNumber,
+                                         .Rank = MaxGeneratedNumber,
+                                         .Attempts = MaxGeneratedNumber,
+                                         .Connections = MaxGeneratedNumber,
+                                         .MinHeadBytes = 1,
+                                         .HeadBytes = MaxGeneratedNumber,
+                                         .BodyBytes = MaxGeneratedNumber,
+                                         .RouteWeight = MaxGeneratedNumber,
+                                         .TokenRate = MaxGeneratedNumber,
+                                         .ColdRate = MaxGeneratedNumber};
+
+/** Gives the limits for documents of an origin. */
+const ValueLimits &limitsFor(DocumentOrigin Origin) {
+  return Origin == DocumentOrigin::Generated ? GeneratedLimits : WrittenLimits;
+}
+
 /** Gives the path of a list's element, such as "workers[3]". */
 std::string elementPath(const char *List, size_t n) {
   return std::string(List) + "[" + std::to_string(n) + "]";
@@ -50,10 +98,11 @@
 /** Reads a list of objects, each with ReadOne, and reports unknown keys. */
 template <typename T, typename Function>
 std::vector<T> readList(ObjectReader &Root, const char *Key, size_t Max,
-                        ValidationErrors &Faults, Function &&ReadOne) {
+                        const ValueLimits &Limits, Function &&ReadOne) {
   std::vector<T> All;
   for (const Json *Element : Root.listElements(Key, Max)) {
-    ObjectReader Reader(*Element, elementPath(Key, All.size()), Faults);
+    ObjectReader Reader(*Element, elementPath(Key, All.size()),
+                        Root.errorList(), Limits.TextBytes);
     All.push_back(ReadOne(Reader));
     Reader.rejectUnknownKeys();
   }
@@ -109,15 +158,15 @@
 }
 
 /** Reads a workspace. */
-Workspace readWorkspace(ObjectReader &Reader) {
+Workspace readWorkspace(ObjectReader &Reader, const ValueLimits &Limits) {
   Workspace Parsed;
   Parsed.Name.Value = Reader.readText("name", true);
   Parsed.Weight = static_cast<uint32_t>(
       Reader.readInteger("weight", false, 1, 1, MaxWeight));
-  Parsed.Keys = Reader.readTextList("keys");
+  Parsed.Keys = Reader.readSecretList("keys");
   constexpr int64_t NoRank = -1;
   const int64_t Rank =
-      Reader.readInteger("rank", false, NoRank, NoRank, MaxPriority);
+      Reader.readInteger("rank", false, NoRank, NoRank, Limits.Rank);
   if (Rank != NoRank)
     Parsed.Rank = static_cast<uint32_t>(Rank);
   Parsed.Regions = toIdSet<RegionName>(Reader.readTextList("regions"));
@@ -177,7 +226,7 @@
 }
 
 /** Reads a route and its targets. */
-Route readRoute(ObjectReader &Reader) {
+Route readRoute(ObjectReader &Reader, const ValueLimits &Limits) {
   Route One;
   One.Name = Reader.readText("name", true);
   One.Host = Reader.readText("host", true);
@@ -189,22 +238,24 @@
   One.Resumable = Reader.readBool("resumable", false);
   One.Anonymous = Reader.readBool("anonymous", false);
   One.MaxAttempts = static_cast<uint32_t>(
-      Reader.readInteger("max_attempts", false, 1, 1, MaxAttemptsAllowed));
-  One.Timeout = Millis(Reader.readInteger("timeout_ms", true, 0, 1, MaxMillis));
-  One.Target = Millis(Reader.readInteger("target_ms", false, 0, 0, MaxMillis));
+      Reader.readInteger("max_attempts", false, 1, 1, Limits.Attempts));
+  One.Timeout =
+      Millis(Reader.readInteger("timeout_ms", true, 0, 1, Limits.Times));
+  One.Target =
+      Millis(Reader.readInteger("target_ms", false, 0, 0, Limits.Times));
   One.GapTarget =
-      Millis(Reader.readInteger("gap_target_ms", false, 0, 0, MaxMillis));
-  One.LongestSilence =
-      Millis(Reader.readInteger("longest_silence_ms", false, 0, 0, MaxMillis));
+      Millis(Reader.readInteger("gap_target_ms", false, 0, 0, Limits.Times));
+  One.LongestSilence = Millis(
+      Reader.readInteger("longest_silence_ms", false, 0, 0, Limits.Times));
   One.Rank = static_cast<uint32_t>(
-      Reader.readInteger("rank", false, 0, 0, MaxPriority));
+      Reader.readInteger("rank", false, 0, 0, Limits.Rank));
   One.Regions = toIdSet<RegionName>(Reader.readTextList("regions"));
-  for (const Json *Part : Reader.listElements("targets", MaxTargets)) {
-    ObjectReader Row(*Part, Reader.memberPath("targets"), Reader.errorList());
+  for (const Json *Part : Reader.listElements("targets", Limits.Targets)) {
+    ObjectReader Row(*Part, Reader.memberPath("targets"), Reader.errorList(),
+                     Limits.TextBytes);
     RouteTarget Target;
     Target.Service.Value = Row.readText("service", true);
-    Target.Weight = static_cast<uint32_t>(
-        Row.readInteger("weight", false, 1, 0, MaxRouteWeight));
+    Target.Weight = Row.readNumber("weight", 1, 0, Limits.RouteWeight);
     Row.rejectUnknownKeys();
     One.Targets.push_back(Target);
   }
@@ -214,16 +265,16 @@
 }
 
 /** Reads a service that routes lead to. */
-Service readService(ObjectReader &Reader) {
+Service readService(ObjectReader &Reader, const ValueLimits &Limits) {
   Service One;
   One.Name.Value = Reader.readText("name", true);
   One.Model.Value = Reader.readText("model", false);
-  One.MaxConnections = static_cast<uint32_t>(Reader.readInteger(
-      "max_connections", false, 0, 0, MaxConnectionsAllowed));
+  One.MaxConnections = static_cast<uint32_t>(
+      Reader.readInteger("max_connections", false, 0, 0, Limits.Connections));
   One.PromptTokensPerSecond =
-      Reader.readNumber("read_tokens_per_second", 0, 0, MaxTokenRate);
+      Reader.readNumber("read_tokens_per_second", 0, 0, Limits.TokenRate);
   One.ColdPerSecond =
-      Reader.readNumber("cold_per_second", 0, 0, MaxConnectionsAllowed);
+      Reader.readNumber("cold_per_second", 0, 0, Limits.ColdRate);
   return One;
 }
 
@@ -245,28 +296,34 @@
 }
 
 /** Reads the bounds on what callers send. */
-CallerLimits readLimits(ObjectReader &Reader) {
+CallerLimits readLimits(ObjectReader &Reader, const ValueLimits &Limits) {
   CallerLimits One;
-  One.MaxHeadBytes = static_cast<uint32_t>(Reader.readInteger(
-      "max_head_bytes", false, One.MaxHeadBytes, 256, MaxChunkBytes));
+  One.MaxHeadBytes = static_cast<uint32_t>(
+      Reader.readInteger("max_head_bytes", false, One.MaxHeadBytes,
+                         Limits.MinHeadBytes, Limits.HeadBytes));
   One.MaxBodyBytes = static_cast<uint32_t>(Reader.readInteger(
-      "max_body_bytes", false, One.MaxBodyBytes, 0, int64_t{1} << 30));
+      "max_body_bytes", false, One.MaxBodyBytes, 0, Limits.BodyBytes));
   One.HeadTimeout = Millis(Reader.readInteger(
-      "head_timeout_ms", false, One.HeadTimeout.count(), 1, MaxMillis));
+      "head_timeout_ms", false, One.HeadTimeout.count(), 1, Limits.Times));
   One.IdleTimeout = Millis(Reader.readInteger(
-      "idle_timeout_ms", false, One.IdleTimeout.count(), 1, MaxMillis));
+      "idle_timeout_ms", false, One.IdleTimeout.count(), 1, Limits.Times));
   return One;
 }
 
+/** Reads a failure domain and its region. */
+std::pair<DomainName, RegionName> readDomain(ObjectReader &Reader) {
+  DomainName Domain{Reader.readText("name", true)};
+  return {std::move(Domain), RegionName{Reader.readText("region", true)}};
+}
+
 /** Reads the region of each failure domain. */
-std::map<DomainName, RegionName> readRegions(ObjectReader &Root) {
+std::map<DomainName, RegionName> readRegions(ObjectReader &Root,
+                                             const ValueLimits &Limits) {
+  const auto Rows = readList<std::pair<DomainName, RegionName>>(
+      Root, "domains", MaxDomains, Limits, readDomain);
   std::map<DomainName, RegionName> RegionOf;
-  for (const Json *Element : Root.listElements("domains", MaxDomains)) {
-    ObjectReader Row(*Element, "domains", Root.errorList());
-    const DomainName Domain{Row.readText("name", true)};
-    RegionOf[Domain] = RegionName{Row.readText("region", true)};
-    Row.rejectUnknownKeys();
-  }
+  for (const auto &[Domain, Region] : Rows)
+    RegionOf[Domain] = Region;
   return RegionOf;
 }
 
@@ -333,29 +390,39 @@
   ObjectReader Root(Value, "", Faults);
   Doc.Version.Value = static_cast<uint64_t>(Root.readInteger(
       "version", true, 1, 1, std::numeric_limits<int64_t>::max()));
+  const DocumentOrigin Origin = Root.readBool("generated", false)
+                                    ? DocumentOrigin::Generated
+                                    : DocumentOrigin::Written;
+  const ValueLimits &Limits = limitsFor(Origin);
+  const auto Limited = [&](auto ReadOne) {
+    return [&Limits, ReadOne](ObjectReader &Reader) {
+      return ReadOne(Reader, Limits);
+    };
+  };
   Doc.Classes =
-      readList<WorkClass>(Root, "classes", MaxClasses, Faults, readClass);
-  Doc.Workspaces = readList<Workspace>(Root, "tenants", MaxWorkspaces, Faults,
-                                       readWorkspace);
+      readList<WorkClass>(Root, "classes", MaxClasses, Limits, readClass);
+  Doc.Workspaces = readList<Workspace>(Root, "tenants", Limits.Workspaces,
+                                       Limits, Limited(readWorkspace));
   Doc.Models =
-      readList<ModelVersion>(Root, "models", MaxModels, Faults, readModel);
+      readList<ModelVersion>(Root, "models", MaxModels, Limits, readModel);
   Doc.Workers =
-      readList<Worker>(Root, "workers", MaxWorkers, Faults, readWorker);
+      readList<Worker>(Root, "workers", MaxDocumentServers, Limits, readWorker);
   Doc.Entries =
-      readList<EntryHost>(Root, "entries", MaxEntries, Faults, readEntry);
+      readList<EntryHost>(Root, "entries", MaxEntries, Limits, readEntry);
   Doc.DomainsOut = toIdSet<DomainName>(Root.readTextList("domains_out"));
-  Doc.Teams = readList<Team>(Root, "teams", MaxTeams, Faults, readTeam);
-  Doc.Routes = readList<Route>(Root, "routes", MaxRoutes, Faults, readRoute);
-  Doc.Services =
-      readList<Service>(Root, "services", MaxServices, Faults, readService);
-  Doc.Servers =
-      readList<BackEndServer>(Root, "servers", MaxWorkers, Faults, readServer);
-  if (const Json *Limits = Root.readMember("limits")) {
-    ObjectReader Row(*Limits, "limits", Faults);
-    Doc.Limits = readLimits(Row);
+  Doc.Teams = readList<Team>(Root, "teams", MaxTeams, Limits, readTeam);
+  Doc.Routes = readList<Route>(Root, "routes", Limits.Routes, Limits,
+                               Limited(readRoute));
+  Doc.Services = readList<Service>(Root, "services", Limits.Services, Limits,
+                                   Limited(readService));
+  Doc.Servers = readList<BackEndServer>(Root, "servers", MaxDocumentServers,
+                                        Limits, readServer);
+  if (const Json *OfCallers = Root.readMember("limits")) {
+    ObjectReader Row(*OfCallers, "limits", Faults, Limits.TextBytes);
+    Doc.Limits = readLimits(Row, Limits);
     Row.rejectUnknownKeys();
   }
-  Doc.RegionOf = readRegions(Root);
+  Doc.RegionOf = readRegions(Root, Limits);
   Doc.RetryHorizon = Millis(Root.readInteger(
       "retry_horizon_ms", false, Doc.RetryHorizon.count(), 100, MaxMillis));
   Root.rejectUnknownKeys();
@@ -364,6 +431,29 @@
   return Doc;
 }
 
+/** Reads a part of a document for its faults. */
+using PartReader = void (*)(ObjectReader &Reader, const ValueLimits &Limits);
+
+/** The readers of all parts, in the order of DocumentPart. */
+constexpr std::array<PartReader, static_cast<size_t>(DocumentPart::Count)>
+    PartReaders = {
+        [](ObjectReader &Reader, const ValueLimits &Limits) {
+          readRoute(Reader, Limits);
+        },
+        [](ObjectReader &Reader, const ValueLimits &Limits) {
+          readService(Reader, Limits);
+        },
+        [](ObjectReader &Reader, const ValueLimits &Limits) {
+          readWorkspace(Reader, Limits);
+        },
+        [](ObjectReader &Reader, const ValueLimits &) { readModel(Reader); },
+        [](ObjectReader &Reader, const ValueLimits &) { readDomain(Reader); },
+        [](ObjectReader &Reader, const ValueLimits &) { readServer(Reader); },
+        [](ObjectReader &Reader, const ValueLimits &) { readWorker(Reader); },
+        [](ObjectReader &Reader, const ValueLimits &Limits) {
+          readLimits(Reader, Limits);
+        }};
+
 } // namespace
 
 Digest publishedWeightsId(const ModelName &Model, const std::string &Version) {
@@ -377,6 +467,16 @@
   return sha256(All);
 }
 
+std::string partErrors(DocumentPart Part, const Json &Value,
+                       DocumentOrigin Origin) {
+  const ValueLimits &Limits = limitsFor(Origin);
+  ValidationErrors Faults;
+  ObjectReader Reader(Value, "", Faults, Limits.TextBytes);
+  PartReaders.at(static_cast<size_t>(Part))(Reader, Limits);
+  Reader.rejectUnknownKeys();
+  return Faults.joinErrors();
+}
+
 Result<DocumentPtr> parseDocument(std::string_view Text) {
   if (Text.size() > MaxDocumentBytes)
     return fail(ErrorKind::InvalidDocument,
--- a/packages/core/src/configuration/document_func.h
+++ b/packages/core/src/configuration/document_func.h
@@ -6,10 +6,54 @@
 #include "base/error_func.h"
 #include "configuration/document_type.h"
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace jacinthpond {
 
+/** Largest document accepted, in bytes: enough for the routes and workers of a
+ * large fleet. */
+constexpr size_t MaxDocumentBytes = 8 << 20;
+/** Most servers or workers of a document; well above the fleet size that the
+ * system is designed for. */
+constexpr size_t MaxDocumentServers = 8000;
+/** Largest number in routes, services, workspaces and limits of a generated
+ * document: what their types hold. */
+constexpr int64_t MaxGeneratedNumber = UINT32_MAX;
+
+/** Where the values of a document come from. */
+enum class DocumentOrigin : uint8_t {
+  Written,  ///< A person wrote them; unusual ones are mistakes.
+  Generated ///< A program took them over from a configuration of another form.
+};
+
+/** Parts of a document that can be checked one by one. */
+enum class DocumentPart : uint8_t {
+  Route,
+  Service,
+  Workspace,
+  Model,
+  Domain,
+  Server,
+  Worker,
+  Limits, ///< The limits on callers.
+  Count   ///< Number of values; not a value.
+};
+
+/**
+ * Checks a part of a document in the same way as parseDocument(), but for
+ * references to other parts and names that occur twice.
+ * @param Part Which part.
+ * @param Value The part.
+ * @param Origin Origin of the document that it is meant for.
+ * @return All faults, one per line; empty: it is valid.
+ */
+std::string partErrors(DocumentPart Part, const nlohmann::json &Value,
+                       DocumentOrigin Origin);
+
 /**
  * Parses and validates a published document. The result depends on the text
  * alone, so that all processes accept the same documents.
--- a/packages/core/src/configuration/document_type.h
+++ b/packages/core/src/configuration/document_type.h
@@ -89,7 +89,7 @@
 /** One of the services among which a route's requests are split. */
 struct RouteTarget {
   ServiceName Service; ///< Which service.
-  uint32_t Weight = 1; ///< Share relative to the other targets.
+  double Weight = 1;   ///< Share relative to the other targets.
 
   bool operator==(const RouteTarget &) const = default;
 };
--- a/packages/core/src/forwarding/route_match.cpp
+++ b/packages/core/src/forwarding/route_match.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <functional>
+#include <limits>
 
 namespace jacinthpond {
 
@@ -68,6 +70,27 @@
   return Found == it->second.end() ? nullptr : *Found;
 }
 
+const ServiceName &chooseTarget(const Route &Matched, uint64_t Hash) {
+  double Sum = 0;
+  for (const RouteTarget &One : Matched.Targets)
+    Sum += One.Weight;
+  if (Sum <= 0)
+    return Matched.Targets.front().Service;
+  constexpr int FractionBits = std::numeric_limits<double>::digits;
+  const uint64_t Fraction = Hash >> (64U - FractionBits);
+  double Point = std::ldexp(Sum * static_cast<double>(Fraction), -FractionBits);
+  const RouteTarget *Chosen = nullptr;
+  for (const RouteTarget &One : Matched.Targets) {
+    if (One.Weight <= 0)
+      continue;
+    Chosen = &One; // Rounding may leave a rest beyond the last one.
+    if (Point < One.Weight)
+      break;
+    Point -= One.Weight;
+  }
+  return Chosen->Service;
+}
+
 const Workspace *matchWorkspace(const RouteIndex &Index,
                                 std::string_view Authorization) {
   const std::string_view Value = trimmed(Authorization);
--- a/packages/core/src/forwarding/route_match_func.h
+++ b/packages/core/src/forwarding/route_match_func.h
@@ -35,6 +35,14 @@
 const Route *matchRoute(const RouteIndex &Index, std::string_view Host,
                         std::string_view Target);
 
+/**
+ * Chooses a service of a route in proportion to the weights.
+ * @param Matched The route.
+ * @param Hash Hash of the request's id.
+ * @return The service; never one of weight 0 unless all have it.
+ */
+const ServiceName &chooseTarget(const Route &Matched, uint64_t Hash);
+
 /**
  * Finds the workspace that a request belongs to by its API key.
  * @param Index The index.
--- a/packages/entry/src/entry_metrics.cpp
+++ b/packages/entry/src/entry_metrics.cpp
@@ -33,6 +33,16 @@
   addFamily(Into, MetricType::Counter,
             {"jacinthpond_config_refused_total", "Invalid documents seen."},
             unlabelledValue(static_cast<double>(View.Refused)));
+  const std::chrono::duration<double> RefusedFor =
+      Now - View.RefusedSince.value_or(Now);
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_config_refused_seconds",
+             "Time for which newer documents have been invalid; 0: none is."},
+            unlabelledValue(RefusedFor.count()));
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_config_parts_left_out",
+             "Parts of the configuration that its document leaves out."},
+            unlabelledValue(static_cast<double>(Entry.LeftOut.Count)));
   addFamily(Into, MetricType::Counter,
             {"jacinthpond_config_conflicts_total",
              "Documents whose version is taken by another content."},
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -224,8 +224,10 @@
     const TimePoint ReadStart = Clock.now();
     const Outcome<std::string> Read = outcomeOf(
         [&] { return Service.watch(Plan->After, Plan->InForce, Plan->Wait); });
-    post([this, Read, ReadStart](TimePoint Now, Effects &Out) {
+    post([this, Read, ReadStart, LeftOut = Service.leftOut()](TimePoint Now,
+                                                              Effects &Out) {
       handleEntryConfigRead(State, Read, ReadStart, Now, Out);
+      recordLeftOutParts(State, LeftOut, Out);
     });
   }
 }
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <functional>
 #include <utility>
 
 namespace jacinthpond {
@@ -38,25 +39,6 @@
  * bodies stay in memory meanwhile. */
 constexpr size_t MaxWaitingForReadiness = 256;
 
-/** Chooses a service of the route in proportion to the weights, by a hash of
- * the request's id. */
-const ServiceName &chooseTarget(const Route &Matched, std::string_view Id) {
-  uint64_t Sum = 0;
-  for (const RouteTarget &One : Matched.Targets)
-    Sum += One.Weight;
-  if (Sum == 0)
-    return Matched.Targets.front().Service;
-  uint64_t Point = std::hash<std::string_view>{}(Id) % Sum;
-  const auto it =
-      std::ranges::find_if(Matched.Targets, [&](const RouteTarget &One) {
-        if (Point < One.Weight)
-          return true;
-        Point -= One.Weight;
-        return false;
-      });
-  return it->Service;
-}
-
 /** Formats a duration as seconds with three decimals. */
 std::string formatSeconds(Millis Time) {
   std::array<char, 32> Text{};
@@ -130,7 +112,7 @@
                         RequestDeadline - ArrivalTime);
   RequestDeadline =
       std::min(RequestDeadline, ArrivalTime + RequestRoute->Timeout);
-  Needs.Service = chooseTarget(*RequestRoute, Id);
+  Needs.Service = chooseTarget(*RequestRoute, std::hash<std::string>{}(Id));
   Needs.MatchedRoute = RequestRoute;
   Needs.Owner = Owner;
   if (const auto Last = parseNumber(
--- a/packages/ports/src/platform_port.h
+++ b/packages/ports/src/platform_port.h
@@ -8,6 +8,7 @@
 #include "base/error_func.h"
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "configuration/left_out_type.h"
 
 #include <map>
 #include <string>
@@ -35,6 +36,13 @@
    */
   virtual Result<std::string> watch(ConfigVersion After, const Digest &InForce,
                                     Millis Wait) = 0;
+
+  /**
+   * Gives the parts of the published configuration that the document can't
+   * hold, as of the last read. Called by the thread that calls watch().
+   * @return The parts; none for a service that publishes documents.
+   */
+  virtual LeftOutParts leftOut() const { return {}; }
 };
 
 /** The list of live and leaving hosts. */
--- a/tests/unit/route_match_test.cpp
+++ b/tests/unit/route_match_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace jacinthpond;
 
 namespace {
@@ -66,3 +68,19 @@
   BOOST_TEST(matchWorkspace(Index, "k1") == nullptr);
   BOOST_TEST(matchWorkspace(Index, "") == nullptr);
 }
+
+// Guards against splits whose shares lose their fractions.
+BOOST_AUTO_TEST_CASE(ARouteIsSplitInProportionToItsWeights) {
+  Route Split;
+  Split.Targets = {
+      {{"none"}, 0}, {{"half"}, 0.5}, {{"rest"}, 1.5}, {{"no"}, 0}};
+  constexpr uint64_t Steps = 1000;
+  std::map<std::string, size_t> Chosen;
+  for (uint64_t n = 0; n < Steps; ++n)
+    ++Chosen[chooseTarget(Split, (2 * n + 1) * (UINT64_MAX / Steps / 2)).Value];
+  BOOST_TEST(Chosen.size() == 2U);
+  BOOST_TEST(Chosen["half"] == 250U);
+  BOOST_TEST(Chosen["rest"] == 750U);
+  Split.Targets = {{{"first"}, 0}, {{"second"}, 0}};
+  BOOST_TEST(chooseTarget(Split, 7).Value == "first");
+}
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -120,6 +120,19 @@
                  .find("\"secret\"") == std::string::npos);
 }
 
+// Guards against keys in the errors of a document, which are logged.
+BOOST_AUTO_TEST_CASE(ErrorsQuoteNoKeys) {
+  for (const char *Members :
+       {R"(, "tenants": [{"name": "t", "keys": ["secret\u0001"]}])",
+        R"(, "tenants": [{"name": "t", "keys": "secret"}])",
+        R"(, "tenants": ["secret"])", R"(, "tenants": "secret")",
+        R"(, "tenants": [{"name": "t", "keys": ["secret)"}) {
+    const std::string Errors = documentErrors(Members);
+    BOOST_TEST(!Errors.empty());
+    BOOST_TEST(Errors.find("secret") == std::string::npos, Errors);
+  }
+}
+
 // An operator adds a setting to a long file that already contains it. JSON
 // parsers silently keep one of the two, so the process could run with the value
 // that the operator meant to replace.
