entry: statuses without a name reach the caller

What callers saw: a worker's signed failure with 425 or 529 arrived as "HTTP/1.1 000 <unknown-status>", so a caller could not tell what had become of a booking that had run. A success with 299 became 000 as well.

Cause: both places that begin an answer copied the status as a value of the library's enumeration, which is 0 for a status without a name. The reason phrase was not copied.

Change: copyAnswerHead() copies status (by number), reason and headers for whole answers, streams and answers that are kept for a retry. Refusals are recognised by number too.

--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -17,10 +17,12 @@
 
 namespace jacinthpond {
 
-namespace http = boost::beast::http;
-
 namespace {
 
+/** Status of a back end that refuses for now. */
+constexpr unsigned StatusUnavailable = 503;
+/** Status of a back end other than the one meant: it has the address now. */
+constexpr unsigned StatusMisdirected = 421;
 /** Maximum bytes buffered for a caller that reads slowly. */
 constexpr size_t MaxCallerBacklogBytes = 1 << 20;
 /** Maximum size of a response that is buffered until it is complete. */
@@ -100,7 +102,7 @@
 void Exchange::handleNotices(Attempt &One, const ResponseHead &Received) {
   logServerNotice(One, Received);
   readLeaving(One, Received);
-  if (Received.result() == http::status::service_unavailable)
+  if (Received.result_int() == StatusUnavailable)
     readPause(One, Received);
 }
 
@@ -119,7 +121,7 @@
     return;
   const TimePoint Now = Shared.Clock.now();
   std::vector<ServerLeavingNotice> News;
-  if (Received.result() == http::status::misdirected_request)
+  if (Received.result_int() == StatusMisdirected)
     News = recordMisdirectedLeaving(Shared.Pool, One.ServerId,
                                     One.CallStartTime, Now);
   else if (const auto Notice = recordLeaving(Shared.Pool, One.ServerId, Now))
@@ -158,7 +160,7 @@
     recordServerLoad(Shared.Pool, One.ServerId, *Busy, Now);
   const unsigned Status = Received.result_int();
   One.AnswerStatus = Status;
-  const bool Misdirected = Status == 421; // Another run may have the address.
+  const bool Misdirected = Status == StatusMisdirected;
   const bool NotRun = !fieldValue(Received, Names.NotExecuted).empty();
   const bool Success = Status >= 200 && Status < 300;
   const bool Signed = !fieldValue(Received, Names.Signature).empty();
@@ -239,8 +241,7 @@
   recordFirstPartTime(Shared.Pool, Needs.Service,
                       *FirstByteTime - One.CallStartTime);
   CallerAnswerHead Out;
-  Out.result(Head.result());
-  copyAnswerHeaders(Head, Out);
+  copyAnswerHead(Head, Out);
   Session->beginBody(std::move(Out));
 }
 
@@ -339,8 +340,7 @@
   dropAllAttempts();
   FirstByteTime = Shared.Clock.now();
   CallerAnswer Out;
-  Out.result(Answer.Head.result());
-  copyAnswerHeaders(Answer.Head, Out);
+  copyAnswerHead(Answer.Head, Out);
   Out.body() = std::move(Answer.Body);
   logEnd("answered", Answer.Head.result_int(), How);
   Shared.Counters.add(ForwardCount::Answered);
--- a/packages/entry/src/forward/forward_headers.cpp
+++ b/packages/entry/src/forward/forward_headers.cpp
@@ -92,7 +92,13 @@
   return Text.str();
 }
 
-void copyAnswerHeaders(const ResponseHead &Head, http::fields &Into) {
+void copyAnswerHead(const ResponseHead &Head, ResponseHead &Into) {
+  Into.result(Head.result_int());
+  // Without a reason of its own, the library gives the one of the status, which
+  // is "<unknown-status>" for a status without a name.
+  const bool HasReason = Head.result() != http::status::unknown ||
+                         Head.reason() != http::obsolete_reason(Head.result());
+  Into.reason(HasReason ? Head.reason() : "Unknown");
   for (const auto &Field : Head)
     if (!isHopByHopHeader(Field.name_string()) &&
         !isListedInConnection(Head, Field.name_string()))
--- a/packages/entry/src/forward/forward_headers.h
+++ b/packages/entry/src/forward/forward_headers.h
@@ -35,12 +35,12 @@
                          const AttemptHeaders &Added);
 
 /**
- * Copies the headers of a response, without hop-by-hop headers.
+ * Copies the status, the reason and the headers of a response, without
+ * hop-by-hop headers. Statuses that the library has no name for are kept.
  * @param Head Head of the back end's response.
- * @param Into Headers of the response to the caller.
+ * @param Into Head of the response to the caller.
  */
-void copyAnswerHeaders(const ResponseHead &Head,
-                       boost::beast::http::fields &Into);
+void copyAnswerHead(const ResponseHead &Head, ResponseHead &Into);
 
 } // namespace jacinthpond
 
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -140,6 +140,32 @@
     BOOST_TEST(All.ask(0, {}).status == 200);
 }
 
+// Guards against statuses that the HTTP library has no name for, which reached
+// callers as 000: of failures at once and after a retry, of whole answers and
+// of streams.
+BOOST_AUTO_TEST_CASE(UnlistedStatusesArePassedOn) {
+  const auto AskWith = [&](const Json &Options, const RouteAsk &What) {
+    for (const char *Name : {"plain-0", "plain-1", "model-0", "model-1"})
+      All.control(Name, Options);
+    return All.ask(0, What);
+  };
+  for (const int Status : {425, 529, 599, 799}) {
+    const Json Failing = {{"fail", 100}, {"fail_status", Status}};
+    for (const RouteAsk &What : {book(), RouteAsk{}, writeAsk()}) {
+      const httplib::Response Answer = AskWith(Failing, What);
+      BOOST_TEST(Answer.status == Status, What.Path);
+      BOOST_TEST(Answer.body == "failed");
+      BOOST_TEST(Answer.get_header_value("X-Jacinthpond-Response-Signature") ==
+                 "sig");
+    }
+  }
+  const Json Working = {{"fail", 0}, {"success_status", 299}};
+  BOOST_TEST(AskWith(Working, book()).status == 299);
+  const httplib::Response Stream = AskWith(Working, writeAsk());
+  BOOST_TEST(Stream.status == 299);
+  BOOST_TEST(Stream.body == events(1, 5));
+}
+
 BOOST_AUTO_TEST_CASE(ABookingThatMayHaveRunIsNotSentAgain) {
   // A back end took a booking and never answered. Sent again to the other one,
   // it would have booked two crews.
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -3,7 +3,8 @@
  * /control takes: "id", "version" (0: holds nothing), "events" (of a stream),
  * "rate_limit" (a text: answers name it as their limit of requests a second;
  * empty: none), "gap_ms" (between events), "break_at" (the connection ends in
- * the middle of that event, once), "fail" (that many requests answer 500),
+ * the middle of that event, once), "fail" (that many requests answer
+ * "fail_status", 500 if not given), "success_status" (of other answers; 200),
  * "refuse" (that many answer 503 as not run), "retry_after" (these refusals
  * carry it; a list: the header comes once for each element), "leaving" (a text:
  * all answers carry it as Server-Leaving; empty: none do), "no_signature",
@@ -327,8 +328,9 @@
   }
   noteRun(Host, Asked);
   setHeaders(Host, Asked, Answer);
+  Answer.status = Host.Options.value("success_status", 200);
   if (takeOne(Host, "fail")) {
-    Answer.status = 500;
+    Answer.status = Host.Options.value("fail_status", 500);
     Answer.set_content("failed", "text/plain");
     return;
   }
