entry: a status below 100 is no interim response

What callers saw (by a test, not in a case): a back end answered with status 099, which passed for an interim response; the request waited for its deadline while the connection stayed open.

Cause: all statuses below 200 were taken for interim ones.

Change: below 100 the response is malformed, and the call ends at once.

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -25,6 +25,8 @@
 
 /** Size of one read; an event of a stream has a few hundred bytes. */
 constexpr size_t ReadBytes = 4096;
+/** Smallest status of a response (RFC 9110, 15). */
+constexpr unsigned MinStatus = 100;
 /** Idle limit for back ends that don't send a Keep-Alive timeout. */
 constexpr Millis DefaultIdleLimit{4000};
 /** Share of the announced Keep-Alive timeout that is used: a request sent near
@@ -219,6 +221,11 @@
       reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
       return;
     }
+    if (ResponseParser->is_header_done() && !HeadDone &&
+        ResponseParser->get().result_int() < MinStatus) {
+      reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
+      return;
+    }
     if (ResponseParser->is_header_done() && !HeadDone && !processHead())
       continue;
     if (Handler == nullptr)
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -132,3 +132,32 @@
   const std::vector<unsigned> Expected = {503, 200};
   BOOST_TEST(Events.Statuses == Expected, boost::test_tools::per_element());
 }
+
+// Guards against a status line without a status, which passed for an interim
+// response, so that the request waited for its deadline.
+BOOST_AUTO_TEST_CASE(AResponseWithoutAStatusIsMalformed) {
+  struct Failing : NoEvents {
+    void handleCallFailure(CallFailure, ConnectionEnd End) override {
+      Ended = End;
+    }
+    std::optional<ConnectionEnd> Ended;
+  };
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening(Io, {boost::asio::ip::address_v4::loopback(), 0});
+  BackEndConnectionPool Pool;
+  Failing Events;
+  BackEndRequest Request;
+  Request.To.Value =
+      "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+  Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+  Call->start(Millis(1000));
+  Tcp::socket Worker = Listening.accept();
+  const std::string Head = "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n";
+  boost::asio::write(Worker, boost::asio::buffer(Head));
+  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Events.Ended && std::chrono::steady_clock::now() < Limit)
+    Io.run_one_for(std::chrono::milliseconds(10));
+  BOOST_REQUIRE(Events.Ended.has_value());
+  BOOST_CHECK(*Events.Ended == ConnectionEnd::Malformed);
+}
