entry: bytes without end are broken off

Causes: limits stood on what is passed on, not on what is read: a body that nobody takes and bytes that the parser can't use yet had none. An announced length of bytes was reserved, which threw; the loop of the traffic thread caught it, and the request was left without a read. A refusal was settled by its end, so one without end held its request. A stream was begun by comments.

Change: bounds on the head, on unparsed bytes, on what is parsed beside the body, on comments, and on all incomplete answers together (answer_memory_mb, 64, a quarter of an entry's memory; chosen). Bodies reserve nothing (PartBody). An exception while a response is handled ends its call. A refusal is settled by its head (skipBody); the rest is read for 64 KiB or 0.5 s to keep the connection. Comments before the first event come with it, so another back end can take over.

Why this works: every byte that is read is consumed into something bounded, and what passes its bound resets the connection and ends the call as malformed, which the request handles as any broken answer.

--- a/packages/core/src/forwarding/event_stream.cpp
+++ b/packages/core/src/forwarding/event_stream.cpp
@@ -3,7 +3,9 @@
 
 #include "forwarding/event_stream_func.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace jacinthpond {
 
@@ -19,6 +21,35 @@
   return Lf < CrLf ? Lf + 2 : CrLf + 4;
 }
 
+/** Says whether a block of lines is an event: it has more than comments and
+ * empty lines. */
+bool isEvent(std::string_view Block) {
+  for (size_t At = 0; At < Block.size();) {
+    const size_t End = std::min(Block.find('\n', At), Block.size());
+    const std::string_view Line = Block.substr(At, End - At);
+    At = End + 1;
+    if (!Line.empty() && Line != "\r" && Line.front() != ':')
+      return true;
+  }
+  return false;
+}
+
+/** Passes a complete block on. The comments before the first event come with
+ * it: until then another back end may take over. Returns false when there are
+ * too many comments. */
+bool passOn(EventStream &Stream, std::string_view Block, std::string &Out) {
+  if (isEvent(Block)) {
+    Out += std::exchange(Stream.Opening, {});
+    Out += Block;
+    Stream.Begun = true;
+    Stream.CommentBytes = 0;
+    return true;
+  }
+  Stream.CommentBytes += Block.size();
+  (Stream.Begun ? Out : Stream.Opening) += Block;
+  return Stream.CommentBytes <= MaxCommentBytes;
+}
+
 /** Parses the id line of an event; nothing: it has none that is a number. */
 std::optional<uint64_t> parseEventId(std::string_view Event) {
   constexpr std::string_view Name = "id:";
@@ -57,8 +88,11 @@
       }
       Stream.LastId = Id;
     }
-    Out += Event;
     Done += n;
+    if (!passOn(Stream, Event, Out)) {
+      Status = EventStreamStatus::TooLarge;
+      break;
+    }
   }
   Stream.Partial.erase(0, Done);
   if (Status == EventStreamStatus::Good &&
--- a/packages/core/src/settings/settings_type.h
+++ b/packages/core/src/settings/settings_type.h
@@ -35,6 +35,7 @@
   int64_t StopGraceSeconds = 0;
   int64_t WeightsChangeMillis = 0;
   int64_t LapseGraceMillis = 0;
+  int64_t AnswerMemoryMegabytes = 0;
   bool ServeCutOff = false;
   double LinkMegabits = 0;
   double RepeatRatio = 0;
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -89,6 +89,11 @@
                 SettingOwner::Entry, false, "ms", 0, MaxSettingMillis, "2200",
                 "How long servers that are missing after the platform's list "
                 "was away may still be used; they register again meanwhile."},
+    SettingSpec{"answer_memory_mb", &Settings::AnswerMemoryMegabytes,
+                SettingOwner::Entry, false, "MB", 1, 65536, "64",
+                "Memory for answers of back ends that are not complete yet, "
+                "all together. A quarter of the memory of the process leaves "
+                "room for copies."},
     SettingSpec{"serve_cut_off", &Settings::ServeCutOff, SettingOwner::Entry,
                 false, "true or false", 0, 0, "false",
                 "Whether requests on routes are served on the last known "
--- a/packages/entry/src/forward/attempt.h
+++ b/packages/entry/src/forward/attempt.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_ENTRY_FORWARD_ATTEMPT_H
 
 #include "base/ids_type.h"
+#include "base/memory_budget.h"
 #include "base/time_type.h"
 #include "forward/back_end_call.h"
 #include "forwarding/event_stream_type.h"
@@ -36,6 +37,7 @@
   OtherWeights,     ///< It would resume a stream on other weights.
   BrokenEvents,     ///< Its events are out of order or cut off.
   TooLarge,         ///< It exceeds the buffer for whole answers.
+  NoMemory,         ///< All answers together exceed theirs.
   Count             ///< Number of values; not a value.
 };
 
@@ -60,9 +62,10 @@
    * Creates an attempt; nothing is sent yet.
    * @param Owner Receives its events; outlives its call.
    * @param ServerId Instance of the back end.
+   * @param AnswerMemory Bounds what all answers hold together.
    */
-  Attempt(AttemptOwner &Owner, InstanceId ServerId)
-      : Owner(Owner), ServerId(std::move(ServerId)) {}
+  Attempt(AttemptOwner &Owner, InstanceId ServerId, MemoryBudget &AnswerMemory)
+      : Owner(Owner), ServerId(std::move(ServerId)), Memory(AnswerMemory) {}
 
   bool maySendRequest() override;
   void handleNotices(const ResponseHead &Received) override;
@@ -90,6 +93,7 @@
   ResponseHead Head;                             ///< Head of the response.
   std::string Body;             ///< Body received so far in mode Whole.
   EventStream Events;           ///< Events received so far in mode Events.
+  MemoryShare Memory;           ///< For Body, or the incomplete event.
   AttemptId Slot;               ///< Slot requested or held; empty: none.
   LinkId SlotAgentLink;         ///< Link to the agent that grants the slot.
   bool AwaitingSlot = false;    ///< The agent has not answered yet.
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -4,6 +4,7 @@
 
 #include "clock/runtime_clock.h"
 #include "forward/socket_options.h"
+#include "log/log.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <utility>
 
 namespace jacinthpond {
@@ -25,6 +27,18 @@
 
 /** Size of one read; an event of a stream has a few hundred bytes. */
 constexpr size_t ReadBytes = 4096;
+/** Longest head of a response, and longest line or trailer of its framing. */
+constexpr uint32_t MaxHeadBytes = 16384;
+/** Most bytes that a call reads beside the body of its response: framing,
+ * interim responses, and responses to earlier requests. */
+constexpr size_t MaxOtherBytes = 1 << 20;
+/** Bytes of framing allowed for each byte of a body, beyond that: a chunk of
+ * one byte has five. */
+constexpr size_t FramingPerBodyByte = 16;
+/** Longest rest of an unwanted body that is read to keep the connection, and
+ * the longest time for it. */
+constexpr size_t MaxRestBytes = 64 << 10;
+constexpr Millis RestTimeout{500};
 /** Smallest status of a response (RFC 9110, 15). */
 constexpr unsigned MinStatus = 100;
 /** Idle limit for back ends that don't send a Keep-Alive timeout. */
@@ -144,6 +158,7 @@
 /** Prepares to parse the next response on the connection. */
 void BackEndCall::resetParser() {
   ResponseParser.emplace();
+  ResponseParser->header_limit(MaxHeadBytes);
   ResponseParser->body_limit(boost::none);
   ResponseParser->eager(true);
   ResponseParser->skip(Request.NoResponseBody);
@@ -174,37 +189,49 @@
 
 /** Reads the next bytes of the response. */
 void BackEndCall::readMore() {
-  const auto Self = shared_from_this();
   OpenConnection->Socket.async_read_some(
       OpenConnection->Buffer.prepare(ReadBytes),
-      [Self](const Error &ec, size_t n) {
+      [Self = shared_from_this()](const Error &ec, size_t n) {
         if (Self->Handler == nullptr)
           return;
-        if (!ec) {
-          Self->ReceivedAny = true;
-          Self->OpenConnection->Buffer.commit(n);
-          Self->parse();
-          return;
-        }
-        // A response without a length ends when the connection is closed in
-        // order. A reset doesn't complete it.
-        Error Bad;
-        if (ec == boost::asio::error::eof && Self->HeadDone &&
-            !Self->ForOtherAttempt)
-          Self->ResponseParser->put_eof(Bad);
-        if (ec == boost::asio::error::eof && Self->HeadDone &&
-            !Self->ForOtherAttempt && !Bad && Self->ResponseParser->is_done()) {
-          Self->OpenConnection->IdleLimit = Millis{0};
-          Self->deliverBody();
-          if (Self->Handler != nullptr)
-            Self->finish(ResponseEnd::Closed);
-          return;
+        // Nothing else would end the request before its deadline.
+        try {
+          Self->handleRead(ec, n);
+        } catch (const std::exception &Why) {
+          logLine(LogPart::Requests, LogLevel::Error,
+                  "event=response_fault at=" + Self->Request.To.Value +
+                      " why=" + Why.what());
+          Self->reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
         }
-        Self->handleClose(ec == boost::asio::error::eof ? ConnectionEnd::Closed
-                                                        : ConnectionEnd::Reset);
       });
 }
 
+/** Handles the end of a read: more bytes of the response, or its end. */
+void BackEndCall::handleRead(const Error &ec, size_t n) {
+  if (!ec) {
+    ReceivedAny = true;
+    OpenConnection->Buffer.commit(n);
+    parse();
+    return;
+  }
+  // A response without a length ends when the connection is closed in order. A
+  // reset doesn't complete it.
+  const bool AtEnd =
+      ec == boost::asio::error::eof && HeadDone && !ForOtherAttempt;
+  Error Bad;
+  if (AtEnd)
+    ResponseParser->put_eof(Bad);
+  if (!AtEnd || Bad || !ResponseParser->is_done()) {
+    handleClose(ec == boost::asio::error::eof ? ConnectionEnd::Closed
+                                              : ConnectionEnd::Reset);
+    return;
+  }
+  OpenConnection->IdleLimit = Millis{0};
+  takeBody();
+  if (Handler != nullptr)
+    finish(ResponseEnd::Closed);
+}
+
 /** Reports a connection that ended before the response was complete. */
 void BackEndCall::handleClose(ConnectionEnd End) {
   reportFailure(
@@ -213,43 +240,52 @@
 
 /** Parses the received bytes and passes the response to the handler. */
 void BackEndCall::parse() {
-  while (Handler != nullptr) {
-    Error ec;
-    const size_t n = ResponseParser->put(OpenConnection->Buffer.data(), ec);
-    OpenConnection->Buffer.consume(n);
-    if (ec && ec != http::error::need_more) {
-      reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
-      return;
-    }
-    if (ResponseParser->is_header_done() && !HeadDone &&
-        ResponseParser->get().result_int() < MinStatus) {
+  while (Handler != nullptr && parseNext()) {
+    if (Handler != nullptr && !isWithinBounds())
       reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
-      return;
-    }
-    if (ResponseParser->is_header_done() && !HeadDone && !processHead())
-      continue;
-    if (Handler == nullptr)
-      return;
-    if (HeadDone && !ForOtherAttempt)
-      deliverBody();
-    if (Handler == nullptr)
-      return;
-    if (ResponseParser->is_done() && !ForOtherAttempt) {
-      finish(ResponseEnd::Marked);
-      return;
-    }
-    if (ResponseParser->is_done()) {
-      resetParser(); // The response to this request follows.
-      continue;
-    }
-    if (ec == http::error::need_more || n == 0 ||
-        OpenConnection->Buffer.size() == 0)
-      break;
   }
-  if (Handler != nullptr)
+  if (Handler == nullptr)
+    return;
+  if (OpenConnection->Buffer.size() > MaxHeadBytes || !isWithinBounds())
+    reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
+  else
     readMore();
 }
 
+/** Parses as much as the parser takes at a time; false when it needs more. */
+bool BackEndCall::parseNext() {
+  Error ec;
+  const size_t n = ResponseParser->put(OpenConnection->Buffer.data(), ec);
+  OpenConnection->Buffer.consume(n);
+  OtherBytes += n; // takeBody() subtracts the body.
+  const bool HasHead = ResponseParser->is_header_done();
+  if ((ec && ec != http::error::need_more) ||
+      (HasHead && ResponseParser->get().result_int() < MinStatus)) {
+    reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
+    return false;
+  }
+  if (HasHead && !HeadDone && !processHead())
+    return true;
+  if (Handler != nullptr && HeadDone)
+    takeBody();
+  if (Handler == nullptr)
+    return false;
+  if (ResponseParser->is_done() && ForOtherAttempt) {
+    resetParser(); // The response to this request follows.
+    return true;
+  }
+  if (ResponseParser->is_done()) {
+    finish(ResponseEnd::Marked);
+    return false;
+  }
+  if (HeadDone && !ForOtherAttempt && !BodyWanted) {
+    endBeforeBody();
+    return false;
+  }
+  return ec != http::error::need_more && n > 0 &&
+         OpenConnection->Buffer.size() > 0;
+}
+
 /** Handles a parsed head; false for an interim (1xx) one. */
 bool BackEndCall::processHead() {
   const auto &Head = ResponseParser->get();
@@ -273,19 +309,36 @@
   return true;
 }
 
-/** Passes the newly parsed part of the body to the handler. */
-void BackEndCall::deliverBody() {
+/** Passes the newly parsed part of the body to the handler, or drops it. */
+void BackEndCall::takeBody() {
   std::string &Body = ResponseParser->get().body();
   if (Body.empty())
     return;
   std::string Part;
   Part.swap(Body);
-  Handler->handleAnswerBody(std::move(Part));
+  if (ForOtherAttempt)
+    return;
+  BodyBytes += Part.size();
+  OtherBytes -= std::min(OtherBytes, Part.size());
+  if (BodyWanted)
+    Handler->handleAnswerBody(std::move(Part));
+}
+
+/** Says whether what has come beside the body is within what a sound back end
+ * sends. */
+bool BackEndCall::isWithinBounds() const {
+  return OtherBytes <= MaxOtherBytes + BodyBytes * FramingPerBodyByte;
 }
 
 /** Ends the call after a response; pools the connection if it can be reused. */
 void BackEndCall::finish(ResponseEnd How) {
   BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
+  keepConnection();
+  Receiver->handleAnswerEnd(How);
+}
+
+/** Pools the connection if it can be reused, else closes it. */
+void BackEndCall::keepConnection() {
   // Not reused with extra bytes after the response, which belong to no request,
   // or with a partly written request, which the next one would be appended to.
   if (WriteDone && OpenConnection->Buffer.size() == 0 &&
@@ -294,7 +347,60 @@
     Pool.keep(std::move(OpenConnection), Request.MaxIdle);
   }
   OpenConnection.reset();
-  Receiver->handleAnswerEnd(How);
+}
+
+/** Ends the call although the body of its response is still to come. The body
+ * is read without it, as far as keeping the connection is worth. */
+void BackEndCall::endBeforeBody() {
+  BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
+  if (OpenConnection->IdleLimit.count() > 0) {
+    BodyBytes = OtherBytes = 0;
+    ConnectTimer.expires_after(RestTimeout);
+    ConnectTimer.async_wait([Self = shared_from_this()](const Error &ec) {
+      if (!ec)
+        Self->OpenConnection.reset();
+    });
+    readRest();
+  } else {
+    OpenConnection.reset();
+  }
+  Receiver->handleAnswerEnd(ResponseEnd::Marked);
+}
+
+/** Reads the rest of an unwanted body. */
+void BackEndCall::readRest() {
+  OpenConnection->Socket.async_read_some(
+      OpenConnection->Buffer.prepare(ReadBytes),
+      [Self = shared_from_this()](const Error &ec, size_t n) {
+        if (!Self->OpenConnection)
+          return;
+        Self->OpenConnection->Buffer.commit(n);
+        if (ec) {
+          Self->ConnectTimer.cancel();
+          Self->OpenConnection.reset();
+        } else {
+          Self->parseRest();
+        }
+      });
+}
+
+/** Drops bytes of an unwanted body, and pools the connection at its end. */
+void BackEndCall::parseRest() {
+  Error ec;
+  const size_t n = ResponseParser->put(OpenConnection->Buffer.data(), ec);
+  OpenConnection->Buffer.consume(n);
+  ResponseParser->get().body().clear();
+  OtherBytes += n;
+  if (ResponseParser->is_done()) {
+    ConnectTimer.cancel();
+    keepConnection();
+  } else if ((ec && ec != http::error::need_more) ||
+             OtherBytes + OpenConnection->Buffer.size() > MaxRestBytes) {
+    ConnectTimer.cancel();
+    OpenConnection.reset();
+  } else {
+    readRest();
+  }
 }
 
 /** Ends the call without a complete response. */
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -8,9 +8,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <map>
 #include <memory>
@@ -100,6 +101,38 @@
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
 
+/** A body that is taken over part by part. Unlike the library's string body it
+ * reserves no memory for the announced length, which may be any number. */
+struct PartBody {
+  using value_type = std::string; ///< What has come and was not taken over.
+
+  /** Receives the parsed parts; the parser calls it. */
+  class reader { // NOLINT(readability-identifier-naming): the library's name.
+  public:
+    template <bool IsRequest, class Fields>
+    reader(boost::beast::http::header<IsRequest, Fields> &, value_type &Into)
+        : Into(Into) {}
+    void init(const boost::optional<uint64_t> &,
+              boost::system::error_code &ec) {
+      ec = {};
+    }
+    template <class Buffers>
+    size_t put(const Buffers &Parts, boost::system::error_code &ec) {
+      ec = {};
+      size_t n = 0;
+      for (const auto Part : boost::beast::buffers_range_ref(Parts)) {
+        Into.append(static_cast<const char *>(Part.data()), Part.size());
+        n += Part.size();
+      }
+      return n;
+    }
+    void finish(boost::system::error_code &ec) { ec = {}; }
+
+  private:
+    value_type &Into;
+  };
+};
+
 /** Receives the response of a call, on the traffic thread. */
 class BackEndCallHandler {
 public:
@@ -120,7 +153,7 @@
   virtual void handleNotices(const ResponseHead &Head) = 0;
 
   /**
-   * Handles the head of the response.
+   * Handles the head of the response. May call BackEndCall::skipBody().
    * @param Head Status and headers.
    */
   virtual void handleAnswerHead(const ResponseHead &Head) = 0;
@@ -164,6 +197,10 @@
    */
   void start(Millis ConnectLimit);
 
+  /** Declares the body of the response unwanted, from handleAnswerHead(). The
+   * call ends without waiting for it, as after a complete response. */
+  void skipBody() { BodyWanted = false; }
+
   /** Resets the connection; most back ends then stop the request. */
   void cancel();
 
@@ -174,17 +211,23 @@
   bool hasSent() const { return Sent; }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<PartBody>;
 
   void connect(Millis Limit);
   void writeRequest();
   void resetParser();
   void readMore();
+  void handleRead(const boost::system::error_code &ec, size_t n);
   void parse();
+  bool parseNext();
   bool processHead();
-  void deliverBody();
+  void takeBody();
+  bool isWithinBounds() const;
   void finish(ResponseEnd How);
+  void endBeforeBody();
+  void readRest();
+  void parseRest();
+  void keepConnection();
   void reportFailure(CallFailure Why, ConnectionEnd End);
   void handleClose(ConnectionEnd End);
 
@@ -194,13 +237,16 @@
   BackEndCallHandler *Handler; ///< Null once the call is over.
   std::unique_ptr<BackEndConnection> OpenConnection;
   std::optional<Parser> ResponseParser;
-  boost::asio::steady_timer ConnectTimer;
+  boost::asio::steady_timer ConnectTimer; ///< For the rest of a body as well.
   bool Reused = false;          ///< The connection came from the pool.
   bool Sent = false;            ///< Sending has begun.
   bool WriteDone = false;       ///< The kernel has the complete request.
   bool HeadDone = false;        ///< The head of the response was parsed.
   bool ForOtherAttempt = false; ///< The response belongs to another request.
   bool ReceivedAny = false;     ///< At least one byte was received.
+  bool BodyWanted = true;       ///< The handler wants the body.
+  size_t BodyBytes = 0;         ///< Bytes of the body that were delivered.
+  size_t OtherBytes = 0;        ///< Bytes parsed that are no part of the body.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -228,7 +228,8 @@
     return;
   }
   logAttempt(*Choice.Server, Choice);
-  Next = std::make_shared<Attempt>(*this, Choice.Server->Listed.Id);
+  Next = std::make_shared<Attempt>(*this, Choice.Server->Listed.Id,
+                                   Shared.AnswerMemory);
   recordAttemptStart(Shared.Pool, Next->ServerId);
   if (hasAgent(*Choice.Server))
     requestSlot(*Next, *Choice.Server);
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -59,8 +59,9 @@
 private:
   /** A complete answer. */
   struct WholeAnswer {
-    ResponseHead Head; ///< Its head.
-    std::string Body;  ///< Its body.
+    ResponseHead Head;  ///< Its head.
+    std::string Body;   ///< Its body.
+    MemoryShare Memory; ///< For its body.
   };
 
   bool isEntryReady() const;
@@ -93,6 +94,8 @@
   void abandonAnswer(Attempt &One, AbandonReason Why);
   void handleWholeAnswer(Attempt &One);
   void sendWholeAnswer(WholeAnswer Answer, const char *How);
+  bool isTooLong(const ResponseHead &Received) const;
+  void streamEvents(Attempt &One, const std::string &Bytes);
   void beginStream(Attempt &One);
   bool isRepeatable() const;
   bool canResume() const;
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -172,6 +172,7 @@
       Shared.Counters.add(ForwardCount::Mismatched);
     }
     One.Mode = AnswerMode::Refusal;
+    One.Call->skipBody();
     return;
   }
   recordAcceptedRequest(Shared.Pool, One.ServerId, Now);
@@ -189,9 +190,21 @@
                                     : AbandonReason::Unusable);
     return;
   }
+  const bool IsStream = Success && IsEvents;
+  if (!IsStream && isTooLong(Received)) {
+    abandonAnswer(One, AbandonReason::TooLarge);
+    return;
+  }
   abandonSearch();
   One.Head = Received;
-  One.Mode = Success && IsEvents ? AnswerMode::Events : AnswerMode::Whole;
+  One.Mode = IsStream ? AnswerMode::Events : AnswerMode::Whole;
+}
+
+/** Says whether the announced length of a response exceeds the buffer. */
+bool Exchange::isTooLong(const ResponseHead &Received) const {
+  const auto Length = parseNumber(fieldValue(Received, "Content-Length"));
+  return Incoming.method() != boost::beast::http::verb::head && Length &&
+         *Length > static_cast<int64_t>(MaxWholeAnswerBytes);
 }
 
 /** Buffers a part of a body or streams its complete events to the caller. */
@@ -207,11 +220,20 @@
   if (Now - *One.BodyBeganAt >= AnswerBegunAfter)
     reportBegun(One);
   if (One.Mode == AnswerMode::Whole) {
-    One.Body += Bytes;
-    if (One.Body.size() > MaxWholeAnswerBytes)
+    const size_t Size = One.Body.size() + Bytes.size();
+    if (Size > MaxWholeAnswerBytes)
       abandonAnswer(One, AbandonReason::TooLarge);
+    else if (!One.Memory.resize(Size))
+      abandonAnswer(One, AbandonReason::NoMemory);
+    else
+      One.Body += Bytes;
     return;
   }
+  streamEvents(One, Bytes);
+}
+
+/** Passes the complete events of a stream on to the caller. */
+void Exchange::streamEvents(Attempt &One, const std::string &Bytes) {
   const auto Self = shared_from_this();
   std::string Whole;
   const EventStreamStatus Verdict =
@@ -222,10 +244,12 @@
       beginStream(One);
     LastEventId = One.Events.LastId;
     Session->sendBody(Whole);
-    LastSentToCaller = Now;
+    LastSentToCaller = Shared.Clock.now();
   }
   if (Verdict != EventStreamStatus::Good)
     abandonAnswer(One, AbandonReason::BrokenEvents);
+  else if (!One.Memory.resize(One.Events.Partial.size()))
+    abandonAnswer(One, AbandonReason::NoMemory);
   else if (Session && Session->backlog() > MaxCallerBacklogBytes)
     endWithError({ErrorKind::PartialAnswer, "the caller does not read", {}},
                  Ran::Yes, "caller_slow");
@@ -300,6 +324,8 @@
   concludeAttempt(One, AttemptEnd::Answered);
   if (!HeadSent)
     beginStream(One);
+  if (!One.Events.Opening.empty()) // A stream without any event.
+    Session->sendBody(One.Events.Opening);
   logEnd("answered", Head.result_int(), "stream");
   Shared.Counters.add(ForwardCount::Answered);
   const auto To = Session;
@@ -312,7 +338,7 @@
 void Exchange::handleWholeAnswer(Attempt &One) {
   const TimePoint Now = Shared.Clock.now();
   const bool Failed = One.Head.result_int() >= 500;
-  WholeAnswer Answer{One.Head, std::move(One.Body)};
+  WholeAnswer Answer{One.Head, std::move(One.Body), std::move(One.Memory)};
   One.FirstPartAt = Now;
   if (!Failed) {
     keepOnly(One);
--- a/packages/entry/src/forward/exchange_log.cpp
+++ b/packages/entry/src/forward/exchange_log.cpp
@@ -41,7 +41,8 @@
                           "unusable",
                           "other_weights",
                           "broken_events",
-                          "too_large"};
+                          "too_large",
+                          "no_memory"};
 
 /** Milliseconds since a time; the maximum if the time was never set. */
 std::string millisSince(TimePoint Then, TimePoint Now) {
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_ENTRY_FORWARD_FORWARD_CONTEXT_H
 
 #include "admission/quarantine_func.h"
+#include "base/memory_budget.h"
 #include "clock/runtime_clock.h"
 #include "forward/back_end_call.h"
 #include "forward/caller_session.h"
@@ -59,6 +60,7 @@
   BackEndConnectionPool Connections; ///< Idle connections to back ends.
   ServerPool Pool;                   ///< Known back ends.
   RepeatBudget Repeats;              ///< Budget for retries.
+  MemoryBudget AnswerMemory;         ///< For answers that are not sent yet.
   InitialDeadlines CallerDeadlines;  ///< Usual initial deadlines.
   DocumentPtr Doc;                   ///< Document in force.
   TimePoint DocSince;                ///< When Doc came into force here.
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -74,6 +74,8 @@
 void Forwarder::applySettings(const Settings &From) {
   Shared.Pool.Options.ReplacedWeightsTime = replacedWeightsTime(From);
   Shared.Pool.Options.LapseGrace = Millis(From.LapseGraceMillis);
+  Shared.AnswerMemory.Limit = static_cast<size_t>(From.AnswerMemoryMegabytes)
+                              << 20U;
   Shared.Repeats.Limits = {From.RepeatRatio,
                            static_cast<uint32_t>(From.RepeatSlack),
                            std::chrono::seconds(From.RepeatWindowSeconds)};
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -161,3 +161,101 @@
   BOOST_REQUIRE(Events.Ended.has_value());
   BOOST_CHECK(*Events.Ended == ConnectionEnd::Malformed);
 }
+
+namespace {
+
+/** Skips the body of each response, and counts what is reported. */
+struct Skipping : NoEvents {
+  void handleNotices(const ResponseHead &) override {}
+  void handleAnswerHead(const ResponseHead &) override { Call->skipBody(); }
+  void handleAnswerEnd(ResponseEnd) override { ++Ended; }
+  void handleCallFailure(CallFailure, ConnectionEnd) override { ++Failed; }
+  std::shared_ptr<BackEndCall> Call;
+  int Ended = 0;
+  int Failed = 0;
+};
+
+/** Runs an event loop until a condition holds, for 5 s at most. */
+template <typename Condition>
+bool runUntil(boost::asio::io_context &Io, Condition &&Holds) {
+  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Holds() && std::chrono::steady_clock::now() < Limit)
+    Io.run_one_for(std::chrono::milliseconds(10));
+  return Holds();
+}
+
+/** A call whose response has a body that the handler does not want. The first
+ * byte of it comes with the head. */
+struct SkippedBody {
+  explicit SkippedBody(size_t Length)
+      : Listening(Io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Worker(Io) {
+    BackEndRequest Request;
+    At.Value = "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+    Request.To = At;
+    Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    Request.MaxIdle = 1;
+    Events.Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+    Events.Call->start(Millis(1000));
+    Worker = Listening.accept();
+    while (Worker.available() < Request.Bytes.size())
+      Io.run_one_for(std::chrono::milliseconds(10));
+    send("HTTP/1.1 503 Full\r\nContent-Length: " + std::to_string(Length) +
+         "\r\n\r\nx");
+    BOOST_TEST(runUntil(Io, [&] { return Events.Ended == 1; }));
+    Events.Call.reset();
+  }
+
+  /** Sends bytes and lets the entry's side read them. */
+  void send(const std::string &Text) {
+    boost::system::error_code Ignored; // The other side may have closed.
+    boost::asio::write(Worker, boost::asio::buffer(Text), Ignored);
+    Io.run_for(std::chrono::milliseconds(50));
+  }
+
+  /** Says whether the connection was kept for the next request. */
+  bool isKept() {
+    return Pool.take(At, std::chrono::steady_clock::now()) != nullptr;
+  }
+
+  /** Says whether the other side has closed the connection. */
+  bool isClosed() {
+    Worker.non_blocking(true);
+    std::string Request;
+    boost::system::error_code ec;
+    boost::asio::read(Worker, boost::asio::dynamic_buffer(Request), ec);
+    return ec != boost::asio::error::would_block;
+  }
+
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening;
+  Tcp::socket Worker;
+  BackEndConnectionPool Pool;
+  Skipping Events;
+  Address At;
+};
+
+} // namespace
+
+// Guards against refusals that cost a connection each, since their bodies come
+// behind their heads.
+BOOST_AUTO_TEST_CASE(TheConnectionOfASkippedBodyIsKept) {
+  SkippedBody One(10);
+  BOOST_TEST(!One.isKept());
+  One.send(std::string(9, 'x'));
+  BOOST_TEST(One.isKept());
+  BOOST_TEST(One.Events.Failed == 0);
+}
+
+// Guards against a skipped body without end, which is read for ever.
+BOOST_AUTO_TEST_CASE(ALongSkippedBodyEndsItsConnection) {
+  SkippedBody Long(100000);
+  for (int n = 0; n < 20; ++n)
+    Long.send(std::string(5000, 'x'));
+  BOOST_TEST(!Long.isKept());
+  BOOST_TEST(Long.isClosed());
+  SkippedBody Silent(10);
+  Silent.Io.run_for(std::chrono::seconds(1));
+  BOOST_TEST(Silent.isClosed());
+  BOOST_TEST(Silent.Events.Failed == 0);
+}
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -56,3 +56,26 @@
   BOOST_CHECK(appendCompleteEvents(Stream, std::string(MaxEventBytes + 1, 'x'),
                                    Out) == EventStreamStatus::TooLarge);
 }
+
+// Guards against comments without end, and against a stream that is begun for
+// comments alone, after which no other back end can take over.
+BOOST_AUTO_TEST_CASE(CommentsComeWithTheEventBehindThem) {
+  EventStream Stream;
+  std::string Out;
+  BOOST_CHECK(appendCompleteEvents(Stream, ": a\n\n\n\n", Out) ==
+              EventStreamStatus::Good);
+  BOOST_TEST(Out.empty());
+  BOOST_CHECK(appendCompleteEvents(Stream, "data: x\n\n: b\n\n", Out) ==
+              EventStreamStatus::Good);
+  BOOST_TEST(Out == ": a\n\n\n\ndata: x\n\n: b\n\n");
+  for (size_t n = 0; n < 10; ++n) {
+    const std::string Long = ":" + std::string(MaxCommentBytes / 2, 'x');
+    BOOST_CHECK(appendCompleteEvents(Stream, Long + "\n\ndata: y\n\n", Out) ==
+                EventStreamStatus::Good);
+  }
+  std::string Comments;
+  while (Comments.size() <= MaxCommentBytes)
+    Comments += ": b\r\n\r\n";
+  BOOST_CHECK(appendCompleteEvents(Stream, Comments, Out) ==
+              EventStreamStatus::TooLarge);
+}
