adapters: clients bound what they read

Cause: cpp-httplib bounds neither heads nor bodies nor framing, and its timeouts count from byte to byte. A line that ends in a bare LF is skipped, so a head of such lines is read for ever. An answer of any length was also decompressed.

Streams of tokens and calls of plain services keep their time limits and get the bound on bytes.

Why this works: each byte of a call passes through that stream, whatever the library makes of it.

--- a/packages/adapters/http/client_pool.cpp
+++ b/packages/adapters/http/client_pool.cpp
@@ -6,11 +6,11 @@
 
 namespace jacinthpond {
 
-ClientPool::ClientPool(std::string Url, ClientTimeouts Timeouts)
-    : Url(std::move(Url)), Timeouts(Timeouts) {}
+ClientPool::ClientPool(std::string Url, ClientLimits Limits)
+    : Url(std::move(Url)), Limits(Limits) {}
 
 httplib::Result ClientPool::send(
-    const std::function<httplib::Result(httplib::Client &)> &Request) {
+    const std::function<httplib::Result(BoundedClient &)> &Request) {
   auto Client = take();
   httplib::Result Answer = Request(*Client);
   if (Answer)
@@ -20,10 +20,10 @@
 
 /** Takes an idle client, or creates one. The client itself opens another
  * connection when the server has closed the kept one. */
-std::unique_ptr<httplib::Client> ClientPool::take() {
+std::unique_ptr<BoundedClient> ClientPool::take() {
   const std::lock_guard Lock(Guard);
   if (Idle.empty()) {
-    auto Client = std::make_unique<httplib::Client>(makeClient(Url, Timeouts));
+    auto Client = std::make_unique<BoundedClient>(Url, Limits);
     Client->set_keep_alive(true);
     return Client;
   }
@@ -33,7 +33,7 @@
 }
 
 /** Keeps a client for the next request. */
-void ClientPool::keep(std::unique_ptr<httplib::Client> Client) {
+void ClientPool::keep(std::unique_ptr<BoundedClient> Client) {
   const std::lock_guard Lock(Guard);
   Idle.push_back(std::move(Client));
 }
--- a/packages/adapters/http/client_pool.h
+++ b/packages/adapters/http/client_pool.h
@@ -3,7 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_CLIENT_POOL_H
 #define JACINTHPOND_ADAPTERS_HTTP_CLIENT_POOL_H
 
-#include "http/http_client.h"
+#include "http/bounded_client.h"
 
 #include <functional>
 #include <memory>
@@ -22,9 +22,9 @@
   /**
    * Sets the server; nothing is sent yet.
    * @param Url "http://IP:port".
-   * @param Timeouts Timeouts of each request.
+   * @param Limits Bounds of each request.
    */
-  ClientPool(std::string Url, ClientTimeouts Timeouts);
+  ClientPool(std::string Url, ClientLimits Limits);
 
   /**
    * Sends a request. Its connection is dropped when no answer came: an answer
@@ -33,16 +33,16 @@
    * @return The answer, or why there is none.
    */
   httplib::Result
-  send(const std::function<httplib::Result(httplib::Client &)> &Request);
+  send(const std::function<httplib::Result(BoundedClient &)> &Request);
 
 private:
-  std::unique_ptr<httplib::Client> take();
-  void keep(std::unique_ptr<httplib::Client> Client);
+  std::unique_ptr<BoundedClient> take();
+  void keep(std::unique_ptr<BoundedClient> Client);
 
   std::string Url;
-  ClientTimeouts Timeouts;
-  std::mutex Guard;                                   ///< Protects Idle.
-  std::vector<std::unique_ptr<httplib::Client>> Idle; ///< Not in use now.
+  ClientLimits Limits;
+  std::mutex Guard;                                 ///< Protects Idle.
+  std::vector<std::unique_ptr<BoundedClient>> Idle; ///< Not in use now.
 };
 
 } // namespace jacinthpond
--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -2,8 +2,8 @@
 
 #include "http/http_backends.h"
 
+#include "http/bounded_client.h"
 #include "http/event_parser.h"
-#include "http/http_client.h"
 #include "http/json_fields.h"
 #include "http/requested_pause.h"
 
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds StreamTimeout{30};
 /** Longest wait for a short answer, such as a state. */
 constexpr std::chrono::milliseconds ShortTimeout{2000};
+/** Time for a short answer to arrive that has begun. */
+constexpr std::chrono::milliseconds TransferTime{5000};
 /** Longest wait for a load order or a chunk. */
 constexpr std::chrono::seconds LongTimeout{120};
 
@@ -67,7 +69,7 @@
 /** Gets a text; empty for status 204. */
 Result<std::string> getText(const std::string &Url, const std::string &Path,
                             std::chrono::milliseconds Timeout) {
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, Timeout});
+  BoundedClient Client(Url, {ConnectTimeout, Timeout, Timeout + TransferTime});
   return textOfAnswer(Client.Get(Path));
 }
 
@@ -77,7 +79,7 @@
 HttpEngine::generate(const EngineRequest &Request,
                      const std::function<bool(Digest)> &OnBegin,
                      const std::function<bool(std::string)> &OnToken) {
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, StreamTimeout});
+  BoundedClient Client(Url, {ConnectTimeout, StreamTimeout});
   EventParser Parser{OnBegin, OnToken, {}, {}, false};
   const Json Body = {{"attempt", Request.Attempt.Value},
                      {"body", Request.Body},
@@ -122,7 +124,7 @@
 
 Result<void> HttpEngine::stage(const ChunkRef &Chunk,
                                const std::string &Bytes) {
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
+  BoundedClient Client(Url, {ConnectTimeout, LongTimeout});
   const httplib::Result Answer = Client.Put("/v1/chunks/" + Chunk.Content.Value,
                                             Bytes, "application/octet-stream");
   return checkOrderAnswer(Answer);
@@ -134,7 +136,7 @@
 
 Result<void> HttpEngine::load(const LoadOrder &Order,
                               const LoadCallbacks &Steps) {
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
+  BoundedClient Client(Url, {ConnectTimeout, LongTimeout});
   Json Body = {{"fence", Order.Fence.Value},
                {"set", Order.Set.Value},
                {"chunks", Json::array()}};
@@ -150,7 +152,7 @@
 
 Result<ServiceAnswer> HttpService::call(const ServiceCall &Call) {
   const auto Timeout = std::max(Call.Timeout, Millis{1});
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, Timeout});
+  BoundedClient Client(Url, {ConnectTimeout, Timeout});
   const httplib::Headers Headers = {{"X-Attempt", Call.Attempt.Value},
                                     {"Idempotency-Key", Call.Key.Value}};
   const httplib::Result Answer = Client.Post(
@@ -184,7 +186,7 @@
 }
 
 Result<std::string> HttpOrigin::fetch(const ChunkRef &Chunk) {
-  httplib::Client Client = makeClient(Url, {ConnectTimeout, LongTimeout});
+  BoundedClient Client(Url, {ConnectTimeout, LongTimeout});
   return textOfAnswer(Fetches.send(
       Client, [&] { return Client.Get("/v1/chunks/" + Chunk.Content.Value); }));
 }
--- a/packages/adapters/http/open_requests.cpp
+++ b/packages/adapters/http/open_requests.cpp
@@ -5,7 +5,7 @@
 namespace jacinthpond {
 
 httplib::Result
-OpenRequests::send(httplib::Client &Client,
+OpenRequests::send(httplib::ClientImpl &Client,
                    const std::function<httplib::Result()> &Request) {
   {
     const std::lock_guard Lock(Guard);
@@ -19,7 +19,7 @@
 
 void OpenRequests::stopAll() {
   const std::lock_guard Lock(Guard);
-  for (httplib::Client *One : Clients)
+  for (httplib::ClientImpl *One : Clients)
     One->stop();
 }
 
--- a/packages/adapters/http/open_requests.h
+++ b/packages/adapters/http/open_requests.h
@@ -20,15 +20,15 @@
    * @param Request Sends the request.
    * @return The answer, or why there is none.
    */
-  httplib::Result send(httplib::Client &Client,
+  httplib::Result send(httplib::ClientImpl &Client,
                        const std::function<httplib::Result()> &Request);
 
   /** Closes the connections of all requests that are under way. */
   void stopAll();
 
 private:
-  std::mutex Guard;                    ///< Protects Clients.
-  std::set<httplib::Client *> Clients; ///< Clients with an open request.
+  std::mutex Guard;                        ///< Protects Clients.
+  std::set<httplib::ClientImpl *> Clients; ///< Clients with an open request.
 };
 
 } // namespace jacinthpond
