--- a/packages/core/src/base/json_reader.cpp
+++ b/packages/core/src/base/json_reader.cpp
@@ -278,25 +278,22 @@
 }
 
 std::vector<std::string> ObjectReader::readTextList(const char *Key) {
-  std::vector<std::string> Texts;
-  for (const Json *Element : listElements(Key)) {
-    if (isSafeText(*Element))
-      Texts.push_back(Element->get<std::string>());
-    else
-      addError(Key, excerpt(*Element), "a list of plain texts");
-  }
-  return Texts;
+  return readTexts(Key, [](const Json &Bad) { return excerpt(Bad); });
 }
 
 std::vector<std::string> ObjectReader::readSecretList(const char *Key) {
+  return readTexts(Key, [](const Json &) { return "something else"; });
+}
+
+std::vector<std::string>
+ObjectReader::readTexts(const char *Key,
+                        const std::function<std::string(const Json &)> &Quote) {
   std::vector<std::string> Texts;
   for (const Json *Element : listElements(Key)) {
     if (isSafeText(*Element))
       Texts.push_back(Element->get<std::string>());
     else
-      addError(Key, "something else",
-               "texts of at most " + std::to_string(LongestText) +
-                   " bytes without control characters");
+      addError(Key, Quote(*Element), "a list of plain texts");
   }
   return Texts;
 }
--- a/packages/core/src/base/json_reader.h
+++ b/packages/core/src/base/json_reader.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <set>
 #include <string>
@@ -207,6 +208,11 @@
   const nlohmann::json *lookUpMember(const char *Key, bool Required,
                                      const char *Allowed);
 
+  /** Reads a list of texts; Quote gives what errors say of another element. */
+  std::vector<std::string>
+  readTexts(const char *Key,
+            const std::function<std::string(const nlohmann::json &)> &Quote);
+
   /** Checks that a text is short enough and has no control characters. */
   bool isSafeText(const nlohmann::json &Value) const;
 
--- a/packages/core/src/configuration/document.cpp
+++ b/packages/core/src/configuration/document.cpp
@@ -25,18 +25,18 @@
 constexpr int64_t MaxTotalBytes = int64_t{1} << 40;
 /** Longest lists; well above the fleet size that the system is designed for. */
 constexpr size_t MaxClasses = 256;
-constexpr size_t MaxModels = 256;
 constexpr size_t MaxEntries = 2000;
 constexpr size_t MaxTeams = 1000;
-constexpr size_t MaxDomains = 1000;
 constexpr int64_t MaxConnectionsAllowed = 1000000;
 
-/** Limits on routes, services, workspaces and callers. */
+/** Limits on routes, services, workspaces, models, domains and callers. */
 struct ValueLimits {
   size_t TextBytes;     ///< Longest text.
   size_t Workspaces;    ///< Longest list of workspaces.
   size_t Routes;        ///< Longest list of routes.
   size_t Services;      ///< Longest list of services.
+  size_t Models;        ///< Longest list of models.
+  size_t Domains;       ///< Longest list of failure domains.
   size_t Targets;       ///< Most targets of a route.
   int64_t Times;        ///< Longest time, in milliseconds.
   int64_t Rank;         ///< Least urgent rank.
@@ -55,6 +55,8 @@
                                        .Workspaces = 10000,
                                        .Routes = 20000,
                                        .Services = 1000,
+                                       .Models = 256,
+                                       .Domains = 1000,
                                        .Targets = 64,
                                        .Times = MaxMillis,
                                        .Rank = MaxPriority,
@@ -73,6 +75,8 @@
                                          .Workspaces = MaxDocumentBytes,
                                          .Routes = MaxDocumentBytes,
                                          .Services = MaxDocumentBytes,
+                                         .Models = MaxDocumentBytes,
+                                         .Domains = MaxDocumentBytes,
                                          .Targets = MaxDocumentBytes,
                                          .Times = MaxGeneratedNumber,
                                          .Rank = MaxGeneratedNumber,
@@ -320,7 +324,7 @@
 std::map<DomainName, RegionName> readRegions(ObjectReader &Root,
                                              const ValueLimits &Limits) {
   const auto Rows = readList<std::pair<DomainName, RegionName>>(
-      Root, "domains", MaxDomains, Limits, readDomain);
+      Root, "domains", Limits.Domains, Limits, readDomain);
   std::map<DomainName, RegionName> RegionOf;
   for (const auto &[Domain, Region] : Rows)
     RegionOf[Domain] = Region;
@@ -404,7 +408,7 @@
   Doc.Workspaces = readList<Workspace>(Root, "tenants", Limits.Workspaces,
                                        Limits, Limited(readWorkspace));
   Doc.Models =
-      readList<ModelVersion>(Root, "models", MaxModels, Limits, readModel);
+      readList<ModelVersion>(Root, "models", Limits.Models, Limits, readModel);
   Doc.Workers =
       readList<Worker>(Root, "workers", MaxDocumentServers, Limits, readWorker);
   Doc.Entries =
@@ -467,6 +471,29 @@
   return sha256(All);
 }
 
+size_t maxParts(DocumentPart Part, DocumentOrigin Origin) {
+  const ValueLimits &Limits = limitsFor(Origin);
+  switch (Part) {
+  case DocumentPart::Route:
+    return Limits.Routes;
+  case DocumentPart::Service:
+    return Limits.Services;
+  case DocumentPart::Workspace:
+    return Limits.Workspaces;
+  case DocumentPart::Model:
+    return Limits.Models;
+  case DocumentPart::Domain:
+    return Limits.Domains;
+  case DocumentPart::Server:
+  case DocumentPart::Worker:
+    return MaxDocumentServers;
+  case DocumentPart::Limits:
+  case DocumentPart::Count:
+    break;
+  }
+  return 1;
+}
+
 std::string partErrors(DocumentPart Part, const Json &Value,
                        DocumentOrigin Origin) {
   const ValueLimits &Limits = limitsFor(Origin);
--- a/packages/core/src/configuration/document_func.h
+++ b/packages/core/src/configuration/document_func.h
@@ -43,6 +43,14 @@
   Count   ///< Number of values; not a value.
 };
 
+/**
+ * Gives how many parts of a kind a document may have.
+ * @param Part Which part.
+ * @param Origin Origin of the document.
+ * @return The number.
+ */
+size_t maxParts(DocumentPart Part, DocumentOrigin Origin);
+
 /**
  * Checks a part of a document in the same way as parseDocument(), but for
  * references to other parts and names that occur twice.
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -310,6 +310,33 @@
   BOOST_TEST((Doc->Limits.HeadTimeout == Millis(2000)));
 }
 
+// Guards against a valid configuration that is rejected as a whole for a list
+// that is longer than people usually write.
+BOOST_AUTO_TEST_CASE(LongListsAreTakenOver) {
+  Json Services = Json::array({{{"name", "w"}, {"origin", "10.0.0.9:80"}}});
+  for (int n = 0; n < 1100; ++n) {
+    const std::string Name = "s" + std::to_string(n);
+    Services.push_back(
+        {{"name", Name}, {"engine", {{"models", {{{"name", Name}}}}}}});
+  }
+  Json Tenants = Json::array();
+  for (int n = 0; n < 10100; ++n)
+    Tenants.push_back({{"name", "t" + std::to_string(n)}});
+  Json Split = Json::array();
+  for (int n = 0; n < 70; ++n)
+    Split.push_back({{"service", "s" + std::to_string(n)}});
+  Store TestStore;
+  const DocumentPtr Doc = documentWith(
+      TestStore, {{"services", Services},
+                  {"tenants", Tenants},
+                  {"routes", {routeWith({{"traffic_split", Split}})}}});
+  BOOST_TEST(TestStore.LeftOut.Count == 0U);
+  BOOST_TEST(Doc->Services.size() == 1101U);
+  BOOST_TEST(Doc->Models.size() == 1100U);
+  BOOST_TEST(Doc->Workspaces.size() == 10100U);
+  BOOST_TEST(Doc->Routes[0].Targets.size() == 70U);
+}
+
 // Guards against a part that can't be used and takes others with it: a route's
 // requests would go to another route, callers would need no key.
 BOOST_AUTO_TEST_CASE(APartThatCantBeUsedConcernsNoOther) {
