--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -133,6 +133,45 @@
   BOOST_TEST(Events.Statuses == Expected, boost::test_tools::per_element());
 }
 
+namespace {
+
+/** Runs an event loop until a condition holds, for 5 s at most. */
+template <typename Condition>
+bool runUntil(boost::asio::io_context &Io, Condition &&Holds) {
+  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Holds() && std::chrono::steady_clock::now() < Limit)
+    Io.run_one_for(std::chrono::milliseconds(10));
+  return Holds();
+}
+
+/** A call that was sent to a back end whose responses the test writes. */
+struct SentCall {
+  /** @param Events Receives the response; outlives the call. */
+  explicit SentCall(BackEndCallHandler &Events)
+      : Listening(Io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Worker(Io) {
+    BackEndRequest Request;
+    At.Value = "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+    Request.To = At;
+    Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    Request.MaxIdle = 1;
+    Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+    Call->start(Millis(1000));
+    Worker = Listening.accept();
+    while (Worker.available() < Request.Bytes.size())
+      Io.run_one_for(std::chrono::milliseconds(10));
+  }
+
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening;
+  Tcp::socket Worker;
+  BackEndConnectionPool Pool;
+  Address At;
+  std::shared_ptr<BackEndCall> Call;
+};
+
+} // namespace
+
 // Guards against a status line without a status, which passed for an interim
 // response, so that the request waited for its deadline.
 BOOST_AUTO_TEST_CASE(AResponseWithoutAStatusIsMalformed) {
@@ -142,22 +181,11 @@
     }
     std::optional<ConnectionEnd> Ended;
   };
-  boost::asio::io_context Io;
-  Tcp::acceptor Listening(Io, {boost::asio::ip::address_v4::loopback(), 0});
-  BackEndConnectionPool Pool;
   Failing Events;
-  BackEndRequest Request;
-  Request.To.Value =
-      "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
-  Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
-  const auto Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
-  Call->start(Millis(1000));
-  Tcp::socket Worker = Listening.accept();
+  SentCall One(Events);
   const std::string Head = "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n";
-  boost::asio::write(Worker, boost::asio::buffer(Head));
-  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (!Events.Ended && std::chrono::steady_clock::now() < Limit)
-    Io.run_one_for(std::chrono::milliseconds(10));
+  boost::asio::write(One.Worker, boost::asio::buffer(Head));
+  runUntil(One.Io, [&] { return Events.Ended.has_value(); });
   BOOST_REQUIRE(Events.Ended.has_value());
   BOOST_CHECK(*Events.Ended == ConnectionEnd::Malformed);
 }
@@ -175,64 +203,40 @@
   int Failed = 0;
 };
 
-/** Runs an event loop until a condition holds, for 5 s at most. */
-template <typename Condition>
-bool runUntil(boost::asio::io_context &Io, Condition &&Holds) {
-  const auto Limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (!Holds() && std::chrono::steady_clock::now() < Limit)
-    Io.run_one_for(std::chrono::milliseconds(10));
-  return Holds();
-}
-
 /** A call whose response has a body that the handler does not want. The first
  * byte of it comes with the head. */
 struct SkippedBody {
-  explicit SkippedBody(size_t Length)
-      : Listening(Io, {boost::asio::ip::address_v4::loopback(), 0}),
-        Worker(Io) {
-    BackEndRequest Request;
-    At.Value = "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
-    Request.To = At;
-    Request.Bytes = "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n";
-    Request.MaxIdle = 1;
-    Events.Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
-    Events.Call->start(Millis(1000));
-    Worker = Listening.accept();
-    while (Worker.available() < Request.Bytes.size())
-      Io.run_one_for(std::chrono::milliseconds(10));
+  explicit SkippedBody(size_t Length) {
+    Events.Call = std::move(Sent.Call);
     send("HTTP/1.1 503 Full\r\nContent-Length: " + std::to_string(Length) +
          "\r\n\r\nx");
-    BOOST_TEST(runUntil(Io, [&] { return Events.Ended == 1; }));
+    BOOST_TEST(runUntil(Sent.Io, [&] { return Events.Ended == 1; }));
     Events.Call.reset();
   }
 
   /** Sends bytes and lets the entry's side read them. */
   void send(const std::string &Text) {
     boost::system::error_code Ignored; // The other side may have closed.
-    boost::asio::write(Worker, boost::asio::buffer(Text), Ignored);
-    Io.run_for(std::chrono::milliseconds(50));
+    boost::asio::write(Sent.Worker, boost::asio::buffer(Text), Ignored);
+    Sent.Io.run_for(std::chrono::milliseconds(50));
   }
 
   /** Says whether the connection was kept for the next request. */
   bool isKept() {
-    return Pool.take(At, std::chrono::steady_clock::now()) != nullptr;
+    return Sent.Pool.take(Sent.At, std::chrono::steady_clock::now()) != nullptr;
   }
 
   /** Says whether the other side has closed the connection. */
   bool isClosed() {
-    Worker.non_blocking(true);
+    Sent.Worker.non_blocking(true);
     std::string Request;
     boost::system::error_code ec;
-    boost::asio::read(Worker, boost::asio::dynamic_buffer(Request), ec);
+    boost::asio::read(Sent.Worker, boost::asio::dynamic_buffer(Request), ec);
     return ec != boost::asio::error::would_block;
   }
 
-  boost::asio::io_context Io;
-  Tcp::acceptor Listening;
-  Tcp::socket Worker;
-  BackEndConnectionPool Pool;
   Skipping Events;
-  Address At;
+  SentCall Sent{Events};
 };
 
 } // namespace
@@ -255,7 +259,7 @@
   BOOST_TEST(!Long.isKept());
   BOOST_TEST(Long.isClosed());
   SkippedBody Silent(10);
-  Silent.Io.run_for(std::chrono::seconds(1));
+  Silent.Sent.Io.run_for(std::chrono::seconds(1));
   BOOST_TEST(Silent.isClosed());
   BOOST_TEST(Silent.Events.Failed == 0);
 }
