--- a/review/shared-2/world.h
+++ b/review/shared-2/world.h
@@ -29,6 +29,7 @@
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -166,6 +167,8 @@
 /** The platform's store, as PROTOCOL.md tells it. */
 class Store {
 public:
+  /** history_s of the deployment. */
+  static constexpr auto HistoryTime = 20s;
   const int Port = freePort();
 
   Store() {
@@ -188,9 +191,21 @@
   Store(const Store &) = delete;
   Store &operator=(const Store &) = delete;
 
+  /** Sets whether the machines of the system are turned away with 503. */
+  void turnAway(bool Wanted) {
+    const std::lock_guard Lock(Guard);
+    TurnsAway = Wanted;
+    Changed.notify_all();
+  }
+
   void put(const std::string &Key, const Json &Value) {
     const std::lock_guard Lock(Guard);
     const uint64_t Now = ++Revision;
+    while (!History.empty() && Clock::now() - HistoryAt.front() > HistoryTime) {
+      Forgotten = History.front().at("revision").get<uint64_t>();
+      History.pop_front();
+      HistoryAt.pop_front();
+    }
     const auto it = Items.find(Key);
     const Json Created =
         it == Items.end() ? Json(Now) : it->second.at("created");
@@ -200,6 +215,7 @@
                   {"created", Created},
                   {"lease", 0}};
     History.push_back(Items[Key]);
+    HistoryAt.push_back(Clock::now());
     Changed.notify_all();
   }
 
@@ -208,6 +224,10 @@
     const std::string Prefix = Asked.get_param_value("prefix");
     const std::string After = Asked.get_param_value("after");
     const std::lock_guard Lock(Guard);
+    if (TurnsAway) {
+      Answer.status = 503;
+      return;
+    }
     Json Page = {{"items", Json::array()},
                  {"truncated", false},
                  {"store_revision", Revision}};
@@ -221,7 +241,16 @@
     const std::chrono::milliseconds Wait(
         std::stol(Asked.get_param_value("wait_ms")));
     std::unique_lock Lock(Guard);
-    Changed.wait_for(Lock, Wait, [&] { return Ending || Revision > After; });
+    Changed.wait_for(Lock, Wait,
+                     [&] { return Ending || TurnsAway || Revision > After; });
+    if (TurnsAway) {
+      Answer.status = 503;
+      return;
+    }
+    if (After < Forgotten) {
+      Answer.status = 410;
+      return;
+    }
     Json Events = Json::array();
     for (const Json &One : History)
       if (One.at("revision") > After)
@@ -234,7 +263,10 @@
   std::mutex Guard;
   std::condition_variable Changed;
   std::map<std::string, Json> Items;
-  std::vector<Json> History;
+  std::deque<Json> History;
+  std::deque<Clock::time_point> HistoryAt; ///< When each event came.
+  uint64_t Forgotten = 0;                  ///< Events up to it are gone.
+  bool TurnsAway = false;
   uint64_t Revision = 1;
   bool Ending = false;
   Listener Server;
