agent, core: log which bytes lie under a staged chunk's number

A load that failed for a staged chunk logged the digest that was wanted, and neither the number nor what was found there. "Never staged", "damaged since" and "another version's" looked the same.

event=staged_chunk_differs has version, number, both digests, and under which number the agent takes the wanted one for staged.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -52,6 +52,11 @@
 /** Time between two checks for open attempts while draining. */
 constexpr Millis DrainPollPeriod{20};
 
+/** Gives the digest of staged bytes; empty when none were read. */
+Digest stagedDigest(const Outcome<std::string> &Read) {
+  return Read.Value ? sha256(*Read.Value) : Digest{};
+}
+
 } // namespace
 
 AgentShell::AgentShell(const Settings &Config, const BackEnds &Ports)
@@ -313,8 +318,6 @@
   // A message without data tells the peer to ask another agent.
   if (const ChunkBytes Whole = readVerifiedChunk(Todo.Chunk))
     copyChunkPart(*Whole, Todo.Offset, Todo.Length, Data);
-  else
-    reportDamagedChunk(Todo.Chunk.Content);
   Links.send(Todo.Link, Data);
 }
 
@@ -327,8 +330,10 @@
   if (it != RecentlyRead.end())
     return it->second;
   auto Read = outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
-  if (!Read.Value || sha256(*Read.Value) != Chunk.Content)
+  if (const Digest Found = stagedDigest(Read); Found != Chunk.Content) {
+    reportDamagedChunk(Chunk, Found);
     return nullptr;
+  }
   auto Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
   RecentlyRead.emplace_back(Chunk.Content, Bytes);
   if (RecentlyRead.size() > MaxRecentlyRead)
@@ -336,9 +341,10 @@
   return Bytes;
 }
 
-void AgentShell::reportDamagedChunk(const Digest &Chunk) {
-  post([this, Chunk](TimePoint Now, Effects &Out) {
-    handleDamagedChunk(State, Chunk, Now, Out);
+void AgentShell::reportDamagedChunk(const ChunkRef &Chunk,
+                                    const Digest &Found) {
+  post([this, Chunk, Found](TimePoint Now, Effects &Out) {
+    handleDamagedChunk(State, Chunk, Found, Now, Out);
   });
 }
 
@@ -348,9 +354,10 @@
     return Ports.Engine->stage(Chunk, *Bytes);
   const auto Read =
       outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
-  if (Read.Value && sha256(*Read.Value) == Chunk.Content)
+  const Digest Found = stagedDigest(Read);
+  if (Found == Chunk.Content)
     return {};
-  reportDamagedChunk(Chunk.Content);
+  reportDamagedChunk(Chunk, Found);
   return fail(ErrorKind::WeightsNotReady, "a staged chunk is damaged");
 }
 
@@ -366,10 +373,11 @@
       std::this_thread::sleep_for(ConfirmRetryDelay);
       Read = outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
     }
-    if (Read.Value && sha256(*Read.Value) == Chunk.Content)
+    const Digest Found = stagedDigest(Read);
+    if (Found == Chunk.Content)
       continue;
     if (Read.Value)
-      reportDamagedChunk(Chunk.Content);
+      reportDamagedChunk(Chunk, Found);
     return fail(ErrorKind::OutcomeUnknown,
                 "staged chunk " + std::to_string(n) +
                     " differs from the ordered one after the order");
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -101,8 +101,9 @@
   void sendStaged(const SendStagedChunk &Todo);
   /** Reads back a staged chunk; null when it is damaged or unreadable. */
   ChunkBytes readVerifiedChunk(const ChunkRef &Chunk);
-  /** Posts that a staged chunk is damaged, so that it is fetched again. */
-  void reportDamagedChunk(const Digest &Chunk);
+  /** Posts that other bytes than a chunk's are staged under its number, so that
+   * it is fetched again. */
+  void reportDamagedChunk(const ChunkRef &Chunk, const Digest &Found);
   /** Stages a chunk before a load order, or verifies the one already staged. */
   Result<void> prepareChunk(const ChunkRef &Chunk, const ChunkBytes &Bytes);
   /** Verifies after a load order that the staged set is the one ordered. */
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -536,12 +536,18 @@
   refreshLoad(Agent);
 }
 
-void handleDamagedChunk(AgentState &Agent, const Digest &Chunk, TimePoint Now,
-                        Effects &Out) {
-  Out.push_back(LogNote{LogPart::Weights, LogLevel::Warn,
-                        "Staged chunk " + Chunk.Value +
-                            " is damaged, fetching it again"});
-  dropDamagedChunk(Agent.Transfer, Agent.Weights, Chunk);
+void handleDamagedChunk(AgentState &Agent, const ChunkRef &Chunk,
+                        const Digest &Found, TimePoint Now, Effects &Out) {
+  const auto it = Agent.Transfer.IndexOf.find(Chunk.Content);
+  Out.push_back(LogNote{
+      LogPart::Weights, LogLevel::Warn,
+      "event=staged_chunk_differs version=" + Chunk.Version + " number=" +
+          std::to_string(Chunk.Number) + " wanted=" + Chunk.Content.Value +
+          " found=" + (Found.Value.empty() ? "-" : Found.Value) +
+          " staged_as=" +
+          (it == Agent.Transfer.IndexOf.end() ? "-"
+                                              : std::to_string(it->second))});
+  dropDamagedChunk(Agent.Transfer, Agent.Weights, Chunk.Content);
   advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
 }
 
--- a/packages/core/src/attempts/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -167,12 +167,14 @@
  * Discards a staged chunk that proved damaged when it was read back, and
  * fetches it again.
  * @param Agent State to change.
- * @param Chunk Its published digest.
+ * @param Chunk The chunk, with its published digest.
+ * @param Found Digest of what is staged under its number; empty: nothing was
+ * read.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void handleDamagedChunk(AgentState &Agent, const Digest &Chunk, TimePoint Now,
-                        Effects &Out);
+void handleDamagedChunk(AgentState &Agent, const ChunkRef &Chunk,
+                        const Digest &Found, TimePoint Now, Effects &Out);
 
 /**
  * Handles a complete chunk from a peer, or the peer's refusal.
