agent: send a heartbeat as soon as a link is ready

What callers saw: an entry that was killed and started again refused its first stream with 503 after 0.2 s, though both workers served.

Cause: an entry knows what a worker has loaded from heartbeats alone. An agent sent its next one up to a heartbeat period after the link was ready, and the entry counts itself as joined 0.15 s after the links. It then saw no usable worker and refused at once (reason=none_usable, attempts=0).

AnEntryLearnsWhatIsLoadedWithTheLink fails without it.

--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -314,6 +314,8 @@
   }
   if (std::holds_alternative<Hello>(m)) {
     registerChunkPeer(Agent, Link);
+    // An entry that has just started knows no worker before this.
+    sendHeartbeatTo(Agent.Fleet, Link, Agent.View, Now, Out);
     sendSuspects(Agent.Suspects, Link, Now, Out);
   }
   if (News != FleetMessageResult::Unrelated)
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -222,6 +222,13 @@
     sendHeartbeat(Fleet, Peer, Config, Now, Out);
 }
 
+void sendHeartbeatTo(Membership &Fleet, LinkId Link, const ConfigView &Config,
+                     TimePoint Now, Effects &Out) {
+  const auto it = Fleet.Links.find(Link);
+  if (it != Fleet.Links.end())
+    sendHeartbeat(Fleet, it->second, Config, Now, Out);
+}
+
 void sendHeartbeatsInDomain(Membership &Fleet, const ConfigView &Config,
                             TimePoint Now, Effects &Out) {
   for (auto &[Link, Peer] : Fleet.Links)
--- a/packages/core/src/membership/membership_func.h
+++ b/packages/core/src/membership/membership_func.h
@@ -103,6 +103,17 @@
 std::vector<LinkId> tickMembership(Membership &Fleet, const ConfigView &Config,
                                    TimePoint Now, Effects &Out);
 
+/**
+ * Sends a heartbeat at once over one link.
+ * @param Fleet State to change.
+ * @param Link The link; ignored if it is not open.
+ * @param Config Configuration that heartbeats report as in force.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void sendHeartbeatTo(Membership &Fleet, LinkId Link, const ConfigView &Config,
+                     TimePoint Now, Effects &Out);
+
 /**
  * Sends a heartbeat at once to each peer in the own failure domain.
  * @param Fleet State to change.
--- a/tests/unit/place_test.cpp
+++ b/tests/unit/place_test.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -290,6 +291,27 @@
   BOOST_TEST(Test.Agent.SlotsById.size() == 2U);
 }
 
+// Guards against an entry that has just started refusing requests for want of a
+// worker: it has links to all agents, and none has told it what is loaded.
+BOOST_AUTO_TEST_CASE(AnEntryLearnsWhatIsLoadedWithTheLink) {
+  AgentFixture Test;
+  handleAgentTick(Test.Agent, Test.Now, Test.Out);
+  const LinkId Link{FirstAcceptedLink};
+  handleAgentLinkOpened(Test.Agent, Link, Test.Now, Test.Out);
+  Test.Out.clear();
+  Hello Entry;
+  Entry.Name.Value = "e0";
+  handleAgentMessage(Test.Agent, Link, Entry, Test.Now, Test.Out);
+  const auto Told = [&](const Effect &One) {
+    const auto *Sent = std::get_if<SendMessage>(&One);
+    const auto *Beat =
+        Sent == nullptr ? nullptr : std::get_if<Heartbeat>(&Sent->Content);
+    return Beat != nullptr && Sent->Link == Link &&
+           Beat->Load.Weights.Value == "m@1";
+  };
+  BOOST_TEST(std::ranges::any_of(Test.Out, Told));
+}
+
 BOOST_AUTO_TEST_CASE(NoSlotIsGrantedOnOutdatedWeights) {
   // Guards against outdated weights being used for an entry with an outdated
   // view. After a pause, an entry sent requests to a worker with the previous
