--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -96,8 +96,12 @@
     throw std::runtime_error("no folder for the fleet");
   Folder = Template;
   startServer("store", Json::object());
-  startServer("origin",
-              {{"chunks", Plan.Chunks}, {"chunk_bytes", Plan.ChunkBytes}});
+  Plan.WorkerOptions["same_chunks"] = Plan.SameChunks;
+  Json Origin = {{"chunks", Plan.Chunks},
+                 {"chunk_bytes", Plan.ChunkBytes},
+                 {"same_chunks", Plan.SameChunks}};
+  Origin.update(Plan.OriginOptions);
+  startServer("origin", Origin);
   Config = firstConfig(At.at("origin"));
   for (size_t n = 0; n < Plan.PlainServers; ++n) {
     const std::string Name = "plain-" + std::to_string(n);
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -27,6 +27,8 @@
   int AgentWeightsMillis = 0;     ///< The same for agents; 0: as for entries.
   bool Proxies = false; ///< Links to stores, agents and servers have proxies.
   Json WorkerOptions = Json::object(); ///< For every worker and plain server.
+  Json OriginOptions = Json::object(); ///< For the origin, beside its chunks.
+  Json SameChunks = Json::object();    ///< "same_chunks" of origin and workers.
 };
 
 /**
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -52,9 +52,9 @@
 /** Time between two checks for open attempts while draining. */
 constexpr Millis DrainPollPeriod{20};
 
-/** Gives the digest of staged bytes; empty when none were read. */
-Digest stagedDigest(const Outcome<std::string> &Read) {
-  return Read.Value ? sha256(*Read.Value) : Digest{};
+/** Gives the reference of a chunk of an ordered set. */
+ChunkRef orderedChunk(const LoadOrder &Order, size_t n) {
+  return {Order.Model, Order.Version, n, Order.Chunks[n], {}};
 }
 
 } // namespace
@@ -187,6 +187,11 @@
               Fetchers->enqueue(
                   [this, Chunks = e.Chunks] { reportStagedChunks(Chunks); });
             },
+            [this](const ReadSlot &e) {
+              Fetchers->enqueue([this, Slot = e.Slot] {
+                reportSlot(readSlot(Slot), /*WithBytes=*/true);
+              });
+            },
             [this](const StageChunk &e) {
               Fetchers->enqueue([this, Todo = e] { stageChunk(Todo); });
             },
@@ -280,23 +285,35 @@
   });
 }
 
+SlotRead AgentShell::readSlot(const ChunkRef &Slot) {
+  auto Read = outcomeOf([&] { return Ports.Engine->readStagedContent(Slot); });
+  const bool IsEmpty = !Read.Value && Read.Why.Kind == ErrorKind::NotFound;
+  ChunkBytes Bytes;
+  if (Read.Value)
+    Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
+  return {Slot, Bytes != nullptr || IsEmpty, digestChunk(std::move(Bytes))};
+}
+
+void AgentShell::reportSlot(SlotRead Read, bool WithBytes) {
+  if (!WithBytes)
+    Read.Found.Bytes.reset();
+  post([this, Read = std::move(Read)](TimePoint Now, Effects &Out) {
+    handleSlotRead(State, Read, Now, Out);
+  });
+}
+
 void AgentShell::reportStagedChunks(const std::vector<ChunkRef> &Chunks) {
+  std::set<Digest> Wanted;
+  std::ranges::transform(Chunks, std::inserter(Wanted, Wanted.end()),
+                         &ChunkRef::Content);
   size_t Mismatches = 0;
   for (const ChunkRef &Chunk : Chunks) {
-    auto Read =
-        outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
-    ChunkBytes Bytes;
-    if (Read.Value)
-      Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
-    const DigestedChunk Received = digestChunk(Bytes);
+    SlotRead Read = readSlot(Chunk);
     // After several mismatches another version, or none, is staged.
-    Mismatches = Received.Actual == Chunk.Content ? 0 : Mismatches + 1;
+    Mismatches = Wanted.contains(Read.Found.Actual) ? 0 : Mismatches + 1;
     if (Mismatches > MaxStagedMismatches || Ending)
       return;
-    if (Mismatches == 0)
-      post([this, Chunk](TimePoint Now, Effects &Out) {
-        handleStagedChunk(State, Chunk, true, Now, Out);
-      });
+    reportSlot(std::move(Read), /*WithBytes=*/false);
   }
 }
 
@@ -329,55 +346,59 @@
                                     &std::pair<Digest, ChunkBytes>::first);
   if (it != RecentlyRead.end())
     return it->second;
-  auto Read = outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
-  if (const Digest Found = stagedDigest(Read); Found != Chunk.Content) {
-    reportDamagedChunk(Chunk, Found);
+  const SlotRead Read = readSlot(Chunk);
+  if (Read.Found.Actual != Chunk.Content) {
+    reportSlot(Read, /*WithBytes=*/false);
     return nullptr;
   }
-  auto Bytes = std::make_shared<const std::string>(std::move(*Read.Value));
-  RecentlyRead.emplace_back(Chunk.Content, Bytes);
+  RecentlyRead.emplace_back(Chunk.Content, Read.Found.Bytes);
   if (RecentlyRead.size() > MaxRecentlyRead)
     RecentlyRead.pop_front();
-  return Bytes;
+  return Read.Found.Bytes;
 }
 
-void AgentShell::reportDamagedChunk(const ChunkRef &Chunk,
-                                    const Digest &Found) {
-  post([this, Chunk, Found](TimePoint Now, Effects &Out) {
-    handleDamagedChunk(State, Chunk, Found, Now, Out);
-  });
-}
-
-Result<void> AgentShell::prepareChunk(const ChunkRef &Chunk,
-                                      const ChunkBytes &Bytes) {
-  if (Bytes != nullptr)
-    return Ports.Engine->stage(Chunk, *Bytes);
-  const auto Read =
-      outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
-  const Digest Found = stagedDigest(Read);
-  if (Found == Chunk.Content)
-    return {};
-  reportDamagedChunk(Chunk, Found);
-  return fail(ErrorKind::WeightsNotReady, "a staged chunk is damaged");
+Result<void> AgentShell::prepareChunks(const LoadWeights &Load) {
+  const TimePoint Limit = Clock.now() + MaxVerifyTime;
+  for (size_t n = 0; n < Load.Chunks.size(); ++n) {
+    const ChunkRef Chunk = orderedChunk(Load.Order, n);
+    if (Load.Chunks[n] != nullptr) {
+      BOOST_LEAF_CHECK(Ports.Engine->stage(Chunk, *Load.Chunks[n]));
+      continue;
+    }
+    const SlotRead Read = readSlot(Chunk);
+    if (!Read.Answered)
+      return fail(ErrorKind::WeightsNotReady,
+                  "slot " + std::to_string(n) + " could not be read");
+    if (Read.Found.Actual != Chunk.Content) {
+      reportSlot(Read, /*WithBytes=*/false);
+      return fail(ErrorKind::WeightsNotReady,
+                  "slot " + std::to_string(n) + " has other content");
+    }
+    // On an overloaded host the first chunk may be damaged again before the
+    // last one is read. The order is retried later with a new verification;
+    // such a host could not serve requests anyway.
+    if (Clock.now() > Limit)
+      return fail(ErrorKind::WeightsNotReady,
+                  "verifying the staged chunks took too long");
+  }
+  return {};
 }
 
 Result<void> AgentShell::confirmStaged(const LoadOrder &Order) {
   const TimePoint Limit = Clock.now() + MaxConfirmTime;
   for (size_t n = 0; n < Order.Chunks.size(); ++n) {
-    const ChunkRef Chunk{Order.Model, Order.Version, n, Order.Chunks[n], {}};
-    auto Read =
-        outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
+    const ChunkRef Chunk = orderedChunk(Order, n);
+    SlotRead Read = readSlot(Chunk);
     // An engine that does not answer now may have loaded the staged set all the
     // same, so the read is retried.
-    while (!Read.Value && Clock.now() < Limit && !Ending) {
+    while (!Read.Answered && Clock.now() < Limit && !Ending) {
       std::this_thread::sleep_for(ConfirmRetryDelay);
-      Read = outcomeOf([&] { return Ports.Engine->readStagedContent(Chunk); });
+      Read = readSlot(Chunk);
     }
-    const Digest Found = stagedDigest(Read);
-    if (Found == Chunk.Content)
+    if (Read.Found.Actual == Chunk.Content)
       continue;
-    if (Read.Value)
-      reportDamagedChunk(Chunk, Found);
+    if (Read.Answered)
+      reportSlot(Read, /*WithBytes=*/false);
     return fail(ErrorKind::OutcomeUnknown,
                 "staged chunk " + std::to_string(n) +
                     " differs from the ordered one after the order");
@@ -442,19 +463,7 @@
   Steps.VerifyStaged = [&]() -> Result<void> {
     if (!Lock.owns_lock()) // A forced reload takes several orders.
       Lock.lock();
-    const TimePoint VerifyBegan = Clock.now();
-    for (size_t n = 0; n < Load.Chunks.size(); ++n) {
-      BOOST_LEAF_CHECK(prepareChunk(
-          {Load.Order.Model, Load.Order.Version, n, Load.Order.Chunks[n], {}},
-          Load.Chunks[n]));
-      // On an overloaded host the first chunk may be damaged again before the
-      // last one is read. The order is retried later with a new verification;
-      // such a host could not serve requests anyway.
-      if (Load.Chunks[n] == nullptr &&
-          Clock.now() - VerifyBegan > MaxVerifyTime)
-        return fail(ErrorKind::WeightsNotReady,
-                    "verifying the staged chunks took too long");
-    }
+    BOOST_LEAF_CHECK(prepareChunks(Load));
     // After a pause of the process the order may be out of date and another
     // agent may control the host; some engines would still accept it.
     if (Pauses.pauses(Clock.now()) != PausesBefore)
--- a/packages/agent/src/agent_shell.h
+++ b/packages/agent/src/agent_shell.h
@@ -93,19 +93,23 @@
   void fetchChunk(const ChunkRef &Chunk, uint64_t Round);
   /** Reads the chunk list of a version from the origin and posts it. */
   void readChunkList(const ChunkRef &Version);
-  /** Reads back staged chunks and posts those that have the right content. */
+  /** Reads a slot of the engine. */
+  SlotRead readSlot(const ChunkRef &Slot);
+  /** Posts what was read from a slot, with or without its bytes. */
+  void reportSlot(SlotRead Read, bool WithBytes);
+  /** Reads slots and posts what they contain; stops early when another version
+   * is staged. */
   void reportStagedChunks(const std::vector<ChunkRef> &Chunks);
   /** Stages a chunk in the engine and posts whether that succeeded. */
   void stageChunk(const StageChunk &Todo);
   /** Sends a part of a staged chunk to a peer. */
   void sendStaged(const SendStagedChunk &Todo);
-  /** Reads back a staged chunk; null when it is damaged or unreadable. */
+  /** Reads back a staged chunk; null when the slot has other content, which is
+   * posted, or is unreadable. */
   ChunkBytes readVerifiedChunk(const ChunkRef &Chunk);
-  /** Posts that other bytes than a chunk's are staged under its number, so that
-   * it is fetched again. */
-  void reportDamagedChunk(const ChunkRef &Chunk, const Digest &Found);
-  /** Stages a chunk before a load order, or verifies the one already staged. */
-  Result<void> prepareChunk(const ChunkRef &Chunk, const ChunkBytes &Bytes);
+  /** Stages the chunks of a load order, or verifies all that are staged and
+   * posts the slots with other content. */
+  Result<void> prepareChunks(const LoadWeights &Load);
   /** Verifies after a load order that the staged set is the one ordered. */
   Result<void> confirmStaged(const LoadOrder &Order);
   /** Posts a chunk, or a part of one, that a peer has sent. */
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -26,6 +26,7 @@
 #include "routing/load_view_func.h"
 #include "settings/settings_func.h"
 #include "weights/rollout_func.h"
+#include "weights/staging_func.h"
 #include "weights/transfer_func.h"
 #include "weights/upload_func.h"
 #include "weights/weights_func.h"
@@ -538,19 +539,22 @@
   refreshLoad(Agent);
 }
 
-void handleDamagedChunk(AgentState &Agent, const ChunkRef &Chunk,
-                        const Digest &Found, TimePoint Now, Effects &Out) {
-  const auto it = Agent.Transfer.IndexOf.find(Chunk.Content);
-  Out.push_back(LogNote{
-      LogPart::Weights, LogLevel::Warn,
-      "event=staged_chunk_differs version=" + Chunk.Version + " number=" +
-          std::to_string(Chunk.Number) + " wanted=" + Chunk.Content.Value +
-          " found=" + (Found.Value.empty() ? "-" : Found.Value) +
-          " staged_as=" +
-          (it == Agent.Transfer.IndexOf.end() ? "-"
-                                              : std::to_string(it->second))});
-  dropDamagedChunk(Agent.Transfer, Agent.Weights, Chunk.Content);
+void handleSlotRead(AgentState &Agent, const SlotRead &Read, TimePoint Now,
+                    Effects &Out) {
+  const Digest Before =
+      recordSlotRead(Agent.Transfer, Agent.Weights, Read, Now);
+  const Digest &Found = Read.Found.Actual;
+  if (!Before.Value.empty() && Before != Found) {
+    ++Agent.Transfer.Counters.BadChunks;
+    Out.push_back(LogNote{
+        LogPart::Weights, LogLevel::Warn,
+        "event=staged_chunk_differs version=" + Read.Slot.Version + " number=" +
+            std::to_string(Read.Slot.Number) + " staged=" + Before.Value +
+            " found=" + (Found.Value.empty() ? "-" : Found.Value)});
+  }
   advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
+  refreshLoad(Agent);
 }
 
 void handlePeerChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
--- a/packages/core/src/attempts/agent_func.h
+++ b/packages/core/src/attempts/agent_func.h
@@ -152,10 +152,9 @@
                            Effects &Out);
 
 /**
- * Handles the result of staging a chunk at the engine, or of looking for one
- * that was staged earlier.
+ * Handles the result of staging a chunk at the engine.
  * @param Agent State to change.
- * @param Chunk The chunk.
+ * @param Chunk The chunk; its number is that of the slot.
  * @param Staged False when the engine did not accept it.
  * @param Now Current time.
  * @param Out Effects are appended.
@@ -164,17 +163,15 @@
                        TimePoint Now, Effects &Out);
 
 /**
- * Discards a staged chunk that proved damaged when it was read back, and
- * fetches it again.
+ * Handles the result of reading a slot of the engine. If it has other content
+ * than was known, that chunk is staged again.
  * @param Agent State to change.
- * @param Chunk The chunk, with its published digest.
- * @param Found Digest of what is staged under its number; empty: nothing was
- * read.
+ * @param Read What was read.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void handleDamagedChunk(AgentState &Agent, const ChunkRef &Chunk,
-                        const Digest &Found, TimePoint Now, Effects &Out);
+void handleSlotRead(AgentState &Agent, const SlotRead &Read, TimePoint Now,
+                    Effects &Out);
 
 /**
  * Handles a complete chunk from a peer, or the peer's refusal.
--- a/packages/core/src/attempts/chunk_list.cpp
+++ b/packages/core/src/attempts/chunk_list.cpp
@@ -3,6 +3,7 @@
 #include "attempts/chunk_list_func.h"
 
 #include "weights/chunk_plan_func.h"
+#include "weights/staging_func.h"
 #include "weights/transfer_func.h"
 #include "weights/weights_func.h"
 
@@ -50,8 +51,11 @@
                      Agent.Fleet.Self.Name, Now);
   // After a restart of the agent beside a loaded engine, the staged chunks need
   // not be fetched, and peers can fetch them from here.
-  if (IsNew && !Agent.Config.EngineUrl.empty() && !Wanted.Origin.Value.empty())
-    Out.push_back(FindStagedChunks{missingChunks(Agent.Transfer)});
+  if (!IsNew || Agent.Config.EngineUrl.empty() || Wanted.Origin.Value.empty())
+    return;
+  auto Unknown = unknownSlots(Agent.Transfer, Agent.Weights);
+  if (!Unknown.empty())
+    Out.push_back(FindStagedChunks{std::move(Unknown)});
 }
 
 /** Sends the chunk list to agents that don't have it yet, of this domain or of
--- a/packages/core/src/base/effect_type.h
+++ b/packages/core/src/base/effect_type.h
@@ -92,9 +92,14 @@
   ChunkRef Version; ///< The version; the chunk itself is not used.
 };
 
-/** Finds out which of the given chunks are staged at the engine. */
+/** Finds out what the given slots of the engine contain. */
 struct FindStagedChunks {
-  std::vector<ChunkRef> Chunks; ///< Chunks to look for.
+  std::vector<ChunkRef> Chunks; ///< The slots, and the chunks to look for.
+};
+
+/** Reads the content of a slot of the engine, to stage it in others. */
+struct ReadSlot {
+  ChunkRef Slot; ///< The slot, and the content expected there.
 };
 
 /** Immutable content of a weights chunk in memory. */
@@ -132,7 +137,7 @@
 using Effect =
     std::variant<OpenLink, CloseLink, SendMessage, CallPart, CallEnd, CallError,
                  RunModel, RunService, CancelRun, FetchFromOrigin,
-                 CancelOriginFetches, ReadChunkList, FindStagedChunks,
+                 CancelOriginFetches, ReadChunkList, FindStagedChunks, ReadSlot,
                  StageChunk, SendStagedChunk, LoadWeights, LogNote>;
 
 /** Effects in the order of execution. */
--- a/packages/core/src/weights/chunk_progress.cpp
+++ b/packages/core/src/weights/chunk_progress.cpp
@@ -6,6 +6,14 @@
 
 namespace jacinthpond {
 
+namespace {
+
+/** Share of contents that have to be available somewhere before the rest can
+ * become overdue. */
+constexpr double MostSeenShare = 0.75;
+
+} // namespace
+
 bool hasBit(const std::vector<uint8_t> &Bits, size_t n) {
   return n / 8 < Bits.size() && ((Bits[n / 8] >> (n % 8)) & 1U) != 0;
 }
@@ -29,6 +37,27 @@
   Peer.Requested.clear();
 }
 
+std::optional<size_t> firstNumber(const TransferState &Transfer,
+                                  const Digest &Content) {
+  const auto it = Transfer.NumbersOf.find(Content);
+  return it == Transfer.NumbersOf.end() ? std::nullopt
+                                        : std::optional(it->second.front());
+}
+
+void markSeen(TransferState &Transfer, size_t n, TimePoint Now) {
+  ChunkProgress &Chunk = Transfer.Chunks[n];
+  if (Chunk.Seen)
+    return;
+  Chunk.Seen = true;
+  Chunk.SeenSince = Now;
+  Transfer.AvailabilityChangedAt = Now;
+  ++Transfer.SeenCount;
+  const auto Most = static_cast<size_t>(
+      MostSeenShare * static_cast<double>(Transfer.NumbersOf.size()));
+  if (!Transfer.MostSeenSince && Transfer.SeenCount >= Most)
+    Transfer.MostSeenSince = Now;
+}
+
 ChunkRef chunkRef(const TransferState &Transfer, size_t n) {
   ChunkRef Ref = Transfer.Version;
   Ref.Number = n;
--- a/packages/core/src/weights/chunk_progress_func.h
+++ b/packages/core/src/weights/chunk_progress_func.h
@@ -49,6 +49,23 @@
  */
 bool isFetchedInParts(const TransferState &Transfer);
 
+/**
+ * Finds the number that stands for a content; see TransferState::NumbersOf.
+ * @param Transfer The state.
+ * @param Content The content.
+ * @return Its first number; nothing when it is not in the wanted set.
+ */
+std::optional<size_t> firstNumber(const TransferState &Transfer,
+                                  const Digest &Content);
+
+/**
+ * Marks a content as available at this host or a linked agent.
+ * @param Transfer State to change.
+ * @param n First number of the content.
+ * @param Now Current time.
+ */
+void markSeen(TransferState &Transfer, size_t n, TimePoint Now);
+
 /**
  * Gives the reference of a chunk that the origin and the engine use.
  * @param Transfer The state.
--- a/packages/core/src/weights/origin_draw.cpp
+++ b/packages/core/src/weights/origin_draw.cpp
@@ -102,7 +102,7 @@
 void requestFromOrigin(TransferState &Transfer, TimePoint Now, Effects &Out) {
   if (Now < Transfer.OriginPausedUntil)
     return;
-  for (const size_t n : Transfer.Missing) {
+  for (const size_t n : Transfer.ToFetch) {
     if (Transfer.OriginRequests >= MaxOriginRequests)
       return;
     ChunkProgress &Chunk = Transfer.Chunks[n];
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -92,11 +92,11 @@
           Link->Load.State == WorkerState::Serving);
 }
 
-/** Says whether the missing chunks are expected within DrainAhead. */
+/** Says whether the contents to fetch are expected within DrainAhead. */
 bool isNearlyComplete(const TransferState &Transfer) {
   if (Transfer.BytesPerSecond == 0 || Transfer.Digests.empty())
     return false;
-  const uint64_t Left = Transfer.Missing.size() * Transfer.ChunkBytes;
+  const uint64_t Left = Transfer.ToFetch.size() * Transfer.ChunkBytes;
   return Left * 1000 / Transfer.BytesPerSecond <=
          static_cast<uint64_t>(DrainAhead.count());
 }
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -9,12 +9,12 @@
 #include "weights/chunk_progress_func.h"
 #include "weights/origin_draw_func.h"
 #include "weights/peer_pace_func.h"
+#include "weights/staging_func.h"
 #include "weights/upload_func.h"
 #include "weights/weights_func.h"
 
 #include <algorithm>
 #include <compare>
-#include <iterator>
 #include <optional>
 
 namespace jacinthpond {
@@ -53,34 +53,18 @@
 constexpr Millis SettleTime{400};
 /** Window for measuring the rate at which chunks arrive. */
 constexpr Millis RateWindow{1000};
-/** Share of chunks that have to be available somewhere before the rest can
- * become overdue. */
-constexpr double MostSeenShare = 0.75;
 /** Minimum time between two announcements. */
 constexpr Millis AnnouncePeriod{50};
 
-/** Marks a chunk as available at this host or a linked agent. */
-void markSeen(TransferState &Transfer, ChunkProgress &Chunk, TimePoint Now) {
-  if (Chunk.Seen)
-    return;
-  Chunk.Seen = true;
-  Chunk.SeenSince = Now;
-  Transfer.AvailabilityChangedAt = Now;
-  ++Transfer.SeenCount;
-  const auto Most = static_cast<size_t>(
-      MostSeenShare * static_cast<double>(Transfer.Chunks.size()));
-  if (!Transfer.MostSeenSince && Transfer.SeenCount >= Most)
-    Transfer.MostSeenSince = Now;
-}
-
-/** Adds the announcement of a peer to the holder counts of the chunks, or
+/** Adds the announcement of a peer to the holder counts of the contents, or
  * removes it from them. */
 void countAnnounced(TransferState &Transfer, const ChunkPeer &Peer, bool Add,
                     TimePoint Now) {
   if (Peer.Announced.Set != Transfer.Set)
     return;
   const uint32_t Step = Add ? 1 : UINT32_MAX; // Wraps around to -1.
-  for (size_t n = 0; n < Transfer.Chunks.size(); ++n) {
+  for (const auto &[Content, Numbers] : Transfer.NumbersOf) {
+    const size_t n = Numbers.front();
     ChunkProgress &Chunk = Transfer.Chunks[n];
     if (hasBit(Peer.Announced.Imports, n))
       (Peer.SameDomain ? Chunk.ImportersInDomain : Chunk.ImportersElsewhere) +=
@@ -89,7 +73,7 @@
       continue;
     (Peer.SameDomain ? Chunk.HoldersInDomain : Chunk.HoldersElsewhere) += Step;
     if (Add)
-      markSeen(Transfer, Chunk, Now);
+      markSeen(Transfer, n, Now);
   }
 }
 
@@ -122,16 +106,20 @@
   Transfer.Version = versionRef(Weights.Wanted);
   Transfer.ChunkBytes = Weights.Wanted.ChunkBytes;
   Transfer.Chunks.assign(Transfer.Digests.size(), {});
-  Transfer.IndexOf.clear();
+  Transfer.NumbersOf.clear();
   Transfer.Missing.clear();
+  Transfer.ToFetch.clear();
   Transfer.Partial.clear();
   Transfer.SubstitutedHosts.clear();
   Transfer.AvailabilityChangedAt = Now;
   Transfer.AnnouncementDue = true;
   for (size_t n = 0; n < Transfer.Digests.size(); ++n) {
-    const bool First = Transfer.IndexOf.emplace(Transfer.Digests[n], n).second;
-    if (First && !Weights.Held.contains(Transfer.Digests[n]))
+    std::vector<size_t> &Numbers = Transfer.NumbersOf[Transfer.Digests[n]];
+    Numbers.push_back(n);
+    if (!isChunkInPlace(Weights, n))
       Transfer.Missing.insert(n);
+    if (Numbers.size() == 1 && !hasContent(Weights, Transfer.Digests[n]))
+      Transfer.ToFetch.insert(n);
   }
   // Indices of the old set now refer to other chunks. Answers that are still on
   // their way are matched by digest.
@@ -177,11 +165,11 @@
   return Best;
 }
 
-/** Lists the missing chunks to request from peers, rarest first and ties in
- * random order. */
+/** Lists the contents to request from peers, rarest first and ties in random
+ * order. */
 std::vector<size_t> chunksToRequest(TransferState &Transfer) {
   std::vector<std::pair<uint64_t, size_t>> Keyed;
-  for (const size_t n : Transfer.Missing) {
+  for (const size_t n : Transfer.ToFetch) {
     const ChunkProgress &Chunk = Transfer.Chunks[n];
     if (Chunk.Requested || Chunk.HoldersInDomain + Chunk.HoldersElsewhere == 0)
       continue;
@@ -263,17 +251,20 @@
   }
 }
 
-/** Builds the announcement of the held and imported chunks. */
+/** Builds the announcement of the chunks whose contents are here or imported.
+ */
 ChunkHave makeAnnouncement(const TransferState &Transfer) {
   ChunkHave Have;
   Have.Set = Transfer.Set;
   Have.Held.assign((Transfer.Digests.size() + 7) / 8, 0);
   Have.Imports = Have.Held;
-  for (size_t n = 0; n < Transfer.Digests.size(); ++n) {
-    if (!Transfer.Missing.contains(n))
-      setBit(Have.Held, n);
-    else if (Transfer.Chunks[n].Importing)
-      setBit(Have.Imports, n);
+  for (const auto &[Content, Numbers] : Transfer.NumbersOf) {
+    const size_t First = Numbers.front();
+    const bool IsHere = !Transfer.ToFetch.contains(First);
+    if (!IsHere && !Transfer.Chunks[First].Importing)
+      continue;
+    for (const size_t n : Numbers)
+      setBit(IsHere ? Have.Held : Have.Imports, n);
   }
   return Have;
 }
@@ -310,27 +301,18 @@
   Transfer.RateWindowStart = Now;
 }
 
-/** Adds a chunk to those held. */
-void addHeldChunk(TransferState &Transfer, WeightsState &Weights, size_t n,
-                  const ChunkBytes &Bytes, TimePoint Now) {
-  Transfer.Missing.erase(n);
-  Weights.Held[Transfer.Digests[n]] = Bytes;
-  Transfer.AnnouncementDue = true;
-  markSeen(Transfer, Transfer.Chunks[n], Now);
-}
-
 /**
- * Verifies a received chunk, and holds it or stages it at the engine.
+ * Verifies a received content and holds it.
  * @return False when nothing was received or its digest is wrong.
  */
 bool acceptChunk(TransferState &Transfer, WeightsState &Weights,
                  const Digest &Chunk, const DigestedChunk &Arrived,
-                 TimePoint Now, Effects &Out) {
-  const auto it = Transfer.IndexOf.find(Chunk);
+                 TimePoint Now) {
+  const std::optional<size_t> First = firstNumber(Transfer, Chunk);
   // The wanted version may have changed since the request.
-  if (it == Transfer.IndexOf.end())
+  if (!First)
     return true;
-  ChunkProgress &Progress = Transfer.Chunks[it->second];
+  ChunkProgress &Progress = Transfer.Chunks[*First];
   Progress.Requested = Progress.Importing = false;
   if (Arrived.Bytes == nullptr)
     return false;
@@ -338,19 +320,12 @@
     ++Transfer.Counters.BadChunks;
     return false;
   }
-  if (!Transfer.Missing.contains(it->second)) {
+  if (!Transfer.ToFetch.contains(*First)) {
     ++Transfer.Counters.Repeated;
     return true;
   }
   Transfer.RateWindowBytes += Arrived.Bytes->size();
-  if (Weights.StagedAtEngine) {
-    // Holding two sets in each agent would dominate the memory use of the
-    // fleet, and the engine has room for a second set anyway.
-    Progress.Requested = true;
-    Out.push_back(StageChunk{chunkRef(Transfer, it->second), Arrived.Bytes});
-    return true;
-  }
-  addHeldChunk(Transfer, Weights, it->second, Arrived.Bytes, Now);
+  holdContent(Transfer, Weights, Chunk, Arrived.Bytes, Now);
   return true;
 }
 
@@ -403,7 +378,7 @@
   return Checked;
 }
 
-void updateTransferPlan(TransferState &Transfer, const WeightsState &Weights,
+void updateTransferPlan(TransferState &Transfer, WeightsState &Weights,
                         const Document &Doc, const HostName &Self,
                         TimePoint Now) {
   if (Transfer.Plan.Hosts.empty())
@@ -415,8 +390,10 @@
   };
   std::erase_if(Transfer.Distrusted, Unplanned);
   std::erase_if(Transfer.LostPeers, Unplanned);
-  if (Transfer.Set != Weights.Wanted.Set)
-    beginSet(Transfer, Weights, Now);
+  if (Transfer.Set == Weights.Wanted.Set)
+    return;
+  beginSet(Transfer, Weights, Now);
+  dropStagedContents(Transfer, Weights);
 }
 
 void addChunkPeer(TransferState &Transfer, LinkId Link, const HostName &Name,
@@ -463,14 +440,14 @@
     return;
   ChunkPeer &Peer = it->second;
   Peer.LastData = Now;
-  if (const auto Index = Transfer.IndexOf.find(Chunk);
-      Index != Transfer.IndexOf.end() &&
-      Peer.Requested.erase(Index->second) > 0)
-    recordChunkTime(Peer, Now - Transfer.Chunks[Index->second].RequestedAt);
-  if (!acceptChunk(Transfer, Weights, Chunk, Arrived, Now, Out)) {
+  if (const auto First = firstNumber(Transfer, Chunk);
+      First && Peer.Requested.erase(*First) > 0)
+    recordChunkTime(Peer, Now - Transfer.Chunks[*First].RequestedAt);
+  if (!acceptChunk(Transfer, Weights, Chunk, Arrived, Now)) {
     avoidPeer(Transfer, Peer, Now);
     return;
   }
+  stageChunks(Transfer, Weights, Now, Out);
   const uint64_t Bytes = Arrived.Bytes == nullptr ? 0 : Arrived.Bytes->size();
   (Peer.SameDomain ? Transfer.Counters.BytesFromPeers
                    : Transfer.Counters.BytesFromOtherDomains) += Bytes;
@@ -480,12 +457,12 @@
                                             LinkId Link, const ChunkData &Data,
                                             TimePoint Now, Effects &Out) {
   const auto Peer = Transfer.Peers.find(Link);
-  const auto Index = Transfer.IndexOf.find(Data.Chunk);
+  const auto First = firstNumber(Transfer, Data.Chunk);
   if (Data.Bytes.empty())
     return std::string(); // Not held there: handled as an empty chunk.
-  if (Peer == Transfer.Peers.end() || Index == Transfer.IndexOf.end())
+  if (Peer == Transfer.Peers.end() || !First)
     return std::nullopt;
-  const auto it = Transfer.Partial.find(Index->second);
+  const auto it = Transfer.Partial.find(*First);
   // A late part of a request that was cancelled, or moved to another peer.
   if (it == Transfer.Partial.end() || it->second.Link != Link)
     return std::nullopt;
@@ -501,7 +478,7 @@
     Transfer.Partial.erase(it);
     return Whole;
   }
-  requestParts(Transfer, Index->second, Link, Out);
+  requestParts(Transfer, *First, Link, Out);
   return std::nullopt;
 }
 
@@ -510,45 +487,16 @@
                             TimePoint Now, Effects &Out) {
   if (Transfer.OriginRequests > 0)
     --Transfer.OriginRequests;
-  if (acceptChunk(Transfer, Weights, Chunk, Arrived, Now, Out)) {
+  if (acceptChunk(Transfer, Weights, Chunk, Arrived, Now)) {
     Transfer.Counters.BytesFromOrigin +=
         Arrived.Bytes ? Arrived.Bytes->size() : 0;
+    stageChunks(Transfer, Weights, Now, Out);
     return;
   }
-  recordOriginFailure(Transfer, Transfer.IndexOf.at(Chunk), Now);
-}
-
-void recordStagedChunk(TransferState &Transfer, WeightsState &Weights,
-                       const ChunkRef &Chunk, bool Staged, TimePoint Now) {
-  const auto it = Transfer.IndexOf.find(Chunk.Content);
-  // The wanted version may have changed since then.
-  if (it == Transfer.IndexOf.end() || Transfer.Version.Model != Chunk.Model ||
-      Transfer.Version.Version != Chunk.Version)
-    return;
-  Transfer.Chunks[it->second].Requested = false;
-  if (Staged && Transfer.Missing.contains(it->second))
-    addHeldChunk(Transfer, Weights, it->second, nullptr, Now);
-}
-
-void dropDamagedChunk(TransferState &Transfer, WeightsState &Weights,
-                      const Digest &Chunk) {
-  const auto it = Transfer.IndexOf.find(Chunk);
-  if (it == Transfer.IndexOf.end() || Weights.Held.erase(Chunk) == 0)
-    return;
-  ++Transfer.Counters.BadChunks;
-  Transfer.Missing.insert(it->second);
-  Transfer.Chunks[it->second].Requested = false;
-  Transfer.AnnouncementDue = true;
-}
-
-std::vector<ChunkRef> missingChunks(const TransferState &Transfer) {
-  std::vector<ChunkRef> All;
-  std::ranges::transform(Transfer.Missing, std::back_inserter(All),
-                         [&](size_t n) { return chunkRef(Transfer, n); });
-  return All;
+  recordOriginFailure(Transfer, *firstNumber(Transfer, Chunk), Now);
 }
 
-void advanceTransfer(TransferState &Transfer, const WeightsState &Weights,
+void advanceTransfer(TransferState &Transfer, WeightsState &Weights,
                      TimePoint Now, Effects &Out) {
   measureRate(Transfer, Now);
   announceChunks(Transfer, Now, Out);
@@ -556,6 +504,7 @@
   logCompletion(Transfer, Now, Out);
   if (Transfer.Missing.empty() || Weights.Loaded == Weights.Wanted.Set)
     return;
+  stageChunks(Transfer, Weights, Now, Out);
   avoidStalledPeers(Transfer, Now, Out);
   reassignSlowChunks(Transfer, Now, Out);
   if (Transfer.Options.FromPeers)
--- a/packages/core/src/weights/transfer_func.h
+++ b/packages/core/src/weights/transfer_func.h
@@ -37,12 +37,12 @@
  * Updates the plan to the published workers, and starts to fetch the wanted set
  * if it is another one.
  * @param Transfer State to change.
- * @param Weights Wanted set and held chunks.
+ * @param Weights Wanted set and held contents.
  * @param Doc The document in force.
  * @param Self Name of this host.
  * @param Now Current time.
  */
-void updateTransferPlan(TransferState &Transfer, const WeightsState &Weights,
+void updateTransferPlan(TransferState &Transfer, WeightsState &Weights,
                         const Document &Doc, const HostName &Self,
                         TimePoint Now);
 
@@ -108,14 +108,14 @@
                             TimePoint Now, Effects &Out);
 
 /**
- * Requests missing chunks, announces held ones and sends the chunks that the
- * rate limits allow. Called after each event and each tick.
+ * Requests and stages missing chunks, announces held ones and sends the chunks
+ * that the rate limits allow. Called after each event and each tick.
  * @param Transfer State to change.
- * @param Weights Wanted set and held chunks.
+ * @param Weights Wanted set, held contents and slots.
  * @param Now Current time.
  * @param Out Effects are appended.
  */
-void advanceTransfer(TransferState &Transfer, const WeightsState &Weights,
+void advanceTransfer(TransferState &Transfer, WeightsState &Weights,
                      TimePoint Now, Effects &Out);
 
 /**
@@ -132,34 +132,6 @@
                                             LinkId Link, const ChunkData &Data,
                                             TimePoint Now, Effects &Out);
 
-/**
- * Records that a chunk was staged at the engine or found there, or that staging
- * it failed.
- * @param Transfer State to change.
- * @param Weights Held chunks; the chunk is added.
- * @param Chunk The chunk.
- * @param Staged False when the engine did not take it.
- * @param Now Current time.
- */
-void recordStagedChunk(TransferState &Transfer, WeightsState &Weights,
-                       const ChunkRef &Chunk, bool Staged, TimePoint Now);
-
-/**
- * Drops a chunk whose staged copy is damaged, so that it is fetched again.
- * @param Transfer State to change.
- * @param Weights Held chunks; the chunk is removed.
- * @param Chunk The chunk.
- */
-void dropDamagedChunk(TransferState &Transfer, WeightsState &Weights,
-                      const Digest &Chunk);
-
-/**
- * Lists the missing chunks of the wanted set.
- * @param Transfer The state.
- * @return References of the chunks.
- */
-std::vector<ChunkRef> missingChunks(const TransferState &Transfer);
-
 /**
  * Copies the progress of the exchange into the load report of the worker.
  * @param Transfer The state.
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -24,10 +24,17 @@
   ChunkBytes Bytes; ///< Content, or null.
 };
 
-/** State of one chunk of the wanted set. */
+/** What was read from a slot of the engine. */
+struct SlotRead {
+  ChunkRef Slot;         ///< Its number; Content is what was expected.
+  bool Answered = false; ///< False: the engine did not say what is in it.
+  DigestedChunk Found;   ///< What is in it; no digest: nothing. Bytes are null
+                         ///< if they were only verified.
+};
+
+/** Transfer of one content of the wanted set. */
 struct ChunkProgress {
-  bool Requested = false; ///< Requested from a peer or the origin, or being
-                          ///< staged at the engine.
+  bool Requested = false; ///< Requested from a peer or the origin.
   TimePoint RequestedAt;  ///< When it was requested from a peer.
   bool Importing = false; ///< Requested from the origin or another domain.
   uint32_t HoldersInDomain = 0;  ///< Linked agents of this domain that hold it.
@@ -50,7 +57,7 @@
   HostName Name;              ///< Published name.
   bool SameDomain = true;     ///< In this host's failure domain.
   ChunkHave Announced;        ///< Its latest announcement of chunks.
-  std::set<size_t> Requested; ///< Chunks requested from it, not received yet.
+  std::set<size_t> Requested; ///< Contents requested, not received yet.
   TimePoint LastData;    ///< Last data from it, or first of the open requests.
   Duration ChunkTime{0}; ///< Average time of its chunks; 0: unknown.
   TimePoint AvoidUntil;  ///< Avoided until then after a bad chunk or stall.
@@ -102,15 +109,19 @@
   Digest Set;                    ///< The set to fetch.
   TimePoint StartedAt;           ///< When fetching of the set began.
   bool CompletionLogged = false; ///< Completion of the set has been logged.
-  size_t SeenCount = 0;          ///< Number of chunks with Seen set.
-  std::optional<TimePoint> MostSeenSince; ///< When most chunks had Seen set.
+  size_t SeenCount = 0;          ///< Number of contents with Seen set.
+  std::optional<TimePoint> MostSeenSince; ///< When most contents had Seen set.
   std::vector<Digest> Digests; ///< Digests of the chunks of the set, by index.
   ChunkRef Version;            ///< Model, version and origin.
   uint64_t ChunkBytes = 0;     ///< Size of each chunk but the last.
-  std::map<Digest, size_t> IndexOf;        ///< Index of each chunk.
-  std::vector<ChunkProgress> Chunks;       ///< State of the chunks, by index.
-  std::set<size_t> Missing;                ///< Chunks that are not held.
-  std::map<size_t, PartialChunk> Partial;  ///< Chunks received in part.
+  /** Numbers of the chunks with each content, ascending. The first one stands
+   * for the content in Chunks, ToFetch, Partial and the requests. */
+  std::map<Digest, std::vector<size_t>> NumbersOf;
+  std::vector<ChunkProgress> Chunks;       ///< State of the contents.
+  std::set<size_t> Missing;                ///< Chunks that are not in place.
+  std::set<size_t> ToFetch;                ///< Contents that are not here.
+  std::map<size_t, PartialChunk> Partial;  ///< Contents received in part.
+  std::optional<size_t> SlotBeingRead;     ///< Slot that a ReadSlot is for.
   std::map<LinkId, ChunkPeer> Peers;       ///< Linked agents.
   std::map<HostName, Distrust> Distrusted; ///< Agents that sent bad chunks.
   size_t OriginRequests = 0;               ///< Open requests to the origin.
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -3,6 +3,7 @@
 #include "weights/upload_func.h"
 
 #include "base/rate_limit_func.h"
+#include "weights/weights_func.h"
 
 #include <algorithm>
 #include <numeric>
@@ -38,13 +39,12 @@
   return Peer.SameDomain || isWithinRate(Transfer.CrossDomain, Now);
 }
 
-/** Gives the reference of a staged chunk, for the engine to send it. */
-ChunkRef stagedRef(const TransferState &Transfer, const Digest &Chunk) {
+/** Gives the reference of a slot with a content, to be sent from there. */
+ChunkRef slotRef(const TransferState &Transfer, size_t Slot,
+                 const Digest &Content) {
   ChunkRef Ref = Transfer.Version;
-  Ref.Content = Chunk;
-  if (const auto it = Transfer.IndexOf.find(Chunk);
-      it != Transfer.IndexOf.end())
-    Ref.Number = it->second;
+  Ref.Content = Content;
+  Ref.Number = Slot;
   return Ref;
 }
 
@@ -57,19 +57,20 @@
   ChunkData Data;
   Data.Chunk = One.Chunk;
   const auto it = Weights.Held.find(One.Chunk);
-  const bool Staged = it != Weights.Held.end() && it->second == nullptr;
-  if (it != Weights.Held.end() && !Staged)
+  const bool IsHeld = it != Weights.Held.end();
+  const auto Slot = IsHeld ? std::nullopt : findSlot(Weights, One.Chunk);
+  if (IsHeld)
     copyChunkPart(*it->second, One.Offset, One.Length, Data);
   const size_t Whole = Weights.Wanted.ChunkBytes;
   const size_t Part = One.Length == 0 ? Whole : std::min(One.Length, Whole);
-  const size_t Bytes = Staged ? Part : Data.Bytes.size();
+  const size_t Bytes = Slot ? Part : Data.Bytes.size();
   takeRateTokens(Transfer.Uplink, static_cast<double>(Bytes));
   if (!Peer.SameDomain)
     takeRateTokens(Transfer.CrossDomain, static_cast<double>(Bytes));
   Peer.BacklogBytes += Bytes;
   Transfer.Counters.BytesSent += Bytes;
-  if (Staged)
-    Out.push_back(SendStagedChunk{One.Link, stagedRef(Transfer, One.Chunk),
+  if (Slot)
+    Out.push_back(SendStagedChunk{One.Link, slotRef(Transfer, *Slot, One.Chunk),
                                   One.Offset, One.Length});
   else
     Out.push_back(SendMessage{One.Link, std::move(Data)});
@@ -83,7 +84,7 @@
   if (it == Transfer.Peers.end())
     return;
   // On an empty answer the peer requests the chunk elsewhere.
-  if (!Weights.Held.contains(Request.Chunk) ||
+  if (!hasContent(Weights, Request.Chunk) ||
       it->second.QueuedUploads >= MaxQueuedPerPeer) {
     Out.push_back(SendMessage{Link, ChunkData{Request.Chunk, {}}});
     return;
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -84,7 +84,13 @@
 void setWantedWeights(WeightsState &Weights, const ModelVersion &Wanted) {
   if (Weights.Wanted.Set == Wanted.Set)
     return;
-  Weights.PreviousChunks = std::move(Weights.Wanted.Chunks);
+  if (Weights.StagedAtEngine) {
+    if (Weights.Wanted.Name != Wanted.Name)
+      Weights.Slots.clear();
+    Weights.Slots.resize(std::max(Weights.Slots.size(), Wanted.Chunks.size()));
+  } else {
+    Weights.PreviousChunks = std::move(Weights.Wanted.Chunks);
+  }
   Weights.Wanted = Wanted;
   // If the worker drained for a version that is no longer wanted, it serves on.
   Weights.Draining = false;
@@ -99,11 +105,32 @@
   dropUnneededChunks(Weights);
 }
 
+std::optional<size_t> findSlot(const WeightsState &Weights,
+                               const Digest &Content) {
+  const auto it =
+      std::ranges::find(Weights.Slots, Content, &StagedSlot::Content);
+  if (it == Weights.Slots.end() || Content.Value.empty())
+    return std::nullopt;
+  return static_cast<size_t>(it - Weights.Slots.begin());
+}
+
+bool hasContent(const WeightsState &Weights, const Digest &Content) {
+  return Weights.Held.contains(Content) || findSlot(Weights, Content);
+}
+
+bool isChunkInPlace(const WeightsState &Weights, size_t n) {
+  const Digest &Content = Weights.Wanted.Chunks[n];
+  if (!Weights.StagedAtEngine)
+    return Weights.Held.contains(Content);
+  return n < Weights.Slots.size() && Weights.Slots[n].Content == Content;
+}
+
 bool isWantedSetComplete(const WeightsState &Weights) {
-  return !Weights.Wanted.Chunks.empty() &&
-         std::ranges::all_of(Weights.Wanted.Chunks, [&](const Digest &Chunk) {
-           return Weights.Held.contains(Chunk);
-         });
+  const size_t Count = Weights.Wanted.Chunks.size();
+  for (size_t n = 0; n < Count; ++n)
+    if (!isChunkInPlace(Weights, n))
+      return false;
+  return Count > 0;
 }
 
 void sendLoadOrder(WeightsState &Weights, ConfigVersion Version, Effects &Out) {
@@ -115,7 +142,8 @@
   Load.Order.Version = Weights.Wanted.Version;
   Load.Order.Chunks = Weights.Wanted.Chunks;
   for (const Digest &Chunk : Weights.Wanted.Chunks)
-    Load.Chunks.push_back(Weights.Held.at(Chunk));
+    Load.Chunks.push_back(Weights.StagedAtEngine ? nullptr
+                                                 : Weights.Held.at(Chunk));
   Load.Order.ForceReload = Weights.Unconfirmed.contains(Load.Order.Set);
   Weights.OrderedSet = Load.Order.Set;
   Weights.OrderedRun = Weights.EngineRun;
--- a/packages/core/src/weights/weights_func.h
+++ b/packages/core/src/weights/weights_func.h
@@ -61,7 +61,33 @@
 void dropPreviousChunks(WeightsState &Weights);
 
 /**
- * Says whether every chunk of the wanted set is held.
+ * Finds a slot of the engine with a content.
+ * @param Weights The state.
+ * @param Content The content.
+ * @return Number of the slot; nothing when none is known to have it.
+ */
+std::optional<size_t> findSlot(const WeightsState &Weights,
+                               const Digest &Content);
+
+/**
+ * Says whether a content is in memory or in a slot of the engine.
+ * @param Weights The state.
+ * @param Content The content.
+ * @return True when it can be sent to peers.
+ */
+bool hasContent(const WeightsState &Weights, const Digest &Content);
+
+/**
+ * Says whether a chunk of the wanted set is where a load order needs it: in the
+ * slot with its number, or in memory if the engine has no slots.
+ * @param Weights The state.
+ * @param n Number of the chunk.
+ * @return False also when its content is only in another slot.
+ */
+bool isChunkInPlace(const WeightsState &Weights, size_t n);
+
+/**
+ * Says whether every chunk of the wanted set is in place.
  * @param Weights The state.
  * @return True when the set is complete.
  */
--- a/packages/core/src/weights/weights_type.h
+++ b/packages/core/src/weights/weights_type.h
@@ -15,14 +15,22 @@
 
 namespace jacinthpond {
 
+/** A place at the engine for the chunk with one number, of any version. */
+struct StagedSlot {
+  Digest Content;         ///< Content when last verified; empty: unknown.
+  bool IsWriting = false; ///< A write has not ended yet.
+  TimePoint RetryAt;      ///< Not read or written before.
+};
+
 /** State of a back end's weights, as its agent knows it. */
 struct WeightsState {
   ModelVersion Wanted;                ///< Published version; empty: none.
   std::vector<Digest> PreviousChunks; ///< Chunks of the previously wanted set.
-  std::map<Digest, ChunkBytes> Held;  ///< Verified chunks of these two sets;
-                                      ///< null if staged at the engine.
+  std::map<Digest, ChunkBytes> Held;  ///< Verified contents of these two sets;
+                                      ///< with slots: to be staged there.
   bool StagedAtEngine =
-      false;             ///< Chunks are staged at the engine, not kept here.
+      false; ///< Chunks are staged in slots of the engine, not kept here.
+  std::vector<StagedSlot> Slots; ///< Slots of the engine, by number.
   Digest Loaded;         ///< Set that the engine last reported as loaded.
   Digest Newest;         ///< Set in the newest configuration document.
   TimePoint NewestSince; ///< Earliest time at which it can have been published.
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -102,7 +102,8 @@
 /**
  * Runs the users' platform's origin of weights.
  * @param Port Port to use.
- * @param Options "chunks" and "chunk_bytes".
+ * @param Options "chunks" and "chunk_bytes"; "upper_digests": lists digests in
+ * upper case; "same_chunks" as setSameChunks() takes it.
  * @return Exit code.
  */
 int runStoreOrigin(int Port, const Json &Options);
@@ -112,10 +113,18 @@
  * @param Version Version of the model.
  * @param Number Place of the chunk.
  * @param Size Its size in bytes.
- * @return The bytes, other ones for each version and place.
+ * @return The bytes, other ones for each version and place unless
+ * setSameChunks() says otherwise.
  */
 std::string chunkOfWeights(uint64_t Version, uint64_t Number, size_t Size);
 
+/**
+ * Sets which chunks are the same as others.
+ * @param Versions For a version, as a string, a list with version and place
+ * whose bytes the chunk at each of its places has.
+ */
+void setSameChunks(const Json &Versions);
+
 /**
  * Runs a fault-injecting TCP proxy.
  * @param Port Port of its /control.
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -27,9 +27,10 @@
  * "read_ms" each), "rot_after_read" (once all that lies staged is of the next
  * version, chunk 0 turns bad when it has been read back), "tell" (answers and
  * events say whose and what of they are), "restart" (the memory is lost, what
- * is staged and the record of runs are kept). GET /control gives "runs": what
- * was run, when (on the machine's steady clock), with which headers, and
- * whether all that the loaded version was made of was of it
+ * is staged and the record of runs are kept), "same_chunks" (at the start: see
+ * setSameChunks()). GET /control gives "runs": what was run, when (on the
+ * machine's steady clock), with which headers, and whether all that the loaded
+ * version was made of was of it
  * ("whole"); "from" in the query leaves out the first ones; with
  * "arrivals_from" it gives "arrivals" instead: each request that came, run or
  * not, and its status; with "crashed" only that: a crash has begun; "loads":
@@ -45,6 +46,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -60,6 +62,9 @@
 
 namespace {
 
+/** See setSameChunks(). */
+Json SameChunks = Json::object();
+
 constexpr const char *AttemptHeader = "X-Jacinthpond-Attempt-Id";
 constexpr std::chrono::milliseconds HangTime{4000};
 /** Time after which a proxy that was told to has cut all connections. */
@@ -593,6 +598,12 @@
 } // namespace
 
 std::string chunkOfWeights(uint64_t Version, uint64_t Number, size_t Size) {
+  const auto Same = SameChunks.find(std::to_string(Version));
+  if (Same != SameChunks.end() && Number < Same->size()) {
+    const Json &As = (*Same)[Number];
+    Version = As[0].get<uint64_t>();
+    Number = As[1].get<uint64_t>();
+  }
   const std::string Word =
       "v" + std::to_string(Version) + "n" + std::to_string(Number) + " ";
   std::string Bytes;
@@ -602,7 +613,10 @@
   return Bytes;
 }
 
+void setSameChunks(const Json &Versions) { SameChunks = Versions; }
+
 int runStoreWorker(int Port, const Json &Options) {
+  setSameChunks(Options.value("same_chunks", Json::object()));
   Worker Host;
   Host.Options = Options;
   Host.Born = millisOfDay();
@@ -673,15 +687,22 @@
 }
 
 int runStoreOrigin(int Port, const Json &Options) {
+  setSameChunks(Options.value("same_chunks", Json::object()));
+  const bool Upper = Options.value("upper_digests", false);
   const uint64_t Chunks = Options.value("chunks", 6);
   const size_t Size = Options.value("chunk_bytes", 20000);
   std::atomic<uint64_t> Pieces{0};
+  std::atomic<uint64_t> Spoilt{0};
+  std::atomic<int64_t> Spoils{-1};
   std::atomic<int> Status{0};
   httplib::Server Server;
   prepare(Server);
-  // /control takes "status": every call but this one answers that instead.
+  // /control takes "status": every call but this one answers that instead, and
+  // "spoils": the chunk with that number is sent with other bytes, -2: all are.
   Server.Post("/control", [&](const auto &Asked, auto &) {
-    Status = Json::parse(Asked.body, nullptr, false).value("status", 0);
+    const Json Change = Json::parse(Asked.body, nullptr, false);
+    Status = Change.value("status", 0);
+    Spoils = Change.value("spoils", int64_t{-1});
   });
   Server.set_pre_routing_handler([&](const auto &Asked, auto &Answer) {
     if (Status == 0 || Asked.path == "/control")
@@ -697,20 +718,29 @@
                  {"version", VersionOf(Asked)},
                  {"chunk_bytes", Size},
                  {"digests", Json::array()}};
-    for (uint64_t n = 0; n < Chunks; ++n)
-      List["digests"].push_back(
-          sha256(chunkOfWeights(VersionOf(Asked), n, Size)).Value);
+    for (uint64_t n = 0; n < Chunks; ++n) {
+      std::string Text =
+          sha256(chunkOfWeights(VersionOf(Asked), n, Size)).Value;
+      if (Upper)
+        std::ranges::transform(Text, Text.begin(), [](unsigned char One) {
+          return static_cast<char>(std::toupper(One));
+        });
+      List["digests"].push_back(Text);
+    }
     reply(Answer, List);
   });
   Server.Get("/piece/[^/]+", [&](const auto &Asked, auto &Answer) {
     ++Pieces;
     const uint64_t n =
         std::strtoull(Asked.get_param_value("number").c_str(), nullptr, 10);
-    Answer.set_content(chunkOfWeights(VersionOf(Asked), n, Size),
+    const bool Spoil = Spoils == -2 || Spoils == static_cast<int64_t>(n);
+    Spoilt += Spoil ? 1 : 0;
+    Answer.set_content(Spoil ? std::string(Size, '?')
+                             : chunkOfWeights(VersionOf(Asked), n, Size),
                        "application/octet-stream");
   });
   Server.Get("/control", [&](const auto &, auto &Answer) {
-    reply(Answer, {{"pieces", Pieces.load()}});
+    reply(Answer, {{"pieces", Pieces.load()}, {"spoilt", Spoilt.load()}});
   });
   return serve(Server, Port);
 }
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -61,6 +61,14 @@
     Agent.Transfer.Plan.Self = Hosts - 1;
   }
 
+  /** The new set is staged in the slots of the engine. */
+  void stageAtEngine() {
+    Agent.Weights.StagedAtEngine = true;
+    Agent.Weights.Held.clear();
+    for (const Digest &Chunk : Agent.Weights.Wanted.Chunks)
+      Agent.Weights.Slots.push_back({Chunk, false, {}});
+  }
+
   /** Sets the reported state of the n-th predecessor; no digest: no link. */
   void setPredecessor(size_t n, const Digest &Loaded, uint32_t Held = 0) {
     const size_t At = predecessors(Agent, false).at(n);
@@ -227,7 +235,7 @@
 BOOST_AUTO_TEST_CASE(AnEmptyEngineOnTheOwnHostLoadsAtOnce) {
   RolloutWorker One(0.0);
   One.Agent.Fleet.Joining.Fresh = false;
-  One.Agent.Weights.StagedAtEngine = true;
+  One.stageAtEngine();
   BOOST_TEST(
       !One.ordersLoad()); // It serves weights that may be the wanted ones.
   One.readEngine("other run", Digest{}); // Restarted: the load is ordered.
@@ -239,7 +247,7 @@
 // turn.
 BOOST_AUTO_TEST_CASE(WeightsTooOldToServeAreReplacedOutOfTurn) {
   RolloutWorker One(0.75);
-  One.Agent.Weights.StagedAtEngine = true;
+  One.stageAtEngine();
   One.Agent.Config.WeightsChangeMillis = 8000;
   One.setPredecessor(0, One.Old);
   One.setPredecessor(1, One.Old);
--- a/tests/unit/route_model.h
+++ b/tests/unit/route_model.h
@@ -833,6 +833,7 @@
               [&](const FetchFromOrigin &e) { giveChunk(One, e.Chunk); },
               [&](const StageChunk &e) { stage(One, e.Chunk); },
               [&](const FindStagedChunks &e) { giveStaged(One, e.Chunks); },
+              [&](const ReadSlot &e) { giveSlot(One, e.Slot); },
               [&](const LoadWeights &e) { load(One, e.Order); },
               [&](const LogNote &e) {
                 if (OnLog)
@@ -884,10 +885,20 @@
       if (Servers.at(One.Name).Staged.contains(Chunk.Content.Value))
         agentStep(One, Millis(10),
                   [this, Chunk](AgentState &Agent, Effects &Out) {
-                    handleStagedChunk(Agent, Chunk, true, Now, Out);
+                    handleSlotRead(Agent, {Chunk, true, {Chunk.Content, {}}},
+                                   Now, Out);
                   });
   }
 
+  void giveSlot(Process &One, const ChunkRef &Slot) {
+    SlotRead Read{Slot, true, {}};
+    if (Servers.at(One.Name).Staged.contains(Slot.Content.Value))
+      Read.Found.Actual = Slot.Content;
+    agentStep(One, Millis(10), [this, Read](AgentState &Agent, Effects &Out) {
+      handleSlotRead(Agent, Read, Now, Out);
+    });
+  }
+
   void load(Process &One, const LoadOrder &Order) {
     in(One, Millis(15), [this, &One, Order, Stills = One.Stills] {
       Server &Beside = Servers.at(One.Name);
