agent: report every slot with other content in one pass

What callers saw: a worker whose engine came back without what was staged there stayed empty for far longer than the chunks need.

Cause: the check before an order, and the one after it, stopped at the first slot with other content. One failed order found one slot, and the wait before the next order doubles with each, up to 12.8 s: with many slots wrong that does not end in any useful time.

Change: both go through all slots and report each that differs; the order still fails. A read without an answer still ends the check.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -359,6 +359,7 @@
 
 Result<void> AgentShell::prepareChunks(const LoadWeights &Load) {
   const TimePoint Limit = Clock.now() + MaxVerifyTime;
+  std::vector<size_t> Wrong;
   for (size_t n = 0; n < Load.Chunks.size(); ++n) {
     const ChunkRef Chunk = orderedChunk(Load.Order, n);
     if (Load.Chunks[n] != nullptr) {
@@ -370,9 +371,8 @@
       return fail(ErrorKind::WeightsNotReady,
                   "slot " + std::to_string(n) + " could not be read");
     if (Read.Found.Actual != Chunk.Content) {
+      Wrong.push_back(n);
       reportSlot(Read, /*WithBytes=*/false);
-      return fail(ErrorKind::WeightsNotReady,
-                  "slot " + std::to_string(n) + " has other content");
     }
     // On an overloaded host the first chunk may be damaged again before the
     // last one is read. The order is retried later with a new verification;
@@ -381,11 +381,17 @@
       return fail(ErrorKind::WeightsNotReady,
                   "verifying the staged chunks took too long");
   }
-  return {};
+  if (Wrong.empty())
+    return {};
+  return fail(ErrorKind::WeightsNotReady,
+              std::to_string(Wrong.size()) +
+                  " slots have other content, the first one is " +
+                  std::to_string(Wrong.front()));
 }
 
 Result<void> AgentShell::confirmStaged(const LoadOrder &Order) {
   const TimePoint Limit = Clock.now() + MaxConfirmTime;
+  std::vector<size_t> Wrong;
   for (size_t n = 0; n < Order.Chunks.size(); ++n) {
     const ChunkRef Chunk = orderedChunk(Order, n);
     SlotRead Read = readSlot(Chunk);
@@ -397,13 +403,16 @@
     }
     if (Read.Found.Actual == Chunk.Content)
       continue;
-    if (Read.Answered)
-      reportSlot(Read, /*WithBytes=*/false);
-    return fail(ErrorKind::OutcomeUnknown,
-                "staged chunk " + std::to_string(n) +
-                    " differs from the ordered one after the order");
+    Wrong.push_back(n);
+    if (!Read.Answered)
+      break;
+    reportSlot(Read, /*WithBytes=*/false);
   }
-  return {};
+  if (Wrong.empty())
+    return {};
+  return fail(ErrorKind::OutcomeUnknown,
+              "staged chunk " + std::to_string(Wrong.front()) +
+                  " differs from the ordered one after the order");
 }
 
 void AgentShell::fetchChunk(const ChunkRef &Chunk, uint64_t Round) {
--- a/tests/integration/chunk_slots_test.cpp
+++ b/tests/integration/chunk_slots_test.cpp
@@ -74,6 +74,8 @@
   int Before = 0;
 };
 
+std::pair<int, size_t> distinct(size_t n) { return {2, n}; }
+
 std::pair<int, size_t> moved(size_t n) { return {1, (n + 1) % Chunks}; }
 
 } // namespace
@@ -117,4 +119,16 @@
   BOOST_TEST(Test.areLoadsWhole());
 }
 
+// Guards against loads that fail once for each wrong slot, with ever longer
+// waits in between: an engine came back without what was staged there.
+BOOST_AUTO_TEST_CASE(AnEngineWithoutStagedChunksIsFilledAtOnce) {
+  Fleet Test(distinct);
+  Test.All.control("model-0", {{"lose_staged", true}, {"restart", true}});
+  BOOST_TEST(waitFor(8s, [&] {
+    const Json Look = Test.All.look("model-0");
+    return Look.value("version", 0) == 1 && Look.value("staged", 0) == Chunks;
+  }));
+  BOOST_TEST(Test.areLoadsWhole());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -27,10 +27,10 @@
  * "read_ms" each), "rot_after_read" (once all that lies staged is of the next
  * version, chunk 0 turns bad when it has been read back), "tell" (answers and
  * events say whose and what of they are), "restart" (the memory is lost, what
- * is staged and the record of runs are kept), "same_chunks" (at the start: see
- * setSameChunks()). GET /control gives "runs": what was run, when (on the
- * machine's steady clock), with which headers, and whether all that the loaded
- * version was made of was of it
+ * is staged and the record of runs are kept), "lose_staged" (nothing is staged
+ * any more), "same_chunks" (at the start: see setSameChunks()). GET /control
+ * gives "runs": what was run, when (on the machine's steady clock), with which
+ * headers, and whether all that the loaded version was made of was of it
  * ("whole"); "from" in the query leaves out the first ones; with
  * "arrivals_from" it gives "arrivals" instead: each request that came, run or
  * not, and its status; with "crashed" only that: a crash has begun; "loads":
@@ -638,6 +638,9 @@
     if (Host.Options.value("spoil", -1) >= 0)
       Host.Staged[Host.Options["spoil"].template get<uint64_t>()] = "spoilt";
     Host.Options["spoil"] = -1;
+    if (Host.Options.value("lose_staged", false))
+      Host.Staged.clear();
+    Host.Options["lose_staged"] = false;
     if (Host.Options.value("halfway", false)) {
       Host.GivenUp = {0};
       Host.Torn = {1};
