core: ask the origin for a wrong chunk after growing waits

What callers saw: an origin that sends one chunk wrongly fills its link, which all hosts share, so that other chunks come late.

Cause: a chunk with other content was requested again after 0.2 s, however often it had come wrong, by every agent whose turn it had become.

Change: the wait doubles, up to 6.4 s. From the third time on all such chunks of an agent share one pace, one request in 2 s for the first host and n times as long for the n-th, so that a list that fits no chunk costs little too. event=origin_sent_wrong tells which chunk, at 1, 2, 4, ... times. An origin that sends nothing is asked again after 0.2 s as before.

The waits are chosen, not measured.

--- a/packages/core/src/weights/origin_draw.cpp
+++ b/packages/core/src/weights/origin_draw.cpp
@@ -5,14 +5,24 @@
 #include "weights/chunk_plan_func.h"
 #include "weights/chunk_progress_func.h"
 
+#include <algorithm>
+#include <bit>
+
 namespace jacinthpond {
 
 namespace {
 
 /** Maximum of concurrent requests to the origin. */
 constexpr size_t MaxOriginRequests = 2;
-/** Delay before a chunk is requested again after a failure of the origin. */
+/** Delay before a chunk is requested again after a failure of the origin;
+ * doubled with each wrong content. */
 constexpr Millis OriginRetryDelay{200};
+constexpr uint32_t MaxDoublings = 5;
+/** Wrong contents after which those that come wrong share one pace. */
+constexpr uint32_t MaxFastRetries = 2;
+/** Time between two requests at that pace for the first host; the n-th one
+ * waits n times as long, so that a large fleet sends a few a second. */
+constexpr Millis WrongRetryPeriod{2000};
 /**
  * Ranks that this host is put back for a chunk that a linked agent announced to
  * be fetching. The request of that agent may be queued at the origin; if it
@@ -97,6 +107,13 @@
          !hasUsableHolder(Transfer, n, false, Now);
 }
 
+/** Says whether a content came wrong so often that its requests share the pace
+ * of all such contents. The origin's link is shared by the whole fleet, and a
+ * list that does not fit its chunks makes all of them come wrong. */
+bool isSuspect(const ChunkProgress &Chunk) {
+  return Chunk.WrongCount > MaxFastRetries;
+}
+
 } // namespace
 
 void requestFromOrigin(TransferState &Transfer, TimePoint Now, Effects &Out) {
@@ -107,8 +124,12 @@
       return;
     ChunkProgress &Chunk = Transfer.Chunks[n];
     if (Chunk.Requested || Now < Chunk.RetryAt ||
+        (isSuspect(Chunk) && Now < Transfer.NextWrongRetry) ||
         !mayFetchFromOrigin(Transfer, n, Now))
       continue;
+    if (isSuspect(Chunk))
+      Transfer.NextWrongRetry =
+          Now + WrongRetryPeriod * static_cast<int64_t>(Transfer.Plan.Self + 1);
     Chunk.Requested = true;
     markImporting(Transfer, n);
     ++Transfer.OriginRequests;
@@ -126,6 +147,24 @@
   }
 }
 
+void recordWrongContent(TransferState &Transfer, size_t n, TimePoint Now,
+                        Effects &Out) {
+  ChunkProgress &Chunk = Transfer.Chunks[n];
+  const Millis Delay =
+      OriginRetryDelay * (1U << std::min(Chunk.WrongCount, MaxDoublings));
+  ++Chunk.WrongCount;
+  recordOriginFailure(Transfer, n, Now);
+  Chunk.RetryAt = Now + Delay;
+  if (std::has_single_bit(Chunk.WrongCount))
+    Out.push_back(
+        LogNote{LogPart::Weights, LogLevel::Warn,
+                "event=origin_sent_wrong version=" + Transfer.Version.Version +
+                    " number=" + std::to_string(n) +
+                    " wanted=" + Transfer.Digests[n].Value +
+                    " times=" + std::to_string(Chunk.WrongCount) +
+                    " next_ms=" + std::to_string(Delay.count())});
+}
+
 void recordOriginFailure(TransferState &Transfer, size_t n, TimePoint Now) {
   Transfer.Chunks[n].RetryAt = Now + OriginRetryDelay;
   // The origin may be down for all hosts, which looks as if all other fetchers
--- a/packages/core/src/weights/origin_draw_func.h
+++ b/packages/core/src/weights/origin_draw_func.h
@@ -21,8 +21,19 @@
 void requestFromOrigin(TransferState &Transfer, TimePoint Now, Effects &Out);
 
 /**
- * Records that the origin sent nothing, or wrong content, for a chunk, and
- * delays the next attempt.
+ * Records that the origin sent other content than a chunk's, and delays the
+ * next attempt, longer each time.
+ * @param Transfer State to change.
+ * @param n First number of the content.
+ * @param Now Current time.
+ * @param Out Effects are appended.
+ */
+void recordWrongContent(TransferState &Transfer, size_t n, TimePoint Now,
+                        Effects &Out);
+
+/**
+ * Records that the origin sent nothing for a chunk, and delays the next
+ * attempt.
  * @param Transfer State to change.
  * @param n Index of the chunk.
  * @param Now Current time.
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -493,7 +493,11 @@
     stageChunks(Transfer, Weights, Now, Out);
     return;
   }
-  recordOriginFailure(Transfer, *firstNumber(Transfer, Chunk), Now);
+  const size_t First = *firstNumber(Transfer, Chunk);
+  if (Arrived.Bytes != nullptr)
+    recordWrongContent(Transfer, First, Now, Out);
+  else
+    recordOriginFailure(Transfer, First, Now);
 }
 
 void advanceTransfer(TransferState &Transfer, WeightsState &Weights,
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -43,7 +43,8 @@
   uint32_t ImportersElsewhere = 0; ///< The same in other domains.
   bool Seen = false;               ///< This host or a linked agent has held it.
   TimePoint SeenSince;             ///< When Seen was set.
-  TimePoint RetryAt; ///< Earliest time of the next request to the origin.
+  TimePoint RetryAt;       ///< Earliest time of the next request to the origin.
+  uint32_t WrongCount = 0; ///< Times that the origin sent other content.
 };
 
 /** Record of an agent that sent bad chunks, kept when its link is lost. */
@@ -125,6 +126,8 @@
   std::map<LinkId, ChunkPeer> Peers;       ///< Linked agents.
   std::map<HostName, Distrust> Distrusted; ///< Agents that sent bad chunks.
   size_t OriginRequests = 0;               ///< Open requests to the origin.
+  TimePoint NextWrongRetry; ///< Earliest time of the next request for a content
+                            ///< that the origin sent wrongly several times.
   TimePoint OriginPausedUntil; ///< No chunk is fetched from it until then.
   std::deque<Upload> Uploads;  ///< Requests of peers, in order of arrival.
   RateLimit Uplink;            ///< Limit for all chunks sent.
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -123,6 +123,62 @@
   BOOST_TEST(One.originFetchCount() == 1U);
 }
 
+namespace {
+
+/** An origin that answers each request at once with other bytes, to one host.
+ */
+struct WrongOrigin {
+  explicit WrongOrigin(size_t Chunks) {
+    std::vector<std::string> Texts;
+    for (size_t n = 0; n < Chunks; ++n)
+      Texts.push_back(std::to_string(n));
+    One.Transfer.Options.FromPeers = false;
+    One.setWantedVersion(makeModelVersion(Texts));
+  }
+
+  /** Lets time pass and counts the requests. */
+  size_t requestsIn(Millis Time) {
+    size_t Requests = 0;
+    for (Millis Passed{0}; Passed < Time; Passed += Millis(10)) {
+      One.advanceAndListAskedPeers(Millis(10));
+      for (const Effect &Did : std::vector<Effect>(One.Out))
+        if (const auto *Fetch = std::get_if<FetchFromOrigin>(&Did)) {
+          ++Requests;
+          One.Out.clear();
+          receiveChunkFromOrigin(
+              One.Transfer, One.Weights, Fetch->Chunk.Content,
+              digestChunk(makeChunkBytes("wrong")), One.Now, One.Out);
+          Logged += One.Out.size();
+        }
+    }
+    return Requests;
+  }
+
+  TransferHost One;
+  size_t Logged = 0;
+};
+
+} // namespace
+
+// Guards against an origin's link that is filled with a chunk that never fits
+// its digest.
+BOOST_AUTO_TEST_CASE(AWrongChunkIsRequestedAfterGrowingWaits) {
+  WrongOrigin Test(1);
+  BOOST_TEST(Test.requestsIn(Millis(3000)) <= 5U);
+  BOOST_TEST(Test.requestsIn(Millis(10000)) <= 3U);
+  BOOST_TEST(Test.requestsIn(Millis(20000)) >= 2U); // Not given up.
+  BOOST_TEST(Test.Logged <= 4U);
+}
+
+// Guards against the same where all chunks come wrong, as those of another list
+// do.
+BOOST_AUTO_TEST_CASE(ManyWrongChunksShareOnePace) {
+  constexpr size_t Chunks = 48;
+  WrongOrigin Test(Chunks);
+  BOOST_TEST(Test.requestsIn(Millis(5000)) <= 3 * Chunks + 5);
+  BOOST_TEST(Test.requestsIn(Millis(20000)) <= 15U);
+}
+
 // Guards against a sender whose memory grows with the backlog of a slow
 // receiver.
 BOOST_AUTO_TEST_CASE(BacklogDelaysUploads) {
