--- a/tests/integration/chunk_slots_test.cpp
+++ b/tests/integration/chunk_slots_test.cpp
@@ -131,4 +131,33 @@
   BOOST_TEST(Test.areLoadsWhole());
 }
 
+// Guards against versions that are never loaded, and an origin that is asked
+// for their chunks for ever: a list has its digests in upper case.
+BOOST_AUTO_TEST_CASE(DigestsInUpperCaseAreTheSameValues) {
+  Fleet Test(distinct, {{"upper_digests", true}});
+  Test.publishSecond();
+  Test.requireSecond(2 * Chunks);
+}
+
+// Guards against an origin whose link is filled with a chunk that is wrong
+// there.
+BOOST_AUTO_TEST_CASE(AChunkThatComesWrongIsAskedForSeldom) {
+  Fleet Test(distinct);
+  const auto Spoilt = [&] {
+    return Test.All.look("origin").value("spoilt", 0);
+  };
+  Test.All.control("origin", {{"spoils", 5}});
+  Test.publishSecond();
+  std::this_thread::sleep_for(5s);
+  const int Early = Spoilt();
+  std::this_thread::sleep_for(4s);
+  BOOST_TEST(Early > 0);
+  BOOST_TEST(Early <= 20);
+  BOOST_TEST(Spoilt() - Early <= 8);
+  BOOST_TEST(!Test.isSecondLoaded());
+  Test.All.control("origin", Json::object());
+  BOOST_TEST(waitFor(8s, [&] { return Test.isSecondLoaded(); }));
+  BOOST_TEST(Test.areLoadsWhole());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
