core: read lists that are not valid ever more seldom

What callers saw: as with wrong chunks, the origin's link is filled, here with lists.

Cause: a list that was malformed was read again every 0.3 s, and one that differed from the former read at once, without end.

Change: the wait doubles with each invalid or differing list, up to 32 times. The first list that differs is still read again at once, since one of two reads was damaged. An origin that is down is asked as often as before.

chunk_list_test, 20 s: 2000 reads of lists that keep differing and 67 of invalid ones before, 5 to 12 now. Found by reading beside the wrong chunks.

--- a/packages/core/src/attempts/agent_type.h
+++ b/packages/core/src/attempts/agent_type.h
@@ -114,6 +114,7 @@
   ChunkListNotice LastListNotice; ///< Latest list from a peer; may be empty.
   TimePoint NextListReadAt;     ///< Earliest time of the next read of the list.
   bool ListReadPending = false; ///< A read of the list is in progress.
+  uint32_t InvalidLists = 0;    ///< Reads of it that were invalid or differed.
   uint32_t AnnouncedWork = 0;   ///< Work in the last heartbeat that was sent
                                 ///< ahead of its period.
   bool Stopping = false;        ///< No new work is accepted.
--- a/packages/core/src/attempts/chunk_list.cpp
+++ b/packages/core/src/attempts/chunk_list.cpp
@@ -7,6 +7,7 @@
 #include "weights/transfer_func.h"
 #include "weights/weights_func.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jacinthpond {
@@ -18,6 +19,8 @@
 /** The same for agents that usually get the list from a reader of their domain:
  * the origin must not send it to all of them when it is back. */
 constexpr Millis OtherListRetryDelay{1500};
+/** Most doublings of that delay for lists that are no valid ones. */
+constexpr uint32_t MaxListDoublings = 5;
 /** Agents of a failure domain that read a list at once; the second one in case
  * the first one fails. */
 constexpr size_t ListReadersPerDomain = 2;
@@ -107,12 +110,15 @@
 }
 
 /** Schedules the next read of a list after one that failed. An origin that is
- * down sends the list first when it is back. */
+ * down sends the list first when it is back; one that sends no valid list may
+ * go on with that. */
 void retryListRead(AgentState &Agent, const Failure &Why, TimePoint Now,
                    Effects &Out) {
-  Agent.NextListReadAt =
-      Now + (isListReader(Agent.Transfer.Plan) ? ListRetryDelay
-                                               : OtherListRetryDelay);
+  const Millis Delay =
+      isListReader(Agent.Transfer.Plan) ? ListRetryDelay : OtherListRetryDelay;
+  const uint32_t Doublings = std::min(Agent.InvalidLists, MaxListDoublings);
+  Agent.NextListReadAt = Now + Delay * (1U << Doublings);
+  Agent.InvalidLists += Why.Kind == ErrorKind::Malformed ? 1 : 0;
   if (Why.Kind == ErrorKind::Unreachable)
     yieldOriginToList(Agent.Transfer, Now, Out);
 }
@@ -139,6 +145,7 @@
     return;
   Agent.PendingVersion = Wanted;
   Agent.UnconfirmedList.reset();
+  Agent.InvalidLists = 0;
   Agent.NextListReadAt =
       isListReader(Agent.Transfer.Plan) ? Now : Now + ListNoticeTimeout;
   Agent.ListReadPending = false;
@@ -164,6 +171,10 @@
   // The list may be damaged on its way and has no checksum. It is accepted once
   // two reads agree.
   if (Agent.UnconfirmedList != Read.Value) {
+    // One of the two was damaged; a third read decides. An origin whose answers
+    // keep differing is asked ever more seldom.
+    if (Agent.UnconfirmedList && Agent.InvalidLists++ > 0)
+      retryListRead(Agent, Read.Why, Now, Out);
     Agent.UnconfirmedList = Read.Value;
     requestMissingList(Agent, Now, Out);
     return false;
--- a/tests/unit/chunk_list_test.cpp
+++ b/tests/unit/chunk_list_test.cpp
@@ -200,3 +200,43 @@
   requestMissingList(Other.Agent, Other.Now + Millis(1500), Other.Out);
   BOOST_TEST(Other.hasRequestedList());
 }
+
+// Guards against an origin whose link is filled with lists that are never
+// accepted.
+BOOST_AUTO_TEST_CASE(ListsThatKeepDifferingAreReadEverMoreSeldom) {
+  AgentFixture Test(0);
+  Test.announceVersion();
+  size_t Reads = 0;
+  for (size_t n = 0; n < 2000; ++n, Test.Now += Millis(10)) {
+    requestMissingList(Test.Agent, Test.Now, Test.Out);
+    if (!Test.hasRequestedList())
+      continue;
+    ++Reads;
+    Test.Out.clear();
+    Test.List.ChunkBytes = 100 + Reads;
+    handleListRead(Test.Agent, Test.namedVersion(), {Test.List, {}}, Test.Now,
+                   Test.Out);
+  }
+  BOOST_TEST(Reads >= 5U);
+  BOOST_TEST(Reads <= 12U);
+}
+
+// Guards against the same where no list is valid, and against waits that go on
+// after the origin was mended.
+BOOST_AUTO_TEST_CASE(InvalidListsAreReadEverMoreSeldom) {
+  AgentFixture Test(0);
+  Test.announceVersion();
+  size_t Reads = 0;
+  for (size_t n = 0; n < 2000; ++n, Test.Now += Millis(10)) {
+    requestMissingList(Test.Agent, Test.Now, Test.Out);
+    if (!Test.hasRequestedList())
+      continue;
+    ++Reads;
+    Test.Out.clear();
+    handleListRead(Test.Agent, Test.namedVersion(),
+                   {std::nullopt, Failure{ErrorKind::Malformed, "", {}}},
+                   Test.Now, Test.Out);
+  }
+  BOOST_TEST(Reads >= 5U);
+  BOOST_TEST(Reads <= 12U);
+}
