core: request no part beyond the end of a chunk

What callers saw: nothing directly; weights come later, as a good peer is avoided for 3 s and longer each time.

Cause: parts were requested up to the size of the set's chunks. The last one may be smaller: the answer to a part beyond its end is empty, which counts as a refusal, and the peer is distrusted. Only agents with a known link rate.

Change: once a part has come, the size that it names is the bound.

NoPartBeyondTheEndOfASmallChunkIsRequested fails before. Found by reading.

--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -212,7 +212,9 @@
     Part = {};
     Part.Link = Link;
   }
-  while (Part.RequestedUpTo < Transfer.ChunkBytes &&
+  // The last chunk of a set may be smaller.
+  const uint64_t Size = Part.Size > 0 ? Part.Size : Transfer.ChunkBytes;
+  while (Part.RequestedUpTo < Size &&
          Part.RequestedUpTo < Part.Received + MaxPartRequests * PartBytes) {
     Out.push_back(
         SendMessage{Link, ChunkRequest{Transfer.Digests[n], Part.RequestedUpTo,
@@ -468,6 +470,7 @@
     return std::nullopt;
   Peer->second.LastData = Now;
   PartialChunk &Part = it->second;
+  Part.Size = Data.Total;
   // The sender reads parts on several threads, so they may arrive out of order.
   if (Part.Parts.emplace(Data.Offset, Data.Bytes).second)
     Part.Received += Data.Bytes.size();
--- a/packages/core/src/weights/transfer_type.h
+++ b/packages/core/src/weights/transfer_type.h
@@ -81,6 +81,7 @@
   std::map<uint64_t, std::string> Parts; ///< Received parts, by offset.
   uint64_t Received = 0;                 ///< Bytes in all parts.
   uint64_t RequestedUpTo = 0; ///< End of the last part that was requested.
+  uint64_t Size = 0;          ///< Size of the chunk; 0: not known yet.
 };
 
 /** Configuration of the exchange. */
--- a/tests/unit/slow_link_test.cpp
+++ b/tests/unit/slow_link_test.cpp
@@ -112,3 +112,21 @@
   setLinkIdle(One.Transfer, false);
   BOOST_TEST(One.Transfer.Uplink.PerSecond == Busy);
 }
+
+// Guards against a good peer being avoided: the last chunk of a set is smaller
+// than the others, and parts beyond its end were requested.
+BOOST_AUTO_TEST_CASE(NoPartBeyondTheEndOfASmallChunkIsRequested) {
+  constexpr size_t PartBytes = 8192;
+  TransferHost One("w0", 100);
+  const std::string Text(PartBytes + 1000, 'a');
+  ModelVersion Model = makeModelVersion({Text});
+  Model.ChunkBytes = 6 * PartBytes;
+  One.setWantedVersion(Model);
+  One.receiveHeldChunks(PeerA, 1);
+  One.advanceAndListAskedPeers();
+  One.Out.clear();
+  receiveChunkPart(One.Transfer, PeerA,
+                   {sha256(Text), Text.substr(0, PartBytes), 0, Text.size()},
+                   One.Now, One.Out);
+  BOOST_TEST(One.Out.empty());
+}
