core, agent: tell of weights that are not loaded

A version that cannot be loaded anywhere showed only as the same warning on a digest at each order. event=set_late says which set, for how long, which slot is missing first, how many contents are still to fetch and how many orders failed, at 10, 20, 40, ... s; gauges jacinthpond_agent_weights_wait_seconds and jacinthpond_agent_failed_load_orders have the same.

--- a/packages/agent/src/agent_metrics.cpp
+++ b/packages/agent/src/agent_metrics.cpp
@@ -46,6 +46,17 @@
       Into, MetricType::Gauge,
       {"jacinthpond_agent_chunks_wanted", "Chunks of the wanted weights."},
       unlabelledValue(Agent.Fleet.Load.ChunksWanted));
+  addFamily(
+      Into, MetricType::Gauge,
+      {"jacinthpond_agent_weights_wait_seconds",
+       "Time for which the wanted weights are known and not loaded; 0: they "
+       "are loaded."},
+      unlabelledValue(
+          std::chrono::duration<double>(Agent.Rollout.WaitingFor).count()));
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_agent_failed_load_orders",
+             "Load orders that failed since the last one that succeeded."},
+            unlabelledValue(Agent.Weights.FailedOrders));
   addFamily(
       Into, MetricType::Gauge,
       {"jacinthpond_agent_chunk_bytes_per_second",
--- a/packages/core/src/weights/rollout.cpp
+++ b/packages/core/src/weights/rollout.cpp
@@ -101,6 +101,35 @@
          static_cast<uint64_t>(DrainAhead.count());
 }
 
+/** Logs that the wanted set is still not loaded, after ever longer times. */
+void logLateSet(AgentState &Agent, TimePoint Now, Effects &Out) {
+  const TransferState &Transfer = Agent.Transfer;
+  RolloutState &Rollout = Agent.Rollout;
+  if (Agent.Weights.Loaded == Agent.Weights.Wanted.Set ||
+      Transfer.Set != Agent.Weights.Wanted.Set || Transfer.Set.Value.empty()) {
+    Rollout.WaitingFor = {};
+    Rollout.NextLateLog = FirstLateLog;
+    return;
+  }
+  const Duration Waited = Now - Transfer.StartedAt;
+  if (Waited < Rollout.WaitingFor) // Another set.
+    Rollout.NextLateLog = FirstLateLog;
+  Rollout.WaitingFor = Waited;
+  if (Rollout.WaitingFor < Rollout.NextLateLog)
+    return;
+  Rollout.NextLateLog *= 2;
+  const std::string First = Transfer.Missing.empty()
+                                ? "-"
+                                : std::to_string(*Transfer.Missing.begin());
+  Out.push_back(LogNote{
+      LogPart::Weights, LogLevel::Warn,
+      "event=set_late set=" + Transfer.Set.Value +
+          " ms=" + std::to_string(toMillis(Rollout.WaitingFor).count()) +
+          " missing=" + std::to_string(Transfer.Missing.size()) + " first=" +
+          First + " to_fetch=" + std::to_string(Transfer.ToFetch.size()) +
+          " failed_orders=" + std::to_string(Agent.Weights.FailedOrders)});
+}
+
 /** Resets the state of the wait for another set. */
 void beginRollout(RolloutState &Rollout, const Digest &Set) {
   Rollout.Set = Set;
@@ -213,6 +242,7 @@
 void loadInTurn(AgentState &Agent, TimePoint Now, Effects &Out) {
   WeightsState &Weights = Agent.Weights;
   updateLastWork(Agent, Now);
+  logLateSet(Agent, Now, Out);
   if (Weights.Loaded == Weights.Wanted.Set) {
     // A former incarnation of this agent may have ordered the load.
     Weights.Draining = false;
--- a/packages/core/src/weights/rollout_type.h
+++ b/packages/core/src/weights/rollout_type.h
@@ -10,6 +10,9 @@
 
 namespace jacinthpond {
 
+/** Time after which a set that is not loaded is logged first. */
+constexpr Duration FirstLateLog = Millis(10000);
+
 /** Observed state of a worker that loads before this one. */
 struct PredecessorView {
   TimePoint LastAnswered;     ///< Last ready link, or start of the wait.
@@ -23,6 +26,8 @@
   std::map<HostName, PredecessorView> Predecessors; ///< By host name.
   TimePoint LastWorkAt; ///< When the class last had work, as seen here.
   uint64_t LastStartedCount = 0; ///< Started attempts at the last check.
+  Duration WaitingFor{0};        ///< For how long the wanted set is not loaded.
+  Duration NextLateLog = FirstLateLog; ///< When that is logged next.
 };
 
 } // namespace jacinthpond
