core: no takeover before the first rank can have begun

Cause: for 0.4 s after its start an agent fetches nothing, so that its links can come. The quiet time after which the next rank takes over, 0.4 s a rank with the deployment's settings, counted from the moment the set was wanted, just after that start. Both ended together, and the second rank began as if the first had failed.

Evidence: a run with 64 chunks: set wanted at 20.014, "as rank 1" 16 times from 20.430 on by one agent; none by the others.

Change: the quiet time counts from the end of the wait for links. RanksWaitUntilTheFirstOneCanHaveBegun: 2 hosts fetch before, 1 now. A host that does not come back is replaced 0.4 s later.

--- a/packages/core/src/weights/origin_draw.cpp
+++ b/packages/core/src/weights/origin_draw.cpp
@@ -100,9 +100,11 @@
   const bool Claimed = Chunk.ImportersInDomain + Chunk.ImportersElsewhere > 0;
   const size_t Rank = ownOriginRank(Transfer, n, Now) + (Chunk.Seen ? 1 : 0) +
                       (Claimed ? ClaimRanks : 0);
-  const bool Quiet =
-      Now - Transfer.AvailabilityChangedAt >=
-      Transfer.Options.TakeoverDelay * static_cast<int64_t>(Rank);
+  // After a start, the first rank waits for its links too.
+  const TimePoint QuietSince =
+      std::max(Transfer.AvailabilityChangedAt, Transfer.LinksSettledAt);
+  const bool Quiet = Now - QuietSince >= Transfer.Options.TakeoverDelay *
+                                             static_cast<int64_t>(Rank);
   return (Quiet || isOverdue(Transfer, Rank, Now)) &&
          !hasUsableHolder(Transfer, n, false, Now);
 }
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -256,6 +256,31 @@
   BOOST_TEST(One.ordersLoad(Millis(500)));
 }
 
+// Guards against a version that cannot be loaded going unnoticed.
+BOOST_AUTO_TEST_CASE(ASetThatIsNotLoadedIsLoggedEverMoreSeldom) {
+  RolloutWorker One(0.75);
+  One.Agent.BackEndUp = false;
+  One.Agent.Transfer.Set = One.New;
+  One.Agent.Transfer.StartedAt = One.Now;
+  One.Agent.Transfer.Missing = {3, 7};
+  std::vector<std::string> Lines;
+  for (int n = 0; n < 60; ++n) {
+    Effects Out;
+    loadInTurn(One.Agent, One.Now += Millis(1000), Out);
+    for (const Effect &Each : Out)
+      if (const auto *Line = std::get_if<LogNote>(&Each))
+        Lines.push_back(Line->Text);
+  }
+  BOOST_TEST(Lines.size() == 3U); // After 10, 20 and 40 s.
+  BOOST_TEST(Lines.front().find("event=set_late") == 0U);
+  BOOST_TEST(Lines.front().find(" missing=2 first=3 ") != std::string::npos);
+  BOOST_CHECK(One.Agent.Rollout.WaitingFor == Millis(60000));
+  One.Agent.Weights.Loaded = One.New;
+  Effects Out;
+  loadInTurn(One.Agent, One.Now, Out);
+  BOOST_CHECK(One.Agent.Rollout.WaitingFor == Duration{0});
+}
+
 // A second version is published before this worker has loaded the first: the
 // weights that it serves count as replaced since the first one was published.
 BOOST_AUTO_TEST_CASE(AFurtherVersionDoesNotExtendTheUseOfAReplacedOne) {
--- a/tests/unit/transfer_test.cpp
+++ b/tests/unit/transfer_test.cpp
@@ -103,6 +103,23 @@
   BOOST_TEST(AtOnce == 1U);
 }
 
+// Guards against an origin that sends twice what is needed after a restart of
+// all agents: the next rank took over while the first one still waited for its
+// links.
+BOOST_AUTO_TEST_CASE(RanksWaitUntilTheFirstOneCanHaveBegun) {
+  size_t Fetching = 0;
+  for (const std::string Name : {"w0", "w1", "w2", "w3"}) {
+    TransferHost One(Name);
+    One.Transfer.Options.TakeoverDelay = Millis(400);
+    One.setWantedVersion(makeModelVersion({"a"}));
+    for (int n = 0; n < 14; ++n) { // 700 ms.
+      One.advanceAndListAskedPeers(Millis(50));
+      Fetching += One.originFetchCount();
+    }
+  }
+  BOOST_TEST(Fetching == 1U);
+}
+
 // The host that fetches a chunk from the origin dies. The next rank has to take
 // over when the link is lost, even while other chunks still arrive.
 BOOST_AUTO_TEST_CASE(TheNextRankTakesOverFromADeadHost) {
