--- a/tests/unit/staging_test.cpp
+++ b/tests/unit/staging_test.cpp
@@ -146,10 +146,10 @@
 // slot, and against slots that are overwritten with the only copy of a chunk.
 BOOST_AUTO_TEST_CASE(MovedChunksAreStagedWithoutATransfer) {
   const Texts First = distinctChunks();
-  for (const size_t Distance : {1U, 7U, 24U, 47U}) {
+  for (const int Distance : {1, 7, 24, 47}) {
     StagingHost Test(First);
     Texts Second = First;
-    std::ranges::rotate(Second, Second.begin() + Distance);
+    std::rotate(Second.begin(), Second.begin() + Distance, Second.end());
     Test.want(Second);
     BOOST_TEST(!isWantedSetComplete(Test.One.Weights));
     BOOST_TEST(Test.One.Transfer.ToFetch.empty());
