core, platform: one function for lower case

The manifest's parser had a third copy of it, beside those of the route matching and of the wire's part ids. All call toLowerCase() in base/text. Behaviour is unchanged.

--- a/packages/core/src/forwarding/route_match.cpp
+++ b/packages/core/src/forwarding/route_match.cpp
@@ -2,8 +2,9 @@
 
 #include "forwarding/route_match_func.h"
 
+#include "base/text_func.h"
+
 #include <algorithm>
-#include <cctype>
 #include <cmath>
 #include <functional>
 #include <limits>
@@ -14,15 +15,6 @@
 
 constexpr std::string_view BearerScheme = "bearer ";
 
-/** Converts ASCII letters to lower case. */
-std::string toLowerCase(std::string_view Text) {
-  std::string Lower(Text);
-  std::ranges::transform(Lower, Lower.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return Lower;
-}
-
 /** Gives the host name of a Host header without its port. */
 std::string_view withoutPort(std::string_view Host) {
   return Host.substr(0, Host.find(':'));
