core: one function for delays that double

The waits after wrong chunks and invalid lists wrote again what load orders and distrusted peers had. All four call doubledDelay(). A list that differs is delayed by delayListRead() and no longer through the handling of a failed read with a cause that a successful one does not have. The waits are unchanged.

--- a/packages/core/src/attempts/chunk_list.cpp
+++ b/packages/core/src/attempts/chunk_list.cpp
@@ -7,7 +7,6 @@
 #include "weights/transfer_func.h"
 #include "weights/weights_func.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace jacinthpond {
@@ -109,15 +108,20 @@
   return !isPlanned(Plan) || Plan.Hosts[Plan.Self].Rank < ListReadersPerDomain;
 }
 
+/** Delays the next read of a list, longer after each invalid one: the origin
+ * may go on sending it. */
+void delayListRead(AgentState &Agent, TimePoint Now) {
+  const Millis First =
+      isListReader(Agent.Transfer.Plan) ? ListRetryDelay : OtherListRetryDelay;
+  Agent.NextListReadAt =
+      Now + doubledDelay(First, Agent.InvalidLists, MaxListDoublings);
+}
+
 /** Schedules the next read of a list after one that failed. An origin that is
- * down sends the list first when it is back; one that sends no valid list may
- * go on with that. */
+ * down sends the list first when it is back. */
 void retryListRead(AgentState &Agent, const Failure &Why, TimePoint Now,
                    Effects &Out) {
-  const Millis Delay =
-      isListReader(Agent.Transfer.Plan) ? ListRetryDelay : OtherListRetryDelay;
-  const uint32_t Doublings = std::min(Agent.InvalidLists, MaxListDoublings);
-  Agent.NextListReadAt = Now + Delay * (1U << Doublings);
+  delayListRead(Agent, Now);
   Agent.InvalidLists += Why.Kind == ErrorKind::Malformed ? 1 : 0;
   if (Why.Kind == ErrorKind::Unreachable)
     yieldOriginToList(Agent.Transfer, Now, Out);
@@ -174,7 +178,7 @@
     // One of the two was damaged; a third read decides. An origin whose answers
     // keep differing is asked ever more seldom.
     if (Agent.UnconfirmedList && Agent.InvalidLists++ > 0)
-      retryListRead(Agent, Read.Why, Now, Out);
+      delayListRead(Agent, Now);
     Agent.UnconfirmedList = Read.Value;
     requestMissingList(Agent, Now, Out);
     return false;
--- a/packages/core/src/base/time_type.h
+++ b/packages/core/src/base/time_type.h
@@ -3,7 +3,9 @@
 #ifndef JACINTHPOND_CORE_TIME_TYPE_H
 #define JACINTHPOND_CORE_TIME_TYPE_H
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace jacinthpond {
 
@@ -25,6 +27,18 @@
   return std::chrono::duration_cast<Millis>(Length);
 }
 
+/**
+ * Gives the delay after repeated failures.
+ * @param First Delay after the first one.
+ * @param Doublings How often it doubles by now.
+ * @param MaxDoublings How often it may double at most.
+ * @return The delay.
+ */
+inline Millis doubledDelay(Millis First, uint32_t Doublings,
+                           uint32_t MaxDoublings) {
+  return First * (int64_t{1} << std::min(Doublings, MaxDoublings));
+}
+
 } // namespace jacinthpond
 
 #endif
--- a/packages/core/src/weights/origin_draw.cpp
+++ b/packages/core/src/weights/origin_draw.cpp
@@ -153,7 +153,7 @@
                         Effects &Out) {
   ChunkProgress &Chunk = Transfer.Chunks[n];
   const Millis Delay =
-      OriginRetryDelay * (1U << std::min(Chunk.WrongCount, MaxDoublings));
+      doubledDelay(OriginRetryDelay, Chunk.WrongCount, MaxDoublings);
   ++Chunk.WrongCount;
   recordOriginFailure(Transfer, n, Now);
   Chunk.RetryAt = Now + Delay;
--- a/packages/core/src/weights/transfer.cpp
+++ b/packages/core/src/weights/transfer.cpp
@@ -81,8 +81,7 @@
  * to it. */
 void avoidPeer(TransferState &Transfer, ChunkPeer &Peer, TimePoint Now) {
   Distrust &Known = Transfer.Distrusted[Peer.Name];
-  Known.Until =
-      Now + AvoidTime * (1U << std::min(Known.Failures, MaxDoublings));
+  Known.Until = Now + doubledDelay(AvoidTime, Known.Failures, MaxDoublings);
   ++Known.Failures;
   Peer.AvoidUntil = Known.Until;
   cancelPeerRequests(Transfer, Peer);
--- a/packages/core/src/weights/weights.cpp
+++ b/packages/core/src/weights/weights.cpp
@@ -162,8 +162,8 @@
     Weights.FailedOrders = 0;
     return;
   }
-  const uint32_t Doublings = std::min(Weights.FailedOrders, MaxDoublings);
-  Weights.NextOrder = Now + LoadOrderRetryDelay * (1U << Doublings);
+  Weights.NextOrder = Now + doubledDelay(LoadOrderRetryDelay,
+                                         Weights.FailedOrders, MaxDoublings);
   ++Weights.FailedOrders;
   // A restarted agent counts from the start, and an engine that remembers the
   // numbers of its former incarnation would refuse it forever. Doubling soon
