core, agent: one reference of a slot, one step after a chunk

slotRef() was written in the uploads and again in the staging; chunkRef() is the case of a chunk in its own slot. What follows each change of the chunks here (transfer, load, reported load) stood four times and is advanceWeights(). confirmStaged() kept a list of slots and used its first. Behaviour is unchanged.

--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -391,7 +391,7 @@
 
 Result<void> AgentShell::confirmStaged(const LoadOrder &Order) {
   const TimePoint Limit = Clock.now() + MaxConfirmTime;
-  std::vector<size_t> Wrong;
+  std::optional<size_t> FirstWrong;
   for (size_t n = 0; n < Order.Chunks.size(); ++n) {
     const ChunkRef Chunk = orderedChunk(Order, n);
     SlotRead Read = readSlot(Chunk);
@@ -403,15 +403,15 @@
     }
     if (Read.Found.Actual == Chunk.Content)
       continue;
-    Wrong.push_back(n);
+    FirstWrong = FirstWrong.value_or(n);
     if (!Read.Answered)
       break;
     reportSlot(Read, /*WithBytes=*/false);
   }
-  if (Wrong.empty())
+  if (!FirstWrong)
     return {};
   return fail(ErrorKind::OutcomeUnknown,
-              "staged chunk " + std::to_string(Wrong.front()) +
+              "staged chunk " + std::to_string(*FirstWrong) +
                   " differs from the ordered one after the order");
 }
 
--- a/packages/core/src/attempts/agent.cpp
+++ b/packages/core/src/attempts/agent.cpp
@@ -76,6 +76,13 @@
 /** Updates the load that heartbeats report. */
 void refreshLoad(AgentState &Agent) { Agent.Fleet.Load = currentLoad(Agent); }
 
+/** Goes on with the transfer and the load after a change of what is here. */
+void advanceWeights(AgentState &Agent, TimePoint Now, Effects &Out) {
+  advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
+  loadInTurn(Agent, Now, Out);
+  refreshLoad(Agent);
+}
+
 /** Updates the reported load and sends heartbeats ahead of their period when
  * state, weights, rate limit or work have changed. */
 void announceLoadChange(AgentState &Agent, TimePoint Now, Effects &Out) {
@@ -505,9 +512,7 @@
 void handleOriginChunk(AgentState &Agent, const Digest &Chunk,
                        const DigestedChunk &Came, TimePoint Now, Effects &Out) {
   receiveChunkFromOrigin(Agent.Transfer, Agent.Weights, Chunk, Came, Now, Out);
-  advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
-  loadInTurn(Agent, Now, Out);
-  refreshLoad(Agent);
+  advanceWeights(Agent, Now, Out);
 }
 
 void handleOriginChunkList(AgentState &Agent, const ChunkRef &Version,
@@ -534,9 +539,7 @@
 void handleStagedChunk(AgentState &Agent, const ChunkRef &Chunk, bool Staged,
                        TimePoint Now, Effects &Out) {
   recordStagedChunk(Agent.Transfer, Agent.Weights, Chunk, Staged, Now);
-  advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
-  loadInTurn(Agent, Now, Out);
-  refreshLoad(Agent);
+  advanceWeights(Agent, Now, Out);
 }
 
 void handleSlotRead(AgentState &Agent, const SlotRead &Read, TimePoint Now,
@@ -552,9 +555,7 @@
             std::to_string(Read.Slot.Number) + " staged=" + Before.Value +
             " found=" + (Found.Value.empty() ? "-" : Found.Value)});
   }
-  advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
-  loadInTurn(Agent, Now, Out);
-  refreshLoad(Agent);
+  advanceWeights(Agent, Now, Out);
 }
 
 void handlePeerChunk(AgentState &Agent, LinkId Link, const Digest &Chunk,
@@ -563,9 +564,7 @@
     return;
   receiveChunkFromPeer(Agent.Transfer, Agent.Weights, Link, Chunk, Came, Now,
                        Out);
-  advanceTransfer(Agent.Transfer, Agent.Weights, Now, Out);
-  loadInTurn(Agent, Now, Out);
-  refreshLoad(Agent);
+  advanceWeights(Agent, Now, Out);
 }
 
 void countAnswerBytes(AgentState &Agent, LinkId Link, uint64_t Bytes,
--- a/packages/core/src/weights/chunk_progress.cpp
+++ b/packages/core/src/weights/chunk_progress.cpp
@@ -58,13 +58,18 @@
     Transfer.MostSeenSince = Now;
 }
 
-ChunkRef chunkRef(const TransferState &Transfer, size_t n) {
+ChunkRef slotRef(const TransferState &Transfer, size_t Slot,
+                 const Digest &Content) {
   ChunkRef Ref = Transfer.Version;
-  Ref.Number = n;
-  Ref.Content = Transfer.Digests[n];
+  Ref.Number = Slot;
+  Ref.Content = Content;
   return Ref;
 }
 
+ChunkRef chunkRef(const TransferState &Transfer, size_t n) {
+  return slotRef(Transfer, n, Transfer.Digests[n]);
+}
+
 bool hasUsableHolder(const TransferState &Transfer, size_t n, bool NearOnly,
                      TimePoint Now) {
   return std::ranges::any_of(Transfer.Peers, [&](const auto &Row) {
--- a/packages/core/src/weights/chunk_progress_func.h
+++ b/packages/core/src/weights/chunk_progress_func.h
@@ -66,6 +66,16 @@
  */
 void markSeen(TransferState &Transfer, size_t n, TimePoint Now);
 
+/**
+ * Gives the reference of a content in a slot of the engine.
+ * @param Transfer The state.
+ * @param Slot Number of the slot.
+ * @param Content The content.
+ * @return The reference, with the model, version and origin of the wanted set.
+ */
+ChunkRef slotRef(const TransferState &Transfer, size_t Slot,
+                 const Digest &Content);
+
 /**
  * Gives the reference of a chunk that the origin and the engine use.
  * @param Transfer The state.
--- a/packages/core/src/weights/staging.cpp
+++ b/packages/core/src/weights/staging.cpp
@@ -40,10 +40,7 @@
   if (Transfer.SlotBeingRead || Now < Weights.Slots[n].RetryAt)
     return;
   Transfer.SlotBeingRead = n;
-  ChunkRef Slot = Transfer.Version;
-  Slot.Number = n;
-  Slot.Content = Weights.Slots[n].Content;
-  Out.push_back(ReadSlot{Slot});
+  Out.push_back(ReadSlot{slotRef(Transfer, n, Weights.Slots[n].Content)});
 }
 
 /** Reads the next content that is needed and only in other slots. */
--- a/packages/core/src/weights/upload.cpp
+++ b/packages/core/src/weights/upload.cpp
@@ -3,6 +3,7 @@
 #include "weights/upload_func.h"
 
 #include "base/rate_limit_func.h"
+#include "weights/chunk_progress_func.h"
 #include "weights/weights_func.h"
 
 #include <algorithm>
@@ -39,15 +40,6 @@
   return Peer.SameDomain || isWithinRate(Transfer.CrossDomain, Now);
 }
 
-/** Gives the reference of a slot with a content, to be sent from there. */
-ChunkRef slotRef(const TransferState &Transfer, size_t Slot,
-                 const Digest &Content) {
-  ChunkRef Ref = Transfer.Version;
-  Ref.Content = Content;
-  Ref.Number = Slot;
-  return Ref;
-}
-
 /** Answers a request with bytes from memory or from the engine, and counts
  * them. */
 void sendChunk(TransferState &Transfer, const WeightsState &Weights,
