--- a/packages/core/src/settings/settings_type.h
+++ b/packages/core/src/settings/settings_type.h
@@ -35,6 +35,8 @@
   int64_t StopGraceSeconds = 0;
   int64_t WeightsChangeMillis = 0;
   int64_t LapseGraceMillis = 0;
+  int64_t MemoryMegabytes = 0;
+  int64_t FileDescriptors = 0;
   int64_t AnswerMemoryMegabytes = 0;
   bool ServeCutOff = false;
   double LinkMegabits = 0;
--- a/packages/core/src/table/settings_table.h
+++ b/packages/core/src/table/settings_table.h
@@ -89,6 +89,16 @@
                 SettingOwner::Entry, false, "ms", 0, MaxSettingMillis, "2200",
                 "How long servers that are missing after the platform's list "
                 "was away may still be used; they register again meanwhile."},
+    SettingSpec{"memory_mb", &Settings::MemoryMegabytes, SettingOwner::Both,
+                false, "MB", 32, 1048576, "256",
+                "Memory that this process may use. It bounds what callers "
+                "make the process hold: requests, answers that they have not "
+                "read, and messages of peers."},
+    SettingSpec{"file_descriptors", &Settings::FileDescriptors,
+                SettingOwner::Both, false, "descriptors", 64, 1048576, "4096",
+                "Descriptors that this process may open; a lower limit of the "
+                "operating system goes before it. It bounds the connections "
+                "of callers."},
     SettingSpec{"answer_memory_mb", &Settings::AnswerMemoryMegabytes,
                 SettingOwner::Entry, false, "MB", 1, 65536, "64",
                 "Memory for answers of back ends that are not complete yet, "
