--- a/bench/fleet/route_fleet.cpp
+++ b/bench/fleet/route_fleet.cpp
@@ -103,6 +103,7 @@
   Origin.update(Plan.OriginOptions);
   startServer("origin", Origin);
   Config = firstConfig(At.at("origin"));
+  Config["limits"].update(Plan.Limits);
   for (size_t n = 0; n < Plan.PlainServers; ++n) {
     const std::string Name = "plain-" + std::to_string(n);
     startServer(Name, {{"id", Name}});
@@ -203,23 +204,28 @@
   startAgent(n);
 }
 
+std::string RouteFleet::agentAddress(size_t n) const {
+  return workerIp(n) + ":" + std::to_string(AgentPort.port());
+}
+
 void RouteFleet::startAgent(size_t n) {
   const std::string Worker = "model-" + std::to_string(n);
   const std::string Name = "agent-" + std::to_string(n);
   const std::string Listen = (Plan.Proxies ? hiddenIp(n) : workerIp(n)) + ":" +
                              std::to_string(AgentPort.port());
   linkTo(Name, Listen, workerIp(n), AgentPort.port());
-  const Json Settings = {{"name", Registered.at(Worker).at("address")},
-                         {"domain", domainOf(n)},
-                         {"platform", "store"},
-                         {"engine_url", "http://" + At.at(Worker)},
-                         {"peer_listen", Listen},
-                         {"log_to", "stderr"},
-                         {"chunk_takeover_ms", 300},
-                         {"weights_change_ms", Plan.AgentWeightsMillis > 0
-                                                   ? Plan.AgentWeightsMillis
-                                                   : Plan.WeightsChangeMillis},
-                         {"heartbeat_ms", 200}};
+  Json Settings = {{"name", Registered.at(Worker).at("address")},
+                   {"domain", domainOf(n)},
+                   {"platform", "store"},
+                   {"engine_url", "http://" + At.at(Worker)},
+                   {"peer_listen", Listen},
+                   {"log_to", "stderr"},
+                   {"chunk_takeover_ms", 300},
+                   {"weights_change_ms", Plan.AgentWeightsMillis > 0
+                                             ? Plan.AgentWeightsMillis
+                                             : Plan.WeightsChangeMillis},
+                   {"heartbeat_ms", 200}};
+  Settings.update(Plan.AgentSettings);
   std::ofstream(Folder + "/" + Name + ".json") << Settings.dump(2);
   startProgram(Name);
 }
@@ -246,6 +252,7 @@
                    {"join_wait_ms", 300},
                    {"log_to", "stderr"},
                    {"heartbeat_ms", 200}};
+  Settings.update(Plan.EntrySettings);
   const std::string Name = "entry-" + std::to_string(n);
   std::ofstream(Folder + "/" + Name + ".json") << Settings.dump(2);
   startProgram(Name);
--- a/bench/fleet/route_fleet.h
+++ b/bench/fleet/route_fleet.h
@@ -29,6 +29,9 @@
   Json WorkerOptions = Json::object(); ///< For every worker and plain server.
   Json OriginOptions = Json::object(); ///< For the origin, beside its chunks.
   Json SameChunks = Json::object();    ///< "same_chunks" of origin and workers.
+  Json EntrySettings = Json::object(); ///< Added to every entry's settings.
+  Json AgentSettings = Json::object(); ///< Added to every agent's settings.
+  Json Limits = Json::object(); ///< Replaces limits of the configuration.
 };
 
 /**
@@ -192,6 +195,13 @@
    */
   std::string addressOf(size_t Entry, const std::string &Which) const;
 
+  /**
+   * Gives where an agent listens for other processes, without proxies.
+   * @param n Number of the model worker.
+   * @return "IP:port".
+   */
+  std::string agentAddress(size_t n) const;
+
   Json Config;       ///< The platform's configuration; see publish().
   size_t Models = 0; ///< Model workers started.
 
--- a/tests/standin/store_worker.cpp
+++ b/tests/standin/store_worker.cpp
@@ -344,6 +344,11 @@
     std::this_thread::sleep_for(HangTime);
     Lock.lock();
   }
+  if (const int Work = Host.Options.value("work_ms", 0); Work > 0) {
+    Lock.unlock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(Work));
+    Lock.lock();
+  }
   if (!Host.Options.contains("model") && crashes(Host, Asked)) {
     const bool ByPart = hasCrashingPart(Host, Asked);
     Lock.unlock();
@@ -356,6 +361,9 @@
   }
   if (Host.Options.contains("model"))
     stream(Host, Asked, Answer);
+  else if (const size_t Size = Host.Options.value("answer_bytes", size_t{0});
+           Size > 0)
+    Answer.set_content(std::string(Size, 'x'), "text/plain");
   else if (endsByClose(Host, Asked))
     sendUntilClose(Answer, "answer to " + Asked.path + tellOf(Host, Asked));
   else
