entry: hold the body of a request once, in blocks

A body was held as a string, which takes up to twice its size while it grows and three times while it moves, and copied into the serialized request of each attempt for the whole time of the work.

The request and its attempts share them; an attempt writes its own head and then the blocks. The digest of a request reads the blocks in order; where a body is divided makes no difference to it (request_identity_test).

Ruled out: a string that reserves the announced length (an announcement would cost memory that nothing was sent for; chunked bodies announce none).

--- a/bench/bench_suspects.cpp
+++ b/bench/bench_suspects.cpp
@@ -32,7 +32,7 @@
 
 Digest identityOf(const std::string &Body) {
   return routeFingerprint(WorkspaceName{"tenant"},
-                          {"POST", "h.example", "/write/report", Body});
+                          {"POST", "h.example", "/write/report", {Body}});
 }
 
 Quarantine fullQuarantine(TimePoint Now) {
--- a/packages/core/src/admission/quarantine.cpp
+++ b/packages/core/src/admission/quarantine.cpp
@@ -189,7 +189,7 @@
 
 Digest fingerprintOf(const WorkspaceName &Workspace, const ClassName &Class,
                      std::string_view Body) {
-  return digestOfFields({Workspace.Value, Class.Value}, Body);
+  return digestOfFields({Workspace.Value, Class.Value}, {Body});
 }
 
 bool applySuspectNotice(Quarantine &State, const SuspectNotice &Notice,
--- a/packages/core/src/base/hash.cpp
+++ b/packages/core/src/base/hash.cpp
@@ -5,37 +5,69 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
 #include <array>
+#include <memory>
+#include <string>
 #include <utility>
 
 namespace jacinthpond {
 
-Digest sha256(std::string_view Bytes) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> buf{};
-  SHA256(reinterpret_cast<const unsigned char *>(Bytes.data()), Bytes.size(),
-         buf.data());
+namespace {
+
+/** Formats a digest in lower-case hex. */
+Digest
+hexDigest(const std::array<unsigned char, SHA256_DIGEST_LENGTH> &Binary) {
   static constexpr std::string_view HexDigits = "0123456789abcdef";
   Digest Hex;
-  Hex.Value.reserve(2 * buf.size());
-  for (const unsigned char Byte : buf) {
+  Hex.Value.reserve(2 * Binary.size());
+  for (const unsigned char Byte : Binary) {
     Hex.Value += HexDigits[Byte >> 4U];
     Hex.Value += HexDigits[Byte & 15U];
   }
   return Hex;
 }
 
+/** SHA-256 of bytes that come in parts. */
+class Sha256Stream {
+public:
+  Sha256Stream() : Context(EVP_MD_CTX_new(), EVP_MD_CTX_free) {
+    EVP_DigestInit_ex(Context.get(), EVP_sha256(), nullptr);
+  }
+  void add(std::string_view Bytes) {
+    EVP_DigestUpdate(Context.get(), Bytes.data(), Bytes.size());
+  }
+  Digest finish() {
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> Binary{};
+    EVP_DigestFinal_ex(Context.get(), Binary.data(), nullptr);
+    return hexDigest(Binary);
+  }
+
+private:
+  std::unique_ptr<EVP_MD_CTX, void (*)(EVP_MD_CTX *)> Context;
+};
+
+} // namespace
+
+Digest sha256(std::string_view Bytes) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> Binary{};
+  SHA256(reinterpret_cast<const unsigned char *>(Bytes.data()), Bytes.size(),
+         Binary.data());
+  return hexDigest(Binary);
+}
+
 Digest digestOfFields(std::initializer_list<std::string_view> Fields,
-                      std::string_view Body) {
-  std::string All;
+                      const std::vector<std::string_view> &Body) {
+  Sha256Stream Stream;
   for (const std::string_view Field : Fields) {
-    All += std::to_string(Field.size()) + "/";
-    All.append(Field);
+    Stream.add(std::to_string(Field.size()) + "/");
+    Stream.add(Field);
   }
-  All.append(Body);
-  return sha256(All);
+  std::ranges::for_each(Body, [&](std::string_view One) { Stream.add(One); });
+  return Stream.finish();
 }
 
 uint64_t checksum64(std::string_view Bytes) {
--- a/packages/core/src/base/hash_func.h
+++ b/packages/core/src/base/hash_func.h
@@ -22,11 +22,12 @@
  * Computes a digest of several fields and a body. Each field counts with its
  * length, so that different fields never concatenate to equal strings.
  * @param Fields The fields, in a fixed order.
- * @param Body Bytes that follow them.
+ * @param Body Bytes that follow them, in parts; where they are divided makes no
+ *             difference.
  * @return The digest in lower-case hex.
  */
 Digest digestOfFields(std::initializer_list<std::string_view> Fields,
-                      std::string_view Body);
+                      const std::vector<std::string_view> &Body);
 
 /**
  * Computes a checksum that detects corruption in transit. It gives no
--- a/packages/core/src/forwarding/request_identity_func.h
+++ b/packages/core/src/forwarding/request_identity_func.h
@@ -6,15 +6,16 @@
 #include "base/ids_type.h"
 
 #include <string_view>
+#include <vector>
 
 namespace jacinthpond {
 
 /** What a back end gets of a request, but for headers. */
 struct RequestContent {
-  std::string_view Method; ///< HTTP method.
-  std::string_view Host;   ///< Host header, as the caller sent it.
-  std::string_view Target; ///< Path and query.
-  std::string_view Body;   ///< Decoded body.
+  std::string_view Method;            ///< HTTP method.
+  std::string_view Host;              ///< Host header, as the caller sent it.
+  std::string_view Target;            ///< Path and query.
+  std::vector<std::string_view> Body; ///< Decoded body, in parts.
 };
 
 /**
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -177,8 +177,11 @@
   Sent = true;
   setTrafficOptions(OpenConnection->Socket);
   resetParser();
-  boost::asio::async_write(OpenConnection->Socket,
-                           boost::asio::buffer(Request.Bytes),
+  std::vector<boost::asio::const_buffer> Parts;
+  if (Request.Body)
+    Parts = Request.Body->buffers();
+  Parts.insert(Parts.begin(), boost::asio::buffer(Request.Bytes));
+  boost::asio::async_write(OpenConnection->Socket, Parts,
                            [Self](const Error &ec, size_t) {
                              // A failed write fails the read too, which
                              // handles it: a response may have come before.
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -5,6 +5,7 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "forward/request_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -62,8 +63,9 @@
 
 /** A serialized request and where to send it. */
 struct BackEndRequest {
-  Address To;                      ///< Address of the back end.
-  std::string Bytes;               ///< The serialized request.
+  Address To;        ///< Address of the back end.
+  std::string Bytes; ///< The serialized request, or its head.
+  std::shared_ptr<const BodyBlocks> Body; ///< Follows Bytes; may be null.
   std::string AttemptIdHeader;     ///< Header that echoes the attempt's id.
   std::string AttemptId;           ///< Responses with another id are skipped.
   bool ForceNewConnection = false; ///< Don't use a pooled connection.
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -7,6 +7,7 @@
 #include "configuration/document_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include "forward/request_body.h"
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -22,8 +23,7 @@
 namespace jacinthpond {
 
 /** A complete request of a caller. */
-using CallerRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using CallerRequest = boost::beast::http::request<BlockBody>;
 
 /** A complete response to a caller. */
 using CallerAnswer =
@@ -112,8 +112,7 @@
   size_t backlog() const { return Outgoing.size() + Writing.size() - Written; }
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<BlockBody>;
 
   void resetParser();
   void readMore();
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -53,7 +53,9 @@
                    std::shared_ptr<CallerSession> Session,
                    CallerRequest Incoming)
     : Shared(Shared), Session(std::move(Session)),
-      Incoming(std::move(Incoming)), ArrivalTime(Shared.Clock.now()),
+      Incoming(std::move(Incoming.base())),
+      Body(std::make_shared<const BodyBlocks>(std::move(Incoming.body()))),
+      ArrivalTime(Shared.Clock.now()),
       LastSentToCaller(ArrivalTime), Timer(Shared.Io) {
   ++Shared.OpenRequests;
 }
@@ -273,7 +275,8 @@
   Added.Rank = rank();
   BackEndRequest Sending;
   Sending.To = Server.Listed.At;
-  Sending.Bytes = requestBytes(Incoming, Names, Added);
+  Sending.Bytes = requestHead(Incoming, Body->size(), Names, Added);
+  Sending.Body = Body;
   Sending.AttemptIdHeader = Names.AttemptId;
   Sending.AttemptId = Id;
   // The back end may close a pooled connection just as the request is sent, and
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -153,7 +153,8 @@
 
   ForwardContext &Shared;
   std::shared_ptr<CallerSession> Session; ///< Null once the exchange is over.
-  CallerRequest Incoming;
+  const CallerRequest::header_type Incoming;
+  const std::shared_ptr<const BodyBlocks> Body; ///< Shared with its attempts.
   mutable RequestDigests Digests; ///< See digests(); empty: not computed yet.
   mutable bool PartsDigested = false; ///< The parts in Digests are computed.
   std::string Id;  ///< Id that the caller gave the request; for logs too.
--- a/packages/entry/src/forward/exchange_suspect.cpp
+++ b/packages/entry/src/forward/exchange_suspect.cpp
@@ -32,7 +32,7 @@
     Digests.Content = routeFingerprint(
         Owner == nullptr ? WorkspaceName{} : Owner->Name,
         {toStringView(Incoming.method_string()), fieldValue(Incoming, "Host"),
-         toStringView(Incoming.target()), Incoming.body()});
+         toStringView(Incoming.target()), Body->views()});
   return Digests.Content;
 }
 
--- a/packages/entry/src/forward/forward_headers.cpp
+++ b/packages/entry/src/forward/forward_headers.cpp
@@ -3,6 +3,7 @@
 #include "forward/forward_headers.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -59,17 +60,18 @@
 
 } // namespace
 
-std::string requestBytes(const CallerRequest &Request, const HeaderNames &Names,
-                         const AttemptHeaders &Added) {
-  http::request<http::string_body> Sent;
+std::string requestHead(const CallerRequest::header_type &Request,
+                        size_t BodyBytes, const HeaderNames &Names,
+                        const AttemptHeaders &Added) {
+  http::request<http::empty_body> Sent;
   Sent.version(11);
   Sent.method_string(Request.method_string());
   Sent.target(Request.target());
-  for (const auto &Field : Request.base()) {
+  for (const auto &Field : Request) {
     const auto Name = Field.name_string();
     const bool Replaced = Added.LastEventId && iequals(Name, Names.LastEventId);
     if (!isHopByHopHeader(Name) && !isSystemHeader(Names, Name) && !Replaced &&
-        !isListedInConnection(Request.base(), Name))
+        !isListedInConnection(Request, Name))
       Sent.insert(Field.name(), Name, Field.value());
   }
   Sent.set(Names.Remaining, std::to_string(Added.Remaining.count()));
@@ -81,14 +83,13 @@
   if (Added.LastEventId)
     Sent.set(Names.LastEventId, std::to_string(*Added.LastEventId));
   Sent.set(Names.Rank, std::to_string(std::min(Added.Rank, 9U)));
-  const bool HasBody = !Request.body().empty() ||
+  const bool HasBody = BodyBytes > 0 ||
                        Request.method() == http::verb::post ||
                        Request.method() == http::verb::put;
   if (HasBody)
-    Sent.content_length(Request.body().size());
+    Sent.content_length(BodyBytes);
   std::ostringstream Text;
-  Sent.body() = Request.body();
-  Text << Sent;
+  Text << Sent.base();
   return Text.str();
 }
 
--- a/packages/entry/src/forward/forward_headers.h
+++ b/packages/entry/src/forward/forward_headers.h
@@ -23,13 +23,14 @@
 };
 
 /**
- * Serializes the request for a back end. Method, target, body and headers are
- * the caller's, without hop-by-hop headers, the caller's key and any headers
- * that the entry sets itself.
+ * Serializes the head of the request for a back end. Method, target and headers
+ * are the caller's, without hop-by-hop headers, the caller's key and any
+ * headers that the entry sets itself.
  * @param Request The caller's request.
+ * @param BodyBytes Length of the body that follows.
  * @param Names Names of headers.
  * @param Added Header values that the entry sets.
- * @return The serialized request.
+ * @return The serialized head.
  */
 std::string requestBytes(const CallerRequest &Request, const HeaderNames &Names,
                          const AttemptHeaders &Added);
--- a/tests/unit/request_identity_test.cpp
+++ b/tests/unit/request_identity_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 const WorkspaceName Huts{"huts"};
-const RequestContent Report{"POST", "h.example", "/write/1?a=b", "body"};
+const RequestContent Report{"POST", "h.example", "/write/1?a=b", {"body"}};
 
 std::string identityOf(const RequestContent &Content,
                        const WorkspaceName &Owner = Huts) {
@@ -37,22 +37,33 @@
   std::string Other = Long;
   Other.back() = 'y';
   const std::string Own = identityOf(Report);
-  BOOST_TEST(identityOf({"PUT", "h.example", "/write/1?a=b", "body"}) != Own);
-  BOOST_TEST(identityOf({"POST", "i.example", "/write/1?a=b", "body"}) != Own);
-  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=c", "body"}) != Own);
-  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=b", "bodz"}) != Own);
-  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=b", ""}) != Own);
+  BOOST_TEST(identityOf({"PUT", "h.example", "/write/1?a=b", {"body"}}) != Own);
+  BOOST_TEST(identityOf({"POST", "i.example", "/write/1?a=b", {"body"}}) !=
+             Own);
+  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=c", {"body"}}) !=
+             Own);
+  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=b", {"bodz"}}) !=
+             Own);
+  BOOST_TEST(identityOf({"POST", "h.example", "/write/1?a=b", {""}}) != Own);
   BOOST_TEST(identityOf(Report, WorkspaceName{"clubs"}) != Own);
-  BOOST_TEST(identityOf({"POST", "h.example", "/w", Long}) !=
-             identityOf({"POST", "h.example", "/w", Other}));
+  BOOST_TEST(identityOf({"POST", "h.example", "/w", {Long}}) !=
+             identityOf({"POST", "h.example", "/w", {Other}}));
+}
+
+// Guards against copies that pass as others since their bytes came otherwise.
+BOOST_AUTO_TEST_CASE(APartedBodyIsTheSame) {
+  BOOST_TEST(identityOf({"POST", "h", "/w", {"one", "two"}}) ==
+             identityOf({"POST", "h", "/w", {"onet", "", "wo"}}));
+  BOOST_TEST(identityOf({"POST", "h", "/w", {}}) ==
+             identityOf({"POST", "h", "/w", {""}}));
 }
 
 // Guards against callers that move bytes from one field to the next.
 BOOST_AUTO_TEST_CASE(FieldsDoNotRunTogether) {
-  BOOST_TEST(identityOf({"GET", "h", "/ab", "c"}) !=
-             identityOf({"GET", "h", "/a", "bc"}));
-  BOOST_TEST(identityOf({"GET", "h", "/1/a", ""}) !=
-             identityOf({"GET", "h", "/", "1/a"}));
+  BOOST_TEST(identityOf({"GET", "h", "/ab", {"c"}}) !=
+             identityOf({"GET", "h", "/a", {"bc"}}));
+  BOOST_TEST(identityOf({"GET", "h", "/1/a", {""}}) !=
+             identityOf({"GET", "h", "/", {"1/a"}}));
 }
 
 // Guards against a part that passes as another one, or as the part of another
