entry: bound what the connections of callers hold together

Callers saw an entry end, and with it every answer under way: requests that arrive had a bound each (max_body_bytes) and none together. 32 clients that stop before the last byte of 4 MiB took it to 140 MB; 32 whole requests to 163 MB.

One table now counts what each connection makes the entry hold: buffered input, head, body, a request that is worked on, queued answers; as allocated, when it is used. When it is used up, a request that is not complete is refused with 503, not run, Retry-After: the one without a known key, then of the workspace that holds most, that has held most bytes for the longest time. Clients that stop or trickle accrue byte seconds and go first, those that make progress become complete, which never give way; nor does the only large one.

Charging an announced length was ruled out: silent clients would hold the account without a byte. Refusing the newest was, too: all would stop with the account full.

The rest of a refused request is read and dropped, up to max_body_bytes and header_timeout_ms, so that the refusal is not lost with a reset of the connection. Refusals of requests that were not complete (400, 408, 413, 431, 503) left no line and no count. They are counted by reason (jacinthpond_callers_refused_total), and a series has one line when it begins and one when it ends: 30,000 a second are possible.

--- a/packages/adapters/threads/process.cpp
+++ b/packages/adapters/threads/process.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <array>
 #include <cerrno>
@@ -14,6 +15,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <random>
 #include <system_error>
 
@@ -67,6 +69,13 @@
   return Read.Value;
 }
 
+size_t descriptorLimit() {
+  rlimit Limit{};
+  return getrlimit(RLIMIT_NOFILE, &Limit) == 0
+             ? static_cast<size_t>(Limit.rlim_cur)
+             : std::numeric_limits<size_t>::max();
+}
+
 void keepHeapSmall() {
   constexpr int TrimThresholdBytes = 128 << 10;
   constexpr int TopPadBytes = 32 << 10;
--- a/packages/adapters/threads/process.h
+++ b/packages/adapters/threads/process.h
@@ -36,6 +36,13 @@
 std::optional<Settings> loadSettings(const std::string &Path,
                                      SettingOwner Program);
 
+/**
+ * Gives the number of descriptors that the operating system lets this process
+ * open.
+ * @return The limit.
+ */
+size_t descriptorLimit();
+
 /**
  * Keeps the heap small: all threads share one arena of malloc, and freed memory
  * returns to the kernel early. Hosts have little memory, and the threads of a
--- a/packages/core/src/base/error_type.h
+++ b/packages/core/src/base/error_type.h
@@ -40,6 +40,7 @@
   Malformed,       ///< A peer sent a message that cannot be decoded.
   Internal,        ///< Internal error.
   CrashesBackEnds, ///< As Quarantined, on routes: callers may retry it.
+  HostFull,        ///< Requests hold all memory or connections of the host.
   Count            ///< Number of kinds; not a kind.
 };
 
--- a/packages/core/src/table/error_table.h
+++ b/packages/core/src/table/error_table.h
@@ -68,6 +68,8 @@
          "Internal fault."},
         {ErrorKind::CrashesBackEnds, "crashes_back_ends", 503, Ran::No, 60000,
          "The request made back ends fail and is refused for a time."},
+        {ErrorKind::HostFull, "host_full", 503, Ran::No, 500,
+         "This host holds as many requests as it can."},
     }};
 
 } // namespace jacinthpond
--- a/packages/entry/src/entry_metrics.cpp
+++ b/packages/entry/src/entry_metrics.cpp
@@ -93,6 +93,27 @@
             Wanted);
 }
 
+/** Adds the connections of callers of routes, what they hold, and refusals. */
+void addCallerMetrics(MetricFamilies &Into, const CallerConnections &Callers) {
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_caller_connections",
+             "Connections of callers of routes, readiness and directory."},
+            unlabelledValue(static_cast<double>(Callers.count())));
+  addFamily(Into, MetricType::Gauge,
+            {"jacinthpond_caller_bytes", "Memory that they hold."},
+            unlabelledValue(static_cast<double>(Callers.bytes())));
+  std::vector<LabelledValue> Refusals;
+  for (size_t n = 0; n < CallerRefusalNames.size(); ++n)
+    Refusals.push_back(
+        {{{"reason", CallerRefusalNames.at(n)}},
+         static_cast<double>(Callers.refusals(static_cast<CallerRefusal>(n)))});
+  addFamily(Into, MetricType::Counter,
+            {"jacinthpond_callers_refused_total",
+             "Requests refused, or connections closed, before a request was "
+             "complete; by reason."},
+            Refusals);
+}
+
 } // namespace
 
 MetricFamilies entryMetrics(const EntryState &Entry, TimePoint Now) {
@@ -127,6 +148,7 @@
   addFamily(All, MetricType::Gauge,
             {"jacinthpond_route_open", "Requests on routes under way."},
             unlabelledValue(Routes.countOpenRequests()));
+  addCallerMetrics(All, Routes.callers());
   return All;
 }
 
--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "forward/caller_session.h"
 
 #include "clock/runtime_clock.h"
+#include "forward/caller_connections.h"
 #include "forward/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
@@ -13,6 +14,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <sstream>
@@ -29,6 +31,8 @@
 constexpr size_t MaxPipelined = 64 << 10;
 /** Capacity in bytes that the write buffer of an idle connection may keep. */
 constexpr size_t IdleCapacity = 8 << 10;
+/** Bytes of a head that are counted as such: a read may hold body as well. */
+constexpr size_t MaxCountedHead = 64 << 10;
 constexpr int Http11 = 11;
 
 /** Serializes a complete HTTP message. */
@@ -65,13 +69,13 @@
   return Chunk;
 }
 
-/** HTTP status for a request that could not be parsed. */
-unsigned parseErrorStatus(const Error &ec) {
+/** Reason for the refusal of a request that could not be parsed. */
+CallerRefusal parseErrorReason(const Error &ec) {
   if (ec == http::error::header_limit)
-    return 431;
+    return CallerRefusal::HeadTooLarge;
   if (ec == http::error::body_limit)
-    return 413;
-  return 400;
+    return CallerRefusal::TooLarge;
+  return CallerRefusal::Malformed;
 }
 
 } // namespace
@@ -83,6 +87,8 @@
 
 void CallerSession::start() {
   setTrafficOptions(Socket);
+  if (Callbacks.Connections != nullptr)
+    Id = Callbacks.Connections->add(shared_from_this());
   resetParser();
   IdleSince = RuntimeClock().now();
   armTimer();
@@ -96,7 +102,8 @@
   RequestParser->eager(true);
   RequestParser->header_limit(Limits.MaxHeadBytes);
   RequestParser->body_limit(Limits.MaxBodyBytes);
-  ContinueSent = false;
+  HeadBytes = RequestBytes = 0;
+  HeadDone = ContinueSent = false;
 }
 
 /** Limits the wait for a complete request: the head timeout applies once it has
@@ -120,7 +127,7 @@
  * connection by the timeout in force now. */
 void CallerSession::handleTimeout(bool Begun) {
   if (Begun)
-    refuse(408);
+    refuse(CallerRefusal::Slow);
   else if (IdleSince + Callbacks.Limits().IdleTimeout > RuntimeClock().now())
     armTimer(); // It was raised, or an answer was still being written.
   else
@@ -130,7 +137,7 @@
 /** Reads the next bytes, unless too many pipelined ones are buffered. */
 void CallerSession::readMore() {
   if (ReadPending || Closed || Buffer.size() >= MaxPipelined)
-    return;
+    return; // While input is discarded, the buffer is empty.
   ReadPending = true;
   Socket.async_read_some(
       boost::asio::buffer(Received),
@@ -142,6 +149,10 @@
           Self->close();
           return;
         }
+        if (Self->Discarding) {
+          Self->handleDiscarded(n);
+          return;
+        }
         const bool First = Self->Buffer.size() == 0 && !Self->Busy &&
                            !Self->RequestParser->is_header_done();
         boost::asio::buffer_copy(Self->Buffer.prepare(n),
@@ -150,6 +161,7 @@
         if (Self->Busy) {
           // A pipelined request. Reading goes on, since only a read shows that
           // the caller has disconnected.
+          Self->report();
           Self->readMore();
           return;
         }
@@ -165,8 +177,11 @@
     Error ec;
     const size_t n = RequestParser->put(Buffer.data(), ec);
     Buffer.consume(n);
+    if (!HeadDone)
+      HeadBytes = std::min(HeadBytes + n, MaxCountedHead);
+    HeadDone = RequestParser->is_header_done();
     if (ec && ec != http::error::need_more) {
-      refuse(parseErrorStatus(ec));
+      refuse(parseErrorReason(ec));
       return;
     }
     if (RequestParser->is_done()) {
@@ -182,21 +197,102 @@
     if (ec == http::error::need_more)
       break;
   }
+  report();
   if (!Closing)
     readMore();
 }
 
-/** Answers a malformed or late request with an error and closes the session. */
-void CallerSession::refuse(unsigned Status) {
-  KeepAlive = false;
+/** Refuses a request that is not complete, and closes the session once the
+ * caller has the answer. */
+void CallerSession::refuse(CallerRefusal Why) {
+  if (Callbacks.Connections != nullptr)
+    Callbacks.Connections->countRefusal(Why);
+  KeepAlive = HeadOnly = false;
   Busy = true;
-  answer(Callbacks.OnBadRequest(Status));
+  discardInput();
+  answer(Callbacks.OnBadRequest(Why));
+}
+
+/** Frees what has come of the request; what follows is read and dropped. To
+ * close a socket with unread data would reset the connection, and the caller
+ * could lose its answer. */
+void CallerSession::discardInput() {
+  Discarding = true;
+  resetParser();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+  closeAfter(Callbacks.Limits().HeadTimeout);
+  report();
+  readMore();
+}
+
+/** Counts dropped input; a caller that sends more than a request may have does
+ * not wait for an answer. */
+void CallerSession::handleDiscarded(size_t n) {
+  Discarded += n;
+  if (Discarded > Callbacks.Limits().MaxBodyBytes)
+    close();
+  else
+    readMore();
+}
+
+/** Closes the connection after some time. */
+void CallerSession::closeAfter(Duration Time) {
+  Timer.expires_after(std::chrono::duration_cast<Millis>(Time));
+  Timer.async_wait([Self = shared_from_this()](const Error &ec) {
+    if (!ec && !Self->Closed && Self->Timer.expiry() <= RuntimeClock().now())
+      Self->close();
+  });
+}
+
+void CallerSession::giveWay() {
+  switch (phase()) {
+  case ConnectionPhase::Receiving:
+    refuse(CallerRefusal::Memory);
+    break;
+  case ConnectionPhase::Working:
+    report(); // It was chosen for what it did before.
+    break;
+  default:
+    close();
+  }
+}
+
+/** What the connection does at the moment. */
+ConnectionPhase CallerSession::phase() const {
+  if (Discarding || Closing)
+    return ConnectionPhase::Closing;
+  if (Busy)
+    return ConnectionPhase::Working;
+  if (backlog() > 0)
+    return ConnectionPhase::Sending;
+  return Buffer.size() > 0 || RequestParser->is_header_done()
+             ? ConnectionPhase::Receiving
+             : ConnectionPhase::Idle;
+}
+
+/** Memory that the connection holds. Fields of a head take about as much again
+ * as its text. */
+size_t CallerSession::heldBytes() const {
+  size_t Body = RequestBytes;
+  if (!Busy && RequestParser)
+    Body = 2 * HeadBytes + RequestParser->get().body().allocated();
+  return sizeof(CallerSession) + Buffer.capacity() + Body +
+         Outgoing.capacity() + Writing.capacity();
+}
+
+/** Records what the connection does and holds; it may have to give way. */
+void CallerSession::report() {
+  if (Callbacks.Connections != nullptr && !Closed)
+    Callbacks.Connections->record(Id, phase(), heldBytes());
 }
 
 /** Passes a complete request to the callback of the listener. */
 void CallerSession::handleRequest() {
   Busy = true;
   Timer.cancel();
+  RequestBytes = 2 * HeadBytes + RequestParser->get().body().allocated();
+  report();
   CallerRequest Request = RequestParser->release();
   KeepAlive = Request.keep_alive();
   HeadOnly = Request.method() == http::verb::head;
@@ -250,12 +346,15 @@
   Busy = false;
   if (!Keep) {
     Closing = true;
+    RequestBytes = 0;
     flush();
+    report();
     return;
   }
   resetParser();
   IdleSince = RuntimeClock().now();
   armTimer();
+  report();
   // The next request may be buffered already. It is handled later, not inside
   // the call that ended this one.
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
@@ -275,7 +374,9 @@
   if (Closed || !Writing.empty())
     return;
   if (Outgoing.empty()) {
-    if (Closing)
+    if (Closing && Discarding)
+      endSending();
+    else if (Closing)
       close();
     return;
   }
@@ -308,6 +409,13 @@
   if (Writing.capacity() > IdleCapacity)
     Writing.shrink_to_fit();
   flush();
+  report();
+}
+
+/** Ends the response in order, while input is still discarded. */
+void CallerSession::endSending() {
+  Error Ignored; // The timer closes the connection in any case.
+  Socket.shutdown(boost::asio::socket_base::shutdown_send, Ignored);
 }
 
 void CallerSession::abort() { close(); }
@@ -317,6 +425,8 @@
   if (Closed)
     return;
   Closed = true;
+  if (Callbacks.Connections != nullptr)
+    Callbacks.Connections->remove(Id);
   Timer.cancel();
   Error Ignored; // The connection is dropped in any case.
   if (Closing)   // All data is written: an orderly end follows it.
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -3,11 +3,13 @@
 #ifndef JACINTHPOND_ENTRY_FORWARD_CALLER_SESSION_H
 #define JACINTHPOND_ENTRY_FORWARD_CALLER_SESSION_H
 
+#include "admission/connection_table_type.h"
+#include "admission/refusal_episode_type.h"
 #include "base/time_type.h"
 #include "configuration/document_type.h"
+#include "forward/request_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include "forward/request_body.h"
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -33,6 +35,7 @@
 using CallerAnswerHead =
     boost::beast::http::response<boost::beast::http::empty_body>;
 
+class CallerConnections;
 class CallerSession;
 
 /** Is notified when the caller of the current request disconnects. */
@@ -50,14 +53,17 @@
    * session; see setDisconnectHandler(). */
   std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
       OnRequest;
-  /** Returns the response to a malformed request; the session closes after it.
-   */
-  std::function<CallerAnswer(unsigned Status)> OnBadRequest;
+  /** Returns the response to a request that is refused before it is complete;
+   * the session closes after it. */
+  std::function<CallerAnswer(CallerRefusal Why)> OnBadRequest;
   /** Returns the limits in force. */
   std::function<CallerLimits()> Limits;
   /** Says whether the process is leaving: responses then close the connection.
    */
   std::function<bool()> IsLeaving;
+  /** Bounds all connections together; must outlive the sessions. Null: there
+   * are no bounds. */
+  CallerConnections *Connections = nullptr;
 };
 
 /** One caller's connection; used by the traffic thread only. */
@@ -105,6 +111,10 @@
   /** Closes the connection at once; the caller sees a truncated response. */
   void abort();
 
+  /** Frees what the connection holds: refuses a request that is not complete,
+   * or closes the connection. */
+  void giveWay();
+
   /**
    * Size of the data that waits to be sent to the caller.
    * @return Bytes.
@@ -117,7 +127,13 @@
   void resetParser();
   void readMore();
   void parse();
-  void refuse(unsigned Status);
+  void refuse(CallerRefusal Why);
+  void discardInput();
+  void handleDiscarded(size_t n);
+  void closeAfter(Duration Time);
+  ConnectionPhase phase() const;
+  size_t heldBytes() const;
+  void report();
   void handleRequest();
   void finishRequest(bool KeepAlive);
   void send(const std::string &Bytes);
@@ -126,6 +142,7 @@
   void armTimer();
   void handleTimeout(bool Begun);
   void handleWritten(size_t n);
+  void endSending();
   void close();
 
   boost::asio::ip::tcp::socket Socket;
@@ -134,6 +151,10 @@
   std::array<char, 4096> Received{};
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> RequestParser;
+  ConnectionId Id;         ///< Valid while the session is registered.
+  size_t HeadBytes = 0;    ///< Size of the head of the current request.
+  size_t RequestBytes = 0; ///< Memory of the request that is being handled.
+  size_t Discarded = 0;    ///< Bytes read since the request was refused.
   boost::asio::steady_timer Timer;
   TimePoint IdleSince; ///< Last byte written, or end of the last request.
   std::shared_ptr<DisconnectHandler> Handler;
@@ -143,8 +164,10 @@
   bool Busy = false;        ///< A request is being handled.
   bool ReadPending = false; ///< An asynchronous read is pending.
   bool Closing = false;     ///< Closes once all data is written.
+  bool Discarding = false;  ///< The request was refused before it was complete.
   bool Closed = false;
   bool KeepAlive = true;     ///< The connection stays open after this request.
+  bool HeadDone = false;     ///< The head of the request is complete.
   bool ContinueSent = false; ///< "100 Continue" was sent.
   bool HeadOnly = false;     ///< The method of the current request is HEAD.
   bool Chunked = true;       ///< The caller supports chunked encoding.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -13,9 +13,6 @@
 #include "log/log.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdio>
 #include <functional>
 #include <utility>
 
@@ -39,14 +36,6 @@
  * bodies stay in memory meanwhile. */
 constexpr size_t MaxWaitingForReadiness = 256;
 
-/** Formats a duration as seconds with three decimals. */
-std::string formatSeconds(Millis Time) {
-  std::array<char, 32> Text{};
-  std::snprintf(Text.data(), Text.size(), "%.3f",
-                static_cast<double>(Time.count()) / 1000);
-  return Text.data();
-}
-
 } // namespace
 
 Exchange::Exchange(ForwardContext &Shared,
@@ -55,8 +44,8 @@
     : Shared(Shared), Session(std::move(Session)),
       Incoming(std::move(Incoming.base())),
       Body(std::make_shared<const BodyBlocks>(std::move(Incoming.body()))),
-      ArrivalTime(Shared.Clock.now()),
-      LastSentToCaller(ArrivalTime), Timer(Shared.Io) {
+      ArrivalTime(Shared.Clock.now()), LastSentToCaller(ArrivalTime),
+      Timer(Shared.Io) {
   ++Shared.OpenRequests;
 }
 
--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include "base/memory_budget.h"
 #include "clock/runtime_clock.h"
 #include "forward/back_end_call.h"
+#include "forward/caller_connections.h"
 #include "forward/caller_session.h"
 #include "forward/forward_counters.h"
 #include "forwarding/caller_age_type.h"
@@ -57,6 +58,7 @@
   boost::asio::io_context Io{1};     ///< Event loop of the traffic thread.
   RuntimeClock Clock;                ///< Current time.
   const WirePort &Wire;              ///< Headers of callers and back ends.
+  CallerConnections Callers;         ///< Connections of callers.
   BackEndConnectionPool Connections; ///< Idle connections to back ends.
   ServerPool Pool;                   ///< Known back ends.
   RepeatBudget Repeats;              ///< Budget for retries.
--- a/packages/entry/src/forward/forward_headers.cpp
+++ b/packages/entry/src/forward/forward_headers.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <sstream>
 
 namespace jacinthpond {
@@ -83,8 +84,7 @@
   if (Added.LastEventId)
     Sent.set(Names.LastEventId, std::to_string(*Added.LastEventId));
   Sent.set(Names.Rank, std::to_string(std::min(Added.Rank, 9U)));
-  const bool HasBody = BodyBytes > 0 ||
-                       Request.method() == http::verb::post ||
+  const bool HasBody = BodyBytes > 0 || Request.method() == http::verb::post ||
                        Request.method() == http::verb::put;
   if (HasBody)
     Sent.content_length(BodyBytes);
@@ -93,6 +93,13 @@
   return Text.str();
 }
 
+std::string formatSeconds(Millis Time) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                static_cast<double>(Time.count()) / 1000);
+  return Text.data();
+}
+
 void copyAnswerHead(const ResponseHead &Head, ResponseHead &Into) {
   Into.result(Head.result_int());
   // Without a reason of its own, the library gives the one of the status, which
--- a/packages/entry/src/forward/forward_headers.h
+++ b/packages/entry/src/forward/forward_headers.h
@@ -32,8 +32,16 @@
  * @param Added Header values that the entry sets.
  * @return The serialized head.
  */
-std::string requestBytes(const CallerRequest &Request, const HeaderNames &Names,
-                         const AttemptHeaders &Added);
+std::string requestHead(const CallerRequest::header_type &Request,
+                        size_t BodyBytes, const HeaderNames &Names,
+                        const AttemptHeaders &Added);
+
+/**
+ * Formats a duration for Retry-After.
+ * @param Time The duration.
+ * @return Seconds with three decimals.
+ */
+std::string formatSeconds(Millis Time);
 
 /**
  * Copies the status, the reason and the headers of a response, without
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -3,20 +3,24 @@
 #include "forward/forwarder.h"
 
 #include "forward/exchange.h"
+#include "forward/forward_headers.h"
 #include "forward/socket_options.h"
 #include "forward/suspects.h"
 #include "forwarding/caller_age_func.h"
+#include "forwarding/come_back_func.h"
 #include "forwarding/fleet_snapshot_func.h"
 #include "forwarding/liveness_func.h"
 #include "forwarding/server_notice_func.h"
 #include "http/http_server.h"
 #include "log/log.h"
 #include "routing/directory_func.h"
+#include "settings/resource_shares_func.h"
 #include "threads/process.h"
 #include "weights/weights_func.h"
 
 #include <boost/asio/post.hpp>
 
+#include <array>
 #include <utility>
 
 namespace jacinthpond {
@@ -37,24 +41,24 @@
  * logged. */
 constexpr Millis StallPeriod{250};
 constexpr Millis LongStall{200};
-
-/** Error kind for the HTTP status of a request that could not be parsed. */
-ErrorKind errorKindFor(unsigned Status) {
-  if (Status == 408)
-    return ErrorKind::SlowCaller;
-  if (Status == 413)
-    return ErrorKind::TooLarge;
-  return ErrorKind::BadRequest;
-}
-
-/** Response to a request that could not be parsed. */
-CallerAnswer badRequestAnswer(unsigned Status) {
-  CallerAnswer Out;
-  Out.result(Status);
-  Out.set(http::field::content_type, "application/json");
-  Out.body() = errorBody({errorKindFor(Status), "", {}}, Ran::No, {});
-  return Out;
-}
+/** Time that a caller without a known deadline is taken to wait. */
+constexpr Millis LongRetryAfter{10000};
+
+/** Answer to a request that is refused before it is complete. */
+struct RefusalAnswer {
+  unsigned Status; ///< HTTP status.
+  ErrorKind Kind;  ///< Kind in its body.
+};
+
+/** Answer for each CallerRefusal, in enum order. */
+constexpr std::array<RefusalAnswer, static_cast<size_t>(CallerRefusal::Count)>
+    RefusalAnswers = {{{400, ErrorKind::BadRequest},
+                       {413, ErrorKind::TooLarge},
+                       {431, ErrorKind::BadRequest},
+                       {408, ErrorKind::SlowCaller},
+                       {503, ErrorKind::HostFull},
+                       {503, ErrorKind::HostFull},
+                       {503, ErrorKind::HostFull}}};
 
 } // namespace
 
@@ -70,12 +74,28 @@
       Config.Name + "/" + std::to_string(randomIncarnation()) + "/";
 }
 
+/** Response to a request that is refused before it is complete. */
+CallerAnswer Forwarder::refusalAnswer(CallerRefusal Why) {
+  const RefusalAnswer &Row = RefusalAnswers.at(static_cast<size_t>(Why));
+  const Failure Told{Row.Kind, "", {}};
+  CallerAnswer Out;
+  Out.result(Row.Status);
+  Out.set(http::field::content_type, "application/json");
+  if (retryAfter(Told).count() > 0)
+    Out.set(http::field::retry_after,
+            formatSeconds(
+                spreadRetryAfter(Told, LongRetryAfter, Shared.Pool.Random)));
+  Out.body() = errorBody(Told, Ran::No, {});
+  return Out;
+}
+
 /** Takes over the settings that may change while the process runs. */
 void Forwarder::applySettings(const Settings &From) {
+  const ResourceShares Shares = resourceShares(From, descriptorLimit());
+  Shared.Callers.setLimits({Shares.CallerBytes, Shares.CallerConnections});
   Shared.Pool.Options.ReplacedWeightsTime = replacedWeightsTime(From);
   Shared.Pool.Options.LapseGrace = Millis(From.LapseGraceMillis);
-  Shared.AnswerMemory.Limit = static_cast<size_t>(From.AnswerMemoryMegabytes)
-                              << 20U;
+  Shared.AnswerMemory.Limit = Shares.AnswerBytes;
   Shared.Repeats.Limits = {From.RepeatRatio,
                            static_cast<uint32_t>(From.RepeatSlack),
                            std::chrono::seconds(From.RepeatWindowSeconds)};
@@ -98,7 +118,10 @@
         OnRequest) {
   SessionCallbacks Callbacks;
   Callbacks.OnRequest = std::move(OnRequest);
-  Callbacks.OnBadRequest = badRequestAnswer;
+  Callbacks.OnBadRequest = [this](CallerRefusal Why) {
+    return refusalAnswer(Why);
+  };
+  Callbacks.Connections = &Shared.Callers;
   Callbacks.Limits = [this] {
     return Shared.Doc ? Shared.Doc->Limits : CallerLimits{};
   };
@@ -193,6 +216,7 @@
 /** Closes expired idle connections, now and periodically. */
 void Forwarder::sweep() {
   Shared.Connections.closeExpired(Shared.Clock.now());
+  Shared.Callers.logEndedSeries();
   dropExpiredSuspects(Shared.Suspects, Shared.Clock.now());
   publishCrashes(Shared);
   dropOldRuns(Shared.Crashes, Shared.Clock.now());
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -109,6 +109,10 @@
   /** Number of open requests. @return Requests without a final response. */
   uint32_t countOpenRequests() const { return Shared.OpenRequests; }
 
+  /** Connections of callers. @return The connections; callable from any thread
+   * for the values of metrics. */
+  const CallerConnections &callers() const { return Shared.Callers; }
+
   /** Counters of events. @return The counters. */
   const ForwardCounters &counters() const { return Shared.Counters; }
 
@@ -121,6 +125,7 @@
   };
 
   void applySettings(const Settings &From);
+  CallerAnswer refusalAnswer(CallerRefusal Why);
   bool listen(const std::string &At, SessionCallbacks Callbacks);
   void accept(Listener &On);
   void sweep();
--- a/tests/unit/caller_session_test.cpp
+++ b/tests/unit/caller_session_test.cpp
@@ -31,9 +31,9 @@
       if (AnswerAtOnce)
         answer("done");
     };
-    Callbacks.OnBadRequest = [](unsigned Status) {
+    Callbacks.OnBadRequest = [](CallerRefusal Why) {
       CallerAnswer Out;
-      Out.result(Status);
+      Out.result(Why == CallerRefusal::Slow ? 408 : 400);
       return Out;
     };
     Callbacks.Limits = [this] {
