entry: answer a request that its head rules out without its body

Callers without a route or a known key were answered after their whole body had come: 32 such bodies took an entry to 140 MB, and a caller heard of its mistake late or, with a body that stops, of the wrong one (408). Cause: route and key were looked up when a request was complete.

The session asks the listener as soon as the head is complete and the body is not. Route and key are matched by the same function as later (matchRequest); what they rule out is answered at once and the rest is dropped as after any refusal. While the entry is not ready, bodies are received as before, since such a request may be served. A small request that comes in one piece keeps its connection.

A client that sends 4 MiB before it reads gets its 404.

--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -103,7 +103,7 @@
   RequestParser->header_limit(Limits.MaxHeadBytes);
   RequestParser->body_limit(Limits.MaxBodyBytes);
   HeadBytes = RequestBytes = 0;
-  HeadDone = ContinueSent = false;
+  HeadDone = HeadDecided = ContinueSent = false;
 }
 
 /** Limits the wait for a complete request: the head timeout applies once it has
@@ -188,8 +188,10 @@
       handleRequest();
       break;
     }
+    if (HeadDone && !decideByHead())
+      return;
     const auto &Head = RequestParser->get();
-    if (RequestParser->is_header_done() && !ContinueSent &&
+    if (HeadDone && !ContinueSent &&
         boost::beast::iequals(Head[http::field::expect], "100-continue")) {
       ContinueSent = true;
       send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -287,17 +289,43 @@
     Callbacks.Connections->record(Id, phase(), heldBytes());
 }
 
+/** Notes how the answer to a request has to be sent. */
+void CallerSession::takeRequest(CallerRequest &Request) {
+  Busy = true;
+  KeepAlive = Request.keep_alive();
+  HeadOnly = Request.method() == http::verb::head;
+  Chunked = Request.version() >= Http11;
+}
+
 /** Passes a complete request to the callback of the listener. */
 void CallerSession::handleRequest() {
-  Busy = true;
   Timer.cancel();
   RequestBytes = 2 * HeadBytes + RequestParser->get().body().allocated();
+  CallerRequest Request = RequestParser->release();
+  takeRequest(Request);
   report();
+  Callbacks.OnRequest(shared_from_this(), std::move(Request));
+}
+
+/**
+ * Asks the listener about a request of which only the head is complete.
+ * @return False if it was answered without its body.
+ */
+bool CallerSession::decideByHead() {
+  if (std::exchange(HeadDecided, true) || !Callbacks.OnHead)
+    return true;
+  const HeadDecision Decision = Callbacks.OnHead(RequestParser->get().base());
+  if (Decision.Owner && Callbacks.Connections != nullptr)
+    Callbacks.Connections->recordOwner(Id, *Decision.Owner);
+  if (Decision.ReceiveBody)
+    return true;
   CallerRequest Request = RequestParser->release();
-  KeepAlive = Request.keep_alive();
-  HeadOnly = Request.method() == http::verb::head;
-  Chunked = Request.version() >= Http11;
+  Request.body() = {};
+  takeRequest(Request);
+  KeepAlive = false; // The next request would follow the rest of this one.
+  discardInput();
   Callbacks.OnRequest(shared_from_this(), std::move(Request));
+  return false;
 }
 
 void CallerSession::setDisconnectHandler(
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -47,8 +47,19 @@
   virtual void handleCallerDisconnect() = 0;
 };
 
+/** What is decided when the head of a request is complete and its body is not.
+ */
+struct HeadDecision {
+  bool ReceiveBody = true; ///< False: answered without the body.
+  std::optional<WorkspaceName>
+      Owner; ///< Whose request it is; empty name: no key is needed.
+};
+
 /** What a listener does with the requests of its sessions. */
 struct SessionCallbacks {
+  /** Decides whether the body of a request is received; null: it always is. A
+   * request without it goes to OnRequest at once, to be answered there. */
+  std::function<HeadDecision(const CallerRequest::header_type &)> OnHead;
   /** Answers a request, now or later. Whatever works on it is kept alive by the
    * session; see setDisconnectHandler(). */
   std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
@@ -134,7 +145,9 @@
   ConnectionPhase phase() const;
   size_t heldBytes() const;
   void report();
+  void takeRequest(CallerRequest &Request);
   void handleRequest();
+  bool decideByHead();
   void finishRequest(bool KeepAlive);
   void send(const std::string &Bytes);
   void flush();
@@ -168,6 +181,7 @@
   bool Closed = false;
   bool KeepAlive = true;     ///< The connection stays open after this request.
   bool HeadDone = false;     ///< The head of the request is complete.
+  bool HeadDecided = false;  ///< OnHead was asked about it.
   bool ContinueSent = false; ///< "100 Continue" was sent.
   bool HeadOnly = false;     ///< The method of the current request is HEAD.
   bool Chunked = true;       ///< The caller supports chunked encoding.
--- a/packages/entry/src/forward/exchange.cpp
+++ b/packages/entry/src/forward/exchange.cpp
@@ -5,6 +5,7 @@
 #include "forward/forward_headers.h"
 #include "forward/header_fields.h"
 #include "forward/log_value.h"
+#include "forward/request_match.h"
 #include "forwarding/caller_age_func.h"
 #include "forwarding/come_back_func.h"
 #include "forwarding/crash_watch_func.h"
@@ -69,7 +70,7 @@
  * @return Whether the request waits.
  */
 bool Exchange::waitUntilReady() {
-  if (isEntryReady() || Shared.RefusingNew ||
+  if (isEntryReady(Shared) || Shared.RefusingNew ||
       Shared.Clock.now() >= std::min(Shared.Fleet.ReadyBy, RequestDeadline) ||
       Shared.ReadinessWaiters.size() >= MaxWaitingForReadiness)
     return false;
@@ -89,15 +90,10 @@
   startForwarding();
 }
 
-/** Says whether this entry has a document and a fresh view of the fleet. */
-bool Exchange::isEntryReady() const {
-  return Shared.Doc != nullptr && Shared.Fleet.Ready;
-}
-
 /** Matches the request to a route and forwards it, or refuses it. */
 void Exchange::startForwarding() {
   Doc = Shared.Doc;
-  if (!findRoute() || !authenticateCaller())
+  if (!findRoute())
     return;
   CallerAge = callerAge(Shared.CallerDeadlines, *RequestRoute,
                         RequestDeadline - ArrivalTime);
@@ -114,37 +110,15 @@
   tryNextServer();
 }
 
-/** Finds the route; if there is none or the entry takes no requests, ends the
- * request. */
+/** Finds the route and the workspace; if the request can't be served, ends it.
+ */
 bool Exchange::findRoute() {
-  if (!isEntryReady()) {
-    endWithError({ErrorKind::StaleView, "no configuration yet", {}}, Ran::No,
-                 "no_configuration");
-    return false;
-  }
-  if (Shared.RefusingNew) {
-    endWithError({ErrorKind::Leaving, "", {}}, Ran::No, "leaving");
-    return false;
-  }
-  RequestRoute = matchRoute(Shared.Index, fieldValue(Incoming, "Host"),
-                            toStringView(Incoming.target()));
-  if (RequestRoute == nullptr) {
-    endWithError({ErrorKind::NotFound, "no route", {}}, Ran::No, "no_route");
-    return false;
-  }
-  return true;
-}
-
-/** Finds the workspace of the caller's key; if a key is required and unknown,
- * ends the request. */
-bool Exchange::authenticateCaller() {
-  if (!Shared.Index.KeysRequired)
-    return true;
-  Owner = matchWorkspace(Shared.Index, fieldValue(Incoming, "Authorization"));
-  if (Owner != nullptr || RequestRoute->Anonymous)
-    return true;
-  endWithError({ErrorKind::Unauthorized, "", {}}, Ran::No, "unknown_key");
-  return false;
+  const RequestMatch Match = matchRequest(Shared, Incoming);
+  RequestRoute = Match.Found;
+  Owner = Match.Owner;
+  if (Match.Refused)
+    endWithError(*Match.Refused, Ran::No, Match.Reason);
+  return !Match.Refused;
 }
 
 /** Computes the request's deadline from the time that the caller says it still
--- a/packages/entry/src/forward/exchange.h
+++ b/packages/entry/src/forward/exchange.h
@@ -64,11 +64,9 @@
     MemoryShare Memory; ///< For its body.
   };
 
-  bool isEntryReady() const;
   bool waitUntilReady();
   void startForwarding();
   bool findRoute();
-  bool authenticateCaller();
   void readDeadline();
   void tryNextServer();
   std::optional<NoServerReason> attemptObstacle(TimePoint Now);
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "forward/exchange.h"
 #include "forward/forward_headers.h"
+#include "forward/request_match.h"
 #include "forward/socket_options.h"
 #include "forward/suspects.h"
 #include "forwarding/caller_age_func.h"
@@ -129,15 +130,30 @@
   return Callbacks;
 }
 
+/** Decides whether the body of a request is received: not if its head rules the
+ * request out. */
+HeadDecision
+Forwarder::decideByHead(const CallerRequest::header_type &Head) const {
+  if (!isEntryReady(Shared))
+    return {}; // It may wait until the entry is ready.
+  const RequestMatch Match = matchRequest(Shared, Head);
+  if (Match.Refused)
+    return {false, std::nullopt};
+  return {true, Match.Owner == nullptr ? WorkspaceName{} : Match.Owner->Name};
+}
+
 bool Forwarder::start() {
   Shared.Fleet.ReadyBy =
       expectedReadyTime(Shared.Clock.now(), Millis(Config.JoinWaitMillis));
+  SessionCallbacks Routes = makeCallbacks([this](const auto &Session,
+                                                 CallerRequest Request) {
+    std::make_shared<Exchange>(Shared, Session, std::move(Request))->start();
+  });
+  Routes.OnHead = [this](const CallerRequest::header_type &Head) {
+    return decideByHead(Head);
+  };
   const bool Listening =
-      listen(Config.RouteListen,
-             makeCallbacks([this](const auto &Session, CallerRequest Request) {
-               std::make_shared<Exchange>(Shared, Session, std::move(Request))
-                   ->start();
-             })) &&
+      listen(Config.RouteListen, std::move(Routes)) &&
       listen(Config.ReadyListen,
              makeCallbacks([this](const auto &Session, const CallerRequest &) {
                answerReadinessCheck(*Session);
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -134,6 +134,7 @@
   SessionCallbacks makeCallbacks(
       std::function<void(const std::shared_ptr<CallerSession> &, CallerRequest)>
           OnRequest);
+  HeadDecision decideByHead(const CallerRequest::header_type &Head) const;
   void answerReadinessCheck(CallerSession &To) const;
   void answerDirectoryRequest(CallerSession &To,
                               const CallerRequest &Request) const;
