entry: receive no bodies at the readiness check and the directory

32 clients with bodies of 4 MiB at the readiness check or the directory took an entry to 140 and 145 MB: both used the limits of requests on routes. No answer there depends on a body, so a request is answered after its head and the rest is dropped.

bodies_elsewhere_test: 140 and 145 MB before; 13 MB now, 2 of 2 runs.

--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -123,6 +123,10 @@
     return refusalAnswer(Why);
   };
   Callbacks.Connections = &Shared.Callers;
+  // No body is needed, but for requests on routes.
+  Callbacks.OnHead = [](const CallerRequest::header_type &) {
+    return HeadDecision{false, std::nullopt};
+  };
   Callbacks.Limits = [this] {
     return Shared.Doc ? Shared.Doc->Limits : CallerLimits{};
   };
