entry: bound the connections of callers, accept those that wait together

Ordinary callers were not accepted for 15 s, until silent connections expired: these had taken all descriptors, which nothing bounded, and accept failed 20 times a second with a line each. With 600 busy clients, a caller waited for seconds to be accepted, since one connection was accepted in each turn of all of them.

A listener accepts up to 64 waiting connections in a turn.

The kernel's receive buffer of a connection is 64 KiB: not reading bounds nothing while the kernel goes on receiving up to 6 MB.

--- a/packages/entry/src/forward/caller_connections.cpp
+++ b/packages/entry/src/forward/caller_connections.cpp
@@ -8,6 +8,7 @@
 #include "forward/caller_session.h"
 #include "log/refusal_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jacinthpond {
@@ -22,10 +23,32 @@
 CallerConnections::add(const std::shared_ptr<CallerSession> &Session) {
   const ConnectionId Id = addConnection(Table, Clock.now());
   Sessions[Id] = Session;
+  closeExcess();
   share();
   return Id;
 }
 
+void CallerConnections::makeRoom() {
+  if (Table.Rows.empty())
+    return;
+  const ConnectionLimits Limits = Table.Limits;
+  Table.Limits.Connections =
+      std::min(Limits.Connections, Table.Rows.size() - 1);
+  closeExcess();
+  Table.Limits = Limits;
+  share();
+}
+
+/** Closes connections above the limit. */
+void CallerConnections::closeExcess() {
+  for (const ConnectionId Id : connectionsOverLimit(Table)) {
+    countRefusal(CallerRefusal::Connections);
+    if (const auto Session = find(Id))
+      Session->closeForOthers();
+    remove(Id);
+  }
+}
+
 void CallerConnections::remove(ConnectionId Id) {
   removeConnection(Table, Id);
   Sessions.erase(Id);
--- a/packages/entry/src/forward/caller_connections.h
+++ b/packages/entry/src/forward/caller_connections.h
@@ -34,6 +34,10 @@
    */
   ConnectionId add(const std::shared_ptr<CallerSession> &Session);
 
+  /** Closes connections although the limit is kept, since no descriptor is
+   * free. */
+  void makeRoom();
+
   /** Removes a closed connection. @param Id The connection. */
   void remove(ConnectionId Id);
 
@@ -70,6 +74,7 @@
   }
 
 private:
+  void closeExcess();
   std::shared_ptr<CallerSession> find(ConnectionId Id) const;
   void share();
 
--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -89,6 +89,8 @@
   setTrafficOptions(Socket);
   if (Callbacks.Connections != nullptr)
     Id = Callbacks.Connections->add(shared_from_this());
+  if (Closed)
+    return;
   resetParser();
   IdleSince = RuntimeClock().now();
   armTimer();
@@ -260,6 +262,18 @@
   }
 }
 
+void CallerSession::closeForOthers() {
+  if (phase() == ConnectionPhase::Receiving) {
+    CallerAnswer Refusal = Callbacks.OnBadRequest(CallerRefusal::Connections);
+    Refusal.keep_alive(false);
+    Refusal.prepare_payload();
+    Error Ignored; // The caller also notices the close.
+    Socket.non_blocking(true, Ignored);
+    Socket.write_some(boost::asio::buffer(messageText(Refusal)), Ignored);
+  }
+  close();
+}
+
 /** What the connection does at the moment. */
 ConnectionPhase CallerSession::phase() const {
   if (Discarding || Closing)
@@ -268,9 +282,8 @@
     return ConnectionPhase::Working;
   if (backlog() > 0)
     return ConnectionPhase::Sending;
-  return Buffer.size() > 0 || RequestParser->is_header_done()
-             ? ConnectionPhase::Receiving
-             : ConnectionPhase::Idle;
+  return Buffer.size() > 0 || HeadDone ? ConnectionPhase::Receiving
+                                       : ConnectionPhase::Idle;
 }
 
 /** Memory that the connection holds. Fields of a head take about as much again
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -126,6 +126,10 @@
    * or closes the connection. */
   void giveWay();
 
+  /** Closes the connection, since others need its descriptor; a request that is
+   * not complete is refused as far as that is possible at once. */
+  void closeForOthers();
+
   /**
    * Size of the data that waits to be sent to the caller.
    * @return Bytes.
--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -34,6 +34,11 @@
 
 /** Maximum connections that the kernel queues until they are accepted. */
 constexpr int ListenBacklog = 1024;
+/** Connections accepted in a turn of a listener. */
+constexpr size_t AcceptBatch = 64;
+/** Size of the kernel's receive buffer of a connection: what the kernel has
+ * received takes memory of the host as well. */
+constexpr int ReceiveBufferBytes = 64 << 10;
 /** Delay before accepting again after a failure, e.g. without descriptors. */
 constexpr Millis AcceptPause{50};
 /** Period of the checks for expired idle connections. */
@@ -200,6 +205,12 @@
   One.Accepting.open(Where->protocol(), ec);
   if (!ec)
     One.Accepting.set_option(Tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    One.Accepting.non_blocking(true, ec);
+  Error Ignored;            // Without it, the connection takes more memory.
+  One.Accepting.set_option( // Accepted sockets inherit it.
+      boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes),
+      Ignored);
   if (!ec)
     One.Accepting.bind(*Where, ec);
   if (!ec)
@@ -218,18 +229,44 @@
   On.Accepting.async_accept([this, &On](const Error &ec, Tcp::socket Socket) {
     if (ec == boost::asio::error::operation_aborted)
       return;
-    if (!ec) {
-      std::make_shared<CallerSession>(std::move(Socket), On.Callbacks)->start();
-      accept(On);
+    if (ec) {
+      pauseAccepting(On, ec);
       return;
     }
+    startSession(On, std::move(Socket));
+    acceptWaiting(On);
+    accept(On);
+  });
+}
+
+/** Accepts connections that wait already. With one at a time, a caller would
+ * wait for as many turns of all connections as there are callers before it. */
+void Forwarder::acceptWaiting(Listener &On) {
+  for (size_t n = 1; n < AcceptBatch; ++n) {
+    Error ec;
+    Tcp::socket Socket(Shared.Io);
+    On.Accepting.accept(Socket, ec);
+    if (ec)
+      return; // Mostly since no more wait; else the next turn fails as well.
+    startSession(On, std::move(Socket));
+  }
+}
+
+void Forwarder::startSession(Listener &On, Tcp::socket Socket) {
+  std::make_shared<CallerSession>(std::move(Socket), On.Callbacks)->start();
+}
+
+/** Frees descriptors if there are none, and accepts again after a pause. */
+void Forwarder::pauseAccepting(Listener &On, const Error &ec) {
+  if (ec == boost::asio::error::no_descriptors)
+    Shared.Callers.makeRoom();
+  else
     logLine(LogPart::Main, LogLevel::Warn,
             "event=accept_failed why=" + ec.message());
-    On.Pause.expires_after(AcceptPause);
-    On.Pause.async_wait([this, &On](const Error &Ended) {
-      if (!Ended)
-        accept(On);
-    });
+  On.Pause.expires_after(AcceptPause);
+  On.Pause.async_wait([this, &On](const Error &Ended) {
+    if (!Ended)
+      accept(On);
   });
 }
 
--- a/packages/entry/src/forward/forwarder.h
+++ b/packages/entry/src/forward/forwarder.h
@@ -128,6 +128,9 @@
   CallerAnswer refusalAnswer(CallerRefusal Why);
   bool listen(const std::string &At, SessionCallbacks Callbacks);
   void accept(Listener &On);
+  void acceptWaiting(Listener &On);
+  static void startSession(Listener &On, boost::asio::ip::tcp::socket Socket);
+  void pauseAccepting(Listener &On, const boost::system::error_code &ec);
   void sweep();
   void watchForStalls();
   void resumeWaitingRequests();
