entry: let pipelined requests wait while answers are not read

24 clients that read none of their 20 pipelined answers of 1 MiB took an entry to 208 MB: each next request was handled as soon as the answer before it was queued, and queued bytes had no bound but for streams. The next request now waits while more than 64 KiB are unread; its time limit begins when it may be handled. A caller that takes nothing for the idle timeout is closed and counted (reason=unread), also if its answer ends the connection. A large answer is queued without the copies of a serialized whole.

--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -29,6 +29,8 @@
 
 /** Bytes of pipelined requests that are buffered while one is handled. */
 constexpr size_t MaxPipelined = 64 << 10;
+/** Unread bytes of answers above which the next pipelined request waits. */
+constexpr size_t MaxUnreadBytes = 64 << 10;
 /** Capacity in bytes that the write buffer of an idle connection may keep. */
 constexpr size_t IdleCapacity = 8 << 10;
 /** Bytes of a head that are counted as such: a read may hold body as well. */
@@ -112,7 +114,8 @@
  * begun, the idle timeout before that. */
 void CallerSession::armTimer() {
   const CallerLimits Limits = Callbacks.Limits();
-  const bool Begun = Buffer.size() > 0 || RequestParser->is_header_done();
+  const bool Begun = !Closing && !hasUnreadAnswers() &&
+                     (Buffer.size() > 0 || RequestParser->is_header_done());
   if (Begun)
     Timer.expires_after(Limits.HeadTimeout);
   else
@@ -133,7 +136,20 @@
   else if (IdleSince + Callbacks.Limits().IdleTimeout > RuntimeClock().now())
     armTimer(); // It was raised, or an answer was still being written.
   else
-    close();
+    closeUnread();
+}
+
+/** Closes a connection on which nothing was read or sent for too long. */
+void CallerSession::closeUnread() {
+  if (backlog() > 0 && Callbacks.Connections != nullptr)
+    Callbacks.Connections->countRefusal(CallerRefusal::Unread);
+  close();
+}
+
+/** Says whether the next request has to wait until the caller has read more of
+ * the answers to the ones before. */
+bool CallerSession::hasUnreadAnswers() const {
+  return backlog() > MaxUnreadBytes;
 }
 
 /** Reads the next bytes, unless too many pipelined ones are buffered. */
@@ -175,7 +191,7 @@
 
 /** Parses the buffered bytes and handles the request once it is complete. */
 void CallerSession::parse() {
-  while (!Busy && !Closing && Buffer.size() > 0) {
+  while (!Busy && !Closing && Buffer.size() > 0 && !hasUnreadAnswers()) {
     Error ec;
     const size_t n = RequestParser->put(Buffer.data(), ec);
     Buffer.consume(n);
@@ -354,9 +370,11 @@
   const bool NoLength = Status == 204 || Status == 304;
   if (!HeadOnly && !NoLength)
     Answer.prepare_payload();
-  if (HeadOnly || NoLength)
-    Answer.body().clear();
+  std::string Body = std::move(Answer.body());
+  Answer.body().clear();
   send(messageText(Answer));
+  if (!HeadOnly && !NoLength)
+    send(std::move(Body));
   finishRequest(Keep);
 }
 
@@ -388,6 +406,10 @@
   if (!Keep) {
     Closing = true;
     RequestBytes = 0;
+    if (!Discarding) {
+      IdleSince = RuntimeClock().now();
+      armTimer();
+    }
     flush();
     report();
     return;
@@ -396,17 +418,26 @@
   IdleSince = RuntimeClock().now();
   armTimer();
   report();
-  // The next request may be buffered already. It is handled later, not inside
-  // the call that ended this one.
+  resumeParsing();
+}
+
+/** Handles a request that is buffered already; later, not inside the call that
+ * ended the one before. */
+void CallerSession::resumeParsing() {
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
-    if (!Self->Busy && !Self->Closed)
-      Self->parse();
+    if (Self->Busy || Self->Closed || Self->Closing)
+      return;
+    Self->armTimer();
+    Self->parse();
   });
 }
 
 /** Queues bytes for the caller. */
-void CallerSession::send(const std::string &Bytes) {
-  Outgoing += Bytes;
+void CallerSession::send(std::string Bytes) {
+  if (Outgoing.empty())
+    Outgoing = std::move(Bytes);
+  else
+    Outgoing += Bytes;
   flush();
 }
 
@@ -439,8 +470,11 @@
 
 /** Counts bytes that the kernel has taken, and goes on with the next ones. */
 void CallerSession::handleWritten(size_t n) {
+  const bool Waited = hasUnreadAnswers();
   IdleSince = RuntimeClock().now();
   Written += n;
+  if (Waited && !hasUnreadAnswers() && !Busy && Buffer.size() > 0)
+    resumeParsing();
   if (Written < Writing.size()) {
     writeMore();
     return;
--- a/packages/entry/src/forward/caller_session.h
+++ b/packages/entry/src/forward/caller_session.h
@@ -153,11 +153,14 @@
   void handleRequest();
   bool decideByHead();
   void finishRequest(bool KeepAlive);
-  void send(const std::string &Bytes);
+  void resumeParsing();
+  void send(std::string Bytes);
   void flush();
   void writeMore();
   void armTimer();
   void handleTimeout(bool Begun);
+  void closeUnread();
+  bool hasUnreadAnswers() const;
   void handleWritten(size_t n);
   void endSending();
   void close();
--- a/tests/unit/caller_session_test.cpp
+++ b/tests/unit/caller_session_test.cpp
@@ -159,6 +159,31 @@
   BOOST_TEST((Took < Millis(1000)));
 }
 
+// Guards against pipelined requests whose answers pile up, since nobody reads
+// them.
+BOOST_AUTO_TEST_CASE(ARequestWaitsUntilTheAnswersBeforeItAreRead) {
+  constexpr size_t BodyBytes = 8 << 20;
+  IdleMillis = 5000;
+  send("/a");
+  send("/b");
+  BOOST_REQUIRE(waitForRequests(1));
+  run([&] { answer(std::string(BodyBytes, 'x')); });
+  std::this_thread::sleep_for(Millis(100));
+  run([&] { BOOST_TEST(Paths.size() == 1U); });
+  readSlowly(BodyBytes, Millis(0));
+  BOOST_TEST(waitForRequests(2));
+}
+
+// Guards against callers that hold an answer for ever without reading it.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsNotReadIsGivenUp) {
+  constexpr size_t BodyBytes = 8 << 20;
+  send("/a");
+  BOOST_REQUIRE(waitForRequests(1));
+  run([&] { answer(std::string(BodyBytes, 'x')); });
+  std::this_thread::sleep_for(Millis(500));
+  BOOST_TEST(readSlowly(2 * BodyBytes, Millis(0)) < BodyBytes);
+}
+
 // Guards against requests that are lost, or run twice, when several are sent
 // before the first is answered.
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreReadInOrder) {
