http: bound the requests at listeners with threads

64 clients with bodies of 1 MiB, incomplete or whole, took an entry to 78 to 81 MB at the administration API or the own interface; the agent has the same listener on 128 MB. The receiver allowed 2,048 connections of 1 MiB, copied a complete request once more, and whole requests that wait for a thread were not bounded at all.

The receiver counts its connections in a table of its own, with the rule of the routes: what a request takes once it is served (the library and, at the own interface, the link to an agent copy it), from its first byte until its answer. Operators have a 32nd of the memory and a 16th of the descriptors, callers of the own interface the share of callers, half of it where routes are served as well. A buffer no longer grows to twice the announced length. Refusals with a time to come back bear Retry-After.

One table for all listeners was weighed: the receiver has its own thread and lock, and would have to close connections of the traffic thread.

--- a/packages/adapters/http/guarded_server.cpp
+++ b/packages/adapters/http/guarded_server.cpp
@@ -119,6 +119,9 @@
   Result.Request.MaxBodyBytes = Limits.MaxBodyBytes;
   Result.ReadTimeout = Limits.ReadTimeout;
   Result.MaxConnections = Limits.MaxConnections;
+  Result.Name = Limits.Name;
+  Result.MaxBytes = Limits.MaxBytes;
+  Result.Copies = Limits.Copies;
   return Result;
 }
 
@@ -151,7 +154,7 @@
 }
 
 bool GuardedServer::process_and_close_socket(socket_t sock) {
-  Receiver->add(sock, "", 0);
+  Receiver->add(sock);
   return true;
 }
 
@@ -161,6 +164,7 @@
   if (ActiveRequests >= MaxActiveRequests) {
     sendRefusal(Pending.Socket,
                 {ErrorKind::Overloaded, "no thread is free", {}});
+    Receiver->release(Pending);
     close(Pending.Socket);
     return;
   }
@@ -180,9 +184,11 @@
       process_request(Stream, LastRequest, Closed, [](httplib::Request &) {});
   ServedSocket = -1;
   if (Success && !Closed && !LastRequest) {
-    Receiver->add(Pending.Socket, std::move(Pending.Rest), Pending.Served + 1);
+    Pending.Request.clear();
+    Receiver->giveBack(std::move(Pending));
     return;
   }
+  Receiver->release(Pending);
   shutdown(Pending.Socket, SHUT_RDWR);
   close(Pending.Socket);
 }
--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -5,6 +5,7 @@
 
 #include "base/error_func.h"
 #include "base/ids_type.h"
+#include "settings/resource_shares_func.h"
 
 #include <httplib.h>
 
@@ -16,21 +17,28 @@
 
 /** Limits of one listener. */
 struct ListenerLimits {
+  std::string Name;              ///< Of the listener, for the log.
   size_t Threads = 8;            ///< Threads that handle requests.
   size_t MaxBodyBytes = 1 << 20; ///< Largest request body.
   Millis ReadTimeout{5000};      ///< Longest time for a whole request.
-  size_t MaxConnections = 2048;  ///< Connections without a complete request.
+  size_t MaxConnections = 2048;  ///< Connections, served ones included.
+  size_t MaxBytes = 64 << 20;    ///< Memory of all requests together.
+  size_t Copies = 2;             ///< Copies of a request while it is served.
   size_t MaxQueued = 256;        ///< Requests that wait for a thread.
 };
 
 /**
  * Gives the limits of a listener for operators and monitoring. It has few
  * connections, and each thread costs memory on small hosts.
+ * @param Shares What the listener may use of the process.
  * @return The limits.
  */
-inline ListenerLimits adminLimits() {
+inline ListenerLimits adminLimits(const ResourceShares &Shares) {
   ListenerLimits Limits;
+  Limits.Name = "admin";
   Limits.Threads = 2;
+  Limits.MaxConnections = Shares.AdministrationConnections;
+  Limits.MaxBytes = Shares.AdministrationBytes;
   return Limits;
 }
 
--- a/packages/adapters/http/request_receiver.cpp
+++ b/packages/adapters/http/request_receiver.cpp
@@ -2,7 +2,10 @@
 
 #include "http/request_receiver.h"
 
+#include "admission/connection_table_func.h"
+#include "admission/refusal_episode_func.h"
 #include "http/http_server.h"
+#include "log/refusal_log.h"
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -32,11 +35,22 @@
   (void)!send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
+/** Gives the Retry-After header of a refusal, in whole seconds rounded up;
+ * empty where coming back does not help. */
+std::string retryAfterField(const Failure &Why) {
+  const Millis After = retryAfter(Why);
+  return After.count() == 0
+             ? ""
+             : "Retry-After: " + std::to_string((After.count() + 999) / 1000) +
+                   "\r\n";
+}
+
 /** Gives the complete HTTP response for a refused request. */
 std::string refusalText(const Failure &Why) {
   const std::string Body = errorBody(Why, Ran::No, {});
   return "HTTP/1.1 " + std::to_string(errorAnswerFor(Why.Kind).HttpStatus) +
-         " Refused\r\nContent-Type: application/json\r\nContent-Length: " +
+         " Refused\r\n" + retryAfterField(Why) +
+         "Content-Type: application/json\r\nContent-Length: " +
          std::to_string(Body.size()) + "\r\nConnection: close\r\n\r\n" + Body;
 }
 
@@ -51,8 +65,10 @@
                                  std::function<void(ReceivedRequest)> Handler)
     : Limits(Bounds), OnRequest(std::move(Handler)),
       Epoll(epoll_create1(EPOLL_CLOEXEC)),
-      Wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
-      Reader([this] { receiveRequests(); }) {}
+      Wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  Table.Limits = {Limits.MaxBytes, Limits.MaxConnections};
+  Reader = std::thread([this] { receiveRequests(); });
+}
 
 RequestReceiver::~RequestReceiver() {
   stop();
@@ -71,51 +87,112 @@
     Reader.join();
   const std::lock_guard Lock(Guard);
   while (!Connections.empty())
-    removeConnection(Connections.begin()->first, true);
+    removeConnection(Connections.begin()->first);
+}
+
+void RequestReceiver::add(int Socket) {
+  const std::lock_guard Lock(Guard);
+  if (Stopped) {
+    close(Socket);
+    return;
+  }
+  const ConnectionId Id = addConnection(Table, now());
+  watch(Socket, Id).Deadline = now() + Limits.ReadTimeout;
+  closeExcessConnections();
 }
 
-void RequestReceiver::add(int Socket, std::string Rest, uint32_t Served) {
+void RequestReceiver::giveBack(ReceivedRequest Answered) {
   std::vector<ReceivedRequest> Complete;
   {
     const std::lock_guard Lock(Guard);
     if (Stopped) {
-      close(Socket);
+      jacinthpond::removeConnection(Table, Answered.Id);
+      close(Answered.Socket);
       return;
     }
-    evictConnectionIfFull();
-    ReceivingConnection &Connection = Connections[Socket];
-    Connection.Buffer = std::move(Rest);
-    Connection.Served = Served;
-    const bool Idle = Served > 0 && Connection.Buffer.empty();
+    ReceivingConnection &Connection = watch(Answered.Socket, Answered.Id);
+    Connection.Buffer = std::move(Answered.Rest);
+    Connection.Served = Answered.Served + 1;
     Connection.Deadline =
-        now() + (Idle ? Limits.IdleTimeout : Limits.ReadTimeout);
-    epoll_event Watch{};
-    Watch.events = EPOLLIN;
-    Watch.data.fd = Socket;
-    epoll_ctl(Epoll, EPOLL_CTL_ADD, Socket, &Watch);
+        now() +
+        (Connection.Buffer.empty() ? Limits.IdleTimeout : Limits.ReadTimeout);
     if (!Connection.Buffer.empty() &&
-        extractRequest(Socket, Connection, Complete))
-      removeConnection(Socket, false);
+        extractRequest(Answered.Socket, Connection, Complete))
+      passOn(Answered.Socket);
+    else
+      count(Answered.Socket);
   }
   for (ReceivedRequest &Delivered : Complete)
     OnRequest(std::move(Delivered));
 }
 
-void RequestReceiver::evictConnectionIfFull() {
-  if (Connections.size() < Limits.MaxConnections)
+void RequestReceiver::release(const ReceivedRequest &Answered) {
+  const std::lock_guard Lock(Guard);
+  jacinthpond::removeConnection(Table, Answered.Id);
+}
+
+ReceivingConnection &RequestReceiver::watch(int Socket, ConnectionId Id) {
+  ReceivingConnection &Connection = Connections[Socket];
+  Connection.Id = Id;
+  Sockets[Id] = Socket;
+  epoll_event Watch{};
+  Watch.events = EPOLLIN;
+  Watch.data.fd = Socket;
+  epoll_ctl(Epoll, EPOLL_CTL_ADD, Socket, &Watch);
+  return Connection;
+}
+
+void RequestReceiver::closeExcessConnections() {
+  for (const ConnectionId Id : connectionsOverLimit(Table)) {
+    countRefusal(CallerRefusal::Connections);
+    removeConnection(Sockets.at(Id));
+  }
+}
+
+void RequestReceiver::count(int Socket) {
+  const auto it = Connections.find(Socket);
+  if (it == Connections.end())
     return;
-  // Otherwise, idle connections up to the limit would keep out callers that
-  // want to send a request.
-  const auto it = std::ranges::min_element(
-      Connections, {}, [](const auto &Row) { return Row.second.Deadline; });
-  removeConnection(it->first, true);
+  const ReceivingConnection &One = it->second;
+  const ConnectionId Id = One.Id;
+  ConnectionPhase Phase = ConnectionPhase::Receiving;
+  if (One.Closing)
+    Phase = ConnectionPhase::Closing;
+  else if (One.Buffer.empty())
+    Phase = ConnectionPhase::Idle;
+  recordConnection(Table, Id, Phase, One.Buffer.capacity() * Limits.Copies,
+                   now());
+  while (const auto Chosen = connectionOverMemory(Table, Id, now())) {
+    countRefusal(CallerRefusal::Memory);
+    const int Full = Sockets.at(*Chosen);
+    refuseRequest(Full, Connections.at(Full), {ErrorKind::HostFull, "", {}});
+  }
+}
+
+void RequestReceiver::countRefusal(CallerRefusal Why) {
+  if (recordRefusal(Episodes, Why, now()))
+    logRefusals(Limits.Name, Why, Table);
+}
+
+void RequestReceiver::logEndedSeries() {
+  for (const auto &[Why, Refused] : endEpisodes(Episodes, now()))
+    logRefusalsEnd(Limits.Name, Why, Refused);
 }
 
-void RequestReceiver::removeConnection(int Socket, bool Close) {
+void RequestReceiver::removeConnection(int Socket) {
+  const auto it = Connections.find(Socket);
+  jacinthpond::removeConnection(Table, it->second.Id);
+  Sockets.erase(it->second.Id);
+  Connections.erase(it);
   epoll_ctl(Epoll, EPOLL_CTL_DEL, Socket, nullptr);
-  Connections.erase(Socket);
-  if (Close)
-    close(Socket);
+  close(Socket);
+}
+
+void RequestReceiver::passOn(int Socket) {
+  const auto it = Connections.find(Socket);
+  epoll_ctl(Epoll, EPOLL_CTL_DEL, Socket, nullptr);
+  Sockets.erase(it->second.Id);
+  Connections.erase(it);
 }
 
 void RequestReceiver::receiveRequests() {
@@ -133,6 +210,7 @@
         readFrom(Ready.at(static_cast<size_t>(i)).data.fd, Complete);
       if (now() >= NextExpiry) {
         expireConnections();
+        logEndedSeries();
         NextExpiry = now() + Millis(ExpiryPeriodMillis);
       }
     }
@@ -163,7 +241,9 @@
     Connection.Deadline = now() + Limits.ReadTimeout;
   Connection.Buffer.append(Buf.data(), static_cast<size_t>(n));
   if (extractRequest(Socket, Connection, Complete))
-    removeConnection(Socket, false);
+    passOn(Socket);
+  else
+    count(Socket);
 }
 
 bool RequestReceiver::extractRequest(int Socket,
@@ -179,11 +259,20 @@
     if (Parsed.ExpectsContinue && Connection.Buffer.size() < Connection.Needed)
       sendText(Socket, "HTTP/1.1 100 Continue\r\n\r\n");
   }
-  if (Connection.Needed == 0 || Connection.Buffer.size() < Connection.Needed)
+  if (Connection.Needed == 0 || Connection.Buffer.size() < Connection.Needed) {
+    // Once half has come, the rest is likely; a string that grows by itself
+    // would take up to twice the size.
+    if (Connection.Buffer.size() > Connection.Needed / 2)
+      Connection.Buffer.reserve(Connection.Needed);
     return false;
-  Complete.push_back({Socket, Connection.Buffer.substr(0, Connection.Needed),
-                      Connection.Buffer.substr(Connection.Needed),
-                      Connection.Served});
+  }
+  std::string Rest = Connection.Buffer.substr(Connection.Needed);
+  Connection.Buffer.resize(Connection.Needed);
+  recordConnection(
+      Table, Connection.Id, ConnectionPhase::Working,
+      (Connection.Buffer.capacity() + Rest.capacity()) * Limits.Copies, now());
+  Complete.push_back({Connection.Id, Socket, std::move(Connection.Buffer),
+                      std::move(Rest), Connection.Served});
   return true;
 }
 
@@ -191,7 +280,7 @@
                                        ReceivingConnection &Connection) {
   if (!Connection.Closing && !Connection.Buffer.empty())
     sendRefusal(Socket, {ErrorKind::BadRequest, "the request is cut off", {}});
-  removeConnection(Socket, true);
+  removeConnection(Socket);
 }
 
 void RequestReceiver::refuseRequest(int Socket, ReceivingConnection &Connection,
@@ -201,7 +290,9 @@
   sendRefusal(Socket, Why);
   Connection.Closing = true;
   Connection.Buffer.clear();
+  Connection.Buffer.shrink_to_fit();
   Connection.Deadline = now() + RefusalReadTimeout;
+  recordConnection(Table, Connection.Id, ConnectionPhase::Closing, 0, now());
 }
 
 void RequestReceiver::expireConnections() {
@@ -212,7 +303,7 @@
   for (const int Socket : Expired) {
     ReceivingConnection &Connection = Connections.at(Socket);
     if (Connection.Closing || Connection.Buffer.empty())
-      removeConnection(Socket, true);
+      removeConnection(Socket);
     else
       refuseRequest(Socket, Connection, {ErrorKind::SlowCaller, "", {}});
   }
--- a/packages/adapters/http/request_receiver.h
+++ b/packages/adapters/http/request_receiver.h
@@ -9,6 +9,8 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_REQUEST_RECEIVER_H
 #define JACINTHPOND_ADAPTERS_HTTP_REQUEST_RECEIVER_H
 
+#include "admission/connection_table_type.h"
+#include "admission/refusal_episode_type.h"
 #include "base/time_type.h"
 #include "http/request_framing.h"
 
@@ -23,14 +25,18 @@
 
 /** Limits of a receiver. */
 struct ReceiverLimits {
+  std::string Name;             ///< Of the listener, for the log.
   FramingLimits Request;        ///< Size limits of one request.
-  size_t MaxConnections = 2048; ///< Connections without a complete request.
+  size_t MaxConnections = 2048; ///< Connections, served ones included.
+  size_t MaxBytes = 64 << 20;   ///< Memory of all requests together.
+  size_t Copies = 1;            ///< Copies of a request while it is served.
   Millis ReadTimeout{5000};     ///< Longest time until a request is complete.
   Millis IdleTimeout{2000};     ///< Longest time between two requests.
 };
 
 /** A connection on which a request is expected or arriving. */
 struct ReceivingConnection {
+  ConnectionId Id;      ///< Its row in the table.
   std::string Buffer;   ///< Bytes of the request so far.
   TimePoint Deadline;   ///< When it is refused or, if idle, closed.
   size_t Needed = 0;    ///< Length of the request; 0: unknown so far.
@@ -40,6 +46,7 @@
 
 /** A complete request with its connection. */
 struct ReceivedRequest {
+  ConnectionId Id;     ///< For RequestReceiver::giveBack() or release().
   int Socket = -1;     ///< The connection; owned by the recipient.
   std::string Request; ///< Head and body.
   std::string Rest;    ///< Bytes received of the next request.
@@ -63,15 +70,27 @@
   RequestReceiver &operator=(const RequestReceiver &) = delete;
 
   /**
-   * Adds a connection, on which the next request is received; thread-safe. A
-   * request that is complete already is passed on at once.
+   * Adds an accepted connection; thread-safe.
    * @param Socket The connection; owned by the receiver from now on.
-   * @param Rest Bytes that were received already.
-   * @param Served Requests served before.
    */
-  void add(int Socket, std::string Rest, uint32_t Served);
+  void add(int Socket);
+
+  /**
+   * Takes a connection back after its request was answered; thread-safe. A next
+   * request that is complete already is passed on at once.
+   * @param Answered The request.
+   */
+  void giveBack(ReceivedRequest Answered);
 
-  /** Ends the thread and closes all connections; add() closes later ones. */
+  /**
+   * Frees what a request was counted for; its recipient closes the connection.
+   * Thread-safe.
+   * @param Answered The request.
+   */
+  void release(const ReceivedRequest &Answered);
+
+  /** Ends the thread and closes all connections; giveBack() closes later ones.
+   */
   void stop();
 
 private:
@@ -92,17 +111,31 @@
   /** Closes idle connections, and refuses requests, that are past their
    * deadline. */
   void expireConnections();
-  /** Closes the connection nearest to its deadline when there are too many. */
-  void evictConnectionIfFull();
-  /** Removes a connection from the receiver, and closes it if asked to. */
-  void removeConnection(int Socket, bool Close);
+  /** Registers a connection and waits for its next request. */
+  ReceivingConnection &watch(int Socket, ConnectionId Id);
+  /** Closes connections when there are too many. */
+  void closeExcessConnections();
+  /** Counts what a connection holds; refuses requests when all hold too much.
+   */
+  void count(int Socket);
+  /** Counts a refusal, and logs the first one of a series. */
+  void countRefusal(CallerRefusal Why);
+  /** Logs the series of refusals that have ended. */
+  void logEndedSeries();
+  /** Removes and closes a connection. */
+  void removeConnection(int Socket);
+  /** Stops watching a connection whose request is complete. */
+  void passOn(int Socket);
 
   const ReceiverLimits Limits;
   const std::function<void(ReceivedRequest)> OnRequest;
   int Epoll = -1;   ///< Epoll instance that watches the sockets.
   int Wake = -1;    ///< Eventfd that interrupts the wait of the thread.
-  std::mutex Guard; ///< Guards Connections and Stopped.
+  std::mutex Guard; ///< Guards the members that follow.
   std::map<int, ReceivingConnection> Connections; ///< By socket.
+  std::map<ConnectionId, int> Sockets;            ///< Of the connections.
+  ConnectionTable Table; ///< Connections, served ones included.
+  RefusalEpisodes Episodes{};
   bool Stopped = false;
   std::thread Reader;
 };
--- a/packages/agent/src/agent_admin.cpp
+++ b/packages/agent/src/agent_admin.cpp
@@ -5,6 +5,8 @@
 #include "agent_metrics.h"
 #include "configuration/config_view_func.h"
 #include "http/guarded_server.h"
+#include "settings/resource_shares_func.h"
+#include "threads/process.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +33,8 @@
 
 AgentAdmin::AgentAdmin(const Settings &Config, AgentShell &Agent)
     : ListenAddress(Config.AdminListen), Agent(Agent),
-      Server(std::make_unique<GuardedServer>(adminLimits())) {
+      Server(std::make_unique<GuardedServer>(
+          adminLimits(resourceShares(Config, descriptorLimit())))) {
   Server->Get("/v1/health", [this](const auto &, auto &Answer) {
     Json Body;
     this->Agent.inspect(
--- a/packages/core/src/settings/resource_shares.cpp
+++ b/packages/core/src/settings/resource_shares.cpp
@@ -40,6 +40,11 @@
   Shares.CallerConnections = Descriptors / CallerConnectionDivisor;
   Shares.AdministrationConnections =
       Descriptors / AdministrationConnectionDivisor;
+  if (!Config.CallerListen.empty() && !Config.RouteListen.empty()) {
+    // Each of the two listeners counts on its own.
+    Shares.CallerBytes /= 2;
+    Shares.CallerConnections /= 2;
+  }
   return Shares;
 }
 
--- a/packages/entry/src/admin_api.cpp
+++ b/packages/entry/src/admin_api.cpp
@@ -10,9 +10,11 @@
 #include "http/guarded_server.h"
 #include "log/log.h"
 #include "membership/join_func.h"
+#include "settings/resource_shares_func.h"
 #include "status/status_func.h"
 #include "status/team_access_func.h"
 #include "status_json.h"
+#include "threads/process.h"
 #include "weights_health.h"
 
 #include <nlohmann/json.hpp>
@@ -83,7 +85,8 @@
 
 AdminApi::AdminApi(const Settings &Config, EntryShell &Shell)
     : ListenAddress(Config.AdminListen), Shell(Shell),
-      Server(std::make_unique<GuardedServer>(adminLimits())) {
+      Server(std::make_unique<GuardedServer>(
+          adminLimits(resourceShares(Config, descriptorLimit())))) {
   addPublicPaths();
   addStatusPath("/v1/status", statusJson, false);
   addStatusPath("/v1/domains", domainsJson, false);
--- a/packages/entry/src/caller_api.cpp
+++ b/packages/entry/src/caller_api.cpp
@@ -9,6 +9,7 @@
 #include "http/guarded_server.h"
 #include "log/log.h"
 #include "routing/entry_addresses_func.h"
+#include "settings/resource_shares_func.h"
 #include "threads/process.h"
 
 #include <nlohmann/json.hpp>
@@ -361,9 +362,18 @@
 
 namespace {
 
+/** Copies of a request while it is served: as received, as the library, the
+ * control thread and the link to the agent have it. */
+constexpr size_t RequestCopies = 4;
+
 /** Returns the limits of the listener according to the settings. */
 ListenerLimits listenerLimits(const Settings &Config) {
+  const ResourceShares Shares = resourceShares(Config, descriptorLimit());
   ListenerLimits Limits;
+  Limits.Name = "callers";
+  Limits.MaxConnections = Shares.CallerConnections;
+  Limits.MaxBytes = Shares.CallerBytes;
+  Limits.Copies = RequestCopies;
   Limits.Threads = static_cast<size_t>(Config.CallerThreads);
   Limits.MaxBodyBytes = static_cast<size_t>(Config.MaxBodyBytes);
   Limits.ReadTimeout = Millis(Config.CallerReadMillis);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -14,7 +14,7 @@
 BOOST_AUTO_TEST_CASE(AListenerEndsRightAfterItsStart) {
   constexpr int Rounds = 10;
   for (int n = 0; n < Rounds; ++n) {
-    GuardedServer Server(adminLimits());
+    GuardedServer Server(adminLimits(ResourceShares{}));
     std::thread Accepting;
     BOOST_REQUIRE(!startServer(Server, "127.0.0.1:0", Accepting).empty());
     Server.drainAndStop(Accepting);
