websocket: accept only small frames before the hello

24 clients that open a link and send a frame of 8 MiB but for its last byte took an entry and an agent to 204 MB each: a link may carry a chunk of weights from its first frame on, and the number of accepted links was not bounded. A link now carries frames of 64 KiB until its hello has been read; a hello has a few hundred bytes. A sixteenth of the descriptors may be accepted links without a hello; above that the oldest is closed, since peers say who they are at once.

A peer that forges a hello may still send large frames: links are not authenticated.

--- a/packages/adapters/websocket/peer_links.h
+++ b/packages/adapters/websocket/peer_links.h
@@ -19,20 +19,26 @@
   std::function<void(LinkId, Failure)> OnUnreadable; ///< A frame is no message.
 };
 
+/** Accepted links without a hello at a time, unless told otherwise. */
+constexpr size_t DefaultUnidentified = 256;
+
 /** Opens and accepts links that carry messages. */
 class PeerLinks final : public PeerPort {
 public:
   /**
    * Starts the network thread.
    * @param Handlers Called for each event of a link.
+   * @param MaxUnidentified Most accepted links without a hello.
    */
-  explicit PeerLinks(LinkCallbacks Handlers)
+  explicit PeerLinks(LinkCallbacks Handlers,
+                     size_t MaxUnidentified = DefaultUnidentified)
       : Callbacks(std::move(Handlers)),
         Node({[this](uint64_t n) { Callbacks.OnOpen(LinkId{n}); },
               [this](uint64_t n) { Callbacks.OnClose(LinkId{n}); },
               [this](uint64_t n, const std::string &Bytes) {
                 handleFrame(n, Bytes);
-              }}) {}
+              }},
+             MaxUnidentified) {}
 
   /**
    * Listens for links of other processes.
@@ -71,6 +77,8 @@
   /** Decodes a frame and passes the message, or the failure, on. */
   void handleFrame(uint64_t n, const std::string &Bytes) {
     auto Read = outcomeOf([&] { return decodeMessage(Bytes); });
+    if (Read.Value && std::holds_alternative<Hello>(*Read.Value))
+      Node.identify(n);
     if (Read.Value)
       Callbacks.OnMessage(LinkId{n}, std::move(*Read.Value));
     else
--- a/packages/adapters/websocket/peer_node.cpp
+++ b/packages/adapters/websocket/peer_node.cpp
@@ -19,6 +19,8 @@
 
 /** Largest frame that is received: a chunk of 8 MiB with its envelope. */
 constexpr size_t MaxFrameBytes = (8U << 20U) + 65536;
+/** Largest frame before a peer has said who it is. */
+constexpr size_t MaxFirstFrameBytes = 64U << 10U;
 /** Number of the first accepted link; must equal FirstAcceptedLink. */
 constexpr uint64_t FirstAccepted = uint64_t{1} << 32U;
 /** Longest time for connecting and the websocket handshake, in milliseconds. */
@@ -68,8 +70,8 @@
 
 /** Websocketpp endpoints, links and network thread of a PeerNode. */
 struct PeerNode::Impl {
-  explicit Impl(PeerCallbacks Handlers)
-      : Callbacks(std::move(Handlers)),
+  Impl(PeerCallbacks Handlers, size_t MaxUnidentified)
+      : Callbacks(std::move(Handlers)), MaxUnidentified(MaxUnidentified),
         KeepRunning(boost::asio::make_work_guard(Io)) {
     configureEndpoint(Acceptor);
     configureEndpoint(Connector);
@@ -79,10 +81,30 @@
     Connector.init_asio(&Io);
     Connector.set_tcp_post_init_handler(
         [this](const Handle &Link) { disableNagle(Connector, Link); });
-    Acceptor.set_tcp_post_init_handler(
-        [this](const Handle &Link) { disableNagle(Acceptor, Link); });
-    Acceptor.set_open_handler(
-        [this](const Handle &Link) { registerAccepted(Link); });
+    Acceptor.set_tcp_post_init_handler([this](const Handle &Link) {
+      disableNagle(Acceptor, Link);
+      admitConnection(Link);
+    });
+  }
+
+  /** Numbers an accepted connection; when too many have not said who they are,
+   * closes the oldest of them: a peer says so at once. */
+  void admitConnection(const Handle &Link) {
+    websocketpp::lib::error_code ec;
+    const auto Connection = Acceptor.get_con_from_hdl(Link, ec);
+    if (ec)
+      return;
+    const uint64_t n = NextAccepted++;
+    Connection->set_max_message_size(MaxFirstFrameBytes);
+    Connection->set_open_handler(
+        [this, n](const Handle &Opened) { registerAccepted(Opened, n); });
+    Connection->set_fail_handler(
+        [this, n](const Handle &) { Unidentified.erase(n); });
+    Unidentified[n] = Connection;
+    while (Unidentified.size() > MaxUnidentified) {
+      const auto Oldest = Unidentified.extract(Unidentified.begin());
+      closeSocket(Oldest.mapped());
+    }
   }
 
   /** Disables Nagle's algorithm on a link: small frames leave at once. */
@@ -97,16 +119,14 @@
         boost::asio::ip::tcp::no_delay(true), Ignored);
   }
 
-  /** Numbers an accepted link, sets its handlers and reports it as open. */
-  void registerAccepted(const Handle &Link) {
+  /** Sets the handlers of an accepted link and reports it as open. */
+  void registerAccepted(const Handle &Link, uint64_t n) {
     websocketpp::lib::error_code ec;
     const auto Connection = Acceptor.get_con_from_hdl(Link, ec);
     if (ec)
       return;
-    uint64_t n = 0;
     {
       const std::lock_guard Lock(Guard);
-      n = NextAccepted++;
       Accepted[n] = Connection;
     }
     Connection->set_message_handler(
@@ -130,6 +150,7 @@
   /** Forgets a link that closed or failed, and reports it unless close() was
    * called for it before. */
   void handleClosed(uint64_t n) {
+    Unidentified.erase(n);
     {
       const std::lock_guard Lock(Guard);
       if (Accepted.erase(n) + Opened.erase(n) == 0)
@@ -188,20 +209,24 @@
   }
 
   PeerCallbacks Callbacks;
+  const size_t MaxUnidentified; ///< Most accepted links of unknown peers.
   boost::asio::io_context Io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       KeepRunning;
   Server Acceptor;
   Client Connector;
-  std::mutex Guard; ///< Guards Accepted, Opened and NextAccepted.
+  std::mutex Guard; ///< Guards Accepted and Opened.
   std::map<uint64_t, Server::connection_ptr> Accepted; ///< By link number.
   std::map<uint64_t, Client::connection_ptr> Opened;   ///< By link number.
+  // Used by the network thread only.
   uint64_t NextAccepted = FirstAccepted;
+  std::map<uint64_t, Server::connection_ptr>
+      Unidentified; ///< Accepted ones whose peer is not known, by number.
   std::thread Network;
 };
 
-PeerNode::PeerNode(PeerCallbacks Handlers)
-    : Inner(std::make_unique<Impl>(std::move(Handlers))) {
+PeerNode::PeerNode(PeerCallbacks Handlers, size_t MaxUnidentified)
+    : Inner(std::make_unique<Impl>(std::move(Handlers), MaxUnidentified)) {
   Inner->Network = std::thread([this] {
     for (;;) {
       try {
@@ -234,6 +259,14 @@
   return Host + ":" + std::to_string(Local.port());
 }
 
+void PeerNode::identify(uint64_t Link) {
+  const auto it = Inner->Unidentified.find(Link);
+  if (it == Inner->Unidentified.end())
+    return;
+  it->second->set_max_message_size(MaxFrameBytes);
+  Inner->Unidentified.erase(it);
+}
+
 void PeerNode::open(uint64_t Link, const std::string &To) {
   Inner->open(Link, To);
 }
--- a/packages/adapters/websocket/peer_node.h
+++ b/packages/adapters/websocket/peer_node.h
@@ -8,6 +8,7 @@
 #ifndef JACINTHPOND_ADAPTERS_WEBSOCKET_PEER_NODE_H
 #define JACINTHPOND_ADAPTERS_WEBSOCKET_PEER_NODE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,8 +29,10 @@
   /**
    * Starts the network thread.
    * @param Handlers Called for each event of a link.
+   * @param MaxUnidentified Most accepted links whose peers are not known; see
+   *                        identify().
    */
-  explicit PeerNode(PeerCallbacks Handlers);
+  PeerNode(PeerCallbacks Handlers, size_t MaxUnidentified);
   /** Stops the network thread and closes all links; queued frames are lost. */
   ~PeerNode();
   PeerNode(const PeerNode &) = delete;
@@ -42,6 +45,13 @@
    */
   std::string listen(const std::string &ListenAddress);
 
+  /**
+   * Says that the peer of a link is known. Accepted links carry only small
+   * frames before that. Called on the network thread, in a callback.
+   * @param Link The link.
+   */
+  void identify(uint64_t Link);
+
   /**
    * Opens a link; OnOpen or OnClose follows.
    * @param Link Number of the new link.
--- a/packages/agent/src/agent_shell.cpp
+++ b/packages/agent/src/agent_shell.cpp
@@ -7,6 +7,7 @@
 #include "base/overloaded.h"
 #include "log/log.h"
 #include "membership/departure_func.h"
+#include "settings/resource_shares_func.h"
 #include "settings/settings_func.h"
 #include "threads/process.h"
 #include "weights/transfer_func.h"
@@ -95,7 +96,8 @@
                post([this, Link](TimePoint Now, Effects &) {
                  handleAgentLinkClosed(State, Link, Now);
                });
-             }}) {}
+             }},
+            resourceShares(Config, descriptorLimit()).UnidentifiedLinks) {}
 
 AgentShell::~AgentShell() {
   Ending = true;
--- a/packages/core/src/settings/resource_shares.cpp
+++ b/packages/core/src/settings/resource_shares.cpp
@@ -23,6 +23,8 @@
  * descriptors. */
 constexpr size_t CallerConnectionDivisor = 2;
 constexpr size_t AdministrationConnectionDivisor = 16;
+/** Peers say who they are at once. */
+constexpr size_t UnidentifiedLinkDivisor = 16;
 
 } // namespace
 
@@ -38,6 +40,7 @@
                Memory / AnswerDivisor);
   Shares.AdministrationBytes = Memory / AdministrationDivisor;
   Shares.CallerConnections = Descriptors / CallerConnectionDivisor;
+  Shares.UnidentifiedLinks = Descriptors / UnidentifiedLinkDivisor;
   Shares.AdministrationConnections =
       Descriptors / AdministrationConnectionDivisor;
   if (!Config.CallerListen.empty() && !Config.RouteListen.empty()) {
--- a/packages/core/src/settings/resource_shares_func.h
+++ b/packages/core/src/settings/resource_shares_func.h
@@ -16,6 +16,7 @@
   size_t AnswerBytes = 0;               ///< For answers that are not complete.
   size_t AdministrationBytes = 0;       ///< For connections of operators.
   size_t CallerConnections = 0;         ///< Connections of callers.
+  size_t UnidentifiedLinks = 0;         ///< Accepted links without a hello.
   size_t AdministrationConnections = 0; ///< Connections of operators.
 };
 
--- a/packages/entry/src/entry_shell.cpp
+++ b/packages/entry/src/entry_shell.cpp
@@ -6,6 +6,7 @@
 #include "base/overloaded.h"
 #include "configuration/reader_rank_func.h"
 #include "log/log.h"
+#include "settings/resource_shares_func.h"
 #include "settings/settings_func.h"
 #include "threads/process.h"
 
@@ -86,7 +87,8 @@
                post([this, Link](TimePoint Now, Effects &Out) {
                  handleEntryLinkClosed(State, Link, Now, Out);
                });
-             }}) {
+             }},
+            resourceShares(Config, descriptorLimit()).UnidentifiedLinks) {
   if (Routes != nullptr)
     Routes->setSenders(
         [this](LinkId Link, const Message &m) { Links.send(Link, m); },
