--- a/packages/entry/src/forward/caller_session.cpp
+++ b/packages/entry/src/forward/caller_session.cpp
@@ -95,6 +95,7 @@
     return;
   resetParser();
   IdleSince = RuntimeClock().now();
+  report();
   armTimer();
   readMore();
 }
@@ -425,10 +426,8 @@
  * ended the one before. */
 void CallerSession::resumeParsing() {
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
-    if (Self->Busy || Self->Closed || Self->Closing)
-      return;
-    Self->armTimer();
-    Self->parse();
+    if (!Self->Busy && !Self->Closed && !Self->Closing)
+      Self->parse();
   });
 }
 
@@ -473,8 +472,10 @@
   const bool Waited = hasUnreadAnswers();
   IdleSince = RuntimeClock().now();
   Written += n;
-  if (Waited && !hasUnreadAnswers() && !Busy && Buffer.size() > 0)
+  if (Waited && !hasUnreadAnswers() && !Busy && Buffer.size() > 0) {
+    armTimer();
     resumeParsing();
+  }
   if (Written < Writing.size()) {
     writeMore();
     return;
