--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -5,11 +5,11 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "forward/append_reader.h"
 #include "forward/request_body.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -103,36 +103,12 @@
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
 
-/** A body that is taken over part by part. Unlike the library's string body it
- * reserves no memory for the announced length, which may be any number. */
+/** A body that is taken over part by part. */
 struct PartBody {
   using value_type = std::string; ///< What has come and was not taken over.
 
   /** Receives the parsed parts; the parser calls it. */
-  class reader { // NOLINT(readability-identifier-naming): the library's name.
-  public:
-    template <bool IsRequest, class Fields>
-    reader(boost::beast::http::header<IsRequest, Fields> &, value_type &Into)
-        : Into(Into) {}
-    void init(const boost::optional<uint64_t> &,
-              boost::system::error_code &ec) {
-      ec = {};
-    }
-    template <class Buffers>
-    size_t put(const Buffers &Parts, boost::system::error_code &ec) {
-      ec = {};
-      size_t n = 0;
-      for (const auto Part : boost::beast::buffers_range_ref(Parts)) {
-        Into.append(static_cast<const char *>(Part.data()), Part.size());
-        n += Part.size();
-      }
-      return n;
-    }
-    void finish(boost::system::error_code &ec) { ec = {}; }
-
-  private:
-    value_type &Into;
-  };
+  using reader = AppendReader<value_type>; // NOLINT: the library's name.
 };
 
 /** Receives the response of a call, on the traffic thread. */
--- a/packages/entry/src/forward/request_body.h
+++ b/packages/entry/src/forward/request_body.h
@@ -3,9 +3,9 @@
 #ifndef JACINTHPOND_ENTRY_FORWARD_REQUEST_BODY_H
 #define JACINTHPOND_ENTRY_FORWARD_REQUEST_BODY_H
 
+#include "forward/append_reader.h"
+
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/core/buffers_range.hpp>
-#include <boost/beast/http/message.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -74,8 +74,7 @@
   size_t Allocated = 0;
 };
 
-/** Body type of the HTTP library for BodyBlocks. It reserves no memory for the
- * announced length, which may never come. */
+/** Body type of the HTTP library for BodyBlocks. */
 struct BlockBody {
   using value_type = BodyBlocks; ///< What has been received.
 
@@ -83,30 +82,7 @@
   static uint64_t size(const value_type &Body) { return Body.size(); }
 
   /** Receives the parsed parts; the parser calls it. */
-  class reader { // NOLINT(readability-identifier-naming): the library's name.
-  public:
-    template <bool IsRequest, class Fields>
-    reader(boost::beast::http::header<IsRequest, Fields> &, value_type &Into)
-        : Into(Into) {}
-    void init(const boost::optional<uint64_t> &,
-              boost::system::error_code &ec) {
-      ec = {};
-    }
-    template <class Buffers>
-    size_t put(const Buffers &Parts, boost::system::error_code &ec) {
-      ec = {};
-      size_t n = 0;
-      for (const auto Part : boost::beast::buffers_range_ref(Parts)) {
-        Into.append({static_cast<const char *>(Part.data()), Part.size()});
-        n += Part.size();
-      }
-      return n;
-    }
-    void finish(boost::system::error_code &ec) { ec = {}; }
-
-  private:
-    value_type &Into;
-  };
+  using reader = AppendReader<value_type>; // NOLINT: the library's name.
 };
 
 } // namespace jacinthpond
--- a/tests/integration/admin_bodies_test.cpp
+++ b/tests/integration/admin_bodies_test.cpp
@@ -57,7 +57,7 @@
       All.address("entry-0", "callers"), Clients,
       lengthScript(postHead("/v1/classes/reports/requests"), OwnMaxBody));
   Many.play();
-  const size_t Peak = peakMemory(All.pidOf("entry-0"));
+  const size_t Peak = peakMegabytes(All.pidOf("entry-0"));
   BOOST_TEST_MESSAGE("own interface: peak " << Peak << " MB");
   BOOST_TEST(Peak > 0U);
   BOOST_TEST(Peak < MachineMemory);
--- a/tests/integration/crowd.h
+++ b/tests/integration/crowd.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_TESTS_INTEGRATION_CROWD_H
 
 #include "fleet/route_fleet.h"
+#include "process_memory.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -144,15 +145,6 @@
   std::vector<Client> All;
 };
 
-/** Peak memory of a process so far, in MB. */
-inline size_t peakMemory(int Pid) {
-  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
-  for (std::string Line; std::getline(Status, Line);)
-    if (Line.starts_with("VmHWM:"))
-      return std::stoul(Line.substr(6)) / 1024;
-  return 0;
-}
-
 /** Descriptors that a process has open. */
 inline size_t openDescriptors(int Pid) {
   std::error_code ec;
@@ -234,7 +226,7 @@
   void checkMemory(const std::string &What,
                    const std::string &Name = "entry-0") const {
     BOOST_TEST(!process(Name).waitExit(0ms).has_value(), What);
-    const size_t Peak = peakMemory(process(Name).pid());
+    const size_t Peak = peakMegabytes(process(Name).pid());
     BOOST_TEST_MESSAGE(What << ": peak " << Peak << " MB");
     BOOST_TEST(Peak > 0U, What);
     BOOST_TEST(Peak < MachineMemory, What << ": " << Peak << " MB");
--- a/tests/integration/flood_server.h
+++ b/tests/integration/flood_server.h
@@ -4,6 +4,7 @@
 #define JACINTHPOND_TESTS_INTEGRATION_FLOOD_SERVER_H
 
 #include "fleet/route_fleet.h"
+#include "process_memory.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -144,15 +145,6 @@
   };
 }
 
-/** Peak memory of a process so far, in MB. */
-inline size_t peakMegabytes(int Pid) {
-  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
-  for (std::string Line; std::getline(Status, Line);)
-    if (Line.starts_with("VmHWM:"))
-      return std::stoul(Line.substr(6)) / 1024;
-  return 0;
-}
-
 /** One entry before a sound server and one that floods. */
 struct FloodedEntry {
   FloodedEntry() {
