entry: accept waiting connections in proportion to the open ones

A turn now accepts one connection and one more for each 32 that are open: as many as the turn of all connections takes time.

--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -34,8 +34,8 @@
 
 /** Maximum connections that the kernel queues until they are accepted. */
 constexpr int ListenBacklog = 1024;
-/** Connections accepted in a turn of a listener. */
-constexpr size_t AcceptBatch = 64;
+/** Open connections for each further one that a listener accepts in a turn. */
+constexpr size_t OpenPerAccepted = 32;
 /** Size of the kernel's receive buffer of a connection: what the kernel has
  * received takes memory of the host as well. */
 constexpr int ReceiveBufferBytes = 64 << 10;
@@ -239,10 +239,13 @@
   });
 }
 
-/** Accepts connections that wait already. With one at a time, a caller would
- * wait for as many turns of all connections as there are callers before it. */
+/** Accepts connections that wait already, as many as a turn of all connections
+ * takes time: with one at a time, a caller would wait for as many turns as
+ * there are callers before it. All at a time, a burst of callers would reach
+ * the back ends at once, and more of them would be refused. */
 void Forwarder::acceptWaiting(Listener &On) {
-  for (size_t n = 1; n < AcceptBatch; ++n) {
+  const size_t Further = Shared.Callers.count() / OpenPerAccepted;
+  for (size_t n = 0; n < Further; ++n) {
     Error ec;
     Tcp::socket Socket(Shared.Io);
     On.Accepting.accept(Socket, ec);
