--- a/packages/core/src/settings/resource_shares.cpp
+++ b/packages/core/src/settings/resource_shares.cpp
@@ -12,9 +12,9 @@
 constexpr size_t Megabyte = 1 << 20;
 /** Memory of a process without any request, and for what no share counts. */
 constexpr size_t OwnBytes = 16 * Megabyte;
-/** Share of callers in the rest, in 32nds: with 260 MB, 37 requests of 4 MiB at
+/** Share of callers in the rest, in 32nds: with 256 MB, 37 requests of 4 MiB at
  * a time fit. */
-constexpr size_t CallerParts = 21;
+constexpr size_t CallerParts = 22;
 constexpr size_t Parts = 32;
 /** Answers have a quarter of the memory at most, operators a 32nd. */
 constexpr size_t AnswerDivisor = 4;
--- a/packages/entry/src/forward/append_reader.h
+++ b/packages/entry/src/forward/append_reader.h
@@ -15,15 +15,19 @@
  * Reader of a body type of the HTTP library that appends each part to a value.
  * Unlike the one of the library's string body it reserves no memory for the
  * announced length, which may be any number.
- * @tparam Value Has append(std::string_view).
+ * @tparam Value Has append(std::string_view), and may have expect(uint64_t) to
+ *               be told the announced length.
  */
 template <typename Value> class AppendReader {
 public:
   template <bool IsRequest, class Fields>
   AppendReader(boost::beast::http::header<IsRequest, Fields> &, Value &Into)
       : Into(Into) {}
-  void init(const boost::optional<uint64_t> &, boost::system::error_code &ec) {
+  void init(const boost::optional<uint64_t> &Length,
+            boost::system::error_code &ec) {
     ec = {};
+    if constexpr (requires { Into.expect(uint64_t{}); })
+      Into.expect(Length.value_or(0));
   }
   template <class Buffers>
   size_t put(const Buffers &Parts, boost::system::error_code &ec) {
--- a/packages/entry/src/forward/request_body.h
+++ b/packages/entry/src/forward/request_body.h
@@ -35,6 +35,13 @@
     }
   }
 
+  /**
+   * Says how long the body will be; then its last block is not larger than what
+   * is missing. Nothing is reserved.
+   * @param Bytes The announced length.
+   */
+  void expect(uint64_t Bytes) { Expected = Bytes; }
+
   /** Number of bytes. @return Bytes. */
   size_t size() const { return Size; }
 
@@ -63,8 +70,9 @@
   /** Adds an empty block; small bodies get one of their size. */
   void addBlock(size_t Wanted) {
     const size_t Smallest = Blocks.empty() ? 0 : MinBlockBytes;
-    const size_t n =
-        std::min(std::max({Wanted, Size, Smallest}), MaxBlockBytes);
+    size_t n = std::min(std::max({Wanted, Size, Smallest}), MaxBlockBytes);
+    if (Expected > Size)
+      n = static_cast<size_t>(std::min<uint64_t>(n, Expected - Size));
     Blocks.emplace_back().reserve(n);
     Allocated += Blocks.back().capacity();
   }
@@ -72,6 +80,7 @@
   std::vector<std::string> Blocks;
   size_t Size = 0;
   size_t Allocated = 0;
+  uint64_t Expected = 0; ///< Announced length; 0: unknown.
 };
 
 /** Body type of the HTTP library for BodyBlocks. */
--- a/tests/unit/resource_shares_test.cpp
+++ b/tests/unit/resource_shares_test.cpp
@@ -39,10 +39,13 @@
 BOOST_AUTO_TEST_CASE(TheClientsOfAFrontMachineFit) {
   constexpr size_t Clients = 37;
   constexpr size_t EachBytes = (4 << 20) + (160 << 10);
-  const ResourceShares Found = resourceShares(machine(260, 4100), NoLimit);
-  BOOST_TEST(Clients * EachBytes <
-             Found.CallerBytes - Found.CallerBytes / SmallReserveParts);
-  BOOST_TEST(Found.CallerConnections == 2050U);
+  for (const int64_t Size : {256, 260}) {
+    const ResourceShares Found = resourceShares(machine(Size, 4100), NoLimit);
+    BOOST_TEST(Clients * EachBytes <
+                   Found.CallerBytes - Found.CallerBytes / SmallReserveParts,
+               Size);
+    BOOST_TEST(Found.CallerConnections == 2050U);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(TheLowerLimitOfDescriptorsCounts) {
