--- a/packages/entry/src/forward/forwarder.cpp
+++ b/packages/entry/src/forward/forwarder.cpp
@@ -207,8 +207,9 @@
     One.Accepting.set_option(Tcp::acceptor::reuse_address(true), ec);
   if (!ec)
     One.Accepting.non_blocking(true, ec);
-  Error Ignored;            // Without it, the connection takes more memory.
-  One.Accepting.set_option( // Accepted sockets inherit it.
+  // Accepted sockets inherit it. Without it, they only take more memory.
+  Error Ignored;
+  One.Accepting.set_option(
       boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes),
       Ignored);
   if (!ec)
--- a/tests/integration/crowd.h
+++ b/tests/integration/crowd.h
@@ -222,6 +222,13 @@
     return All->process(Name);
   }
 
+  /** Bounds the descriptors of the entry, as its machine does. */
+  void limitDescriptors() const {
+    const rlimit Limit{MachineDescriptors, MachineDescriptors};
+    BOOST_REQUIRE(prlimit(process().pid(), RLIMIT_NOFILE, &Limit, nullptr) ==
+                  0);
+  }
+
   /** Checks that a process lives on with the memory of its machine. */
   void checkMemory(const std::string &What,
                    const std::string &Name = "entry-0") const {
--- a/tests/integration/silent_connections_test.cpp
+++ b/tests/integration/silent_connections_test.cpp
@@ -10,16 +10,9 @@
 /** More than the process may open. */
 constexpr size_t Clients = 400;
 
-/** Bounds the descriptors of the entry, as its machine does. */
-void limitDescriptors(const CrowdedEntry &One) {
-  const rlimit Limit{MachineDescriptors, MachineDescriptors};
-  BOOST_REQUIRE(prlimit(One.process().pid(), RLIMIT_NOFILE, &Limit, nullptr) ==
-                0);
-}
-
 void checkCrowd(const std::string &Listener, const Script &What) {
   const CrowdedEntry One;
-  limitDescriptors(One);
+  One.limitDescriptors();
   auto Many = std::make_unique<Crowd>(One.address(Listener), Clients, What);
   Many->play();
   // The connections of the crowd stay open meanwhile.
--- a/tests/integration/unknown_peers_test.cpp
+++ b/tests/integration/unknown_peers_test.cpp
@@ -44,3 +44,15 @@
   }
   One.checkServed("afterwards");
 }
+
+// Guards against connections to the links' listener that take all descriptors
+// without a byte.
+BOOST_AUTO_TEST_CASE(SilentConnectionsBeforeTheHello) {
+  const CrowdedEntry One;
+  One.limitDescriptors();
+  Crowd Many(One.address("peers"), 400, {"nothing", {}, {}, 0, {}});
+  Many.play();
+  One.checkServed("silent peers");
+  BOOST_TEST(openDescriptors(One.process().pid()) < MachineDescriptors);
+  One.checkMemory("silent peers");
+}
--- a/tests/unit/caller_session_test.cpp
+++ b/tests/unit/caller_session_test.cpp
@@ -28,6 +28,7 @@
                                  const CallerRequest &Request) {
       Paths.emplace_back(Request.target());
       Open = Session;
+      Last = Session;
       if (AnswerAtOnce)
         answer("done");
     };
@@ -96,6 +97,18 @@
     return false;
   }
 
+  /** Waits until the session has closed its connection. */
+  bool waitForClose() {
+    for (int n = 0; n < 2000; ++n) {
+      bool Gone = false;
+      run([&] { Gone = Last.expired(); });
+      if (Gone)
+        return true;
+      std::this_thread::sleep_for(Millis(5));
+    }
+    return false;
+  }
+
   /** Reads slowly, until the connection ends or so much has come. */
   size_t readSlowly(size_t Most, Millis Pause) {
     std::vector<char> Bytes(64 << 10);
@@ -116,6 +129,7 @@
   SessionCallbacks Callbacks;
   std::vector<std::string> Paths; ///< Of the requests that were handed on.
   std::shared_ptr<CallerSession> Open;
+  std::weak_ptr<CallerSession> Last; ///< Expires when the session has closed.
   Tcp::socket Caller;
   std::thread Serving;
 };
@@ -180,7 +194,7 @@
   send("/a");
   BOOST_REQUIRE(waitForRequests(1));
   run([&] { answer(std::string(BodyBytes, 'x')); });
-  std::this_thread::sleep_for(Millis(500));
+  BOOST_TEST(waitForClose());
   BOOST_TEST(readSlowly(2 * BodyBytes, Millis(0)) < BodyBytes);
 }
 
