http: one value of Retry-After for both kinds of error answers

The refusals of the receiver computed the rounded seconds once more; both call retryAfterSeconds(). A request is no longer cleared before it is destroyed.

--- a/packages/adapters/http/guarded_server.cpp
+++ b/packages/adapters/http/guarded_server.cpp
@@ -184,7 +184,6 @@
       process_request(Stream, LastRequest, Closed, [](httplib::Request &) {});
   ServedSocket = -1;
   if (Success && !Closed && !LastRequest) {
-    Pending.Request.clear();
     Receiver->giveBack(std::move(Pending));
     return;
   }
--- a/packages/adapters/http/http_server.cpp
+++ b/packages/adapters/http/http_server.cpp
@@ -115,14 +115,17 @@
   return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string retryAfterSeconds(const Failure &Why) {
+  const Millis After = retryAfter(Why);
+  return After.count() > 0 ? std::to_string((After.count() + 999) / 1000) : "";
+}
+
 void writeError(httplib::Response &Answer, const Failure &Why, Ran Executed,
                 const RequestId &Request,
                 const std::vector<Address> &AlternativeEntries) {
   Answer.status = errorAnswerFor(Why.Kind).HttpStatus;
-  const Millis After = retryAfter(Why);
-  if (After.count() > 0) // The header has whole seconds, rounded up.
-    Answer.set_header("Retry-After",
-                      std::to_string((After.count() + 999) / 1000));
+  if (const std::string Seconds = retryAfterSeconds(Why); !Seconds.empty())
+    Answer.set_header("Retry-After", Seconds);
   Answer.set_content(errorBody(Why, Executed, Request, AlternativeEntries),
                      "application/json");
 }
--- a/packages/adapters/http/http_server.h
+++ b/packages/adapters/http/http_server.h
@@ -61,6 +61,13 @@
 std::string startServer(httplib::Server &Server, const std::string &At,
                         std::thread &AcceptThread);
 
+/**
+ * Gives the value of Retry-After for a failed request.
+ * @param Why Kind and detail.
+ * @return Whole seconds, rounded up; empty where coming back does not help.
+ */
+std::string retryAfterSeconds(const Failure &Why);
+
 /**
  * Writes the answer to a failed request: the status of the error table,
  * Retry-After and errorBody().
--- a/packages/adapters/http/request_receiver.cpp
+++ b/packages/adapters/http/request_receiver.cpp
@@ -35,14 +35,10 @@
   (void)!send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-/** Gives the Retry-After header of a refusal, in whole seconds rounded up;
- * empty where coming back does not help. */
+/** Gives the Retry-After header of a refusal; empty where there is none. */
 std::string retryAfterField(const Failure &Why) {
-  const Millis After = retryAfter(Why);
-  return After.count() == 0
-             ? ""
-             : "Retry-After: " + std::to_string((After.count() + 999) / 1000) +
-                   "\r\n";
+  const std::string Seconds = retryAfterSeconds(Why);
+  return Seconds.empty() ? "" : "Retry-After: " + Seconds + "\r\n";
 }
 
 /** Gives the complete HTTP response for a refused request. */
