tests: a back end whose behaviour a test writes down

The server without end had its behaviour built in. Its accepting, the entry of it in the store and the requests of several callers now serve any script; what the tests of responses without end check is unchanged.

--- a/tests/integration/endless_answer_test.cpp
+++ b/tests/integration/endless_answer_test.cpp
@@ -15,8 +15,8 @@
   Book.Path = "/book/1";
   Book.Body = "slot 7";
   for (const Flood &Kind : allFloods()) {
-    FloodedEntry One;
-    One.Bad.setFlood(Kind);
+    ScriptedEntry One;
+    One.Bad.setScript(floodScript(Kind));
     One.meet(Book);
     std::chrono::milliseconds Slowest{0};
     size_t Served = 0;
@@ -38,12 +38,13 @@
 // Guards against requests that wait for the rest of a refusal, though it says
 // at its head that they have not run.
 BOOST_AUTO_TEST_CASE(ARefusalWithoutEndIsSettledByItsHead) {
-  FloodedEntry One;
-  One.Bad.setFlood({"refusal",
-                    "HTTP/1.1 503 Full\r\nX-Jacinthpond-Attempt-Id: ID\r\n"
-                    "X-Jacinthpond-Not-Executed: 1\r\n" +
-                        Chunked,
-                    "5\r\nhello\r\n"});
+  ScriptedEntry One;
+  One.Bad.setScript(
+      floodScript({"refusal",
+                   "HTTP/1.1 503 Full\r\nX-Jacinthpond-Attempt-Id: ID\r\n"
+                   "X-Jacinthpond-Not-Executed: 1\r\n" +
+                       Chunked,
+                   "5\r\nhello\r\n"}));
   RouteAsk Book;
   Book.Method = "POST";
   Book.Path = "/book/1";
--- a/tests/integration/endless_answers_together_test.cpp
+++ b/tests/integration/endless_answers_together_test.cpp
@@ -12,8 +12,8 @@
 // they must fit as well, and the sound server answers all.
 BOOST_AUTO_TEST_CASE(ManyResponsesWithoutEndFitTogether) {
   for (const Flood &Kind : allFloods()) {
-    FloodedEntry One;
-    One.Bad.setFlood(Kind);
+    ScriptedEntry One;
+    One.Bad.setScript(floodScript(Kind));
     std::chrono::milliseconds Slowest{0};
     size_t Served = 0;
     constexpr size_t Callers = 64;
