entry: keep the connection of a call while its request is being written

Callers saw all connections of an entry end at once, with no line in its log: a back end answered an upload before it had received it, with any whole answer (200, 413, 500, or 503 "not executed").

Cause: a call whose response was complete freed its connection. The write of the request still referred to it; the next part that the kernel took was written to a socket that no longer existed. The rest of a skipped body had the same question: its end and its timeout freed the connection too.

Ruled out: the callers' side writes one part at a time through the session that its handler keeps.

Now a call closes its connection and frees it with itself. The handlers of reads and writes keep the call, so whatever is pending finds a closed socket and ends. An upload whose answer is whole is not continued (RFC 9112, 9.3); its connection is not used again.

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -119,7 +119,7 @@
                          BackEndConnectionPool &Pool, BackEndRequest Request,
                          BackEndCallHandler &Handler)
     : Io(Io), Pool(Pool), Request(std::move(Request)), Handler(&Handler),
-      ConnectTimer(Io) {}
+      Timer(Io) {}
 
 void BackEndCall::start(Millis ConnectLimit) {
   if (!Request.ForceNewConnection)
@@ -139,8 +139,8 @@
   OpenConnection = std::make_unique<BackEndConnection>(
       BackEndConnection{Tcp::socket(Io), {}, Request.To, {}, {}});
   const auto Self = shared_from_this();
-  ConnectTimer.expires_after(Limit);
-  ConnectTimer.async_wait([Self](const Error &Expired) {
+  Timer.expires_after(Limit);
+  Timer.async_wait([Self](const Error &Expired) {
     if (!Expired && !Self->Sent)
       Self->reportFailure(CallFailure::Unreached, ConnectionEnd::TimedOut);
   });
@@ -169,7 +169,7 @@
 /** Writes the request and starts to read the response. */
 void BackEndCall::writeRequest() {
   const auto Self = shared_from_this(); // The handler may drop this call.
-  ConnectTimer.cancel();
+  Timer.cancel();
   if (!Handler->maySendRequest()) {
     reportFailure(CallFailure::Withheld, ConnectionEnd::Open);
     return;
@@ -348,8 +348,18 @@
       OpenConnection->IdleLimit.count() > 0) {
     OpenConnection->IdleSince = RuntimeClock().now();
     Pool.keep(std::move(OpenConnection), Request.MaxIdle);
+    return;
   }
-  OpenConnection.reset();
+  closeConnection();
+}
+
+/** Closes the connection in order. The rest of a request that is still being
+ * written is not sent: its response needs no more of it (RFC 9112, 9.3). */
+void BackEndCall::closeConnection() {
+  Timer.cancel();
+  Error Ignored; // The connection is dropped in any case.
+  if (OpenConnection)
+    OpenConnection->Socket.close(Ignored);
 }
 
 /** Ends the call although the body of its response is still to come. The body
@@ -358,14 +368,14 @@
   BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
   if (OpenConnection->IdleLimit.count() > 0) {
     BodyBytes = OtherBytes = 0;
-    ConnectTimer.expires_after(RestTimeout);
-    ConnectTimer.async_wait([Self = shared_from_this()](const Error &ec) {
+    Timer.expires_after(RestTimeout);
+    Timer.async_wait([Self = shared_from_this()](const Error &ec) {
       if (!ec)
-        Self->OpenConnection.reset();
+        Self->closeConnection();
     });
     readRest();
   } else {
-    OpenConnection.reset();
+    closeConnection();
   }
   Receiver->handleAnswerEnd(ResponseEnd::Marked);
 }
@@ -375,15 +385,13 @@
   OpenConnection->Socket.async_read_some(
       OpenConnection->Buffer.prepare(ReadBytes),
       [Self = shared_from_this()](const Error &ec, size_t n) {
-        if (!Self->OpenConnection)
+        if (!Self->OpenConnection->Socket.is_open())
           return;
         Self->OpenConnection->Buffer.commit(n);
-        if (ec) {
-          Self->ConnectTimer.cancel();
-          Self->OpenConnection.reset();
-        } else {
+        if (ec)
+          Self->closeConnection();
+        else
           Self->parseRest();
-        }
       });
 }
 
@@ -395,12 +403,11 @@
   ResponseParser->get().body().clear();
   OtherBytes += n;
   if (ResponseParser->is_done()) {
-    ConnectTimer.cancel();
+    Timer.cancel();
     keepConnection();
   } else if ((ec && ec != http::error::need_more) ||
              OtherBytes + OpenConnection->Buffer.size() > MaxRestBytes) {
-    ConnectTimer.cancel();
-    OpenConnection.reset();
+    closeConnection();
   } else {
     readRest();
   }
@@ -417,7 +424,7 @@
 
 void BackEndCall::cancel() {
   Handler = nullptr;
-  ConnectTimer.cancel();
+  Timer.cancel();
   Error Ignored; // The connection is dropped in any case.
   if (!OpenConnection)
     return;
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -206,6 +206,7 @@
   void readRest();
   void parseRest();
   void keepConnection();
+  void closeConnection();
   void reportFailure(CallFailure Why, ConnectionEnd End);
   void handleClose(ConnectionEnd End);
 
@@ -213,18 +214,20 @@
   BackEndConnectionPool &Pool;
   BackEndRequest Request;
   BackEndCallHandler *Handler; ///< Null once the call is over.
+  /** Null once it was returned to the pool. It is closed without being freed
+   * while reads and writes may be pending, which refer to it. */
   std::unique_ptr<BackEndConnection> OpenConnection;
   std::optional<Parser> ResponseParser;
-  boost::asio::steady_timer ConnectTimer; ///< For the rest of a body as well.
-  bool Reused = false;          ///< The connection came from the pool.
-  bool Sent = false;            ///< Sending has begun.
-  bool WriteDone = false;       ///< The kernel has the complete request.
-  bool HeadDone = false;        ///< The head of the response was parsed.
-  bool ForOtherAttempt = false; ///< The response belongs to another request.
-  bool ReceivedAny = false;     ///< At least one byte was received.
-  bool BodyWanted = true;       ///< The handler wants the body.
-  size_t BodyBytes = 0;         ///< Bytes of the body that were delivered.
-  size_t OtherBytes = 0;        ///< Bytes parsed that are no part of the body.
+  boost::asio::steady_timer Timer; ///< For connecting, and the rest of a body.
+  bool Reused = false;             ///< The connection came from the pool.
+  bool Sent = false;               ///< Sending has begun.
+  bool WriteDone = false;          ///< The kernel has the complete request.
+  bool HeadDone = false;           ///< The head of the response was parsed.
+  bool ForOtherAttempt = false;    ///< The response belongs to another request.
+  bool ReceivedAny = false;        ///< At least one byte was received.
+  bool BodyWanted = true;          ///< The handler wants the body.
+  size_t BodyBytes = 0;            ///< Bytes of the body that were delivered.
+  size_t OtherBytes = 0; ///< Bytes parsed that are no part of the body.
 };
 
 } // namespace jacinthpond
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -263,3 +264,111 @@
   BOOST_TEST(Silent.isClosed());
   BOOST_TEST(Silent.Events.Failed == 0);
 }
+
+namespace {
+
+/** Keeps what is reported of a response. */
+struct Recording : NoEvents {
+  void handleNotices(const ResponseHead &) override {}
+  void handleAnswerHead(const ResponseHead &) override {}
+  void handleAnswerBody(std::string Bytes) override { Body += Bytes; }
+  void handleAnswerEnd(ResponseEnd How) override { Ended = How; }
+  void handleCallFailure(CallFailure Why, ConnectionEnd End) override {
+    Failed = Why;
+    FailedBy = End;
+  }
+  bool isOver() const { return Ended || Failed; }
+
+  std::string Body;
+  std::optional<ResponseEnd> Ended;
+  std::optional<CallFailure> Failed;
+  std::optional<ConnectionEnd> FailedBy;
+};
+
+/** A call whose request is larger than the kernel buffers, at a back end that
+ * has read only its head. */
+struct OpenUpload {
+  explicit OpenUpload(BackEndCallHandler &Events)
+      : Listening(Io, {boost::asio::ip::address_v4::loopback(), 0}),
+        Worker(Io) {
+    constexpr size_t Size = 16 << 20;
+    Listening.set_option(boost::asio::socket_base::receive_buffer_size(16384));
+    BackEndRequest Request;
+    At.Value = "127.0.0.1:" + std::to_string(Listening.local_endpoint().port());
+    Request.To = At;
+    Request.Bytes = "POST /book/1 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                    std::to_string(Size) + "\r\n\r\n" + std::string(Size, 'x');
+    Request.MaxIdle = 1;
+    Call = std::make_shared<BackEndCall>(Io, Pool, Request, Events);
+    Call->start(Millis(1000));
+    Worker = Listening.accept();
+    BOOST_REQUIRE(runUntil(Io, [&] { return Worker.available() > 1000; }));
+    std::string Head;
+    boost::asio::read_until(Worker, boost::asio::dynamic_buffer(Head, 16384),
+                            "\r\n\r\n");
+  }
+
+  void send(const std::string &Text) {
+    boost::asio::write(Worker, boost::asio::buffer(Text));
+  }
+
+  /** Receives what has come of the request.
+   * @return False once the other side has closed. */
+  bool receive() {
+    Worker.non_blocking(true);
+    std::vector<char> Bytes(1 << 20);
+    boost::system::error_code ec;
+    while (Worker.read_some(boost::asio::buffer(Bytes), ec) > 0) {
+    }
+    return ec == boost::asio::error::would_block;
+  }
+
+  boost::asio::io_context Io;
+  Tcp::acceptor Listening;
+  Tcp::socket Worker;
+  BackEndConnectionPool Pool;
+  Address At;
+  std::shared_ptr<BackEndCall> Call;
+};
+
+} // namespace
+
+// Guards against a connection that is freed while the request is still being
+// written to it, which ended the process.
+BOOST_AUTO_TEST_CASE(AResponseMayEndBeforeItsRequest) {
+  const std::vector<std::string> Responses = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nwhole\r\n0\r\n\r\n",
+      "HTTP/1.1 413 Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string &Response : Responses) {
+    Recording Events;
+    OpenUpload One(Events);
+    One.send(Response);
+    BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.isOver(); }));
+    BOOST_CHECK(Events.Ended == ResponseEnd::Marked);
+    BOOST_TEST((Events.Body.empty() || Events.Body == "whole"));
+    One.Call.reset();
+    // The back end goes on reading, and so does the write.
+    BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
+    BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
+               nullptr);
+  }
+}
+
+// Guards against the same for a response whose body is skipped, whole or not.
+BOOST_AUTO_TEST_CASE(ASkippedBodyMayEndBeforeItsRequest) {
+  for (const char *Body : {"xx", "x", ""}) {
+    Skipping Events;
+    OpenUpload One(Events);
+    Events.Call = std::move(One.Call);
+    One.send("HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\n" +
+             std::string(Body));
+    BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.Ended == 1; }));
+    Events.Call.reset();
+    BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
+    BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
+               nullptr);
+    BOOST_TEST(Events.Failed == 0);
+  }
+}
