entry: a reset completes no response, whichever of write and read is told of it

Callers got a part of an answer as a whole 200 (or 201): a back end answered an upload at once, without a length, sent part of its body, and reset or closed the connection while the upload was being written.

Cause: the kernel reports a reset once. The write of the request was told of it, and the read found an end of file, as if the back end had closed in order, which completes a response without a length. The check whether the back end lives on cannot help: it does.

Ruled out: a response with a length or chunks, which an end of file does not complete.

At an end of file the connection is asked whether it is closed both ways, which only a reset or a timeout does as long as the entry sends. It is not told once but stays so, so the order of the events does not matter. The end of such a response also waits until the request is written, for 0.5 s at most, and the connection is kept and asked once more when the address of the back end has been checked: a process that has ended resets on the rest of the request, one that ended sending in order and reads on, or stops reading, is whole as before.

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -4,6 +4,7 @@
 
 #include "clock/runtime_clock.h"
 #include "forward/socket_options.h"
+#include "http/connection_state.h"
 #include "log/log.h"
 
 #include <boost/asio/buffer.hpp>
@@ -39,6 +40,9 @@
  * the longest time for it. */
 constexpr size_t MaxRestBytes = 64 << 10;
 constexpr Millis RestTimeout{500};
+/** Longest wait for the rest of a request to be sent, once its response has
+ * ended with the sending side of the connection. */
+constexpr Millis UploadTimeout{500};
 /** Smallest status of a response (RFC 9110, 15). */
 constexpr unsigned MinStatus = 100;
 /** Idle limit for back ends that don't send a Keep-Alive timeout. */
@@ -71,6 +75,12 @@
                                                        : ConnectionEnd::Failed;
 }
 
+/** Says whether a connection was reset or timed out. */
+bool isBroken(BackEndConnection &One) {
+  return !One.Socket.is_open() ||
+         isConnectionBroken(One.Socket.native_handle());
+}
+
 /** Says whether a connection is still open and has no unread data. */
 bool isIdle(BackEndConnection &Idle) {
   if (Idle.Buffer.size() > 0)
@@ -183,29 +193,39 @@
   Parts.insert(Parts.begin(), boost::asio::buffer(Request.Bytes));
   boost::asio::async_write(OpenConnection->Socket, Parts,
                            [Self](const Error &ec, size_t) {
-                             // A failed write fails the read too, which
-                             // handles it: a response may have come before.
-                             Self->WriteDone = !ec;
+                             Self->runStep([&] { Self->handleWritten(ec); });
                            });
   readMore();
 }
 
+/** Handles the end of the write. A failed one fails the read too, which handles
+ * it: a response may have come before. */
+void BackEndCall::handleWritten(const Error &ec) {
+  Write = ec ? WriteState::Failed : WriteState::Done;
+  if (AwaitingWrite && Handler != nullptr)
+    endClosedResponse();
+}
+
+/** Runs a step; an exception ends the call. Nothing else would end the request
+ * before its deadline. */
+void BackEndCall::runStep(const std::function<void()> &Step) {
+  try {
+    Step();
+  } catch (const std::exception &Why) {
+    logLine(LogPart::Requests, LogLevel::Error,
+            "event=response_fault at=" + Request.To.Value +
+                " why=" + Why.what());
+    reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
+  }
+}
+
 /** Reads the next bytes of the response. */
 void BackEndCall::readMore() {
   OpenConnection->Socket.async_read_some(
       OpenConnection->Buffer.prepare(ReadBytes),
       [Self = shared_from_this()](const Error &ec, size_t n) {
-        if (Self->Handler == nullptr)
-          return;
-        // Nothing else would end the request before its deadline.
-        try {
-          Self->handleRead(ec, n);
-        } catch (const std::exception &Why) {
-          logLine(LogPart::Requests, LogLevel::Error,
-                  "event=response_fault at=" + Self->Request.To.Value +
-                      " why=" + Why.what());
-          Self->reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
-        }
+        if (Self->Handler != nullptr)
+          Self->runStep([&] { Self->handleRead(ec, n); });
       });
 }
 
@@ -215,26 +235,61 @@
     ReceivedAny = true;
     OpenConnection->Buffer.commit(n);
     parse();
+  } else if (ec == boost::asio::error::eof) {
+    handleEndOfInput();
+  } else {
+    handleClose(ConnectionEnd::Reset);
+  }
+}
+
+/** Handles the end of what the back end sends. It completes a response without
+ * a length if the connection was not reset. */
+void BackEndCall::handleEndOfInput() {
+  // Only one of write and read is told of a reset; the other one may be told of
+  // an end of file.
+  if (isBroken(*OpenConnection)) {
+    handleClose(ConnectionEnd::Reset);
     return;
   }
-  // A response without a length ends when the connection is closed in order. A
-  // reset doesn't complete it.
-  const bool AtEnd =
-      ec == boost::asio::error::eof && HeadDone && !ForOtherAttempt;
   Error Bad;
-  if (AtEnd)
+  if (HeadDone && !ForOtherAttempt)
     ResponseParser->put_eof(Bad);
-  if (!AtEnd || Bad || !ResponseParser->is_done()) {
-    handleClose(ec == boost::asio::error::eof ? ConnectionEnd::Closed
-                                              : ConnectionEnd::Reset);
+  if (Bad || !ResponseParser->is_done()) {
+    handleClose(ConnectionEnd::Closed);
     return;
   }
   OpenConnection->IdleLimit = Millis{0};
   takeBody();
-  if (Handler != nullptr)
+  if (Handler == nullptr)
+    return;
+  if (Write != WriteState::Open) {
+    endClosedResponse();
+    return;
+  }
+  // A back end that has ended resets the connection on the rest of the request.
+  AwaitingWrite = true;
+  Timer.expires_after(UploadTimeout);
+  Timer.async_wait([Self = shared_from_this()](const Error &ec) {
+    if (!ec && Self->Handler != nullptr)
+      Self->runStep([&] { Self->endClosedResponse(); });
+  });
+}
+
+/** Ends the call after a response that ended with its connection. */
+void BackEndCall::endClosedResponse() {
+  Timer.cancel();
+  if (Write == WriteState::Failed || isBroken(*OpenConnection))
+    handleClose(ConnectionEnd::Reset);
+  else
     finish(ResponseEnd::Closed);
 }
 
+bool BackEndCall::closeEnded() {
+  const bool Broken = isBroken(*OpenConnection);
+  closeConnection();
+  return !Broken;
+}
+
 /** Reports a connection that ended before the response was complete. */
 void BackEndCall::handleClose(ConnectionEnd End) {
   reportFailure(
@@ -336,7 +391,8 @@
 /** Ends the call after a response; pools the connection if it can be reused. */
 void BackEndCall::finish(ResponseEnd How) {
   BackEndCallHandler *Receiver = std::exchange(Handler, nullptr);
-  keepConnection();
+  if (How == ResponseEnd::Marked)
+    keepConnection();
   Receiver->handleAnswerEnd(How);
 }
 
@@ -344,7 +400,7 @@
 void BackEndCall::keepConnection() {
   // Not reused with extra bytes after the response, which belong to no request,
   // or with a partly written request, which the next one would be appended to.
-  if (WriteDone && OpenConnection->Buffer.size() == 0 &&
+  if (Write == WriteState::Done && OpenConnection->Buffer.size() == 0 &&
       OpenConnection->IdleLimit.count() > 0) {
     OpenConnection->IdleSince = RuntimeClock().now();
     Pool.keep(std::move(OpenConnection), Request.MaxIdle);
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -14,6 +14,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -99,6 +100,13 @@
   Closed  ///< Only by the close of the connection, as after a crash.
 };
 
+/** How far the request of a call has been written. */
+enum class WriteState : uint8_t {
+  Open,  ///< The write is pending, or was not started.
+  Done,  ///< The kernel has the complete request.
+  Failed ///< The connection broke before that.
+};
+
 /** Status and headers of a response. */
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
@@ -182,6 +190,13 @@
   /** Resets the connection; most back ends then stop the request. */
   void cancel();
 
+  /**
+   * Closes the connection of a response that ended with it.
+   * @return False if the connection was reset meanwhile: the response may be
+   *         incomplete.
+   */
+  bool closeEnded();
+
   /**
    * Says whether sending has begun.
    * @return False while the connection is being opened.
@@ -193,9 +208,13 @@
 
   void connect(Millis Limit);
   void writeRequest();
+  void handleWritten(const boost::system::error_code &ec);
   void resetParser();
   void readMore();
   void handleRead(const boost::system::error_code &ec, size_t n);
+  void handleEndOfInput();
+  void endClosedResponse();
+  void runStep(const std::function<void()> &Step);
   void parse();
   bool parseNext();
   bool processHead();
@@ -218,16 +237,18 @@
    * while reads and writes may be pending, which refer to it. */
   std::unique_ptr<BackEndConnection> OpenConnection;
   std::optional<Parser> ResponseParser;
-  boost::asio::steady_timer Timer; ///< For connecting, and the rest of a body.
-  bool Reused = false;             ///< The connection came from the pool.
-  bool Sent = false;               ///< Sending has begun.
-  bool WriteDone = false;          ///< The kernel has the complete request.
-  bool HeadDone = false;           ///< The head of the response was parsed.
-  bool ForOtherAttempt = false;    ///< The response belongs to another request.
-  bool ReceivedAny = false;        ///< At least one byte was received.
-  bool BodyWanted = true;          ///< The handler wants the body.
-  size_t BodyBytes = 0;            ///< Bytes of the body that were delivered.
-  size_t OtherBytes = 0; ///< Bytes parsed that are no part of the body.
+  /** For connecting, the rest of a body, and the rest of a request. */
+  boost::asio::steady_timer Timer;
+  bool Reused = false;        ///< The connection came from the pool.
+  bool Sent = false;          ///< Sending has begun.
+  bool AwaitingWrite = false; ///< Only the write has to end.
+  WriteState Write = WriteState::Open;
+  bool HeadDone = false;        ///< The head of the response was parsed.
+  bool ForOtherAttempt = false; ///< The response belongs to another request.
+  bool ReceivedAny = false;     ///< At least one byte was received.
+  bool BodyWanted = true;       ///< The handler wants the body.
+  size_t BodyBytes = 0;         ///< Bytes of the body that were delivered.
+  size_t OtherBytes = 0;        ///< Bytes parsed that are no part of the body.
 };
 
 } // namespace jacinthpond
--- a/packages/entry/src/forward/exchange_answer.cpp
+++ b/packages/entry/src/forward/exchange_answer.cpp
@@ -293,9 +293,9 @@
 }
 
 /**
- * Completes a response that ended with its connection if its back end lives on.
- * One that crashes closes its connections in the same way, and a part of the
- * response would pass for the whole.
+ * Completes a response that ended with its connection if its back end lives on
+ * and has not reset the connection. One that crashes closes its connections in
+ * the same way, and a part of the response would pass for the whole.
  */
 void Exchange::confirmClosedAnswer(Attempt &One) {
   confirmRunning(Shared, One.ServerRun, One.ServerAt,
@@ -303,11 +303,13 @@
                   Waiting = One.shared_from_this()](AddressCheck Result) {
                    if (!Self->Session || !Waiting->Call)
                      return;
-                   if (Result == AddressCheck::Accepted)
+                   const bool InOrder = Waiting->Call->closeEnded();
+                   if (InOrder && Result == AddressCheck::Accepted)
                      Self->completeAnswer(*Waiting);
                    else
                      Self->handleCallFailure(*Waiting, CallFailure::Broken,
-                                             ConnectionEnd::Closed);
+                                             InOrder ? ConnectionEnd::Closed
+                                                     : ConnectionEnd::Reset);
                  });
 }
 
--- a/tests/integration/early_answer_test.cpp
+++ b/tests/integration/early_answer_test.cpp
@@ -25,7 +25,8 @@
   StopReading,
   Close,
   Reset,
-  EndSending
+  EndSending,
+  EndSendingThenReset
 };
 
 struct AfterwardsRow {
@@ -73,6 +74,9 @@
       return;
     case Afterwards::Close:
       return;
+    case Afterwards::EndSendingThenReset:
+      Request.Socket.shutdown(boost::asio::socket_base::shutdown_send, ec);
+      [[fallthrough]];
     case Afterwards::Reset:
       Request.Socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
       return;
@@ -121,8 +125,42 @@
          Answer.status == 502 || Answer.status == 503;
 }
 
+/** Paths of requests that may be sent once, and again. */
+constexpr std::array<const char *, 2> Paths = {"/book/1", "/read/1"};
+
 } // namespace
 
+// Guards against a part of an answer that is delivered as a whole one, since
+// only the write of the request was told of the reset.
+BOOST_FIXTURE_TEST_CASE(PartsBeforeAResetAreNotWhole, EarlyFleet) {
+  const std::string Part = "\r\na part of an answer";
+  const std::string Old = "HTTP/1.0" + Good.substr(8);
+  const std::string Created = "HTTP/1.1 201 Created" + Good.substr(15);
+  const std::vector<std::pair<const char *, std::string>> Answers = {
+      {"no length", Good + Part},
+      {"Connection: close", Good + "Connection: close\r\n" + Part},
+      {"HTTP/1.0", Old + Part},
+      {"201", Created + Part},
+      {"empty part", Good + "\r\n"},
+      {"long part", Good + Part + std::string(200000, 'p')},
+      {"transfer coding", Good + "Transfer-Encoding: gzip\r\n" + Part},
+      {"events", Good + "Content-Type: text/event-stream\r\n\r\n"
+                        "id: 1\ndata: part\n\n"}};
+  for (const auto &[Name, Answer] : Answers)
+    for (const Afterwards Then : {Afterwards::Reset, Afterwards::Close,
+                                  Afterwards::EndSendingThenReset})
+      for (const char *Path : Paths) {
+        // A stream that has begun can only be broken off.
+        const bool Streamed = Answer.find("event-stream") != std::string::npos;
+        for (const httplib::Response &Got :
+             upload(Path, answerEarly(Answer, Then)))
+          BOOST_TEST((isSoundOrError(Got) || (Streamed && Got.status < 0)),
+                     Name << Path << ": " << Got.status << " "
+                          << Got.body.substr(0, 40));
+      }
+  BOOST_TEST(isRunning());
+}
+
 // Guards against an answer whose end frees the connection that the upload is
 // still being written to, which ended the process.
 BOOST_FIXTURE_TEST_CASE(WholeAnswersBeforeTheEndOfTheUpload, EarlyFleet) {
@@ -152,3 +190,17 @@
       BOOST_REQUIRE(isRunning());
     }
 }
+
+// Guards against whole answers that are lost since they end with their
+// connection before the upload does.
+BOOST_FIXTURE_TEST_CASE(AnOrderlyEndBeforeTheEndOfTheUpload, EarlyFleet) {
+  size_t Early = 0;
+  for (const httplib::Response &Got :
+       upload("/book/1",
+              answerEarly(Good + "\r\nwhole", Afterwards::EndSending))) {
+    BOOST_TEST(Got.status == 200);
+    Early += Got.body == "whole" ? 1 : 0;
+  }
+  BOOST_TEST(Early > 0U);
+  BOOST_TEST(isRunning());
+}
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -312,6 +312,15 @@
     boost::asio::write(Worker, boost::asio::buffer(Text));
   }
 
+  void endSending() {
+    Worker.shutdown(boost::asio::socket_base::shutdown_send);
+  }
+
+  void reset() {
+    Worker.set_option(boost::asio::socket_base::linger(true, 0));
+    Worker.close();
+  }
+
   /** Receives what has come of the request.
    * @return False once the other side has closed. */
   bool receive() {
@@ -331,8 +340,74 @@
   std::shared_ptr<BackEndCall> Call;
 };
 
+const std::string PlainHead = "HTTP/1.1 200 OK\r\n\r\n";
+
 } // namespace
 
+// Guards against a reset that only the write of the request is told, so that
+// the end of file that the read is told ends a part of a response as a whole.
+BOOST_AUTO_TEST_CASE(AResetDuringAnUploadCompletesNoResponse) {
+  Recording Events;
+  OpenUpload One(Events);
+  One.send(PlainHead + "part");
+  One.reset();
+  BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.isOver(); }));
+  BOOST_TEST(!Events.Ended.has_value());
+  BOOST_CHECK(Events.FailedBy == ConnectionEnd::Reset);
+}
+
+// Guards against an end of file that a reset follows, before the back end has
+// received the request, which ends a part of a response as a whole.
+BOOST_AUTO_TEST_CASE(AResetAfterTheEndCompletesNoResponse) {
+  Recording Events;
+  OpenUpload One(Events);
+  One.send(PlainHead + "part");
+  One.endSending();
+  One.Io.run_for(std::chrono::milliseconds(100));
+  One.reset();
+  BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.isOver(); }));
+  BOOST_TEST(!Events.Ended.has_value());
+  BOOST_CHECK(Events.FailedBy == ConnectionEnd::Reset);
+}
+
+// Guards against whole responses that are lost since their back end ends
+// sending in order before it has received the request.
+BOOST_AUTO_TEST_CASE(AnOrderlyEndDuringAnUploadCompletesAResponse) {
+  for (const bool ReadsOn : {true, false}) {
+    Recording Events;
+    OpenUpload One(Events);
+    One.send(PlainHead + "whole");
+    One.endSending();
+    BOOST_REQUIRE(runUntil(One.Io, [&] {
+      if (ReadsOn)
+        One.receive();
+      return Events.isOver();
+    }));
+    BOOST_CHECK(Events.Ended == ResponseEnd::Closed);
+    BOOST_TEST(Events.Body == "whole");
+    BOOST_TEST(One.Call->closeEnded());
+    BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
+  }
+}
+
+// Guards against a reset that follows the end of file of a response, while it
+// is checked whether the back end lives on.
+BOOST_AUTO_TEST_CASE(AResetIsSeenUntilTheConnectionIsClosed) {
+  for (const bool Reset : {false, true}) {
+    Recording Events;
+    SentCall One(Events);
+    boost::asio::write(One.Worker, boost::asio::buffer(PlainHead + "part"));
+    One.Worker.shutdown(boost::asio::socket_base::shutdown_send);
+    BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.isOver(); }));
+    BOOST_CHECK(Events.Ended == ResponseEnd::Closed);
+    if (Reset) {
+      One.Worker.set_option(boost::asio::socket_base::linger(true, 0));
+      One.Worker.close();
+    }
+    BOOST_TEST(One.Call->closeEnded() == !Reset);
+  }
+}
+
 // Guards against a connection that is freed while the request is still being
 // written to it, which ended the process.
 BOOST_AUTO_TEST_CASE(AResponseMayEndBeforeItsRequest) {
