entry: refuse responses with folded lines in their heads

Callers got an answer in whose head a line that began with a blank or a tab had been joined to the value of the field before it, here to the worker's signature: a value that is not the worker's.

Cause: the HTTP library's parser unfolds such lines (RFC 9112, 5.2) and keeps no trace of it. A gateway may refuse them or put blanks in their place. A signature has to be returned unchanged, so they are refused: as every malformed response, the connection is reset, and the request goes on elsewhere or is answered 502.

The lines are looked for in what the parser takes. It takes whole lines of a head, so one that comes in pieces, an interim response and one to another request are covered too.

--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -5,6 +5,7 @@
 #include "clock/runtime_clock.h"
 #include "forward/socket_options.h"
 #include "http/connection_state.h"
+#include "http/response_head.h"
 #include "log/log.h"
 
 #include <boost/asio/buffer.hpp>
@@ -313,11 +314,16 @@
 /** Parses as much as the parser takes at a time; false when it needs more. */
 bool BackEndCall::parseNext() {
   Error ec;
-  const size_t n = ResponseParser->put(OpenConnection->Buffer.data(), ec);
+  const auto Unparsed = OpenConnection->Buffer.data();
+  const size_t n = ResponseParser->put(Unparsed, ec);
+  // The parser takes whole lines of a head, and would join folded ones.
+  const bool IsFolded =
+      !HeadDone &&
+      hasFoldedLine({static_cast<const char *>(Unparsed.data()), n});
   OpenConnection->Buffer.consume(n);
   OtherBytes += n; // takeBody() subtracts the body.
   const bool HasHead = ResponseParser->is_header_done();
-  if ((ec && ec != http::error::need_more) ||
+  if ((ec && ec != http::error::need_more) || IsFolded ||
       (HasHead && ResponseParser->get().result_int() < MinStatus)) {
     reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
     return false;
--- a/tests/unit/back_end_call_test.cpp
+++ b/tests/unit/back_end_call_test.cpp
@@ -173,10 +173,12 @@
 
 } // namespace
 
-// Guards against a status line without a status, which passed for an interim
-// response, so that the request waited for its deadline.
-BOOST_AUTO_TEST_CASE(AResponseWithoutAStatusIsMalformed) {
+namespace {
+
+/** Expects a response to be malformed, sent in two parts. */
+void checkMalformed(const std::string &First, const std::string &Rest) {
   struct Failing : NoEvents {
+    void handleNotices(const ResponseHead &) override {}
     void handleCallFailure(CallFailure, ConnectionEnd End) override {
       Ended = End;
     }
@@ -184,13 +186,35 @@
   };
   Failing Events;
   SentCall One(Events);
-  const std::string Head = "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n";
-  boost::asio::write(One.Worker, boost::asio::buffer(Head));
+  boost::asio::write(One.Worker, boost::asio::buffer(First));
+  if (!Rest.empty()) {
+    One.Io.run_for(std::chrono::milliseconds(20));
+    boost::asio::write(One.Worker, boost::asio::buffer(Rest));
+  }
   runUntil(One.Io, [&] { return Events.Ended.has_value(); });
-  BOOST_REQUIRE(Events.Ended.has_value());
+  BOOST_TEST_REQUIRE(Events.Ended.has_value(), First << "..." << Rest);
   BOOST_CHECK(*Events.Ended == ConnectionEnd::Malformed);
 }
 
+} // namespace
+
+// Guards against a status line without a status, which passed for an interim
+// response, so that the request waited for its deadline.
+BOOST_AUTO_TEST_CASE(AResponseWithoutAStatusIsMalformed) {
+  checkMalformed("HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n", "");
+}
+
+// Guards against folded lines, which the parser joins to the value of the
+// header before them: that value is not the back end's.
+BOOST_AUTO_TEST_CASE(AResponseWithFoldedLinesIsMalformed) {
+  const std::string Begin = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n";
+  checkMalformed(Begin + " c\r\n\r\n", "");
+  checkMalformed(Begin + "\tc\r\nD: e\r\n\r\n", "");
+  checkMalformed(Begin, " c\r\n\r\n");
+  checkMalformed(Begin + "C: d", "\r\n \r\n\r\n");
+  checkMalformed("HTTP/1.1 100 Continue\r\nA: b\r\n c\r\n\r\n", "");
+}
+
 namespace {
 
 /** Skips the body of each response, and counts what is reported. */
