http: check the heads of answers to agents, and of the store and the origin

What callers would see, on the product's own interface: a service in trouble answers with status 000, with a field whose name holds a blank or a control byte, with a folded line or with a length that is no number; the agent passes that on as an answer, or a part of the body as the whole.

Cause: the HTTP library of agents, store and origin takes any three digits for a status, does not look at names of fields, takes a folded line for one of its own, the first of several lengths and the digits before a letter, and reads a body with an unknown transfer coding as it is. Its own callers checked none of that.

What is malformed, longer than 16 KiB, an interim status that the library would take for the final one, or coded otherwise than in chunks fails the read: the call has no answer, and its outcome is unknown.

--- a/packages/adapters/http/bounded_client.cpp
+++ b/packages/adapters/http/bounded_client.cpp
@@ -2,6 +2,8 @@
 
 #include "http/bounded_client.h"
 
+#include "http/response_head.h"
+
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -18,7 +20,7 @@
 using Clock = std::chrono::steady_clock;
 
 /** One request and its answer on a connection. Reads fail once the answer is
- * longer than allowed, or takes longer. */
+ * longer than allowed, takes longer, or has a malformed head. */
 class BoundedStream final : public httplib::Stream {
 public:
   BoundedStream(int Socket, const ClientLimits &Limits)
@@ -78,7 +80,10 @@
     Begin = 0;
     Filled = static_cast<size_t>(n);
     BytesLeft -= Filled;
-    return true;
+    Failed = !Heads.accept({Buffer.data(), Filled});
+    if (Failed)
+      Filled = 0;
+    return !Failed;
   }
 
   const int Socket;
@@ -89,6 +94,7 @@
   size_t Begin = 0;    ///< First byte of Buffer that was not read yet.
   size_t Filled = 0;   ///< Bytes in Buffer.
   bool Failed = false; ///< The last receive failed.
+  ResponseHeadCheck Heads;
 };
 
 /** Host of "http://IP:port". */
--- a/packages/adapters/http/bounded_client.h
+++ b/packages/adapters/http/bounded_client.h
@@ -21,7 +21,8 @@
 
 /**
  * A client of one server. The library bounds neither heads nor bodies nor the
- * time of an answer, and a faulty server may send bytes without end.
+ * time of an answer, and a faulty server may send bytes without end. Nor does
+ * it check the fields and the status of a head.
  */
 class BoundedClient final : public httplib::ClientImpl {
 public:
--- a/packages/adapters/http/response_head.h
+++ b/packages/adapters/http/response_head.h
@@ -3,6 +3,7 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_RESPONSE_HEAD_H
 #define JACINTHPOND_ADAPTERS_HTTP_RESPONSE_HEAD_H
 
+#include <string>
 #include <string_view>
 
 namespace jacinthpond {
@@ -16,6 +17,24 @@
  */
 bool hasFoldedLine(std::string_view Lines);
 
+/** Checks the heads of the responses to a request as their bytes arrive, for
+ * clients whose library takes malformed ones. */
+class ResponseHeadCheck {
+public:
+  /**
+   * Takes the next bytes; those behind the head of the final response are not
+   * looked at.
+   * @param Bytes The bytes.
+   * @return False if a head is malformed, too long, or of a kind that the
+   *         library can't read.
+   */
+  bool accept(std::string_view Bytes);
+
+private:
+  std::string Head;      ///< Head that is not complete yet.
+  bool Complete = false; ///< The head of the final response was accepted.
+};
+
 } // namespace jacinthpond
 
 #endif
