http: the end of an answer without a length counts once its server lives on

What callers would see, on the product's own interface: a service answers without a length, sends a part of its body and crashes, or ends sending and resets the connection; the part is delivered as the whole answer.

Cause: as at the entry, an end of file completes such a body, and a process that ends closes its connections as well. The HTTP library looks at neither. A reset that follows the end is not told to a read any more.

Held already: a reset during the upload, after which the library gives the answer up since its write failed.

BoundedClient waits 20 ms after an end of file for a reset; answers with a length or chunks have none. HttpService also asks the service for its run then. Without an answer the outcome is unknown. The other answers of services, store, origin and workers without a length are JSON or chunks with a digest, and a part of them fails there.

--- a/packages/adapters/http/bounded_client.cpp
+++ b/packages/adapters/http/bounded_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/bounded_client.h"
 
+#include "http/connection_state.h"
 #include "http/response_head.h"
 
 #include <poll.h>
@@ -19,6 +20,10 @@
 
 using Clock = std::chrono::steady_clock;
 
+/** Time after the end of an answer in which a server that has crashed resets
+ * the connection, and no longer accepts others. */
+constexpr std::chrono::milliseconds CloseCheckTime{20};
+
 /** One request and its answer on a connection. Reads fail once the answer is
  * longer than allowed, takes longer, or has a malformed head. */
 class BoundedStream final : public httplib::Stream {
@@ -74,7 +79,7 @@
       return false;
     const ssize_t n =
         ::recv(Socket, Buffer.data(), std::min(Buffer.size(), BytesLeft), 0);
-    Failed = n < 0;
+    Failed = n < 0 || (n == 0 && isConnectionBroken(Socket, CloseCheckTime));
     if (n <= 0)
       return false;
     Begin = 0;
--- a/packages/adapters/http/connection_state.h
+++ b/packages/adapters/http/connection_state.h
@@ -5,6 +5,8 @@
 
 #include <poll.h>
 
+#include <chrono>
+
 namespace jacinthpond {
 
 /**
@@ -13,11 +15,14 @@
  * after a failed write finds an end of file, as if the peer had closed in
  * order.
  * @param Socket Descriptor of the connected socket.
+ * @param Wait Longest time to wait for that.
  * @return False also if the peer has only ended sending.
  */
-inline bool isConnectionBroken(int Socket) {
+inline bool isConnectionBroken(
+    int Socket, std::chrono::milliseconds Wait = std::chrono::milliseconds(0)) {
   pollfd One{Socket, 0, 0};
-  return ::poll(&One, 1, 0) > 0 && (One.revents & (POLLERR | POLLHUP)) != 0;
+  return ::poll(&One, 1, static_cast<int>(Wait.count())) > 0 &&
+         (One.revents & (POLLERR | POLLHUP)) != 0;
 }
 
 } // namespace jacinthpond
--- a/packages/adapters/http/http_backends.cpp
+++ b/packages/adapters/http/http_backends.cpp
@@ -66,6 +66,14 @@
   return Answer->body;
 }
 
+/** Says whether only the close of its connection ended the body of an answer.
+ */
+bool isEndedByClose(const httplib::Response &Answer) {
+  return !Answer.has_header("Content-Length") &&
+         !Answer.has_header("Transfer-Encoding") && Answer.status != 204 &&
+         Answer.status != 304;
+}
+
 /** Gets a text; empty for status 204. */
 Result<std::string> getText(const std::string &Url, const std::string &Path,
                             std::chrono::milliseconds Timeout) {
@@ -159,6 +167,11 @@
       "/v1/calls/" + Call.Class.Value, Headers, Call.Body, "application/json");
   if (!Answer)
     return failCall(Answer.error());
+  // A service that crashes closes its connections in the same way, and a part
+  // of the answer would pass for the whole.
+  if (isEndedByClose(*Answer) && !outcomeOf([&] { return ping(); }).Value)
+    return fail(ErrorKind::OutcomeUnknown,
+                "the service ended during its answer");
   return ServiceAnswer{Answer->status, Answer->body, requestedPause(*Answer)};
 }
 
--- a/tests/unit/raw_server.h
+++ b/tests/unit/raw_server.h
@@ -9,6 +9,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -27,10 +28,17 @@
 
   explicit RawServer(std::vector<Script> Scripts)
       : Listening(Io, {boost::asio::ip::address_v4::loopback(), 0}),
-        Url("http://127.0.0.1:" +
-            std::to_string(Listening.local_endpoint().port())),
+        At(Listening.local_endpoint()),
+        Url("http://127.0.0.1:" + std::to_string(At.port())),
         Serving([this, Scripts = std::move(Scripts)] { serve(Scripts); }) {}
-  ~RawServer() { Serving.join(); }
+  ~RawServer() {
+    Stopped = true;
+    boost::asio::io_context Own;
+    Tcp::socket Wake(Own); // Ends an accept that is under way.
+    boost::system::error_code Ignored;
+    Wake.connect(At, Ignored);
+    Serving.join();
+  }
   RawServer(const RawServer &) = delete;
   RawServer &operator=(const RawServer &) = delete;
 
@@ -50,6 +58,8 @@
     for (size_t n = 0; n < Scripts.size(); ++n) {
       boost::system::error_code ec;
       Tcp::socket Socket = Listening.accept(ec);
+      if (Stopped)
+        return;
       std::string Head;
       boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Head),
                               "\r\n\r\n", ec);
@@ -72,7 +82,9 @@
 
   boost::asio::io_context Io;
   Tcp::acceptor Listening;
+  const Tcp::endpoint At;
   const std::string Url;
+  std::atomic<bool> Stopped{false};
   std::thread Serving;
 };
 
--- a/tests/unit/service_answer_test.cpp
+++ b/tests/unit/service_answer_test.cpp
@@ -47,3 +47,39 @@
     BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
   }
 }
+
+// Guards against a part of an answer without a length that passes for the
+// whole, since its service crashed, which closes the connection as well.
+BOOST_AUTO_TEST_CASE(APartOfAnAnswerOfACrashedServiceIsNone) {
+  const RawServer Server({RawServer::sending(StatusLine + "\r\na part")});
+  const auto Got = callAt(Server);
+  BOOST_TEST(!Got.Value.has_value());
+  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+}
+
+// Guards against the same for a service that lives on, and resets the
+// connection after its end.
+BOOST_AUTO_TEST_CASE(APartOfAnAnswerBeforeAResetIsNone) {
+  const auto SendAndReset = [](RawServer::Tcp::socket &Socket) {
+    RawServer::sending(StatusLine + "\r\na part")(Socket);
+    Socket.shutdown(boost::asio::socket_base::shutdown_send);
+    Socket.set_option(boost::asio::socket_base::linger(true, 0));
+    Socket.close();
+  };
+  const RawServer Server(
+      {SendAndReset, RawServer::sending(StatusLine + "\r\nrun 1")});
+  const auto Got = callAt(Server);
+  BOOST_TEST(!Got.Value.has_value());
+  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+}
+
+// Guards against whole answers that are lost since only the close of their
+// connection ends them.
+BOOST_AUTO_TEST_CASE(AnAnswerMayEndWithItsConnection) {
+  const RawServer Server({RawServer::sending(StatusLine + "\r\nwhole"),
+                          RawServer::sending(StatusLine + "\r\nrun 1")});
+  const auto Got = callAt(Server);
+  BOOST_REQUIRE(Got.Value.has_value());
+  BOOST_TEST(Got.Value->Status == 200);
+  BOOST_TEST(Got.Value->Body == "whole");
+}
