--- a/tests/integration/other_writer_test.cpp
+++ b/tests/integration/other_writer_test.cpp
@@ -7,6 +7,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace jacinthpond::fleet;
 using namespace std::chrono_literals;
 
@@ -71,3 +75,54 @@
   All.store({{"put", Items}});
   BOOST_TEST(dropsKey(All));
 }
+
+// Guards against one odd item that ends the processes that read it, again and
+// again, or that keeps them from following the list.
+BOOST_AUTO_TEST_CASE(OddItemsEndNoProcess) {
+  RouteFleet All(RoutePlan{});
+  BOOST_REQUIRE(All.waitServing(30s));
+  const std::string Nested =
+      std::string(100000, '[') + std::string(100000, ']');
+  const std::vector<std::pair<const char *, std::string>> Members = {
+      {"slots", Nested},
+      {"models", Nested},
+      {"models", "[{\"name\": " + Nested + ", \"version\": 1}]"},
+      {"address", Nested},
+      {"unknown", Nested},
+      {"slots", "1e400"},
+      {"slots", "-1e308"},
+      {"slots", "18446744073709551616"},
+      {"slots", std::string(5000, '9')},
+      {"born", "1e308"},
+      {"born", "18446744073709551615"},
+      {"cold_remaining_ms", "1e400"},
+      {"sequence", "-9223372036854775809"},
+      {"address", "\"127.0.0.9:65536\""},
+      {"address", "\"127.0.0.9:-1\""},
+      {"address", "\"127.0.0.9:99999999999999999999\""},
+      {"address", "\"127.0.0.9:\""},
+      {"address", "\"127.0.0.9\""},
+      {"address", "\"127.0.0.9:8x\""},
+      {"address", "\"[::1]:80\""},
+      {"address", "\"\""}};
+  Json Items = {{"servers/odd-nested", Nested}, {"servers/odd-text", "{"}};
+  for (size_t n = 0; n < Members.size(); ++n) {
+    const auto &[Key, Value] = Members[n];
+    Json Item = serverItem(n);
+    Item[Key] = "ODD";
+    std::string Text = Item.dump();
+    Text.replace(Text.find("\"ODD\""), 5, Value);
+    Items["servers/odd-" + std::to_string(n)] = Text;
+  }
+  All.store({{"put", Items}});
+  BOOST_TEST(dropsKey(All));
+  for (const char *Name : {"entry-0", "entry-1", "agent-0", "agent-1"}) {
+    BOOST_TEST(!All.process(Name).waitExit(0ms).has_value(), Name);
+    All.process(Name).kill();
+    All.restart(Name);
+  }
+  BOOST_TEST(All.waitServing(10s));
+  BOOST_TEST(waitFor(10s, [&] {
+    return All.ask(0, {}).status == 200 && All.ask(1, {}).status == 200;
+  }));
+}
