--- a/tests/unit/service_answer_test.cpp
+++ b/tests/unit/service_answer_test.cpp
@@ -17,12 +17,23 @@
 
 const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
 
+/** Sends a part of an answer without a length. */
+void sendPart(RawServer::Tcp::socket &Socket) {
+  RawServer::sending(StatusLine + "\r\na part")(Socket);
+}
+
+void reset(RawServer::Tcp::socket &Socket) {
+  Socket.set_option(boost::asio::socket_base::linger(true, 0));
+  Socket.close();
+}
+
 /** What an agent gets for a call to a service. */
-Outcome<ServiceAnswer> callAt(const RawServer &Server) {
+Outcome<ServiceAnswer> callAt(const RawServer &Server,
+                              const std::string &Body = "{}") {
   HttpService Service(Server.url());
   ServiceCall Call;
   Call.Class.Value = "book";
-  Call.Body = "{}";
+  Call.Body = Body;
   Call.Timeout = Millis(1000);
   return outcomeOf([&] { return Service.call(Call); });
 }
@@ -51,7 +62,7 @@
 // Guards against a part of an answer without a length that passes for the
 // whole, since its service crashed, which closes the connection as well.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerOfACrashedServiceIsNone) {
-  const RawServer Server({RawServer::sending(StatusLine + "\r\na part")});
+  const RawServer Server({sendPart});
   const auto Got = callAt(Server);
   BOOST_TEST(!Got.Value.has_value());
   BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
@@ -60,19 +71,31 @@
 // Guards against the same for a service that lives on, and resets the
 // connection after its end.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerBeforeAResetIsNone) {
-  const auto SendAndReset = [](RawServer::Tcp::socket &Socket) {
-    RawServer::sending(StatusLine + "\r\na part")(Socket);
-    Socket.shutdown(boost::asio::socket_base::shutdown_send);
-    Socket.set_option(boost::asio::socket_base::linger(true, 0));
-    Socket.close();
-  };
-  const RawServer Server(
-      {SendAndReset, RawServer::sending(StatusLine + "\r\nrun 1")});
+  const RawServer Server({[](RawServer::Tcp::socket &Socket) {
+                            sendPart(Socket);
+                            Socket.shutdown(
+                                boost::asio::socket_base::shutdown_send);
+                            reset(Socket);
+                          },
+                          RawServer::sending(StatusLine + "\r\nrun 1")});
   const auto Got = callAt(Server);
   BOOST_TEST(!Got.Value.has_value());
   BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
 }
 
+// Guards against the same for a reset of which only the write of a long body is
+// told.
+BOOST_AUTO_TEST_CASE(APartOfAnAnswerDuringAnUploadIsNone) {
+  const RawServer Server({[](RawServer::Tcp::socket &Socket) {
+                            sendPart(Socket);
+                            reset(Socket);
+                          },
+                          RawServer::sending(StatusLine + "\r\nrun 1")});
+  const auto Got = callAt(Server, std::string(16 << 20, 'x'));
+  BOOST_TEST(!Got.Value.has_value());
+  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+}
+
 // Guards against whole answers that are lost since only the close of their
 // connection ends them.
 BOOST_AUTO_TEST_CASE(AnAnswerMayEndWithItsConnection) {
