--- a/packages/entry/src/forward/forward_context.h
+++ b/packages/entry/src/forward/forward_context.h
@@ -6,7 +6,7 @@
 #include "admission/quarantine_func.h"
 #include "base/memory_budget.h"
 #include "clock/runtime_clock.h"
-#include "forward/back_end_call.h"
+#include "forward/back_end_connections.h"
 #include "forward/caller_connections.h"
 #include "forward/caller_session.h"
 #include "forward/forward_counters.h"
--- a/tests/unit/service_answer_test.cpp
+++ b/tests/unit/service_answer_test.cpp
@@ -38,6 +38,12 @@
   return outcomeOf([&] { return Service.call(Call); });
 }
 
+/** Expects a call to have no answer and an unknown outcome. */
+void checkUnknown(const Outcome<ServiceAnswer> &Got) {
+  BOOST_TEST(!Got.Value.has_value());
+  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+}
+
 } // namespace
 
 // Guards against answers that are taken although their heads are broken: their
@@ -53,9 +59,7 @@
            StatusLine + "Content-Length: 3\r\nContent-Length: 5\r\n",
            StatusLine + "Transfer-Encoding: gzip\r\n"}) {
     const RawServer Server({RawServer::sending(Head + "\r\nwhole")});
-    const auto Got = callAt(Server);
-    BOOST_TEST(!Got.Value.has_value(), Head);
-    BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+    BOOST_TEST_CONTEXT(Head) { checkUnknown(callAt(Server)); }
   }
 }
 
@@ -63,9 +67,7 @@
 // whole, since its service crashed, which closes the connection as well.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerOfACrashedServiceIsNone) {
   const RawServer Server({sendPart});
-  const auto Got = callAt(Server);
-  BOOST_TEST(!Got.Value.has_value());
-  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+  checkUnknown(callAt(Server));
 }
 
 // Guards against the same for a service that lives on, and resets the
@@ -78,9 +80,7 @@
                             reset(Socket);
                           },
                           RawServer::sending(StatusLine + "\r\nrun 1")});
-  const auto Got = callAt(Server);
-  BOOST_TEST(!Got.Value.has_value());
-  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+  checkUnknown(callAt(Server));
 }
 
 // Guards against the same for a reset of which only the write of a long body is
@@ -91,9 +91,7 @@
                             reset(Socket);
                           },
                           RawServer::sending(StatusLine + "\r\nrun 1")});
-  const auto Got = callAt(Server, std::string(16 << 20, 'x'));
-  BOOST_TEST(!Got.Value.has_value());
-  BOOST_CHECK(Got.Why.Kind == ErrorKind::OutcomeUnknown);
+  checkUnknown(callAt(Server, std::string(16 << 20, 'x')));
 }
 
 // Guards against whole answers that are lost since only the close of their
