tests: let the write of a request go on while its response ends

Now the back end empties the kernel's buffers before it answers, so that parts are written at once while the response is read, and the event loop runs on after the call is dropped.

--- a/tests/unit/back_end_upload_test.cpp
+++ b/tests/unit/back_end_upload_test.cpp
@@ -63,6 +63,16 @@
   }
 };
 
+/** Fills the kernel's buffers with the request, and empties them at the back
+ * end: the next parts are written at once, while the response is read. */
+void makeRoom(OpenUpload &One) {
+  One.Io.run_for(std::chrono::milliseconds(50));
+  const auto End =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+  while (std::chrono::steady_clock::now() < End)
+    One.receive();
+}
+
 const std::string PlainHead = "HTTP/1.1 200 OK\r\n\r\n";
 
 } // namespace
@@ -140,12 +150,13 @@
   for (const std::string &Response : Responses) {
     Recording Events;
     OpenUpload One(Events);
+    makeRoom(One);
     One.send(Response);
     BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.isOver(); }));
     BOOST_CHECK(Events.Ended == ResponseEnd::Marked);
     BOOST_TEST((Events.Body.empty() || Events.Body == "whole"));
     One.Call.reset();
-    // The back end goes on reading, and so does the write.
+    One.Io.run_for(std::chrono::milliseconds(20)); // The write goes on.
     BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
     BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
                nullptr);
@@ -158,10 +169,12 @@
     Skipping Events;
     OpenUpload One(Events);
     Events.Call = std::move(One.Call);
+    makeRoom(One);
     One.send("HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\n" +
              std::string(Body));
     BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.Ended == 1; }));
     Events.Call.reset();
+    One.Io.run_for(std::chrono::milliseconds(20)); // The write goes on.
     BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
     BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
                nullptr);
