tests: go on only once a paused process stands still

Traced on the entry's log of two failing runs (of 70 runs of the program, ten at a time beside eight busy processes, load average about 11): the worker was sent SIGSTOP and then asked, and sent the head of its stream within 1 ms (status=200, heard_ms=2299 of 2299): the signal had not stopped all of its threads yet. So the request had begun 2 s before the bound, which is allowed, and the entry rightly held it until its time was up, 4.3 s after the publication. A worker that is stopped by hand after the head gives the same line (status 504 after 4301 ms). The product is as it was.

In a third run the entry had read the new version although SIGSTOP had been sent before it was published (at_most_ms=48 where 2900 is usual): that case passed without its pause.

ChildProcess::pause() sends the signal and waits until the kernel reports the process as stopped. The tests that rely on it use that: old_weights, silent_server, domain_out, weights and routes. No check or bound has changed.

--- a/bench/fleet/process_runner.cpp
+++ b/bench/fleet/process_runner.cpp
@@ -21,6 +21,8 @@
 
 /** Longest wait for a ready line; the machine may be busy. */
 constexpr std::chrono::seconds ReadyLimit{20};
+/** Longest wait for a process to stop. */
+constexpr std::chrono::seconds StopLimit{5};
 constexpr std::chrono::milliseconds PollPeriod{5};
 
 [[noreturn]] void becomeProgram(const std::string &Program,
@@ -97,6 +99,19 @@
     ::kill(Pid, Signal);
 }
 
+void ChildProcess::pause() const {
+  signal(SIGSTOP);
+  // Its threads run on for a while after the signal was sent.
+  const bool Stopped = waitFor(StopLimit, [this] {
+    siginfo_t State{};
+    return waitid(P_PID, static_cast<id_t>(Pid), &State,
+                  WSTOPPED | WNOHANG | WNOWAIT) == 0 &&
+           State.si_pid == Pid;
+  });
+  if (!Stopped)
+    throw std::runtime_error("a process did not stop");
+}
+
 void ChildProcess::kill() {
   signal(SIGKILL);
   if (Pid > 0)
--- a/bench/fleet/process_runner.h
+++ b/bench/fleet/process_runner.h
@@ -50,6 +50,10 @@
    */
   void signal(int Signal) const;
 
+  /** Stops it with SIGSTOP, and returns once none of its threads runs any more;
+   * throws when they go on for too long. */
+  void pause() const;
+
   /** Ends it at once. */
   void kill();
 
--- a/tests/integration/domain_out_test.cpp
+++ b/tests/integration/domain_out_test.cpp
@@ -54,10 +54,10 @@
 // request had reached the domain's engines before, so each one is a fault.
 BOOST_AUTO_TEST_CASE(AnEntryAndAgentsThatWakeUpLate) {
   for (const char *Name : {"agent-m0", "agent-m3"})
-    All.process(Name).signal(SIGSTOP);
+    All.process(Name).pause();
   startCallers();
   BOOST_REQUIRE(waitFor(10s, [&] { return Whole > 0 && openCalls() >= 6; }));
-  All.process("entry-0").signal(SIGSTOP);
+  All.process("entry-0").pause();
   publishOut(true);
   waitSilentLimit();
   for (const char *Name : {"entry-0", "agent-m0", "agent-m3"})
--- a/tests/integration/old_weights_test.cpp
+++ b/tests/integration/old_weights_test.cpp
@@ -71,10 +71,10 @@
   // Agents had lost their heartbeats of that entry just before the publication,
   // and gave it, and no other entry, places on the old version until that time
   // after its waking was over.
-  kill(All.process("entry-0").pid(), SIGSTOP);
+  All.process("entry-0").pause();
   publishVersion(2);
   std::this_thread::sleep_until(Published + Pause);
-  kill(All.process("entry-0").pid(), SIGCONT);
+  All.process("entry-0").signal(SIGCONT);
   std::this_thread::sleep_until(Published + WeightsChange);
   const size_t Before = runs();
   for (int n = 0; n < 5; ++n)
@@ -90,11 +90,11 @@
   publishVersion(2);
   std::this_thread::sleep_until(Published + WeightsChange / 2);
   for (const char *Name : {"model-0", "model-1"})
-    kill(All.process(Name).pid(), SIGSTOP);
+    All.process(Name).pause();
   BOOST_TEST(write(0) != 200);
   BOOST_TEST((std::chrono::steady_clock::now() < Published + WeightsChange));
   for (const char *Name : {"model-0", "model-1"})
-    kill(All.process(Name).pid(), SIGCONT);
+    All.process(Name).signal(SIGCONT);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/integration/routes_test.cpp
+++ b/tests/integration/routes_test.cpp
@@ -123,7 +123,7 @@
            !All.look("model-1")["runs"].empty();
   }));
   for (const char *Name : {"model-0", "agent-0"})
-    All.process(Name).signal(SIGSTOP);
+    All.process(Name).pause();
   const auto Begin = std::chrono::steady_clock::now();
   Callers.clear();
   const auto Took = std::chrono::steady_clock::now() - Begin;
--- a/tests/integration/silent_server_test.cpp
+++ b/tests/integration/silent_server_test.cpp
@@ -40,7 +40,7 @@
   httplib::Response Answer;
   std::jthread Caller([&] { Answer = All.ask(0, writeAsk()); });
   std::this_thread::sleep_for(300ms); // The first event has come.
-  All.process("model-0").signal(SIGSTOP);
+  All.process("model-0").pause();
   std::this_thread::sleep_for(2600ms);
   All.process("model-0").signal(SIGCONT);
   Caller.join();
@@ -53,7 +53,7 @@
   RouteFleet All(RoutePlan{});
   BOOST_REQUIRE(All.waitServing(30s));
   All.control("plain-1", {{"refuse", 1000}});
-  All.process("plain-0").signal(SIGSTOP);
+  All.process("plain-0").pause();
   std::vector<httplib::Response> Answers(4);
   std::vector<std::jthread> Callers;
   Callers.reserve(Answers.size());
@@ -79,7 +79,7 @@
   for (httplib::Response &Into : Answers)
     Callers.emplace_back([&] { Into = All.ask(0, writeAsk()); });
   std::this_thread::sleep_for(350ms); // Some events have come.
-  All.process("model-0").signal(SIGSTOP);
+  All.process("model-0").pause();
   std::this_thread::sleep_for(Silence);
   All.process("model-0").signal(SIGCONT);
   Callers.clear();
--- a/tests/integration/weights_test.cpp
+++ b/tests/integration/weights_test.cpp
@@ -209,7 +209,7 @@
   Serving Run(Plan);
   Run.publish("v2");
   BOOST_TEST(waitFor(Limit, [&] { return Run.staged(0) > 0; }));
-  Run.All.process("agent-m0").signal(SIGSTOP);
+  Run.All.process("agent-m0").pause();
   Run.All.replaceAgent("m0");
   const std::string Set = Run.publish("v3");
   BOOST_TEST(Run.All.waitServing(Limit));
