--- a/packages/adapters/http/response_head.h
+++ b/packages/adapters/http/response_head.h
@@ -30,6 +30,12 @@
    */
   bool accept(std::string_view Bytes);
 
+  /**
+   * Says whether the final response has begun.
+   * @return True once its whole head was accepted.
+   */
+  bool isComplete() const { return Complete; }
+
 private:
   std::string Head;      ///< Head that is not complete yet.
   bool Complete = false; ///< The head of the final response was accepted.
--- a/tests/unit/service_answer_test.cpp
+++ b/tests/unit/service_answer_test.cpp
@@ -6,9 +6,12 @@
 
 #include "base/error_func.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace jacinthpond;
@@ -27,6 +30,21 @@
   Socket.close();
 }
 
+/** A body that no buffers of the kernel hold. */
+const std::string LongBody(16 << 20, 'x');
+/** Most bytes of a body that are read with the head before it. */
+constexpr size_t MaxReadWithHead = 65536;
+
+/** Sends a text, reads nothing for a while, and resets the connection. */
+RawServer::Script thenReset(const std::string &Text,
+                            std::chrono::milliseconds Wait) {
+  return [Text, Wait](RawServer::Tcp::socket &Socket) {
+    RawServer::sending(Text)(Socket);
+    std::this_thread::sleep_for(Wait);
+    reset(Socket);
+  };
+}
+
 /** What an agent gets for a call to a service. */
 Outcome<ServiceAnswer> callAt(const RawServer &Server,
                               const std::string &Body = "{}") {
@@ -91,7 +109,65 @@
                             reset(Socket);
                           },
                           RawServer::sending(StatusLine + "\r\nrun 1")});
-  checkUnknown(callAt(Server, std::string(16 << 20, 'x')));
+  checkUnknown(callAt(Server, LongBody));
+}
+
+// Guards against refusals that are told as unknown outcomes, since the service
+// did not take the rest of a long request.
+BOOST_AUTO_TEST_CASE(AnAnswerBeforeTheEndOfAnUploadIsTold) {
+  const std::string Refusal =
+      "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+  const std::string Whole = StatusLine + "Content-Length: 4\r\n\r\ndone";
+  for (const std::string &Sent : {Refusal, Whole}) {
+    const RawServer Server({thenReset(Sent, std::chrono::milliseconds(0)),
+                            thenReset(Sent, std::chrono::milliseconds(1500)),
+                            RawServer::sending(Sent)});
+    for (const char *Then : {"resets", "stops reading", "reads on"}) {
+      BOOST_TEST_CONTEXT(Sent << ", " << Then) {
+        const auto Got = callAt(Server, LongBody);
+        const ServiceAnswer Told = Got.Value.value_or(ServiceAnswer{});
+        BOOST_TEST(Told.Status == (Sent == Whole ? 200 : 503));
+        BOOST_TEST(Told.Body == (Sent == Whole ? "done" : "busy"));
+      }
+    }
+  }
+}
+
+// Guards against the same for a part of such an answer, or a malformed one,
+// that passes for the whole.
+BOOST_AUTO_TEST_CASE(APartBeforeTheEndOfAnUploadIsNone) {
+  for (const std::string &Sent : std::vector<std::string>{
+           StatusLine + "Content-Length: 40\r\n\r\na part",
+           StatusLine + "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
+           StatusLine + "\r\na part", StatusLine + "Content-Le",
+           "HTTP/1.1 100 Continue\r\n\r\n",
+           "HTTP/1.1 000 None\r\nContent-Length: 6\r\n\r\na part"}) {
+    const RawServer Server({thenReset(Sent, std::chrono::milliseconds(0)),
+                            thenReset(Sent, std::chrono::milliseconds(1500)),
+                            RawServer::sending(StatusLine + "\r\nrun 1")});
+    for (const char *Then : {"resets", "stops reading"})
+      BOOST_TEST_CONTEXT(Sent << ", " << Then) {
+        checkUnknown(callAt(Server, LongBody));
+      }
+  }
+}
+
+// Guards against requests of which a part is sent only, since something came
+// before their end.
+BOOST_AUTO_TEST_CASE(AnInterimAnswerDoesNotEndAnUpload) {
+  size_t Received = 0;
+  const RawServer Server({[&](RawServer::Tcp::socket &Socket) {
+    RawServer::sending("HTTP/1.1 100 Continue\r\n\r\n")(Socket);
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    std::string Into(LongBody.size() - MaxReadWithHead, '\0');
+    boost::system::error_code ec;
+    Received = boost::asio::read(Socket, boost::asio::buffer(Into), ec);
+    RawServer::sending(StatusLine + "Content-Length: 4\r\n\r\ndone")(Socket);
+  }});
+  const auto Got = callAt(Server, LongBody);
+  BOOST_REQUIRE(Got.Value.has_value());
+  BOOST_TEST(Got.Value->Body == "done");
+  BOOST_TEST(Received == LongBody.size() - MaxReadWithHead);
 }
 
 // Guards against whole answers that are lost since only the close of their
