--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -159,7 +159,7 @@
 
 /** Runs a step; an exception ends the call. Nothing else would end the request
  * before its deadline. */
-void BackEndCall::runStep(const std::function<void()> &Step) {
+template <typename StepType> void BackEndCall::runStep(const StepType &Step) {
   try {
     Step();
   } catch (const std::exception &Why) {
--- a/packages/entry/src/forward/back_end_call.h
+++ b/packages/entry/src/forward/back_end_call.h
@@ -14,7 +14,6 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -173,7 +172,7 @@
   void handleRead(const boost::system::error_code &ec, size_t n);
   void handleEndOfInput();
   void endClosedResponse();
-  void runStep(const std::function<void()> &Step);
+  template <typename StepType> void runStep(const StepType &Step);
   void parse();
   bool parseNext();
   bool processHead();
