--- a/packages/adapters/http/response_head.cpp
+++ b/packages/adapters/http/response_head.cpp
@@ -17,8 +17,6 @@
 
 constexpr std::string_view LineEnd = "\r\n";
 constexpr std::string_view HeadEnd = "\r\n\r\n";
-/** Longest head of a response. */
-constexpr size_t MaxHeadBytes = 16384;
 /** The only interim status that the library skips. */
 constexpr unsigned StatusContinue = 100;
 /** Smallest status of a final response (RFC 9110, 15). */
@@ -28,7 +26,7 @@
  * its body has a coding that the library does not decode. */
 std::optional<unsigned> parseStatus(std::string_view Head) {
   http::response_parser<http::empty_body> Parser;
-  Parser.header_limit(MaxHeadBytes);
+  Parser.header_limit(MaxResponseHeadBytes);
   Parser.body_limit(boost::none);
   boost::system::error_code ec;
   Parser.put(boost::asio::buffer(Head.data(), Head.size()), ec);
@@ -70,7 +68,7 @@
       return false;
     Head.erase(0, Size);
   }
-  return Head.size() <= MaxHeadBytes;
+  return Head.size() <= MaxResponseHeadBytes;
 }
 
 } // namespace jacinthpond
--- a/packages/adapters/http/response_head.h
+++ b/packages/adapters/http/response_head.h
@@ -3,11 +3,15 @@
 #ifndef JACINTHPOND_ADAPTERS_HTTP_RESPONSE_HEAD_H
 #define JACINTHPOND_ADAPTERS_HTTP_RESPONSE_HEAD_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace jacinthpond {
 
+/** Longest head of a response. */
+constexpr uint32_t MaxResponseHeadBytes = 16384;
+
 /**
  * Says whether a header is continued on a folded line (RFC 9112, 5.2), which
  * parsers join to the value before it.
--- a/packages/entry/src/forward/back_end_call.cpp
+++ b/packages/entry/src/forward/back_end_call.cpp
@@ -27,8 +27,8 @@
 
 /** Size of one read; an event of a stream has a few hundred bytes. */
 constexpr size_t ReadBytes = 4096;
-/** Longest head of a response, and longest line or trailer of its framing. */
-constexpr uint32_t MaxHeadBytes = 16384;
+/** Longest line or trailer of the framing of a response. */
+constexpr size_t MaxFramingBytes = MaxResponseHeadBytes;
 /** Most bytes that a call reads beside the body of its response: framing,
  * interim responses, and responses to earlier requests. */
 constexpr size_t MaxOtherBytes = 1 << 20;
@@ -119,7 +119,7 @@
 /** Prepares to parse the next response on the connection. */
 void BackEndCall::resetParser() {
   ResponseParser.emplace();
-  ResponseParser->header_limit(MaxHeadBytes);
+  ResponseParser->header_limit(MaxResponseHeadBytes);
   ResponseParser->body_limit(boost::none);
   ResponseParser->eager(true);
   ResponseParser->skip(Request.NoResponseBody);
@@ -255,7 +255,7 @@
   }
   if (Handler == nullptr)
     return;
-  if (OpenConnection->Buffer.size() > MaxHeadBytes || !isWithinBounds())
+  if (OpenConnection->Buffer.size() > MaxFramingBytes || !isWithinBounds())
     reportFailure(CallFailure::Broken, ConnectionEnd::Malformed);
   else
     readMore();
--- a/tests/unit/back_end_upload_test.cpp
+++ b/tests/unit/back_end_upload_test.cpp
@@ -73,6 +73,15 @@
     One.receive();
 }
 
+/** Checks that the connection is closed, once the pending write has gone on,
+ * and that no other request gets it. */
+void checkClosed(OpenUpload &One) {
+  One.Io.run_for(std::chrono::milliseconds(20));
+  BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
+  BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
+             nullptr);
+}
+
 const std::string PlainHead = "HTTP/1.1 200 OK\r\n\r\n";
 
 } // namespace
@@ -156,10 +165,7 @@
     BOOST_CHECK(Events.Ended == ResponseEnd::Marked);
     BOOST_TEST((Events.Body.empty() || Events.Body == "whole"));
     One.Call.reset();
-    One.Io.run_for(std::chrono::milliseconds(20)); // The write goes on.
-    BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
-    BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
-               nullptr);
+    checkClosed(One);
   }
 }
 
@@ -174,10 +180,7 @@
              std::string(Body));
     BOOST_REQUIRE(runUntil(One.Io, [&] { return Events.Ended == 1; }));
     Events.Call.reset();
-    One.Io.run_for(std::chrono::milliseconds(20)); // The write goes on.
-    BOOST_TEST(runUntil(One.Io, [&] { return !One.receive(); }));
-    BOOST_TEST(One.Pool.take(One.At, std::chrono::steady_clock::now()) ==
-               nullptr);
+    checkClosed(One);
     BOOST_TEST(Events.Failed == 0);
   }
 }
--- a/tests/unit/service_answer_test.cpp
+++ b/tests/unit/service_answer_test.cpp
@@ -20,10 +20,8 @@
 
 const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
 
-/** Sends a part of an answer without a length. */
-void sendPart(RawServer::Tcp::socket &Socket) {
-  RawServer::sending(StatusLine + "\r\na part")(Socket);
-}
+/** A part of an answer without a length. */
+const std::string Part = StatusLine + "\r\na part";
 
 void reset(RawServer::Tcp::socket &Socket) {
   Socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -84,7 +82,7 @@
 // Guards against a part of an answer without a length that passes for the
 // whole, since its service crashed, which closes the connection as well.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerOfACrashedServiceIsNone) {
-  const RawServer Server({sendPart});
+  const RawServer Server({RawServer::sending(Part)});
   checkUnknown(callAt(Server));
 }
 
@@ -92,7 +90,7 @@
 // connection after its end.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerBeforeAResetIsNone) {
   const RawServer Server({[](RawServer::Tcp::socket &Socket) {
-                            sendPart(Socket);
+                            RawServer::sending(Part)(Socket);
                             Socket.shutdown(
                                 boost::asio::socket_base::shutdown_send);
                             reset(Socket);
@@ -104,10 +102,7 @@
 // Guards against the same for a reset of which only the write of a long body is
 // told.
 BOOST_AUTO_TEST_CASE(APartOfAnAnswerDuringAnUploadIsNone) {
-  const RawServer Server({[](RawServer::Tcp::socket &Socket) {
-                            sendPart(Socket);
-                            reset(Socket);
-                          },
+  const RawServer Server({thenReset(Part, std::chrono::milliseconds(0)),
                           RawServer::sending(StatusLine + "\r\nrun 1")});
   checkUnknown(callAt(Server, LongBody));
 }
@@ -139,8 +134,7 @@
   for (const std::string &Sent : std::vector<std::string>{
            StatusLine + "Content-Length: 40\r\n\r\na part",
            StatusLine + "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
-           StatusLine + "\r\na part", StatusLine + "Content-Le",
-           "HTTP/1.1 100 Continue\r\n\r\n",
+           Part, StatusLine + "Content-Le", "HTTP/1.1 100 Continue\r\n\r\n",
            "HTTP/1.1 000 None\r\nContent-Length: 6\r\n\r\na part"}) {
     const RawServer Server({thenReset(Sent, std::chrono::milliseconds(0)),
                             thenReset(Sent, std::chrono::milliseconds(1500)),
